Set up the workspace, schemas, platform ports and settings

Cause: nothing stood yet. Each part of the system needs common message types, a runner for decisions, ports to the platform and checked settings before it can be written on its own. Considered: one settings type per binary in zod; ruled out because the types would stand twice, beside the schema from which code is generated.

--- /dev/null
+++ b/jest.config.js
@@ -0,0 +1,6 @@
+export default {
+  testEnvironment: 'node',
+  testMatch: ['<rootDir>/packages/*/lib/**/__tests__/*.test.js'],
+  transform: {},
+  testTimeout: 30000
+}
--- /dev/null
+++ b/packages/effects/src/command.ts
@@ -0,0 +1,45 @@
+declare const responseType: unique symbol
+
+/** A typed request that a decision yields; `Response` is what the runner answers with. */
+export interface Command<Kind extends string, Response = void> {
+  readonly kind: Kind
+  /** Carries the response type; never present at run time. */
+  readonly [responseType]?: Response
+}
+
+/** Response type of a command. */
+export type ResponseOf<Yielded> = Yielded extends Command<string, infer Response> ? Response : never
+
+/** A decision: pure control flow that yields commands and returns a result. */
+export type Decision<Yielded, Result> = Generator<Yielded, Result, unknown>
+
+/** Yields one command and returns its typed response: `const row = yield * perform(readRow)`. */
+export function * perform<Yielded extends Command<string, unknown>> (
+  command: Yielded
+): Decision<Yielded, ResponseOf<Yielded>> {
+  return (yield command) as ResponseOf<Yielded>
+}
+
+/** Runs a decision; a rejected command is thrown into the decision at its `yield`. */
+export async function runDecision<Yielded, Result> (
+  decision: Decision<Yielded, Result>,
+  handle: (command: Yielded) => unknown
+): Promise<Result> {
+  let step = decision.next()
+  while (step.done !== true) {
+    let response: unknown
+    try {
+      response = await handle(step.value)
+    } catch (error) {
+      step = decision.throw(error)
+      continue
+    }
+    step = decision.next(response)
+  }
+  return step.value
+}
+
+/** Makes a switch exhaustive: reaching it is a compile-time error. */
+export function assertNever (value: never): never {
+  throw new TypeError(`unexpected variant: ${JSON.stringify(value)}`)
+}
--- /dev/null
+++ b/packages/effects/src/index.ts
@@ -0,0 +1,3 @@
+export * from './clock.js'
+export * from './command.js'
+export * from './task.js'
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,3 @@
+export * from './connectAdapter/connectPlatform.js'
+export * from './memoryPlatform.js'
+export * from './ports.js'
--- /dev/null
+++ b/packages/platform/src/ports.ts
@@ -0,0 +1,45 @@
+import type { InstanceEntry, TableCheck, TableRow, TableWrite } from '@quinceshunt/schemas'
+
+/** A check of a transaction. */
+export type RowCheck = Pick<TableCheck, 'key' | 'expectedVersion'>
+/** A write of a transaction. */
+export type RowWrite = Pick<TableWrite, 'key' | 'value' | 'delete'>
+/** A row as read. */
+export type Row = Pick<TableRow, 'key' | 'version' | 'value'>
+
+/** Outcome of a transaction that was answered. */
+export type TransactOutcome =
+  | { readonly kind: 'applied', readonly versions: readonly bigint[] }
+  | { readonly kind: 'conflict', readonly rows: readonly Row[] }
+
+/**
+ * The platform's transactional table. Calls reject with `PlatformUnavailableError` when they have had no effect and
+ * `transact` with `PlatformOutcomeUnknownError` when it may have taken effect.
+ */
+export interface TableStore {
+  /** Reads rows in the order of the keys; an absent row has version 0. */
+  read (keys: readonly string[]): Promise<readonly Row[]>
+  /** Lists rows by prefix in key order, at most `limit` (1 to 1000). */
+  scan (prefix: string, startAfter: string, limit: number): Promise<{ readonly rows: readonly Row[], readonly more: boolean }>
+  /** Applies all writes if all checks hold, otherwise none. */
+  transact (checks: readonly RowCheck[], writes: readonly RowWrite[]): Promise<TransactOutcome>
+}
+
+/** The platform's object store: immutable objects by name. */
+export interface ObjectStore {
+  put (name: string, content: Uint8Array): Promise<void>
+  /** Undefined when there is no such object. */
+  get (name: string): Promise<Uint8Array | undefined>
+}
+
+/** The platform's list of live and leaving instances; entries may be seconds old. */
+export interface InstanceList {
+  list (): Promise<{ readonly instances: readonly InstanceEntry[], readonly asOf: number }>
+}
+
+/** All ports to the platform. */
+export interface Platform {
+  readonly table: TableStore
+  readonly objects: ObjectStore
+  readonly instances: InstanceList
+}
--- /dev/null
+++ b/packages/schemas/src/index.ts
@@ -0,0 +1,6 @@
+export * from './gen/quinceshunt/v1/administration_pb.js'
+export * from './gen/quinceshunt/v1/peer_pb.js'
+export * from './gen/quinceshunt/v1/platform_pb.js'
+export * from './gen/quinceshunt/v1/records_pb.js'
+export * from './gen/quinceshunt/v1/settings_pb.js'
+export * from './gen/quinceshunt/v1/sheet_pb.js'
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,1 @@
+export * from './loadSettings.js'
--- /dev/null
+++ b/packages/telemetry/src/tracing.ts
@@ -0,0 +1,64 @@
+import { context, propagation, SpanKind, SpanStatusCode, trace, type Context, type Span } from '@opentelemetry/api'
+import { W3CTraceContextPropagator } from '@opentelemetry/core'
+import { OTLPTraceExporter } from '@opentelemetry/exporter-trace-otlp-http'
+import { resourceFromAttributes } from '@opentelemetry/resources'
+import { BatchSpanProcessor, NodeTracerProvider, ParentBasedSampler, TraceIdRatioBasedSampler, type SpanProcessor } from '@opentelemetry/sdk-trace-node'
+
+export { SpanKind }
+export type { Span, Context as TraceContext }
+
+const TRACER_NAME = 'quinceshunt'
+
+/** Settings of a process's traces. */
+export interface TracingOptions {
+  /** Name of the process, for example `router`. */
+  readonly serviceName: string
+  /** Instance ID from the settings. */
+  readonly instanceId: string
+  /** OTLP endpoint; empty exports nothing. */
+  readonly endpoint: string
+  /** Share of requests traced when the caller has not decided, 0 to 1. */
+  readonly sampleRatio: number
+  /** Further processors, for tests. */
+  readonly processors?: readonly SpanProcessor[]
+}
+
+/** Registers the tracer of this process; returns a function that flushes and stops it. */
+export function startTracing (options: TracingOptions): () => Promise<void> {
+  const processors = [...options.processors ?? []]
+  if (options.endpoint !== '') processors.push(new BatchSpanProcessor(new OTLPTraceExporter({ url: options.endpoint })))
+  const provider = new NodeTracerProvider({
+    resource: resourceFromAttributes({ 'service.name': options.serviceName, 'service.instance.id': options.instanceId }),
+    sampler: new ParentBasedSampler({ root: new TraceIdRatioBasedSampler(options.sampleRatio) }),
+    spanProcessors: processors
+  })
+  provider.register({ propagator: new W3CTraceContextPropagator() })
+  return () => provider.shutdown()
+}
+
+/** Reads the trace context from HTTP headers. */
+export function extractTraceContext (headers: Record<string, string | string[] | undefined>): Context {
+  return propagation.extract(context.active(), headers)
+}
+
+/** Headers that pass the trace context of a span to the next hop. */
+export function traceHeaders (span: Span, parent: Context): Record<string, string> {
+  const headers: Record<string, string> = {}
+  propagation.inject(trace.setSpan(parent, span), headers)
+  return headers
+}
+
+/** Starts a span for one hop; the caller ends it. */
+export function startSpan (name: string, kind: SpanKind, parent: Context, attributes: Record<string, string | number> = {}): Span {
+  return trace.getTracer(TRACER_NAME).startSpan(name, { kind, attributes }, parent)
+}
+
+/** Trace context whose active span is the given one. */
+export function contextWithSpan (parent: Context, span: Span): Context {
+  return trace.setSpan(parent, span)
+}
+
+/** Marks a span as failed. */
+export function failSpan (span: Span, message: string): void {
+  span.setStatus({ code: SpanStatusCode.ERROR, message })
+}
