--- a/packages/router/src/taskContracts.ts
+++ b/packages/router/src/taskContracts.ts
@@ -1,7 +1,7 @@
 import type { Client } from '@connectrpc/connect'
 import type { Clock } from '@quinceshunt/effects'
 import type { Platform } from '@quinceshunt/platform'
-import type { AdoptLeasesRequest, BackendServerMark, BackendServerStatus, BudgetSettings, PeerIdentity, PeerService, RouterSettings, RoutingSettings, SheetHead, SuspectRecord, TransferAllowanceRequest, TransferRecord } from '@quinceshunt/schemas'
+import type { AdoptLeasesRequest, BackendServerMark, BackendServerStatus, BudgetSettings, GossipMessage, PeerIdentity, PeerService, RouterSettings, RoutingSettings, SheetHead, SuspectRecord, TransferAllowanceRequest, TransferRecord } from '@quinceshunt/schemas'
 import type { Logger, Metrics } from '@quinceshunt/telemetry'
 import type { BackendService, BudgetService, ClaimService, ConfigurationService, QuarantineService } from './services.js'
 
@@ -73,5 +73,5 @@
 export type CreatePeerTask = (context: TaskContext, settings: RouterSettings) => PeerDirectory & Stoppable & {
   connect (configuration: ConfigurationGossip, backends: BackendGossip, suspects: SuspectGossip): void
   /** Answers a peer's gossip. */
-  receiveGossip: Client<typeof PeerService>['gossip'] extends (request: infer Request, ...rest: never[]) => Promise<infer Response> ? (request: Request) => Response : never
+  receiveGossip (request: GossipMessage): GossipMessage
 }
