--- /dev/null
+++ b/packages/routing/src/subset.ts
@@ -0,0 +1,25 @@
+import { createHash } from 'node:crypto'
+
+/** Backend servers of one target that an instance works with by default; above today's 6 replicas. */
+export const DEFAULT_SUBSET_SIZE = 8
+
+/**
+ * Chooses the backend servers of a target that an instance works with, by rendezvous hashing: each pair of instance and
+ * backend server has a fixed weight, and the heaviest are taken. A change of either list moves only the pairs concerned.
+ */
+export function chooseSubset (instanceId: string, backendServers: readonly string[], size: number): ReadonlySet<string> {
+  if (backendServers.length <= size) return new Set(backendServers)
+  const weighted = backendServers.map((id) => ({ id, weight: pairWeight(instanceId, id) }))
+  weighted.sort((left, right) => left.weight < right.weight ? 1 : -1)
+  return new Set(weighted.slice(0, size).map((entry) => entry.id))
+}
+
+/** Instances expected to use the same backend server, this one included. */
+export function sharingInstances (instances: number, backendServers: number, size: number): number {
+  if (backendServers <= size) return Math.max(1, instances)
+  return Math.max(1, Math.ceil(instances * size / backendServers))
+}
+
+function pairWeight (instanceId: string, backendServer: string): string {
+  return createHash('sha256').update(instanceId).update('\0').update(backendServer).digest('hex')
+}
