--- a/packages/routing/src/cacheIndex.ts
+++ b/packages/routing/src/cacheIndex.ts
@@ -9,8 +9,8 @@
   readonly hash: string
 }
 
-/** Prefix hashes kept for one backend server; about 100 bytes each, so 4 MB at most for 40 backend servers. */
-const INDEXED_HASHES_LIMIT = 1024
+/** Prefix hashes kept for one backend server: 1 MiB of prompts, at about 100 bytes a hash 0.4 MB of memory. */
+const INDEXED_HASHES_LIMIT = 4096
 
 /**
  * What one backend server's prefix cache is expected to hold. Events come late and some are lost; a gap in the
@@ -41,8 +41,15 @@
     return cleared
   }
 
-  /** Applies a poll's answer; `next`, the position it covers, beyond the last event shows that events were lost. */
+  /**
+   * Applies a poll's answer. `next` is the position that it covers: beyond the last event it shows that events were lost,
+   * before the last known one that the engine has restarted.
+   */
   applyAnswer (events: readonly CacheEvent[], next: number): boolean {
+    if (next < this.lastSequence) {
+      this.reset()
+      return true
+    }
     const cleared = this.apply(events)
     if (next <= this.lastSequence) return cleared
     const known = this.#hashes.size > 0
--- a/packages/routing/src/shedding.ts
+++ b/packages/routing/src/shedding.ts
@@ -61,10 +61,13 @@
 function retryDelay<Waiting extends QueuedRequest> (input: AdmissionInput<Waiting>, priority: Priority): number {
   const wait = expectedWait(input.load, priority)
   if (wait === undefined) return UNKNOWN_DRAIN_MILLISECONDS
+  const hold = meanHold(input.load)
+  const slots = priority === 'bulk' ? input.load.bulkWindow : input.load.window
   const surplusWait = Math.max(0, wait - LONGEST_WAITS[priority])
   const surplusEntries = Math.max(0, input.waiting.length + 1 - queueShare(input.queueLimit, priority))
-  const perEntry = meanHold(input.load) / input.load.window
-  return Math.ceil(Math.max(SHORTEST_RETRY_MILLISECONDS, surplusWait, surplusEntries * perEntry))
+  // The wait shrinks only when a slot comes free, and all slots may come free at the end of one hold time.
+  const drains = Math.ceil(Math.max(surplusWait * slots / hold, surplusEntries) / slots)
+  return Math.ceil(Math.max(SHORTEST_RETRY_MILLISECONDS, drains * hold))
 }
 
 function meanHold (load: QueueLoad): number {
