Read, validate, split and accept sheets

Planners export the whole configuration each morning; until now nothing could read it. A sheet in CSV or YAML is checked as a whole, split into content-addressed parts and accepted by compare-and-set on sheet/head.

--- /dev/null
+++ b/packages/sheet/src/configuration.ts
@@ -0,0 +1,116 @@
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
+import { ConfigurationManifestSchema, FleetConfigurationSchema, SheetSchema, type FleetConfiguration, type Sheet, type SheetKey } from '@quinceshunt/schemas'
+import { createHash } from 'node:crypto'
+import { groupBy } from './groupBy.js'
+
+const COMMON_PART = 'common'
+
+/** A configuration split into immutable objects. */
+export interface BuiltConfiguration {
+  /** SHA-256 of the manifest, hex. */
+  readonly sha256: string
+  /** All objects by SHA-256, the manifest included. */
+  readonly objects: ReadonlyMap<string, Uint8Array>
+}
+
+/** Result of putting a configuration together from its objects. */
+export type AssembledConfiguration =
+  | { readonly kind: 'assembled', readonly configuration: FleetConfiguration }
+  /** Objects that the lookup lacks; when the manifest is missing, only the manifest. */
+  | { readonly kind: 'missing', readonly sha256: readonly string[] }
+  | { readonly kind: 'corrupt', readonly sha256: string }
+
+/** Hex SHA-256 of an object. */
+export function hashObject (content: Uint8Array): string {
+  return createHash('sha256').update(content).digest('hex')
+}
+
+/** Name of a configuration object in the platform's object store. */
+export function objectName (sha256: string): string {
+  return `configuration/${sha256}`
+}
+
+/** A configuration without operators' changes. */
+export function configurationOf (sheet: Sheet): FleetConfiguration {
+  return create(FleetConfigurationSchema, { sheet })
+}
+
+/** Splits a configuration into one part for each client account, one for everything else, and their manifest. */
+export function buildConfiguration (configuration: FleetConfiguration): BuiltConfiguration {
+  const objects = new Map<string, Uint8Array>()
+  const store = (content: Uint8Array): string => {
+    const sha256 = hashObject(content)
+    objects.set(sha256, content)
+    return sha256
+  }
+  const parts = splitConfiguration(configuration)
+    .map(([name, part]) => ({ name, sha256: store(toBinary(FleetConfigurationSchema, part)) }))
+  const sha256 = store(toBinary(ConfigurationManifestSchema, create(ConfigurationManifestSchema, { parts })))
+  return { sha256, objects }
+}
+
+function splitConfiguration (configuration: FleetConfiguration): [string, FleetConfiguration][] {
+  const sheet = configuration.sheet ?? create(SheetSchema)
+  const accountOf = (owned: { readonly clientAccount: string }): string => owned.clientAccount
+  const budgets = groupBy(sheet.budgets, accountOf)
+  const keys = groupBy(sheet.keys, accountOf)
+  const issuedKeys = groupBy(configuration.issuedKeys, accountOf)
+  const common = create(FleetConfigurationSchema, {
+    sheet: { ...sheet, budgets: [], keys: [] },
+    revokedKeyIds: configuration.revokedKeyIds,
+    drainedBackendServers: configuration.drainedBackendServers
+  })
+  const accounts = [...new Set([...budgets.keys(), ...keys.keys(), ...issuedKeys.keys()])].sort()
+  return [[COMMON_PART, common], ...accounts.map((account): [string, FleetConfiguration] => [`account/${account}`, create(FleetConfigurationSchema, {
+    sheet: { budgets: budgets.get(account) ?? [], keys: keys.get(account) ?? [] },
+    issuedKeys: issuedKeys.get(account) ?? []
+  })])]
+}
+
+/** Puts a configuration together from its objects, each checked against its hash. */
+export function assembleConfiguration (manifestSha256: string, lookUp: (sha256: string) => Uint8Array | undefined): AssembledConfiguration {
+  const manifestContent = lookUp(manifestSha256)
+  if (manifestContent === undefined) return { kind: 'missing', sha256: [manifestSha256] }
+  if (hashObject(manifestContent) !== manifestSha256) return { kind: 'corrupt', sha256: manifestSha256 }
+  const { parts } = fromBinary(ConfigurationManifestSchema, manifestContent)
+  const missing = parts.map((part) => part.sha256).filter((sha256) => lookUp(sha256) === undefined)
+  if (missing.length > 0) return { kind: 'missing', sha256: missing }
+  const result = create(FleetConfigurationSchema, { sheet: {} })
+  for (const part of parts) {
+    const content = lookUp(part.sha256)!
+    if (hashObject(content) !== part.sha256) return { kind: 'corrupt', sha256: part.sha256 }
+    mergePart(result, fromBinary(FleetConfigurationSchema, content))
+  }
+  return { kind: 'assembled', configuration: result }
+}
+
+function mergePart (target: FleetConfiguration, part: FleetConfiguration): void {
+  const sheet = part.sheet ?? create(SheetSchema)
+  const targetSheet = target.sheet!
+  if (sheet.deployment !== '') targetSheet.deployment = sheet.deployment
+  targetSheet.clientAccounts.push(...sheet.clientAccounts)
+  targetSheet.models.push(...sheet.models)
+  targetSheet.services.push(...sheet.services)
+  targetSheet.routes.push(...sheet.routes)
+  targetSheet.backendServers.push(...sheet.backendServers)
+  targetSheet.budgets.push(...sheet.budgets)
+  targetSheet.keys.push(...sheet.keys)
+  target.issuedKeys.push(...part.issuedKeys)
+  target.revokedKeyIds.push(...part.revokedKeyIds)
+  target.drainedBackendServers.push(...part.drainedBackendServers)
+}
+
+/** The next configuration when a sheet replaces the one in force: operators' changes stay. */
+export function replaceSheet (current: FleetConfiguration | undefined, sheet: Sheet): FleetConfiguration {
+  return { ...current ?? create(FleetConfigurationSchema), sheet }
+}
+
+/** All keys, those of the sheet before those that operators issued. */
+export function allKeys (configuration: FleetConfiguration): readonly SheetKey[] {
+  return [...configuration.sheet?.keys ?? [], ...configuration.issuedKeys]
+}
+
+/** True when a key is marked as revoked in the sheet or was revoked by an operator. */
+export function isRevoked (configuration: FleetConfiguration, key: SheetKey): boolean {
+  return key.revoked || configuration.revokedKeyIds.includes(key.id)
+}
--- a/packages/sheet/src/index.ts
+++ b/packages/sheet/src/index.ts
@@ -1,1 +1,11 @@
-export {}
+export * from './acceptance.js'
+export * from './acceptConfiguration.js'
+export * from './configuration.js'
+export * from './diffSheets.js'
+export type { SheetFault } from './entry.js'
+export * from './formatSheet.js'
+export * from './keys.js'
+export * from './matchRoute.js'
+export * from './parseSheet.js'
+export { isAddress, LARGEST_TOP_UP_TOKENS } from './recordShapes.js'
+export * from './sheetHead.js'
