--- a/packages/sheet/src/configuration.ts
+++ b/packages/sheet/src/configuration.ts
@@ -60,8 +60,10 @@
     revokedKeyIds: configuration.revokedKeyIds,
     drainedBackendServers: configuration.drainedBackendServers
   })
-  const accounts = [...new Set([...budgets.keys(), ...keys.keys(), ...issuedKeys.keys()])].sort()
-  return [[COMMON_PART, common], ...accounts.map((account): [string, FleetConfiguration] => [`account/${account}`, create(FleetConfigurationSchema, {
+  // The sheet's own order of client accounts comes first, so that a sheet is shown in the order in which it was written.
+  const owners = new Set([...budgets.keys(), ...keys.keys(), ...issuedKeys.keys()])
+  const listed = sheet.clientAccounts.map((account) => account.id).filter((id) => owners.has(id))
+  return [[COMMON_PART, common], ...[...new Set([...listed, ...owners])].map((account): [string, FleetConfiguration] => [`account/${account}`, create(FleetConfigurationSchema, {
     sheet: { budgets: budgets.get(account) ?? [], keys: keys.get(account) ?? [] },
     issuedKeys: issuedKeys.get(account) ?? []
   })])]
