Distribute configurations to routers

Each revision that is offered is fetched by itself: waiting for the highest was ruled out, because its objects may not be had while a lower one can be.

--- /dev/null
+++ b/packages/router/src/configurationObjects.ts
@@ -0,0 +1,100 @@
+import { assembleConfiguration, hashObject, objectName } from '@quinceshunt/sheet'
+import type { Platform } from '@quinceshunt/platform'
+import type { FleetConfiguration, SheetHead } from '@quinceshunt/schemas'
+import { PeerError } from '@quinceshunt/telemetry'
+import type { PeerDirectory } from './taskContracts.js'
+
+/** Objects asked of one peer in one call, as peer.proto bounds it. */
+const OBJECTS_PER_CALL = 64
+/** Objects asked of the object store at once. */
+const STORE_CALLS_AT_ONCE = 8
+/** The next source is asked as well when one has not answered by then; it leaves time for three sources within 1 s. */
+const HEDGE_MILLISECONDS = 300
+/** Longest time for one call to a peer, milliseconds. */
+const PEER_TIMEOUT_MILLISECONDS = 1000
+
+/** Where objects are fetched: answers what it has of the objects asked for. */
+export interface ObjectSource {
+  readonly name: string
+  fetch (sha256: readonly string[]): Promise<readonly (Uint8Array | undefined)[]>
+}
+
+/** A configuration with the objects that it consists of. */
+export interface FetchedConfiguration {
+  readonly head: SheetHead
+  readonly configuration: FleetConfiguration
+  readonly objects: ReadonlyMap<string, Uint8Array>
+}
+
+/** The platform's object store as a source. */
+export function storeSource (platform: Platform): ObjectSource {
+  return {
+    name: 'object store',
+    fetch: async (sha256) => {
+      const contents: (Uint8Array | undefined)[] = []
+      for (let start = 0; start < sha256.length; start += STORE_CALLS_AT_ONCE) {
+        contents.push(...await Promise.all(sha256.slice(start, start + STORE_CALLS_AT_ONCE).map((name) => platform.objects.get(objectName(name)))))
+      }
+      return contents
+    }
+  }
+}
+
+/** Another instance as a source. */
+export function peerSource (peers: PeerDirectory, address: string): ObjectSource {
+  return {
+    name: address,
+    fetch: async (sha256) => {
+      const contents: (Uint8Array | undefined)[] = []
+      for (let start = 0; start < sha256.length; start += OBJECTS_PER_CALL) {
+        const response = await peers.client(address).getObjects({ sha256: sha256.slice(start, start + OBJECTS_PER_CALL) }, { timeoutMs: PEER_TIMEOUT_MILLISECONDS })
+        contents.push(...response.contents.map((content) => content.length === 0 ? undefined : content))
+      }
+      return contents
+    }
+  }
+}
+
+/** Fetches what a head names: objects already known are reused, the others come from whichever source answers. */
+export async function fetchConfiguration (head: SheetHead, known: (sha256: string) => Uint8Array | undefined, sources: readonly ObjectSource[]): Promise<FetchedConfiguration> {
+  const objects = new Map<string, Uint8Array>()
+  const lookUp = (sha256: string): Uint8Array | undefined => {
+    const content = objects.get(sha256) ?? known(sha256)
+    if (content !== undefined) objects.set(sha256, content)
+    return content
+  }
+  // The manifest names all parts, so that two rounds fetch everything.
+  for (let round = 0; round < 2; round++) {
+    const assembled = assembleConfiguration(head.sha256, lookUp)
+    if (assembled.kind === 'missing') await fetchObjects(assembled.sha256, sources, objects)
+  }
+  const assembled = assembleConfiguration(head.sha256, lookUp)
+  if (assembled.kind === 'assembled') return { head, configuration: assembled.configuration, objects }
+  throw new PeerError(`revision ${head.revision}: objects are ${assembled.kind}`, { props: { step: 'fetch configuration', peer: sources[0]?.name ?? '' } })
+}
+
+/** Asks the sources one after the other, the next one early when one is slow; takes only contents that match their hash. */
+async function fetchObjects (sha256: readonly string[], sources: readonly ObjectSource[], objects: Map<string, Uint8Array>): Promise<void> {
+  const missing = (): string[] => sha256.filter((name) => !objects.has(name))
+  const pending = new Set<Promise<void>>()
+  for (const source of sources) {
+    if (missing().length === 0) return
+    const fetching: Promise<void> = fetchFrom(source, missing(), objects).finally(() => pending.delete(fetching))
+    pending.add(fetching)
+    await Promise.race([fetching, delay(HEDGE_MILLISECONDS)])
+  }
+  while (missing().length > 0 && pending.size > 0) await Promise.race(pending)
+}
+
+/** A source that fails counts as one that lacks the objects; the others are asked. */
+async function fetchFrom (source: ObjectSource, wanted: readonly string[], objects: Map<string, Uint8Array>): Promise<void> {
+  const contents = await source.fetch(wanted).catch((): readonly undefined[] => [])
+  contents.forEach((content, index) => {
+    const name = wanted[index]
+    if (content !== undefined && name !== undefined && hashObject(content) === name) objects.set(name, content)
+  })
+}
+
+function delay (milliseconds: number): Promise<void> {
+  return new Promise((resolve) => { setTimeout(resolve, milliseconds).unref() })
+}
