Add top-ups, resolution and the summary of a budget

Cause: the administration API and the routers need the same idempotent top-up and the same view of a budget's rows. Ruled out: raising the lease's sequence on resolution, because the holder recognises its own unanswered transactions by it. A resolution first writes transfer number 0 of the holder, which fences the recording of later transfers from it.

--- /dev/null
+++ b/packages/budget/src/budgetKeys.ts
@@ -0,0 +1,16 @@
+/** Keys of the rows that hold budgets; the tables in the design page list their values. */
+export const budgetKeys = {
+  budget: (budgetId: string) => `budget/${budgetId}`,
+  topUp: (budgetId: string, topUpId: string) => `topup/${budgetId}/${topUpId}`,
+  lease: (budgetId: string, incarnation: string) => `lease/${budgetId}/${incarnation}`,
+  leasesOf: (budgetId: string) => `lease/${budgetId}/`,
+  transfer: (budgetId: string, giverIncarnation: string, number: bigint) => `transfer/${budgetId}/${giverIncarnation}/${number}`,
+  transfersFrom: (budgetId: string, giverIncarnation: string) => `transfer/${budgetId}/${giverIncarnation}/`,
+  transfersOf: (budgetId: string) => `transfer/${budgetId}/`,
+  /** While present, no further transfer from this giver is recorded; transfers count from 1. */
+  transferFence: (budgetId: string, giverIncarnation: string) => `transfer/${budgetId}/${giverIncarnation}/0`,
+  bill: (requestId: string) => `bill/${requestId}`,
+  billBatch: (incarnation: string, number: bigint) => `billbatch/${incarnation}/${number}`,
+  /** Written by the closing transaction, so that a lease is closed once even if its row was never written. */
+  closing: (incarnation: string, budgetId: string) => `billbatch/${incarnation}/closing-${budgetId}`
+} as const
--- a/packages/budget/src/index.ts
+++ b/packages/budget/src/index.ts
@@ -1,1 +1,6 @@
-export {}
+export * from './budgetKeys.js'
+export * from './budgetRecords.js'
+export * from './resolveLease.js'
+export * from './summariseBudget.js'
+export * from './tableCommands.js'
+export * from './topUpBudget.js'
--- /dev/null
+++ b/packages/budget/src/resolveLease.ts
@@ -0,0 +1,76 @@
+import { assertNever } from '@quinceshunt/effects'
+import type { RowWrite } from '@quinceshunt/platform'
+import { budgetKeys } from './budgetKeys.js'
+import { absent, budgetCodec, leaseCodec, outstandingOf, put, transferCodec, unchanged, type BudgetTotals, type LeaseFields } from './budgetRecords.js'
+import { readRows, scanRows, transact, type TableDecision } from './tableCommands.js'
+
+/** An operator's decision on tokens withheld by an expired lease. */
+export interface LeaseResolution {
+  readonly budgetId: string
+  /** Holder of the lease. */
+  readonly incarnation: string
+  /** `charge` counts the tokens as spent, `release` as unspent. */
+  readonly resolution: 'charge' | 'release'
+  /** Above 0. */
+  readonly tokens: bigint
+  /** Unix milliseconds. */
+  readonly now: bigint
+  /** Written in the same transaction under a unique key; shows after a lost reply that the resolution took effect. */
+  readonly audit: RowWrite
+}
+
+/** Outcome of a resolution. */
+export type ResolveOutcome =
+  | { readonly kind: 'resolved', readonly budget: BudgetTotals, readonly lease: LeaseFields }
+  | { readonly kind: 'leaseNotFound' }
+  /** The holder has renewed its lease and may be spending. */
+  | { readonly kind: 'leaseNotExpired', readonly expiresAt: bigint }
+  | { readonly kind: 'tooManyTokens', readonly outstandingTokens: bigint }
+
+/**
+ * Resolves withheld tokens. It does not change the lease's sequence, by which the holder recognises its own transactions.
+ * The transfer fence is written first: otherwise a receiver could record a transfer of tokens that have been resolved.
+ */
+export function * resolveLease (request: LeaseResolution): TableDecision<ResolveOutcome> {
+  if (request.tokens <= 0n) throw new RangeError(`${request.tokens} tokens is not allowed; expected a number above 0`)
+  const budgetKey = budgetKeys.budget(request.budgetId)
+  const leaseKey = budgetKeys.lease(request.budgetId, request.incarnation)
+  for (;;) {
+    const [budgetRow, leaseRow, auditRow] = yield * readRows([budgetKey, leaseKey, request.audit.key])
+    const [budget, lease] = [budgetCodec.decode(budgetRow!), leaseCodec.decode(leaseRow!)]
+    if (auditRow!.version !== 0n) return { kind: 'resolved', budget, lease }
+    if (leaseRow!.version === 0n) return { kind: 'leaseNotFound' }
+    if (lease.expiresAt > request.now) return { kind: 'leaseNotExpired', expiresAt: lease.expiresAt }
+    const transferredOutTokens = yield * fenceTransfers(request.budgetId, request.incarnation)
+    const outstandingTokens = outstandingOf({ ...lease, transferredOutTokens })
+    if (request.tokens > outstandingTokens) return { kind: 'tooManyTokens', outstandingTokens }
+    const resolvedLease = { ...lease, transferredOutTokens, resolvedTokens: lease.resolvedTokens + request.tokens }
+    const resolvedBudget = applyResolution(budget, request)
+    const outcome = yield * transact(
+      [unchanged(budgetRow!), unchanged(leaseRow!), absent(request.audit.key)],
+      [put(budgetKey, budgetCodec.encode(resolvedBudget)), put(leaseKey, leaseCodec.encode(resolvedLease)), request.audit]
+    )
+    if (outcome.kind === 'applied') return { kind: 'resolved', budget: resolvedBudget, lease: resolvedLease }
+  }
+}
+
+function applyResolution (budget: BudgetTotals, request: LeaseResolution): BudgetTotals {
+  switch (request.resolution) {
+    case 'charge': return { ...budget, settledByClosedLeasesTokens: budget.settledByClosedLeasesTokens + request.tokens }
+    case 'release': return { ...budget, committedTokens: budget.committedTokens - request.tokens }
+    default: return assertNever(request.resolution)
+  }
+}
+
+/** Stops the recording of further transfers from a giver and returns the recorded total. */
+function * fenceTransfers (budgetId: string, incarnation: string): TableDecision<bigint> {
+  const fenceKey = budgetKeys.transferFence(budgetId, incarnation)
+  yield * transact([absent(fenceKey)], [put(fenceKey, transferCodec.encode({ giverIncarnation: incarnation }))])
+  return yield * recordedTransfersFrom(budgetId, incarnation)
+}
+
+/** Total of the transfers that receivers have recorded from one giver. */
+export function * recordedTransfersFrom (budgetId: string, giverIncarnation: string): TableDecision<bigint> {
+  const rows = yield * scanRows(budgetKeys.transfersFrom(budgetId, giverIncarnation))
+  return rows.reduce((total, row) => total + transferCodec.decode(row).tokens, 0n)
+}
--- /dev/null
+++ b/packages/budget/src/summariseBudget.ts
@@ -0,0 +1,68 @@
+import { budgetKeys } from './budgetKeys.js'
+import { budgetCodec, leaseCodec, outstandingOf, transferCodec, undrawnOf, type BudgetTotals, type LeaseFields } from './budgetRecords.js'
+import { readRows, scanRows, type TableDecision } from './tableCommands.js'
+
+/** One lease as operators see it. */
+export interface LeaseSummary {
+  readonly lease: LeaseFields
+  /** Tokens that the lease holds; transfers count under the giver until the receiver has recorded them. */
+  readonly outstandingTokens: bigint
+  /** True when the lease has expired with tokens outstanding. */
+  readonly withheld: boolean
+  /** Time since the last renewal, milliseconds. */
+  readonly ageMilliseconds: bigint
+}
+
+/** State of one budget. */
+export interface BudgetSummary {
+  readonly budgetId: string
+  readonly budget: BudgetTotals
+  /** Settled by all leases and charged by operators. */
+  readonly spentTokens: bigint
+  /** Prepaid and not spent. */
+  readonly remainingTokens: bigint
+  /** Prepaid and not drawn by any lease. */
+  readonly undrawnTokens: bigint
+  /** Outstanding under expired leases. */
+  readonly withheldTokens: bigint
+  /** Committed, but neither spent nor under any lease; 0 unless rows changed while they were read. */
+  readonly unattributedTokens: bigint
+  /** Leases with tokens outstanding or not expired. */
+  readonly leases: readonly LeaseSummary[]
+}
+
+/** Summarises a budget as of `now` (Unix milliseconds); undefined when it has no row. */
+export function * summariseBudget (budgetId: string, now: bigint): TableDecision<BudgetSummary | undefined> {
+  const leaseRows = yield * scanRows(budgetKeys.leasesOf(budgetId))
+  const transferRows = yield * scanRows(budgetKeys.transfersOf(budgetId))
+  const [budgetRow] = yield * readRows([budgetKeys.budget(budgetId)])
+  if (budgetRow!.version === 0n) return undefined
+  const budget = budgetCodec.decode(budgetRow!)
+  const givenByIncarnation = new Map<string, bigint>()
+  for (const { giverIncarnation, tokens } of transferRows.map(transferCodec.decode)) {
+    givenByIncarnation.set(giverIncarnation, (givenByIncarnation.get(giverIncarnation) ?? 0n) + tokens)
+  }
+  const leases = leaseRows.map((row) => summariseLease(leaseCodec.decode(row), givenByIncarnation, now))
+  const spentTokens = budget.settledByClosedLeasesTokens + total(leases.map(({ lease }) => lease.settledTokens))
+  const outstandingTokens = total(leases.map((lease) => lease.outstandingTokens))
+  return {
+    budgetId,
+    budget,
+    spentTokens,
+    remainingTokens: budget.prepaidTokens - spentTokens,
+    undrawnTokens: undrawnOf(budget),
+    withheldTokens: total(leases.filter(({ withheld }) => withheld).map((lease) => lease.outstandingTokens)),
+    unattributedTokens: budget.committedTokens - spentTokens - outstandingTokens,
+    leases: leases.filter(({ lease, outstandingTokens }) => outstandingTokens !== 0n || lease.expiresAt > now)
+  }
+}
+
+function summariseLease (lease: LeaseFields, givenByIncarnation: ReadonlyMap<string, bigint>, now: bigint): LeaseSummary {
+  const outstandingTokens = outstandingOf({ ...lease, transferredOutTokens: givenByIncarnation.get(lease.incarnation) ?? 0n })
+  const withheld = lease.expiresAt <= now && outstandingTokens > 0n
+  return { lease, outstandingTokens, withheld, ageMilliseconds: now - lease.renewedAt }
+}
+
+function total (amounts: readonly bigint[]): bigint {
+  return amounts.reduce((sum, amount) => sum + amount, 0n)
+}
--- /dev/null
+++ b/packages/budget/src/topUpBudget.ts
@@ -0,0 +1,61 @@
+import type { RowWrite } from '@quinceshunt/platform'
+import type { TopUpRecord } from '@quinceshunt/schemas'
+import { budgetKeys } from './budgetKeys.js'
+import { absent, budgetCodec, put, topUpCodec, unchanged, type BudgetTotals } from './budgetRecords.js'
+import { readRows, transact, type TableDecision } from './tableCommands.js'
+
+/** A top-up to be added once. */
+export interface TopUp {
+  readonly budgetId: string
+  readonly topUpId: string
+  /** Above 0. */
+  readonly tokens: bigint
+  readonly operator: string
+  /** Unix milliseconds. */
+  readonly addedAt: bigint
+  /** Written in the same transaction; its key must be absent. */
+  readonly audit?: RowWrite
+}
+
+/** Outcome of a top-up. */
+export type TopUpOutcome =
+  | { readonly kind: 'added', readonly budget: BudgetTotals }
+  | { readonly kind: 'alreadyAdded', readonly budget: BudgetTotals }
+  /** The same ID was added before with another amount. */
+  | { readonly kind: 'conflict', readonly recorded: TopUpRecord, readonly budget: BudgetTotals }
+
+/** Adds a top-up unless its ID has been added before. */
+export function * topUpBudget (topUp: TopUp): TableDecision<TopUpOutcome> {
+  if (topUp.tokens <= 0n) throw new RangeError(`top-up ${topUp.topUpId}: ${topUp.tokens} tokens is not allowed; expected a number above 0`)
+  const budgetKey = budgetKeys.budget(topUp.budgetId)
+  const topUpKey = budgetKeys.topUp(topUp.budgetId, topUp.topUpId)
+  const value = topUpCodec.encode({ tokens: topUp.tokens, operator: topUp.operator, addedAt: topUp.addedAt })
+  for (let sent = false; ; sent = true) {
+    const [budgetRow, topUpRow] = yield * readRows([budgetKey, topUpKey])
+    const budget = budgetCodec.decode(budgetRow!)
+    if (topUpRow!.version !== 0n) return compare(topUp, topUpCodec.decode(topUpRow!), budget, sent)
+    const updated = { ...budget, prepaidTokens: budget.prepaidTokens + topUp.tokens }
+    const audit = topUp.audit === undefined ? [] : [topUp.audit]
+    const outcome = yield * transact(
+      [unchanged(budgetRow!), absent(topUpKey), ...audit.map((write) => absent(write.key))],
+      [put(budgetKey, budgetCodec.encode(updated)), put(topUpKey, value), ...audit]
+    )
+    if (outcome.kind === 'applied') return { kind: 'added', budget: updated }
+  }
+}
+
+function compare (topUp: TopUp, recorded: TopUpRecord, budget: BudgetTotals, sent: boolean): TopUpOutcome {
+  if (recorded.tokens !== topUp.tokens) return { kind: 'conflict', recorded, budget }
+  const ownAttempt = sent && recorded.operator === topUp.operator && recorded.addedAt === topUp.addedAt
+  return { kind: ownAttempt ? 'added' : 'alreadyAdded', budget }
+}
+
+/** Adds those top-ups of a sheet that have not been added; IDs recorded with another amount are returned. */
+export function * applySheetTopUps (topUps: readonly TopUp[]): TableDecision<{ readonly conflicts: readonly string[] }> {
+  const conflicts: string[] = []
+  for (const topUp of topUps) {
+    const outcome = yield * topUpBudget(topUp)
+    if (outcome.kind === 'conflict') conflicts.push(topUp.topUpId)
+  }
+  return { conflicts }
+}
