--- a/packages/budget/src/tableCommands.ts
+++ b/packages/budget/src/tableCommands.ts
@@ -47,6 +47,8 @@
   readonly attempts: number
   /** Waits between attempts; a rejection ends the attempts. */
   readonly pause: (failures: number) => Promise<void>
+  /** Once aborted, nothing more is sent; the outcome of a transaction under way stays unknown. */
+  readonly signal?: AbortSignal
   /** Told of each transaction sent, for metrics. */
   readonly onTransaction?: () => void
   /** Told of each answer and failure of the table service. */
@@ -57,10 +59,11 @@
 
 /** Runs a decision against a table, repeating unanswered commands unchanged. */
 export function runTableDecision<Result> (decision: TableDecision<Result>, table: TableStore, options: Partial<RunTableOptions> = {}): Promise<Result> {
-  const { attempts, pause, onTransaction, onAnswer } = { ...DEFAULT_OPTIONS, ...options }
+  const { attempts, pause, signal, onTransaction, onAnswer } = { ...DEFAULT_OPTIONS, ...options }
 
   async function attempt (command: TableCommand): Promise<unknown> {
     for (let failures = 0; ; failures++) {
+      signal?.throwIfAborted()
       try {
         if (command.kind === 'transact') onTransaction?.()
         const answer = await send(command, table)
