Add the platform stand-in

Routers and experiments need the platform's services with faults on demand. The stand-in serves the table, object store and instance list over connect with outages, delays and lost replies by service and instance.

--- a/packages/platform-standin/src/index.ts
+++ b/packages/platform-standin/src/index.ts
@@ -1,1 +1,4 @@
-export {}
+export * from './faultTable.js'
+export * from './instanceDirectory.js'
+export * from './options.js'
+export * from './platformServer.js'
