Add orders to engines under a fenced lease

Cause: operators order engines to load models or change role, and any instance may carry an order out; a paused holder could send its order after a newer one was carried out. Ruled out: a lease by time alone, since its holder may be paused between its check and its send. Change: an order row with a fencing number that grows at each takeover; engines that ignore the number are read back at each round and the order is repeated when they have something else. Not yet wired to the router.

--- /dev/null
+++ b/packages/orders/src/index.ts
@@ -0,0 +1,3 @@
+export * from './carryOutOrder.js'
+export * from './orderRecords.js'
+export * from './requestOrder.js'
--- /dev/null
+++ b/packages/orders/src/requestOrder.ts
@@ -0,0 +1,40 @@
+import { create, fromBinary } from '@bufbuild/protobuf'
+import { readRows, transact, type TableDecision } from '@quinceshunt/budget'
+import { OrderRecordSchema, OrderState } from '@quinceshunt/schemas'
+import type { RowWrite } from '@quinceshunt/platform'
+import { encodeOrder, orderKey, type OrderFields, type OrderKind } from './orderRecords.js'
+
+/** An operator's order. */
+export interface OrderRequest {
+  readonly backendServer: string
+  readonly kind: OrderKind
+  /** Model, adapter or role. */
+  readonly name: string
+  readonly operator: string
+  /** Unix milliseconds. */
+  readonly now: number
+  /** Written in the same transaction, for example the audit row. */
+  readonly furtherWrites?: readonly RowWrite[]
+}
+
+/** Sets what an engine is to have. A holder of the earlier order can no longer mark it done. */
+export function * requestOrder (request: OrderRequest): TableDecision<OrderFields> {
+  const key = orderKey(request.backendServer, request.kind)
+  for (;;) {
+    const row = (yield * readRows([key]))[0]!
+    const previous = row.version === 0n ? create(OrderRecordSchema) : fromBinary(OrderRecordSchema, row.value)
+    const record: OrderFields = {
+      // Kept, so that numbers only grow over all orders of this kind.
+      fencingNumber: previous.fencingNumber,
+      holderIncarnation: '',
+      expiresAt: 0n,
+      name: request.name,
+      state: OrderState.WANTED,
+      operator: request.operator,
+      requestedAt: BigInt(request.now),
+      problem: ''
+    }
+    const outcome = yield * transact([{ key, expectedVersion: row.version }], [{ key, value: encodeOrder(record), delete: false }, ...request.furtherWrites ?? []])
+    if (outcome.kind === 'applied') return record
+  }
+}
