--- a/packages/backend-standin/src/index.ts
+++ b/packages/backend-standin/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+export * from './backendServer.js'
+export * from './options.js'
+export * from './prompt.js'
