--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -1,1 +1,8 @@
-export {}
+export * from './acquireClaim.js'
+export * from './answerMatching.js'
+export * from './claimRecords.js'
+export * from './finishClaim.js'
+export * from './requestIdentity.js'
+export * from './retryBudget.js'
+export * from './retryPolicy.js'
+export * from './storeCommands.js'
