Count fencing numbers over all orders to an engine

Cause: engines compare fencing numbers over orders of all kinds, while each kind of order counted its own, so that an order of another kind was refused as old. Ruled out: one row with all kinds, because an operator's change of one kind would then supersede a holder that carries out another. Change: a row for each engine that counts its numbers, taken in the same transaction as the order; the stand-in engine reports what it executed last.

--- a/packages/backend-standin/src/engineService.ts
+++ b/packages/backend-standin/src/engineService.ts
@@ -111,6 +111,7 @@
       case 'GET /v1/streams/': resume(decodeURIComponent(streamId!), url, response); return true
       case 'DELETE /v1/streams/': cancel(decodeURIComponent(streamId!), response); return true
       case 'POST /orders': order(body, response); return true
+      case 'GET /orders': sendJson(response, 200, orderBook.current()); return true
       case 'GET /cache-events': sendJson(response, 200, cacheEvents.read(Number(url.searchParams.get('after') ?? 0), now())); return true
       default: return false
     }
--- a/packages/backend-standin/src/orderBook.ts
+++ b/packages/backend-standin/src/orderBook.ts
@@ -18,6 +18,8 @@
   /** Executes an order, or refuses it when its fencing number is below the highest executed one. */
   receive (order: EngineOrder, now: number): ReceivedOrder
   readonly orders: readonly ReceivedOrder[]
+  /** Name that was executed last, for each kind of order. */
+  current (): Record<string, string>
 }
 
 /** Creates an empty order book; an engine that does not check fencing executes every order. */
@@ -26,6 +28,7 @@
   let highestNumber = 0
   return {
     orders,
+    current: () => Object.fromEntries(orders.filter((order) => order.executed).map((order) => [order.kind, order.name])),
     receive: (order, now) => {
       const executed = !checksFencing || order.fencingNumber >= highestNumber
       const received = { ...order, receivedAt: now, executed }
--- a/packages/orders/src/__tests__/carryOutOrder.test.ts
+++ b/packages/orders/src/__tests__/carryOutOrder.test.ts
@@ -56,6 +56,7 @@
     case 'readTime': return now()
     case 'readEngine': return engine.has
     case 'sendOrder': return engine.receive(command.order) ? { kind: 'executed' } : { kind: 'fenced' }
+    case 'read': return await table.read(command.keys)
     case 'transact': return await table.transact(command.checks, command.writes)
     default: throw new Error(`unexpected command ${command.kind}`)
   }
--- a/packages/orders/src/carryOutOrder.ts
+++ b/packages/orders/src/carryOutOrder.ts
@@ -1,7 +1,8 @@
 import { perform, type Command, type Decision } from '@quinceshunt/effects'
-import { transact, type TableCommand } from '@quinceshunt/budget'
-import { OrderState } from '@quinceshunt/schemas'
-import { encodeOrder, type OrderFields, type OrderKind, type OrderRow } from './orderRecords.js'
+import { fromBinary, create } from '@bufbuild/protobuf'
+import { readRows, transact, type TableCommand } from '@quinceshunt/budget'
+import { OrderRecordSchema, OrderState } from '@quinceshunt/schemas'
+import { encodeOrder, fenceKey, type OrderFields, type OrderKind, type OrderRow } from './orderRecords.js'
 
 /** An order as sent to an engine. */
 export interface EngineOrder {
@@ -51,14 +52,20 @@
   const now = yield * perform<ReadTime>({ kind: 'readTime' })
   const held = row.record.holderIncarnation !== '' && row.record.holderIncarnation !== holder.incarnation
   if (held && now < Number(row.record.expiresAt)) return 'heldByAnother'
+  const fence = (yield * readRows([fenceKey(row.backendServer)]))[0]!
+  const fencingNumber = (fence.version === 0n ? 0n : fromBinary(OrderRecordSchema, fence.value).fencingNumber) + 1n
   const taken: OrderFields = {
     ...row.record,
     state: OrderState.WANTED,
-    fencingNumber: row.record.fencingNumber + 1n,
+    fencingNumber,
     holderIncarnation: holder.incarnation,
     expiresAt: BigInt(now + holder.leaseMilliseconds)
   }
-  const version = yield * write(row, row.version, taken)
+  const takeover = yield * transact(
+    [{ key: row.key, expectedVersion: row.version }, { key: fence.key, expectedVersion: fence.version }],
+    [{ key: row.key, value: encodeOrder(taken), delete: false }, { key: fence.key, value: encodeOrder(create(OrderRecordSchema, { fencingNumber })), delete: false }]
+  )
+  const version = takeover.kind === 'applied' ? takeover.versions[0] : undefined
   if (version === undefined) return 'superseded'
   const answer = yield * perform<SendOrder>({
     kind: 'sendOrder',
--- a/packages/orders/src/orderRecords.ts
+++ b/packages/orders/src/orderRecords.ts
@@ -27,6 +27,11 @@
   return `${ORDER_PREFIX}${backendServer}/${kind}`
 }
 
+/** Key of the row that counts an engine's fencing numbers: engines compare numbers over orders of all kinds. */
+export function fenceKey (backendServer: string): string {
+  return `fence/${backendServer}`
+}
+
 /** Row value of an order. */
 export function encodeOrder (fields: OrderFields): Uint8Array {
   return toBinary(OrderRecordSchema, create(OrderRecordSchema, fields))
--- a/packages/orders/src/requestOrder.ts
+++ b/packages/orders/src/requestOrder.ts
@@ -24,7 +24,6 @@
     const row = (yield * readRows([key]))[0]!
     const previous = row.version === 0n ? create(OrderRecordSchema) : fromBinary(OrderRecordSchema, row.value)
     const record: OrderFields = {
-      // Kept, so that numbers only grow over all orders of this kind.
       fencingNumber: previous.fencingNumber,
       holderIncarnation: '',
       expiresAt: 0n,
