--- /dev/null
+++ b/packages/scenarios/src/launcher/forwarder.ts
@@ -0,0 +1,96 @@
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+
+/** What happens to connections from one process to another. */
+export type LinkState = 'open' | 'refused' | 'stalled'
+
+/** Forwards TCP connections to one listener, so that links to it can be cut. */
+export interface Forwarder {
+  /** http://IP:PORT that others use. */
+  readonly address: string
+  /** Where connections go, http://IP:PORT. */
+  setTarget (address: string): void
+  /** Applies the states of links anew, after a change. */
+  refresh (): void
+  stop (): Promise<void>
+}
+
+/** A connection that is being forwarded. */
+interface Link {
+  /** Name of the process that opened it; undefined when it is not one of the fleet. */
+  readonly source: string | undefined
+  readonly inbound: Socket
+  outbound?: Socket
+}
+
+/** Starts a forwarder; `findSource` names the process behind a client port and `stateOf` its link's state. */
+export async function startForwarder (
+  findSource: (clientPort: number, serverPort: number) => string | undefined,
+  stateOf: (source: string | undefined) => LinkState
+): Promise<Forwarder> {
+  const links = new Set<Link>()
+  let target: URL | undefined
+  const server = createServer({ pauseOnConnect: true }, (inbound) => {
+    const { port } = server.address() as AddressInfo
+    const link: Link = { source: findSource(inbound.remotePort ?? 0, port), inbound }
+    links.add(link)
+    inbound.on('error', () => undefined)
+    inbound.on('close', () => end(link))
+    apply(link)
+  })
+
+  function end (link: Link): void {
+    links.delete(link)
+    link.inbound.destroy()
+    link.outbound?.destroy()
+  }
+
+  function apply (link: Link): void {
+    switch (stateOf(link.source)) {
+      case 'refused': return end(link)
+      case 'stalled': return stall(link)
+      case 'open': return open(link)
+    }
+  }
+
+  /** Data already sent stays in the sockets and is delivered when the link opens again, as after a real partition. */
+  function stall (link: Link): void {
+    if (link.outbound === undefined) return
+    link.inbound.unpipe(link.outbound)
+    link.outbound.unpipe(link.inbound)
+    link.inbound.pause()
+    link.outbound.pause()
+  }
+
+  function open (link: Link): void {
+    if (target === undefined) return end(link)
+    if (link.outbound === undefined) {
+      link.outbound = connect(Number(target.port), target.hostname)
+      link.outbound.setNoDelay(true)
+      link.outbound.on('error', () => end(link))
+      link.outbound.on('close', () => end(link))
+    }
+    // A second pipe to the same socket would write everything twice.
+    link.inbound.unpipe(link.outbound)
+    link.outbound.unpipe(link.inbound)
+    link.inbound.pipe(link.outbound)
+    link.outbound.pipe(link.inbound)
+  }
+
+  const address = await listen(server)
+  return {
+    address,
+    setTarget: (value) => { target = new URL(value) },
+    refresh: () => links.forEach(apply),
+    stop: () => new Promise((resolve) => {
+      links.forEach(end)
+      server.close(() => resolve())
+    })
+  }
+}
+
+function listen (server: Server): Promise<string> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(0, '127.0.0.1', () => resolve(`http://127.0.0.1:${(server.address() as AddressInfo).port}`))
+  })
+}
