--- a/packages/scenarios/src/launcher/startProcess.ts
+++ b/packages/scenarios/src/launcher/startProcess.ts
@@ -52,7 +52,8 @@
   const folder = mkdtempSync(join(tmpdir(), 'quinceshunt-'))
   const file = join(folder, `${options.name}.yaml`)
   writeFileSync(file, stringify(options.settings))
-  const child = spawn(process.execPath, [binaryFile(options.binary), '--settings', file], { stdio: ['ignore', 'pipe', 'pipe'] })
+  // A process group of its own, so that Ctrl-C reaches only the launcher, which then stops its children in order.
+  const child = spawn(process.execPath, [binaryFile(options.binary), '--settings', file], { stdio: ['ignore', 'pipe', 'pipe'], detached: true })
   running.add(child)
   const logLines: string[] = []
   createInterface({ input: child.stderr! }).on('line', (line) => {
--- /dev/null
+++ b/packages/scenarios/src/steps/world.ts
@@ -0,0 +1,47 @@
+import { After, setDefaultTimeout, setWorldConstructor, Status, World } from '@cucumber/cucumber'
+import type { ServiceAnswer } from '../callers/callService.js'
+import type { ChatAnswer, ChatCall } from '../callers/sendChat.js'
+import { startFleet, type Fleet } from '../fleet/startFleet.js'
+import type { FleetOptions } from '../fleet/fleetOptions.js'
+
+const STEP_MILLISECONDS = 120_000
+/** Log lines of each router that are shown when a scenario fails. */
+const SHOWN_LOG_LINES = 40
+
+/** State of one scenario: its fleet, which is stopped at its end, and what callers got. */
+export class FleetWorld extends World {
+  #fleet: Fleet | undefined
+  /** Options collected by Given steps; the fleet starts when it is first needed. */
+  fleetOptions: FleetOptions = {}
+  readonly chats: { readonly call: ChatCall, readonly answer: ChatAnswer }[] = []
+  readonly serviceAnswers: ServiceAnswer[] = []
+
+  /** Changes the fleet's options before it starts. */
+  configure (options: FleetOptions): void {
+    if (this.#fleet !== undefined) throw new Error('the fleet has already started')
+    this.fleetOptions = { ...this.fleetOptions, ...options }
+  }
+
+  /** The fleet, started on first use. */
+  async fleet (): Promise<Fleet> {
+    this.#fleet ??= await startFleet(this.fleetOptions)
+    return this.#fleet
+  }
+
+  /** Ends the fleet and returns the last log lines of its routers. */
+  async stopFleet (): Promise<string> {
+    if (this.#fleet === undefined) return ''
+    const logs = this.#fleet.routers.flatMap((router) => router.process.log().slice(-SHOWN_LOG_LINES))
+    await this.#fleet.stop()
+    this.#fleet = undefined
+    return logs.join('\n')
+  }
+}
+
+setWorldConstructor(FleetWorld)
+setDefaultTimeout(STEP_MILLISECONDS)
+
+After(async function (this: FleetWorld, { result }) {
+  const logs = await this.stopFleet()
+  if (result?.status === Status.FAILED) this.log(logs)
+})
