Serve requests from end to end by separate router processes

Cause: the decisions stood alone; no request was served. Ruled out: streaming plain-service answers through, because a caller could take a truncated answer for a whole one; answers are read whole first. Change: the request path as one decision (admission, reservation, attempts, exactly one settlement or release), attempts at engines and plain services, listeners for callers, peers and operations, crash reporter, graceful shutdown, the router's binary.

--- /dev/null
+++ b/packages/router/src/backendClient.ts
@@ -0,0 +1,106 @@
+import { Agent, request as openRequest, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
+
+/** Time to open a connection; a live backend server on the local network accepts within milliseconds. */
+const CONNECT_MILLISECONDS = 1000
+const KEEP_ALIVE_MILLISECONDS = 10_000
+
+const sharedAgent = new Agent({ keepAlive: true, keepAliveMsecs: KEEP_ALIVE_MILLISECONDS, maxFreeSockets: 64 })
+
+/** A request to a backend server. */
+export interface BackendRequest {
+  /** http://IP:PORT */
+  readonly address: string
+  readonly method: string
+  readonly path: string
+  readonly headers: Record<string, string>
+  readonly body: Buffer
+  /** Unix milliseconds. */
+  readonly deadline: number
+  readonly signal: AbortSignal
+  /**
+   * Uses a connection of its own. A reused connection can be closed by the other side just as the request is written,
+   * and then nobody can tell whether it was run.
+   */
+  readonly freshConnection: boolean
+}
+
+/** Result of sending a request, up to the head of the answer. */
+export type BackendResponse =
+  | { readonly kind: 'answering', readonly status: number, readonly headers: IncomingHttpHeaders, readonly message: IncomingMessage }
+  /** Certainly nothing was sent. */
+  | { readonly kind: 'notSent', readonly reason: string }
+  /** Sent at least in part; no answer was received. */
+  | { readonly kind: 'broken', readonly reason: string }
+  | { readonly kind: 'deadline' }
+  | { readonly kind: 'aborted', readonly sent: boolean }
+
+/** Sends a request and resolves with the head of the answer; never rejects. */
+export function sendBackendRequest (request: BackendRequest): Promise<BackendResponse> {
+  return new Promise((resolve) => {
+    const url = new URL(request.path, request.address)
+    let connected = false
+    const client: ClientRequest = openRequest({
+      host: url.hostname,
+      port: url.port,
+      method: request.method,
+      path: `${url.pathname}${url.search}`,
+      headers: { ...request.headers, 'content-length': String(request.body.length) },
+      agent: request.freshConnection ? new Agent({ keepAlive: false }) : sharedAgent
+    })
+    const connectTimer = setTimeout(() => finish({ kind: 'notSent', reason: `no connection to ${request.address} within ${CONNECT_MILLISECONDS} ms` }), CONNECT_MILLISECONDS)
+    const deadlineTimer = setTimeout(() => finish(connected ? { kind: 'deadline' } : { kind: 'notSent', reason: 'the deadline passed before a connection was made' }), Math.max(0, request.deadline - Date.now()))
+    const abort = (): void => finish({ kind: 'aborted', sent: connected })
+
+    function finish (result: BackendResponse): void {
+      clearTimeout(connectTimer)
+      clearTimeout(deadlineTimer)
+      request.signal.removeEventListener('abort', abort)
+      if (result.kind !== 'answering') client.destroy()
+      resolve(result)
+    }
+    function markConnected (): void {
+      connected = true
+      clearTimeout(connectTimer)
+    }
+
+    request.signal.addEventListener('abort', abort, { once: true })
+    client.on('socket', (socket) => {
+      socket.setNoDelay(true)
+      if (socket.connecting) socket.once('connect', markConnected)
+      else markConnected()
+    })
+    client.on('response', (message) => finish({ kind: 'answering', status: message.statusCode ?? 0, headers: message.headers, message }))
+    client.on('error', (error) => finish(connected ? { kind: 'broken', reason: error.message } : { kind: 'notSent', reason: error.message }))
+    if (request.signal.aborted) return abort()
+    client.end(request.body)
+  })
+}
+
+/** Result of reading a whole answer. */
+export type BodyOutcome =
+  | { readonly kind: 'whole', readonly body: Buffer }
+  | { readonly kind: 'tooLarge' }
+  | { readonly kind: 'broken', readonly reason: string }
+  | { readonly kind: 'deadline' }
+
+/** Reads an answer whole; an answer that breaks off is never returned in part. */
+export function readBody (message: IncomingMessage, limitBytes: number, deadline: number): Promise<BodyOutcome> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = []
+    let size = 0
+    const timer = setTimeout(() => finish({ kind: 'deadline' }), Math.max(0, deadline - Date.now()))
+    function finish (outcome: BodyOutcome): void {
+      clearTimeout(timer)
+      if (outcome.kind !== 'whole') message.destroy()
+      resolve(outcome)
+    }
+    message.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size > limitBytes) return finish({ kind: 'tooLarge' })
+      chunks.push(chunk)
+    })
+    message.on('end', () => finish(message.complete ? { kind: 'whole', body: Buffer.concat(chunks) } : { kind: 'broken', reason: 'the answer broke off' }))
+    message.on('error', (error) => finish({ kind: 'broken', reason: error.message }))
+    message.on('close', () => finish({ kind: 'broken', reason: 'the connection closed before the answer was whole' }))
+  })
+}
--- /dev/null
+++ b/packages/router/src/callerError.ts
@@ -0,0 +1,85 @@
+import type { ServerResponse } from 'node:http'
+import type { GiveUpCode } from '@quinceshunt/requests'
+import type { RunState } from './services.js'
+
+/** Stable error codes of the callers' interface; docs/operations.md says what each one means. */
+export type CallerErrorCode =
+  | GiveUpCode
+  | 'invalid_json'
+  | 'invalid_request'
+  | 'body_too_large'
+  | 'request_timeout'
+  | 'invalid_api_key'
+  | 'not_found'
+  | 'model_not_found'
+  | 'service_not_found'
+  | 'target_not_allowed'
+  | 'not_ready'
+  | 'isolated'
+  | 'budget_exhausted'
+  | 'budget_unavailable'
+  | 'no_backend_server'
+  | 'idempotency_key_required'
+  | 'idempotency_key_reused'
+  | 'request_in_progress'
+  | 'store_unavailable'
+  | 'request_quarantined'
+  | 'request_suspect'
+  | 'outcome_unknown'
+  | 'backend_rejected'
+  | 'answer_too_large'
+  | 'caller_gone'
+  | 'internal_error'
+
+/** An error as a caller gets it. */
+export interface CallerError {
+  readonly status: number
+  readonly code: CallerErrorCode
+  readonly message: string
+  /** Whether the request was run; `no` only when that is certain. */
+  readonly run: RunState
+  /** Unix milliseconds from which a retry makes sense; undefined for none. */
+  readonly retryAt?: number
+  /** Offending parameter of the body. */
+  readonly param?: string
+}
+
+/** Types of OpenAI's error shape by HTTP status. */
+function errorType (status: number): string {
+  if (status === 401) return 'authentication_error'
+  if (status === 403) return 'permission_error'
+  if (status === 429) return 'rate_limit_error'
+  return status < 500 ? 'invalid_request_error' : 'server_error'
+}
+
+/** Error in OpenAI's shape. */
+export function formatCallerError (error: CallerError, requestId: string): string {
+  return JSON.stringify({
+    error: {
+      message: error.message,
+      type: errorType(error.status),
+      code: error.code,
+      param: error.param ?? null,
+      run: error.run,
+      request_id: requestId
+    }
+  })
+}
+
+/** Ends an answer that has not begun with an error. */
+export function sendCallerError (response: ServerResponse, error: CallerError, requestId: string): void {
+  if (response.headersSent || response.destroyed) return
+  const body = formatCallerError(error, requestId)
+  response.statusCode = error.status
+  response.setHeader('content-type', 'application/json')
+  response.setHeader('content-length', Buffer.byteLength(body))
+  response.setHeader('x-request-id', requestId)
+  if (error.retryAt !== undefined) response.setHeader('retry-after', Math.max(1, Math.ceil((error.retryAt - Date.now()) / 1000)))
+  response.end(body)
+}
+
+/** Ends a stream that can't be completed: an error event and no end marker. */
+export function sendStreamError (response: ServerResponse, error: CallerError, requestId: string): void {
+  if (response.destroyed) return
+  response.end(`data: ${formatCallerError(error, requestId)}\n\n`)
+}
--- /dev/null
+++ b/packages/router/src/crashReporter.ts
@@ -0,0 +1,35 @@
+import type { Clock } from '@quinceshunt/effects'
+import type { InFlightRegistry } from './inFlight.js'
+import type { BackendService, QuarantineService } from './services.js'
+
+/** Broken connections within this time belong to the same crash of a backend server. */
+const SAME_CRASH_MILLISECONDS = 2000
+
+/** Finds out whether a broken connection was a crash, and records each crash once for all requests that it hit. */
+export interface CrashReporter {
+  /** Resolves true when the backend server crashed; the requests in flight there are then recorded as suspects. */
+  examine (backendServer: string): Promise<boolean>
+}
+
+/** Creates the crash reporter of a router. */
+export function createCrashReporter (backends: BackendService, quarantine: QuarantineService, inFlight: InFlightRegistry, clock: Clock): CrashReporter {
+  const examinations = new Map<string, { readonly startedAt: number, readonly result: Promise<boolean> }>()
+
+  async function confirmAndRecord (backendServer: string): Promise<boolean> {
+    // Taken before the first wait, while all requests that the crash has hit are still registered.
+    const fingerprints = inFlight.fingerprints(backendServer)
+    if (!await backends.confirmCrash(backendServer)) return false
+    await quarantine.recordCrash(backendServer, fingerprints)
+    return true
+  }
+
+  return {
+    examine: (backendServer) => {
+      const known = examinations.get(backendServer)
+      if (known !== undefined && clock.now() - known.startedAt < SAME_CRASH_MILLISECONDS) return known.result
+      const result = confirmAndRecord(backendServer)
+      examinations.set(backendServer, { startedAt: clock.now(), result })
+      return result
+    }
+  }
+}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export { routerRules } from './options.js'
+export { startRouter, type Router, type RouterAddresses } from './router.js'
--- /dev/null
+++ b/packages/router/src/peerTask.ts
@@ -0,0 +1,148 @@
+import { create } from '@bufbuild/protobuf'
+import { assertNever, startTask } from '@quinceshunt/effects'
+import { GOSSIP_FANOUT, PeerTable, pickRandom } from '@quinceshunt/routing'
+import { GossipMessageSchema, InstanceRole, type GossipMessage } from '@quinceshunt/schemas'
+import { PeerError } from '@quinceshunt/telemetry'
+import { createPeerClients, PEER_CALL_MILLISECONDS } from './peerClients.js'
+import type { BackendGossip, ConfigurationGossip, CreatePeerTask, SuspectGossip } from './taskContracts.js'
+
+/** Time for which a peer that didn't answer is left out of gossip rounds, milliseconds. */
+const FAILED_PEER_PAUSE_MILLISECONDS = 3000
+const DEFAULT_GOSSIP_MILLISECONDS = 500
+/** Share by which rounds are spread, so that instances don't gossip in step. */
+const ROUND_JITTER = 0.2
+/** Shortest time between reads of the instance list, milliseconds. */
+const INSTANCE_LIST_MILLISECONDS = 5000
+/** Added wait for each listed instance, milliseconds; the list then costs at most 0.35 KB/s. */
+const INSTANCE_LIST_MILLISECONDS_PER_ENTRY = 300
+
+type Message =
+  | { readonly kind: 'received', readonly gossip: GossipMessage }
+  | { readonly kind: 'failed', readonly address: string, readonly error: unknown }
+  | { readonly kind: 'listed', readonly addresses: readonly string[] }
+  | { readonly kind: 'round' }
+
+/** Tasks whose state gossip carries. */
+interface Connected {
+  readonly configuration: ConfigurationGossip
+  readonly backends: BackendGossip
+  readonly suspects: SuspectGossip
+}
+
+/** Starts the owner of the peer list; gossip starts once `connect` has been called. */
+export const createPeerTask: CreatePeerTask = (context, settings) => {
+  const { clock, identity, logger, metrics } = context
+  const stopping = new AbortController()
+  const table = new PeerTable(identity.instanceId)
+  const clients = createPeerClients(settings.peersTls)
+  const pausedUntil = new Map<string, number>()
+  let listed: readonly string[] = []
+  let connected: Connected | undefined
+  const task = startTask<Message>({
+    name: 'peers',
+    handle,
+    onError: (error, message) => logger.error({ err: error, step: `handle ${message.kind}` }, 'peer task failed to handle a message')
+  })
+
+  function handle (message: Message): void {
+    switch (message.kind) {
+      case 'received': return receive(message.gossip)
+      case 'failed': return pause(message.address, message.error)
+      case 'listed':
+        listed = message.addresses
+        return
+      case 'round': return startRound()
+      default: return assertNever(message)
+    }
+  }
+
+  function receive (gossip: GossipMessage): void {
+    const now = clock.now()
+    const { sender, sheet } = gossip
+    if (sender !== undefined) {
+      table.heard(sender, now)
+      pausedUntil.delete(sender.address)
+    }
+    table.heardOf(gossip.peers, now)
+    if (sheet !== undefined && sender !== undefined) connected?.configuration.offerHead(sheet, sender.address)
+    if (gossip.marks.length > 0) connected?.backends.receiveMarks(gossip.marks)
+    if (gossip.suspects.length > 0) connected?.suspects.receiveSuspects(gossip.suspects)
+  }
+
+  function pause (address: string, error: unknown): void {
+    pausedUntil.set(address, clock.now() + FAILED_PEER_PAUSE_MILLISECONDS)
+    metrics.count('gossip_failures')
+    logger.debug({ err: new PeerError('peer did not answer gossip', { cause: error, props: { step: 'gossip', peer: address } }) }, 'peer not reached')
+  }
+
+  function buildMessage (): GossipMessage {
+    return create(GossipMessageSchema, {
+      sender: identity,
+      sheet: connected?.configuration.head(),
+      peers: [...table.toName(clock.now(), Math.random)],
+      marks: [...connected?.backends.recentMarks() ?? []],
+      suspects: [...connected?.suspects.recentSuspects() ?? []]
+    })
+  }
+
+  /** Addresses to gossip with: peers heard of, and those of the settings and the instance list, which reach across a healed partition. */
+  function contacts (): readonly string[] {
+    const now = clock.now()
+    const addresses = new Set([...table.current(now).map((peer) => peer.address), ...settings.peerAddresses, ...listed])
+    addresses.delete(identity.address)
+    addresses.delete('')
+    for (const [address, until] of pausedUntil) if (until <= now) pausedUntil.delete(address)
+    return [...addresses].filter((address) => !pausedUntil.has(address))
+  }
+
+  function startRound (): void {
+    for (const address of pickRandom(contacts(), GOSSIP_FANOUT, Math.random)) exchange(address)
+    metrics.gauge('peers', table.current(clock.now()).length)
+  }
+
+  function exchange (address: string): void {
+    clients.client(address).gossip(buildMessage(), { timeoutMs: PEER_CALL_MILLISECONDS, signal: stopping.signal }).then(
+      (gossip) => task.post({ kind: 'received', gossip }),
+      (error: unknown) => { if (!stopping.signal.aborted) task.post({ kind: 'failed', address, error }) })
+  }
+
+  async function repeatRounds (): Promise<void> {
+    const interval = settings.gossipIntervalMilliseconds || DEFAULT_GOSSIP_MILLISECONDS
+    while (!stopping.signal.aborted) {
+      if (connected !== undefined) task.post({ kind: 'round' })
+      await clock.waitUntil(clock.now() + interval * (1 + ROUND_JITTER * (Math.random() - 0.5)), stopping.signal)
+    }
+  }
+
+  async function readInstanceList (): Promise<void> {
+    let wait = INSTANCE_LIST_MILLISECONDS
+    while (!stopping.signal.aborted) {
+      try {
+        const { instances } = await context.platform.instances.list()
+        const addresses = instances.flatMap((instance) => instance.role === InstanceRole.ROUTER ? [instance.address] : [])
+        wait = Math.max(INSTANCE_LIST_MILLISECONDS, instances.length * INSTANCE_LIST_MILLISECONDS_PER_ENTRY)
+        task.post({ kind: 'listed', addresses })
+      } catch (error) {
+        logger.debug({ err: error, step: 'read instance list' }, 'instance list not read')
+      }
+      await clock.waitUntil(clock.now() + wait, stopping.signal)
+    }
+  }
+
+  const failed = (error: unknown): void => logger.error({ err: error, step: 'gossip' }, 'gossip ended')
+  repeatRounds().catch(failed)
+  readInstanceList().catch(failed)
+  return {
+    peers: () => table.current(clock.now()),
+    client: (address) => clients.client(address),
+    connect: (configuration, backends, suspects) => { connected = { configuration, backends, suspects } },
+    receiveGossip: (request) => {
+      task.post({ kind: 'received', gossip: request })
+      return buildMessage()
+    },
+    stop: async () => {
+      stopping.abort()
+      clients.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/router/src/plainRequest.ts
@@ -0,0 +1,158 @@
+import { computeRequestIdentity, type RequestIdentity } from '@quinceshunt/requests'
+import type { RecordedAnswer, SheetRoute } from '@quinceshunt/schemas'
+import { readCallerBody } from './callerBody.js'
+import { sendCallerError, type CallerError } from './callerError.js'
+import { refuse, type CallerExchange } from './callersListener.js'
+import { attemptPlainCall, type PlainAnswer } from './plainAttempt.js'
+import type { RequestResult } from './requestPath.js'
+import { runRequest } from './requestRunner.js'
+import type { RouterServices } from './routerServices.js'
+import type { ClaimHandle } from './services.js'
+
+/** A call whose route has been found. */
+interface PlainCall {
+  readonly service: string
+  readonly route: SheetRoute
+  /** Path and query for the service, without `/services/NAME`. */
+  readonly path: string
+  readonly body: Buffer
+  readonly identity: RequestIdentity
+}
+
+type CheckOutcome =
+  | { readonly kind: 'checked', readonly call: PlainCall }
+  | { readonly kind: 'refused', readonly error: CallerError }
+  | { readonly kind: 'callerGone' }
+
+/** Serves `ANY /services/NAME/PATH`. */
+export async function servePlainCall (services: RouterServices, exchange: CallerExchange, path: string): Promise<void> {
+  const checked = await checkCall(services, exchange, path)
+  if (checked.kind === 'callerGone') return
+  if (checked.kind === 'refused') return refuse(services, exchange.response, checked.error, exchange.requestId, exchange.span)
+  const { call } = checked
+  if (call.route.idempotent) return finishCall(services, exchange, call, await runCall(services, exchange, call, exchange.signal))
+  await serveOnce(services, exchange, call)
+}
+
+async function checkCall (services: RouterServices, exchange: CallerExchange, path: string): Promise<CheckOutcome> {
+  const [service = '', ...rest] = path.slice('/services/'.length).split('/')
+  const query = (exchange.request.url ?? '').split('?').slice(1).join('?')
+  const servicePath = `/${rest.join('/')}`
+  const method = exchange.request.method ?? 'GET'
+  const route = exchange.view.findRoute(service, method, servicePath)
+  if (route === undefined) return { kind: 'refused', error: { status: 404, code: 'service_not_found', message: `no route for ${method} /services/${service}${servicePath} in the sheet`, run: 'no' } }
+  if (!exchange.caller.account.targets.includes(service)) return { kind: 'refused', error: { status: 403, code: 'target_not_allowed', message: `the client account may not use service ${JSON.stringify(service)}`, run: 'no' } }
+  if (!route.idempotent && exchange.idempotencyKey === undefined) {
+    return { kind: 'refused', error: { status: 400, code: 'idempotency_key_required', message: `${method} /services/${service}${servicePath} must run at most once; send an Idempotency-Key that stays the same when you send it again`, param: 'Idempotency-Key', run: 'no' } }
+  }
+  const received = await readCallerBody(exchange.request, services.settings.bodyLimitBytes, exchange.deadline)
+  switch (received.kind) {
+    case 'gone': return { kind: 'callerGone' }
+    case 'tooLarge': return { kind: 'refused', error: { status: 413, code: 'body_too_large', message: `the body is larger than ${services.settings.bodyLimitBytes} bytes`, run: 'no' } }
+    case 'tooSlow': return { kind: 'refused', error: { status: 408, code: 'request_timeout', message: 'the body did not arrive before the deadline', run: 'no' } }
+    case 'whole': break
+  }
+  const fullPath = query === '' ? servicePath : `${servicePath}?${query}`
+  const identity = computeRequestIdentity({
+    clientAccount: exchange.caller.account.id,
+    idempotencyKey: exchange.idempotencyKey,
+    idempotent: route.idempotent,
+    target: `${service} ${method} ${fullPath}`,
+    body: received.body,
+    randomId: exchange.requestId
+  })
+  return { kind: 'checked', call: { service, route, path: fullPath, body: received.body, identity } }
+}
+
+/** Runs a call that must run at most once: a durable claim comes before anything is sent. */
+async function serveOnce (services: RouterServices, exchange: CallerExchange, call: PlainCall): Promise<void> {
+  const { requestId, bodyHash } = call.identity
+  const outcome = await services.claims.claim({ clientAccount: exchange.caller.account.id, idempotencyKey: exchange.idempotencyKey!, bodyHash, requestId, deadline: exchange.deadline })
+  switch (outcome.kind) {
+    case 'claimed': return await runClaimed(services, exchange, call, outcome.handle)
+    case 'answered': return sendRecorded(services, exchange, call, outcome.answer)
+    case 'unknown': return refuseCall(services, exchange, call, { status: 409, code: 'outcome_unknown', message: outcome.message, run: 'unknown' })
+    case 'keyReused': return refuseCall(services, exchange, call, { status: 422, code: 'idempotency_key_reused', message: 'this Idempotency-Key was used with another request; use a new key', param: 'Idempotency-Key', run: 'no' })
+    case 'refused': return refuseCall(services, exchange, call, { status: outcome.code === 'store_unavailable' ? 503 : 409, code: outcome.code, message: outcome.message, run: outcome.run, retryAt: outcome.retryAt })
+  }
+}
+
+async function runClaimed (services: RouterServices, exchange: CallerExchange, call: PlainCall, handle: ClaimHandle): Promise<void> {
+  // Not tied to the caller's connection: once sent, the answer is recorded for the caller's retry.
+  const result = await runCall(services, exchange, call, new AbortController().signal)
+  switch (result.kind) {
+    case 'answered': {
+      const deadline = services.clock.now() + (services.settings.budget?.billWaitMilliseconds ?? 0)
+      await services.claims.complete(handle, result.answer, deadline)
+      break
+    }
+    case 'failed':
+      endClaim(services, handle, result.error.run)
+      break
+    case 'callerGone':
+      endClaim(services, handle, result.run)
+  }
+  finishCall(services, exchange, call, result)
+}
+
+function endClaim (services: RouterServices, handle: ClaimHandle, run: 'no' | 'yes' | 'unknown'): void {
+  if (run === 'no') services.claims.withdraw(handle)
+  else services.claims.markUnknown(handle)
+}
+
+function runCall (services: RouterServices, exchange: CallerExchange, call: PlainCall, signal: AbortSignal): Promise<RequestResult<PlainAnswer>> {
+  const { identity, route } = call
+  const priceTokens = Number(route.priceTokens)
+  const plain = {
+    services,
+    exchange,
+    requestId: identity.requestId,
+    fingerprint: identity.fingerprint,
+    idempotent: route.idempotent,
+    priceTokens,
+    method: exchange.request.method ?? 'GET',
+    path: call.path,
+    body: call.body,
+    signal
+  }
+  return runRequest<PlainAnswer>(services, exchange, {
+    requestId: identity.requestId,
+    fingerprint: identity.fingerprint,
+    target: call.service,
+    idempotent: route.idempotent,
+    ceilingTokens: priceTokens,
+    priority: 'interactive',
+    prefixHashes: [],
+    promptBytes: 0,
+    attempt: (command, attemptNumber) => attemptPlainCall(plain, command, attemptNumber)
+  })
+}
+
+function finishCall (services: RouterServices, exchange: CallerExchange, call: PlainCall, result: RequestResult<PlainAnswer>): void {
+  services.metrics.count('requests_total', { kind: 'service', result: result.kind })
+  services.logger.info({ requestId: call.identity.requestId, clientAccount: exchange.caller.account.id, step: 'service call', result: result.kind, milliseconds: services.clock.now() - exchange.receivedAt }, 'request ended')
+  switch (result.kind) {
+    case 'answered': return sendAnswer(exchange, call, result.answer.status, result.answer.contentType, result.answer.body)
+    case 'failed': return refuseCall(services, exchange, call, result.error)
+    case 'callerGone': return sendCallerError(exchange.response, { status: 499, code: 'caller_gone', message: 'the caller closed the connection', run: result.run }, call.identity.requestId)
+  }
+}
+
+function sendRecorded (services: RouterServices, exchange: CallerExchange, call: PlainCall, answer: RecordedAnswer & { readonly body: Uint8Array }): void {
+  services.metrics.count('requests_total', { kind: 'service', result: 'recorded' })
+  exchange.response.setHeader('idempotency-replayed', 'true')
+  sendAnswer(exchange, call, answer.status, answer.contentType, answer.body)
+}
+
+function sendAnswer (exchange: CallerExchange, call: PlainCall, status: number, contentType: string, body: Uint8Array): void {
+  if (exchange.response.destroyed) return
+  exchange.response.statusCode = status
+  exchange.response.setHeader('content-type', contentType)
+  exchange.response.setHeader('content-length', body.length)
+  exchange.response.setHeader('x-request-id', call.identity.requestId)
+  exchange.response.end(body)
+}
+
+function refuseCall (services: RouterServices, exchange: CallerExchange, call: PlainCall, error: CallerError): void {
+  refuse(services, exchange.response, error, call.identity.requestId, exchange.span)
+}
--- /dev/null
+++ b/packages/router/src/requestRunner.ts
@@ -0,0 +1,122 @@
+import { create } from '@bufbuild/protobuf'
+import { assertNever, runDecision } from '@quinceshunt/effects'
+import { BillRecordSchema, type BillRecord } from '@quinceshunt/schemas'
+import type { CallerExchange } from './callersListener.js'
+import { serveRequest, type AcquireCommand, type AttemptCommand, type AttemptResult, type Charge, type ReleaseSlotCommand, type RequestCommand, type RequestResult } from './requestPath.js'
+import type { RouterServices } from './routerServices.js'
+import type { Priority, Reservation, ReservationOutcome, SlotOutcome } from './services.js'
+
+/** What is fixed about a request before its first attempt. */
+export interface RunnableRequest<Answer> {
+  readonly requestId: string
+  readonly fingerprint: string
+  /** Model or service. */
+  readonly target: string
+  readonly idempotent: boolean
+  /** Tokens to reserve; 0 for a request without a price. */
+  readonly ceilingTokens: number
+  readonly priority: Priority
+  readonly prefixHashes: readonly string[]
+  readonly promptBytes: number
+  readonly attempt: (command: AttemptCommand<Answer>, attemptNumber: number) => Promise<AttemptResult<Answer>>
+}
+
+/** Runs the request path of one request against this instance's tasks. */
+export function runRequest<Answer> (services: RouterServices, exchange: CallerExchange, request: RunnableRequest<Answer>): Promise<RequestResult<Answer>> {
+  const startedAt = services.clock.now()
+  let reservation: Reservation | undefined
+  let attempts = 0
+  services.retryBudget.recordRequest(startedAt)
+
+  async function handle (command: RequestCommand<Answer>): Promise<unknown> {
+    switch (command.kind) {
+      case 'admit': return services.quarantine.admit(request.fingerprint)
+      case 'reserve': return await reserve()
+      case 'acquire': return await acquire(services, exchange, request, command)
+      case 'attempt': {
+        attempts += 1
+        if (attempts > 1) services.metrics.count('retries_total', { how: command.resumeOffset === undefined ? 'elsewhere' : 'resume' })
+        return await request.attempt(command, attempts)
+      }
+      case 'releaseSlot': return releaseSlot(services, request.fingerprint, command)
+      case 'now': return services.clock.now()
+      case 'settle': return await settle(command.charge)
+      case 'releaseReservation': {
+        if (reservation !== undefined) services.budgets.release(reservation)
+        return
+      }
+      default: return assertNever(command)
+    }
+  }
+
+  async function reserve (): Promise<ReservationOutcome> {
+    const { caller, deadline } = exchange
+    const { requestId, ceilingTokens } = request
+    if (ceilingTokens === 0) return { kind: 'reserved', reservation: { requestId, budgetId: caller.budgetId, ceilingTokens } }
+    const outcome = await services.budgets.reserve({ requestId, budgetId: caller.budgetId, clientAccount: caller.account.id, ceilingTokens, deadline })
+    if (outcome.kind === 'reserved') reservation = outcome.reservation
+    return outcome
+  }
+
+  async function settle (charge: Charge): Promise<void> {
+    if (reservation === undefined) return
+    const bill = billOf(exchange, request.target, reservation, charge, services.clock.now())
+    const deadline = services.clock.now() + (services.settings.budget?.billWaitMilliseconds ?? 0)
+    const result = await services.budgets.settle(reservation, bill, exchange.idempotencyKey !== undefined, deadline)
+    services.metrics.count('bills_total', { result })
+    services.metrics.count('charged_tokens_total', { estimated: String(charge.estimated) }, Number(bill.chargedTokens))
+  }
+
+  const plan = { idempotent: request.idempotent, deadline: exchange.deadline, takeRetry: (now: number) => services.retryBudget.takeRetry(now) }
+  return runDecision(serveRequest<Answer>(plan), handle)
+}
+
+function billOf (exchange: CallerExchange, target: string, reservation: Reservation, charge: Charge, now: number): BillRecord {
+  const used = charge.promptTokens + charge.completionTokens
+  return create(BillRecordSchema, {
+    requestId: reservation.requestId,
+    clientAccount: exchange.caller.account.id,
+    budgetId: reservation.budgetId,
+    target,
+    promptTokens: BigInt(charge.promptTokens),
+    completionTokens: BigInt(charge.completionTokens),
+    chargedTokens: BigInt(charge.estimated ? reservation.ceilingTokens : Math.min(used, reservation.ceilingTokens)),
+    estimated: charge.estimated,
+    finishedAt: BigInt(now)
+  })
+}
+
+async function acquire<Answer> (services: RouterServices, exchange: CallerExchange, request: RunnableRequest<Answer>, command: AcquireCommand): Promise<SlotOutcome | undefined> {
+  const { caller, deadline, signal } = exchange
+  const base = {
+    requestId: request.requestId,
+    target: request.target,
+    account: caller.account,
+    priority: request.priority,
+    prefixHashes: request.prefixHashes,
+    promptBytes: request.promptBytes,
+    excluded: command.excluded,
+    deadline,
+    signal
+  }
+  const queuedAt = services.clock.now()
+  if (!command.trial) {
+    const outcome = await services.backends.acquire(base)
+    services.metrics.record('queueing', services.clock.now() - queuedAt)
+    return outcome
+  }
+  const candidates = services.backends.candidates(request.target, caller.account.id).map((server) => server.id).filter((id) => !command.excluded.has(id))
+  const chosen = await services.quarantine.startTrial(request.fingerprint, candidates, deadline)
+  if (chosen === undefined) return undefined
+  const outcome = await services.backends.acquire({ ...base, only: chosen })
+  if (outcome.kind === 'shed') services.quarantine.abandonTrial(request.fingerprint, chosen)
+  return outcome
+}
+
+function releaseSlot (services: RouterServices, fingerprint: string, command: ReleaseSlotCommand): void {
+  const { slot, result, trial } = command
+  slot.release(result === 'failed' || result === 'crashed' ? 'failed' : 'succeeded')
+  if (!trial || result === 'crashed') return
+  if (result === 'completed') services.quarantine.endTrial(fingerprint, slot.backendServer.id)
+  else services.quarantine.abandonTrial(fingerprint, slot.backendServer.id)
+}
--- /dev/null
+++ b/packages/router/src/routerServices.ts
@@ -0,0 +1,25 @@
+import type { Clock } from '@quinceshunt/effects'
+import type { RouterSettings } from '@quinceshunt/schemas'
+import type { Logger, Metrics } from '@quinceshunt/telemetry'
+import type { RetryBudget } from '@quinceshunt/requests'
+import type { CrashReporter } from './crashReporter.js'
+import type { InFlightRegistry } from './inFlight.js'
+import type { BackendService, BudgetService, ClaimService, ConfigurationService, QuarantineService } from './services.js'
+
+/** What the request path of a router uses. */
+export interface RouterServices {
+  readonly settings: RouterSettings
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly configuration: ConfigurationService
+  readonly budgets: BudgetService
+  readonly claims: ClaimService
+  readonly quarantine: QuarantineService
+  readonly backends: BackendService
+  readonly crashes: CrashReporter
+  readonly inFlight: InFlightRegistry
+  readonly retryBudget: RetryBudget
+  /** True when this instance has heard of neither the platform nor any peer for longer than its setting allows. */
+  readonly isIsolated: () => boolean
+}
--- a/packages/router/src/services.ts
+++ b/packages/router/src/services.ts
@@ -103,6 +103,8 @@
   startTrial (fingerprint: string, candidates: readonly string[], deadline: number): Promise<string | undefined>
   /** Ends a trial without a crash and clears the suspect. */
   endTrial (fingerprint: string, backendServer: string): void
+  /** Ends a trial that was not run to its end, without clearing the suspect. */
+  abandonTrial (fingerprint: string, backendServer: string): void
   /** Records a crash of a backend server with the fingerprints of this instance's requests in flight there. */
   recordCrash (backendServer: string, fingerprints: readonly string[]): Promise<void>
 }
--- /dev/null
+++ b/packages/router/src/tls.ts
@@ -0,0 +1,19 @@
+import type { TlsSettings } from '@quinceshunt/schemas'
+import { readFileSync } from 'node:fs'
+import type { SecureContextOptions, TlsOptions } from 'node:tls'
+
+/** Options of a TLS listener; undefined when TLS is off. With `mutual`, clients must present a certificate of the authority. */
+export function listenerTls (settings: TlsSettings | undefined, mutual: boolean): TlsOptions | undefined {
+  if (settings?.enabled !== true) return undefined
+  return { ...clientTls(settings), requestCert: mutual, rejectUnauthorized: mutual, minVersion: 'TLSv1.2' }
+}
+
+/** Certificate, key and authority of a TLS client. */
+export function clientTls (settings: TlsSettings | undefined): SecureContextOptions {
+  if (settings?.enabled !== true) return {}
+  return {
+    cert: readFileSync(settings.certificateFile),
+    key: readFileSync(settings.keyFile),
+    ...(settings.authorityFile === '' ? {} : { ca: readFileSync(settings.authorityFile) })
+  }
+}
--- a/packages/routing/src/slotQueue.ts
+++ b/packages/routing/src/slotQueue.ts
@@ -17,8 +17,8 @@
 
 /** How a request for a slot ended; each request ends exactly once. */
 export type SlotResult =
-  /** The slot is held until `release` is called; further calls have no effect. */
-  | { readonly kind: 'granted', readonly release: (at: number) => void }
+  /** The slot is held until `release` is called; further calls have no effect. An unused slot doesn't count in the drain rate. */
+  | { readonly kind: 'granted', readonly release: (at: number, unused?: boolean) => void }
   /** The queue is full or its wait too long; `overShare` when the account holds more than its share of it. */
   | { readonly kind: 'shed', readonly overShare: boolean, readonly retryAt: number }
   /** Taken out by its caller. */
@@ -153,12 +153,12 @@
     if (entry.priority === 'bulk') this.#bulkRunning++
     return new Promise((resolve) => {
       let released = false
-      const release = (at: number): void => {
+      const release = (at: number, unused = false): void => {
         if (released) return
         released = true
         this.#running--
         if (entry.priority === 'bulk') this.#bulkRunning--
-        this.#holds = observeHold(this.#holds, entry.priority, Math.max(0, at - startedAt))
+        if (!unused) this.#holds = observeHold(this.#holds, entry.priority, Math.max(0, at - startedAt))
         resolve()
       }
       entry.settle({ kind: 'granted', release })
