Test the budget decisions one by one

Cause: two adopters, lost replies of top-ups and resolutions, and late transfers after a resolution need exact cases beside the interleavings. Change: unit and property tests of top-up, draw, closing, resolution, sizing and ceilings.

--- /dev/null
+++ b/packages/budget/src/__fixtures__/lossyTable.ts
@@ -0,0 +1,62 @@
+import { create } from '@bufbuild/protobuf'
+import { MemoryTable, type TableStore } from '@quinceshunt/platform'
+import { BillRecordSchema, TransferRecordSchema, type TransferRecord } from '@quinceshunt/schemas'
+import { billBatchCodec, billCodec } from '../budgetRecords.js'
+import { emptyLease, type UnsentCharge } from '../leaseLedger.js'
+import { drawAllowance, type LeaseInput } from '../moveTokens.js'
+import { runTableDecision, type TableDecision } from '../tableCommands.js'
+import { topUpBudget } from '../topUpBudget.js'
+
+/** A table in memory that loses the replies to the next `lostReplies` transactions after they took effect. */
+export class LossyTable {
+  readonly memory = new MemoryTable()
+  lostReplies = 0
+  readonly #store: TableStore = {
+    read: async (keys) => this.memory.read(keys),
+    scan: async (prefix, startAfter, limit) => this.memory.scan(prefix, startAfter, limit),
+    transact: async (checks, writes) => {
+      const outcome = this.memory.transact(checks, writes)
+      if (this.lostReplies-- > 0) throw new Error('no reply')
+      return outcome
+    }
+  }
+
+  /** Runs a decision to its end. */
+  run <Result> (decision: TableDecision<Result>): Promise<Result> {
+    return runTableDecision(decision, this.#store)
+  }
+
+  /** Runs a decision whose caller gives up at the first lost reply. */
+  runOnce <Result> (decision: TableDecision<Result>): Promise<Result> {
+    return runTableDecision(decision, this.#store, { attempts: 1 })
+  }
+
+  /** Request IDs of all bills, in key order. */
+  billedRequestIds (): string[] {
+    const rows = (prefix: string) => this.memory.scan(prefix, '', 1000).rows
+    return [...rows('bill/').map(billCodec.decode), ...rows('billbatch/').flatMap((row) => billBatchCodec.decode(row).bills)].map(({ requestId }) => requestId)
+  }
+}
+
+/** Input of a transaction on an unwritten lease of `budget`, which expires at 1000. */
+export function leaseInput (incarnation: string, changes: Partial<LeaseInput> = {}): LeaseInput {
+  return { budgetId: 'budget', incarnation, base: emptyLease(incarnation), transferredOutTokens: 0n, now: 0n, expiresAt: 1000n, ...changes }
+}
+
+/** Table with a prepaid budget of which `holder` has drawn `drawn` tokens. */
+export async function tableWithLease (prepaid: bigint, drawn: bigint): Promise<LossyTable> {
+  const table = new LossyTable()
+  await table.run(topUpBudget({ budgetId: 'budget', topUpId: 'first', tokens: prepaid, operator: 'test', addedAt: 0n }))
+  await table.run(drawAllowance(leaseInput('holder'), () => drawn))
+  return table
+}
+
+/** A bill that has not been written. */
+export function charge (requestId: string, tokens: bigint, keyed: boolean, attemptedSequence = 0n): UnsentCharge {
+  return { bill: create(BillRecordSchema, { requestId, budgetId: 'budget', chargedTokens: tokens }), keyed, attemptedSequence }
+}
+
+/** A transfer from `holder` to `receiver`. */
+export function transfer (number: bigint, tokens: bigint): TransferRecord {
+  return create(TransferRecordSchema, { giverIncarnation: 'holder', receiverIncarnation: 'receiver', number, tokens })
+}
--- /dev/null
+++ b/packages/budget/src/__tests__/budgetDecisions.test.ts
@@ -0,0 +1,153 @@
+import { describe, expect, test } from '@jest/globals'
+import { create } from '@bufbuild/protobuf'
+import { BudgetSettingsSchema, RefusalPreference } from '@quinceshunt/schemas'
+import fc from 'fast-check'
+import { createAllowancePolicy, sizeDraw, sizeGift } from '../allowancePolicy.js'
+import { put } from '../budgetRecords.js'
+import { closeLease, type LeaseClosing } from '../closeLease.js'
+import { emptyLease } from '../leaseLedger.js'
+import { drawAllowance } from '../moveTokens.js'
+import { promptTokenUpperBound } from '../reservationCeiling.js'
+import { resolveLease, type LeaseResolution } from '../resolveLease.js'
+import { settleLeases } from '../settleLeases.js'
+import { summariseBudget } from '../summariseBudget.js'
+import { topUpBudget } from '../topUpBudget.js'
+import { charge, leaseInput, LossyTable, tableWithLease, transfer } from '../__fixtures__/lossyTable.js'
+
+const closing: LeaseClosing = {
+  budgetId: 'budget', incarnation: 'holder', transferredOutTokens: 0n, charges: [], transfers: [], whenTransfersPending: 'withhold', now: 2000n
+}
+
+function resolution (changes: Partial<LeaseResolution> = {}): LeaseResolution {
+  return { budgetId: 'budget', incarnation: 'holder', resolution: 'release', tokens: 500n, now: 2000n, audit: put('audit/1/a', new Uint8Array([1])), ...changes }
+}
+
+describe('topUpBudget', () => {
+  const topUp = { budgetId: 'budget', topUpId: 'a', tokens: 100n, operator: 'test', addedAt: 7n, audit: put('audit/1/a', new Uint8Array([1])) }
+
+  // Guards against a top-up that is added again when its reply is lost or an operator repeats it.
+  test('adds an ID once and refuses another amount', async () => {
+    const table = new LossyTable()
+    table.lostReplies = 2
+    expect(await table.run(topUpBudget(topUp))).toMatchObject({ kind: 'added', budget: { prepaidTokens: 100n } })
+    expect(await table.run(topUpBudget({ ...topUp, addedAt: 8n, audit: put('audit/1/b', new Uint8Array()) }))).toMatchObject({ kind: 'alreadyAdded', budget: { prepaidTokens: 100n } })
+    expect(await table.run(topUpBudget({ ...topUp, tokens: 101n }))).toMatchObject({ kind: 'conflict', recorded: { tokens: 100n }, budget: { prepaidTokens: 100n } })
+  })
+})
+
+describe('drawAllowance', () => {
+  // Guards against tokens drawn twice, of which the holder would know only one part.
+  test('draws once when the reply is lost, and never more than is prepaid', async () => {
+    const table = await tableWithLease(1000n, 0n)
+    table.lostReplies = 1
+    const drawn = await table.run(drawAllowance(leaseInput('holder'), () => 400n))
+    expect(drawn).toMatchObject({ kind: 'moved', tokens: 400n })
+    expect(await table.run(drawAllowance(leaseInput('other'), () => 5000n))).toMatchObject({ kind: 'moved', tokens: 600n })
+    expect(await table.run(drawAllowance(leaseInput('third'), () => 1n))).toMatchObject({ kind: 'nothing' })
+  })
+})
+
+describe('closeLease', () => {
+  // Guards against two adopters that both bill requests without a key, whose bills have no rows of their own.
+  test('bills once when the closing reply is lost and two adopters close again', async () => {
+    for (const keyed of [true, false]) {
+      const table = await tableWithLease(1000n, 600n)
+      const charges = [charge('a', 100n, keyed), charge('b', 50n, keyed)]
+      table.lostReplies = 1
+      await expect(table.runOnce(closeLease({ ...closing, charges }))).rejects.toThrow('no reply')
+      expect(await table.run(closeLease({ ...closing, charges }))).toEqual({ kind: 'alreadyClosed' })
+      expect(await table.run(closeLease({ ...closing, charges }))).toEqual({ kind: 'alreadyClosed' })
+      expect(table.billedRequestIds()).toEqual(['a', 'b'])
+      expect(await table.run(summariseBudget('budget', 3000n))).toMatchObject({ spentTokens: 150n, undrawnTokens: 850n, leases: [] })
+    }
+  })
+
+  // Guards against adopters that bill twice what came with transfers to a lease without a row.
+  test('bills once when the lease row was never written', async () => {
+    const table = await tableWithLease(1000n, 600n)
+    const adopted: LeaseClosing = { ...closing, incarnation: 'receiver', charges: [charge('a', 100n, false)], transfers: [transfer(1n, 200n)] }
+    expect(await table.run(closeLease(adopted))).toMatchObject({ kind: 'closed', billed: 1, returnedTokens: 100n })
+    expect(await table.run(closeLease(adopted))).toEqual({ kind: 'alreadyClosed' })
+    expect(table.billedRequestIds()).toEqual(['a'])
+  })
+
+  // Guards against a bill that an unanswered settlement has written and the adopter writes again.
+  test('leaves out bills of a settlement that took effect', async () => {
+    const table = await tableWithLease(1000n, 600n)
+    const lease = { budgetId: 'budget', base: (await table.run(drawAllowance(leaseInput('holder'), () => 1n))).base, transferredOutTokens: 0n, transfers: [], mayTruncate: false }
+    await table.run(settleLeases({ incarnation: 'holder', batchNumber: 1n, now: 0n, expiresAt: 1000n, leases: [{ ...lease, charges: [charge('a', 100n, false)] }] }))
+    const sequence = lease.base.record.sequence + 1n
+    await table.run(closeLease({ ...closing, charges: [charge('a', 100n, false, sequence), charge('b', 10n, false)] }))
+    expect(table.billedRequestIds()).toEqual(['a', 'b'])
+  })
+
+  // Guards against the return of tokens that a peer has received and may spend.
+  test('keeps transfers that are not recorded under the closed lease', async () => {
+    const table = await tableWithLease(1000n, 600n)
+    const withTransfer = { ...closing, transferredOutTokens: 200n }
+    expect(await table.run(closeLease({ ...withTransfer, whenTransfersPending: 'wait' }))).toEqual({ kind: 'transfersPending', tokens: 200n })
+    expect(await table.run(closeLease(withTransfer))).toMatchObject({ kind: 'closed', returnedTokens: 400n, withheldTokens: 200n })
+    expect(await table.run(summariseBudget('budget', 3000n))).toMatchObject({ withheldTokens: 200n, unattributedTokens: 0n })
+  })
+})
+
+describe('resolveLease', () => {
+  // Guards against the release of tokens that their holder still spends.
+  test('refuses a lease that has not expired and more than is outstanding', async () => {
+    const table = await tableWithLease(1000n, 600n)
+    expect(await table.run(resolveLease(resolution({ now: 999n })))).toEqual({ kind: 'leaseNotExpired', expiresAt: 1000n })
+    expect(await table.run(resolveLease(resolution({ tokens: 601n })))).toEqual({ kind: 'tooManyTokens', outstandingTokens: 600n })
+    expect(await table.run(resolveLease(resolution({ incarnation: 'nobody' })))).toEqual({ kind: 'leaseNotFound' })
+  })
+
+  // Guards against a second resolution when the reply is lost.
+  test.each([['release', 0n, 900n], ['charge', 500n, 400n]] as const)('%s takes effect once', async (kind, spentTokens, undrawnTokens) => {
+    const table = await tableWithLease(1000n, 600n)
+    table.lostReplies = 2
+    expect(await table.run(resolveLease(resolution({ resolution: kind })))).toMatchObject({ kind: 'resolved' })
+    expect(await table.run(summariseBudget('budget', 2000n))).toMatchObject({ spentTokens, undrawnTokens, withheldTokens: 100n, unattributedTokens: 0n })
+  })
+
+  // Guards against overspend: the receiver of a transfer must not add tokens that an operator has released.
+  test('keeps a late transfer out of the table', async () => {
+    const table = await tableWithLease(1000n, 600n)
+    await table.run(resolveLease(resolution({ tokens: 600n })))
+    const lease = { budgetId: 'budget', base: emptyLease('receiver'), transferredOutTokens: 0n, charges: [charge('a', 200n, true)], transfers: [transfer(1n, 200n)], mayTruncate: false }
+    const settle = (mayTruncate: boolean) => settleLeases({ incarnation: 'receiver', batchNumber: 1n, now: 0n, expiresAt: 1000n, leases: [{ ...lease, mayTruncate }] })
+    const [refused] = await table.run(settle(false))
+    expect([refused!.finishedRequestIds.size, refused!.finishedTransfers.size]).toEqual([0, 1])
+    expect(await table.run(summariseBudget('budget', 2000n))).toMatchObject({ spentTokens: 0n, undrawnTokens: 1000n, unattributedTokens: 0n })
+  })
+})
+
+describe('allowances', () => {
+  const policies = [RefusalPreference.AVOID_OVERSPEND_RISK, RefusalPreference.AVOID_FALSE_REFUSALS].map((refusalPreference) => createAllowancePolicy(create(BudgetSettingsSchema, { refusalPreference })))
+  const tokens = fc.bigInt({ min: 0n, max: 10n ** 12n })
+
+  // Guards against draws beyond what is left, draws too small for waiting requests, and allowances that starve other instances.
+  test('are drawn within what is left, by need and share', () => {
+    fc.assert(fc.property(tokens, tokens, tokens, fc.nat(1_000_000), fc.integer({ min: 1, max: 390 }), fc.constantFrom(...policies), (neededTokens, availableTokens, undrawnTokens, tokensPerSecond, instances, policy) => {
+      const size = sizeDraw({ neededTokens, availableTokens, undrawnTokens, tokensPerSecond, instances }, policy)
+      expect(size >= 0n && size <= undrawnTokens).toBe(true)
+      if (neededTokens <= undrawnTokens) expect(size).toBeGreaterThanOrEqual(neededTokens)
+      if (size > neededTokens) expect(Number(size) * instances).toBeLessThanOrEqual(Number(undrawnTokens))
+    }))
+  })
+
+  // Guards against gifts of tokens that the giver does not have.
+  test('are given within what the giver has', () => {
+    fc.assert(fc.property(tokens, fc.bigInt({ min: -1000n, max: 10n ** 9n }), fc.nat(1_000_000), (wanted, givable, rate) => {
+      const gift = sizeGift(wanted, givable, rate)
+      expect(gift >= 0n && gift <= wanted && gift <= (givable > 0n ? givable : 0n)).toBe(true)
+    }))
+  })
+
+  // Guards against a ceiling below the engine's count: a token covers at least one byte.
+  test('are reserved for at least every byte of a prompt', () => {
+    fc.assert(fc.property(fc.array(fc.string({ unit: 'grapheme' })), (texts) => {
+      const bytes = texts.reduce((sum, text) => sum + new TextEncoder().encode(text).length, 0)
+      expect(promptTokenUpperBound(texts.map((content) => ({ role: 'user', content })))).toBeGreaterThanOrEqual(bytes)
+      expect(promptTokenUpperBound(texts.map((text) => ({ role: 'user', content: [{ type: 'text', text }] })))).toBeGreaterThanOrEqual(bytes)
+    }))
+  })
+})
