--- a/packages/scenarios/src/fleet/startFleet.ts
+++ b/packages/scenarios/src/fleet/startFleet.ts
@@ -12,6 +12,8 @@
 
 const READY_MILLISECONDS = 20_000
 const POLL_MILLISECONDS = 50
+/** A paused router does not answer its readiness check at all. */
+const CHECK_MILLISECONDS = 1000
 
 /** A running fleet with its platform and backend servers. */
 export interface Fleet {
@@ -186,7 +188,7 @@
 /** True when the router's readiness check answers 200. */
 export async function isReady (router: FleetMember): Promise<boolean> {
   try {
-    return (await fetch(`${router.address('operations')}/health/ready`)).ok
+    return (await fetch(`${router.address('operations')}/health/ready`, { signal: AbortSignal.timeout(CHECK_MILLISECONDS) })).ok
   } catch {
     return false
   }
--- a/packages/scenarios/src/index.ts
+++ b/packages/scenarios/src/index.ts
@@ -1,3 +1,4 @@
+export * from './callers/balancer.js'
 export * from './callers/callService.js'
 export * from './callers/checkAnswer.js'
 export * from './callers/openExchange.js'
