Add the measurements of the fleet

npm run bench is to measure router overhead, requests by core, control cost, memory by budgets, table calls and the time until a sheet is in force. Forwarders count bytes.

--- a/packages/bench/src/measures/runMeasurements.ts
+++ b/packages/bench/src/measures/runMeasurements.ts
@@ -1,4 +1,42 @@
-/** Placeholder until measurements are added. */
+import Table from 'cli-table3'
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import type { Measurements } from '../experiment/experiment.js'
+import { formatFigure } from '../experiment/printTable.js'
+import { budgetMemory } from './budgetMemory.js'
+import { controlCost } from './controlCost.js'
+import type { Measurement } from './measurement.js'
+import { requestsPerCore } from './requestsPerCore.js'
+import { routerOverhead } from './routerOverhead.js'
+import { sheetLatency } from './sheetLatency.js'
+import { tableCalls } from './tableCalls.js'
+
+const measurements: readonly Measurement[] = [routerOverhead, requestsPerCore, controlCost, budgetMemory, tableCalls, sheetLatency]
+const USAGE_EXIT_CODE = 2
+
+/** Runs all measurements or the named ones; prints a table and one JSON object, and writes the JSON. Exit code 1 when one failed. */
 export async function runMeasurements (only: readonly string[] | undefined, folder: string): Promise<void> {
-  throw new Error(`no measurements yet (${only?.join(',') ?? 'all'}, ${folder})`)
+  const unknown = only?.filter((name) => !measurements.some((measurement) => measurement.name === name)) ?? []
+  if (unknown.length > 0) {
+    process.stderr.write(`--only: ${unknown.join(', ')} is not known; use ${measurements.map(({ name }) => name).join(', ')}\n`)
+    process.exit(USAGE_EXIT_CODE)
+  }
+  const results: Record<string, Measurements> = {}
+  const failures: Record<string, string> = {}
+  const table = new Table({ head: ['measurement', 'figure', 'value'], style: { head: [], border: [] } })
+  for (const measurement of measurements.filter(({ name }) => only?.includes(name) ?? true)) {
+    process.stderr.write(`${measurement.name}: ${measurement.description}\n`)
+    try {
+      const figures = await measurement.run((text) => process.stderr.write(`${text}\n`))
+      results[measurement.name] = figures
+      for (const [figure, value] of Object.entries(figures)) table.push([measurement.name, figure, formatFigure(value)])
+    } catch (error) {
+      failures[measurement.name] = String(error)
+      process.exitCode = 1
+    }
+  }
+  const json = JSON.stringify({ at: new Date().toISOString(), results, failures })
+  mkdirSync(folder, { recursive: true })
+  writeFileSync(join(folder, `measurements-${Date.now()}.json`), `${json}\n`)
+  process.stdout.write(`${table.toString()}\n${json}\n`)
 }
--- /dev/null
+++ b/packages/bench/src/measures/sheetLatency.ts
@@ -0,0 +1,61 @@
+import { createClient } from '@connectrpc/connect'
+import { createConnectTransport } from '@connectrpc/connect-node'
+import { binaryFile, OPERATOR_KEY, parseFixtureSheet, startFleet, type Fleet } from '@quinceshunt/scenarios'
+import { AdministrationService, PeerService, SheetFormat } from '@quinceshunt/schemas'
+import { existsSync } from 'node:fs'
+import { spreadOf } from '../experiment/statistics.js'
+import { pause, type Measurement } from './measurement.js'
+
+const ROUTERS = 6
+const REVISIONS = 12
+const POLL_MILLISECONDS = 10
+const GIVE_UP_MILLISECONDS = 20_000
+
+/** Time from the start of a sheet's acceptance until every router reports its revision in force. */
+export const sheetLatency: Measurement = {
+  name: 'sheetLatency',
+  description: `${REVISIONS} revisions on ${ROUTERS} routers, through an administration process (which pushes to a few routers) and by polling alone`,
+  run: async () => {
+    const fleet = await startFleet({ routers: ROUTERS, engines: 1, plainServices: 1, administrations: existsSync(binaryFile('administration')) ? 1 : 0, routerSettings: { log: { level: 'error' } } })
+    try {
+      await pause(2000)
+      const polled: number[] = []
+      for (let revision = 2; revision <= 1 + REVISIONS; revision++) polled.push(await timeUntilInForce(fleet, revision, async () => { await fleet.acceptSheet(parseFixtureSheet(fleet.sheetText)) }))
+      const pushed: number[] = []
+      for (let revision = 2 + REVISIONS; fleet.administrations.length > 0 && revision <= 1 + 2 * REVISIONS; revision++) {
+        pushed.push(await timeUntilInForce(fleet, revision, () => applyBySheetCommand(fleet, revision)))
+      }
+      return { ...describe('polled', polled), ...describe('pushed', pushed) }
+    } finally {
+      await fleet.stop()
+    }
+  }
+}
+
+function describe (name: string, milliseconds: readonly number[]): Record<string, number> {
+  if (milliseconds.length === 0) return {}
+  const { median, highest } = spreadOf(milliseconds)
+  return { [`${name}MedianMilliseconds`]: median, [`${name}LongestMilliseconds`]: highest }
+}
+
+async function timeUntilInForce (fleet: Fleet, revision: number, accept: () => Promise<void>): Promise<number> {
+  const startedAt = Date.now()
+  const accepted = accept()
+  await Promise.all(fleet.routers.map(async (router) => {
+    const client = createClient(PeerService, createConnectTransport({ baseUrl: router.address('peers'), httpVersion: '1.1' }))
+    while ((await client.status({})).sheetRevision < BigInt(revision)) {
+      if (Date.now() - startedAt > GIVE_UP_MILLISECONDS) throw new Error(`${router.id} has not put revision ${revision} in force within ${GIVE_UP_MILLISECONDS} ms`)
+      await pause(POLL_MILLISECONDS)
+    }
+  }))
+  const milliseconds = Date.now() - startedAt
+  await accepted
+  return milliseconds
+}
+
+async function applyBySheetCommand (fleet: Fleet, revision: number): Promise<void> {
+  const client = createClient(AdministrationService, createConnectTransport({ baseUrl: fleet.administrations[0]!.address(), httpVersion: '1.1' }))
+  const content = new TextEncoder().encode(fleet.sheetText.replace('completionTokens: 4096', `completionTokens: ${4096 + revision}`))
+  const response = await client.applySheet({ format: SheetFormat.YAML, content, baseRevision: BigInt(revision - 1) }, { headers: { authorization: `Bearer ${OPERATOR_KEY}` } })
+  if (response.head?.revision !== BigInt(revision)) throw new Error(`revision ${revision} was not accepted: ${response.problems.map((problem) => problem.message).join('; ') || 'conflict'}`)
+}
--- /dev/null
+++ b/packages/bench/src/measures/tableCalls.ts
@@ -0,0 +1,48 @@
+import { startFleet } from '@quinceshunt/scenarios'
+import type { ReadCountersResponse } from '@quinceshunt/schemas'
+import { mixes } from '../load/mixes.js'
+import { planRequests } from '../load/planRequests.js'
+import { sendPlan } from '../load/sendPlan.js'
+import { pause, type Measurement } from './measurement.js'
+
+const DURATION_MILLISECONDS = 15_000
+const REQUESTS_PER_SECOND = 40
+const ACCOUNTS = 10
+const SEED = 1
+
+/** Calls of the table service by 1,000 requests, and what the fleet calls without any. */
+export const tableCalls: Measurement = {
+  name: 'tableCalls',
+  description: `3 routers, ${ACCOUNTS} client accounts, mix of the taller at ${REQUESTS_PER_SECOND} requests/s`,
+  run: async () => {
+    const accounts = Array.from({ length: ACCOUNTS }, (_unused, index) => ({ id: `account-${index + 1}`, budgetTokens: 100_000_000 }))
+    const fleet = await startFleet({ routers: 3, engines: 6, plainServices: 3, accounts, routerSettings: { log: { level: 'error' } } })
+    try {
+      const idleBefore = await fleet.platform.counters()
+      await pause(DURATION_MILLISECONDS)
+      const before = await fleet.platform.counters()
+      const plan = planRequests({ seed: SEED, durationMilliseconds: DURATION_MILLISECONDS, requestsPerSecond: REQUESTS_PER_SECOND, mix: mixes.taller, accounts: accounts.map(({ id }) => ({ id, share: 1 })) })
+      const sent = await sendPlan(plan, { fleet, pickRouter: (share) => fleet.routers[Math.floor(share * fleet.routers.length)]! })
+      const after = await fleet.platform.counters()
+      const answered = sent.filter((request) => request.result === 'answered').length
+      return {
+        requests: sent.length,
+        answered,
+        writesPer1000Requests: writes(before, after) * 1000 / sent.length,
+        readsPer1000Requests: reads(before, after) * 1000 / sent.length,
+        idleWritesPerSecond: writes(idleBefore, before) * 1000 / DURATION_MILLISECONDS,
+        idleReadsPerSecond: reads(idleBefore, before) * 1000 / DURATION_MILLISECONDS
+      }
+    } finally {
+      await fleet.stop()
+    }
+  }
+}
+
+function writes (before: ReadCountersResponse, after: ReadCountersResponse): number {
+  return Number(after.tableTransactions - before.tableTransactions)
+}
+
+function reads (before: ReadCountersResponse, after: ReadCountersResponse): number {
+  return Number(after.tableReads + after.tableScans - before.tableReads - before.tableScans)
+}
--- a/packages/scenarios/src/fleet/fleetOptions.ts
+++ b/packages/scenarios/src/fleet/fleetOptions.ts
@@ -29,6 +29,8 @@
   readonly engineSettings?: SettingsChanges
   readonly plainServiceSettings?: SettingsChanges
   readonly administrationSettings?: SettingsChanges
+  /** True counts the bytes between routers and the platform. */
+  readonly meterPlatform?: boolean
   /** False leaves the fleet without a configuration. */
   readonly applySheet?: boolean
 }
--- a/packages/scenarios/src/fleet/startFleet.ts
+++ b/packages/scenarios/src/fleet/startFleet.ts
@@ -2,6 +2,7 @@
 import type { Sheet, SheetHead } from '@quinceshunt/schemas'
 import { InternalError } from '@quinceshunt/telemetry'
 import { createHash } from 'node:crypto'
+import { startForwarder } from '../launcher/forwarder.js'
 import { createPeerNetwork, type PeerNetwork } from '../launcher/peerNetwork.js'
 import type { FleetProcess } from '../launcher/startProcess.js'
 import { defaultAccounts, mergeSettings, organisationNames, type AccountOptions, type FleetOptions, type OrganisationNames } from './fleetOptions.js'
@@ -25,6 +26,8 @@
   readonly plainServices: readonly FleetMember[]
   readonly routers: readonly FleetMember[]
   readonly administrations: readonly FleetMember[]
+  /** Bytes between routers and the platform in both directions so far; 0 unless metered. */
+  platformBytes (): number
   /** Text of the fixture's sheet (YAML). */
   readonly sheetText: string
   /** Accepts a sheet as the next revision, without an administration process. */
@@ -49,6 +52,8 @@
   const network = createPeerNetwork()
   const clients = (): string[] => members.filter((member) => routers.includes(member) || member.id.startsWith('administration')).map((member) => member.id)
   const platform = await startPlatform(mergeSettings(platformSettings(), options.platformSettings), clients)
+  const platformMeter = options.meterPlatform === true ? await startForwarder(() => undefined, () => 'open') : undefined
+  platformMeter?.setTarget(platform.address)
   let revision = 0n
 
   async function stop (): Promise<void> {
@@ -59,6 +64,7 @@
     }
     await Promise.all(processes.map((running) => running.exited))
     await network.stop()
+    await platformMeter?.stop()
   }
 
   async function startBackendServers (count: number, prefix: string, build: (id: string) => Record<string, unknown>): Promise<FleetMember[]> {
@@ -77,7 +83,7 @@
     const failureDomain = names.failureDomains[index % names.failureDomains.length]!
     const forwarder = await network.add(id)
     peerAddresses.set(id, forwarder.address)
-    const settings = mergeSettings(routerSettings(id, index, names, platform.address, forwarder.address), options.routerSettings)
+    const settings = mergeSettings(routerSettings(id, index, names, platformMeter?.address ?? platform.address, forwarder.address), options.routerSettings)
     const router = await startMember({
       id,
       binary: 'router',
@@ -138,6 +144,7 @@
       plainServices,
       routers,
       administrations,
+      platformBytes: () => platformMeter?.bytes() ?? 0,
       sheetText,
       acceptSheet,
       addRouter,
--- a/packages/scenarios/src/launcher/forwarder.ts
+++ b/packages/scenarios/src/launcher/forwarder.ts
@@ -9,6 +9,8 @@
   readonly address: string
   /** Where connections go, http://IP:PORT. */
   setTarget (address: string): void
+  /** Bytes forwarded in both directions so far. */
+  bytes (): number
   /** Applies the states of links anew, after a change. */
   refresh (): void
   stop (): Promise<void>
@@ -28,6 +30,7 @@
   stateOf: (source: string | undefined) => LinkState
 ): Promise<Forwarder> {
   const links = new Set<Link>()
+  let endedBytes = 0
   let target: URL | undefined
   const server = createServer({ pauseOnConnect: true }, (inbound) => {
     const { port } = server.address() as AddressInfo
@@ -39,7 +42,7 @@
   })
 
   function end (link: Link): void {
-    links.delete(link)
+    if (links.delete(link)) endedBytes += bytesOf(link)
     link.inbound.destroy()
     link.outbound?.destroy()
   }
@@ -80,6 +83,7 @@
   return {
     address,
     setTarget: (value) => { target = new URL(value) },
+    bytes: () => [...links].reduce((sum, link) => sum + bytesOf(link), endedBytes),
     refresh: () => links.forEach(apply),
     stop: () => new Promise((resolve) => {
       links.forEach(end)
@@ -88,6 +92,10 @@
   }
 }
 
+function bytesOf (link: Link): number {
+  return link.inbound.bytesRead + link.inbound.bytesWritten
+}
+
 function listen (server: Server): Promise<string> {
   return new Promise((resolve, reject) => {
     server.once('error', reject)
--- a/packages/scenarios/src/launcher/peerNetwork.ts
+++ b/packages/scenarios/src/launcher/peerNetwork.ts
@@ -11,6 +11,8 @@
   cut (one: string, other: string, state?: Exclude<LinkState, 'open'>): void
   /** Cuts all links of an instance, also those from processes that are not known. */
   isolate (instanceId: string, state?: Exclude<LinkState, 'open'>): void
+  /** Bytes sent over all links in both directions so far. */
+  bytes (): number
   /** Opens all links. */
   heal (): void
   stop (): Promise<void>
@@ -56,6 +58,7 @@
       isolated.set(instanceId, state)
       refresh()
     },
+    bytes: () => [...forwarders.values()].reduce((sum, forwarder) => sum + forwarder.bytes(), 0),
     heal: () => {
       pairs.clear()
       isolated.clear()
