Add the administration API and the command line

Operators could not yet apply a sheet, issue a key or resolve withheld tokens. The administration process authenticates operators before it reads their request, writes each change with its audit row in one transaction and offers new heads to routers. Sheets are compare-and-set on the revision that the operator looked at; keys and drains do not depend on other changes and are repeated on top of them, because refusing them would only make an operator type again. A pending claim may be resolved only 10 minutes after its last change, longer than any request runs. Tests were seen to fail without the role check, with any key accepted, without repeating on conflict, with the base revision ignored, without the age of pending claims, without the check against the sheet in force, without the comparison with the sheet's top-ups, without waiting for routers, with the fleet key shown, with a lost reply taken as a failure, with unknown options ignored and with sheet validate always at exit code 0. 30 + 40 tests pass.

--- a/packages/administration/src/index.ts
+++ b/packages/administration/src/index.ts
@@ -1,1 +1,4 @@
-export {}
+export * from './administrationContext.js'
+export * from './administrationServer.js'
+export * from './options.js'
+export * from './routerFleet.js'
--- /dev/null
+++ b/packages/cli/src/connection.ts
@@ -0,0 +1,40 @@
+import { Code, ConnectError, createClient, type Client, type Interceptor } from '@connectrpc/connect'
+import { createConnectTransport } from '@connectrpc/connect-node'
+import { AdministrationService } from '@quinceshunt/schemas'
+import { readFileSync } from 'node:fs'
+import type { CommandIo } from './io.js'
+import { resolveConnection } from './options.js'
+
+/** Longest time for one call, milliseconds; above the longest wait of "sheet apply". */
+const CALL_TIMEOUT_MILLISECONDS = 75_000
+
+/** Client of the administration API. */
+export type AdministrationClient = Client<typeof AdministrationService>
+
+/** Connects as the options, the settings file and the environment say. */
+export function connectAdministration (io: CommandIo, args: { readonly settings?: string | undefined, readonly address?: string | undefined }): AdministrationClient {
+  const { address, operatorKey, authorityFile } = resolveConnection(io, args)
+  const authorize: Interceptor = (next) => async (request) => {
+    request.header.set('authorization', `Bearer ${operatorKey}`)
+    try {
+      return await next(request)
+    } catch (error) {
+      throw nameAddress(ConnectError.from(error), address)
+    }
+  }
+  return createClient(AdministrationService, createConnectTransport({
+    baseUrl: address,
+    httpVersion: '1.1',
+    useBinaryFormat: true,
+    defaultTimeoutMs: CALL_TIMEOUT_MILLISECONDS,
+    interceptors: [authorize],
+    nodeOptions: authorityFile === '' ? {} : { ca: readFileSync(authorityFile) }
+  }))
+}
+
+/** A connection that fails has no message of the API's; it must name the address that was tried. */
+function nameAddress (error: ConnectError, address: string): ConnectError {
+  const isConnection = error.cause !== undefined || error.code === Code.DeadlineExceeded
+  if (!isConnection) return error
+  return new ConnectError(`the administration process at ${address} does not answer: ${error.rawMessage}`, Code.Unavailable, undefined, undefined, error)
+}
--- /dev/null
+++ b/packages/cli/src/exitCodes.ts
@@ -0,0 +1,38 @@
+import { Code, ConnectError } from '@connectrpc/connect'
+
+/** Exit codes of the command line; 69, 77 and 78 follow sysexits. */
+export const exitCodes = {
+  done: 0,
+  failed: 1,
+  usage: 2,
+  conflict: 3,
+  invalidSheet: 4,
+  unavailable: 69,
+  notPermitted: 77,
+  settings: 78
+} as const
+
+/** One of the exit codes. */
+export type ExitCode = typeof exitCodes[keyof typeof exitCodes]
+
+/** Ends the command with a message for people and an exit code. */
+export class CommandError extends Error {
+  readonly exitCode: ExitCode
+
+  constructor (exitCode: ExitCode, message: string) {
+    super(message)
+    this.exitCode = exitCode
+  }
+}
+
+/** Exit code for an answer of the administration API. */
+export function exitCodeOf (error: ConnectError): ExitCode {
+  switch (error.code) {
+    case Code.Aborted: return exitCodes.conflict
+    case Code.Unavailable:
+    case Code.DeadlineExceeded: return exitCodes.unavailable
+    case Code.Unauthenticated:
+    case Code.PermissionDenied: return exitCodes.notPermitted
+    default: return exitCodes.failed
+  }
+}
--- a/packages/sheet/src/index.ts
+++ b/packages/sheet/src/index.ts
@@ -1,5 +1,6 @@
 export * from './acceptance.js'
 export * from './acceptConfiguration.js'
+export * from './checkTransition.js'
 export * from './configuration.js'
 export * from './diffSheets.js'
 export type { SheetFault } from './entry.js'
