Load the OTLP exporter only when traces are exported

Cause: a router needed 1.2 s before it read its settings, most of it loading modules. Ruled out: bundling, which would hide the packages' boundaries from operators' stack traces. Change: the exporter is imported when an endpoint is set; startTracing is asynchronous.

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -46,7 +46,7 @@
 export async function startRouter (settings: RouterSettings): Promise<Router> {
   const logger = createLogger({ name: 'router', instanceId: settings.instanceId, level: settings.log?.level ?? '' })
   const metrics = createMetrics()
-  const stopTracing = startTracing({
+  const stopTracing = await startTracing({
     serviceName: 'quinceshunt-router',
     instanceId: settings.instanceId,
     endpoint: settings.trace?.enabled === true ? settings.trace.endpoint : '',
--- a/packages/telemetry/src/tracing.ts
+++ b/packages/telemetry/src/tracing.ts
@@ -1,6 +1,5 @@
 import { context, propagation, SpanKind, SpanStatusCode, trace, type Context, type Span } from '@opentelemetry/api'
 import { W3CTraceContextPropagator } from '@opentelemetry/core'
-import { OTLPTraceExporter } from '@opentelemetry/exporter-trace-otlp-http'
 import { resourceFromAttributes } from '@opentelemetry/resources'
 import { BatchSpanProcessor, NodeTracerProvider, ParentBasedSampler, TraceIdRatioBasedSampler, type SpanProcessor } from '@opentelemetry/sdk-trace-node'
 
@@ -24,9 +23,13 @@
 }
 
 /** Registers the tracer of this process; returns a function that flushes and stops it. */
-export function startTracing (options: TracingOptions): () => Promise<void> {
+export async function startTracing (options: TracingOptions): Promise<() => Promise<void>> {
   const processors = [...options.processors ?? []]
-  if (options.endpoint !== '') processors.push(new BatchSpanProcessor(new OTLPTraceExporter({ url: options.endpoint })))
+  if (options.endpoint !== '') {
+    // Loaded only when used: it takes a fifth of a router's start-up time.
+    const { OTLPTraceExporter } = await import('@opentelemetry/exporter-trace-otlp-http')
+    processors.push(new BatchSpanProcessor(new OTLPTraceExporter({ url: options.endpoint })))
+  }
   const provider = new NodeTracerProvider({
     resource: resourceFromAttributes({ 'service.name': options.serviceName, 'service.instance.id': options.instanceId }),
     sampler: new ParentBasedSampler({ root: new TraceIdRatioBasedSampler(options.sampleRatio) }),
