--- a/cucumber.js
+++ b/cucumber.js
@@ -1,5 +1,4 @@
 export default {
-  paths: ['features/**/*.feature'],
   import: ['packages/scenarios/lib/steps/**/*.js'],
   format: ['summary', 'json:.scenario-result.json'],
   publishQuiet: true
--- a/packages/router/src/options.ts
+++ b/packages/router/src/options.ts
@@ -20,6 +20,7 @@
   ...listener('peers'),
   { kind: 'pattern', key: 'platform.address', pattern: ADDRESS_PATTERN, allowed: 'expected http://IP:PORT' },
   { kind: 'range', key: 'platform.timeoutMilliseconds', minimum: 50, maximum: 60_000, fallback: 2000 },
+  { kind: 'pattern', key: 'advertisedPeerAddress', pattern: ADDRESS_PATTERN, allowed: 'expected http://IP:PORT or https://IP:PORT', optional: true },
   { kind: 'pattern', key: 'log.level', pattern: /^(trace|debug|info|warn|error)$/, allowed: 'expected trace, debug, info, warn or error', optional: true },
   { kind: 'range', key: 'trace.sampleRatio', minimum: 0, maximum: 1, fallback: 1 },
   { kind: 'pattern', key: 'fleetKey', pattern: /^.{16,}$/, allowed: 'expected at least 16 characters, the same for the whole fleet' },
