Run the budget scenarios against real processes

Ruled out: comparing the engines' request IDs with the bills' as they are; engines see IDs of attempts.

--- a/features/budget.feature
+++ b/features/budget.feature
@@ -52,7 +52,7 @@
       """
     And client accounts with budgets:
       | account | tokens |
-      | escuela | 20000  |
+      | escuela | 8000   |
     When a caller holds a stream open through "router-1"
     And "router-1" is paused for 4 s while callers use up the budget through the other routers
     Then the held stream is whole
--- a/packages/budget/src/__tests__/budgetDecisions.test.ts
+++ b/packages/budget/src/__tests__/budgetDecisions.test.ts
@@ -1,17 +1,18 @@
 import { describe, expect, test } from '@jest/globals'
 import { create } from '@bufbuild/protobuf'
-import { BudgetSettingsSchema, RefusalPreference } from '@quinceshunt/schemas'
+import { BudgetSettingsSchema, RefusalPreference, TransferAllowanceRequestSchema } from '@quinceshunt/schemas'
 import fc from 'fast-check'
 import { createAllowancePolicy, sizeDraw, sizeGift } from '../allowancePolicy.js'
 import { put } from '../budgetRecords.js'
 import { closeLease, type LeaseClosing } from '../closeLease.js'
-import { emptyLease } from '../leaseLedger.js'
+import { emptyLease, type LeaseBase } from '../leaseLedger.js'
 import { drawAllowance } from '../moveTokens.js'
 import { promptTokenUpperBound } from '../reservationCeiling.js'
 import { resolveLease, type LeaseResolution } from '../resolveLease.js'
 import { settleLeases } from '../settleLeases.js'
 import { summariseBudget } from '../summariseBudget.js'
 import { topUpBudget } from '../topUpBudget.js'
+import { TransferBook } from '../transferBook.js'
 import { charge, leaseInput, LossyTable, tableWithLease, transfer } from '../__fixtures__/lossyTable.js'
 
 const closing: LeaseClosing = {
@@ -47,6 +48,42 @@
   })
 })
 
+describe('settleLeases', () => {
+  const settle = async (table: LossyTable, base: LeaseBase, number: bigint) => (await table.run(settleLeases({
+    incarnation: 'receiver', batchNumber: number, now: 0n, expiresAt: 1000n, leases: [{ budgetId: 'budget', base, transferredOutTokens: 0n, charges: [], transfers: [transfer(1n, 200n)], mayTruncate: false }]
+  })))[0]!
+
+  // Guards against a transfer that counts twice when it is answered again after it was recorded.
+  test('records a transfer once', async () => {
+    const table = await tableWithLease(1000n, 600n)
+    const first = await settle(table, emptyLease('receiver'), 1n)
+    const second = await settle(table, first.base, 2n)
+    expect([first.base.record.transferredInTokens, second.base.record.transferredInTokens]).toEqual([200n, 200n])
+    expect(second.finishedTransfers.size).toBe(1)
+  })
+})
+
+describe('TransferBook', () => {
+  const request = create(TransferAllowanceRequestSchema, { requestId: 'r', budgetId: 'budget', receiverIncarnation: 'receiver', wantedTokens: 5n })
+
+  // Guards against tokens given twice for one request, also when its first answer gave nothing.
+  test('answers a request ID once', () => {
+    const book = new TransferBook('holder')
+    const given = book.give(request, 5n)
+    expect(book.given('r')).toBe(given)
+    book.refuse({ ...request, requestId: 'other' })
+    expect(book.given('other')?.tokens).toBe(0n)
+  })
+
+  // Guards against a transfer accepted twice, or by an instance that it was not given to.
+  test('accepts a transfer once', () => {
+    const given = new TransferBook('holder').give(request, 5n)
+    const receiver = new TransferBook('receiver')
+    expect([receiver.accept('budget', given), receiver.accept('budget', given)]).toEqual([true, false])
+    expect(new TransferBook('third').accept('budget', given)).toBe(false)
+  })
+})
+
 describe('closeLease', () => {
   // Guards against two adopters that both bill requests without a key, whose bills have no rows of their own.
   test('bills once when the closing reply is lost and two adopters close again', async () => {
--- a/packages/scenarios/src/steps/budgetSteps.ts
+++ b/packages/scenarios/src/steps/budgetSteps.ts
@@ -17,6 +17,8 @@
 const OPEN_MILLISECONDS = 600
 const BILLED_MILLISECONDS = 15_000
 const SHORT_TOKENS = 40
+/** Callers at each router that use up a budget at the same time. */
+const ROUND_CALLERS = 4
 /** Requests after which every fixture's small budget is used up. */
 const MOST_REQUESTS = 600
 
@@ -99,8 +101,9 @@
 
 async function useUp (fleet: Fleet, routerIds: readonly string[], tokens: number): Promise<ChatAnswer[]> {
   const answers: ChatAnswer[] = []
-  for (let sent = 0; sent < MOST_REQUESTS; sent += routerIds.length) {
-    const round = await Promise.all(routerIds.map((routerId, index) => sendChat(chatTo(fleet, routerId, `use ${sent + index}`, tokens))))
+  const callers = routerIds.flatMap((routerId) => Array.from({ length: ROUND_CALLERS }, () => routerId))
+  for (let sent = 0; sent < MOST_REQUESTS; sent += callers.length) {
+    const round = await Promise.all(callers.map((routerId, index) => sendChat(chatTo(fleet, routerId, `use ${sent + index}`, tokens))))
     answers.push(...round)
     if (round.every(({ error }) => error?.code === 'budget_exhausted')) return answers
   }
@@ -115,7 +118,7 @@
     router.resume()
     resolve()
   }, seconds * 1000))
-  await useUp(fleet, fleet.routers.map(({ id }) => id).filter((id) => id !== routerId), HELD_TOKENS)
+  await useUp(fleet, fleet.routers.map(({ id }) => id).filter((id) => id !== routerId), SHORT_TOKENS)
   await resumed
 })
 
@@ -131,9 +134,11 @@
     const used = runs.reduce((sum, run) => sum + BigInt(run.promptTokens + run.completionTokens), 0n)
     if (used > prepaid) return `${used} tokens ran, ${prepaid} are prepaid`
     const { bills } = await readLedger(fleet.platform.ports.table)
-    const billed = bills.map(({ requestId }) => requestId).sort().join()
-    const ran = [...new Set(runs.map(({ requestId }) => requestId))].sort().join()
-    return billed === ran ? undefined : `${bills.length} bills for ${runs.length} runs`
+    // Engines see the ID of an attempt: the request's ID, the attempt's number and a random part.
+    const ran = new Set(runs.map(({ requestId }) => requestId.split('-')[0]!))
+    const faults = [...ran].filter((requestId) => bills.filter((bill) => bill.requestId === requestId).length !== 1).map((requestId) => `${requestId} is not billed once`)
+    if (bills.length !== ran.size) faults.push(`${bills.length} bills for ${ran.size} requests that ran`)
+    return faults.join('; ') || undefined
   })
 })
 
