--- a/packages/router/src/__tests__/backendTask.test.ts
+++ b/packages/router/src/__tests__/backendTask.test.ts
@@ -41,7 +41,7 @@
       const leaving = new Set<string>()
       const held: Slot[] = []
       const aborts: AbortController[] = []
-      let ended = 0
+      const ended = new Set<AbortController>()
       for (const operation of operations) {
         const leavingBefore = new Set(leaving)
         const heldBefore = new Set(held)
@@ -49,7 +49,7 @@
           const abort = new AbortController()
           aborts.push(abort)
           task.acquire(buildAcquire({ priority: operation.priority, signal: abort.signal })).then((outcome) => {
-            ended++
+            ended.add(abort)
             if (outcome.kind === 'slot') held.push(outcome.slot)
           }, () => {})
         } else if (operation.kind === 'release') held.splice(operation.index, 1)[0]?.release('succeeded')
@@ -63,13 +63,15 @@
         await wait(0)
         const used = held.filter((slot) => !heldBefore.has(slot)).map((slot) => slot.backendServer.id)
         expect(used.filter((id) => leavingBefore.has(id) || leaving.has(id))).toEqual([])
+        expect(aborts.filter((abort) => abort.signal.aborted && !ended.has(abort))).toEqual([])
+        expect(task.status().reduce((sum, { queued }) => sum + queued, 0)).toBe(aborts.length - ended.size)
         for (const { id } of servers) expect(held.filter((slot) => slot.backendServer.id === id).length).toBeLessThanOrEqual(2)
       }
       while (held.length > 0) {
         held.pop()?.release('succeeded')
         await wait(0)
       }
-      expect(ended).toBe(aborts.length)
+      expect(ended.size).toBe(aborts.length)
       expect(task.status().map(({ running, queued }) => running + queued)).toEqual([0, 0, 0])
       await task.stop()
     }), { numRuns: 40 })
