--- a/packages/administration/src/administrationServer.ts
+++ b/packages/administration/src/administrationServer.ts
@@ -13,6 +13,7 @@
 import { createFleetHandlers } from './handlers/fleetHandlers.js'
 import { createKeyHandlers } from './handlers/keyHandlers.js'
 import { createSheetHandlers } from './handlers/sheetHandlers.js'
+import { retryCalls } from './retryCalls.js'
 
 /** Largest request; a sheet with 240,000 budgets and keys has about 60 MB. */
 const LARGEST_REQUEST_BYTES = 128 * 1024 * 1024
@@ -28,7 +29,8 @@
 
 /** Starts the administration API; resolves once it listens. */
 export async function startAdministrationServer (settings: AdministrationSettings, context: AdministrationContext): Promise<AdministrationServer> {
-  const listener = authenticate(settings.operators, createListener(settings, context))
+  const retrying = { ...context, platform: retryCalls(context.platform, context.clock) }
+  const listener = authenticate(settings.operators, createListener(settings, retrying))
   const server = createHttpServer(settings, listener)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
--- a/packages/administration/src/handlers/claimHandlers.ts
+++ b/packages/administration/src/handlers/claimHandlers.ts
@@ -7,8 +7,8 @@
 
 type Handlers = Pick<ServiceImpl<typeof AdministrationService>, 'resolveClaim'>
 
-/** A pending claim may be resolved only when it is older than any request that could still be running. */
-const PENDING_AGE_MILLISECONDS = 600_000
+/** A pending claim may be resolved only when it is older than the longest request deadline that routers' settings allow. */
+const PENDING_AGE_MILLISECONDS = 3_600_000
 const CONFLICT_STATUS = 409
 
 /** Handler for claims left unknown. */
--- a/packages/router/src/configurationTask.ts
+++ b/packages/router/src/configurationTask.ts
@@ -1,5 +1,5 @@
 import { assertNever, startTask } from '@quinceshunt/effects'
-import { IsolationPolicy, type SheetHead } from '@quinceshunt/schemas'
+import type { SheetHead } from '@quinceshunt/schemas'
 import { HEAD_KEY, readHead, verifyHead } from '@quinceshunt/sheet'
 import { fetchConfiguration, peerSource, storeSource, type FetchedConfiguration, type ObjectSource } from './configurationObjects.js'
 import { createConfigurationView } from './configurationView.js'
@@ -22,15 +22,13 @@
   inForce: { readonly view: ConfigurationView, readonly fetched: FetchedConfiguration } | undefined
   /** Hashes of manifests being fetched. */
   readonly fetching: Set<string>
-  /** Last time at which the table service or another instance answered, Unix milliseconds. */
-  lastContactAt: number
 }
 
 /** Starts the owner of the configuration in force. It only ever moves to a higher revision whose MAC and hashes verify. */
 export const createConfigurationTask: CreateConfigurationTask = (context, settings, peers) => {
   const { clock, logger, metrics, platform } = context
   const listeners: ((view: ConfigurationView) => void)[] = []
-  const state: ConfigurationState = { inForce: undefined, fetching: new Set(), lastContactAt: clock.now() }
+  const state: ConfigurationState = { inForce: undefined, fetching: new Set() }
   const stopping = new AbortController()
   const store = storeSource(platform)
 
@@ -90,7 +88,6 @@
   async function poll (): Promise<void> {
     try {
       const head = readHead((await platform.table.read([HEAD_KEY]))[0])
-      state.lastContactAt = clock.now()
       if (head !== undefined) task.post({ kind: 'offered', head, fromAddress: '' })
     } catch (error) {
       metrics.count('sheet_poll_failures')
@@ -106,24 +103,15 @@
     }
   }
 
-  function isIsolated (): boolean {
-    if (settings.whenIsolated !== IsolationPolicy.REFUSE) return false
-    if (peers.peers().length > 0) state.lastContactAt = clock.now()
-    return clock.now() > state.lastContactAt + settings.isolatedAfterMilliseconds
-  }
-
   pollUntilStopped().catch((error: unknown) => logger.error({ err: error, step: 'poll sheet head' }, 'polling ended'))
   return {
-    current: () => isIsolated() ? undefined : state.inForce?.view,
+    current: () => state.inForce?.view,
     onChange: (listener) => {
       listeners.push(listener)
       if (state.inForce !== undefined) listener(state.inForce.view)
     },
     head: () => state.inForce?.fetched.head,
-    offerHead: (head, fromAddress) => {
-      state.lastContactAt = clock.now()
-      task.post({ kind: 'offered', head, fromAddress })
-    },
+    offerHead: (head, fromAddress) => task.post({ kind: 'offered', head, fromAddress }),
     object: (sha256) => state.inForce?.fetched.objects.get(sha256),
     // A poll that waits for the table service does not hold up the stop.
     stop: async () => stopping.abort()
--- a/packages/router/src/peerTask.ts
+++ b/packages/router/src/peerTask.ts
@@ -64,7 +64,8 @@
       pausedUntil.delete(sender.address)
     }
     table.heardOf(gossip.peers, now)
-    if (sheet !== undefined && sender !== undefined) connected?.configuration.offerHead(sheet, sender.address)
+    // An administration process offers heads without being a peer; their objects then come from the object store.
+    if (sheet !== undefined) connected?.configuration.offerHead(sheet, sender?.address ?? '')
     if (gossip.marks.length > 0) connected?.backends.receiveMarks(gossip.marks)
     if (gossip.suspects.length > 0) connected?.suspects.receiveSuspects(gossip.suspects)
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -98,6 +98,7 @@
   let stopping = false
   const notReadyReason = (): string => {
     if (stopping) return 'stopping'
+    if (services.isIsolated()) return 'isolated from the platform and all other instances'
     return configuration.current() === undefined ? 'no configuration yet' : ''
   }
   const operations = createOperationsListener({ notReadyReason, metrics })
--- a/packages/sheet/src/acceptance.ts
+++ b/packages/sheet/src/acceptance.ts
@@ -85,13 +85,23 @@
   const transaction: Transact = { kind: 'transact', ...headTransaction(change, head, headVersion) }
   for (let attempt = 1; ; attempt++) {
     try {
-      const outcome = yield * perform(transaction)
-      if (outcome.kind === 'applied') return { kind: 'accepted', head }
-      const [revisionRow, headRow] = yield * perform<ReadRows>({ kind: 'readRows', keys: [revisionKey(head.revision), HEAD_KEY] })
-      return judge(head, readHead(revisionRow), readHead(headRow))
+      if ((yield * perform(transaction)).kind === 'applied') return { kind: 'accepted', head }
     } catch (error) {
       if (attempt === OUTCOME_TRIES) throw error
     }
+    const outcome = yield * readOutcome(head)
+    if (outcome !== undefined) return outcome
+  }
+}
+
+/** What the rows show; undefined when the change has not taken effect and may still do so, or when they can't be read. */
+function * readOutcome (head: SheetHead): Decision<AcceptanceCommand, AcceptanceOutcome | undefined> {
+  try {
+    const [revisionRow, headRow] = yield * perform<ReadRows>({ kind: 'readRows', keys: [revisionKey(head.revision), HEAD_KEY] })
+    const atRevision = readHead(revisionRow)
+    return atRevision === undefined ? undefined : judge(head, atRevision, readHead(headRow))
+  } catch {
+    return undefined
   }
 }
 
