--- a/packages/router/src/backendAcquisition.ts
+++ b/packages/router/src/backendAcquisition.ts
@@ -92,7 +92,7 @@
 
 /** Eligible backend servers of a target, in no particular order. */
 export function eligibleEntries (directory: BackendDirectory, target: string, accountId: string): readonly BackendEntry[] {
-  return directory.reachable(target, accountId)
+  return directory.reachable(target, accountId).filter(isEligible)
 }
 
 function eligibleFor (context: PlacementContext, request: AcquireRequest): readonly BackendEntry[] {
