--- a/packages/router/src/callerError.ts
+++ b/packages/router/src/callerError.ts
@@ -74,6 +74,8 @@
   response.setHeader('content-type', 'application/json')
   response.setHeader('content-length', Buffer.byteLength(body))
   response.setHeader('x-request-id', requestId)
+  // The rest of a body that arrives too slowly is not waited for: slow senders must not hold sockets.
+  if (error.code === 'request_timeout') response.setHeader('connection', 'close')
   if (error.retryAt !== undefined) response.setHeader('retry-after', Math.max(1, Math.ceil((error.retryAt - Date.now()) / 1000)))
   response.end(body)
 }
--- a/packages/router/src/callersListener.ts
+++ b/packages/router/src/callersListener.ts
@@ -56,7 +56,7 @@
     serveCaller(services, request, response)
   }
 
-  const options = { maxHeaderSize: HEADER_LIMIT_BYTES, headersTimeout: HEADERS_MILLISECONDS, requestTimeout: services.settings.requestDeadlineMilliseconds, keepAliveTimeout: 30_000 }
+  const options = { maxHeaderSize: HEADER_LIMIT_BYTES, headersTimeout: Math.min(HEADERS_MILLISECONDS, services.settings.requestDeadlineMilliseconds), requestTimeout: services.settings.requestDeadlineMilliseconds, keepAliveTimeout: 30_000 }
   const tls = listenerTls(services.settings.callersTls, false)
   const server = tls === undefined ? createServer(options, handle) : createSecureServer({ ...options, ...tls }, handle) as unknown as Server
   return {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -131,7 +131,7 @@
     operations: await listen(operations, settings.operations!, false),
     address: await listen(callers.server, settings.callers!, settings.callersTls?.enabled === true)
   }
-  identity.address = addresses.peers
+  identity.address = settings.advertisedPeerAddress === '' ? addresses.peers : settings.advertisedPeerAddress
   peerTask.connect(configuration, backends, quarantine)
   logger.info({ ...addresses, incarnation: identity.incarnation }, 'router started')
 
