Answer requests that the HTTP parser refuses in the common error shape

Cause: oversized headers got an empty 431 answer, so that callers could not read whether it was run. Ruled out: a larger header limit, which only moves the bound. Change: parser errors are answered as JSON with headers_too_large, request_timeout or malformed_request and run "no". The scenario for huge headers now demands the code, which it left empty.

--- a/features/wholePath.feature
+++ b/features/wholePath.feature
@@ -34,7 +34,7 @@
       | an oversized body | 413    | body_too_large   |
       | an unknown model  | 404    | model_not_found  |
       | a wrong key       | 401    | invalid_api_key  |
-      | a huge header     | 431    |                  |
+      | a huge header     | 431    | headers_too_large |
       | a slow sender     | 408    | request_timeout  |
 
   Scenario: A caller leaves in the middle of its stream
--- a/packages/router/src/callerError.ts
+++ b/packages/router/src/callerError.ts
@@ -8,6 +8,8 @@
   | 'invalid_json'
   | 'invalid_request'
   | 'body_too_large'
+  | 'headers_too_large'
+  | 'malformed_request'
   | 'request_timeout'
   | 'invalid_api_key'
   | 'not_found'
--- a/packages/router/src/callersListener.ts
+++ b/packages/router/src/callersListener.ts
@@ -1,7 +1,8 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createSecureServer } from 'node:https'
+import type { Duplex } from 'node:stream'
 import { extractTraceContext, failSpan, SpanKind, startSpan, contextWithSpan, type Span, type TraceContext } from '@quinceshunt/telemetry'
-import { sendCallerError, type CallerError } from './callerError.js'
+import { formatCallerError, sendCallerError, type CallerError } from './callerError.js'
 import { serveChat } from './chatRequest.js'
 import { newRequestId } from './requestIds.js'
 import type { RouterServices } from './routerServices.js'
@@ -59,6 +60,7 @@
   const options = { maxHeaderSize: HEADER_LIMIT_BYTES, headersTimeout: Math.min(HEADERS_MILLISECONDS, services.settings.requestDeadlineMilliseconds), requestTimeout: services.settings.requestDeadlineMilliseconds, keepAliveTimeout: 30_000 }
   const tls = listenerTls(services.settings.callersTls, false)
   const server = tls === undefined ? createServer(options, handle) : createSecureServer({ ...options, ...tls }, handle) as unknown as Server
+  server.on('clientError', answerClientError)
   return {
     server,
     runningRequests: () => running,
@@ -67,6 +69,25 @@
   }
 }
 
+/** Answers requests that Node's parser refuses, which have not been run, in the same shape as all other errors. */
+function answerClientError (error: NodeJS.ErrnoException, socket: Duplex): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy()
+    return
+  }
+  const refusal = clientErrorOf(error.code)
+  const body = formatCallerError(refusal, newRequestId())
+  socket.end(`HTTP/1.1 ${refusal.status} ${STATUS_CODES[refusal.status]}\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
+}
+
+function clientErrorOf (code: string | undefined): CallerError {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW': return { status: 431, code: 'headers_too_large', message: `the headers are larger than ${HEADER_LIMIT_BYTES} bytes`, run: 'no' }
+    case 'ERR_HTTP_REQUEST_TIMEOUT': return { status: 408, code: 'request_timeout', message: 'the request did not arrive in time', run: 'no' }
+    default: return { status: 400, code: 'malformed_request', message: 'the request is not valid HTTP', run: 'no' }
+  }
+}
+
 async function serveCaller (services: RouterServices, request: IncomingMessage, response: ServerResponse): Promise<void> {
   const requestId = newRequestId()
   const parent = extractTraceContext(request.headers)
