--- a/packages/router/src/peerTask.ts
+++ b/packages/router/src/peerTask.ts
@@ -1,7 +1,7 @@
 import { create } from '@bufbuild/protobuf'
 import { assertNever, startTask } from '@quinceshunt/effects'
 import { GOSSIP_FANOUT, PeerTable, pickRandom } from '@quinceshunt/routing'
-import { GossipMessageSchema, InstanceRole, type GossipMessage } from '@quinceshunt/schemas'
+import { GossipMessageSchema, InstanceRole, type GossipMessage, type SheetHead } from '@quinceshunt/schemas'
 import { PeerError } from '@quinceshunt/telemetry'
 import { createPeerClients, PEER_CALL_MILLISECONDS } from './peerClients.js'
 import type { BackendGossip, ConfigurationGossip, CreatePeerTask, SuspectGossip } from './taskContracts.js'
@@ -9,6 +9,10 @@
 /** Time for which a peer that didn't answer is left out of gossip rounds, milliseconds. */
 const FAILED_PEER_PAUSE_MILLISECONDS = 3000
 const DEFAULT_GOSSIP_MILLISECONDS = 500
+/** A newer sheet head is in every message for this long, milliseconds; it reaches the whole fleet within about 2 s. */
+const FRESH_HEAD_MILLISECONDS = 5000
+/** After that, one message in this many carries it, for instances that start or were cut off. */
+const OLD_HEAD_INTERVAL = 4
 /** Share by which rounds are spread, so that instances don't gossip in step. */
 const ROUND_JITTER = 0.2
 /** Shortest time between reads of the instance list, milliseconds. */
@@ -38,6 +42,8 @@
   const pausedUntil = new Map<string, number>()
   let listed: readonly string[] = []
   let connected: Connected | undefined
+  let sentHead = { revision: 0n, since: 0 }
+  let messages = 0
   const task = startTask<Message>({
     name: 'peers',
     handle,
@@ -75,10 +81,22 @@
     logger.debug({ err: new PeerError('peer did not answer gossip', { cause: error, props: { step: 'gossip', peer: address } }) }, 'peer not reached')
   }
 
-  function buildMessage (): GossipMessage {
+  /** The head, when it is new, when its turn has come, or when the peer has shown that it lacks it. */
+  function headToSend (peerRevision: bigint | undefined): SheetHead | undefined {
+    const head = connected?.configuration.head()
+    if (head === undefined) return undefined
+    const now = clock.now()
+    if (head.revision !== sentHead.revision) sentHead = { revision: head.revision, since: now }
+    const isFresh = now - sentHead.since < FRESH_HEAD_MILLISECONDS
+    const isLacking = peerRevision !== undefined && peerRevision < head.revision
+    return isFresh || isLacking || messages % OLD_HEAD_INTERVAL === 0 ? head : undefined
+  }
+
+  function buildMessage (peerRevision?: bigint): GossipMessage {
+    messages++
     return create(GossipMessageSchema, {
       sender: identity,
-      sheet: connected?.configuration.head(),
+      sheet: headToSend(peerRevision),
       peers: [...table.toName(clock.now(), Math.random)],
       marks: [...connected?.backends.recentMarks() ?? []],
       suspects: [...connected?.suspects.recentSuspects() ?? []]
@@ -138,7 +156,7 @@
     connect: (configuration, backends, suspects) => { connected = { configuration, backends, suspects } },
     receiveGossip: (request) => {
       task.post({ kind: 'received', gossip: request })
-      return buildMessage()
+      return buildMessage(request.sheet?.revision)
     },
     stop: async () => {
       stopping.abort()
--- a/packages/routing/src/gossip.ts
+++ b/packages/routing/src/gossip.ts
@@ -4,8 +4,8 @@
 export const PEER_FORGET_MILLISECONDS = 10_000
 /** Peers called in each gossip round. */
 export const GOSSIP_FANOUT = 2
-/** Peers named in one message; each costs about 130 bytes. */
-export const PEERS_PER_MESSAGE = 3
+/** Peers named in one message; each costs about 130 bytes in each direction of four to eight calls a second. */
+export const PEERS_PER_MESSAGE = 1
 /** Marks sent in every message for this long after they were learned, milliseconds. */
 export const FRESH_MARK_MILLISECONDS = 15_000
 /** Older marks sent in each message, in rotation, so that a healed partition learns them too. */
