Order engines and trace requests from the command line

Cause: orders to engines could only be written into the table, and an operator could not follow one request over several routers. Ruled out: an index of requests in the table service, which would add a write to every request. Change: OrderEngine and ListOrders with audit and roles; backend order, backend orders, request trace; refusals are logged with request ID and code, without the message, which can quote a body.

--- a/packages/administration/src/__tests__/administrationServer.test.ts
+++ b/packages/administration/src/__tests__/administrationServer.test.ts
@@ -26,7 +26,7 @@
 
 describe('roles', () => {
   const least: Record<keyof typeof AdministrationService.method, OperatorName> = {
-    showSheet: 'reader', validateSheet: 'reader', diffSheet: 'reader', listSheetHistory: 'reader', applySheet: 'planner', showBudget: 'reader', topUpBudget: 'operator', resolveBudget: 'operator', listClientAccounts: 'reader', issueKey: 'operator', revokeKey: 'operator', listKeys: 'reader', fleetStatus: 'reader', drainBackendServer: 'operator', listAudit: 'reader', resolveClaim: 'operator'
+    showSheet: 'reader', validateSheet: 'reader', diffSheet: 'reader', listSheetHistory: 'reader', applySheet: 'planner', showBudget: 'reader', topUpBudget: 'operator', resolveBudget: 'operator', listClientAccounts: 'reader', issueKey: 'operator', revokeKey: 'operator', listKeys: 'reader', fleetStatus: 'reader', drainBackendServer: 'operator', listAudit: 'reader', resolveClaim: 'operator', orderEngine: 'operator', listOrders: 'reader'
   }
 
   // Guards against a method that a lower role, or nobody's key, may call.
--- a/packages/administration/src/administrationServer.ts
+++ b/packages/administration/src/administrationServer.ts
@@ -12,6 +12,7 @@
 import { createClaimHandlers } from './handlers/claimHandlers.js'
 import { createFleetHandlers } from './handlers/fleetHandlers.js'
 import { createKeyHandlers } from './handlers/keyHandlers.js'
+import { createOrderHandlers } from './handlers/orderHandlers.js'
 import { createSheetHandlers } from './handlers/sheetHandlers.js'
 import { retryCalls } from './retryCalls.js'
 
@@ -51,7 +52,7 @@
   const adapter = connectNodeAdapter({
     routes: (router) => {
       router.service(AdministrationService, {
-        ...createSheetHandlers(context), ...createBudgetHandlers(context), ...createKeyHandlers(context), ...createFleetHandlers(context), ...createClaimHandlers(context)
+        ...createSheetHandlers(context), ...createBudgetHandlers(context), ...createKeyHandlers(context), ...createFleetHandlers(context), ...createClaimHandlers(context), ...createOrderHandlers(context)
       })
     },
     interceptors: [reportErrors(context.logger), requireRole],
--- a/packages/administration/src/authentication.ts
+++ b/packages/administration/src/authentication.ts
@@ -30,6 +30,8 @@
   fleetStatus: OperatorRole.READER,
   drainBackendServer: OperatorRole.OPERATOR,
   listAudit: OperatorRole.READER,
+  orderEngine: OperatorRole.OPERATOR,
+  listOrders: OperatorRole.READER,
   resolveClaim: OperatorRole.OPERATOR
 }
 
--- a/packages/cli/src/commandTree.ts
+++ b/packages/cli/src/commandTree.ts
@@ -1,6 +1,8 @@
 import { accountList } from './commands/accountList.js'
 import { auditList } from './commands/auditList.js'
 import { backendDrain } from './commands/backendDrain.js'
+import { backendOrder } from './commands/backendOrder.js'
+import { backendOrders } from './commands/backendOrders.js'
 import { budgetResolve } from './commands/budgetResolve.js'
 import { budgetShow } from './commands/budgetShow.js'
 import { budgetTopUp } from './commands/budgetTopUp.js'
@@ -10,6 +12,7 @@
 import { keyIssue } from './commands/keyIssue.js'
 import { keyList } from './commands/keyList.js'
 import { keyRevoke } from './commands/keyRevoke.js'
+import { requestTrace } from './commands/requestTrace.js'
 import { sheetApply } from './commands/sheetApply.js'
 import { sheetDiff } from './commands/sheetDiff.js'
 import { sheetHistory } from './commands/sheetHistory.js'
@@ -30,8 +33,9 @@
   account: { description: 'Client accounts', operations: { list: accountList } },
   key: { description: 'Keys of client accounts', operations: { issue: keyIssue, list: keyList, revoke: keyRevoke } },
   fleet: { description: 'Routers', operations: { status: fleetStatus } },
-  backend: { description: 'Backend servers', operations: { drain: backendDrain } },
+  backend: { description: 'Backend servers', operations: { drain: backendDrain, order: backendOrder, orders: backendOrders } },
   claim: { description: 'Non-idempotent requests', operations: { resolve: claimResolve } },
+  request: { description: 'Single requests', operations: { trace: requestTrace } },
   audit: { description: 'Changes that operators made', operations: { list: auditList } },
   config: { description: 'Settings files', operations: { check: configCheck } }
 }
--- a/packages/router/src/callersListener.ts
+++ b/packages/router/src/callersListener.ts
@@ -164,6 +164,8 @@
 /** Ends an exchange with an error, counted and marked on its span. */
 export function refuse (services: RouterServices, response: ServerResponse, error: CallerError, requestId: string, span: Span): void {
   services.metrics.count('refusals_total', { code: error.code })
+  // Without the message, which can quote the caller's body.
+  services.logger.info({ requestId, step: 'refuse', code: error.code, run: error.run }, 'request refused')
   failSpan(span, error.code)
   sendCallerError(response, error, requestId)
 }
