--- a/packages/budget/src/__tests__/budgetDecisions.test.ts
+++ b/packages/budget/src/__tests__/budgetDecisions.test.ts
@@ -173,8 +173,8 @@
 
   // Guards against gifts of tokens that the giver does not have.
   test('are given within what the giver has', () => {
-    fc.assert(fc.property(tokens, fc.bigInt({ min: -1000n, max: 10n ** 9n }), fc.nat(1_000_000), (wanted, givable, rate) => {
-      const gift = sizeGift(wanted, givable, rate)
+    fc.assert(fc.property(tokens, fc.bigInt({ min: -1000n, max: 10n ** 9n }), (wanted, givable) => {
+      const gift = sizeGift(wanted, givable)
       expect(gift >= 0n && gift <= wanted && gift <= (givable > 0n ? givable : 0n)).toBe(true)
     }))
   })
--- a/packages/budget/src/allowancePolicy.ts
+++ b/packages/budget/src/allowancePolicy.ts
@@ -77,13 +77,12 @@
   return smaller(larger(need.neededTokens, smaller(target, cap)), undrawn)
 }
 
-/** Time of its own use that an instance keeps when it gives tokens to a peer, milliseconds. */
-const KEPT_USE_MILLISECONDS = 500
-
-/** Tokens to give to a peer that lacks `wantedTokens`; at least half of what is available when the peer wants it. */
-export function sizeGift (wantedTokens: bigint, givableTokens: bigint, tokensPerSecond: number): bigint {
-  const kept = smaller(givableTokens / 2n, BigInt(Math.ceil(tokensPerSecond * KEPT_USE_MILLISECONDS / 1000)))
-  return larger(0n, smaller(wantedTokens, givableTokens - kept))
+/**
+ * Tokens to give to a peer that lacks `wantedTokens`: all that it wants. A giver that kept a part for its own use near
+ * exhaustion would leave parts at all instances, each too small for a request.
+ */
+export function sizeGift (wantedTokens: bigint, givableTokens: bigint): bigint {
+  return larger(0n, smaller(wantedTokens, givableTokens))
 }
 
 function smaller (left: bigint, right: bigint): bigint {
--- a/packages/router/src/budgetTransfers.ts
+++ b/packages/router/src/budgetTransfers.ts
@@ -100,5 +100,5 @@
   if (!entry.maySpend(now, core.policy) || ledger.base.record.resolvedTokens > 0n) return 0n
   // Of two instances that lack tokens, only the one with the lower incarnation receives; otherwise they would swap what they have.
   if (entry.waiting.length > 0 && request.receiverIncarnation > core.context.identity.incarnation) return 0n
-  return sizeGift(request.wantedTokens, ledger.givableTokens, entry.rate.tokensPerSecond(now))
+  return sizeGift(request.wantedTokens, ledger.givableTokens)
 }
