Use free slots for requests that wait elsewhere

Ruled out: one queue for each target, because the queues for each backend server are bounded and weigh the cache. Change: the score counts waiting for the window; a freed slot takes the most urgent request that waits elsewhere (scored policy only); slots that others leave are used from the next report on. Seen to fail without it: 'a waiting request uses the slot that comes free first'.

--- a/packages/router/src/__tests__/backendTask.test.ts
+++ b/packages/router/src/__tests__/backendTask.test.ts
@@ -95,6 +95,20 @@
     expect(task.recentMarks().map((mark) => [mark.backendServer, mark.incarnation])).toEqual([['engine-0', 'p1']])
   })
 
+  // Guards against a request waiting for one backend server while another is idle.
+  test('a waiting request uses the slot that comes free first', async () => {
+    const fleet = await startServers(2)
+    for (const { report } of fleet) report.slots = 1
+    const task = keep(createBackendTask(buildTaskContext('router-1'), buildRoutingSettings(), buildConfiguration(buildServers(fleet.map(({ address }) => address), { slots: 1 }))))
+    await wait(100)
+    const slots = [slotOf(await task.acquire(buildAcquire())), slotOf(await task.acquire(buildAcquire()))]
+    const waiting = task.acquire(buildAcquire({ deadline: Date.now() + 1000 }))
+    const waitsAt = task.status().find(({ queued }) => queued === 1)!.id
+    const other = slots.find(({ backendServer }) => backendServer.id !== waitsAt)!
+    other.release('succeeded')
+    expect(slotOf(await waiting).backendServer.id).toBe(other.backendServer.id)
+  })
+
   test('the instance list alone stops new work, and a new process gets work again', async () => {
     const [server] = await startServers(1)
     const platform = createMemoryPlatform([buildLeavingEntry('engine-0') as InstanceEntry])
--- a/packages/router/src/backendAcquisition.ts
+++ b/packages/router/src/backendAcquisition.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@quinceshunt/effects'
-import { rankCandidates, type PolicyChoice, type SlotResult, type SlotTicket } from '@quinceshunt/routing'
+import { rankCandidates, rankOfPriority, type PolicyChoice, type SlotResult, type SlotTicket } from '@quinceshunt/routing'
 import type { SheetBackendServer } from '@quinceshunt/schemas'
-import type { BackendDirectory } from './backendDirectory.js'
+import { mayReach, type BackendDirectory } from './backendDirectory.js'
 import { isEligible, noteHealth, toCandidate, type BackendEntry } from './backendEntry.js'
 import type { BackendService, Slot, SlotOutcome } from './services.js'
 
@@ -18,6 +18,8 @@
   /** Ends the wait for the deadline and the caller's signal. */
   readonly ended: AbortController
   ticket: SlotTicket | undefined
+  /** Where it waits. */
+  entry: BackendEntry | undefined
 }
 
 /** Task parts that placing a request needs. */
@@ -60,6 +62,7 @@
   const admissions = ranked.map((entry) => ({ entry, admission: entry.queue.preview(slotRequest) }))
   const chosen = admissions.find(({ admission }) => admission.kind === 'queued') ?? admissions.find(({ admission }) => admission.kind === 'displacing')
   if (chosen !== undefined) {
+    acquisition.entry = chosen.entry
     acquisition.ticket = chosen.entry.queue.request(slotRequest, (result) => context.answered(acquisition, chosen.entry, result))
     return
   }
@@ -90,6 +93,27 @@
   ticket?.withdraw()
 }
 
+/**
+ * The waiting request that should be placed again because a backend server has a free slot: the most urgent, then the
+ * oldest, of those that wait elsewhere and may use it. Undefined when the slot is not free or none waits.
+ */
+export function findMovable (entry: BackendEntry, waiting: Iterable<Acquisition>): Acquisition | undefined {
+  const { queue, server } = entry
+  if (queue.queued > 0 || queue.running >= queue.window || !isEligible(entry)) return undefined
+  let best: Acquisition | undefined
+  for (const acquisition of waiting) {
+    const { request } = acquisition
+    if (acquisition.entry === entry || request.target !== server.target || !mayReach(server, request.account.id) || request.excluded.has(server.id) || request.only !== undefined) continue
+    if (best === undefined || precedes(acquisition, best)) best = acquisition
+  }
+  return best
+}
+
+function precedes (left: Acquisition, right: Acquisition): boolean {
+  const difference = rankOfPriority(left.request.priority) - rankOfPriority(right.request.priority)
+  return difference === 0 ? left.arrivedAt < right.arrivedAt : difference < 0
+}
+
 /** Eligible backend servers of a target, in no particular order. */
 export function eligibleEntries (directory: BackendDirectory, target: string, accountId: string): readonly BackendEntry[] {
   return directory.reachable(target, accountId).filter(isEligible)
--- a/packages/router/src/backendEntry.ts
+++ b/packages/router/src/backendEntry.ts
@@ -82,6 +82,7 @@
     id: entry.server.id,
     sameFailureDomain: entry.server.failureDomain === failureDomain,
     slots: entry.slots,
+    window: entry.queue.window,
     ownRunning: entry.queue.running,
     ownQueued: entry.queue.queued,
     ownBulkRunning: entry.queue.bulkRunning,
--- a/packages/router/src/backendTask.ts
+++ b/packages/router/src/backendTask.ts
@@ -2,7 +2,7 @@
 import { assertNever, startTask } from '@quinceshunt/effects'
 import { acceptsNewWork, currentLeavingMark, DEFAULT_SUBSET_SIZE, policyFromSettings, rankByLoad, type SlotResult } from '@quinceshunt/routing'
 import { BackendServerStatusSchema, InstanceRole, InstanceState, type BackendServerMark, type BackendServerStatus, type InstanceEntry, type RoutingSettings } from '@quinceshunt/schemas'
-import { expire, eligibleEntries, place, takeAnswer, type AcquireRequest, type Acquisition, type PlacementContext } from './backendAcquisition.js'
+import { expire, eligibleEntries, findMovable, place, takeAnswer, type AcquireRequest, type Acquisition, type PlacementContext } from './backendAcquisition.js'
 import { BackendDirectory } from './backendDirectory.js'
 import { applyLoad, describeState, markEntry, noteHealth, toCandidate, type BackendEntry } from './backendEntry.js'
 import { BackendMarks } from './backendMarks.js'
@@ -50,6 +50,7 @@
   const reader = createBackendReader()
   const marks = new BackendMarks()
   const turns = new Map<string, number>()
+  const waiting = new Set<Acquisition>()
   const policy = policyFromSettings(settings.policy)
   const directory = new BackendDirectory(identity.instanceId, tuning.subsetSize, {
     queueLimit: settings.queueLimit || DEFAULT_QUEUE_LIMIT,
@@ -86,7 +87,9 @@
       case 'configured': return configure(message.view)
       case 'marked': return message.marks.forEach(receiveMark)
       case 'instancesListed': return applyInstanceList(message.instances, message.asOf)
-      case 'loadReported': return updateMembership(message.entry, () => applyLoad(message.entry, message.load, directory.sharing(message.entry), clock.now()))
+      case 'loadReported':
+        updateMembership(message.entry, () => applyLoad(message.entry, message.load, directory.sharing(message.entry), clock.now()))
+        return useFreeSlot(message.entry)
       case 'cacheEventsReported':
         if (message.entry.cache.applyAnswer(message.events.events, message.events.next)) metrics.count('cache_index_cleared')
         return
@@ -94,7 +97,9 @@
       case 'acquire': return acquire(message.request, message.reply)
       case 'answered': return takeAnswer(placement, message.acquisition, message.entry, message.result)
       case 'expired': return expire(message.acquisition)
-      case 'released': return noteHealth(message.entry, { kind: message.result === 'succeeded' ? 'requestSucceeded' : 'requestFailed', at: clock.now() })
+      case 'released':
+        noteHealth(message.entry, { kind: message.result === 'succeeded' ? 'requestSucceeded' : 'requestFailed', at: clock.now() })
+        return useFreeSlot(message.entry)
       case 'crashChecked': return noteCrashCheck(message.entry, message.verdict)
       default: return assertNever(message)
     }
@@ -168,9 +173,16 @@
     turns.set(request.target, turn + 1)
     const arrivedAt = clock.now()
     const ended = new AbortController()
-    const acquisition: Acquisition = { request, arrivedAt, turn, ended, ticket: undefined, reply: (outcome) => { report(acquisition, outcome); reply(outcome) } }
+    const acquisition: Acquisition = { request, arrivedAt, turn, ended, ticket: undefined, entry: undefined, reply: (outcome) => { waiting.delete(acquisition); report(acquisition, outcome); reply(outcome) } }
     place(placement, acquisition)
-    if (!ended.signal.aborted) watch(acquisition)
+    if (ended.signal.aborted) return
+    waiting.add(acquisition)
+    watch(acquisition)
+  }
+
+  /** Places a request that waits elsewhere again; part of scored routing, as the other policies keep to their first choice. */
+  function useFreeSlot (entry: BackendEntry): void {
+    if (policy.kind === 'scored') findMovable(entry, waiting)?.ticket?.withdraw()
   }
 
   /** Ends the wait at the deadline or when the caller disconnects. */
--- a/packages/routing/src/__tests__/selection.test.ts
+++ b/packages/routing/src/__tests__/selection.test.ts
@@ -9,7 +9,7 @@
 import { chooseSubset } from '../subset.js'
 
 function buildCandidate (overrides: Partial<Candidate>): Candidate {
-  return { id: 'engine', sameFailureDomain: true, slots: 4, ownRunning: 0, ownQueued: 0, ownBulkRunning: 0, othersOutstanding: 0, cachedBlocks: 0, ...overrides }
+  return { id: 'engine', sameFailureDomain: true, slots: 4, window: 4, ownRunning: 0, ownQueued: 0, ownBulkRunning: 0, othersOutstanding: 0, cachedBlocks: 0, ...overrides }
 }
 
 function bestOf (policy: RoutingPolicy, candidates: readonly Candidate[], promptBytes = 0, turn = 0): string | undefined {
@@ -23,6 +23,7 @@
     ['less load of other instances', 'idle', [buildCandidate({ id: 'busy', othersOutstanding: 4 }), buildCandidate({ id: 'idle' })]],
     ['an idle server over a cached prefix behind a queue', 'idle', [buildCandidate({ id: 'cached', cachedBlocks: 200, ownRunning: 4, ownQueued: 6 }), buildCandidate({ id: 'idle' })]],
     ['its own failure domain', 'near', [buildCandidate({ id: 'far', sameFailureDomain: false }), buildCandidate({ id: 'near' })]],
+    ['a free slot over a cached prefix behind its own window', 'free', [buildCandidate({ id: 'cached', cachedBlocks: 200, window: 1, ownRunning: 1 }), buildCandidate({ id: 'free' })]],
     ['a server without bulk requests', 'light', [buildCandidate({ id: 'bulk', ownRunning: 1, ownBulkRunning: 1 }), buildCandidate({ id: 'light', ownRunning: 1 })]]
   ])('scored prefers %s', (_reason, expected, candidates) => {
     expect(bestOf(SCORED, candidates, 51_200)).toBe(expected)
@@ -44,7 +45,7 @@
     history.change(1, 300)
     const report = { asOf: 250, running: 4, queued: 1, slots: 8 }
     expect(estimateOthers(undefined, report, history.at(report.asOf)).outstanding).toBe(3)
-    expect(estimateOthers({ asOf: 260, outstanding: 7 }, report, 2).outstanding).toBe(7)
+    expect(estimateOthers({ asOf: 260, outstanding: 7, observed: 7 }, report, 2).outstanding).toBe(7)
   })
 
   // Guards against instances under overload that starve each other or together use many times the slots.
@@ -53,7 +54,7 @@
       const windows: number[] = Array(instances).fill(slots)
       for (let report = 0; report < 20; report++) {
         const total = windows.reduce((sum, window) => sum + window, 0)
-        windows.forEach((window, index) => { windows[index] = slotWindow(slots, { asOf: report, outstanding: total - window }, instances) })
+        windows.forEach((window, index) => { windows[index] = slotWindow(slots, { asOf: report, outstanding: total - window, observed: total - window }, instances) })
       }
       const share = Math.max(1, Math.ceil(slots / instances))
       expect(windows.reduce((sum, window) => sum + window, 0)).toBeLessThanOrEqual(share * instances)
--- a/packages/routing/src/loadEstimate.ts
+++ b/packages/routing/src/loadEstimate.ts
@@ -49,8 +49,10 @@
 export interface OthersEstimate {
   /** `asOf` of the newest report used. */
   readonly asOf: number
-  /** Requests of other instances, running or queued there. */
+  /** Requests of other instances, running or queued there; smoothed over reports. */
   readonly outstanding: number
+  /** The same from the newest report alone. */
+  readonly observed: number
 }
 
 /**
@@ -60,17 +62,18 @@
 export function estimateOthers (previous: OthersEstimate | undefined, report: LoadReport, ownAtReport: number): OthersEstimate {
   if (previous !== undefined && report.asOf <= previous.asOf) return previous
   const observed = Math.max(0, report.running + report.queued - ownAtReport)
-  if (previous === undefined) return { asOf: report.asOf, outstanding: observed }
+  if (previous === undefined) return { asOf: report.asOf, outstanding: observed, observed }
   const outstanding = previous.outstanding + NEWEST_REPORT_WEIGHT * (observed - previous.outstanding)
-  return { asOf: report.asOf, outstanding }
+  return { asOf: report.asOf, outstanding, observed }
 }
 
 /**
  * Requests that this instance may have running at a backend server: what others leave idle, and never less than its
- * share of the slots, so that instances under overload settle at equal shares.
+ * share of the slots, so that instances under overload settle at equal shares. Slots that come free are used from the next
+ * report on; a growing load of others takes them back gradually.
  */
 export function slotWindow (slots: number, others: OthersEstimate | undefined, sharingInstances: number): number {
   const share = Math.max(1, Math.ceil(slots / Math.max(1, sharingInstances)))
-  const idle = slots - Math.round(others?.outstanding ?? 0)
+  const idle = slots - Math.round(others === undefined ? 0 : Math.min(others.outstanding, others.observed))
   return Math.min(slots, Math.max(share, idle))
 }
--- a/packages/routing/src/scoring.ts
+++ b/packages/routing/src/scoring.ts
@@ -8,6 +8,8 @@
   readonly sameFailureDomain: boolean
   /** Requests that it runs at once. */
   readonly slots: number
+  /** Requests that this instance may run there at once. */
+  readonly window: number
   /** This instance's requests running there. */
   readonly ownRunning: number
   /** This instance's requests waiting for it. */
@@ -30,7 +32,7 @@
 interface Weights {
   /** For each request running per slot: continuous batching slows every stream a little. */
   readonly running: number
-  /** For each request above the slots, per slot: it waits for a slot. */
+  /** For each request above the slots or above this instance's window, per slot of either: it waits for a slot. */
   readonly waiting: number
   /** For each `PREFILL_UNIT_BYTES` of prompt that must be prefilled. */
   readonly prefill: number
@@ -59,9 +61,10 @@
 export function score (candidate: Candidate, request: RoutedRequest): number {
   const weights = WEIGHTS[request.priority]
   const load = expectedOutstanding(candidate) / candidate.slots
+  const overWindow = (candidate.ownRunning + candidate.ownQueued + 1 - candidate.window) / candidate.window
   const uncachedBytes = Math.max(0, request.promptBytes - candidate.cachedBlocks * PREFIX_BLOCK_BYTES)
   return weights.running * Math.min(load, 1) +
-    weights.waiting * Math.max(0, load - 1) +
+    weights.waiting * Math.max(0, load - 1, overWindow) +
     weights.prefill * uncachedBytes / PREFILL_UNIT_BYTES +
     weights.bulkRunning * candidate.ownBulkRunning / candidate.slots +
     (candidate.sameFailureDomain ? 0 : OTHER_FAILURE_DOMAIN_COST)
--- a/packages/routing/src/slotQueue.ts
+++ b/packages/routing/src/slotQueue.ts
@@ -70,6 +70,11 @@
     this.#queue = new PQueue({ concurrency: options.window, queueClass: class { constructor () { return order } } as unknown as new () => typeof order })
   }
 
+  /** Requests that may run at once. */
+  get window (): number {
+    return this.#window
+  }
+
   get running (): number {
     return this.#running
   }
