--- a/packages/bench/src/load/sendPlan.ts
+++ b/packages/bench/src/load/sendPlan.ts
@@ -1,4 +1,4 @@
-import { billedTokens, callService, findAnswerFault, keyOf, sendChat, type Fleet, type FleetMember } from '@quinceshunt/scenarios'
+import { billedTokens, callService, findAnswerFault, keyOf, preciseNow, sendChat, type Fleet, type FleetMember } from '@quinceshunt/scenarios'
 import { Agent } from 'node:http'
 import type { PlannedRequest } from './planRequests.js'
 
@@ -34,12 +34,12 @@
 /** Sends a plan open-loop and resolves when every request has ended. */
 export async function sendPlan (plan: readonly PlannedRequest[], options: SendOptions): Promise<SentRequest[]> {
   const agent = new Agent({ keepAlive: true, maxFreeSockets: 256 })
-  const startedAt = Date.now()
+  const startedAt = preciseNow()
   const sent = await Promise.all(plan.map(async (planned) => {
-    await new Promise((resolve) => setTimeout(resolve, startedAt + planned.atMilliseconds - Date.now()))
-    const sentAt = Date.now() - startedAt
+    await new Promise((resolve) => setTimeout(resolve, startedAt + planned.atMilliseconds - preciseNow()))
+    const sentAt = preciseNow() - startedAt
     const outcome = await send(planned, options, agent, startedAt)
-    const request = { planned, sendDelayMilliseconds: sentAt - planned.atMilliseconds, endedAtMilliseconds: Date.now() - startedAt, ...outcome }
+    const request = { planned, sendDelayMilliseconds: sentAt - planned.atMilliseconds, endedAtMilliseconds: preciseNow() - startedAt, ...outcome }
     options.onSent?.(request)
     return request
   }))
@@ -83,7 +83,7 @@
     path: isAction ? fleet.names.actionPath : `${fleet.names.queryPath}/${planned.content}`,
     body: isAction ? planned.content : '',
     agent,
-    ...(isAction ? { idempotencyKey: `load-${startedAt}-${planned.number}` } : {})
+    ...(isAction ? { idempotencyKey: `load-${Math.round(startedAt)}-${planned.number}` } : {})
   })
   if (answer.error !== undefined) return notAnswered('refused', answer.error.code)
   if (answer.status !== 200) return notAnswered('broken', `status ${answer.status}`)
@@ -91,7 +91,7 @@
   // A query may be repeated by a router's retry; an action may not.
   const repeated = isAction && answer.result?.count !== 1
   if (answer.result?.received !== expected || repeated) return notAnswered('wrong', `received ${JSON.stringify(answer.result?.received.slice(0, 40))}, run ${answer.result?.count} times`)
-  return { result: 'answered', detail: '', firstTokenMilliseconds: Date.now() - startedAt - planned.atMilliseconds, betweenTokensMilliseconds: [], tokens: 0 }
+  return { result: 'answered', detail: '', firstTokenMilliseconds: preciseNow() - startedAt - planned.atMilliseconds, betweenTokensMilliseconds: [], tokens: 0 }
 }
 
 function notAnswered (result: Exclude<SentResult, 'answered'>, detail: string): Outcome {
--- a/packages/bench/src/measures/routerOverhead.ts
+++ b/packages/bench/src/measures/routerOverhead.ts
@@ -1,4 +1,4 @@
-import { findAnswerFault, keyOf, promptOf, sendChat, startFleet } from '@quinceshunt/scenarios'
+import { findAnswerFault, keyOf, preciseNow, promptOf, sendChat, startFleet } from '@quinceshunt/scenarios'
 import { Agent } from 'node:http'
 import type { Measurements } from '../experiment/experiment.js'
 import { percentiles } from '../load/measureLoad.js'
@@ -30,13 +30,13 @@
       const random = createRandom(SEED)
       const agent = new Agent({ keepAlive: true })
       const addresses: Record<Path, string> = { direct: fleet.engines[0]!.address(), routed: fleet.routers[0]!.address() }
-      const startedAt = Date.now()
+      const startedAt = preciseNow()
       let at = 0
       const sent = await Promise.all(Array.from({ length: REQUESTS }, async (_unused, index): Promise<Timed> => {
         at += random.interval(REQUESTS_PER_SECOND / 1000)
         const plannedAt = startedAt + at
         const path: Path = index % 2 === 0 ? 'direct' : 'routed'
-        await pause(plannedAt - Date.now())
+        await pause(plannedAt - preciseNow())
         const call = { address: addresses[path], key: keyOf(fleet.accounts[0]!.id), model: fleet.names.model, messages: promptOf(`Request ${index}`, ANSWER_TOKENS), stream: true, agent }
         const answer = await sendChat(call)
         const fault = findAnswerFault(call, answer)
--- a/packages/scenarios/src/callers/sendChat.ts
+++ b/packages/scenarios/src/callers/sendChat.ts
@@ -52,7 +52,7 @@
   /** `id` of the completion. */
   readonly completionId: string
   readonly error: CallerErrorBody | undefined
-  /** Unix milliseconds at which each piece of content arrived; empty when not streamed. */
+  /** Unix milliseconds (with fractions) at which each piece of content arrived; empty when not streamed. */
   readonly tokenTimes: readonly number[]
   readonly finishedAt: number
 }
@@ -87,11 +87,16 @@
   } catch {
     draft.ended = false
   }
-  draft.finishedAt = Date.now()
+  draft.finishedAt = preciseNow()
   if (draft.error !== undefined && draft.requestId === '') draft.requestId = draft.error.request_id
   return draft
 }
 
+/** Unix milliseconds with fractions: tokens are a few milliseconds apart. */
+export function preciseNow (): number {
+  return performance.timeOrigin + performance.now()
+}
+
 function chatHeaders (call: ChatCall): Record<string, string> {
   return {
     authorization: `Bearer ${call.key}`,
@@ -130,7 +135,7 @@
   const content = choice?.delta?.content ?? choice?.message?.content ?? ''
   if (content !== '') {
     draft.text += content
-    draft.tokenTimes.push(Date.now())
+    draft.tokenTimes.push(preciseNow())
   }
   draft.finishReason = choice?.finish_reason ?? draft.finishReason
 }
