Receive callers' bodies in one place

Cause: the chat path and the plain-service path read and refused bodies by the same fifteen lines. Change: receiveBody and refused, used by both; refusals before a run say "no" in one place.

--- a/packages/router/src/chatRequest.ts
+++ b/packages/router/src/chatRequest.ts
@@ -2,12 +2,12 @@
 import { computeRequestIdentity } from '@quinceshunt/requests'
 import { canonicalPrompt, classifyPriority, prefixHashes } from '@quinceshunt/routing'
 import type { SheetModel } from '@quinceshunt/schemas'
-import { readCallerBody } from './callerBody.js'
-import { sendCallerError, sendStreamError, type CallerError } from './callerError.js'
+import { sendCallerError, sendStreamError } from './callerError.js'
 import { refuse, type CallerExchange } from './callersListener.js'
 import { engineBody, extraPromptBytes, parseChatBody, requestedCompletionTokens, type ChatBody } from './chatBody.js'
 import type { StreamProgress } from './chatStream.js'
 import { createEngineAttempts, type EngineAnswer } from './engineAttempt.js'
+import { receiveBody, refused, type Unrunnable } from './receiveBody.js'
 import type { RequestResult } from './requestPath.js'
 import { runRequest } from './requestRunner.js'
 import type { RouterServices } from './routerServices.js'
@@ -22,10 +22,7 @@
   readonly completionTokens: number
 }
 
-type CheckOutcome =
-  | { readonly kind: 'checked', readonly chat: CheckedChat }
-  | { readonly kind: 'refused', readonly error: CallerError }
-  | { readonly kind: 'callerGone' }
+type CheckOutcome = { readonly kind: 'checked', readonly chat: CheckedChat } | Unrunnable
 
 /** Serves `POST /v1/chat/completions`. */
 export async function serveChat (services: RouterServices, exchange: CallerExchange): Promise<void> {
@@ -36,26 +33,21 @@
 }
 
 async function checkChat (services: RouterServices, exchange: CallerExchange): Promise<CheckOutcome> {
-  const received = await readCallerBody(exchange.request, services.settings.bodyLimitBytes, exchange.deadline)
-  switch (received.kind) {
-    case 'gone': return { kind: 'callerGone' }
-    case 'tooLarge': return { kind: 'refused', error: { status: 413, code: 'body_too_large', message: `the body is larger than ${services.settings.bodyLimitBytes} bytes`, run: 'no' } }
-    case 'tooSlow': return { kind: 'refused', error: { status: 408, code: 'request_timeout', message: 'the body did not arrive before the deadline', run: 'no' } }
-    case 'whole': break
-  }
+  const received = await receiveBody(services, exchange)
+  if (received.kind !== 'whole') return received
   const parsed = parseChatBody(received.body)
-  if (parsed.kind === 'invalidJson') return { kind: 'refused', error: { status: 400, code: 'invalid_json', message: parsed.message, run: 'no' } }
-  if (parsed.kind === 'invalidRequest') return { kind: 'refused', error: { status: 400, code: 'invalid_request', message: parsed.message, param: parsed.param, run: 'no' } }
+  if (parsed.kind === 'invalidJson') return refused({ status: 400, code: 'invalid_json', message: parsed.message })
+  if (parsed.kind === 'invalidRequest') return refused({ status: 400, code: 'invalid_request', message: parsed.message, param: parsed.param })
   return checkModel(exchange, parsed.body, received.body)
 }
 
 function checkModel (exchange: CallerExchange, body: ChatBody, bytes: Buffer): CheckOutcome {
   const model = exchange.view.models.get(body.model)
-  if (model === undefined) return { kind: 'refused', error: { status: 404, code: 'model_not_found', message: `model ${JSON.stringify(body.model)} does not exist; GET /v1/models lists those that may be used`, param: 'model', run: 'no' } }
-  if (!exchange.caller.account.targets.includes(model.id)) return { kind: 'refused', error: { status: 403, code: 'target_not_allowed', message: `the client account may not use model ${JSON.stringify(model.id)}`, param: 'model', run: 'no' } }
+  if (model === undefined) return refused({ status: 404, code: 'model_not_found', message: `model ${JSON.stringify(body.model)} does not exist; GET /v1/models lists those that may be used`, param: 'model' })
+  if (!exchange.caller.account.targets.includes(model.id)) return refused({ status: 403, code: 'target_not_allowed', message: `the client account may not use model ${JSON.stringify(model.id)}`, param: 'model' })
   const completionTokens = requestedCompletionTokens(body, model.completionTokens)
   if (completionTokens > model.completionTokens) {
-    return { kind: 'refused', error: { status: 400, code: 'invalid_request', message: `max_tokens: ${completionTokens} is not allowed; ${model.id} completes at most ${model.completionTokens}`, param: 'max_tokens', run: 'no' } }
+    return refused({ status: 400, code: 'invalid_request', message: `max_tokens: ${completionTokens} is not allowed; ${model.id} completes at most ${model.completionTokens}`, param: 'max_tokens' })
   }
   return { kind: 'checked', chat: { body, bytes, model, completionTokens } }
 }
--- a/packages/router/src/plainRequest.ts
+++ b/packages/router/src/plainRequest.ts
@@ -1,9 +1,9 @@
 import { computeRequestIdentity, type RequestIdentity } from '@quinceshunt/requests'
 import type { RecordedAnswer, SheetRoute } from '@quinceshunt/schemas'
-import { readCallerBody } from './callerBody.js'
 import { sendCallerError, type CallerError } from './callerError.js'
 import { refuse, type CallerExchange } from './callersListener.js'
 import { attemptPlainCall, type PlainAnswer } from './plainAttempt.js'
+import { receiveBody, refused, type Unrunnable } from './receiveBody.js'
 import type { RequestResult } from './requestPath.js'
 import { runRequest } from './requestRunner.js'
 import type { RouterServices } from './routerServices.js'
@@ -19,10 +19,7 @@
   readonly identity: RequestIdentity
 }
 
-type CheckOutcome =
-  | { readonly kind: 'checked', readonly call: PlainCall }
-  | { readonly kind: 'refused', readonly error: CallerError }
-  | { readonly kind: 'callerGone' }
+type CheckOutcome = { readonly kind: 'checked', readonly call: PlainCall } | Unrunnable
 
 /** Serves `ANY /services/NAME/PATH`. */
 export async function servePlainCall (services: RouterServices, exchange: CallerExchange, path: string): Promise<void> {
@@ -40,18 +37,13 @@
   const servicePath = `/${rest.join('/')}`
   const method = exchange.request.method ?? 'GET'
   const route = exchange.view.findRoute(service, method, servicePath)
-  if (route === undefined) return { kind: 'refused', error: { status: 404, code: 'service_not_found', message: `no route for ${method} /services/${service}${servicePath} in the sheet`, run: 'no' } }
-  if (!exchange.caller.account.targets.includes(service)) return { kind: 'refused', error: { status: 403, code: 'target_not_allowed', message: `the client account may not use service ${JSON.stringify(service)}`, run: 'no' } }
+  if (route === undefined) return refused({ status: 404, code: 'service_not_found', message: `no route for ${method} /services/${service}${servicePath} in the sheet` })
+  if (!exchange.caller.account.targets.includes(service)) return refused({ status: 403, code: 'target_not_allowed', message: `the client account may not use service ${JSON.stringify(service)}` })
   if (!route.idempotent && exchange.idempotencyKey === undefined) {
-    return { kind: 'refused', error: { status: 400, code: 'idempotency_key_required', message: `${method} /services/${service}${servicePath} must run at most once; send an Idempotency-Key that stays the same when you send it again`, param: 'Idempotency-Key', run: 'no' } }
-  }
-  const received = await readCallerBody(exchange.request, services.settings.bodyLimitBytes, exchange.deadline)
-  switch (received.kind) {
-    case 'gone': return { kind: 'callerGone' }
-    case 'tooLarge': return { kind: 'refused', error: { status: 413, code: 'body_too_large', message: `the body is larger than ${services.settings.bodyLimitBytes} bytes`, run: 'no' } }
-    case 'tooSlow': return { kind: 'refused', error: { status: 408, code: 'request_timeout', message: 'the body did not arrive before the deadline', run: 'no' } }
-    case 'whole': break
+    return refused({ status: 400, code: 'idempotency_key_required', message: `${method} /services/${service}${servicePath} must run at most once; send an Idempotency-Key that stays the same when you send it again`, param: 'Idempotency-Key' })
   }
+  const received = await receiveBody(services, exchange)
+  if (received.kind !== 'whole') return received
   const fullPath = query === '' ? servicePath : `${servicePath}?${query}`
   const identity = computeRequestIdentity({
     clientAccount: exchange.caller.account.id,
