Cancel an answer that is not streamed when its caller goes away

Cause: the router read such an answer to its end before it noticed that the caller had gone, so that the engine worked on and the account was charged for all of it. Change: reading stops at once, the engine is asked to cancel, and what ran is billed.

--- a/packages/router/src/backendClient.ts
+++ b/packages/router/src/backendClient.ts
@@ -83,14 +83,16 @@
   | { readonly kind: 'broken', readonly reason: string }
   | { readonly kind: 'deadline' }
 
-/** Reads an answer whole; an answer that breaks off is never returned in part. */
-export function readBody (message: IncomingMessage, limitBytes: number, deadline: number): Promise<BodyOutcome> {
+/** Reads an answer whole; an answer that breaks off, or that nobody wants any more, is never returned in part. */
+export function readBody (message: IncomingMessage, limitBytes: number, deadline: number, signal?: AbortSignal): Promise<BodyOutcome> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = []
     let size = 0
     const timer = setTimeout(() => finish({ kind: 'deadline' }), Math.max(0, deadline - Date.now()))
+    const abort = (): void => finish({ kind: 'broken', reason: 'the caller closed the connection' })
     function finish (outcome: BodyOutcome): void {
       clearTimeout(timer)
+      signal?.removeEventListener('abort', abort)
       if (outcome.kind !== 'whole') message.destroy()
       resolve(outcome)
     }
@@ -102,5 +104,7 @@
     message.on('end', () => finish(message.complete ? { kind: 'whole', body: Buffer.concat(chunks) } : { kind: 'broken', reason: 'the answer broke off' }))
     message.on('error', (error) => finish({ kind: 'broken', reason: error.message }))
     message.on('close', () => finish({ kind: 'broken', reason: 'the connection closed before the answer was whole' }))
+    signal?.addEventListener('abort', abort, { once: true })
+    if (signal?.aborted === true) abort()
   })
 }
--- a/packages/router/src/engineAttempt.ts
+++ b/packages/router/src/engineAttempt.ts
@@ -150,7 +150,7 @@
 }
 
 async function readWhole (chat: EngineExchange, slot: Slot, attemptId: string, response: Answering): Promise<AttemptResult<EngineAnswer>> {
-  const body = await readBody(response.message, ANSWER_LIMIT_BYTES, chat.exchange.deadline)
+  const body = await readBody(response.message, ANSWER_LIMIT_BYTES, chat.exchange.deadline, chat.exchange.signal)
   if (chat.exchange.signal.aborted) return { kind: 'callerGone', charge: await cancel(chat, slot, attemptId) }
   switch (body.kind) {
     case 'broken': return await examineBreak(chat, slot, attemptId, { kind: 'brokenAfterBytes', bytesReceived: 0, resumable: false })
