Report what a lease withholds also when it had been closed before

A closing whose reply was lost answers alreadyClosed, and its withheld tokens were not counted. Ruled out: loosening the property; the tokens of transfers that a stopped receiver has not recorded are withheld by design and must be counted. Change: alreadyClosed carries the tokens that are still under the lease; the table of the unit tests loses replies only to transactions that take effect, so that the resolution's own reply is lost.

--- a/packages/budget/src/__fixtures__/lossyTable.ts
+++ b/packages/budget/src/__fixtures__/lossyTable.ts
@@ -7,7 +7,7 @@
 import { runTableDecision, type TableDecision } from '../tableCommands.js'
 import { topUpBudget } from '../topUpBudget.js'
 
-/** A table in memory that loses the replies to the next `lostReplies` transactions after they took effect. */
+/** A table in memory that loses the replies to the next `lostReplies` transactions that take effect. */
 export class LossyTable {
   readonly memory = new MemoryTable()
   lostReplies = 0
@@ -16,7 +16,7 @@
     scan: async (prefix, startAfter, limit) => this.memory.scan(prefix, startAfter, limit),
     transact: async (checks, writes) => {
       const outcome = this.memory.transact(checks, writes)
-      if (this.lostReplies-- > 0) throw new Error('no reply')
+      if (outcome.kind === 'applied' && this.lostReplies-- > 0) throw new Error('no reply')
       return outcome
     }
   }
--- a/packages/budget/src/__tests__/budgetDecisions.test.ts
+++ b/packages/budget/src/__tests__/budgetDecisions.test.ts
@@ -92,8 +92,8 @@
       const charges = [charge('a', 100n, keyed), charge('b', 50n, keyed)]
       table.lostReplies = 1
       await expect(table.runOnce(closeLease({ ...closing, charges }))).rejects.toThrow('no reply')
-      expect(await table.run(closeLease({ ...closing, charges }))).toEqual({ kind: 'alreadyClosed' })
-      expect(await table.run(closeLease({ ...closing, charges }))).toEqual({ kind: 'alreadyClosed' })
+      expect(await table.run(closeLease({ ...closing, charges }))).toEqual({ kind: 'alreadyClosed', withheldTokens: 0n })
+      expect(await table.run(closeLease({ ...closing, charges }))).toEqual({ kind: 'alreadyClosed', withheldTokens: 0n })
       expect(table.billedRequestIds()).toEqual(['a', 'b'])
       expect(await table.run(summariseBudget('budget', 3000n))).toMatchObject({ spentTokens: 150n, undrawnTokens: 850n, leases: [] })
     }
@@ -104,7 +104,7 @@
     const table = await tableWithLease(1000n, 600n)
     const adopted: LeaseClosing = { ...closing, incarnation: 'receiver', charges: [charge('a', 100n, false)], transfers: [transfer(1n, 200n)] }
     expect(await table.run(closeLease(adopted))).toMatchObject({ kind: 'closed', billed: 1, returnedTokens: 100n })
-    expect(await table.run(closeLease(adopted))).toEqual({ kind: 'alreadyClosed' })
+    expect(await table.run(closeLease(adopted))).toEqual({ kind: 'alreadyClosed', withheldTokens: 0n })
     expect(table.billedRequestIds()).toEqual(['a'])
   })
 
@@ -124,6 +124,7 @@
     const withTransfer = { ...closing, transferredOutTokens: 200n }
     expect(await table.run(closeLease({ ...withTransfer, whenTransfersPending: 'wait' }))).toEqual({ kind: 'transfersPending', tokens: 200n })
     expect(await table.run(closeLease(withTransfer))).toMatchObject({ kind: 'closed', returnedTokens: 400n, withheldTokens: 200n })
+    expect(await table.run(closeLease(withTransfer))).toEqual({ kind: 'alreadyClosed', withheldTokens: 200n })
     expect(await table.run(summariseBudget('budget', 3000n))).toMatchObject({ withheldTokens: 200n, unattributedTokens: 0n })
   })
 })
--- a/packages/budget/src/closeLease.ts
+++ b/packages/budget/src/closeLease.ts
@@ -27,8 +27,8 @@
 export type ClosingOutcome =
   /** `withheldTokens` were given to peers that have not recorded them; they stay under the closed lease. */
   | { readonly kind: 'closed', readonly billed: number, readonly returnedTokens: bigint, readonly withheldTokens: bigint, readonly uncoveredTokens: bigint }
-  /** By an earlier attempt, or by another instance. */
-  | { readonly kind: 'alreadyClosed' }
+  /** By an earlier attempt, or by another instance; `withheldTokens` are still under the closed lease. */
+  | { readonly kind: 'alreadyClosed', readonly withheldTokens: bigint }
   /** Nothing was written. */
   | { readonly kind: 'transfersPending', readonly tokens: bigint }
 
@@ -42,7 +42,7 @@
   for (;;) {
     const rows = yield * readByKey([budgetKeys.budget(closing.budgetId), leaseKey, closingKey, ...relatedKeys(closing)])
     const [budgetRow, leaseRow] = [rows.get(budgetKeys.budget(closing.budgetId))!, rows.get(leaseKey)!]
-    if (rows.get(closingKey)!.version !== 0n) return { kind: 'alreadyClosed' }
+    if (rows.get(closingKey)!.version !== 0n) return { kind: 'alreadyClosed', withheldTokens: outstandingOf(leaseCodec.decode(leaseRow)) }
     const recordedOutTokens = yield * recordedTransfersFrom(closing.budgetId, closing.incarnation)
     const { record, version } = leaseBaseOf(leaseRow, closing.incarnation)
     const isNew = (key: string): boolean => rows.get(key)!.version === 0n
--- a/packages/router/src/budgetStop.ts
+++ b/packages/router/src/budgetStop.ts
@@ -55,7 +55,7 @@
       now: BigInt(now)
     }), signal)
     if (outcome.kind !== 'transfersPending') {
-      if (outcome.kind === 'closed' && outcome.withheldTokens > 0n) metrics.count('budget_tokens_withheld_at_closing', {}, Number(outcome.withheldTokens))
+      if (outcome.withheldTokens > 0n) metrics.count('budget_tokens_withheld_at_closing', {}, Number(outcome.withheldTokens))
       return outcome
     }
     // Counted from the table's first answer, so that receivers can record after an outage.
