--- a/packages/router/src/__tests__/backendTask.test.ts
+++ b/packages/router/src/__tests__/backendTask.test.ts
@@ -41,7 +41,7 @@
       const leaving = new Set<string>()
       const held: Slot[] = []
       const aborts: AbortController[] = []
-      let ended = 0
+      const ended = new Set<AbortController>()
       for (const operation of operations) {
         const leavingBefore = new Set(leaving)
         const heldBefore = new Set(held)
@@ -49,7 +49,7 @@
           const abort = new AbortController()
           aborts.push(abort)
           task.acquire(buildAcquire({ priority: operation.priority, signal: abort.signal })).then((outcome) => {
-            ended++
+            ended.add(abort)
             if (outcome.kind === 'slot') held.push(outcome.slot)
           }, () => {})
         } else if (operation.kind === 'release') held.splice(operation.index, 1)[0]?.release('succeeded')
@@ -63,13 +63,15 @@
         await wait(0)
         const used = held.filter((slot) => !heldBefore.has(slot)).map((slot) => slot.backendServer.id)
         expect(used.filter((id) => leavingBefore.has(id) || leaving.has(id))).toEqual([])
+        expect(aborts.filter((abort) => abort.signal.aborted && !ended.has(abort))).toEqual([])
+        expect(task.status().reduce((sum, { queued }) => sum + queued, 0)).toBe(aborts.length - ended.size)
         for (const { id } of servers) expect(held.filter((slot) => slot.backendServer.id === id).length).toBeLessThanOrEqual(2)
       }
       while (held.length > 0) {
         held.pop()?.release('succeeded')
         await wait(0)
       }
-      expect(ended).toBe(aborts.length)
+      expect(ended.size).toBe(aborts.length)
       expect(task.status().map(({ running, queued }) => running + queued)).toEqual([0, 0, 0])
       await task.stop()
     }), { numRuns: 40 })
@@ -93,6 +95,20 @@
     expect(task.recentMarks().map((mark) => [mark.backendServer, mark.incarnation])).toEqual([['engine-0', 'p1']])
   })
 
+  // Guards against a request waiting for one backend server while another is idle.
+  test('a waiting request uses the slot that comes free first', async () => {
+    const fleet = await startServers(2)
+    for (const { report } of fleet) report.slots = 1
+    const task = keep(createBackendTask(buildTaskContext('router-1'), buildRoutingSettings(), buildConfiguration(buildServers(fleet.map(({ address }) => address), { slots: 1 }))))
+    await wait(100)
+    const slots = [slotOf(await task.acquire(buildAcquire())), slotOf(await task.acquire(buildAcquire()))]
+    const waiting = task.acquire(buildAcquire({ deadline: Date.now() + 1000 }))
+    const waitsAt = task.status().find(({ queued }) => queued === 1)!.id
+    const other = slots.find(({ backendServer }) => backendServer.id !== waitsAt)!
+    other.release('succeeded')
+    expect(slotOf(await waiting).backendServer.id).toBe(other.backendServer.id)
+  })
+
   test('the instance list alone stops new work, and a new process gets work again', async () => {
     const [server] = await startServers(1)
     const platform = createMemoryPlatform([buildLeavingEntry('engine-0') as InstanceEntry])
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -98,6 +98,7 @@
   let stopping = false
   const notReadyReason = (): string => {
     if (stopping) return 'stopping'
+    if (services.isIsolated()) return 'isolated from the platform and all other instances'
     return configuration.current() === undefined ? 'no configuration yet' : ''
   }
   const operations = createOperationsListener({ notReadyReason, metrics })
@@ -131,7 +132,7 @@
     operations: await listen(operations, settings.operations!, false),
     address: await listen(callers.server, settings.callers!, settings.callersTls?.enabled === true)
   }
-  identity.address = addresses.peers
+  identity.address = settings.advertisedPeerAddress === '' ? addresses.peers : settings.advertisedPeerAddress
   peerTask.connect(configuration, backends, quarantine)
   logger.info({ ...addresses, incarnation: identity.incarnation }, 'router started')
 
