--- a/packages/scenarios/src/launcher/peerNetwork.ts
+++ b/packages/scenarios/src/launcher/peerNetwork.ts
@@ -31,7 +31,9 @@
     return owner === undefined ? undefined : processes.get(owner)
   }
 
-  function stateOf (source: string | undefined, destination: string): LinkState {
+  function stateOf (findSource: () => string | undefined, destination: string): LinkState {
+    if (pairs.size === 0 && isolated.size === 0) return 'open'
+    const source = isolated.has(destination) ? undefined : findSource()
     const whole = isolated.get(destination) ?? (source === undefined ? undefined : isolated.get(source))
     return whole ?? (source === undefined ? undefined : pairs.get(pairKey(source, destination))) ?? 'open'
   }
@@ -42,7 +44,7 @@
 
   return {
     add: async (instanceId) => {
-      const forwarder = await startForwarder(findSource, (source) => stateOf(source, instanceId))
+      const forwarder = await startForwarder(findSource, (findSourceOf) => stateOf(findSourceOf, instanceId))
       forwarders.set(instanceId, forwarder)
       return forwarder
     },
