Show what a caller's departure and broken connections lead to

Change: the scenario, for the whole path; tests of the backend client, for an engine that sends the head first, for requests that were or were not sent, and for answers that break off.

--- a/features/wholePath.feature
+++ b/features/wholePath.feature
@@ -48,3 +48,15 @@
     And the routers still answer
     And no tokens stay reserved
     And the ledger has no violation
+
+  Scenario: A caller leaves before its answer that is not streamed
+    Given a fleet of 1 routers and 1 engines
+    And routers with the settings:
+      """
+      {"budget": {"idleReturnMilliseconds": 500}}
+      """
+    When a caller leaves before its whole answer comes
+    Then its stream is cancelled at the engine and billed as far as it ran
+    And the routers still answer
+    And no tokens stay reserved
+    And the ledger has no violation
--- /dev/null
+++ b/packages/router/src/__tests__/backendClient.test.ts
@@ -0,0 +1,80 @@
+import { afterEach, describe, expect, test } from '@jest/globals'
+import { createServer, type RequestListener, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { readBody, sendBackendRequest, type BackendRequest, type BackendResponse } from '../backendClient.js'
+
+const LIMIT_BYTES = 1000
+const LONG_MILLISECONDS = 5000
+let server: Server | undefined
+
+afterEach(() => {
+  server?.closeAllConnections()
+  server?.close()
+})
+
+async function startServer (listener: RequestListener): Promise<string> {
+  server = createServer(listener)
+  await new Promise<void>((resolve) => server!.listen(0, '127.0.0.1', resolve))
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+function send (address: string, changes: Partial<BackendRequest> = {}): Promise<BackendResponse> {
+  return sendBackendRequest({ address, method: 'POST', path: '/', headers: {}, body: Buffer.from('body'), deadline: Date.now() + LONG_MILLISECONDS, signal: new AbortController().signal, freshConnection: true, ...changes })
+}
+
+/** Head of an answer; fails the test for any other outcome. */
+async function open (address: string): Promise<Extract<BackendResponse, { kind: 'answering' }>> {
+  const response = await send(address)
+  if (response.kind !== 'answering') throw new Error(`unexpected outcome ${response.kind}`)
+  return response
+}
+
+describe('sendBackendRequest', () => {
+  // Guards against "not run" for a request that may have reached the backend server.
+  test('reports "notSent" only when no connection was made', async () => {
+    const address = await startServer((request) => request.socket.destroy())
+    expect((await send(address)).kind).toBe('broken')
+    server!.close()
+    expect((await send(address)).kind).toBe('notSent')
+  })
+
+  test('reports that a request was sent when it is aborted or late', async () => {
+    const address = await startServer(() => {})
+    const abort = new AbortController()
+    setTimeout(() => abort.abort(), 50)
+    expect(await send(address, { signal: abort.signal })).toEqual({ kind: 'aborted', sent: true })
+    expect((await send(address, { deadline: Date.now() + 50 })).kind).toBe('deadline')
+  })
+})
+
+describe('readBody', () => {
+  const writeHalf: RequestListener = (_request, response) => {
+    response.setHeader('content-length', 10)
+    response.write('half.')
+  }
+
+  // Guards against reading an answer to its end after its caller has gone.
+  test('stops when nobody wants the answer any more', async () => {
+    const { message } = await open(await startServer(writeHalf))
+    const abort = new AbortController()
+    setTimeout(() => abort.abort(), 50)
+    const startedAt = Date.now()
+    expect((await readBody(message, LIMIT_BYTES, startedAt + LONG_MILLISECONDS, abort.signal)).kind).toBe('broken')
+    expect(Date.now() - startedAt).toBeLessThan(LONG_MILLISECONDS / 2)
+  })
+
+  // Guards against passing off part of an answer as the whole.
+  test('never returns part of an answer', async () => {
+    const cut = await open(await startServer((request, response) => {
+      writeHalf(request, response)
+      setTimeout(() => request.socket.destroy(), 20)
+    }))
+    expect((await readBody(cut.message, LIMIT_BYTES, Date.now() + LONG_MILLISECONDS)).kind).toBe('broken')
+    server!.close()
+    const late = await open(await startServer(writeHalf))
+    expect((await readBody(late.message, LIMIT_BYTES, Date.now() + 50)).kind).toBe('deadline')
+    server!.close()
+    const large = await open(await startServer((_request, response) => { response.end('x'.repeat(LIMIT_BYTES + 1)) }))
+    expect((await readBody(large.message, LIMIT_BYTES, Date.now() + LONG_MILLISECONDS)).kind).toBe('tooLarge')
+  })
+})
--- a/packages/scenarios/src/steps/wholePathSteps.ts
+++ b/packages/scenarios/src/steps/wholePathSteps.ts
@@ -133,6 +133,19 @@
   exchange.client.destroy()
 })
 
+When('a caller leaves before its whole answer comes', async function (this: FleetWorld) {
+  const fleet = await this.fleet()
+  const call = { ...chatCall(fleet, firstRouter(fleet), 'about to leave', LONG_ANSWER_TOKENS), stream: false }
+  const leaving = new AbortController()
+  const exchange = openExchange({ address: call.address, method: 'POST', path: '/v1/chat/completions', headers: { authorization: `Bearer ${call.key}` }, body: chatBody(call), signal: leaving.signal })
+  await eventually(BILLED_MILLISECONDS, async () => {
+    const [run] = await readRuns(fleet.engines)
+    return run?.outcome === 'running' ? undefined : `the run is ${run?.outcome ?? 'missing'}`
+  })
+  leaving.abort()
+  await assert.rejects(exchange)
+})
+
 Then('its stream is cancelled at the engine and billed as far as it ran', async function (this: FleetWorld) {
   const fleet = await this.fleet()
   await eventually(BILLED_MILLISECONDS, async () => {
