--- a/packages/administration/src/bin/administration.ts
+++ b/packages/administration/src/bin/administration.ts
@@ -27,7 +27,10 @@
   },
   run: async ({ args }) => {
     const settings = loadOrExit(args.settings)
-    if (args.check) return
+    if (args.check) {
+      process.stdout.write(`${args.settings}: valid\n`)
+      return
+    }
     const { instanceId } = settings
     const logger = createLogger({ name: 'administration', instanceId, level: settings.log?.level ?? '' })
     const platform = connectPlatform({ address: settings.platform!.address, timeoutMilliseconds: settings.platform!.timeoutMilliseconds, instanceId })
--- a/packages/scenarios/src/steps/administrationCommandLine.ts
+++ b/packages/scenarios/src/steps/administrationCommandLine.ts
@@ -22,10 +22,10 @@
   readonly environment?: Readonly<Record<string, string>>
 }
 
-/** Runs the command line as a process of its own. */
-export async function runCommand (words: readonly string[], place: CommandPlace = {}): Promise<CommandResult> {
+/** Runs the command line, or another binary, as a process of its own. */
+export async function runCommand (words: readonly string[], place: CommandPlace = {}, binary = BINARY): Promise<CommandResult> {
   const environment = { PATH: process.env['PATH'], ...place.environment }
-  const child = spawn(process.execPath, [BINARY, ...words], { cwd: place.directory, env: environment, timeout: COMMAND_MILLISECONDS, stdio: ['ignore', 'pipe', 'pipe'] })
+  const child = spawn(process.execPath, [binary, ...words], { cwd: place.directory, env: environment, timeout: COMMAND_MILLISECONDS, stdio: ['ignore', 'pipe', 'pipe'] })
   let [out, error] = ['', '']
   child.stdout.setEncoding('utf8').on('data', (text: string) => { out += text })
   child.stderr.setEncoding('utf8').on('data', (text: string) => { error += text })
--- a/packages/sheet/src/acceptance.ts
+++ b/packages/sheet/src/acceptance.ts
@@ -71,9 +71,9 @@
 /** Accepts a change by compare-and-set on the head: objects first, then head, revision row and audit row in one transaction. */
 export function * acceptChange (change: ConfigurationChange): Decision<AcceptanceCommand, AcceptanceOutcome> {
   const head = signHead(change.fleetKey, { revision: change.baseRevision + 1n, sha256: change.configuration.sha256, operator: change.author.operator, acceptedAt: change.at })
-  const [headRow] = yield * perform<ReadRows>({ kind: 'readRows', keys: [HEAD_KEY] })
+  const [headRow, revisionRow] = yield * perform<ReadRows>({ kind: 'readRows', keys: [HEAD_KEY, revisionKey(head.revision)] })
   const inForce = readHead(headRow)
-  if ((inForce?.revision ?? 0n) !== change.baseRevision) return judge(head, inForce, inForce)
+  if ((inForce?.revision ?? 0n) !== change.baseRevision) return judge(head, readHead(revisionRow), inForce)
   for (const [sha256, content] of change.configuration.objects) {
     if (change.storedObjects?.has(sha256) !== true) yield * perform<PutObject>({ kind: 'putObject', sha256, content })
   }
--- a/packages/sheet/src/parseSheet.ts
+++ b/packages/sheet/src/parseSheet.ts
@@ -26,10 +26,16 @@
 export function parseSheet (format: SheetFileFormat, content: string): ParsedSheet {
   const { entries, faults } = format === 'csv' ? readCsv(content) : readYaml(content)
   const allFaults = [...faults, ...checkShapes(entries), ...(entries.length === 0 && faults.length > 0 ? [] : checkReferences(entries))]
-  if (allFaults.length > 0) return { kind: 'invalid', faults: allFaults }
+  if (allFaults.length > 0) return { kind: 'invalid', faults: inFileOrder(allFaults) }
   return { kind: 'valid', sheet: buildSheet(entries) }
 }
 
+/** Rows of a table in their order; places of YAML, which have no row, stay as they are. */
+function inFileOrder (faults: readonly SheetFault[]): readonly SheetFault[] {
+  const rowOf = (fault: SheetFault): number => Number(/^row (\d+)/.exec(fault.place)?.[1] ?? 0)
+  return [...faults].sort((one, other) => rowOf(one) - rowOf(other))
+}
+
 function buildSheet (entries: readonly Entry[]): Sheet {
   const records = <Kind extends RecordKind> (kind: Kind): RecordOf<Kind>[] =>
     entries.filter((entry) => entry.kind === kind).map((entry) => recordShapes[kind].parse(entry.fields) as RecordOf<Kind>)
