--- /dev/null
+++ b/packages/router/src/routerTasks.ts
@@ -0,0 +1,84 @@
+import { create } from '@bufbuild/protobuf'
+import { createRetryBudget } from '@quinceshunt/requests'
+import { IsolationPolicy, StatusResponseSchema, type GossipMessage, type RouterSettings, type StatusResponse } from '@quinceshunt/schemas'
+import { createBackendTask } from './backendTask.js'
+import { createBudgetTask } from './budgetTask.js'
+import { createClaimTask } from './claimTask.js'
+import { createConfigurationTask } from './configurationTask.js'
+import { createCrashReporter } from './crashReporter.js'
+import { createInFlightRegistry } from './inFlight.js'
+import type { IsolationMonitor } from './isolationMonitor.js'
+import { createOrderTask } from './orderTask.js'
+import { createPeerTask } from './peerTask.js'
+import { createQuarantineTask } from './quarantineTask.js'
+import type { RouterServices } from './routerServices.js'
+import type { TaskContext } from './taskContracts.js'
+
+/** All tasks of a router. */
+export interface RouterTasks {
+  /** What the request path uses. */
+  readonly services: RouterServices
+  readonly budgets: ReturnType<typeof createBudgetTask>
+  readonly configuration: ReturnType<typeof createConfigurationTask>
+  readonly quarantine: ReturnType<typeof createQuarantineTask>
+  /** Starts to gossip; called once the peer listener has an address. */
+  connectPeers (): void
+  receiveGossip (message: GossipMessage): GossipMessage
+  /** State for operators and the administration process. */
+  describe (ready: boolean, runningRequests: number): StatusResponse
+  /** Writes or hands over what is unfinished, then stops all tasks; resolves with what neither took. */
+  stop (deadline: number): Promise<{ readonly lostBills: number, readonly unfinishedClaims: number }>
+}
+
+/** Creates the tasks of a router and connects them. */
+export function createRouterTasks (context: TaskContext, settings: RouterSettings, isolation: IsolationMonitor): RouterTasks {
+  const { clock, identity, logger, metrics } = context
+  const peers = createPeerTask(context, settings)
+  const configuration = createConfigurationTask(context, settings, peers)
+  const quarantine = createQuarantineTask(context, peers)
+  const backends = createBackendTask(context, settings.routing!, configuration)
+  const budgets = createBudgetTask(context, settings.budget!, peers, configuration)
+  const claims = createClaimTask(context)
+  const orders = createOrderTask(context, peers, configuration)
+  const inFlight = createInFlightRegistry()
+  const services: RouterServices = {
+    settings,
+    clock,
+    logger,
+    metrics,
+    configuration,
+    budgets,
+    claims,
+    quarantine,
+    backends,
+    inFlight,
+    crashes: createCrashReporter(backends, quarantine, inFlight, clock),
+    retryBudget: createRetryBudget({ share: settings.retryShare }),
+    isIsolated: () => settings.whenIsolated === IsolationPolicy.REFUSE && isolation.isIsolated()
+  }
+  return {
+    services,
+    budgets,
+    configuration,
+    quarantine,
+    connectPeers: () => peers.connect(configuration, backends, quarantine),
+    receiveGossip: (message) => {
+      isolation.heard()
+      return peers.receiveGossip(message)
+    },
+    describe: (ready, runningRequests) => create(StatusResponseSchema, {
+      identity,
+      sheetRevision: configuration.current()?.revision ?? 0n,
+      ready,
+      runningRequests,
+      backendServers: [...backends.status()],
+      ...budgets.status(),
+      peers: [...peers.peers()]
+    }),
+    stop: async (deadline) => {
+      const [{ lostBills }, { unfinished }] = await Promise.all([budgets.stop(deadline), claims.stop(deadline)])
+      await Promise.all([orders.stop(), peers.stop(), configuration.stop(), quarantine.stop(), backends.stop()])
+      return { lostBills, unfinishedClaims: unfinished }
+    }
+  }
+}
