--- a/packages/requests/src/recordCrash.ts
+++ b/packages/requests/src/recordCrash.ts
@@ -7,6 +7,8 @@
 
 /** Rows that one transaction changes, at most. */
 const BATCH_ROWS = 50
+/** Instances notice one crash within this time of each other. */
+const SAME_CRASH_MILLISECONDS = 2000
 const FIRST_RETRY_MILLISECONDS = 50
 const LONGEST_RETRY_MILLISECONDS = 2000
 
@@ -151,7 +153,7 @@
   if (record?.trialBackendServer !== backendServer || trial.record === undefined || BigInt(at) < trial.record.startedAt) return false
   if (record.state === SuspectState.ON_TRIAL) return true
   const judged = record.state === SuspectState.QUARANTINED || (record.state === SuspectState.SUSPECT && record.neighbours.length > 0)
-  return judged && BigInt(at) <= record.updatedAt
+  return judged && BigInt(at) <= record.updatedAt + BigInt(SAME_CRASH_MILLISECONDS)
 }
 
 function countCrash (fingerprint: string, record: SuspectRecord | undefined, now: number): SuspectRecord {
--- a/packages/router/src/quarantineTask.ts
+++ b/packages/router/src/quarantineTask.ts
@@ -13,8 +13,10 @@
 const MILLISECONDS_PER_SECOND = 1000
 /** Wait between attempts at a trial; news of the suspect ends it early. */
 const TRIAL_RETRY_MILLISECONDS = 250
-/** Longest time for telling a peer; gossip repeats what it misses. */
+/** Longest time for one attempt at telling a peer. */
 const REPORT_MILLISECONDS = 500
+/** A peer that is not told goes on sending copies of a poison request until gossip reaches it. */
+const REPORT_ATTEMPTS = 3
 /** A crash whose rows are not written within this time is written in the background. */
 const RECORD_WAIT_MILLISECONDS = 1000
 /** A trial whose end is not reported this long after its request's deadline has ended without a result. */
@@ -70,13 +72,18 @@
   function report (records: readonly SuspectRecord[]): void {
     if (records.length === 0) return
     for (const { address, instanceId } of peers.peers()) {
-      if (instanceId === identity.instanceId) continue
-      peers.client(address).reportSuspects({ suspects: [...records] }, { timeoutMs: REPORT_MILLISECONDS }).catch((error: unknown) => {
-        logger.debug({ err: error, peer: address, step: 'report suspects' }, 'a peer was not told; gossip repeats it')
-      })
+      if (instanceId !== identity.instanceId) tellPeer(address, records, REPORT_ATTEMPTS)
     }
   }
 
+  function tellPeer (address: string, records: readonly SuspectRecord[], attempts: number): void {
+    peers.client(address).reportSuspects({ suspects: [...records] }, { timeoutMs: REPORT_MILLISECONDS, signal: stopped.signal }).catch((error: unknown) => {
+      if (stopped.signal.aborted) return
+      logger.warn({ err: error, peer: address, step: 'report suspects', attemptsLeft: attempts - 1 }, 'a peer was not told of suspects')
+      if (attempts > 1) tellPeer(address, records, attempts - 1)
+    })
+  }
+
   function recordSeenCrash (crash: SeenCrash, recorded: () => void): void {
     metrics.count('backend_server_crashes_total')
     logger.warn({ backendServer: crash.backendServer, requests: crash.fingerprints.length, step: 'record crash' }, 'a backend server crashed; its requests are suspects')
