Keep the simulated engine's pace when a sequence ends

A sequence that ended within a step set the time of the next step anew, so that each end cost the whole batch an extra step: tokens of 11.4 ms by the model came 16 ms apart at the median. Steps are now scheduled only between steps.

--- a/packages/backend-standin/src/__tests__/backendServer.test.ts
+++ b/packages/backend-standin/src/__tests__/backendServer.test.ts
@@ -64,6 +64,20 @@
     expect(cancelled.usage.completion_tokens).toBeLessThan(60)
   })
 
+  // Guards against steps that are delayed when another sequence ends, which would hide a router's own delay.
+  test('a sequence keeps its pace while others end beside it', async () => {
+    const address = await startServer({ slots: 64, tokenMilliseconds: 10 })
+    const others = Array.from({ length: 50 }, (_unused, index) => sendChat(address, `other-${index}`, { max_tokens: index + 1 }))
+    const answer = sendChat(address, 'r1')
+    await Promise.all([answer, ...others].map(async (response) => await (await response).text()))
+    const { runs } = await (await fetch(`${address}/record`)).json() as { runs: { requestId: string, startedAt: number, endedAt: number }[] }
+    const run = runs.find(({ requestId }) => requestId === 'r1')!
+    // 61 steps of 10 ms and up to half as much again for the others that run; 150 ms for a busy machine. An extra step
+    // for each that ends would add 500 ms.
+    const steps = Array.from({ length: 61 }, (_unused, step) => 10 * (1 + 0.5 * Math.max(0, 50 - step) / 63))
+    expect(run.endedAt - run.startedAt).toBeLessThan(steps.reduce((sum, step) => sum + step, 0) + 150)
+  })
+
   // Guards against a stand-in that ignores slots or priorities, on which routing measurements depend.
   test('more urgent requests start first when all slots are in use', async () => {
     const address = await startServer({ slots: 1 })
--- a/packages/backend-standin/src/engine.ts
+++ b/packages/backend-standin/src/engine.ts
@@ -63,6 +63,7 @@
   let queue: Sequence[] = []
   let stepAt = 0
   let stepTimer: NodeJS.Timeout | undefined
+  let stepping = false
   const sweepTimer = setInterval(sweep, SWEEP_MILLISECONDS)
 
   function noteLoad (): void {
@@ -84,7 +85,7 @@
       if (sequence === undefined) break
       start(sequence)
     }
-    if (running.size > 0 && stepTimer === undefined) {
+    if (running.size > 0 && stepTimer === undefined && !stepping) {
       stepAt = options.now() + stepMilliseconds()
       scheduleStep()
     }
@@ -112,12 +113,14 @@
   /** Runs all steps that are due, so that late timers don't slow the model down. */
   function runSteps (): void {
     stepTimer = undefined
+    stepping = true
     const now = options.now()
     while (running.size > 0 && stepAt <= now) {
       const duration = stepMilliseconds()
       runStep(duration)
       stepAt += duration
     }
+    stepping = false
     if (running.size > 0) scheduleStep()
   }
 
