Decode only the parts of a configuration that a revision changes

Ruled out: asking the table for budgets on the request path, which would add a call to each request.

--- a/packages/router/src/budgetDraws.ts
+++ b/packages/router/src/budgetDraws.ts
@@ -41,7 +41,7 @@
 
 /** Top-ups of the sheet in force that this instance has not seen added. */
 function missingTopUps (core: BudgetCore, entry: BudgetEntry): readonly TopUp[] {
-  const budget = core.configuration.current()?.budgets.get(entry.budgetId)
+  const budget = core.configuration.current()?.findBudget(entry.budgetId)
   return (budget?.topUps ?? [])
     .filter((topUp) => topUp.tokens > 0n && !entry.settledTopUps.has(topUp.id))
     .map((topUp) => ({ budgetId: entry.budgetId, topUpId: topUp.id, tokens: topUp.tokens, operator: 'sheet', addedAt: BigInt(core.context.clock.now()) }))
--- a/packages/router/src/configurationObjects.ts
+++ b/packages/router/src/configurationObjects.ts
@@ -1,6 +1,6 @@
-import { assembleConfiguration, hashObject, objectName } from '@quinceshunt/sheet'
+import { hashObject, objectName, readManifest } from '@quinceshunt/sheet'
 import type { Platform } from '@quinceshunt/platform'
-import type { FleetConfiguration, SheetHead } from '@quinceshunt/schemas'
+import type { ConfigurationPart, SheetHead } from '@quinceshunt/schemas'
 import { PeerError } from '@quinceshunt/telemetry'
 import type { PeerDirectory } from './taskContracts.js'
 
@@ -19,10 +19,10 @@
   fetch (sha256: readonly string[]): Promise<readonly (Uint8Array | undefined)[]>
 }
 
-/** A configuration with the objects that it consists of. */
+/** A configuration with the objects that it consists of, all of which match their hashes. */
 export interface FetchedConfiguration {
   readonly head: SheetHead
-  readonly configuration: FleetConfiguration
+  readonly parts: readonly ConfigurationPart[]
   readonly objects: ReadonlyMap<string, Uint8Array>
 }
 
@@ -58,19 +58,21 @@
 /** Fetches what a head names: objects already known are reused, the others come from whichever source answers. */
 export async function fetchConfiguration (head: SheetHead, known: (sha256: string) => Uint8Array | undefined, sources: readonly ObjectSource[]): Promise<FetchedConfiguration> {
   const objects = new Map<string, Uint8Array>()
-  const lookUp = (sha256: string): Uint8Array | undefined => {
-    const content = objects.get(sha256) ?? known(sha256)
-    if (content !== undefined) objects.set(sha256, content)
-    return content
-  }
-  // The manifest names all parts, so that two rounds fetch everything.
-  for (let round = 0; round < 2; round++) {
-    const assembled = assembleConfiguration(head.sha256, lookUp)
-    if (assembled.kind === 'missing') await fetchObjects(assembled.sha256, sources, objects)
+  const manifest = (await fetchAll([head.sha256])).get(head.sha256)!
+  const parts = readManifest(manifest)
+  await fetchAll(parts.map((part) => part.sha256))
+  return { head, parts, objects }
+
+  async function fetchAll (sha256: readonly string[]): Promise<ReadonlyMap<string, Uint8Array>> {
+    for (const name of sha256) {
+      const content = known(name)
+      if (content !== undefined) objects.set(name, content)
+    }
+    await fetchObjects(sha256.filter((name) => !objects.has(name)), sources, objects)
+    const lacking = sha256.filter((name) => !objects.has(name))
+    if (lacking.length === 0) return objects
+    throw new PeerError(`revision ${head.revision}: ${lacking.length} objects could not be fetched`, { props: { step: 'fetch configuration', peer: sources[0]?.name ?? '' } })
   }
-  const assembled = assembleConfiguration(head.sha256, lookUp)
-  if (assembled.kind === 'assembled') return { head, configuration: assembled.configuration, objects }
-  throw new PeerError(`revision ${head.revision}: objects are ${assembled.kind}`, { props: { step: 'fetch configuration', peer: sources[0]?.name ?? '' } })
 }
 
 /** Asks the sources one after the other, the next one early when one is slow; takes only contents that match their hash. */
--- a/packages/router/src/configurationTask.ts
+++ b/packages/router/src/configurationTask.ts
@@ -1,6 +1,8 @@
+import { fromBinary } from '@bufbuild/protobuf'
 import { assertNever, startTask } from '@quinceshunt/effects'
-import type { SheetHead } from '@quinceshunt/schemas'
-import { HEAD_KEY, readHead, verifyHead } from '@quinceshunt/sheet'
+import { FleetConfigurationSchema, type SheetHead } from '@quinceshunt/schemas'
+import { COMMON_PART, HEAD_KEY, readHead, verifyHead } from '@quinceshunt/sheet'
+import { ConfigurationIndex } from './configurationIndex.js'
 import { fetchConfiguration, peerSource, storeSource, type FetchedConfiguration, type ObjectSource } from './configurationObjects.js'
 import { createConfigurationView } from './configurationView.js'
 import type { ConfigurationView } from './services.js'
@@ -29,6 +31,7 @@
   const { clock, logger, metrics, platform } = context
   const listeners: ((view: ConfigurationView) => void)[] = []
   const state: ConfigurationState = { inForce: undefined, fetching: new Set() }
+  const index = new ConfigurationIndex()
   const stopping = new AbortController()
   const store = storeSource(platform)
 
@@ -72,13 +75,19 @@
   function adopt (fetched: FetchedConfiguration): void {
     state.fetching.delete(fetched.head.sha256)
     if (fetched.head.revision <= revisionInForce()) return
-    const view = createConfigurationView(fetched.head.revision, fetched.configuration)
+    const view = createView(fetched)
     state.inForce = { view, fetched }
     metrics.gauge('sheet_revision', Number(view.revision))
     logger.info({ revision: String(view.revision), acceptedAt: Number(fetched.head.acceptedAt) }, 'sheet revision in force')
     for (const listener of listeners) listener(view)
   }
 
+  function createView ({ head, parts, objects }: FetchedConfiguration): ConfigurationView {
+    index.apply(parts, (sha256) => objects.get(sha256)!)
+    const common = parts.find((part) => part.name === COMMON_PART)
+    return createConfigurationView(head.revision, fromBinary(FleetConfigurationSchema, objects.get(common?.sha256 ?? '') ?? new Uint8Array()), index)
+  }
+
   function forget (head: SheetHead, error: unknown): void {
     state.fetching.delete(head.sha256)
     metrics.count('sheet_fetch_failures')
--- a/packages/router/src/services.ts
+++ b/packages/router/src/services.ts
@@ -17,10 +17,10 @@
 export interface ConfigurationView {
   readonly revision: bigint
   readonly models: ReadonlyMap<string, SheetModel>
-  readonly budgets: ReadonlyMap<string, SheetBudget>
   /** Backend servers by target (model or service). */
   readonly backendServers: ReadonlyMap<string, readonly SheetBackendServer[]>
   readonly drainedBackendServers: ReadonlySet<string>
+  findBudget (budgetId: string): SheetBudget | undefined
   /** Undefined for an unknown, wrong or revoked key. */
   authenticate (bearerKey: string): Caller | undefined
   /** First route of a service that matches. */
--- a/packages/sheet/src/configuration.ts
+++ b/packages/sheet/src/configuration.ts
@@ -1,9 +1,10 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
-import { ConfigurationManifestSchema, FleetConfigurationSchema, SheetSchema, type FleetConfiguration, type Sheet, type SheetKey } from '@quinceshunt/schemas'
+import { ConfigurationManifestSchema, FleetConfigurationSchema, SheetSchema, type ConfigurationPart, type FleetConfiguration, type Sheet, type SheetKey } from '@quinceshunt/schemas'
 import { createHash } from 'node:crypto'
 import { groupBy } from './groupBy.js'
 
-const COMMON_PART = 'common'
+/** Name of the part that holds everything but keys and budgets. */
+export const COMMON_PART = 'common'
 
 /** A configuration split into immutable objects. */
 export interface BuiltConfiguration {
@@ -69,12 +70,17 @@
   })])]
 }
 
+/** Parts that a manifest names. */
+export function readManifest (content: Uint8Array): readonly ConfigurationPart[] {
+  return fromBinary(ConfigurationManifestSchema, content).parts
+}
+
 /** Puts a configuration together from its objects, each checked against its hash. */
 export function assembleConfiguration (manifestSha256: string, lookUp: (sha256: string) => Uint8Array | undefined): AssembledConfiguration {
   const manifestContent = lookUp(manifestSha256)
   if (manifestContent === undefined) return { kind: 'missing', sha256: [manifestSha256] }
   if (hashObject(manifestContent) !== manifestSha256) return { kind: 'corrupt', sha256: manifestSha256 }
-  const { parts } = fromBinary(ConfigurationManifestSchema, manifestContent)
+  const parts = readManifest(manifestContent)
   const missing = parts.map((part) => part.sha256).filter((sha256) => lookUp(sha256) === undefined)
   if (missing.length > 0) return { kind: 'missing', sha256: missing }
   const result = create(FleetConfigurationSchema, { sheet: {} })
