End the fleet when its launcher is ended by a signal

A launcher ended by SIGTERM, as by a time limit around a test run, left its processes running: 8 of them were seen on the machine. It now ends its children first; checked with a fleet of four processes, none of which was left.

--- a/packages/scenarios/src/launcher/startProcess.ts
+++ b/packages/scenarios/src/launcher/startProcess.ts
@@ -11,6 +11,9 @@
 /** Lines of standard error kept for messages about failed starts. */
 const KEPT_LOG_LINES = 400
 
+/** Exit code of a launcher ended by a signal. */
+const SIGNAL_EXIT_CODE = 130
+
 /** What to start. */
 export interface ProcessOptions {
   readonly binary: BinaryName
@@ -46,6 +49,12 @@
 process.once('exit', () => {
   for (const child of running) child.kill('SIGKILL')
 })
+// Without a listener, these signals would end the launcher before its children are ended.
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
+  process.on(signal, () => {
+    if (process.listenerCount(signal) === 1) process.exit(SIGNAL_EXIT_CODE)
+  })
+}
 
 /** Starts a process with a settings file of its own and waits until it listens. */
 export async function startProcess (options: ProcessOptions): Promise<FleetProcess> {
