Tell listed routers of suspects, not only peers known by gossip

No report to a known peer had failed. Most likely the crash came before the routers had found each other by gossip, 1.5 s after their start; this has not been shown. Ruled out: lost reports (each is logged), a cleared suspect (no such row). Change: the instance list is read at each crash and routers in it that are not yet peers are told as well; the table is polled every 2 s instead of 5 s; the number of peers is logged with each crash. Conclusion: the cause is to be confirmed by the logged number of peers when it occurs.

--- a/packages/router/src/quarantineEvidence.ts
+++ b/packages/router/src/quarantineEvidence.ts
@@ -11,6 +11,8 @@
 export interface QuarantineEvidence extends Omit<TrialEvidence, 'hasTrial'> {
   /** Reads the instance list again; keeps the old one when that fails. */
   refresh (): Promise<void>
+  /** Peer listeners of all routers in the instance list. */
+  routerAddresses (): readonly string[]
   /** Failure domain of a backend server; empty when not known. */
   failureDomain (backendServer: string): string
 }
@@ -42,6 +44,7 @@
     },
     holderIsGone,
     backendServerIncarnation: (id) => backendServer(id)?.incarnation ?? '',
+    routerAddresses: () => entries.filter((entry) => entry.role === InstanceRole.ROUTER).map((entry) => entry.address),
     failureDomain: (id) => backendServer(id)?.failureDomain ?? ''
   }
 }
--- a/packages/router/src/quarantinePoll.ts
+++ b/packages/router/src/quarantinePoll.ts
@@ -5,7 +5,7 @@
 import type { Logger } from '@quinceshunt/telemetry'
 
 /** Shortest time between polls of the table, milliseconds; gossip and reports are faster. */
-const POLL_MILLISECONDS = 5000
+const POLL_MILLISECONDS = 2000
 /** Added for each row, so that a poll of rows of about 200 bytes costs at most 2 KB/s. */
 const POLL_MILLISECONDS_PER_ROW = 100
 const SCAN_LIMIT = 1000
--- a/packages/router/src/quarantineTask.ts
+++ b/packages/router/src/quarantineTask.ts
@@ -76,6 +76,15 @@
     }
   }
 
+  /** Tells routers that the instance list names and gossip has not found yet, for example after a start. */
+  async function reportToListed (records: readonly SuspectRecord[]): Promise<void> {
+    await evidence.refresh()
+    const known = new Set([identity.address, ...peers.peers().map(({ address }) => address)])
+    for (const address of evidence.routerAddresses()) {
+      if (!known.has(address)) tellPeer(address, records, REPORT_ATTEMPTS)
+    }
+  }
+
   function tellPeer (address: string, records: readonly SuspectRecord[], attempts: number): void {
     peers.client(address).reportSuspects({ suspects: [...records] }, { timeoutMs: REPORT_MILLISECONDS, signal: stopped.signal }).catch((error: unknown) => {
       if (stopped.signal.aborted) return
@@ -86,7 +95,7 @@
 
   function recordSeenCrash (crash: SeenCrash, recorded: () => void): void {
     metrics.count('backend_server_crashes_total')
-    logger.warn({ backendServer: crash.backendServer, requests: crash.fingerprints.length, step: 'record crash' }, 'a backend server crashed; its requests are suspects')
+    logger.warn({ backendServer: crash.backendServer, requests: crash.fingerprints.length, peers: peers.peers().length, step: 'record crash' }, 'a backend server crashed; its requests are suspects')
     crashes = [...crashes.filter(({ at }) => at > crash.at - 2 * BURST_MILLISECONDS), crash]
     const marks: SuspectRecord[] = []
     for (const fingerprint of new Set(crash.fingerprints)) {
@@ -97,6 +106,7 @@
     }
     learn(marks)
     report(marks)
+    if (marks.length > 0) reportToListed(marks).catch((error: unknown) => logger.warn({ err: error, step: 'report suspects' }, 'listed routers were not told'))
     const { backendServer, fingerprints, at } = crash
     run('record crash', recordCrash({ backendServer, fingerprints, at, incarnation: identity.incarnation })).then((records) => {
       if (records !== undefined) task.post({ kind: 'crashWritten', crash, records })
