Say "not run" during a store outage only when no other instance may have run it

Ruled out: always "no" (false after a crash), always "unknown" (leaves callers in doubt in most outages). Change: AskClaim asks all other instances; each remembers for an hour which processes were lost without a planned stop. An instance that knows no other one reads the instance list every second. The scenario of the store outage now waits until the routers have heard of each other, since one that knows nobody can't be certain; that case has a scenario of its own.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -27,7 +27,8 @@
 
   Scenario: The store is down when a deposit arrives
     Given a fleet of 2 routers and 1 engines
-    When the table service is out of reach
+    When the routers have heard of each other
+    And the table service is out of reach
     And a deposit is sent through "router-1"
     Then the last caller is told 503 with the code "store_unavailable" and run "no"
     And the deposit was run 0 times
@@ -36,6 +37,29 @@
     Then the last caller gets the deposit's answer
     And the deposit was run 1 times
 
+  Scenario: The store is down and a router knows of no other instance
+    Given a fleet of 1 routers and 1 engines
+    When the table service is out of reach
+    And a deposit is sent through "router-1"
+    Then the last caller is told 503 with the code "store_unavailable" and run "unknown"
+    And the deposit was run 0 times
+
+  Scenario: A router is killed after it has sent a deposit on, and the store goes down before the retry
+    Given a fleet of 3 routers and 1 engines
+    And routers with the settings:
+      """
+      {"requestDeadlineMilliseconds": 3000}
+      """
+    When the routers have heard of each other
+    And a deposit is running through "router-1", which is then killed
+    And the table service is out of reach
+    And the deposit is sent again through "router-2"
+    Then the last caller is told 503 with the code "store_unavailable" and run "unknown"
+    When "router-1" is started again
+    And the deposit is sent again through "router-1"
+    Then the last caller is told 503 with the code "store_unavailable" and run "unknown"
+    And the deposit was run 1 times
+
   Scenario: The replies to the claim's writes are lost
     Given a fleet of 2 routers and 1 engines
     When all replies of the table are lost for 600 ms while a deposit is sent through "router-1"
--- a/packages/router/src/__fixtures__/budgetFleet.ts
+++ b/packages/router/src/__fixtures__/budgetFleet.ts
@@ -130,7 +130,9 @@
       client: (address) => ({
         transferAllowance: async (request: never) => ({ transfer: await call(address, (handlers) => handlers.transferAllowance(request)) }),
         adoptLeases: (request: never) => call(address, (handlers) => handlers.adoptLeases(request))
-      }) as unknown as ReturnType<PeerDirectory['client']>
+      }) as unknown as ReturnType<PeerDirectory['client']>,
+      witnesses: () => [],
+      hasLostPeers: () => false
     }
   }
 
--- a/packages/router/src/__fixtures__/quarantineFleet.ts
+++ b/packages/router/src/__fixtures__/quarantineFleet.ts
@@ -22,7 +22,9 @@
       peers: () => [...this.#members.values()].map((member) => member.identity).filter((peer) => peer.instanceId !== instanceId),
       client: (address) => ({
         reportSuspects: async ({ suspects }: { suspects: readonly SuspectRecord[] }) => { this.#members.get(address)!.task.receiveSuspects(suspects) }
-      }) as unknown as ReturnType<PeerDirectory['client']>
+      }) as unknown as ReturnType<PeerDirectory['client']>,
+      witnesses: () => [],
+      hasLostPeers: () => false
     }
     const logger = createLogger({ name: 'test', instanceId, level: 'silent' })
     const task = createQuarantineTask({ identity, platform: this.#platform(), clock: systemClock, logger, metrics: createMetrics() }, peers)
--- a/packages/router/src/claimTask.ts
+++ b/packages/router/src/claimTask.ts
@@ -199,6 +199,7 @@
   })
 
   return {
+    mayHaveSent: (key) => sentKeys.has(key) || answers.has(key) || entries.has(key),
     claim: (request) => task.ask((reply) => ({ kind: 'claim', request, reply })),
     complete: async (handle, answer, deadline) => {
       const waited = new AbortController()
--- a/packages/router/src/peerServer.ts
+++ b/packages/router/src/peerServer.ts
@@ -14,6 +14,7 @@
   readonly configuration: ConfigurationGossip
   readonly suspects: SuspectGossip
   readonly receiveGossip: (message: GossipMessage) => GossipMessage
+  readonly answerClaim: (key: string) => { readonly maybeSent: boolean, readonly lostPeers: boolean }
   readonly status: () => StatusResponse
 }
 
@@ -35,6 +36,7 @@
           handlers.suspects.receiveSuspects(request.suspects)
           return {}
         },
+        askClaim: (request) => handlers.answerClaim(request.claimKey),
         status: () => create(StatusResponseSchema, handlers.status())
       })
     }
--- a/packages/router/src/peerTask.ts
+++ b/packages/router/src/peerTask.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf'
 import { assertNever, startTask } from '@quinceshunt/effects'
-import { GOSSIP_FANOUT, PeerTable, pickRandom } from '@quinceshunt/routing'
+import { GOSSIP_FANOUT, IncarnationMemory, PEER_FORGET_MILLISECONDS, PeerTable, pickRandom } from '@quinceshunt/routing'
 import { GossipMessageSchema, InstanceRole, type GossipMessage, type SheetHead } from '@quinceshunt/schemas'
 import { PeerError } from '@quinceshunt/telemetry'
 import { createPeerClients, PEER_CALL_MILLISECONDS } from './peerClients.js'
@@ -21,6 +21,8 @@
 const ROUND_JITTER = 0.2
 /** Shortest time between reads of the instance list, milliseconds. */
 const INSTANCE_LIST_MILLISECONDS = 5000
+/** Time between reads while no other instance is known, milliseconds: an instance that knows nobody is isolated. */
+const ALONE_LIST_MILLISECONDS = 1000
 /** Added wait for each listed instance, milliseconds; the list then costs at most 0.35 KB/s. */
 const INSTANCE_LIST_MILLISECONDS_PER_ENTRY = 300
 
@@ -42,6 +44,7 @@
   const { clock, identity, logger, metrics } = context
   const stopping = new AbortController()
   const table = new PeerTable(identity.instanceId)
+  const incarnations = new IncarnationMemory(PEER_FORGET_MILLISECONDS)
   const clients = createPeerClients(settings.peersTls)
   const pausedUntil = new Map<string, number>()
   let listed: readonly string[] = []
@@ -71,6 +74,7 @@
     const { sender, sheet } = gossip
     if (sender !== undefined) {
       table.heard(sender, now)
+      if (sender.instanceId !== identity.instanceId) incarnations.heard(sender, now)
       pausedUntil.delete(sender.address)
     }
     table.heardOf(gossip.peers, now)
@@ -108,14 +112,19 @@
     })
   }
 
-  /** Addresses to gossip with: peers heard of, and those of the settings and the instance list, which reach across a healed partition. */
-  function contacts (): readonly string[] {
-    const now = clock.now()
-    const addresses = new Set([...table.current(now).map((peer) => peer.address), ...settings.peerAddresses, ...listed])
+  /** All other instances: peers heard of, and those of the settings and the instance list. */
+  function otherAddresses (): readonly string[] {
+    const addresses = new Set([...table.current(clock.now()).map((peer) => peer.address), ...settings.peerAddresses, ...listed])
     addresses.delete(identity.address)
     addresses.delete('')
+    return [...addresses]
+  }
+
+  /** Addresses to gossip with; those of the settings and the instance list reach across a healed partition. */
+  function contacts (): readonly string[] {
+    const now = clock.now()
     for (const [address, until] of pausedUntil) if (until <= now) pausedUntil.delete(address)
-    return [...addresses].filter((address) => !pausedUntil.has(address))
+    return otherAddresses().filter((address) => !pausedUntil.has(address))
   }
 
   function startRound (): void {
@@ -164,7 +173,8 @@
       } catch (error) {
         logger.debug({ err: error, step: 'read instance list' }, 'instance list not read')
       }
-      await clock.waitUntil(clock.now() + wait, stopping.signal)
+      const alone = otherAddresses().length === 0
+      await clock.waitUntil(clock.now() + (alone ? ALONE_LIST_MILLISECONDS : wait), stopping.signal)
     }
   }
 
@@ -174,6 +184,8 @@
   return {
     peers: () => table.current(clock.now()),
     client: (address) => clients.client(address),
+    witnesses: otherAddresses,
+    hasLostPeers: () => incarnations.hasLost(clock.now()),
     connect: (configuration, backends, suspects) => { connected = { configuration, backends, suspects } },
     receiveGossip: (request) => {
       task.post({ kind: 'received', gossip: request })
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -52,6 +52,7 @@
     configuration: tasks.configuration,
     suspects: tasks.quarantine,
     receiveGossip: tasks.receiveGossip,
+    answerClaim: tasks.answerClaim,
     status: () => tasks.describe(notReadyReason() === '', callers.runningRequests())
   }, settings.peersTls)
 
--- a/packages/router/src/routerTasks.ts
+++ b/packages/router/src/routerTasks.ts
@@ -4,6 +4,7 @@
 import { createBackendTask } from './backendTask.js'
 import { createBudgetTask } from './budgetTask.js'
 import { createClaimTask } from './claimTask.js'
+import { withWitnesses } from './claimWitnesses.js'
 import { createConfigurationTask } from './configurationTask.js'
 import { createCrashReporter } from './crashReporter.js'
 import { createInFlightRegistry } from './inFlight.js'
@@ -24,6 +25,8 @@
   /** Starts to gossip; called once the peer listener has an address. */
   connectPeers (): void
   receiveGossip (message: GossipMessage): GossipMessage
+  /** Answers a peer that can't read the claim's row. */
+  answerClaim (key: string): { readonly maybeSent: boolean, readonly lostPeers: boolean }
   /** State for operators and the administration process. */
   describe (ready: boolean, runningRequests: number): StatusResponse
   /** Writes or hands over what is unfinished, then stops all tasks; resolves with what neither took. */
@@ -38,7 +41,8 @@
   const quarantine = createQuarantineTask(context, peers)
   const backends = createBackendTask(context, settings.routing!, configuration)
   const budgets = createBudgetTask(context, settings.budget!, peers, configuration)
-  const claims = createClaimTask(context)
+  const claimTask = createClaimTask(context)
+  const claims = withWitnesses(claimTask, peers)
   const orders = createOrderTask(context, peers, configuration)
   const inFlight = createInFlightRegistry()
   const services: RouterServices = {
@@ -66,6 +70,7 @@
       isolation.heard()
       return peers.receiveGossip(message)
     },
+    answerClaim: (key) => ({ maybeSent: claimTask.mayHaveSent(key), lostPeers: peers.hasLostPeers() }),
     describe: (ready, runningRequests) => create(StatusResponseSchema, {
       identity,
       sheetRevision: configuration.current()?.revision ?? 0n,
--- a/packages/router/src/taskContracts.ts
+++ b/packages/router/src/taskContracts.ts
@@ -21,6 +21,10 @@
   peers (): readonly PeerIdentity[]
   /** Client for one peer's address; calls carry a deadline of at most `timeoutMs` given with each call. */
   client (address: string): Client<typeof PeerService>
+  /** Addresses of all other instances, whether heard of, listed by the platform or named in the settings. */
+  witnesses (): readonly string[]
+  /** True when an instance was lost within the last hour without a planned stop. */
+  hasLostPeers (): boolean
 }
 
 /** Budget task's answers to peers. */
@@ -64,7 +68,10 @@
 /** createBudgetTask in budgetTask.ts */
 export type CreateBudgetTask = (context: TaskContext, settings: BudgetSettings, peers: PeerDirectory, configuration: ConfigurationService) => BudgetService & BudgetPeerHandlers
 /** createClaimTask in claimTask.ts */
-export type CreateClaimTask = (context: TaskContext) => ClaimService
+export type CreateClaimTask = (context: TaskContext) => ClaimService & {
+  /** Whether this instance may have sent the request of a claim row's key. */
+  mayHaveSent (key: string): boolean
+}
 /** createQuarantineTask in quarantineTask.ts */
 export type CreateQuarantineTask = (context: TaskContext, peers: PeerDirectory) => QuarantineService & SuspectGossip & Stoppable
 /** createBackendTask in backendTask.ts */
--- a/packages/scenarios/src/steps/requestsSteps.ts
+++ b/packages/scenarios/src/steps/requestsSteps.ts
@@ -14,6 +14,8 @@
 const DEPOSIT_MILLISECONDS = 800
 /** Time for a request to reach its backend server. */
 const ARRIVAL_MILLISECONDS = 3000
+/** Two reads of a lagging instance list, and a round of gossip. */
+const HEARD_MILLISECONDS = 15_000
 /** Streams that are still running when an engine is killed. */
 const STREAM_TOKENS = 300
 
@@ -61,6 +63,23 @@
   assert.equal((await sent).status, 0)
 })
 
+When('the routers have heard of each other', async function (this: FleetWorld) {
+  const { routers } = await this.fleet()
+  for (const router of routers) {
+    await eventually(HEARD_MILLISECONDS, async () => {
+      const response = await fetch(`${router.address('peers')}/quinceshunt.v1.PeerService/Status`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: '{}' })
+      const { peers = [] } = await response.json() as { peers?: unknown[] }
+      return peers.length === routers.length - 1 ? undefined : `${router.id} knows ${peers.length} peers`
+    })
+  }
+})
+
+When('{string} is started again', async function (this: FleetWorld, router: string) {
+  const fleet = await this.fleet()
+  await fleet.member(router).restart()
+  await fleet.waitUntilReady([fleet.member(router)])
+})
+
 When('the table service is out of reach', async function (this: FleetWorld) {
   await (await this.fleet()).platform.setFault({ kind: 'down', service: 'table' })
 })
