Check for suspects again before dispatch, try further trial candidates, count quick second crashes

Ruled out: longer deduplication windows, which hide more crashes; requests carry the time at which their attempt began instead. Change: a second admission after the slot; further candidates for a trial; crashReporter compares the attempt's start with the last examination.

--- a/packages/router/src/__tests__/requestPath.test.ts
+++ b/packages/router/src/__tests__/requestPath.test.ts
@@ -122,6 +122,23 @@
     check(({ attempts }) => expect(attempts.slice(0, -1).filter(mayHaveRun)).toEqual([]), { idempotent: false })
   })
 
+  // Guards against running content outside a trial after it has become suspect while the request waited in a queue.
+  test('runs outside a trial only what was admitted after its slot came free', () => {
+    check(({ commands }, script) => {
+      let admissions = 0
+      let admittedSinceSlot = false
+      let trial = false
+      for (const command of commands) {
+        if (command.kind === 'admit') admittedSinceSlot = script.admissions[admissions++] === 'admitted'
+        if (command.kind === 'acquire') {
+          admittedSinceSlot = false
+          trial = command.trial
+        }
+        if (command.kind === 'attempt' && command.resumeOffset === undefined) expect(trial || admittedSinceSlot).toBe(true)
+      }
+    })
+  })
+
   // Guards against leaked slots on backend servers.
   test('releases every slot once', () => {
     check((trace, script) => {
--- a/packages/router/src/crashReporter.ts
+++ b/packages/router/src/crashReporter.ts
@@ -2,13 +2,16 @@
 import type { InFlightRegistry } from './inFlight.js'
 import type { BackendService, QuarantineService } from './services.js'
 
-/** Broken connections within this time belong to the same crash of a backend server. */
+/** Connections that a crash has broken are noticed within this time. */
 const SAME_CRASH_MILLISECONDS = 2000
 
 /** Finds out whether a broken connection was a crash, and records each crash once for all requests that it hit. */
 export interface CrashReporter {
-  /** Resolves true when the backend server crashed; the requests in flight there are then recorded as suspects. */
-  examine (backendServer: string): Promise<boolean>
+  /**
+   * Resolves true when the backend server crashed; the requests in flight there are then recorded as suspects.
+   * `attemptStartedAt` (Unix milliseconds) tells a request that the last crash has hit from one sent after it.
+   */
+  examine (backendServer: string, attemptStartedAt: number): Promise<boolean>
 }
 
 /** Creates the crash reporter of a router. */
@@ -24,9 +27,10 @@
   }
 
   return {
-    examine: (backendServer) => {
+    examine: (backendServer, attemptStartedAt) => {
       const known = examinations.get(backendServer)
-      if (known !== undefined && clock.now() - known.startedAt < SAME_CRASH_MILLISECONDS) return known.result
+      const isSameCrash = known !== undefined && attemptStartedAt <= known.startedAt && clock.now() - known.startedAt < SAME_CRASH_MILLISECONDS
+      if (isSameCrash) return known.result
       const result = confirmAndRecord(backendServer)
       examinations.set(backendServer, { startedAt: clock.now(), result })
       return result
--- a/packages/router/src/engineAttempt.ts
+++ b/packages/router/src/engineAttempt.ts
@@ -37,16 +37,21 @@
   readonly onToken: () => void
 }
 
+interface EngineAttempt extends EngineExchange {
+  /** Unix milliseconds. */
+  readonly attemptStartedAt: number
+}
+
 /** Makes attempts of one chat request; a resumed attempt keeps the ID of the one that broke off. */
 export function createEngineAttempts (chat: EngineExchange): (command: AttemptCommand<EngineAnswer>, attemptNumber: number) => Promise<AttemptResult<EngineAnswer>> {
   let attemptId = ''
   return async (command, attemptNumber) => {
     if (command.resumeOffset === undefined) attemptId = newAttemptId(chat.requestId, attemptNumber)
-    return await runAttempt(chat, command, attemptId)
+    return await runAttempt({ ...chat, attemptStartedAt: chat.services.clock.now() }, command, attemptId)
   }
 }
 
-async function runAttempt (chat: EngineExchange, command: AttemptCommand<EngineAnswer>, attemptId: string): Promise<AttemptResult<EngineAnswer>> {
+async function runAttempt (chat: EngineAttempt, command: AttemptCommand<EngineAnswer>, attemptId: string): Promise<AttemptResult<EngineAnswer>> {
   const { services, exchange } = chat
   const server = command.slot.backendServer
   const span = startSpan('engine request', SpanKind.CLIENT, exchange.traceContext, { 'peer.id': server.id, 'request.id': chat.requestId })
@@ -78,7 +83,7 @@
   }
 }
 
-async function endWithoutAnswer (chat: EngineExchange, slot: Slot, attemptId: string, response: Exclude<BackendResponse, { readonly kind: 'answering' }>): Promise<AttemptResult<EngineAnswer>> {
+async function endWithoutAnswer (chat: EngineAttempt, slot: Slot, attemptId: string, response: Exclude<BackendResponse, { readonly kind: 'answering' }>): Promise<AttemptResult<EngineAnswer>> {
   switch (response.kind) {
     case 'notSent':
       // Only its health is of interest: a request that was not sent cannot have caused a crash.
@@ -92,7 +97,7 @@
 
 type Answering = Extract<BackendResponse, { readonly kind: 'answering' }>
 
-async function readAnswer (chat: EngineExchange, command: AttemptCommand<EngineAnswer>, attemptId: string, response: Answering): Promise<AttemptResult<EngineAnswer>> {
+async function readAnswer (chat: EngineAttempt, command: AttemptCommand<EngineAnswer>, attemptId: string, response: Answering): Promise<AttemptResult<EngineAnswer>> {
   if (response.status !== 200) return await readRefusal(chat, command, attemptId, response)
   const answered = response.headers['x-request-id']
   if (answered !== undefined && answered !== attemptId) {
@@ -102,7 +107,7 @@
   return chat.streamed ? await readStream(chat, command.slot, attemptId, response) : await readWhole(chat, command.slot, attemptId, response)
 }
 
-async function readRefusal (chat: EngineExchange, command: AttemptCommand<EngineAnswer>, attemptId: string, response: Answering): Promise<AttemptResult<EngineAnswer>> {
+async function readRefusal (chat: EngineAttempt, command: AttemptCommand<EngineAnswer>, attemptId: string, response: Answering): Promise<AttemptResult<EngineAnswer>> {
   const { status } = response
   const body = await readBody(response.message, ANSWER_LIMIT_BYTES, chat.exchange.deadline)
   // The engine no longer holds the stream, so the rest of it can't be had.
@@ -114,7 +119,7 @@
   return { kind: 'rejected', error: { status: status === 401 || status === 403 ? 502 : status, code: 'backend_rejected', message, run: 'no' }, charge: undefined }
 }
 
-async function readStream (chat: EngineExchange, slot: Slot, attemptId: string, response: Answering): Promise<AttemptResult<EngineAnswer>> {
+async function readStream (chat: EngineAttempt, slot: Slot, attemptId: string, response: Answering): Promise<AttemptResult<EngineAnswer>> {
   const { services, exchange } = chat
   if (!exchange.response.headersSent) {
     exchange.response.statusCode = 200
@@ -137,7 +142,7 @@
   return await endStream(chat, slot, attemptId, outcome)
 }
 
-async function endStream (chat: EngineExchange, slot: Slot, attemptId: string, outcome: StreamOutcome): Promise<AttemptResult<EngineAnswer>> {
+async function endStream (chat: EngineAttempt, slot: Slot, attemptId: string, outcome: StreamOutcome): Promise<AttemptResult<EngineAnswer>> {
   const bytesReceived = chat.progress.contentTokens
   switch (outcome.kind) {
     case 'complete': return { kind: 'answered', answer: { kind: 'streamed' }, charge: chargeOf(chat, outcome.usage) }
@@ -149,7 +154,7 @@
   }
 }
 
-async function readWhole (chat: EngineExchange, slot: Slot, attemptId: string, response: Answering): Promise<AttemptResult<EngineAnswer>> {
+async function readWhole (chat: EngineAttempt, slot: Slot, attemptId: string, response: Answering): Promise<AttemptResult<EngineAnswer>> {
   const body = await readBody(response.message, ANSWER_LIMIT_BYTES, chat.exchange.deadline, chat.exchange.signal)
   if (chat.exchange.signal.aborted) return { kind: 'callerGone', charge: await cancel(chat, slot, attemptId) }
   switch (body.kind) {
@@ -165,15 +170,15 @@
   return { kind: 'answered', answer: { kind: 'whole', json: text.replace(attemptId, chat.requestId) }, charge: chargeOf(chat, completion.usage) }
 }
 
-async function dropMismatch (chat: EngineExchange, slot: Slot, attemptId: string, received: string): Promise<AttemptResult<EngineAnswer>> {
+async function dropMismatch (chat: EngineAttempt, slot: Slot, attemptId: string, received: string): Promise<AttemptResult<EngineAnswer>> {
   chat.services.metrics.count('answers_dropped_total', { reason: 'wrong_request_id' })
   chat.services.logger.error({ requestId: chat.requestId, step: 'read answer', peer: slot.backendServer.id, received }, 'dropped an answer that carries the ID of another request')
   return failure(chat, { kind: 'wrongRequestId' }, await cancel(chat, slot, attemptId))
 }
 
 /** Tells a crash of the backend server from a broken connection; a live engine is asked what was used. */
-async function examineBreak (chat: EngineExchange, slot: Slot, attemptId: string, outcome: AttemptOutcome): Promise<AttemptResult<EngineAnswer>> {
-  if (await chat.services.crashes.examine(slot.backendServer.id)) {
+async function examineBreak (chat: EngineAttempt, slot: Slot, attemptId: string, outcome: AttemptOutcome): Promise<AttemptResult<EngineAnswer>> {
+  if (await chat.services.crashes.examine(slot.backendServer.id, chat.attemptStartedAt)) {
     return failure(chat, { kind: 'crashed', bytesReceived: chat.progress.contentTokens }, estimated(chat))
   }
   // A stream that may be resumed must not be cancelled; if it is given up, the ceiling is charged.
@@ -182,7 +187,7 @@
 }
 
 /** Cancels an attempt; the engine answers with what was used. Without an answer the ceiling is charged. */
-async function cancel (chat: EngineExchange, slot: Slot, attemptId: string): Promise<Charge> {
+async function cancel (chat: EngineAttempt, slot: Slot, attemptId: string): Promise<Charge> {
   const deadline = chat.services.clock.now() + CANCEL_MILLISECONDS
   const response = await sendBackendRequest({
     address: slot.backendServer.address,
@@ -200,17 +205,17 @@
   return chargeOf(chat, cancelled?.usage)
 }
 
-function failure (chat: EngineExchange, outcome: AttemptOutcome, charge: Charge | undefined): AttemptResult<EngineAnswer> {
+function failure (chat: EngineAttempt, outcome: AttemptOutcome, charge: Charge | undefined): AttemptResult<EngineAnswer> {
   const unitsSentToCaller = chat.progress.begun ? Math.max(1, chat.progress.contentTokens) : 0
   return { kind: 'failed', outcome, unitsSentToCaller, charge }
 }
 
-function chargeOf (chat: EngineExchange, usage: Usage | undefined): Charge {
+function chargeOf (chat: EngineAttempt, usage: Usage | undefined): Charge {
   if (usage === undefined) return estimated(chat)
   return { promptTokens: usage.prompt_tokens, completionTokens: usage.completion_tokens, estimated: false }
 }
 
-function estimated (chat: EngineExchange): Charge {
+function estimated (chat: EngineAttempt): Charge {
   return { promptTokens: 0, completionTokens: chat.ceilingTokens, estimated: true }
 }
 
--- a/packages/router/src/plainAttempt.ts
+++ b/packages/router/src/plainAttempt.ts
@@ -31,8 +31,14 @@
   readonly signal: AbortSignal
 }
 
+interface PlainAttempt extends PlainExchange {
+  /** Unix milliseconds. */
+  readonly attemptStartedAt: number
+}
+
 /** Makes one attempt at a plain service. */
-export async function attemptPlainCall (call: PlainExchange, command: AttemptCommand<PlainAnswer>, attemptNumber: number): Promise<AttemptResult<PlainAnswer>> {
+export async function attemptPlainCall (exchangeOfCall: PlainExchange, command: AttemptCommand<PlainAnswer>, attemptNumber: number): Promise<AttemptResult<PlainAnswer>> {
+  const call: PlainAttempt = { ...exchangeOfCall, attemptStartedAt: exchangeOfCall.services.clock.now() }
   const { services, exchange } = call
   const server = command.slot.backendServer
   const span = startSpan('service request', SpanKind.CLIENT, exchange.traceContext, { 'peer.id': server.id, 'request.id': call.requestId })
@@ -71,7 +77,7 @@
   return headers
 }
 
-async function endWithoutAnswer (call: PlainExchange, backendServer: string, response: Exclude<BackendResponse, { readonly kind: 'answering' }>): Promise<AttemptResult<PlainAnswer>> {
+async function endWithoutAnswer (call: PlainAttempt, backendServer: string, response: Exclude<BackendResponse, { readonly kind: 'answering' }>): Promise<AttemptResult<PlainAnswer>> {
   switch (response.kind) {
     case 'notSent':
       call.services.backends.confirmCrash(backendServer)
@@ -82,7 +88,7 @@
   }
 }
 
-async function readAnswer (call: PlainExchange, backendServer: string, attemptId: string, response: Extract<BackendResponse, { readonly kind: 'answering' }>): Promise<AttemptResult<PlainAnswer>> {
+async function readAnswer (call: PlainAttempt, backendServer: string, attemptId: string, response: Extract<BackendResponse, { readonly kind: 'answering' }>): Promise<AttemptResult<PlainAnswer>> {
   const answered = response.headers['x-request-id']
   if (answered !== undefined && answered !== attemptId) {
     response.message.destroy()
@@ -101,8 +107,8 @@
   }
 }
 
-async function examineBreak (call: PlainExchange, backendServer: string, outcome: AttemptOutcome): Promise<AttemptResult<PlainAnswer>> {
-  const crashed = await call.services.crashes.examine(backendServer)
+async function examineBreak (call: PlainAttempt, backendServer: string, outcome: AttemptOutcome): Promise<AttemptResult<PlainAnswer>> {
+  const crashed = await call.services.crashes.examine(backendServer, call.attemptStartedAt)
   return failure(crashed ? { kind: 'crashed', bytesReceived: 0 } : outcome, priceOf(call))
 }
 
--- a/packages/router/src/requestPath.ts
+++ b/packages/router/src/requestPath.ts
@@ -93,6 +93,16 @@
       const { status, code, message, retryAt } = acquired
       return { result: failed({ status, code, message, run, retryAt }), charge }
     }
+    if (!trial) {
+      // The content may have crashed a backend server elsewhere while this request waited in a queue.
+      const standing = yield * perform<AdmitCommand>({ kind: 'admit' })
+      if (standing.kind !== 'admitted') {
+        yield * perform<ReleaseSlotCommand>({ kind: 'releaseSlot', slot: acquired.slot, result: 'unused', trial })
+        if (standing.kind === 'quarantined') return { result: failed(quarantinedError(run)), charge }
+        trial = true
+        continue
+      }
+    }
     let resumeOffset: number | undefined
     for (;;) {
       const attempt: AttemptResult<Answer> = yield * perform<AttemptCommand<Answer>>({ kind: 'attempt', slot: acquired.slot, resumeOffset })
--- a/packages/router/src/requestRunner.ts
+++ b/packages/router/src/requestRunner.ts
@@ -105,12 +105,18 @@
     services.metrics.record('queueing', services.clock.now() - queuedAt)
     return outcome
   }
-  const candidates = services.backends.candidates(request.target, caller.account.id).map((server) => server.id).filter((id) => !command.excluded.has(id))
-  const chosen = await services.quarantine.startTrial(request.fingerprint, candidates, deadline)
-  if (chosen === undefined) return undefined
-  const outcome = await services.backends.acquire({ ...base, only: chosen })
-  if (outcome.kind === 'shed') services.quarantine.abandonTrial(request.fingerprint, chosen)
-  return outcome
+  const unavailable = new Set(command.excluded)
+  for (;;) {
+    const candidates = services.backends.candidates(request.target, caller.account.id).map((server) => server.id).filter((id) => !unavailable.has(id))
+    if (candidates.length === 0) return undefined
+    const chosen = await services.quarantine.startTrial(request.fingerprint, candidates, deadline)
+    if (chosen === undefined) return undefined
+    const outcome = await services.backends.acquire({ ...base, only: chosen })
+    if (outcome.kind === 'slot') return outcome
+    // A candidate may have gone since it was listed, for example in a crash that another router saw.
+    services.quarantine.abandonTrial(request.fingerprint, chosen)
+    unavailable.add(chosen)
+  }
 }
 
 function releaseSlot (services: RouterServices, fingerprint: string, command: ReleaseSlotCommand): void {
