Gossip at once when an instance is heard for the first time

A real fault of the rarer rounds: an instance that does not know another can't ask it for allowance. Ruled out: a longer bound, and more names in each message, which costs bytes in all of them. Change: a process heard for the first time is news and starts three rounds.

--- a/packages/router/src/peerTask.ts
+++ b/packages/router/src/peerTask.ts
@@ -9,7 +9,7 @@
 /** Time for which a peer that didn't answer is left out of gossip rounds, milliseconds. */
 const FAILED_PEER_PAUSE_MILLISECONDS = 3000
 const DEFAULT_GOSSIP_MILLISECONDS = 2000
-/** News (a sheet head, a leaving mark, this instance's own leaving) starts this many rounds at once, so that regular rounds can be rare. */
+/** News (a sheet head, a leaving mark, an instance heard for the first time, this instance's own leaving) starts this many rounds at once, so that regular rounds can be rare. */
 const NEWS_ROUNDS = 3
 /** Time between looks for news, and between the rounds that it starts, milliseconds. */
 const NEWS_MILLISECONDS = 100
@@ -140,7 +140,7 @@
 
   /** Changes with all that other instances should learn at once. Suspects are told by calls of their own. */
   function describeNews (): string {
-    return `${connected?.configuration.head()?.revision ?? 0n} ${connected?.backends.learnedMarks() ?? 0} ${identity.leaving}`
+    return `${connected?.configuration.head()?.revision ?? 0n} ${connected?.backends.learnedMarks() ?? 0} ${incarnations.learned} ${identity.leaving}`
   }
 
   async function repeatRounds (): Promise<void> {
--- a/packages/routing/src/incarnationMemory.ts
+++ b/packages/routing/src/incarnationMemory.ts
@@ -14,16 +14,25 @@
   readonly #known = new Map<string, KnownIncarnation>()
   readonly #latest = new Map<string, string>()
   readonly #silentAfterMilliseconds: number
+  #learned = 0
 
   constructor (silentAfterMilliseconds: number) {
     this.#silentAfterMilliseconds = silentAfterMilliseconds
   }
 
+  /** Grows with each process heard for the first time. */
+  get learned (): number {
+    return this.#learned
+  }
+
   /** Records a message from a process itself. */
   heard ({ instanceId, incarnation, leaving }: PeerIdentity, now: number): void {
     const known = this.#known.get(incarnation)
     // A late message of a replaced process must not make it the latest again.
-    if (known === undefined) this.#latest.set(instanceId, incarnation)
+    if (known === undefined) {
+      this.#latest.set(instanceId, incarnation)
+      this.#learned++
+    }
     this.#known.set(incarnation, { instanceId, heardAt: now, leaving: leaving || known?.leaving === true })
     for (const [name, entry] of this.#known) {
       if (entry.heardAt + INCARNATION_MEMORY_MILLISECONDS <= now) this.#known.delete(name)
