Keep decisions over the table with its port

Cause: the commands of table decisions stood in the budget package, so that orders, administration and scenarios depended on budgets for reading rows.

--- a/packages/administration/src/handlers/budgetHandlers.ts
+++ b/packages/administration/src/handlers/budgetHandlers.ts
@@ -1,5 +1,6 @@
 import { Code, ConnectError, type ServiceImpl } from '@connectrpc/connect'
-import { budgetKeys, resolveLease, runTableDecision, summariseBudget, topUpBudget, type BudgetSummary, type ResolveOutcome } from '@quinceshunt/budget'
+import { runTableDecision } from '@quinceshunt/platform'
+import { budgetKeys, resolveLease, summariseBudget, topUpBudget, type BudgetSummary, type ResolveOutcome } from '@quinceshunt/budget'
 import { assertNever } from '@quinceshunt/effects'
 import { ResolveKind, TopUpBudgetResponseSchema, type AdministrationService, type SheetBudget } from '@quinceshunt/schemas'
 import { LARGEST_TOP_UP_TOKENS } from '@quinceshunt/sheet'
--- a/packages/administration/src/handlers/orderHandlers.ts
+++ b/packages/administration/src/handlers/orderHandlers.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf'
+import { runTableDecision, scanRows } from '@quinceshunt/platform'
 import { Code, ConnectError, type ServiceImpl } from '@connectrpc/connect'
-import { runTableDecision, scanRows } from '@quinceshunt/budget'
 import { decodeOrder, ORDER_PREFIX, requestOrder, type OrderKind } from '@quinceshunt/orders'
 import { EngineOrderKind, OrderRecordSchema, type AdministrationService } from '@quinceshunt/schemas'
 import { authorOf, type AdministrationContext } from '../administrationContext.js'
--- a/packages/budget/src/__fixtures__/lossyTable.ts
+++ b/packages/budget/src/__fixtures__/lossyTable.ts
@@ -1,10 +1,9 @@
 import { create } from '@bufbuild/protobuf'
-import { MemoryTable, type TableStore } from '@quinceshunt/platform'
+import { MemoryTable, runTableDecision, type TableDecision, type TableStore } from '@quinceshunt/platform'
 import { BillRecordSchema, TransferRecordSchema, type TransferRecord } from '@quinceshunt/schemas'
 import { billBatchCodec, billCodec } from '../budgetRecords.js'
 import { emptyLease, type UnsentCharge } from '../leaseLedger.js'
 import { drawAllowance, type LeaseInput } from '../moveTokens.js'
-import { runTableDecision, type TableDecision } from '../tableCommands.js'
 import { topUpBudget } from '../topUpBudget.js'
 
 /** A table in memory that loses the replies to the next `lostReplies` transactions that take effect. */
--- a/packages/budget/src/closeLease.ts
+++ b/packages/budget/src/closeLease.ts
@@ -1,11 +1,10 @@
-import type { Row } from '@quinceshunt/platform'
+import { readRows, type Row, type TableDecision, transact } from '@quinceshunt/platform'
 import type { TransferRecord } from '@quinceshunt/schemas'
 import { budgetKeys } from './budgetKeys.js'
 import { absent, budgetCodec, leaseCodec, outstandingOf, put, remove, transferCodec, unchanged } from './budgetRecords.js'
 import { leaseBaseOf, type UnsentCharge } from './leaseLedger.js'
 import { recordedTransfersFrom } from './resolveLease.js'
 import { buildBills } from './settleLeases.js'
-import { readRows, transact, type TableDecision } from './tableCommands.js'
 
 /** A lease to be closed by its holder or by the instance that adopted it. */
 export interface LeaseClosing {
--- a/packages/budget/src/moveTokens.ts
+++ b/packages/budget/src/moveTokens.ts
@@ -1,8 +1,7 @@
-import type { Row } from '@quinceshunt/platform'
+import { readRows, type Row, type TableDecision, transact } from '@quinceshunt/platform'
 import { budgetKeys } from './budgetKeys.js'
 import { budgetCodec, leaseCodec, outstandingOf, put, undrawnOf, unchanged, type BudgetTotals } from './budgetRecords.js'
 import { leaseBaseOf, type LeaseBase } from './leaseLedger.js'
-import { readRows, transact, type TableDecision } from './tableCommands.js'
 
 /** The lease that a transaction changes, as its holder knows it. */
 export interface LeaseInput {
--- a/packages/budget/src/resolveLease.ts
+++ b/packages/budget/src/resolveLease.ts
@@ -1,8 +1,7 @@
 import { assertNever } from '@quinceshunt/effects'
-import type { RowWrite } from '@quinceshunt/platform'
+import { readRows, type RowWrite, scanRows, type TableDecision, transact } from '@quinceshunt/platform'
 import { budgetKeys } from './budgetKeys.js'
 import { absent, budgetCodec, leaseCodec, outstandingOf, put, transferCodec, unchanged, type BudgetTotals, type LeaseFields } from './budgetRecords.js'
-import { readRows, scanRows, transact, type TableDecision } from './tableCommands.js'
 
 /** An operator's decision on tokens withheld by an expired lease. */
 export interface LeaseResolution {
--- a/packages/budget/src/settleLeases.ts
+++ b/packages/budget/src/settleLeases.ts
@@ -1,9 +1,8 @@
-import type { Row, RowCheck, RowWrite } from '@quinceshunt/platform'
+import { type Row, type RowCheck, type RowWrite, type TableDecision, transact } from '@quinceshunt/platform'
 import type { BillRecord, TransferRecord } from '@quinceshunt/schemas'
 import { budgetKeys } from './budgetKeys.js'
 import { absent, billBatchCodec, billCodec, leaseCodec, outstandingOf, put, transferCodec, type LeaseFields } from './budgetRecords.js'
 import { leaseBaseOf, type LeaseBase, type UnsentCharge } from './leaseLedger.js'
-import { transact, type TableDecision } from './tableCommands.js'
 
 /** One lease of a settlement. */
 export interface SettlementLease {
--- a/packages/budget/src/summariseBudget.ts
+++ b/packages/budget/src/summariseBudget.ts
@@ -1,6 +1,6 @@
 import { budgetKeys } from './budgetKeys.js'
+import { readRows, scanRows, type TableDecision } from '@quinceshunt/platform'
 import { budgetCodec, leaseCodec, outstandingOf, transferCodec, undrawnOf, type BudgetTotals, type LeaseFields } from './budgetRecords.js'
-import { readRows, scanRows, type TableDecision } from './tableCommands.js'
 
 /** One lease as operators see it. */
 export interface LeaseSummary {
--- a/packages/budget/src/topUpBudget.ts
+++ b/packages/budget/src/topUpBudget.ts
@@ -1,8 +1,7 @@
-import type { RowWrite } from '@quinceshunt/platform'
+import { readRows, type RowWrite, type TableDecision, transact } from '@quinceshunt/platform'
 import type { TopUpRecord } from '@quinceshunt/schemas'
 import { budgetKeys } from './budgetKeys.js'
 import { absent, budgetCodec, put, topUpCodec, unchanged, type BudgetTotals } from './budgetRecords.js'
-import { readRows, transact, type TableDecision } from './tableCommands.js'
 
 /** A top-up to be added once. */
 export interface TopUp {
--- a/packages/orders/src/__tests__/carryOutOrder.test.ts
+++ b/packages/orders/src/__tests__/carryOutOrder.test.ts
@@ -1,6 +1,5 @@
 import { describe, expect, test } from '@jest/globals'
-import { runTableDecision } from '@quinceshunt/budget'
-import { createMemoryPlatform, type TableStore } from '@quinceshunt/platform'
+import { createMemoryPlatform, runTableDecision, type TableStore } from '@quinceshunt/platform'
 import fc from 'fast-check'
 import { carryOutOrder, type EngineOrder, type OrderCommand } from '../carryOutOrder.js'
 import { decodeOrder, orderKey } from '../orderRecords.js'
--- a/packages/orders/src/carryOutOrder.ts
+++ b/packages/orders/src/carryOutOrder.ts
@@ -1,6 +1,6 @@
 import { perform, type Command, type Decision } from '@quinceshunt/effects'
+import { readRows, type TableCommand, transact } from '@quinceshunt/platform'
 import { fromBinary, create } from '@bufbuild/protobuf'
-import { readRows, transact, type TableCommand } from '@quinceshunt/budget'
 import { OrderRecordSchema, OrderState } from '@quinceshunt/schemas'
 import { encodeOrder, fenceKey, type OrderFields, type OrderKind, type OrderRow } from './orderRecords.js'
 
--- a/packages/orders/src/requestOrder.ts
+++ b/packages/orders/src/requestOrder.ts
@@ -1,7 +1,6 @@
 import { create, fromBinary } from '@bufbuild/protobuf'
-import { readRows, transact, type TableDecision } from '@quinceshunt/budget'
 import { OrderRecordSchema, OrderState } from '@quinceshunt/schemas'
-import type { RowWrite } from '@quinceshunt/platform'
+import { readRows, type RowWrite, type TableDecision, transact } from '@quinceshunt/platform'
 import { encodeOrder, orderKey, type OrderFields, type OrderKind } from './orderRecords.js'
 
 /** An operator's order. */
--- a/packages/platform/src/tableDecision.ts
+++ b/packages/platform/src/tableDecision.ts
@@ -1,5 +1,5 @@
 import { assertNever, perform, runDecision, type Command, type Decision } from '@quinceshunt/effects'
-import type { Row, RowCheck, RowWrite, TableStore, TransactOutcome } from '@quinceshunt/platform'
+import type { Row, RowCheck, RowWrite, TableStore, TransactOutcome } from './ports.js'
 
 /** Reads rows in the order of the keys. */
 export interface ReadCommand extends Command<'read', readonly Row[]> { readonly keys: readonly string[] }
@@ -13,7 +13,7 @@
   readonly checks: readonly RowCheck[]
   readonly writes: readonly RowWrite[]
 }
-/** What budget decisions ask of the table service. */
+/** What decisions ask of the table service. */
 export type TableCommand = ReadCommand | ScanCommand | TransactCommand
 
 /** A decision over the table service. */
--- a/packages/router/src/budgetTable.ts
+++ b/packages/router/src/budgetTable.ts
@@ -1,5 +1,5 @@
-import { runTableDecision, type TableDecision } from '@quinceshunt/budget'
 import type { TaskContext } from './taskContracts.js'
+import { runTableDecision, type TableDecision } from '@quinceshunt/platform'
 
 /** Purposes by which table transactions are counted. */
 export type TablePurpose = 'draw' | 'return' | 'settle' | 'close' | 'topUp' | 'summarise'
--- a/packages/scenarios/src/steps/budgetSteps.ts
+++ b/packages/scenarios/src/steps/budgetSteps.ts
@@ -1,5 +1,6 @@
 import { Then, When } from '@cucumber/cucumber'
-import { budgetCodec, budgetKeys, put, resolveLease, runTableDecision, summariseBudget, topUpBudget, type BudgetSummary } from '@quinceshunt/budget'
+import { runTableDecision } from '@quinceshunt/platform'
+import { budgetCodec, budgetKeys, put, resolveLease, summariseBudget, topUpBudget, type BudgetSummary } from '@quinceshunt/budget'
 import assert from 'node:assert/strict'
 import { randomUUID } from 'node:crypto'
 import { billedTokens, findAnswerFault, promptOf } from '../callers/checkAnswer.js'
--- a/packages/scenarios/src/steps/operationSteps.ts
+++ b/packages/scenarios/src/steps/operationSteps.ts
@@ -1,6 +1,6 @@
 import { Given, Then, When } from '@cucumber/cucumber'
+import { runTableDecision } from '@quinceshunt/platform'
 import { orderKey, requestOrder } from '@quinceshunt/orders'
-import { runTableDecision } from '@quinceshunt/budget'
 import { strict as assert } from 'node:assert'
 import { spawnSync } from 'node:child_process'
 import { mkdtempSync, writeFileSync } from 'node:fs'
