Hide secret settings in messages about them

Cause: a fleet key that is too short was printed whole when a router refused to start. Change: rules can mark a key as secret; its value is not shown.

--- a/packages/router/src/options.ts
+++ b/packages/router/src/options.ts
@@ -23,7 +23,7 @@
   { kind: 'pattern', key: 'advertisedPeerAddress', pattern: ADDRESS_PATTERN, allowed: 'expected http://IP:PORT or https://IP:PORT', optional: true },
   { kind: 'pattern', key: 'log.level', pattern: /^(trace|debug|info|warn|error)$/, allowed: 'expected trace, debug, info, warn or error', optional: true },
   { kind: 'range', key: 'trace.sampleRatio', minimum: 0, maximum: 1, fallback: 1 },
-  { kind: 'pattern', key: 'fleetKey', pattern: /^.{16,}$/, allowed: 'expected at least 16 characters, the same for the whole fleet' },
+  { kind: 'pattern', key: 'fleetKey', pattern: /^.{16,}$/, allowed: 'expected at least 16 characters, the same for the whole fleet', secret: true },
   { kind: 'range', key: 'requestDeadlineMilliseconds', minimum: 100, maximum: 3_600_000, fallback: 120_000 },
   { kind: 'range', key: 'bodyLimitBytes', minimum: 1024, maximum: 67_108_864, fallback: 4_194_304 },
   { kind: 'range', key: 'stopDeadlineMilliseconds', minimum: 100, maximum: 600_000, fallback: 20_000 },
--- a/packages/settings/src/__tests__/loadSettings.test.ts
+++ b/packages/settings/src/__tests__/loadSettings.test.ts
@@ -5,6 +5,7 @@
 const rules: SettingsRule[] = [
   { kind: 'required', key: 'instanceId' },
   { kind: 'range', key: 'callers.port', minimum: 0, maximum: 65535, fallback: 0 },
+  { kind: 'pattern', key: 'fleetKey', pattern: /^.{16,}$/, allowed: 'expected at least 16 characters', optional: true, secret: true },
   { kind: 'range', key: 'retryShare', minimum: 0, maximum: 1, fallback: 0.1 }
 ]
 
@@ -33,6 +34,11 @@
     expect(() => parse(text)).toThrow(message)
   })
 
+  // Guards against a key that ends up in logs of failed starts.
+  test('does not show a secret value', () => {
+    expect(() => parse('instanceId: a\nfleetKey: short-secret\n')).toThrow(/fleetKey: its secret value is not allowed; expected at least 16/)
+  })
+
   // Guards against reporting only the first of several problems.
   test('reports all problems at once', () => {
     expect(() => parse('instanceId: a\nretryShare: 3\ncallers: {port: 70000}\n')).toThrow(/callers\.port[^]*retryShare/)
--- a/packages/settings/src/loadSettings.ts
+++ b/packages/settings/src/loadSettings.ts
@@ -13,11 +13,11 @@
   readonly allowed: string
 }
 
-/** A check of one key beyond its type. */
+/** A check of one key beyond its type. The value of a `secret` key is never shown. */
 export type SettingsRule =
   | { readonly kind: 'range', readonly key: string, readonly minimum: number, readonly maximum: number, readonly fallback?: number }
   | { readonly kind: 'required', readonly key: string }
-  | { readonly kind: 'pattern', readonly key: string, readonly pattern: RegExp, readonly allowed: string, readonly optional?: boolean }
+  | { readonly kind: 'pattern', readonly key: string, readonly pattern: RegExp, readonly allowed: string, readonly optional?: boolean, readonly secret?: boolean }
 
 /** Exit code of a process whose settings can't be used (EX_CONFIG). */
 export const SETTINGS_EXIT_CODE = 78
@@ -148,10 +148,15 @@
   return rules.flatMap((rule) => {
     const value = valueAt(json, rule.key)
     const problem = checkRule(rule, value)
-    return problem === undefined ? [] : [{ key: rule.key, value: value === undefined ? 'nothing' : JSON.stringify(value), allowed: problem }]
+    return problem === undefined ? [] : [{ key: rule.key, value: shownValue(rule, value), allowed: problem }]
   })
 }
 
+function shownValue (rule: SettingsRule, value: JsonValue | undefined): string {
+  if (value === undefined) return 'nothing'
+  return rule.kind === 'pattern' && rule.secret === true ? 'its secret value' : JSON.stringify(value)
+}
+
 function checkRule (rule: SettingsRule, value: JsonValue | undefined): string | undefined {
   switch (rule.kind) {
     case 'required':
