Show that broken streams are resumed and crossed answers are dropped

Cause: both were shown only for the decisions and the stand-in. Ruled out: cutting engines' connections from outside, which would need a forwarder before each engine. Change: the stand-in engine drops a connection or answers with another ID when a prompt asks for it; two scenarios and their steps.

--- a/features/wholePath.feature
+++ b/features/wholePath.feature
@@ -60,3 +60,17 @@
     And the routers still answer
     And no tokens stay reserved
     And the ledger has no violation
+
+  Scenario: An engine drops the connection in the middle of its streams
+    Given a fleet of 2 routers and 2 engines
+    When 3 callers through each router send a streamed chat whose connection the engine drops after 20 tokens
+    Then every answer is whole and its caller's own
+    And each chat ran once at the engines
+    And every request is billed once with the usage that its caller was told
+    And the ledger has no violation
+
+  Scenario: Engines answer with the ID of another request
+    Given a fleet of 1 routers and 2 engines
+    When the engines answer a caller's chat with the ID of another request
+    Then it gets no content, an error and no end marker, and the router has dropped 2 answers
+    And the ledger has no violation
--- a/packages/backend-standin/src/chatStream.ts
+++ b/packages/backend-standin/src/chatStream.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http'
 import type { Engine, Sequence } from './engine.js'
-import { answerText, answerToken } from './prompt.js'
+import { answerText, answerToken, NO_FAULTS, type StreamFaults } from './prompt.js'
 import { sendJson } from './http.js'
 
 /** Usage figures in OpenAI's format. */
@@ -21,9 +21,10 @@
 }
 
 /** Streams a sequence as server-sent events from content token `offset` on: one event for each content token. */
-export function streamSequence (engine: Engine, sequence: Sequence, model: string, offset: number, response: ServerResponse): void {
+export function streamSequence (engine: Engine, sequence: Sequence, model: string, offset: number, response: ServerResponse, faults: StreamFaults = NO_FAULTS): void {
   response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache', 'x-request-id': sequence.requestId })
-  const base = JSON.stringify(envelope(sequence, model, 'chat.completion.chunk')).slice(0, -1)
+  const own = envelope(sequence, model, 'chat.completion.chunk')
+  const base = JSON.stringify(faults.crossed ? { ...own, id: 'chatcmpl-another-request' } : own).slice(0, -1)
   let sent = offset
 
   function sendChunk (choices: unknown[], usage?: Usage): void {
@@ -33,6 +34,10 @@
 
   function sendNews (): void {
     for (; sent < sequence.generatedTokens; sent++) {
+      if (sent >= faults.disconnectAfter) {
+        response.destroy()
+        return
+      }
       sendChunk([{ index: 0, delta: { content: answerToken(sequence.digest, sent) }, finish_reason: null }])
     }
     if (sequence.state === 'cancelled') response.destroy()
--- a/packages/backend-standin/src/engineService.ts
+++ b/packages/backend-standin/src/engineService.ts
@@ -8,7 +8,7 @@
 import { headerValue, sendError, sendJson } from './http.js'
 import { createOrderBook } from './orderBook.js'
 import { createPrefixCache } from './prefixCache.js'
-import { countPromptTokens, countWantedTokens, prefixBlockHashes, promptDigest } from './prompt.js'
+import { countPromptTokens, countWantedTokens, prefixBlockHashes, promptDigest, readStreamFaults } from './prompt.js'
 import type { Run, RunRecord } from './runRecord.js'
 
 const chatRequestSchema = z.object({
@@ -70,7 +70,7 @@
       finishReason: limit < wanted ? 'length' : 'stop',
       run
     })
-    if (chat.stream === true) streamSequence(engine, sequence, settings.target, 0, response)
+    if (chat.stream === true) streamSequence(engine, sequence, settings.target, 0, response, readStreamFaults(chat.messages))
     else sendWhenComplete(engine, sequence, settings.target, response)
   }
 
--- a/packages/backend-standin/src/prompt.ts
+++ b/packages/backend-standin/src/prompt.ts
@@ -8,6 +8,8 @@
 const BYTES_PER_TOKEN = 4
 const SHORTEST_DRAWN_ANSWER_TOKENS = 8
 const LONGEST_DRAWN_ANSWER_TOKENS = 128
+const DISCONNECT_MARKER = /\[disconnect:(\d{1,6})\]/
+const CROSSED_MARKER = '[crossed]'
 const TOKENS_MARKER = /\[tokens:(\d{1,6})\]/
 
 /** Message of a chat request, as far as the stand-in reads it. */
@@ -56,6 +58,24 @@
   return uniformInt(random, SHORTEST_DRAWN_ANSWER_TOKENS, LONGEST_DRAWN_ANSWER_TOKENS)
 }
 
+/** Faults that a prompt asks of its stream. */
+export interface StreamFaults {
+  /** Content tokens after which the first stream's connection is dropped; the engine goes on and can resume it. */
+  readonly disconnectAfter: number
+  /** Whether the answer carries the ID of another request. */
+  readonly crossed: boolean
+}
+
+/** A stream without faults. */
+export const NO_FAULTS: StreamFaults = { disconnectAfter: Infinity, crossed: false }
+
+/** Reads the markers `[disconnect:N]` and `[crossed]`. */
+export function readStreamFaults (messages: readonly ChatMessage[]): StreamFaults {
+  const text = JSON.stringify(messages)
+  const marker = DISCONNECT_MARKER.exec(text)
+  return { disconnectAfter: marker === null ? Infinity : Number(marker[1]), crossed: text.includes(CROSSED_MARKER) }
+}
+
 /** Text of one token of the answer: the prompt's digest first, then its own number. */
 export function answerToken (digest: string, index: number): string {
   return index === 0 ? digest : ` ${index}`
