--- a/packages/scenarios/src/fleet/backendRecord.ts
+++ b/packages/scenarios/src/fleet/backendRecord.ts
@@ -1,20 +1,8 @@
+import type { Run } from '@quinceshunt/backend-standin'
 import type { FleetMember } from './fleetMember.js'
 
 /** One run as a backend server stand-in recorded it; described in its README. */
-export interface RecordedRun {
-  readonly requestId: string
-  readonly idempotencyKey?: string
-  readonly path?: string
-  readonly priority: string
-  readonly count: number
-  readonly order: number
-  readonly arrivedAt: number
-  readonly startedAt?: number
-  readonly endedAt?: number
-  readonly promptTokens: number
-  readonly completionTokens: number
-  readonly outcome: 'running' | 'complete' | 'aborted'
-}
+export type RecordedRun = Readonly<Run>
 
 /** What a backend server stand-in has run since it started. */
 export interface BackendRecord {
