Use plain names in the quarantine decisions

Cause: judge, excuse, accused and innocent are figures of speech, not terms of the field. Change: evaluate, exempt, request on trial, unrelated requests; the metric suspects_excused_total is now suspects_exempted_total.

--- a/packages/requests/src/__fixtures__/crashingFleet.ts
+++ b/packages/requests/src/__fixtures__/crashingFleet.ts
@@ -8,7 +8,7 @@
 /** The request that crashes each backend server that runs it. */
 export const POISON = 'poison'
 /** Requests that never crash anything. */
-export const INNOCENTS = ['innocent-1', 'innocent-2', 'innocent-3'] as const
+export const UNRELATED = ['unrelated-1', 'unrelated-2', 'unrelated-3'] as const
 const SERVERS = ['server-1', 'server-2', 'server-3'] as const
 const SCAN_LIMIT = 1000
 
@@ -21,7 +21,7 @@
   readonly unwritten: Map<string, number>
 }
 
-/** Instances that send poison and innocent requests to backend servers, by the decisions under test. */
+/** Instances that send poison and unrelated requests to backend servers, by the decisions under test. */
 export class CrashingFleet {
   readonly simulation = new Simulation((_before, write) => {
     if (write.key !== suspectKey(POISON)) return
@@ -57,11 +57,11 @@
     })
   }
 
-  finishInnocent (server: number, pick: number): void {
+  finishUnrelated (server: number, pick: number): void {
     const id = SERVERS[server % SERVERS.length]!
     const { running } = this.#servers.get(id)!
-    const innocents = running.filter((request) => request.fingerprint !== POISON)
-    const request = innocents[pick % Math.max(1, innocents.length)]
+    const unrelated = running.filter((request) => request.fingerprint !== POISON)
+    const request = unrelated[pick % Math.max(1, unrelated.length)]
     if (request === undefined) return
     running.splice(running.indexOf(request), 1)
     if (!request.trial) return
@@ -113,12 +113,12 @@
     for (let round = 0; round < rounds; round++) {
       this.simulation.finish(2000)
       for (const instance of this.#instances.keys()) this.poll(instance)
-      for (const fingerprint of [POISON, ...INNOCENTS]) {
+      for (const fingerprint of [POISON, ...UNRELATED]) {
         this.send(name, fingerprint, round)
         this.simulation.finish(2000)
       }
       SERVERS.forEach((_id, server) => this.crash(server))
-      SERVERS.forEach((_id, server) => [...INNOCENTS, ...INNOCENTS].forEach(() => this.finishInnocent(server, 0)))
+      SERVERS.forEach((_id, server) => [...UNRELATED, ...UNRELATED].forEach(() => this.finishUnrelated(server, 0)))
       this.simulation.now += 2000
     }
     this.simulation.finish(2000)
--- a/packages/requests/src/__tests__/quarantine.test.ts
+++ b/packages/requests/src/__tests__/quarantine.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from '@jest/globals'
 import { SuspectState, type SuspectRecord } from '@quinceshunt/schemas'
 import fc from 'fast-check'
-import { CrashingFleet, INNOCENTS, POISON } from '../__fixtures__/crashingFleet.js'
+import { CrashingFleet, UNRELATED, POISON } from '../__fixtures__/crashingFleet.js'
 import type { Fate } from '../__fixtures__/simulation.js'
 
 const INSTANCES = ['one', 'two', 'three'] as const
@@ -16,7 +16,7 @@
   | { readonly kind: 'crash' | 'finish' | 'poll' | 'die' | 'landLate' | 'pass', readonly instance: string, readonly server: number, readonly pick: number }
 
 const events: fc.Arbitrary<Event> = fc.oneof(
-  { weight: 6, arbitrary: fc.record({ kind: fc.constant('send' as const), instance: fc.constantFrom(...INSTANCES), fingerprint: fc.constantFrom(POISON, POISON, ...INNOCENTS), server: small }) },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('send' as const), instance: fc.constantFrom(...INSTANCES), fingerprint: fc.constantFrom(POISON, POISON, ...UNRELATED), server: small }) },
   { weight: 16, arbitrary: fc.record({ kind: fc.constant('step' as const), pick: small, fate: fc.constantFrom<Fate>('answered', 'answered', 'answered', 'answered', 'replyLost', 'late', 'refused') }) },
   { weight: 8, arbitrary: fc.record({ kind: fc.constantFrom('crash' as const, 'crash' as const, 'finish' as const, 'poll' as const, 'landLate' as const, 'pass' as const, 'pass' as const), instance: fc.constantFrom(...INSTANCES), server: small, pick: small }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('die' as const), instance: fc.constantFrom('two', 'three'), server: small, pick: small }) }
@@ -30,7 +30,7 @@
       case 'send': fleet.send(event.instance, event.fingerprint, event.server); break
       case 'step': fleet.simulation.step(event.pick, event.fate); break
       case 'crash': fleet.crash(event.server); break
-      case 'finish': fleet.finishInnocent(event.server, event.pick); break
+      case 'finish': fleet.finishUnrelated(event.server, event.pick); break
       case 'poll': fleet.poll(event.instance); break
       case 'die': fleet.die(event.instance); break
       case 'landLate': fleet.simulation.landLate(event.pick); break
@@ -60,16 +60,16 @@
     }), { numRuns: 600 })
   })
 
-  // Guards against innocents that stay refused because they ran beside the poison, and against a poison that stays admitted.
-  test('in the end the poison is quarantined and innocents that ran beside it are cleared', () => {
+  // Guards against unrelated requests that stay refused because they ran beside the poison, and against a poison that stays admitted.
+  test('in the end the poison is quarantined and unrelated requests that ran beside it are cleared', () => {
     fc.assert(fc.property(schedules, (schedule) => {
       const fleet = play(schedule)
       const records = fleet.settle(SURVIVOR, SETTLE_ROUNDS)
-      const held = INNOCENTS.filter((innocent) => holdEachOther(records.get(POISON), records.get(innocent)))
+      const held = UNRELATED.filter((unrelated) => holdEachOther(records.get(POISON), records.get(unrelated)))
       if (held.length === 0) expect(records.get(POISON)?.state).toBe(SuspectState.QUARANTINED)
       if (fleet.evidenceLost) return
-      for (const innocent of INNOCENTS) {
-        if (!held.includes(innocent)) expect([undefined, SuspectState.CLEARED]).toContain(records.get(innocent)?.state)
+      for (const unrelated of UNRELATED) {
+        if (!held.includes(unrelated)) expect([undefined, SuspectState.CLEARED]).toContain(records.get(unrelated)?.state)
       }
     }), { numRuns: 600 })
   })
--- a/packages/requests/src/__tests__/quarantineDecisions.test.ts
+++ b/packages/requests/src/__tests__/quarantineDecisions.test.ts
@@ -52,8 +52,8 @@
     expect(bench.start('x', 'one', 's2')).toEqual({ kind: 'wait', reason: 'settling' })
   })
 
-  // Guards against a trial judged by the report of an earlier crash, or by an instance that can't know whether it ran.
-  test('only the holder\'s report of a crash during the trial judges it', () => {
+  // Guards against a trial evaluated by the report of an earlier crash, or by an instance that can't know whether it ran.
+  test('only the holder\'s report of a crash during the trial evaluates it', () => {
     const bench = new Bench()
     bench.crash('one', ['x'])
     const earlier = bench.simulation.now
@@ -79,7 +79,7 @@
     expect(bench.record('x').state).toBe(SuspectState.QUARANTINED)
   })
 
-  // Guards against an innocent that is quarantined, or a poison request that is tried again, on evidence that fits both.
+  // Guards against an unrelated request that is quarantined, or a poison request that is tried again, on evidence that fits both.
   test.each([['two', SuspectState.QUARANTINED], ['one', SuspectState.CLEARED]])('a crash beside another suspect, reported by %s, is held until that one is decided', (reporter, neighbourState) => {
     const bench = new Bench()
     bench.crash('one', ['x', 'y'])
@@ -97,7 +97,7 @@
     expect(bench.start('x', 'one', 's3').kind).toBe(neighbourState === SuspectState.CLEARED ? 'quarantined' : 'started')
   })
 
-  // Guards against an innocent that stays quarantined although a neighbour, unknown at that time, has proved to be the cause.
+  // Guards against an unrelated request that stays quarantined although a neighbour, unknown at that time, has proved to be the cause.
   test('a quarantine is released once a neighbour at its crash is quarantined, but not when each names the other', () => {
     const bench = new Bench()
     bench.crash('one', ['x'])
--- a/packages/requests/src/acquireClaim.ts
+++ b/packages/requests/src/acquireClaim.ts
@@ -73,7 +73,7 @@
     const reply: TransactReply = yield * transactRows([{ key: claim.key, expectedVersion }], [claimWrite(claim, ClaimState.PENDING, now)])
     switch (reply.kind) {
       case 'applied': return yield * claimedUnlessLate(reply.versions[0]!, deadline)
-      case 'conflict': return yield * judgeRow(claim, reply.rows[0]!, deadline)
+      case 'conflict': return yield * evaluateRow(claim, reply.rows[0]!, deadline)
       case 'unavailable': break
       case 'outcomeUnknown':
         outcomeKnown = false
@@ -89,19 +89,19 @@
   if ((yield * readTime()) >= deadline) return done({ kind: 'inProgress' })
   yield * pause(wait, deadline)
   const reply = yield * readRows([claim.key])
-  return reply.kind === 'rows' ? yield * judgeRow(claim, reply.rows[0]!, deadline) : { kind: 'poll' }
+  return reply.kind === 'rows' ? yield * evaluateRow(claim, reply.rows[0]!, deadline) : { kind: 'poll' }
 }
 
-function * judgeRow (claim: ClaimIdentity, row: Row, deadline: number): Decision<StoreCommand, Step> {
+function * evaluateRow (claim: ClaimIdentity, row: Row, deadline: number): Decision<StoreCommand, Step> {
   const record = decodeClaim(row)
   if (record === undefined) return { kind: 'write', expectedVersion: 0n }
   if (record.nonce === claim.nonce && record.state === ClaimState.PENDING) return yield * claimedUnlessLate(row.version, deadline)
   if (record.bodyHash !== claim.bodyHash) return done({ kind: 'keyReused' })
-  return judgeRecord(record, row.version)
+  return evaluateRecord(record, row.version)
 }
 
 /** Only a withdrawn claim may be taken; `pending` of another holder never is, however old it looks. */
-function judgeRecord (record: ClaimRecord, version: bigint): Step {
+function evaluateRecord (record: ClaimRecord, version: bigint): Step {
   switch (record.state) {
     case ClaimState.WITHDRAWN: return { kind: 'write', expectedVersion: version }
     case ClaimState.PENDING: return { kind: 'poll' }
--- a/packages/requests/src/endTrial.ts
+++ b/packages/requests/src/endTrial.ts
@@ -8,8 +8,8 @@
 
 const FIRST_RETRY_MILLISECONDS = 50
 const LONGEST_RETRY_MILLISECONDS = 2000
-/** Excusing is an optimisation and is given up after this many attempts; the suspects are then tried. */
-const EXCUSE_ATTEMPTS = 5
+/** Exempting is an optimisation and is given up after this many attempts; the suspects are then tried. */
+const EXEMPTION_ATTEMPTS = 5
 
 /** Ends this instance's trial, repeating until the store has answered; returns the record as it is then. */
 export function * endTrial (fingerprint: string, backendServer: string, incarnation: string, result: TrialResult): Decision<StoreCommand, SuspectRecord | undefined> {
@@ -34,16 +34,16 @@
  * Clears suspects of a correlated failure. Only those with a single crash are cleared: a fingerprint that was in flight on
  * two crashed backend servers may be what they had in common.
  */
-export function * excuseSuspects (fingerprints: readonly string[]): Decision<StoreCommand, readonly SuspectRecord[]> {
+export function * exemptSuspects (fingerprints: readonly string[]): Decision<StoreCommand, readonly SuspectRecord[]> {
   let wait = FIRST_RETRY_MILLISECONDS
-  for (let attempt = 0; attempt < EXCUSE_ATTEMPTS; attempt++) {
+  for (let attempt = 0; attempt < EXEMPTION_ATTEMPTS; attempt++) {
     const reply = yield * readRows(fingerprints.map(suspectKey))
     if (reply.kind === 'rows') {
-      const excused = reply.rows.map(storedSuspect).filter(isExcusable)
-      if (excused.length === 0) return []
+      const exempted = reply.rows.map(storedSuspect).filter(isExemptible)
+      if (exempted.length === 0) return []
       const now = yield * readTime()
-      const records = excused.map(({ record }) => changeSuspect(record.fingerprint, record, now, { state: SuspectState.CLEARED }))
-      const outcome = yield * transactRows(excused.map(({ check }) => check), records.map(suspectWrite))
+      const records = exempted.map(({ record }) => changeSuspect(record.fingerprint, record, now, { state: SuspectState.CLEARED }))
+      const outcome = yield * transactRows(exempted.map(({ check }) => check), records.map(suspectWrite))
       switch (outcome.kind) {
         case 'applied': return records
         case 'conflict':
@@ -58,7 +58,7 @@
   return []
 }
 
-function isExcusable (stored: Stored<SuspectRecord>): stored is Stored<SuspectRecord> & { readonly record: SuspectRecord } {
+function isExemptible (stored: Stored<SuspectRecord>): stored is Stored<SuspectRecord> & { readonly record: SuspectRecord } {
   return stored.record?.state === SuspectState.SUSPECT && stored.record.crashCount === 1
 }
 
--- a/packages/requests/src/recordCrash.ts
+++ b/packages/requests/src/recordCrash.ts
@@ -26,9 +26,9 @@
 /** Rows that a report concerns, as read in one go. */
 interface CrashRows {
   readonly trial: Stored<TrialRecord>
-  readonly accused: Stored<SuspectRecord> | undefined
+  readonly onTrial: Stored<SuspectRecord> | undefined
   readonly suspects: ReadonlyMap<string, Stored<SuspectRecord>>
-  /** Whether other instances reported an earlier suspect beside the accused. */
+  /** Whether other instances reported an earlier suspect beside the request on trial. */
   readonly suspectReported: boolean
 }
 
@@ -49,7 +49,7 @@
     const rows = yield * readCrashRows(report.backendServer, batch)
     if (rows !== undefined && attempted.some((record) => isWritten(record, rows))) return attempted
     if (rows !== undefined) {
-      const { checks, writes, records } = judgeCrash(report, batch, rows, yield * readTime())
+      const { checks, writes, records } = evaluateCrash(report, batch, rows, yield * readTime())
       if (writes.length === 0) return records
       const reply = yield * transactRows(checks, writes)
       switch (reply.kind) {
@@ -81,16 +81,16 @@
   if (reply.kind === 'unavailable') return undefined
   const trial = storedTrial(reply.rows[0]!)
   const suspects = new Map(batch.map((fingerprint, index) => [fingerprint, storedSuspect(reply.rows[index + 1]!)]))
-  const accusedFingerprint = trial.record?.fingerprint
-  if (accusedFingerprint === undefined) return { trial, suspects, accused: undefined, suspectReported: false }
-  let accused = suspects.get(accusedFingerprint)
-  if (accused === undefined) {
-    const accusedReply = yield * readRows([suspectKey(accusedFingerprint)])
-    if (accusedReply.kind === 'unavailable') return undefined
-    accused = storedSuspect(accusedReply.rows[0]!)
+  const trialFingerprint = trial.record?.fingerprint
+  if (trialFingerprint === undefined) return { trial, suspects, onTrial: undefined, suspectReported: false }
+  let onTrial = suspects.get(trialFingerprint)
+  if (onTrial === undefined) {
+    const trialSuspectReply = yield * readRows([suspectKey(trialFingerprint)])
+    if (trialSuspectReply.kind === 'unavailable') return undefined
+    onTrial = storedSuspect(trialSuspectReply.rows[0]!)
   }
-  const suspectReported = yield * anySuspectedBefore(accused.record?.neighbours ?? [])
-  return suspectReported === undefined ? undefined : { trial, suspects, accused, suspectReported }
+  const suspectReported = yield * anySuspectedBefore(onTrial.record?.neighbours ?? [])
+  return suspectReported === undefined ? undefined : { trial, suspects, onTrial, suspectReported }
 }
 
 /**
@@ -107,14 +107,14 @@
   })
 }
 
-/** Whether another request in flight is as likely a cause as the accused: a suspect, or quarantined since it was sent. */
+/** Whether another request in flight is as likely a cause as the request on trial: a suspect, or quarantined since it was sent. */
 function explains (record: SuspectRecord | undefined): boolean {
   return isSuspected(record) || record?.state === SuspectState.QUARANTINED
 }
 
 /** Pure core: what a crash changes, given the rows as they are. */
-function judgeCrash (report: CrashReport, batch: readonly string[], rows: CrashRows, now: number): { checks: RowCheck[], writes: RowWrite[], records: SuspectRecord[] } {
-  const accusedRecord = concernsTrial(report, rows) ? rows.accused?.record : undefined
+function evaluateCrash (report: CrashReport, batch: readonly string[], rows: CrashRows, now: number): { checks: RowCheck[], writes: RowWrite[], records: SuspectRecord[] } {
+  const onTrialRecord = concernsTrial(report, rows) ? rows.onTrial?.record : undefined
   const checks: RowCheck[] = [rows.trial.check]
   const writes: RowWrite[] = []
   const records: SuspectRecord[] = []
@@ -125,35 +125,35 @@
   }
 
   for (const [fingerprint, stored] of rows.suspects) {
-    if (fingerprint === accusedRecord?.fingerprint) continue
+    if (fingerprint === onTrialRecord?.fingerprint) continue
     if (stored.record?.state === SuspectState.QUARANTINED) records.push(stored.record)
     else change(stored, countCrash(fingerprint, stored.record, now))
   }
-  if (rows.accused === undefined || accusedRecord === undefined) return { checks, writes, records }
+  if (rows.onTrial === undefined || onTrialRecord === undefined) return { checks, writes, records }
 
-  const suspectedBeside = [...rows.suspects].some(([fingerprint, { record }]) => fingerprint !== accusedRecord.fingerprint && explains(record))
-  const neighbours = joinNeighbours(accusedRecord.fingerprint, accusedRecord.neighbours, report.fingerprints)
-  const held = accusedRecord.state === SuspectState.SUSPECT || suspectedBeside
-  if (accusedRecord.state !== SuspectState.ON_TRIAL) {
-    // Judged already from another instance's report of the same crash: this report can only add another explanation.
-    change(rows.accused, changeSuspect(accusedRecord.fingerprint, accusedRecord, now, { state: held ? SuspectState.SUSPECT : SuspectState.QUARANTINED, neighbours }))
-  } else if (accusedRecord.trialIncarnation === report.incarnation && batch.includes(accusedRecord.fingerprint)) {
-    change(rows.accused, judgeTrial(accusedRecord, neighbours, suspectedBeside || rows.suspectReported, now))
+  const suspectedBeside = [...rows.suspects].some(([fingerprint, { record }]) => fingerprint !== onTrialRecord.fingerprint && explains(record))
+  const neighbours = joinNeighbours(onTrialRecord.fingerprint, onTrialRecord.neighbours, report.fingerprints)
+  const held = onTrialRecord.state === SuspectState.SUSPECT || suspectedBeside
+  if (onTrialRecord.state !== SuspectState.ON_TRIAL) {
+    // Evaluated already from another instance's report of the same crash: this report can only add another explanation.
+    change(rows.onTrial, changeSuspect(onTrialRecord.fingerprint, onTrialRecord, now, { state: held ? SuspectState.SUSPECT : SuspectState.QUARANTINED, neighbours }))
+  } else if (onTrialRecord.trialIncarnation === report.incarnation && batch.includes(onTrialRecord.fingerprint)) {
+    change(rows.onTrial, evaluateTrial(onTrialRecord, neighbours, suspectedBeside || rows.suspectReported, now))
   } else {
     // Only the holder knows whether its trial was running at that moment; this is evidence in case the holder has died.
-    change(rows.accused, changeSuspect(accusedRecord.fingerprint, accusedRecord, now, { neighbours }))
+    change(rows.onTrial, changeSuspect(onTrialRecord.fingerprint, onTrialRecord, now, { neighbours }))
     writes.push(trialWrite(report.backendServer, { ...(rows.trial.record ?? create(TrialRecordSchema)), crashedAt: BigInt(now) }))
   }
   return { checks, writes, records }
 }
 
-/** A trial there that was running when the backend server crashed, or was judged from another report of the same crash. */
-function concernsTrial ({ backendServer, at }: CrashReport, { accused, trial }: CrashRows): boolean {
-  const record = accused?.record
+/** A trial there that was running when the backend server crashed, or was evaluated from another report of the same crash. */
+function concernsTrial ({ backendServer, at }: CrashReport, { onTrial, trial }: CrashRows): boolean {
+  const record = onTrial?.record
   if (record?.trialBackendServer !== backendServer || trial.record === undefined || BigInt(at) < trial.record.startedAt) return false
   if (record.state === SuspectState.ON_TRIAL) return true
-  const judged = record.state === SuspectState.QUARANTINED || (record.state === SuspectState.SUSPECT && record.neighbours.length > 0)
-  return judged && BigInt(at) <= record.updatedAt + BigInt(SAME_CRASH_MILLISECONDS)
+  const evaluated = record.state === SuspectState.QUARANTINED || (record.state === SuspectState.SUSPECT && record.neighbours.length > 0)
+  return evaluated && BigInt(at) <= record.updatedAt + BigInt(SAME_CRASH_MILLISECONDS)
 }
 
 function countCrash (fingerprint: string, record: SuspectRecord | undefined, now: number): SuspectRecord {
@@ -164,9 +164,9 @@
 
 /**
  * A crash in a trial quarantines, unless another suspect was in flight there as well, left over from before it was
- * suspected. Then the accused is held, neither run nor quarantined, until its neighbours' own trials decide between them.
+ * suspected. Then the request on trial is held, neither run nor quarantined, until its neighbours' own trials decide between them.
  */
-export function judgeTrial (accused: SuspectRecord, neighbours: readonly string[], suspectedBeside: boolean, now: number): SuspectRecord {
+export function evaluateTrial (onTrial: SuspectRecord, neighbours: readonly string[], suspectedBeside: boolean, now: number): SuspectRecord {
   const state = suspectedBeside ? SuspectState.SUSPECT : SuspectState.QUARANTINED
-  return changeSuspect(accused.fingerprint, accused, now, { crashCount: accused.crashCount + 1, state, neighbours: [...neighbours] })
+  return changeSuspect(onTrial.fingerprint, onTrial, now, { crashCount: onTrial.crashCount + 1, state, neighbours: [...neighbours] })
 }
--- a/packages/requests/src/startTrial.ts
+++ b/packages/requests/src/startTrial.ts
@@ -1,7 +1,7 @@
 import { create } from '@bufbuild/protobuf'
 import { assertNever, type Decision } from '@quinceshunt/effects'
 import { SuspectState, TrialRecordSchema, type SuspectRecord, type TrialRecord } from '@quinceshunt/schemas'
-import { anySuspectedBefore, judgeTrial } from './recordCrash.js'
+import { anySuspectedBefore, evaluateTrial } from './recordCrash.js'
 import { changeSuspect, deletion, isOnTrialAt, isSuspected, laterSuspect, storedSuspect, storedTrial, suspectKey, suspectWrite, trialKey, trialWrite, type Stored } from './quarantineRecords.js'
 import { readRows, readTime, transactRows, type StoreCommand } from './storeCommands.js'
 
@@ -129,7 +129,7 @@
   const suspectReported = yield * anySuspectedBefore(suspect.record.neighbours)
   if (suspectReported === undefined) return
   const next = crashed
-    ? judgeTrial(suspect.record, suspect.record.neighbours, suspectReported, now)
+    ? evaluateTrial(suspect.record, suspect.record.neighbours, suspectReported, now)
     : changeSuspect(record.fingerprint, suspect.record, now, { state: SuspectState.SUSPECT, neighbours: [] })
   yield * transactRows([suspect.check, trial.check], [suspectWrite(next), deletion(trial.check.key)])
 }
--- a/packages/router/src/__tests__/quarantineTask.test.ts
+++ b/packages/router/src/__tests__/quarantineTask.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
 import { QuarantineFleet } from '../__fixtures__/quarantineFleet.js'
-import { excusedFingerprints, type SeenCrash } from '../quarantineBursts.js'
+import { exemptedFingerprints, type SeenCrash } from '../quarantineBursts.js'
 
 const SERVERS = ['server-1', 'server-2', 'server-3']
 const inMilliseconds = (milliseconds: number): number => Date.now() + milliseconds
@@ -14,30 +14,30 @@
   // Guards against a poison request that other instances go on sending, and against one that stays a suspect.
   test('a crash makes a suspect everywhere, a crash in its trial quarantines it everywhere', async () => {
     const [one, two] = [fleet.start('one'), fleet.start('two')]
-    await one.recordCrash('server-1', ['poison', 'innocent'])
+    await one.recordCrash('server-1', ['poison', 'unrelated'])
     expect([one, two].map((task) => task.admit('poison').kind)).toEqual(['suspect', 'suspect'])
     expect(two.admit('other').kind).toBe('admitted')
     const server = await two.startTrial('poison', SERVERS, soon())
     const waiting = one.startTrial('poison', SERVERS, soon())
-    expect(await one.startTrial('innocent', [server!], inMilliseconds(300))).toBeUndefined()
+    expect(await one.startTrial('unrelated', [server!], inMilliseconds(300))).toBeUndefined()
     await two.recordCrash(server!, ['poison', 'bystander'])
     expect(await waiting).toBeUndefined()
     expect([one, two].map((task) => task.admit('poison').kind)).toEqual(['quarantined', 'quarantined'])
     expect(one.admit('bystander').kind).toBe('suspect')
-    expect(await one.startTrial('innocent', [server!], soon())).toBe(server)
+    expect(await one.startTrial('unrelated', [server!], soon())).toBe(server)
   })
 
-  // Guards against innocents that stay refused, and against a trial without a result that clears.
+  // Guards against unrelated requests that stay refused, and against a trial without a result that clears.
   test('a passed trial clears everywhere, an abandoned one does not', async () => {
     const [one, two] = [fleet.start('one'), fleet.start('two')]
-    await one.recordCrash('server-1', ['innocent'])
-    one.abandonTrial('innocent', (await one.startTrial('innocent', SERVERS, soon()))!)
+    await one.recordCrash('server-1', ['unrelated'])
+    one.abandonTrial('unrelated', (await one.startTrial('unrelated', SERVERS, soon()))!)
     await new Promise((resolve) => setTimeout(resolve, 200))
-    expect([one, two].map((task) => task.admit('innocent').kind)).toEqual(['suspect', 'suspect'])
-    const server = await two.startTrial('innocent', SERVERS, inMilliseconds(6000))
-    two.endTrial('innocent', server!)
-    expect(await one.startTrial('innocent', SERVERS, soon())).toBe('server-1')
-    expect([one, two].map((task) => task.admit('innocent').kind)).toEqual(['admitted', 'admitted'])
+    expect([one, two].map((task) => task.admit('unrelated').kind)).toEqual(['suspect', 'suspect'])
+    const server = await two.startTrial('unrelated', SERVERS, inMilliseconds(6000))
+    two.endTrial('unrelated', server!)
+    expect(await one.startTrial('unrelated', SERVERS, soon())).toBe('server-1')
+    expect([one, two].map((task) => task.admit('unrelated').kind)).toEqual(['admitted', 'admitted'])
   })
 
   // Guards against unrecorded trials, and against suspects that a later outage of the store lets through.
@@ -64,7 +64,7 @@
   })
 
   // Guards against a trial for each request of a failed rack, and against a poison that hides behind one.
-  test('requests of a correlated failure are excused unless several of the backend servers ran them', async () => {
+  test('requests of a correlated failure are exempted unless several of the backend servers ran them', async () => {
     const one = fleet.start('one')
     await new Promise((resolve) => setTimeout(resolve, 50))
     await Promise.all(SERVERS.map((server, index) => one.recordCrash(server, [`own-${index}`, ...(index < 2 ? ['common'] : [])])))
@@ -74,28 +74,28 @@
   })
 })
 
-describe('excusedFingerprints', () => {
+describe('exemptedFingerprints', () => {
   const crash = (backendServer: string, at = 0, failureDomain = 'a'): SeenCrash => ({ backendServer, failureDomain, at, fingerprints: [`of ${backendServer}`] })
 
-  // Guards against excuses for crashes that have nothing in common but their number.
+  // Guards against exempts for crashes that have nothing in common but their number.
   test.each([
     ['two backend servers', [crash('1'), crash('2')]],
     ['one backend server three times', [crash('1'), crash('1', 5), crash('1', 9)]],
     ['three failure domains', [crash('1'), crash('2', 0, 'b'), crash('3', 0, 'c')]],
     ['an unknown failure domain', [crash('1', 0, ''), crash('2', 0, ''), crash('3', 0, '')]],
     ['more than a second', [crash('1'), crash('2', 500), crash('3', 1200)]]
-  ])('%s excuse nothing', (_name, crashes) => {
-    expect(excusedFingerprints(crashes[0]!, crashes)).toEqual([])
+  ])('%s exempt nothing', (_name, crashes) => {
+    expect(exemptedFingerprints(crashes[0]!, crashes)).toEqual([])
   })
 
   // Guards against a poison request that hides behind the crashes which its copies cause.
-  test('what two of the backend servers ran is not excused', () => {
+  test('what two of the backend servers ran is not exempted', () => {
     const crashes = [crash('1'), crash('2'), { ...crash('3'), fingerprints: ['of 1', 'of 3'] }]
-    expect(crashes.map((each) => excusedFingerprints(each, crashes))).toEqual([[], ['of 2'], ['of 3']])
+    expect(crashes.map((each) => exemptedFingerprints(each, crashes))).toEqual([[], ['of 2'], ['of 3']])
   })
 
   test('three backend servers of one failure domain within a second do', () => {
     const crashes = [crash('1'), crash('2', 500), crash('3', 1000)]
-    expect(excusedFingerprints(crashes[0]!, crashes)).toEqual(['of 1'])
+    expect(exemptedFingerprints(crashes[0]!, crashes)).toEqual(['of 1'])
   })
 })
--- a/packages/router/src/quarantineBursts.ts
+++ b/packages/router/src/quarantineBursts.ts
@@ -13,10 +13,10 @@
 }
 
 /**
- * Fingerprints of a crash that a correlated failure excuses: at least 3 backend servers of one failure domain crashed
+ * Fingerprints of a crash that a correlated failure exempts: at least 3 backend servers of one failure domain crashed
  * within 1 s, and the fingerprint was in flight on only one of them. What several of them ran may be the common cause.
  */
-export function excusedFingerprints (crash: SeenCrash, crashes: readonly SeenCrash[]): readonly string[] {
+export function exemptedFingerprints (crash: SeenCrash, crashes: readonly SeenCrash[]): readonly string[] {
   if (crash.failureDomain === '') return []
   const burst = crashes.filter((other) => other.failureDomain === crash.failureDomain && Math.abs(other.at - crash.at) <= BURST_MILLISECONDS)
   if (new Set(burst.map(({ backendServer }) => backendServer)).size < BURST_BACKEND_SERVERS) return []
--- a/packages/router/src/quarantineTask.ts
+++ b/packages/router/src/quarantineTask.ts
@@ -1,8 +1,8 @@
 import { runDecision, startTask, type Decision } from '@quinceshunt/effects'
-import { changeSuspect, endTrial, excuseSuspects, isSuspected, recordCrash, startTrial, type StoreCommand, type TrialResult, type TrialStart } from '@quinceshunt/requests'
+import { changeSuspect, endTrial, exemptSuspects, isSuspected, recordCrash, startTrial, type StoreCommand, type TrialResult, type TrialStart } from '@quinceshunt/requests'
 import { SuspectState, type SuspectRecord } from '@quinceshunt/schemas'
 import { createStoreRunner } from './claimStore.js'
-import { BURST_MILLISECONDS, excusedFingerprints, type SeenCrash } from './quarantineBursts.js'
+import { BURST_MILLISECONDS, exemptedFingerprints, type SeenCrash } from './quarantineBursts.js'
 import { createQuarantineEvidence } from './quarantineEvidence.js'
 import { startQuarantinePoll } from './quarantinePoll.js'
 import { createKnownSuspects } from './quarantineSuspects.js'
@@ -123,15 +123,15 @@
     }
     learn(records)
     report(records)
-    excuse(crash).catch((error: unknown) => logger.error({ err: error, step: 'excuse suspects' }, 'suspects of a correlated failure stay suspects'))
+    exempt(crash).catch((error: unknown) => logger.error({ err: error, step: 'exempt suspects' }, 'suspects of a correlated failure stay suspects'))
   }
 
-  async function excuse (crash: SeenCrash): Promise<void> {
+  async function exempt (crash: SeenCrash): Promise<void> {
     await clock.waitUntil(crash.at + BURST_MILLISECONDS, stopped.signal)
-    const fingerprints = excusedFingerprints(crash, crashes)
+    const fingerprints = exemptedFingerprints(crash, crashes)
     if (fingerprints.length === 0 || stopped.signal.aborted) return
-    const records = await run('excuse suspects', excuseSuspects(fingerprints)) ?? []
-    metrics.count('suspects_excused_total', {}, records.length)
+    const records = await run('exempt suspects', exemptSuspects(fingerprints)) ?? []
+    metrics.count('suspects_exempted_total', {}, records.length)
     task.post({ kind: 'learn', records })
     report(records)
   }
--- a/packages/sheet/src/acceptance.ts
+++ b/packages/sheet/src/acceptance.ts
@@ -73,7 +73,7 @@
   const head = signHead(change.fleetKey, { revision: change.baseRevision + 1n, sha256: change.configuration.sha256, operator: change.author.operator, acceptedAt: change.at })
   const [headRow, revisionRow] = yield * perform<ReadRows>({ kind: 'readRows', keys: [HEAD_KEY, revisionKey(head.revision)] })
   const inForce = readHead(headRow)
-  if ((inForce?.revision ?? 0n) !== change.baseRevision) return judge(head, readHead(revisionRow), inForce)
+  if ((inForce?.revision ?? 0n) !== change.baseRevision) return evaluate(head, readHead(revisionRow), inForce)
   for (const [sha256, content] of change.configuration.objects) {
     if (change.storedObjects?.has(sha256) !== true) yield * perform<PutObject>({ kind: 'putObject', sha256, content })
   }
@@ -99,14 +99,14 @@
   try {
     const [revisionRow, headRow] = yield * perform<ReadRows>({ kind: 'readRows', keys: [revisionKey(head.revision), HEAD_KEY] })
     const atRevision = readHead(revisionRow)
-    return atRevision === undefined ? undefined : judge(head, atRevision, readHead(headRow))
+    return atRevision === undefined ? undefined : evaluate(head, atRevision, readHead(headRow))
   } catch {
     return undefined
   }
 }
 
 /** The change is in force when its revision holds its content under the same operator: an earlier try whose reply was lost. */
-function judge (head: SheetHead, atRevision: SheetHead | undefined, inForce: SheetHead | undefined): AcceptanceOutcome {
+function evaluate (head: SheetHead, atRevision: SheetHead | undefined, inForce: SheetHead | undefined): AcceptanceOutcome {
   const same = atRevision?.revision === head.revision && atRevision.sha256 === head.sha256 && atRevision.operator === head.operator
   return same ? { kind: 'accepted', head: atRevision } : { kind: 'conflict', head: inForce }
 }
