Name transfers, notifications and housekeeping by their usual terms

Change: sizeTransfer, transferableTokens, notifyPeer, notifyReaders, runHousekeeping. No behaviour changed.

--- a/packages/backend-standin/src/engine.ts
+++ b/packages/backend-standin/src/engine.ts
@@ -142,7 +142,7 @@
     sequence.generatedTokens++
     sequence.run.completionTokens = sequence.generatedTokens
     if (sequence.generatedTokens >= sequence.targetTokens) finish(sequence, 'complete')
-    tellReaders(sequence)
+    notifyReaders(sequence)
   }
 
   function finish (sequence: Sequence, state: 'complete' | 'cancelled'): void {
@@ -159,7 +159,7 @@
     noteLoad()
   }
 
-  function tellReaders (sequence: Sequence): void {
+  function notifyReaders (sequence: Sequence): void {
     for (const reader of [...sequence.readers]) reader()
   }
 
@@ -214,6 +214,6 @@
   function cancel (sequence: Sequence): void {
     if (sequence.state === 'complete' || sequence.state === 'cancelled') return
     finish(sequence, 'cancelled')
-    tellReaders(sequence)
+    notifyReaders(sequence)
   }
 }
--- a/packages/budget/src/__tests__/budgetDecisions.test.ts
+++ b/packages/budget/src/__tests__/budgetDecisions.test.ts
@@ -2,7 +2,7 @@
 import { create } from '@bufbuild/protobuf'
 import { BudgetSettingsSchema, RefusalPreference, TransferAllowanceRequestSchema } from '@quinceshunt/schemas'
 import fc from 'fast-check'
-import { createAllowancePolicy, sizeDraw, sizeGift } from '../allowancePolicy.js'
+import { createAllowancePolicy, sizeDraw, sizeTransfer } from '../allowancePolicy.js'
 import { put } from '../budgetRecords.js'
 import { closeLease, type LeaseClosing } from '../closeLease.js'
 import { emptyLease, type LeaseBase } from '../leaseLedger.js'
@@ -172,11 +172,11 @@
     }))
   })
 
-  // Guards against gifts of tokens that the giver does not have.
+  // Guards against transfers of tokens that the giver does not have.
   test('are given within what the giver has', () => {
     fc.assert(fc.property(tokens, fc.bigInt({ min: -1000n, max: 10n ** 9n }), (wanted, givable) => {
-      const gift = sizeGift(wanted, givable)
-      expect(gift >= 0n && gift <= wanted && gift <= (givable > 0n ? givable : 0n)).toBe(true)
+      const transferred = sizeTransfer(wanted, givable)
+      expect(transferred >= 0n && transferred <= wanted && transferred <= (givable > 0n ? givable : 0n)).toBe(true)
     }))
   })
 
--- a/packages/budget/src/allowancePolicy.ts
+++ b/packages/budget/src/allowancePolicy.ts
@@ -81,7 +81,7 @@
  * Tokens to give to a peer that lacks `wantedTokens`: all that it wants. A giver that kept a part for its own use near
  * exhaustion would leave parts at all instances, each too small for a request.
  */
-export function sizeGift (wantedTokens: bigint, givableTokens: bigint): bigint {
+export function sizeTransfer (wantedTokens: bigint, givableTokens: bigint): bigint {
   return larger(0n, smaller(wantedTokens, givableTokens))
 }
 
--- a/packages/router/src/budgetTask.ts
+++ b/packages/router/src/budgetTask.ts
@@ -114,7 +114,7 @@
       return pump(core, entry)
     }
     case 'flush': return flush(core)
-    case 'housekeeping': return keepHouse(core)
+    case 'housekeeping': return runHousekeeping(core)
     case 'drawn': {
       const entry = entryOf(core, message.budgetId)
       finishDraw(core, entry, message.topUpIds, message.outcome)
@@ -157,7 +157,7 @@
   entry.waiting = []
 }
 
-function keepHouse (core: BudgetCore): void {
+function runHousekeeping (core: BudgetCore): void {
   renewLeases(core)
   for (const entry of core.entries.values()) returnUnused(core, entry)
   repeatTransferRequests(core)
--- a/packages/router/src/budgetTransfers.ts
+++ b/packages/router/src/budgetTransfers.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import { create } from '@bufbuild/protobuf'
-import { emptyTransfer, sizeGift } from '@quinceshunt/budget'
+import { emptyTransfer, sizeTransfer } from '@quinceshunt/budget'
 import { TransferAllowanceRequestSchema, type TransferAllowanceRequest, type TransferRecord } from '@quinceshunt/schemas'
 import { inBackground, type BudgetCore } from './budgetCore.js'
 import { startReturn } from './budgetDraws.js'
@@ -81,7 +81,7 @@
   const known = core.book.given(request.requestId)
   if (known !== undefined) return known
   const entry = core.entries.get(request.budgetId)
-  const tokens = entry === undefined || core.stopping ? 0n : giftFor(core, entry, request)
+  const tokens = entry === undefined || core.stopping ? 0n : transferableTokens(core, entry, request)
   if (entry === undefined || tokens <= 0n) return core.book.refuse(request)
   if (core.policy.transfersThroughTable) {
     startReturn(core, entry, tokens)
@@ -93,12 +93,12 @@
   return core.book.give(request, tokens)
 }
 
-function giftFor (core: BudgetCore, entry: BudgetEntry, request: TransferAllowanceRequest): bigint {
+function transferableTokens (core: BudgetCore, entry: BudgetEntry, request: TransferAllowanceRequest): bigint {
   const now = core.context.clock.now()
   const { ledger } = entry
   // After an operator's resolution the table refuses further transfers from this lease.
   if (!entry.maySpend(now, core.policy) || ledger.base.record.resolvedTokens > 0n) return 0n
   // Of two instances that lack tokens, only the one with the lower incarnation receives; otherwise they would swap what they have.
   if (entry.waiting.length > 0 && request.receiverIncarnation > core.context.identity.incarnation) return 0n
-  return sizeGift(request.wantedTokens, ledger.givableTokens)
+  return sizeTransfer(request.wantedTokens, ledger.givableTokens)
 }
--- a/packages/router/src/quarantineTask.ts
+++ b/packages/router/src/quarantineTask.ts
@@ -72,7 +72,7 @@
   function report (records: readonly SuspectRecord[]): void {
     if (records.length === 0) return
     for (const { address, instanceId } of peers.peers()) {
-      if (instanceId !== identity.instanceId) tellPeer(address, records, REPORT_ATTEMPTS)
+      if (instanceId !== identity.instanceId) notifyPeer(address, records, REPORT_ATTEMPTS)
     }
   }
 
@@ -81,15 +81,15 @@
     await evidence.refresh()
     const known = new Set([identity.address, ...peers.peers().map(({ address }) => address)])
     for (const address of evidence.routerAddresses()) {
-      if (!known.has(address)) tellPeer(address, records, REPORT_ATTEMPTS)
+      if (!known.has(address)) notifyPeer(address, records, REPORT_ATTEMPTS)
     }
   }
 
-  function tellPeer (address: string, records: readonly SuspectRecord[], attempts: number): void {
+  function notifyPeer (address: string, records: readonly SuspectRecord[], attempts: number): void {
     peers.client(address).reportSuspects({ suspects: [...records] }, { timeoutMs: REPORT_MILLISECONDS, signal: stopped.signal }).catch((error: unknown) => {
       if (stopped.signal.aborted) return
       logger.warn({ err: error, peer: address, step: 'report suspects', attemptsLeft: attempts - 1 }, 'a peer was not told of suspects')
-      if (attempts > 1) tellPeer(address, records, attempts - 1)
+      if (attempts > 1) notifyPeer(address, records, attempts - 1)
     })
   }
 
