--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  { ignores: ['**/lib/**', '**/src/gen/**', 'results/**'] },
+  { ignores: ['**/lib/**', '**/src/gen/**', 'results/**', 'target/**'] },
   ...neostandard({ ts: true }),
   {
     rules: {
--- /dev/null
+++ b/packages/gateway/src/decisions/configurationIndex.ts
@@ -0,0 +1,58 @@
+import type { ClientAccount, FleetConfiguration, Route, RouteTarget, Service } from '../fleetConfiguration.js'
+
+/** Outcome of looking a request up in the configuration. */
+export type Admission =
+  | { readonly kind: 'allowed', readonly route: Route, readonly account: ClientAccount | undefined }
+  | { readonly kind: 'unknownRoute' }
+  | { readonly kind: 'unknownKey' }
+
+/** A configuration arranged for look-ups. */
+export interface ConfigurationIndex {
+  readonly configuration: FleetConfiguration
+  /** `host` as in the request's header, `path` with or without query. */
+  admit (host: string, path: string, key: string): Admission
+  service (name: string): Service | undefined
+  account (name: string): ClientAccount | undefined
+}
+
+/** Arranges a configuration for look-ups. */
+export function indexConfiguration (configuration: FleetConfiguration): ConfigurationIndex {
+  const routesByHost = new Map<string, Route[]>()
+  for (const route of configuration.routes) {
+    const routes = routesByHost.get(route.host.toLowerCase())
+    if (routes === undefined) routesByHost.set(route.host.toLowerCase(), [route])
+    else routes.push(route)
+  }
+  // The longest prefix decides, so the first match of each host's list is the right one.
+  for (const routes of routesByHost.values()) routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
+  const services = new Map(configuration.services.map((service) => [service.name, service]))
+  const accounts = new Map(configuration.accounts.map((account) => [account.name, account]))
+  const accountsByKey = new Map(configuration.accounts.flatMap((account) => account.keys.map((key) => [key, account] as const)))
+
+  function admit (host: string, path: string, key: string): Admission {
+    const name = host.toLowerCase().replace(/:\d+$/, '')
+    const route = routesByHost.get(name)?.find((candidate) => path.startsWith(candidate.pathPrefix))
+    if (route === undefined) return { kind: 'unknownRoute' }
+    const account = accountsByKey.get(key)
+    if (account === undefined && !route.isPublic && configuration.accounts.length > 0) return { kind: 'unknownKey' }
+    return { kind: 'allowed', route, account }
+  }
+
+  return {
+    configuration,
+    admit,
+    service: (name) => services.get(name),
+    account: (name) => accounts.get(name)
+  }
+}
+
+/** Chooses a route's service by weight; `draw` is from 0 up to 1. */
+export function chooseTarget (targets: readonly RouteTarget[], draw: number): string | undefined {
+  const total = targets.reduce((sum, target) => sum + target.weight, 0)
+  let remaining = draw * total
+  for (const target of targets) {
+    remaining -= target.weight
+    if (remaining < 0) return target.service
+  }
+  return targets.at(-1)?.service
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,178 @@
+import { createMetrics } from '@quinceshunt/telemetry'
+import { randomUUID } from 'node:crypto'
+import { readFileSync } from 'node:fs'
+import { createServer, type Server } from 'node:http'
+import { createCrashWatch } from './decisions/crashWatch.js'
+import { createRetryShares } from './decisions/retryShares.js'
+import type { FleetConfiguration } from './fleetConfiguration.js'
+import type { GatewayPlatform } from './ports.js'
+import { parseGatewaySettings, SETTINGS_EXIT_CODE, type GatewaySettings } from './settings.js'
+import { createBackendConnections } from './tasks/backendConnections.js'
+import { startBackendTask } from './tasks/backendTask.js'
+import { createCallersListener, type CallersListener } from './tasks/callersListener.js'
+import { startConfigurationTask } from './tasks/configurationTask.js'
+import { createDecisionLog, type DecisionLog } from './tasks/decisionLog.js'
+import { startFleetTask } from './tasks/fleetTask.js'
+import type { GatewayContext } from './tasks/gatewayContext.js'
+import { startTokenTask } from './tasks/tokenTask.js'
+
+/** Time for which new connections are still taken after SIGTERM, milliseconds: the balancer needs two missed checks. */
+const LISTEN_AFTER_STOP = 2600
+/** Time before SIGKILL at which the process ends whatever is under way, milliseconds. */
+const STOP_MARGIN = 500
+/** Time before SIGKILL at which tokens are returned, milliseconds. */
+const RETURN_MARGIN = 1500
+const STOP_CHECK_INTERVAL = 50
+
+/** What a gateway process is started with. */
+export interface GatewayOptions {
+  readonly settings: GatewaySettings
+  /** Read again on SIGHUP. */
+  readonly settingsFile: string
+  readonly platform: GatewayPlatform
+}
+
+/** Runs a gateway process until it is told to stop. */
+export async function runGateway (options: GatewayOptions): Promise<void> {
+  const { platform, settings } = options
+  const lifetimeId = `${settings.instanceId}.${randomUUID().slice(0, 8)}`
+  const log = createDecisionLog({ instanceId: settings.instanceId, level: settings.logLevel })
+  const metrics = createMetrics()
+  log.event('starting', { lifetime: lifetimeId, failureDomain: settings.failureDomain, processId: process.pid })
+  const connections = createBackendConnections()
+  const crashWatch = createCrashWatch()
+  let stopping = false
+
+  const fleet = startFleetTask({
+    store: platform.store,
+    log,
+    instanceId: settings.instanceId,
+    lifetimeId,
+    onShortage: (account) => tokens.returnFree(account),
+    onCrash: (fingerprint, reportId) => {
+      const before = crashWatch.crashes(fingerprint)
+      crashWatch.recordCrash(fingerprint, reportId, Date.now())
+      if (crashWatch.crashes(fingerprint) !== before) log.decision('crashCounted', { fingerprint, crashes: crashWatch.crashes(fingerprint), report: reportId })
+    }
+  })
+  const tokens = startTokenTask({ store: platform.store, log, lifetimeId, instances: () => fleet.instances, noteShortage: fleet.noteShortage })
+  const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
+  const backends = startBackendTask({ platform, log, onGone: (state) => connections.closeIdle(state.entry.address) })
+  const context: GatewayContext = {
+    settings,
+    wire: platform.wire,
+    log,
+    metrics,
+    configuration: () => configuration.current,
+    backends,
+    connections,
+    tokens,
+    fleet,
+    retryShares: createRetryShares({ ratio: settings.retryRatio, slack: settings.retrySlack, windowMilliseconds: settings.retryWindowSeconds * 1000 }, () => fleet.instances),
+    crashWatch,
+    choices: new WeakMap(),
+    isStopping: () => stopping
+  }
+  const callers = createCallersListener(context)
+
+  function applyConfiguration (before: FleetConfiguration | undefined, after: FleetConfiguration): void {
+    callers.server.keepAliveTimeout = after.limits.idleTimeoutMilliseconds
+    callers.server.headersTimeout = after.limits.headerTimeoutMilliseconds
+    for (const account of after.accounts) tokens.setPrepaid(account.name, account.prepaidTokens)
+    for (const account of before?.accounts ?? []) if (!after.accounts.some((kept) => kept.name === account.name)) tokens.setPrepaid(account.name, 0)
+  }
+
+  function notReadyReason (): string {
+    if (stopping) return 'stopping'
+    if (configuration.current === undefined) return 'no configuration'
+    if (backends.follower.contactAt === 0) return 'no list of backend servers'
+    return ''
+  }
+
+  const readiness = createServer((request, response) => {
+    request.resume()
+    const reason = notReadyReason()
+    response.writeHead(reason === '' ? 200 : 503, { 'content-type': 'text/plain' })
+    response.end(reason === '' ? 'ready\n' : `not ready: ${reason}\n`)
+  })
+  const operations = createServer((request, response) => {
+    request.resume()
+    metrics.gauge('configuration_version', configuration.current?.configuration.version ?? 0)
+    metrics.gauge('active_requests', callers.active)
+    metrics.text().then((text) => response.end(text), (error: unknown) => {
+      log.warning('metricsFailed', { reason: String(error) })
+      response.destroy()
+    })
+  })
+  await Promise.all([
+    listen(callers.server, settings.callersAddress),
+    listen(readiness, settings.readinessAddress),
+    listen(operations, settings.metricsAddress)
+  ])
+  log.event('started', { callers: settings.callersAddress, startMilliseconds: Math.round(performance.now()) })
+
+  function stop (): void {
+    if (stopping) return
+    stopping = true
+    const killedAt = Date.now() + settings.stopSeconds * 1000
+    log.event('stopping', { active: callers.active, killedAt })
+    stopGracefully({ context, callers, killedAt })
+      .then(async () => {
+        configuration.stop()
+        backends.stop()
+        await Promise.race([Promise.all([tokens.close(), fleet.leave()]), pauseUntil(killedAt - STOP_MARGIN)])
+      })
+      .catch((error: unknown) => log.warning('stopFailed', { reason: String(error) }))
+      .finally(() => {
+        log.event('stopped', { active: callers.active })
+        log.flush()
+        process.exit(0)
+      })
+  }
+
+  process.on('SIGTERM', stop)
+  process.on('SIGINT', stop)
+  process.on('SIGHUP', () => checkSettings(options.settingsFile, settings, log))
+}
+
+/** Reads the settings again; what can't change without a new start is said so. */
+function checkSettings (file: string, settings: GatewaySettings, log: DecisionLog): void {
+  try {
+    const read = parseGatewaySettings(file, readFileSync(file, 'utf8'))
+    const changed = (Object.keys(read) as (keyof GatewaySettings)[]).filter((key) => read[key] !== settings[key])
+    Object.assign(settings, read)
+    log.event('settingsReloaded', { changed: changed.join(',') })
+  } catch (error) {
+    log.warning('settingsRejected', { kept: true, reason: (error as Error).message })
+  }
+}
+
+async function stopGracefully (stopOptions: { readonly context: GatewayContext, readonly callers: CallersListener, readonly killedAt: number }): Promise<void> {
+  const { callers, killedAt } = stopOptions
+  const listenUntil = Date.now() + LISTEN_AFTER_STOP
+  while (Date.now() < killedAt - RETURN_MARGIN) {
+    if (Date.now() >= listenUntil) {
+      callers.server.close()
+      callers.server.closeIdleConnections()
+      if (callers.active === 0) return
+    }
+    await pauseUntil(Date.now() + STOP_CHECK_INTERVAL)
+  }
+}
+
+function pauseUntil (at: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, Math.max(0, at - Date.now())))
+}
+
+function listen (server: Server, address: string): Promise<void> {
+  const [host = '', port = ''] = address.split(':')
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(Number(port), host, 511, () => {
+      server.removeListener('error', reject)
+      resolve()
+    })
+  })
+}
+
+export { SETTINGS_EXIT_CODE }
--- /dev/null
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -0,0 +1,151 @@
+import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
+
+/** Time within which a connection is established, milliseconds; a round trip takes a few. */
+const CONNECT_TIME = 400
+/** Time before the announced end of an idle connection at which it is no longer used, milliseconds. */
+const IDLE_MARGIN = 700
+/** Time after which an idle connection is closed when the backend server announces none, milliseconds. */
+const DEFAULT_IDLE = 8000
+
+/** Keeps idle connections to one backend server, and drops one on which bytes come that nobody asked for. */
+class BackendAgent extends Agent {
+  override keepSocketAlive (socket: Socket): boolean {
+    const response = (socket as Socket & { _httpMessage?: ClientRequest & { res?: IncomingMessage } })._httpMessage?.res
+    const announced = /timeout=(\d+)/.exec(String(response?.headers['keep-alive'] ?? ''))?.[1]
+    const idle = announced === undefined ? DEFAULT_IDLE : Math.min(DEFAULT_IDLE, Number(announced) * 1000 - IDLE_MARGIN)
+    if (idle <= 0) return false
+    socket.setKeepAlive(true, 1000)
+    socket.setTimeout(idle)
+    socket.once('timeout', destroyIdle)
+    socket.on('data', destroyIdle)
+    socket.ref()
+    return true
+  }
+
+  override reuseSocket (socket: Socket, outgoing: ClientRequest): void {
+    socket.removeListener('timeout', destroyIdle)
+    socket.removeListener('data', destroyIdle)
+    socket.setTimeout(0)
+    super.reuseSocket(socket, outgoing)
+  }
+}
+
+function destroyIdle (this: Socket): void {
+  this.destroy()
+}
+
+/** One request to a backend server. */
+export interface ExchangeRequest {
+  readonly address: string
+  readonly method: string
+  readonly path: string
+  readonly headers: Record<string, string | string[]>
+  readonly body: Buffer
+}
+
+/** What becomes of an exchange. Exactly one of `onEnd` and `onBroken` comes, at the latest after an abort. */
+export interface ExchangeListener {
+  readonly onHead: (incoming: IncomingMessage) => void
+  readonly onData: (chunk: Buffer) => void
+  /** The answer is complete. */
+  readonly onEnd: () => void
+  /** `sent` is false when no byte can have reached the backend server. */
+  readonly onBroken: (sent: boolean, reason: string) => void
+}
+
+/** A request under way. */
+export interface Exchange {
+  abort (reason: string): void
+  pause (): void
+  resume (): void
+  readonly reusedConnection: boolean
+}
+
+/** Connections to backend servers, by address. */
+export interface BackendConnections {
+  start (exchange: ExchangeRequest, listener: ExchangeListener): Exchange
+  /** Closes idle connections to an address. */
+  closeIdle (address: string): void
+  closeAll (): void
+}
+
+/** Creates the pool. */
+export function createBackendConnections (): BackendConnections {
+  const agents = new Map<string, Agent>()
+
+  function agentOf (address: string): Agent {
+    const found = agents.get(address)
+    if (found !== undefined) return found
+    const agent = new BackendAgent({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: 32 })
+    agents.set(address, agent)
+    return agent
+  }
+
+  function start (exchange: ExchangeRequest, listener: ExchangeListener): Exchange {
+    const [host = '', port = ''] = exchange.address.split(':')
+    let connected = false
+    let finished = false
+    let incoming: IncomingMessage | undefined
+    const headers = exchange.body.length > 0 || exchange.method === 'POST' || exchange.method === 'PUT'
+      ? { ...exchange.headers, 'content-length': String(exchange.body.length) }
+      : exchange.headers
+    const outgoing = request({ agent: agentOf(exchange.address), host, port: Number(port), method: exchange.method, path: exchange.path, headers, setHost: false })
+    let connectTimer: NodeJS.Timeout | undefined
+
+    function finish (report: () => void): void {
+      if (finished) return
+      finished = true
+      clearTimeout(connectTimer)
+      report()
+    }
+    function fail (reason: string): void {
+      finish(() => listener.onBroken(connected, reason))
+      outgoing.destroy()
+    }
+    outgoing.on('socket', (socket) => {
+      socket.setNoDelay(true)
+      if (!socket.connecting) {
+        connected = true
+        return
+      }
+      connectTimer = setTimeout(() => fail('no connection in time'), CONNECT_TIME)
+      socket.once('connect', () => {
+        connected = true
+        clearTimeout(connectTimer)
+      })
+    })
+    outgoing.on('error', (error) => fail(error.message))
+    outgoing.on('response', (response) => {
+      if (finished) return
+      incoming = response
+      response.on('data', (chunk: Buffer) => { if (!finished) listener.onData(chunk) })
+      response.on('error', (error) => fail(error.message))
+      response.on('end', () => {
+        if (response.complete) finish(listener.onEnd)
+        else fail('answer broke off')
+      })
+      response.on('close', () => { if (!response.complete) fail('answer broke off') })
+      listener.onHead(response)
+    })
+    outgoing.end(exchange.body.length > 0 ? exchange.body : undefined)
+    return {
+      abort: fail,
+      pause: () => incoming?.pause(),
+      resume: () => incoming?.resume(),
+      get reusedConnection () { return outgoing.reusedSocket }
+    }
+  }
+
+  function closeIdle (address: string): void {
+    const agent = agents.get(address)
+    if (agent === undefined) return
+    for (const sockets of Object.values(agent.freeSockets)) for (const socket of sockets ?? []) socket.destroy()
+  }
+
+  return {
+    start,
+    closeIdle,
+    closeAll: () => { for (const agent of agents.values()) agent.destroy() }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/tasks/configurationTask.ts
@@ -0,0 +1,57 @@
+import { indexConfiguration, type ConfigurationIndex } from '../decisions/configurationIndex.js'
+import type { FleetConfiguration } from '../fleetConfiguration.js'
+import type { GatewayPlatform, StoredRow } from '../ports.js'
+import type { DecisionLog } from './decisionLog.js'
+import { followTable, type TableFollower } from './tableFollower.js'
+
+/** Time that a call waits at the store for a change, milliseconds; a dead connection is noticed soon after it. */
+const FEED_WAIT = 1500
+
+/** Keeps the newest configuration in force; it never goes back while the process lives. */
+export interface ConfigurationTask {
+  /** Undefined until one was read. */
+  readonly current: ConfigurationIndex | undefined
+  readonly follower: TableFollower
+  stop (): void
+}
+
+/** What the task needs. */
+export interface ConfigurationTaskOptions {
+  readonly platform: GatewayPlatform
+  readonly log: DecisionLog
+  readonly onChange: (before: FleetConfiguration | undefined, after: FleetConfiguration) => void
+}
+
+/** Starts to follow the operators' configuration. */
+export function startConfigurationTask (options: ConfigurationTaskOptions): ConfigurationTask {
+  const { platform, log } = options
+  let current: ConfigurationIndex | undefined
+
+  function take (rows: readonly StoredRow[]): void {
+    const row = rows.findLast((candidate) => candidate.key === platform.tables.configuration.key && !candidate.deleted)
+    if (row === undefined) return
+    let configuration: FleetConfiguration
+    try {
+      configuration = platform.wire.decodeConfiguration(row.value)
+    } catch (error) {
+      log.warning('configurationUnreadable', { rowVersion: row.version, inForce: current?.configuration.version, reason: String(error).slice(0, 300) })
+      return
+    }
+    const before = current?.configuration
+    if (before !== undefined && configuration.version <= before.version) return
+    current = indexConfiguration(configuration)
+    log.event('configurationInForce', { version: configuration.version, before: before?.version, routes: configuration.routes.length, accounts: configuration.accounts.length })
+    options.onChange(before, configuration)
+  }
+
+  const follower = followTable({
+    store: platform.store,
+    log,
+    table: platform.tables.configuration.table,
+    waitMilliseconds: FEED_WAIT,
+    pauseMilliseconds: 0,
+    onAll: take,
+    onChanges: take
+  })
+  return { get current () { return current }, follower, stop: () => follower.stop() }
+}
--- /dev/null
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -0,0 +1,31 @@
+import type { Metrics } from '@quinceshunt/telemetry'
+import type { Choice } from '../decisions/backendChoice.js'
+import type { ConfigurationIndex } from '../decisions/configurationIndex.js'
+import type { CrashWatch } from '../decisions/crashWatch.js'
+import type { RetryShares } from '../decisions/retryShares.js'
+import type { WireFormat } from '../ports.js'
+import type { GatewaySettings } from '../settings.js'
+import type { BackendConnections } from './backendConnections.js'
+import type { BackendTask } from './backendTask.js'
+import type { DecisionLog } from './decisionLog.js'
+import type { FleetTask } from './fleetTask.js'
+import type { RequestState } from './requestTask.js'
+import type { TokenTask } from './tokenTask.js'
+
+/** What request tasks share. */
+export interface GatewayContext {
+  readonly settings: GatewaySettings
+  readonly wire: WireFormat
+  readonly log: DecisionLog
+  readonly metrics: Metrics
+  readonly configuration: () => ConfigurationIndex | undefined
+  readonly backends: BackendTask
+  readonly connections: BackendConnections
+  readonly tokens: TokenTask
+  readonly fleet: FleetTask
+  readonly retryShares: RetryShares
+  readonly crashWatch: CrashWatch
+  /** The last choice made for each request. */
+  readonly choices: WeakMap<RequestState, Choice>
+  readonly isStopping: () => boolean
+}
--- /dev/null
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -0,0 +1,179 @@
+import { assertNever, runDecision } from '@quinceshunt/effects'
+import { createHash } from 'node:crypto'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { chooseBackend, type Choice } from '../decisions/backendChoice.js'
+import { chooseTarget } from '../decisions/configurationIndex.js'
+import { isRepeatable, planRequest, type AttemptOutcome, type ChoiceOutcome, type PlanCommand, type PlanResult } from '../decisions/requestPlan.js'
+import type { ClientAccount, Route } from '../fleetConfiguration.js'
+import type { CallerFields } from '../ports.js'
+import { runAttempt, type HeldAnswer } from './attempt.js'
+import type { GatewayContext } from './gatewayContext.js'
+import { refuse, refuseForNow } from './refusals.js'
+
+/** Time after which a caller is best told to return when backend servers reject requests, milliseconds. */
+const REJECTION_RETRY = { engine: 400, plain: 150 } as const
+/** Time after which a caller is best told to return when no backend server is listed, milliseconds. */
+const NO_BACKEND_RETRY = 700
+/** Time that a caller is assumed to wait when it does not say, milliseconds. */
+const DEFAULT_WAIT = 60_000
+
+/** A request that was read and admitted. */
+export interface AdmittedRequest {
+  readonly incoming: IncomingMessage
+  readonly response: ServerResponse
+  readonly fields: CallerFields
+  readonly route: Route
+  readonly account: ClientAccount | undefined
+  readonly body: Buffer
+  /** Unix milliseconds at which its headers were read. */
+  readonly receivedAt: number
+}
+
+/** State of one request while it is served; owned by its task. */
+export interface RequestState extends AdmittedRequest {
+  readonly service: string
+  /** Unix milliseconds at which the caller or the route gives up. */
+  readonly deadline: number
+  sends: number
+  /** True once a backend server may have begun to run it. */
+  mayHaveRun: boolean
+  /** Events delivered to the caller. */
+  deliveredEvents: number
+  lastEventId: string
+  callerGone: boolean
+  /** True once the caller has the head of the answer. */
+  begun: boolean
+  heldAnswer: HeldAnswer | undefined
+  firstByteAt: number | undefined
+  backends: string[]
+}
+
+/** Identifies a request's content, for finding requests that crash backend servers. */
+export function fingerprint (state: Pick<RequestState, 'incoming' | 'account' | 'body'>): string {
+  return createHash('sha1')
+    .update(`${state.incoming.method ?? ''} ${state.incoming.url ?? ''} ${state.account?.name ?? ''}\n`)
+    .update(state.body)
+    .digest('hex')
+    .slice(0, 24)
+}
+
+/** Largest use of tokens of a request. */
+function largestUse (state: RequestState): number {
+  return state.fields.prompt === undefined ? 0 : state.fields.prompt.inputTokens + state.fields.prompt.maximumOutputTokens
+}
+
+function usedTokens (context: GatewayContext, state: RequestState): number {
+  const prompt = state.fields.prompt
+  if (prompt === undefined || !state.mayHaveRun) return 0
+  const tokensPerEvent = context.configuration()?.service(state.service)?.engine?.tokensPerEvent ?? 1
+  return prompt.inputTokens + Math.min(prompt.maximumOutputTokens, state.deliveredEvents * tokensPerEvent)
+}
+
+/** Serves one request to its end. */
+export async function serveRequest (context: GatewayContext, admitted: AdmittedRequest): Promise<void> {
+  const { route, fields, response } = admitted
+  const service = chooseTarget(route.targets, Math.random()) ?? ''
+  const wait = Math.min(route.timeoutMilliseconds, fields.waitMilliseconds ?? DEFAULT_WAIT)
+  const state: RequestState = {
+    ...admitted, service, deadline: admitted.receivedAt + wait, sends: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, callerGone: false, begun: false, heldAnswer: undefined, firstByteAt: undefined, backends: []
+  }
+  response.on('close', () => { if (!response.writableFinished) state.callerGone = true })
+  context.retryShares.recordRequest(service, admitted.receivedAt)
+  if (context.crashWatch.hasSuspects && context.crashWatch.isQuarantined(fingerprint(state), Date.now())) {
+    finish(context, state, { kind: 'notRun', reason: 'crashed several backend servers', retryAt: state.deadline })
+    return
+  }
+  const reserved = largestUse(state)
+  let isReserved = false
+  const result = await runDecision(
+    planRequest({ repetition: route.repetition, maximumSends: route.maximumSends, retryAt: () => retryAt(state) }),
+    async (command: PlanCommand) => {
+      switch (command.kind) {
+        case 'reserveTokens': {
+          if (reserved === 0 || state.account === undefined) return { kind: 'reserved' }
+          const outcome = await context.tokens.reserve(state.account.name, reserved, state.deadline)
+          isReserved = outcome.kind === 'reserved'
+          return outcome
+        }
+        case 'chooseBackend': return choose(context, state, command.excluded)
+        case 'sendAttempt': return await send(context, state, command.backendId)
+        case 'takeRepeat': return !state.callerGone && context.retryShares.takeRetry(service, Date.now())
+        default: return assertNever(command)
+      }
+    }
+  )
+  if (isReserved && state.account !== undefined) context.tokens.settle(state.account.name, reserved, usedTokens(context, state))
+  finish(context, state, result)
+}
+
+function retryAt (state: RequestState): number {
+  return Date.now() + (state.fields.prompt === undefined ? REJECTION_RETRY.plain : REJECTION_RETRY.engine)
+}
+
+function choose (context: GatewayContext, state: RequestState, excluded: readonly string[]): ChoiceOutcome {
+  const now = Date.now()
+  const candidates = context.backends.candidates(state.service, now).filter((candidate) => !excluded.includes(candidate.entry.id))
+  const choice = chooseBackend(candidates, {
+    prompt: state.fields.prompt,
+    isRepeatable: isRepeatable(state.route.repetition),
+    failureDomain: context.settings.failureDomain
+  }, now, Math.random())
+  if (choice === undefined) return { kind: 'none', retryAt: now + NO_BACKEND_RETRY }
+  context.choices.set(state, choice)
+  return { kind: 'chosen', backendId: choice.state.entry.id }
+}
+
+async function send (context: GatewayContext, state: RequestState, backendId: string): Promise<AttemptOutcome> {
+  const choice: Choice | undefined = context.choices.get(state)
+  if (state.callerGone) return { kind: 'callerGone' }
+  if (choice === undefined || choice.state.entry.id !== backendId) return { kind: 'notSent', reason: 'backend server no longer listed' }
+  state.backends.push(backendId)
+  return await runAttempt(context, state, choice)
+}
+
+/** Gives the caller its final answer, and logs what decided it. */
+function finish (context: GatewayContext, state: RequestState, result: PlanResult): void {
+  const { response } = state
+  const requestId = state.fields.attemptId
+  switch (result.kind) {
+    case 'delivered': break
+    case 'callerGone': response.destroy(); break
+    case 'passFailure':
+      state.heldAnswer?.deliver()
+      break
+    case 'notRun':
+      refuseForNow(context, response, result.reason, result.retryAt)
+      break
+    case 'exhausted':
+      refuse(context, response, { status: 402, code: 'budget_exhausted', message: 'the remaining prepaid balance does not cover this request at its largest size', run: 'no' })
+      break
+    case 'unknown':
+      refuse(context, response, { status: 502, code: 'outcome_unknown', message: `the backend server did not complete its answer: ${result.reason}`, run: 'unknown' })
+      break
+    case 'timedOut':
+      refuse(context, response, { status: 504, code: 'timed_out', message: 'no answer within the time limit', run: 'unknown' })
+      break
+    case 'cutOff': response.destroy(); break
+    default: assertNever(result)
+  }
+  const now = Date.now()
+  context.metrics.count('requests_total', { outcome: result.kind })
+  context.metrics.record('request', now - state.receivedAt)
+  if (state.firstByteAt !== undefined) context.metrics.record('first_byte', state.firstByteAt - state.receivedAt)
+  context.log.decision(result.kind === 'delivered' ? 'requestServed' : 'requestNotServed', {
+    request: requestId,
+    account: state.account?.name,
+    route: state.route.name,
+    service: state.service,
+    outcome: result.kind,
+    status: response.statusCode,
+    reason: 'reason' in result ? result.reason : undefined,
+    backends: state.backends.join(','),
+    sends: state.sends,
+    milliseconds: now - state.receivedAt,
+    firstByteMilliseconds: state.firstByteAt === undefined ? undefined : state.firstByteAt - state.receivedAt,
+    events: state.deliveredEvents,
+    configuration: context.configuration()?.configuration.version,
+    listAgeMilliseconds: now - context.backends.follower.contactAt
+  })
+}
