--- /dev/null
+++ b/packages/gateway/src/decisions/grantSizing.ts
@@ -0,0 +1,58 @@
+/**
+ * Sizes the grants of one client account at one instance.
+ *
+ * Pattern: an account is drawn on through many instances at uneven rates; instances lose the store for seconds, all at
+ * once or singly, and are killed. A grant covers the use of such an outage; near exhaustion grants shrink with what is
+ * left, so that the last tokens are not spread over instances that don't need them.
+ */
+
+/** Time of use that a grant covers while the store can't be reached, milliseconds. */
+const GRANT_HORIZON = 12_000
+/** Time of use that is open without a renewal of the lease, milliseconds: the seal plus some renewals that fail. */
+const OPEN_HORIZON = 4500
+/** Part of an instance's even share of the ungranted tokens that it may hold beyond its recent use. */
+const SHARE_DIVISOR = 2.5
+/** Part of its even share that an instance holds before any use is known. */
+const IDLE_SHARE_DIVISOR = 6
+/** A draw is due when the free tokens cover less than this share of the target. */
+const LOW_WATER_SHARE = 0.8
+/** Returned when more than this multiple of the target is free. */
+const EXCESS = 2.5
+/** Smallest amount worth a return, tokens. */
+const SMALLEST_RETURN = 4000
+
+/** What the size of a grant depends on. */
+export interface GrantInput {
+  readonly free: number
+  /** Tokens that waiting requests lack. */
+  readonly needed: number
+  /** Tokens a millisecond. */
+  readonly rate: number
+  /** Tokens of the account that are not granted to any instance. */
+  readonly ungranted: number
+  /** Instances that may draw. */
+  readonly instances: number
+}
+
+/** Tokens that an instance should hold free. */
+export function targetGrant (input: Pick<GrantInput, 'rate' | 'ungranted' | 'instances' | 'free'>): number {
+  const evenShare = (input.ungranted + input.free) / Math.max(1, input.instances)
+  return Math.floor(Math.min(Math.max(input.rate * GRANT_HORIZON, evenShare / IDLE_SHARE_DIVISOR), evenShare / SHARE_DIVISOR))
+}
+
+/** Tokens to move now: positive to draw, negative to return, 0 for none. */
+export function grantMove (input: GrantInput): number {
+  const target = targetGrant(input)
+  if (input.needed > 0 || input.free < target * LOW_WATER_SHARE) {
+    const wanted = input.needed + Math.max(0, target - Math.max(0, input.free))
+    const drawn = Math.floor(Math.min(wanted, input.ungranted))
+    return drawn >= input.needed ? drawn : 0
+  }
+  const excess = Math.floor(input.free - target)
+  return input.free > target * EXCESS + SMALLEST_RETURN ? -excess : 0
+}
+
+/** Tokens that may be used until the lease is renewed, beyond those in use. */
+export function openTokens (rate: number, free: number): number {
+  return Math.floor(Math.min(free, Math.max(rate * OPEN_HORIZON, free / 3)))
+}
--- a/packages/gateway/src/decisions/tokenBook.ts
+++ b/packages/gateway/src/decisions/tokenBook.ts
@@ -1,19 +1,33 @@
 /**
- * Accounts for the tokens of one client account at one instance. Tokens are granted from the account's row in the
- * store; each request reserves its largest use before it is sent and settles what it used. The sum of all grants never
- * exceeds what was prepaid, so no instance can overspend, whatever it is cut off from.
+ * Accounts for the tokens of one client account at one instance.
+ *
+ * Tokens are granted from the account's balance in the store. Each request reserves its largest use before it is sent
+ * and settles what it used. A grant has an open part, up to `limit`, and a sealed part that stays untouched while the
+ * store is in reach; what a killed process certainly left sealed is taken over by the next process of that instance.
  */
 export interface TokenBook {
-  /** Takes tokens for a request; false when too few are free. */
-  reserve (tokens: number): boolean
+  /** Takes tokens for a request; false when too few may be used. */
+  reserve (tokens: number, isUnsealed: boolean): boolean
   /** Ends a reservation of `reserved` tokens of which `used` were used. */
   settle (reserved: number, used: number, now: number): void
-  /** Adds granted tokens, or takes out returned ones when negative. */
-  adjust (tokens: number): void
+  /** Adds granted tokens. */
+  receive (tokens: number): void
+  /** Takes out tokens that are free. */
+  remove (tokens: number): void
+  /** Adds tokens that a peer handed over; they are no part of the lease. */
+  receiveTransfer (tokens: number): void
+  /** Ends a reservation of tokens that were handed to a peer: they count as used, but not as this instance's need. */
+  settleTransfer (tokens: number): void
+  /** Lowers the limit to a proposed one at once; raises it only by `confirmLimit`. */
+  proposeLimit (limit: number): void
+  confirmLimit (limit: number): void
+  /** Granted less returned tokens of this process's lease. */
+  readonly held: number
   readonly free: number
   readonly reserved: number
-  /** Tokens used by requests that have ended. */
-  readonly spent: number
+  /** Used and reserved since the process started. */
+  readonly committed: number
+  readonly limit: number
   /** Recent use, tokens a millisecond. */
   rate (now: number): number
 }
@@ -23,70 +37,49 @@
 
 /** Creates a book without tokens. */
 export function createTokenBook (): TokenBook {
-  let free = 0
+  let held = 0
+  let transferred = 0
+  let used = 0
   let reserved = 0
-  let spent = 0
+  let limit = 0
   let recent = 0
   let recentAt = 0
 
   function decayedRecent (now: number): number {
     return recent * Math.exp(-Math.max(0, now - recentAt) / RATE_TIME)
   }
+  function free (): number {
+    return held + transferred - used - reserved
+  }
 
   return {
-    reserve: (tokens) => {
-      if (tokens > free) return false
-      free -= tokens
+    reserve: (tokens, isUnsealed) => {
+      if (tokens > free()) return false
+      if (!isUnsealed && used + reserved + tokens > limit + transferred) return false
       reserved += tokens
       return true
     },
-    settle: (taken, used, now) => {
+    settle: (taken, usedTokens, now) => {
       reserved -= taken
-      spent += used
-      free += taken - used
-      recent = decayedRecent(now) + used
+      used += usedTokens
+      recent = decayedRecent(now) + usedTokens
       recentAt = now
     },
-    adjust: (tokens) => { free += tokens },
-    get free () { return free },
+    receive: (tokens) => { held += tokens },
+    remove: (tokens) => { held -= tokens },
+    receiveTransfer: (tokens) => { transferred += tokens },
+    settleTransfer: (tokens) => {
+      reserved -= tokens
+      used += tokens
+    },
+    proposeLimit: (proposed) => { limit = Math.min(limit, proposed) },
+    confirmLimit: (confirmed) => { limit = confirmed },
+    get held () { return held },
+    get free () { return free() },
     get reserved () { return reserved },
-    get spent () { return spent },
+    // Transferred tokens are spent first, as they are no part of the lease's limit.
+    get committed () { return Math.max(0, used + reserved - transferred) },
+    get limit () { return limit },
     rate: (now) => decayedRecent(now) / RATE_TIME
   }
 }
-
-/** What the size of a draw depends on. */
-export interface DrawInput {
-  readonly free: number
-  /** Tokens that waiting requests lack. */
-  readonly needed: number
-  /** Tokens a millisecond. */
-  readonly rate: number
-  /** Tokens of the account that are not granted to any instance. */
-  readonly ungranted: number
-  /** Instances that may draw. */
-  readonly instances: number
-}
-
-/** Time of use that a grant covers while the store can't be reached, milliseconds. */
-const GRANT_HORIZON = 10_000
-/** Part of an instance's even share of the ungranted tokens that it may hold, so that the last ones are not stranded. */
-const SHARE_DIVISOR = 2
-/** A draw is due when the free tokens cover less than this share of the target. */
-const LOW_WATER_SHARE = 0.5
-
-/** Tokens that an instance should hold free. */
-export function targetGrant (input: Omit<DrawInput, 'free' | 'needed'>): number {
-  const evenShare = input.ungranted / Math.max(1, input.instances) / SHARE_DIVISOR
-  return Math.floor(Math.min(input.rate * GRANT_HORIZON, evenShare))
-}
-
-/** Tokens to draw now; 0 when none are due or not enough are left. */
-export function drawSize (input: DrawInput): number {
-  const target = targetGrant(input)
-  const isDue = input.needed > 0 || input.free < target * LOW_WATER_SHARE
-  if (!isDue) return 0
-  const wanted = Math.max(input.needed, input.needed + target - input.free)
-  const drawn = Math.min(wanted, input.ungranted)
-  return drawn >= input.needed ? Math.floor(drawn) : 0
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,3 +1,4 @@
+import { steadyNow } from './clock.js'
 import { createMetrics } from '@quinceshunt/telemetry'
 import { randomUUID } from 'node:crypto'
 import { readFileSync } from 'node:fs'
@@ -14,6 +15,7 @@
 import { createDecisionLog, type DecisionLog } from './tasks/decisionLog.js'
 import { startFleetTask } from './tasks/fleetTask.js'
 import type { GatewayContext } from './tasks/gatewayContext.js'
+import { askPeers, createPeerListener } from './tasks/peerTransfers.js'
 import { startTokenTask } from './tasks/tokenTask.js'
 
 /** Time for which new connections are still taken after SIGTERM, milliseconds: the balancer needs two missed checks. */
@@ -48,14 +50,25 @@
     log,
     instanceId: settings.instanceId,
     lifetimeId,
+    peerAddress: settings.peerAddress,
     onShortage: (account) => tokens.returnFree(account),
     onCrash: (fingerprint, reportId) => {
       const before = crashWatch.crashes(fingerprint)
-      crashWatch.recordCrash(fingerprint, reportId, Date.now())
+      crashWatch.recordCrash(fingerprint, reportId, steadyNow())
       if (crashWatch.crashes(fingerprint) !== before) log.decision('crashCounted', { fingerprint, crashes: crashWatch.crashes(fingerprint), report: reportId })
     }
   })
-  const tokens = startTokenTask({ store: platform.store, log, lifetimeId, instances: () => fleet.instances, noteShortage: fleet.noteShortage })
+  const tokens = startTokenTask({
+    store: platform.store,
+    log,
+    instanceId: settings.instanceId,
+    lifetimeId,
+    spansParts: settings.storeSpansParts,
+    instances: () => fleet.instances,
+    noteShortage: fleet.noteShortage,
+    askPeers: (account, wanted) => askPeers(fleet.peers, account, wanted, log)
+  })
+  const peerListener = createPeerListener((account, wanted) => tokens.handOver(account, wanted), log)
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
   const backends = startBackendTask({ platform, log, onGone: (state) => connections.closeIdle(state.entry.address) })
   const context: GatewayContext = {
@@ -107,14 +120,15 @@
   await Promise.all([
     listen(callers.server, settings.callersAddress),
     listen(readiness, settings.readinessAddress),
-    listen(operations, settings.metricsAddress)
+    listen(operations, settings.metricsAddress),
+    listen(peerListener, settings.peerAddress)
   ])
   log.event('started', { callers: settings.callersAddress, startMilliseconds: Math.round(performance.now()) })
 
   function stop (): void {
     if (stopping) return
     stopping = true
-    const killedAt = Date.now() + settings.stopSeconds * 1000
+    const killedAt = steadyNow() + settings.stopSeconds * 1000
     log.event('stopping', { active: callers.active, killedAt })
     stopGracefully({ context, callers, killedAt })
       .then(async () => {
@@ -149,19 +163,19 @@
 
 async function stopGracefully (stopOptions: { readonly context: GatewayContext, readonly callers: CallersListener, readonly killedAt: number }): Promise<void> {
   const { callers, killedAt } = stopOptions
-  const listenUntil = Date.now() + LISTEN_AFTER_STOP
-  while (Date.now() < killedAt - RETURN_MARGIN) {
-    if (Date.now() >= listenUntil) {
+  const listenUntil = steadyNow() + LISTEN_AFTER_STOP
+  while (steadyNow() < killedAt - RETURN_MARGIN) {
+    if (steadyNow() >= listenUntil) {
       callers.server.close()
       callers.server.closeIdleConnections()
       if (callers.active === 0) return
     }
-    await pauseUntil(Date.now() + STOP_CHECK_INTERVAL)
+    await pauseUntil(steadyNow() + STOP_CHECK_INTERVAL)
   }
 }
 
 function pauseUntil (at: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, Math.max(0, at - Date.now())))
+  return new Promise((resolve) => setTimeout(resolve, Math.max(0, at - steadyNow())))
 }
 
 function listen (server: Server, address: string): Promise<void> {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -19,13 +19,15 @@
   readonly expected: readonly (RowName & { readonly version: number })[]
   readonly writes: readonly (RowName & { readonly value: string })[]
   readonly removals: readonly RowName[]
+  /** True when the rows lie in several parts, which takes longer. */
+  readonly spansParts?: boolean
 }
 
-/** Outcome of a transaction. */
+/** Outcome of a transaction. `storeTime` is the store's steady clock, milliseconds. */
 export type TransactionOutcome =
-  | { readonly kind: 'applied', readonly version: number }
+  | { readonly kind: 'applied', readonly version: number, readonly storeTime: number }
   /** Nothing was done; the current rows of those that were expected. */
-  | { readonly kind: 'conflict', readonly rows: readonly StoredRow[] }
+  | { readonly kind: 'conflict', readonly rows: readonly StoredRow[], readonly storeTime: number }
   /** Nothing was done. */
   | { readonly kind: 'refused', readonly reason: string }
   /** It may have been applied, or may be applied later while its conditions hold. */
@@ -39,7 +41,7 @@
   | { readonly kind: 'historyGone' }
   | { readonly kind: 'unavailable', readonly reason: string }
 
-/** The platform's store of versioned rows. No call rejects: failures are outcomes. Deadlines are Unix milliseconds. */
+/** The platform's store of versioned rows. No call rejects: failures are outcomes. Deadlines are readings of `steadyNow`. */
 export interface RowStore {
   transact (transaction: RowTransaction, deadline: number): Promise<TransactionOutcome>
   /** All rows of one part of a table, or the range of keys from `from` up to but without `to`. */
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -20,6 +20,8 @@
   readinessAddress: socketAddress,
   /** Where `/metrics` is served. */
   metricsAddress: socketAddress,
+  /** Where other instances reach this one. */
+  peerAddress: socketAddress,
   storeAddress: socketAddress,
   /** Interval at which a backend server renews its entry, milliseconds. */
   backendHeartbeatMilliseconds: positive,
@@ -41,6 +43,8 @@
   promptReuseWindowSeconds: positive,
   /** Largest value of a row of the store, bytes. */
   storeRowBytes: positive,
+  /** True when one transaction of the store may change rows of several parts. */
+  storeSpansParts: v.boolean(),
   /** Lowest level of log lines. */
   logLevel: v.optional(v.picklist(['trace', 'debug', 'info', 'warn', 'error']), 'info')
 })
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -1,3 +1,4 @@
+import { steadyNow } from '../clock.js'
 import type { IncomingMessage } from 'node:http'
 import { observe, rememberParts, silence, type BackendObservation, type PendingSend } from '../decisions/backendState.js'
 import { PREFILL_TOKENS_PER_MILLISECOND, type Choice } from '../decisions/backendChoice.js'
@@ -39,7 +40,7 @@
   const { wire, connections } = context
   const { response, incoming: callerRequest } = state
   const backend = choice.state
-  const sentAt = Date.now()
+  const sentAt = steadyNow()
   const isStream = state.route.repetition.kind === 'resumableStream' || state.route.repetition.kind === 'onceStream'
   const canRepeat = isRepeatable(state.route.repetition) && state.sends + 1 < state.route.maximumSends
   const pending: PendingSend = { sentAt, prefillTokens: choice.prefillTokens, answered: false }
@@ -88,7 +89,7 @@
   /** Ends the exchange; the outcome is settled when the connection has been dropped. */
   function abort (outcome: AttemptOutcome, reason: string): void {
     abortedAs ??= outcome
-    if (!pending.answered && Date.now() - sentAt > SILENT_SEND) note({ kind: 'silent' })
+    if (!pending.answered && steadyNow() - sentAt > SILENT_SEND) note({ kind: 'silent' })
     exchange.abort(reason)
   }
 
@@ -102,7 +103,7 @@
   }
 
   function note (observation: BackendObservation): void {
-    observe(backend, observation, Date.now())
+    observe(backend, observation, steadyNow())
     if (observation.kind === 'silent' || observation.kind === 'unreachable') {
       connections.closeIdle(backend.entry.address)
       context.log.decision('backendAvoided', { backend: backend.entry.id, because: observation.kind, until: backend.avoidedUntil, request: state.fields.attemptId })
@@ -110,7 +111,7 @@
   }
 
   function checkPatience (): void {
-    const now = Date.now()
+    const now = steadyNow()
     const isQuiet = silence(backend, now) > 0 || now - backend.heardAt > SHORTEST_PATIENCE
     const target = state.begun
       ? Math.max(SHORTEST_PATIENCE, state.route.pauseTargetMilliseconds * SILENT_PAUSES)
@@ -120,7 +121,7 @@
   }
 
   function hear (): void {
-    const now = Date.now()
+    const now = steadyNow()
     backend.heardAt = now
     lastProgressAt = now
     if (pending.answered) return
@@ -133,7 +134,7 @@
     hear()
     const status = incoming.statusCode ?? 0
     const fields = wire.readAnswer(status, incoming.headers)
-    if (fields.load !== undefined) backend.reported = { ...fields.load, receivedAt: Date.now(), sendsAtReceipt: backend.sends }
+    if (fields.load !== undefined) backend.reported = { ...fields.load, receivedAt: steadyNow(), sendsAtReceipt: backend.sends }
     if (fields.attemptId !== '' && fields.attemptId !== state.fields.attemptId) {
       abort({ kind: 'broken', reason: 'answer of another request', begun: state.begun }, 'answer of another request')
       return
@@ -147,7 +148,7 @@
     head = { incoming, passes }
     if (passes && !state.begun) {
       state.begun = true
-      state.firstByteAt = Date.now()
+      state.firstByteAt = steadyNow()
       const returned = wire.returnHeaders(incoming.rawHeaders)
       response.writeHead(status, withoutLength(returned, context))
     }
@@ -217,7 +218,7 @@
       status,
       deliver: () => {
         if (response.headersSent || response.destroyed) return
-        state.firstByteAt = Date.now()
+        state.firstByteAt = steadyNow()
         response.writeHead(status, hasNoBody ? returned : [...returned, 'Content-Length', String(body.length)])
         response.end(hasNoBody ? undefined : body)
       }
--- a/packages/gateway/src/tasks/backendTask.ts
+++ b/packages/gateway/src/tasks/backendTask.ts
@@ -1,3 +1,4 @@
+import { steadyNow } from '../clock.js'
 import { createBackendState, forgetLifetime, type BackendState } from '../decisions/backendState.js'
 import type { BackendServerEntry } from '../fleetConfiguration.js'
 import type { GatewayPlatform, StoredRow } from '../ports.js'
@@ -86,14 +87,14 @@
   }
 
   function takeAll (rows: readonly StoredRow[], contact: Contact): void {
-    const now = Date.now()
+    const now = steadyNow()
     const listed = new Set(rows.map((row) => row.key))
     for (const row of rows) take(row, now)
     for (const id of [...states.keys()]) if (!listed.has(id)) removeOrLapse(id, now, contact)
   }
 
   function takeChanges (rows: readonly StoredRow[], contact: Contact): void {
-    const now = Date.now()
+    const now = steadyNow()
     for (const row of rows) {
       if (row.deleted) removeOrLapse(row.key, now, contact)
       else take(row, now)
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -1,3 +1,4 @@
+import { steadyNow } from '../clock.js'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { GatewayContext } from './gatewayContext.js'
 import { refuse, refuseForNow } from './refusals.js'
@@ -38,7 +39,7 @@
       response.destroy()
     })
   })
-  server.on('connection', () => { acceptedAt = Date.now() })
+  server.on('connection', () => { acceptedAt = steadyNow() })
   server.on('clientError', (error, socket) => {
     context.log.decision('callerConnectionFailed', { reason: error.message })
     if ((error as NodeJS.ErrnoException).code === 'ECONNRESET' || !socket.writable) {
@@ -52,7 +53,7 @@
 }
 
 async function handle (context: GatewayContext, incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-  const receivedAt = Date.now()
+  const receivedAt = steadyNow()
   const index = context.configuration()
   if (index === undefined) {
     incoming.resume()
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -1,3 +1,4 @@
+import { steadyNow } from '../clock.js'
 import type { RowStore, StoredRow } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
 import { followTable, type TableFollower } from './tableFollower.js'
@@ -22,6 +23,8 @@
 export interface FleetTask {
   /** Instances that are listed, at least 1. */
   readonly instances: number
+  /** Addresses of the other instances. */
+  readonly peers: readonly string[]
   /** Asks all instances to return what they hold of an account. */
   noteShortage (account: string): void
   reportCrash (fingerprint: string): void
@@ -37,6 +40,8 @@
   readonly instanceId: string
   /** Unique for this start of the process. */
   readonly lifetimeId: string
+  /** Where peers reach this instance. */
+  readonly peerAddress: string
   readonly onShortage: (account: string) => void
   readonly onCrash: (fingerprint: string, reportId: string) => void
 }
@@ -44,14 +49,15 @@
 /** Starts to follow and write the fleet's notes. */
 export function startFleetTask (options: FleetTaskOptions): FleetTask {
   const { store, log } = options
-  const instances = new Set<string>()
+  /** Peer addresses by instance ID. */
+  const instances = new Map<string, string>()
   const shortagesNotedAt = new Map<string, number>()
   let crashes: string[] = []
   let crashCount = 0
   let stopped = false
 
   async function write (key: string, value: string): Promise<boolean> {
-    const outcome = await store.transact({ expected: [], writes: [{ table: TABLE, part: '', key, value }], removals: [] }, Date.now() + WRITE_TIME)
+    const outcome = await store.transact({ expected: [], writes: [{ table: TABLE, part: '', key, value }], removals: [] }, steadyNow() + WRITE_TIME)
     if (outcome.kind === 'applied') return true
     log.decision('fleetNoteNotWritten', { key, outcome: outcome.kind })
     return false
@@ -61,7 +67,7 @@
     if (row.key.startsWith(PREFIX.instance)) {
       const name = row.key.slice(PREFIX.instance.length)
       if (row.deleted) instances.delete(name)
-      else instances.add(name)
+      else instances.set(name, row.value)
       return
     }
     if (row.deleted) return
@@ -87,8 +93,8 @@
   })
 
   async function register (): Promise<void> {
-    while (!stopped) {
-      if (await write(`${PREFIX.instance}${options.instanceId}`, options.lifetimeId)) return
+    for (;;) {
+      if (stopped || await write(`${PREFIX.instance}${options.instanceId}`, options.peerAddress)) return
       await new Promise((resolve) => setTimeout(resolve, REGISTER_PAUSE))
     }
   }
@@ -98,7 +104,7 @@
     crashes = crashes.slice(CRASHES_PER_WRITE)
     if (crashes.length > 0) setTimeout(writeCrashes, CRASH_INTERVAL)
     const writes = batch.map((key) => ({ table: TABLE, part: '', key, value: options.instanceId }))
-    store.transact({ expected: [], writes, removals: [] }, Date.now() + WRITE_TIME).then((outcome) => {
+    store.transact({ expected: [], writes, removals: [] }, steadyNow() + WRITE_TIME).then((outcome) => {
       if (outcome.kind !== 'applied') log.decision('crashReportsNotWritten', { count: batch.length, outcome: outcome.kind })
     }, (error: unknown) => log.warning('crashReportsFailed', { reason: String(error) }))
   }
@@ -114,8 +120,9 @@
   register().catch((error: unknown) => log.warning('registrationFailed', { reason: String(error) }))
   return {
     get instances () { return Math.max(1, instances.size) },
+    get peers () { return [...instances].filter(([name]) => name !== options.instanceId).map(([, address]) => address) },
     noteShortage: (account) => {
-      const now = Date.now()
+      const now = steadyNow()
       if (now - (shortagesNotedAt.get(account) ?? 0) < SHORTAGE_INTERVAL) return
       shortagesNotedAt.set(account, now)
       log.event('shortageNoted', { account })
@@ -126,7 +133,7 @@
     leave: async () => {
       stopped = true
       follower.stop()
-      await store.transact({ expected: [], writes: [], removals: [{ table: TABLE, part: '', key: `${PREFIX.instance}${options.instanceId}` }] }, Date.now() + WRITE_TIME)
+      await store.transact({ expected: [], writes: [], removals: [{ table: TABLE, part: '', key: `${PREFIX.instance}${options.instanceId}` }] }, steadyNow() + WRITE_TIME)
     }
   }
 }
--- a/packages/gateway/src/tasks/refusals.ts
+++ b/packages/gateway/src/tasks/refusals.ts
@@ -1,3 +1,4 @@
+import { steadyNow } from '../clock.js'
 import type { ServerResponse } from 'node:http'
 import type { GatewayContext } from './gatewayContext.js'
 
@@ -25,7 +26,7 @@
 
 /** Answers that the request has not run and will not, with the time at which to return. `retryAt` in Unix milliseconds. */
 export function refuseForNow (context: GatewayContext, response: ServerResponse, reason: string, retryAt: number): void {
-  const seconds = Math.max(0.05, (retryAt - Date.now()) / 1000)
+  const seconds = Math.max(0.05, (retryAt - steadyNow()) / 1000)
   refuse(context, response, { status: 503, code: 'not_run', message: `the request was not run: ${reason}`, run: 'no' }, { 'retry-after': seconds.toFixed(2) })
 }
 
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -1,3 +1,4 @@
+import { steadyNow } from '../clock.js'
 import { assertNever, runDecision } from '@quinceshunt/effects'
 import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
@@ -79,7 +80,7 @@
   }
   response.on('close', () => { if (!response.writableFinished) state.callerGone = true })
   context.retryShares.recordRequest(service, admitted.receivedAt)
-  if (context.crashWatch.hasSuspects && context.crashWatch.isQuarantined(fingerprint(state), Date.now())) {
+  if (context.crashWatch.hasSuspects && context.crashWatch.isQuarantined(fingerprint(state), steadyNow())) {
     finish(context, state, { kind: 'notRun', reason: 'crashed several backend servers', retryAt: state.deadline })
     return
   }
@@ -97,7 +98,7 @@
         }
         case 'chooseBackend': return choose(context, state, command.excluded)
         case 'sendAttempt': return await send(context, state, command.backendId)
-        case 'takeRepeat': return !state.callerGone && context.retryShares.takeRetry(service, Date.now())
+        case 'takeRepeat': return !state.callerGone && context.retryShares.takeRetry(service, steadyNow())
         default: return assertNever(command)
       }
     }
@@ -107,11 +108,11 @@
 }
 
 function retryAt (state: RequestState): number {
-  return Date.now() + (state.fields.prompt === undefined ? REJECTION_RETRY.plain : REJECTION_RETRY.engine)
+  return steadyNow() + (state.fields.prompt === undefined ? REJECTION_RETRY.plain : REJECTION_RETRY.engine)
 }
 
 function choose (context: GatewayContext, state: RequestState, excluded: readonly string[]): ChoiceOutcome {
-  const now = Date.now()
+  const now = steadyNow()
   const candidates = context.backends.candidates(state.service, now).filter((candidate) => !excluded.includes(candidate.entry.id))
   const choice = chooseBackend(candidates, {
     prompt: state.fields.prompt,
@@ -156,7 +157,7 @@
     case 'cutOff': response.destroy(); break
     default: assertNever(result)
   }
-  const now = Date.now()
+  const now = steadyNow()
   context.metrics.count('requests_total', { outcome: result.kind })
   context.metrics.record('request', now - state.receivedAt)
   if (state.firstByteAt !== undefined) context.metrics.record('first_byte', state.firstByteAt - state.receivedAt)
--- a/packages/gateway/src/tasks/tableFollower.ts
+++ b/packages/gateway/src/tasks/tableFollower.ts
@@ -1,3 +1,4 @@
+import { steadyNow } from '../clock.js'
 import type { ReadOutcome, RowStore, StoredRow } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
 
@@ -46,7 +47,7 @@
   async function step (): Promise<number> {
     // A call that waits at the store would hide for that long that the connection is dead.
     const wait = lostSince === undefined ? options.waitMilliseconds : 0
-    const deadline = Date.now() + wait + ANSWER_TIME
+    const deadline = steadyNow() + wait + ANSWER_TIME
     const outcome = version === undefined
       ? await options.store.read(options.table, '', deadline)
       : await options.store.follow(options.table, version, wait, deadline)
@@ -55,7 +56,7 @@
   }
 
   function handle (outcome: ReadOutcome): number {
-    const now = Date.now()
+    const now = steadyNow()
     switch (outcome.kind) {
       case 'rows': {
         const contact = { previousAt: contactAt }
@@ -79,7 +80,8 @@
   }
 
   async function run (): Promise<void> {
-    while (!stopped) {
+    for (;;) {
+      if (stopped) return
       const pause = await step().catch((error: unknown) => {
         options.log.warning('tableFollowerFailed', { table: options.table, reason: String(error) })
         return RETRY_PAUSE
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -1,32 +1,37 @@
-import PQueue from 'p-queue'
+import { steadyNow } from '../clock.js'
+import { grantMove, openTokens } from '../decisions/grantSizing.js'
+import { decodeLeaseRow, encodeLeaseRow, reclaimable, type LeaseRow } from '../decisions/leaseRow.js'
 import type { ReservationOutcome } from '../decisions/requestPlan.js'
-import { createTokenBook, drawSize, targetGrant, type TokenBook } from '../decisions/tokenBook.js'
-import type { RowStore, StoredRow } from '../ports.js'
+import { createTokenBook, type TokenBook } from '../decisions/tokenBook.js'
+import type { RowStore, StoredRow, TransactionOutcome } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
 
-/** Table of budgets; each client account is a part of its own, so that accounts do not wait for each other. */
-const TABLE = 'budgets'
-const BALANCE_KEY = 'balance'
+/** Tables of balances, by client account, and of leases, by instance. */
+const TABLE = { balances: 'balances', leases: 'leases' } as const
 /** Time that a transaction may take, milliseconds. */
 const TRANSACTION_TIME = 800
-/** Attempts of one draw when other instances draw at the same moment. */
-const CONFLICT_ATTEMPTS = 6
-/** Transactions under way at once, over all accounts. */
-const CONCURRENT_TRANSACTIONS = 4
-/** Pause after a draw that the store refused or did not answer, milliseconds. */
-const FAILURE_PAUSE = 300
-/** Longest time that a request waits for tokens, milliseconds. */
-const LONGEST_WAIT = 1500
-/** Pause before a draw is tried again when other instances are to return tokens, milliseconds. */
-const SHORTAGE_PAUSE = 250
-/** Time that other instances get to return tokens before a request is told that the balance is exhausted, milliseconds. */
-const SHORTAGE_WAIT = 700
-/** Interval at which draws and returns are considered, milliseconds. */
-const REVIEW_INTERVAL = 500
-/** Returned at review when more than this multiple of the target is free. */
-const EXCESS = 3
-/** Smallest amount worth a return at review, tokens. */
-const SMALLEST_RETURN = 2000
+/** Transactions in a row while other instances change the same balances. */
+const CONFLICT_ATTEMPTS = 8
+/** Pause after a transaction that the store refused or did not answer, milliseconds. */
+const FAILURE_PAUSE = 250
+/** Time for which the sealed part of a grant stays untouched after a renewal, milliseconds; restarts take less. */
+const SEAL_TIME = 0
+/** Interval at which grants are reviewed, milliseconds. */
+const REVIEW_INTERVAL = 400
+/** Age at which a lease is renewed, milliseconds. */
+const RENEWAL_AGE = 1000
+/** Longest time that a request waits for tokens while the store answers, milliseconds. */
+const LONGEST_WAIT = 1200
+/** Longest time that a request waits for tokens while the store does not answer, milliseconds. */
+const LONGEST_WAIT_WITHOUT_STORE = 200
+/** Pause before a caller returns for whom there were no tokens, milliseconds. */
+const NO_TOKENS_RETRY = 500
+/** Time of its own use that an instance keeps when a peer asks for tokens, milliseconds. */
+const KEPT_FROM_PEERS = 4000
+/** Interval at which the end of a transaction is awaited at the stop, milliseconds. */
+const CLOSE_CHECK = 20
+/** Pause before balances are looked at again when other instances are to return tokens, milliseconds. */
+const SHORTAGE_PAUSE = 200
 
 /** Prepaid tokens at this instance: reserves them for requests, draws them from the store and returns them. */
 export interface TokenTask {
@@ -37,6 +42,8 @@
   setPrepaid (account: string, tokens: number | undefined): void
   /** Returns what is free, as another instance lacks tokens. */
   returnFree (account: string): void
+  /** Hands free tokens to a peer that can't reach the store; returns how many. */
+  handOver (account: string, tokens: number): number
   /** Returns all that is free before the process ends. */
   close (): Promise<void>
 }
@@ -45,16 +52,20 @@
 export interface TokenTaskOptions {
   readonly store: RowStore
   readonly log: DecisionLog
+  readonly instanceId: string
   readonly lifetimeId: string
+  /** True when one transaction may change several parts of the store. */
+  readonly spansParts: boolean
   readonly instances: () => number
   readonly noteShortage: (account: string) => void
+  /** Asks peers for tokens when the store can't be reached; resolves with what they handed over. */
+  readonly askPeers: (account: string, tokens: number) => Promise<number>
 }
 
 /** A request that waits for tokens. */
 interface WaitingRequest {
   readonly tokens: number
   readonly deadline: number
-  readonly since: number
   readonly resolve: (outcome: ReservationOutcome) => void
 }
 
@@ -64,240 +75,318 @@
   prepaid: number | undefined
   readonly book: TokenBook
   waiting: WaitingRequest[]
-  /** The account's row as last seen: tokens granted to all instances. */
-  committed: number
+  /** The account's balance row as last seen: tokens granted to all instances, and the row's version. */
+  granted: number
   balanceVersion: number
-  /** This process's own row as last seen: tokens that it holds or has used. */
-  held: number
-  leaseVersion: number
-  /** A transaction whose outcome is not known: the tokens that it moves to this instance. */
-  unresolved: number | undefined
-  adjusting: boolean
-  pausedUntil: number
-  /** Unix milliseconds since which a draw has found too few tokens; undefined when it did not. */
-  shortSince: number | undefined
+  returnRequested: boolean
+  askingPeers: boolean
+}
+
+/** A transaction that was composed. */
+interface Composed {
+  readonly row: LeaseRow
+  /** By account: positive to draw, negative to return. */
+  readonly moves: ReadonlyMap<string, number>
+  /** Tokens taken over from the process before this one. */
+  readonly reclaimed: ReadonlyMap<string, number>
 }
 
 /** Starts the task. */
 export function startTokenTask (options: TokenTaskOptions): TokenTask {
   const { store, log } = options
-  const leaseKey = `lease/${options.lifetimeId}`
-  const queue = new PQueue({ concurrency: CONCURRENT_TRANSACTIONS })
   const accounts = new Map<string, AccountState>()
+  const leaseName = { table: TABLE.leases, part: options.spansParts ? options.instanceId : '', key: options.instanceId }
+  let leaseVersion = 0
+  let sequence = 0
+  /** Lease row of this instance's process before this one, until it is taken over. */
+  let predecessor: { readonly row: LeaseRow, readonly storeTime: number } | undefined
+  /** Transactions without an answer. They expect the same lease version, so at most one of them can take effect. */
+  let open: Composed[] = []
+  let storeClock: { readonly time: number, readonly at: number } | undefined
+  let sealedUntil = 0
+  let renewedAt = 0
+  let failedAt = 0
+  let running = false
+  let rerun = false
   let closed = false
 
   function stateOf (name: string): AccountState {
     const found = accounts.get(name)
     if (found !== undefined) return found
-    const created: AccountState = {
-      name, prepaid: undefined, book: createTokenBook(), waiting: [], committed: 0, balanceVersion: 0, held: 0, leaseVersion: 0, unresolved: undefined, adjusting: false, pausedUntil: 0, shortSince: undefined
-    }
+    const created: AccountState = { name, prepaid: undefined, book: createTokenBook(), waiting: [], granted: 0, balanceVersion: 0, returnRequested: false, askingPeers: false }
     accounts.set(name, created)
     return created
   }
 
+  function balanceName (account: string): { table: string, part: string, key: string } {
+    return { table: TABLE.balances, part: options.spansParts ? account : '', key: account }
+  }
+
+  /** Store time, or earlier: answers take time to arrive, and a suspended process does not count it. */
+  function storeTime (): number {
+    return storeClock === undefined ? 0 : storeClock.time + steadyNow() - storeClock.at
+  }
+
+  function isUnsealed (): boolean {
+    return storeTime() >= sealedUntil
+  }
+
+  function hearStore (time: number): void {
+    if (storeClock === undefined || time > storeTime()) storeClock = { time, at: steadyNow() }
+  }
+
   function ungranted (state: AccountState): number {
-    return Math.max(0, (state.prepaid ?? 0) - state.committed)
+    return Math.max(0, (state.prepaid ?? 0) - state.granted)
   }
 
   function needed (state: AccountState): number {
-    const wanted = state.waiting.reduce((sum, request) => sum + request.tokens, 0)
-    return Math.max(0, wanted - state.book.free)
+    return Math.max(0, state.waiting.reduce((sum, request) => sum + request.tokens, 0) - state.book.free)
   }
 
-  /** Learns the rows; a transaction of unknown outcome is settled by this process's own row, which only it writes. */
-  function learn (state: AccountState, rows: readonly StoredRow[]): void {
-    for (const row of rows) {
-      if (row.key === BALANCE_KEY) {
-        state.committed = row.version === 0 || row.deleted ? 0 : Number(row.value)
-        state.balanceVersion = row.deleted ? 0 : row.version
-      }
-      if (row.key === leaseKey) {
-        const held = row.version === 0 || row.deleted ? 0 : Number(row.value)
-        if (state.unresolved !== undefined && held !== state.held) {
-          state.book.adjust(Math.max(0, held - state.held))
-          state.unresolved = undefined
-          log.event('drawResolved', { account: state.name, tokens: held - state.held, leaseVersion: row.version })
-        }
-        state.held = held
-        state.leaseVersion = row.deleted ? 0 : row.version
-      }
-    }
+  function moveOf (state: AccountState): number {
+    const now = steadyNow()
+    if (state.prepaid === undefined) return 0
+    if (state.returnRequested || closed) return -Math.max(0, Math.floor(state.book.free))
+    return grantMove({ free: state.book.free, needed: needed(state), rate: state.book.rate(now), ungranted: ungranted(state), instances: options.instances() })
   }
 
-  /** A later transaction shows that a return of unknown outcome took no effect and can't any more. */
-  function restoreReturn (state: AccountState): void {
-    if (state.unresolved !== undefined && state.unresolved < 0) state.book.adjust(-state.unresolved)
-    state.unresolved = undefined
+  /** Composes the next transaction; what it returns or limits is taken from the books at once. */
+  function compose (): Composed {
+    const reclaimed = predecessor === undefined ? new Map<string, number>() : reclaimable(predecessor.row, predecessor.storeTime)
+    for (const name of reclaimed.keys()) stateOf(name)
+    const moves = new Map<string, number>()
+    const rows: LeaseRow['accounts'] = {}
+    const now = steadyNow()
+    for (const state of accounts.values()) {
+      const move = moveOf(state)
+      if (move !== 0) moves.set(state.name, move)
+      // A return leaves the book before the store can know of it, so that its tokens are never in two places.
+      if (move < 0) state.book.remove(-move)
+      const added = Math.max(0, move) + (reclaimed.get(state.name) ?? 0)
+      const spendable = Math.max(0, state.book.free + added)
+      const waiting = state.waiting.reduce((sum, request) => sum + request.tokens, 0)
+      const limit = state.book.committed + Math.min(spendable, openTokens(state.book.rate(now), spendable) + waiting)
+      state.book.proposeLimit(limit)
+      if (state.book.held + added !== 0) rows[state.name] = { held: state.book.held + added, limit }
+    }
+    sequence++
+    const row: LeaseRow = { lifetime: options.lifetimeId, sequence, sealedUntil: storeTime() + SEAL_TIME, accounts: rows }
+    sealedUntil = Math.max(sealedUntil, row.sealedUntil)
+    return { row, moves, reclaimed }
   }
 
-  /** Moves tokens between the account's row and this instance, negative to return; tells whether it took effect. */
-  async function move (state: AccountState, tokens: () => number): Promise<boolean> {
-    for (let attempt = 0; attempt < CONFLICT_ATTEMPTS; attempt++) {
-      const amount = tokens()
-      if (amount === 0) return false
-      const expectedHeld = state.held
-      const balance = { table: TABLE, part: state.name, key: BALANCE_KEY }
-      const lease = { table: TABLE, part: state.name, key: leaseKey }
-      // A return is taken out first, so that a late effect can't leave tokens both here and in the account's row.
-      if (amount < 0) state.book.adjust(amount)
-      const outcome = await store.transact({
-        expected: [{ ...balance, version: state.balanceVersion }, { ...lease, version: state.leaseVersion }],
-        writes: [{ ...balance, value: String(state.committed + amount) }, { ...lease, value: String(expectedHeld + amount) }],
-        removals: []
-      }, Date.now() + TRANSACTION_TIME)
-      switch (outcome.kind) {
-        case 'applied':
-          restoreReturn(state)
-          state.committed += amount
-          state.held = expectedHeld + amount
-          state.balanceVersion = outcome.version
-          state.leaseVersion = outcome.version
-          if (amount > 0) state.book.adjust(amount)
-          log.decision('tokensMoved', { account: state.name, tokens: amount, committed: state.committed, prepaid: state.prepaid, free: state.book.free })
-          return true
-        case 'conflict': {
-          // The conflict shows whether an earlier transaction of unknown outcome has taken effect; none is open after it.
-          if (amount < 0) state.book.adjust(-amount)
-          learn(state, outcome.rows)
-          restoreReturn(state)
-          continue
-        }
-        case 'refused':
-          if (amount < 0) state.book.adjust(-amount)
-          state.pausedUntil = Date.now() + FAILURE_PAUSE
-          log.decision('drawRefused', { account: state.name, tokens: amount, reason: outcome.reason })
-          return false
-        case 'unknown':
-          // Tokens of a return stay out of the book: they are lost to this instance if it took effect, and idle if not.
-          state.unresolved = amount
-          state.pausedUntil = Date.now() + FAILURE_PAUSE
-          log.decision('drawUnknown', { account: state.name, tokens: amount, reason: outcome.reason })
-          return false
-      }
+  /** Enters a transaction that took effect into the books. */
+  function enter (composed: Composed): void {
+    for (const [name, move] of composed.moves) {
+      const state = stateOf(name)
+      if (move > 0) state.book.receive(move)
+      state.granted += move
+      if (move < 0) state.returnRequested = false
+      log.decision('tokensMoved', { account: name, tokens: move, granted: state.granted, prepaid: state.prepaid, free: state.book.free, sequence: composed.row.sequence })
     }
-    return false
+    for (const [name, tokens] of composed.reclaimed) {
+      stateOf(name).book.receive(tokens)
+      log.event('tokensReclaimed', { account: name, tokens, from: predecessor?.row.lifetime, sealedUntil: predecessor?.row.sealedUntil, storeTime: predecessor?.storeTime })
+    }
+    for (const [name, { limit }] of Object.entries(composed.row.accounts)) stateOf(name).book.confirmLimit(limit)
+    predecessor = undefined
   }
 
-  function drawAmount (state: AccountState): number {
-    const now = Date.now()
-    return drawSize({ free: state.book.free, needed: needed(state), rate: state.book.rate(now), ungranted: ungranted(state), instances: options.instances() })
+  /** Puts back what a transaction that had no effect and can't have any more was to return. */
+  function restore (composed: Composed): void {
+    for (const [name, move] of composed.moves) if (move < 0) stateOf(name).book.receive(-move)
   }
 
-  /** Serves waiting requests in order from what is free. */
-  function serveWaiting (state: AccountState): void {
-    const now = Date.now()
-    state.waiting = state.waiting.filter((request) => {
-      if (state.book.reserve(request.tokens)) {
-        request.resolve({ kind: 'reserved' })
-        return false
-      }
-      if (now >= request.deadline) {
-        request.resolve({ kind: 'unavailable', retryAt: now + FAILURE_PAUSE })
-        return false
-      }
-      return true
-    })
+  function learnLease (row: StoredRow | undefined, time: number): void {
+    leaseVersion = row === undefined || row.deleted ? 0 : row.version
+    const lease = row === undefined || leaseVersion === 0 ? undefined : readLease(row)
+    if (lease !== undefined && lease.lifetime !== options.lifetimeId) predecessor ??= { row: lease, storeTime: time }
+    const earlier = open
+    open = []
+    for (const composed of earlier) {
+      const tookEffect = lease?.lifetime === options.lifetimeId && lease.sequence === composed.row.sequence
+      log.event('leaseWriteResolved', { sequence: composed.row.sequence, tookEffect })
+      if (tookEffect) enter(composed)
+      else restore(composed)
+    }
   }
 
-  /** Tells requests that can't be covered any more, once other instances had time to return what they hold. */
-  function refuseExhausted (state: AccountState): void {
-    const now = Date.now()
-    if (state.shortSince === undefined || now - state.shortSince < SHORTAGE_WAIT) return
-    const available = state.book.free + ungranted(state)
-    state.waiting = state.waiting.filter((request) => {
-      if (request.tokens <= available || now - request.since < SHORTAGE_WAIT) return true
-      log.decision('balanceExhausted', { account: state.name, tokens: request.tokens, prepaid: state.prepaid, committed: state.committed, rowVersion: state.balanceVersion })
-      request.resolve({ kind: 'exhausted' })
-      return false
-    })
+  function readLease (row: StoredRow): LeaseRow | undefined {
+    try {
+      return decodeLeaseRow(row.value)
+    } catch (error) {
+      log.warning('leaseUnreadable', { rowVersion: row.version, reason: String(error).slice(0, 200) })
+      return undefined
+    }
   }
 
-  async function adjust (state: AccountState): Promise<void> {
-    while (!closed) {
-      serveWaiting(state)
-      const now = Date.now()
-      if (state.pausedUntil > now) {
-        if (state.waiting.length === 0) return
-        await pause(state.pausedUntil - now)
-        continue
-      }
-      const applied = await queue.add(async () => await move(state, () => drawAmount(state)))
-      serveWaiting(state)
-      if (state.waiting.length === 0) {
-        state.shortSince = undefined
-        return
-      }
-      if (applied === true || state.pausedUntil > Date.now()) continue
-      state.shortSince ??= now
-      options.noteShortage(state.name)
-      refuseExhausted(state)
-      await pause(SHORTAGE_PAUSE)
-      await refresh(state)
+  function learnBalances (names: Iterable<string>, rows: readonly StoredRow[]): void {
+    const found = new Map(rows.filter((row) => row.table === TABLE.balances).map((row) => [row.key, row]))
+    for (const name of names) {
+      const row = found.get(name)
+      const state = stateOf(name)
+      state.balanceVersion = row === undefined || row.deleted ? 0 : row.version
+      state.granted = row === undefined || row.deleted || row.version === 0 ? 0 : Number(row.value)
     }
   }
 
-  /** Reads the account's rows, as other instances may have returned tokens. */
-  async function refresh (state: AccountState): Promise<void> {
-    const outcome = await store.read(TABLE, state.name, Date.now() + TRANSACTION_TIME, { from: BALANCE_KEY, to: `${BALANCE_KEY}~` })
-    if (outcome.kind !== 'rows') {
-      state.pausedUntil = Date.now() + FAILURE_PAUSE
-      log.decision('balanceNotRead', { account: state.name, outcome: outcome.kind })
-      return
-    }
-    learn(state, outcome.rows)
+  async function transact (composed: Composed): Promise<TransactionOutcome> {
+    const moved = [...composed.moves.keys()]
+    const expected = [
+      { ...leaseName, version: leaseVersion },
+      ...moved.map((name) => ({ ...balanceName(name), version: stateOf(name).balanceVersion }))
+    ]
+    const writes = [
+      { ...leaseName, value: encodeLeaseRow(composed.row) },
+      ...[...composed.moves].map(([name, move]) => ({ ...balanceName(name), value: String(stateOf(name).granted + move) }))
+    ]
+    return await store.transact({ expected, writes, removals: [], spansParts: options.spansParts }, steadyNow() + TRANSACTION_TIME)
   }
 
-  function pause (milliseconds: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, milliseconds))
+  /** Renews the lease and moves tokens once; tells whether another try makes sense at once. */
+  async function renew (): Promise<'done' | 'again' | 'failed'> {
+    const composed = compose()
+    const outcome = await transact(composed)
+    switch (outcome.kind) {
+      case 'applied':
+        hearStore(outcome.storeTime)
+        // None of the open ones took effect, as this one found the lease at the version that they expected too.
+        for (const earlier of open) restore(earlier)
+        open = []
+        leaseVersion = outcome.version
+        for (const name of composed.moves.keys()) stateOf(name).balanceVersion = outcome.version
+        enter(composed)
+        renewedAt = steadyNow()
+        failedAt = 0
+        return 'done'
+      case 'conflict':
+        hearStore(outcome.storeTime)
+        restore(composed)
+        learnLease(outcome.rows.find((row) => row.table === TABLE.leases), outcome.storeTime)
+        learnBalances(composed.moves.keys(), outcome.rows)
+        return 'again'
+      case 'refused':
+        restore(composed)
+        noteFailure(outcome.reason)
+        return 'failed'
+      case 'unknown':
+        open.push(composed)
+        noteFailure(outcome.reason)
+        return 'failed'
+    }
   }
 
-  /** Draws in the background unless that is under way. */
-  function startAdjusting (state: AccountState): void {
-    if (state.adjusting || closed) return
-    state.adjusting = true
-    adjust(state)
-      .catch((error: unknown) => log.warning('drawFailed', { account: state.name, reason: String(error) }))
-      .finally(() => { state.adjusting = false })
+  function noteFailure (reason: string): void {
+    if (failedAt === 0) log.event('leaseNotRenewed', { reason, renewedAt, sealedUntil, storeTime: storeTime() })
+    failedAt = steadyNow()
   }
 
-  async function giveBack (state: AccountState, keep: number): Promise<void> {
-    if (state.adjusting) return
-    state.adjusting = true
-    try {
-      await queue.add(async () => await move(state, () => -Math.max(0, Math.floor(state.book.free - keep))))
-    } finally {
-      state.adjusting = false
+  function serveWaiting (): void {
+    const now = steadyNow()
+    const unsealed = isUnsealed()
+    for (const state of accounts.values()) {
+      if (state.waiting.length === 0) continue
+      state.waiting = state.waiting.filter((request) => {
+        if (state.book.reserve(request.tokens, unsealed)) {
+          request.resolve({ kind: 'reserved' })
+          return false
+        }
+        const isLate = now >= request.deadline || (failedAt > 0 && now >= request.deadline - LONGEST_WAIT + LONGEST_WAIT_WITHOUT_STORE)
+        if (isLate) request.resolve({ kind: 'unavailable', retryAt: now + NO_TOKENS_RETRY })
+        return !isLate
+      })
     }
   }
 
-  function review (): void {
-    const now = Date.now()
+  function isWorkDue (): boolean {
+    if (steadyNow() - renewedAt >= RENEWAL_AGE) return true
     for (const state of accounts.values()) {
-      if (state.prepaid === undefined || state.pausedUntil > now) continue
-      serveWaiting(state)
-      if (drawAmount(state) > 0) {
-        startAdjusting(state)
-        continue
+      if (state.waiting.length > 0) return true
+      if (state.prepaid !== undefined && moveOf(state) !== 0) return true
+      const open = state.book.limit - state.book.committed
+      if (state.book.free > 0 && open < openTokens(state.book.rate(steadyNow()), state.book.free) / 2) return true
+    }
+    return false
+  }
+
+  async function work (): Promise<void> {
+    for (let attempt = 0; attempt < CONFLICT_ATTEMPTS; attempt++) {
+      const result = await renew()
+      serveWaiting()
+      if (result === 'failed') {
+        await pause(FAILURE_PAUSE)
+        serveWaiting()
+        return
       }
-      const target = targetGrant({ rate: state.book.rate(now), ungranted: ungranted(state), instances: options.instances() })
-      if (state.book.free > target * EXCESS + SMALLEST_RETURN) {
-        giveBack(state, target).catch((error: unknown) => log.warning('returnFailed', { account: state.name, reason: String(error) }))
+      if (result === 'done') break
+    }
+    const short = [...accounts.values()].filter((state) => state.waiting.length > 0)
+    if (short.length === 0) return
+    for (const state of short) if (needed(state) > ungranted(state)) options.noteShortage(state.name)
+    await pause(SHORTAGE_PAUSE)
+    await readBalances(short.map((state) => state.name))
+    serveWaiting()
+  }
+
+  /** Reads balances, as other instances may have returned tokens. */
+  async function readBalances (names: readonly string[]): Promise<void> {
+    for (const name of names) {
+      const { table, part, key } = balanceName(name)
+      const outcome = await store.read(table, part, steadyNow() + TRANSACTION_TIME, { from: key, to: `${key}~` })
+      if (outcome.kind !== 'rows') {
+        log.decision('balanceNotRead', { account: name, outcome: outcome.kind })
+        return
       }
+      learnBalances([name], outcome.rows)
+    }
+  }
+
+  function pause (milliseconds: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, milliseconds))
+  }
+
+  /** Runs the work, one transaction at a time. */
+  function start (): void {
+    if (running) {
+      rerun = true
+      return
     }
+    running = true
+    work()
+      .catch((error: unknown) => log.warning('tokenTaskFailed', { reason: String(error) }))
+      .finally(() => {
+        running = false
+        if (!rerun || closed) return
+        rerun = false
+        if ([...accounts.values()].some((state) => state.waiting.length > 0)) start()
+      })
   }
 
-  const timer = setInterval(review, REVIEW_INTERVAL)
+  const timer = setInterval(() => {
+    serveWaiting()
+    if (accounts.size > 0 && isWorkDue()) start()
+  }, REVIEW_INTERVAL)
+
+  function askPeers (state: AccountState, tokens: number): void {
+    if (state.askingPeers) return
+    state.askingPeers = true
+    options.askPeers(state.name, tokens).then((received) => {
+      if (received > 0) state.book.receiveTransfer(received)
+      serveWaiting()
+    }).catch((error: unknown) => log.warning('peersNotAsked', { account: state.name, reason: String(error) }))
+      .finally(() => { state.askingPeers = false })
+  }
 
   function reserve (name: string, tokens: number, deadline: number): Promise<ReservationOutcome> {
     const state = stateOf(name)
     if (state.prepaid === undefined) return Promise.resolve({ kind: 'reserved' })
-    if (state.waiting.length === 0 && state.book.reserve(tokens)) return Promise.resolve({ kind: 'reserved' })
+    if (state.waiting.length === 0 && state.book.reserve(tokens, isUnsealed())) return Promise.resolve({ kind: 'reserved' })
     if (tokens > state.prepaid) return Promise.resolve({ kind: 'exhausted' })
     return new Promise((resolve) => {
-      const now = Date.now()
-      state.waiting.push({ tokens, deadline: Math.min(deadline, now + LONGEST_WAIT), since: now, resolve })
-      startAdjusting(state)
+      state.waiting.push({ tokens, deadline: Math.min(deadline, steadyNow() + LONGEST_WAIT), resolve })
+      if (failedAt > 0 && needed(state) > 0) askPeers(state, needed(state))
+      start()
+      setTimeout(serveWaiting, LONGEST_WAIT_WITHOUT_STORE)
     })
   }
 
@@ -305,28 +394,39 @@
     reserve,
     settle: (name, reserved, used) => {
       const state = stateOf(name)
-      if (state.prepaid !== undefined) state.book.settle(reserved, used, Date.now())
+      if (state.prepaid !== undefined) state.book.settle(reserved, used, steadyNow())
     },
     setPrepaid: (name, tokens) => {
       const state = stateOf(name)
       const before = state.prepaid
       state.prepaid = tokens
-      if (tokens === undefined || before === undefined || tokens >= before) return
       // Grants of the larger balance may exceed the smaller one; what is free goes back first.
-      giveBack(state, 0).catch((error: unknown) => log.warning('returnFailed', { account: name, reason: String(error) }))
+      if (tokens !== undefined && before !== undefined && tokens < before) state.returnRequested = true
+      start()
     },
     returnFree: (name) => {
       const state = accounts.get(name)
       if (state === undefined || state.waiting.length > 0 || state.book.free <= 0) return
-      giveBack(state, 0).catch((error: unknown) => log.warning('returnFailed', { account: name, reason: String(error) }))
+      state.returnRequested = true
+      start()
+    },
+    handOver: (name, tokens) => {
+      const state = accounts.get(name)
+      if (state === undefined || state.prepaid === undefined || state.waiting.length > 0) return 0
+      const kept = Math.max(state.book.rate(steadyNow()) * KEPT_FROM_PEERS, state.book.free / 2)
+      const given = Math.floor(Math.min(tokens, state.book.free - kept))
+      if (given <= 0 || !state.book.reserve(given, isUnsealed())) return 0
+      state.book.settleTransfer(given)
+      return given
     },
     close: async () => {
       clearInterval(timer)
       closed = true
-      await Promise.all([...accounts.values()].map(async (state) => {
-        state.adjusting = false
-        if (state.book.free > 0) await giveBack(state, 0)
-      }))
+      // A transaction that is under way ends within its time; the next one depends on its outcome.
+      const endsBy = steadyNow() + TRANSACTION_TIME
+      const isWorking = (): boolean => running && steadyNow() < endsBy
+      while (isWorking()) await pause(CLOSE_CHECK)
+      for (let attempt = 0; attempt < CONFLICT_ATTEMPTS; attempt++) if (await renew() === 'done') return
     }
   }
 }
