Treat a reset right after an answer's bytes as a broken answer

Ruled out: lengths and chunked framing, which the parser checks. Change: such an answer is complete only if an empty write on its connection succeeds.

--- /dev/null
+++ b/packages/gateway/src/__tests__/backendConnections.test.ts
@@ -0,0 +1,93 @@
+import { afterEach, describe, expect, test } from '@jest/globals'
+import type { Socket } from 'node:net'
+import { createBackendConnections, type BackendConnections } from '../tasks/backendConnections.js'
+import { startRawServer, type RawServer } from '../__fixtures__/rawServer.js'
+
+type Ending = { readonly kind: 'complete', readonly body: string } | { readonly kind: 'broken', readonly sent: boolean, readonly reason: string }
+
+let server: RawServer | undefined
+let connections: BackendConnections | undefined
+
+afterEach(async () => {
+  connections?.closeAll()
+  await server?.close()
+})
+
+async function exchangeWith (answer: (socket: Socket) => void): Promise<Ending> {
+  server = await startRawServer(answer)
+  connections = createBackendConnections()
+  return await exchangeOnce(connections, server.address)
+}
+
+function exchangeOnce (pool: BackendConnections, address: string): Promise<Ending> {
+  return new Promise((resolve) => {
+    let body = ''
+    pool.start({ address, method: 'GET', path: '/', headers: { host: 'example' }, body: Buffer.alloc(0) }, {
+      onHead: () => {},
+      onData: (chunk) => { body += chunk.toString() },
+      onEnd: () => resolve({ kind: 'complete', body }),
+      onBroken: (sent, reason) => resolve({ kind: 'broken', sent, reason })
+    })
+  })
+}
+
+describe('answers of backend servers', () => {
+  test('an answer without a length that ends with its connection is complete', async () => {
+    const ending = await exchangeWith((socket) => socket.end('HTTP/1.1 200 OK\r\n\r\nwhole'))
+    expect(ending).toEqual({ kind: 'complete', body: 'whole' })
+  })
+
+  test('an answer without a length whose connection is reset is broken', async () => {
+    const ending = await exchangeWith((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\npart')
+      setTimeout(() => socket.resetAndDestroy(), 20)
+    })
+    expect(ending.kind).toBe('broken')
+  })
+
+  test('an answer without a length whose connection is reset right after its bytes is broken', async () => {
+    const ending = await exchangeWith((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\npart', () => socket.resetAndDestroy())
+    })
+    expect(ending.kind).toBe('broken')
+  })
+
+  test('an answer that is shorter than its length is broken', async () => {
+    const ending = await exchangeWith((socket) => socket.end('HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart'))
+    expect(ending.kind).toBe('broken')
+  })
+
+  test('a chunked answer without its last chunk is broken', async () => {
+    const ending = await exchangeWith((socket) => socket.end('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n'))
+    expect(ending.kind).toBe('broken')
+  })
+
+  test('a refused connection is not sent', async () => {
+    server = await startRawServer(() => {})
+    const { address } = server
+    await server.close()
+    connections = createBackendConnections()
+    const ending = await exchangeOnce(connections, address)
+    expect(ending).toMatchObject({ kind: 'broken', sent: false })
+  })
+
+  test('a connection on which bytes come unasked is not used again', async () => {
+    server = await startRawServer((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none')
+      setTimeout(() => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra'), 20)
+    })
+    connections = createBackendConnections()
+    expect(await exchangeOnce(connections, server.address)).toEqual({ kind: 'complete', body: 'one' })
+    await new Promise((resolve) => setTimeout(resolve, 80))
+    expect(await exchangeOnce(connections, server.address)).toEqual({ kind: 'complete', body: 'one' })
+    expect(server.connections).toBe(2)
+  })
+
+  test('a sound connection is used again', async () => {
+    server = await startRawServer((socket) => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none'))
+    connections = createBackendConnections()
+    await exchangeOnce(connections, server.address)
+    await exchangeOnce(connections, server.address)
+    expect(server.connections).toBe(1)
+  })
+})
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -31,6 +31,24 @@
   }
 }
 
+/** True when the answer has no length of its own. */
+function endsWithConnection (response: IncomingMessage): boolean {
+  return response.headers['content-length'] === undefined && response.headers['transfer-encoding'] === undefined && response.statusCode !== 204 && response.statusCode !== 304
+}
+
+/**
+ * Resolves with true when the connection was reset. Node reports a reset that comes right after bytes as an ordinary
+ * end; an empty write still gets the reset's error.
+ */
+function awaitEnding (socket: Socket): Promise<boolean> {
+  return new Promise((resolve) => {
+    socket.prependOnceListener('end', () => {
+      socket.write(Buffer.alloc(0), (error) => resolve(error !== null && error !== undefined))
+    })
+    socket.once('close', (hadError) => resolve(hadError))
+  })
+}
+
 function destroyIdle (this: Socket): void {
   this.destroy()
 }
@@ -119,11 +137,13 @@
     outgoing.on('response', (response) => {
       if (finished) return
       incoming = response
+      const ending = endsWithConnection(response) ? awaitEnding(response.socket) : undefined
       response.on('data', (chunk: Buffer) => { if (!finished) listener.onData(chunk) })
       response.on('error', (error) => fail(error.message))
       response.on('end', () => {
-        if (response.complete) finish(listener.onEnd)
-        else fail('answer broke off')
+        if (!response.complete) fail('answer broke off')
+        else if (ending !== undefined) ending.then((isReset) => isReset ? fail('answer ended with a reset') : finish(listener.onEnd))
+        else finish(listener.onEnd)
       })
       response.on('close', () => { if (!response.complete) fail('answer broke off') })
       listener.onHead(response)
