--- a/packages/gateway/src/decisions/grantSizing.ts
+++ b/packages/gateway/src/decisions/grantSizing.ts
@@ -9,7 +9,9 @@
 /** Time of use that a grant covers while the store can't be reached, milliseconds. */
 const GRANT_HORIZON = 12_000
 /** Time of use that is open without a renewal of the lease, milliseconds: the seal plus some renewals that fail. */
-const OPEN_HORIZON = 4500
+const OPEN_HORIZON = 6000
+/** Largest recent requests that fit into the open part. */
+const OPEN_REQUESTS = 1.5
 /** Part of an instance's even share of the ungranted tokens that it may hold beyond its recent use. */
 const SHARE_DIVISOR = 2.5
 /** Part of its even share that an instance holds before any use is known. */
@@ -20,6 +22,8 @@
 const EXCESS = 2.5
 /** Smallest amount worth a return, tokens. */
 const SMALLEST_RETURN = 4000
+/** Smallest amount worth a draw in advance, tokens. */
+const SMALLEST_DRAW = 1500
 
 /** What the size of a grant depends on. */
 export interface GrantInput {
@@ -46,6 +50,7 @@
   if (input.needed > 0 || input.free < target * LOW_WATER_SHARE) {
     const wanted = input.needed + Math.max(0, target - Math.max(0, input.free))
     const drawn = Math.floor(Math.min(wanted, input.ungranted))
+    if (input.needed === 0 && drawn < SMALLEST_DRAW) return 0
     return drawn >= input.needed ? drawn : 0
   }
   const excess = Math.floor(input.free - target)
@@ -53,6 +58,6 @@
 }
 
 /** Tokens that may be used until the lease is renewed, beyond those in use. */
-export function openTokens (rate: number, free: number): number {
-  return Math.floor(Math.min(free, Math.max(rate * OPEN_HORIZON, free / 3)))
+export function openTokens (rate: number, largest: number, free: number): number {
+  return Math.floor(Math.min(free, Math.max(rate * OPEN_HORIZON, largest * OPEN_REQUESTS, free / 4)))
 }
--- a/packages/gateway/src/decisions/tokenBook.ts
+++ b/packages/gateway/src/decisions/tokenBook.ts
@@ -7,7 +7,7 @@
  */
 export interface TokenBook {
   /** Takes tokens for a request; false when too few may be used. */
-  reserve (tokens: number, isUnsealed: boolean): boolean
+  reserve (tokens: number, isUnsealed: boolean, now: number): boolean
   /** Ends a reservation of `reserved` tokens of which `used` were used. */
   settle (reserved: number, used: number, now: number): void
   /** Adds granted tokens. */
@@ -30,11 +30,16 @@
   readonly limit: number
   /** Recent use, tokens a millisecond. */
   rate (now: number): number
+  /** Largest recent reservation, counting less with time. */
+  largest (now: number): number
 }
 
 /** Time over which the rate of use is averaged, milliseconds. */
 const RATE_TIME = 6000
 
+/** Time in which the largest reservation fades, milliseconds. */
+const LARGEST_TIME = 15_000
+
 /** Creates a book without tokens. */
 export function createTokenBook (): TokenBook {
   let held = 0
@@ -44,16 +49,25 @@
   let limit = 0
   let recent = 0
   let recentAt = 0
+  let largest = 0
+  let largestAt = 0
 
   function decayedRecent (now: number): number {
     return recent * Math.exp(-Math.max(0, now - recentAt) / RATE_TIME)
   }
+  function decayedLargest (now: number): number {
+    return largest * Math.exp(-Math.max(0, now - largestAt) / LARGEST_TIME)
+  }
   function free (): number {
     return held + transferred - used - reserved
   }
 
   return {
-    reserve: (tokens, isUnsealed) => {
+    reserve: (tokens, isUnsealed, now) => {
+      if (tokens >= decayedLargest(now)) {
+        largest = tokens
+        largestAt = now
+      }
       if (tokens > free()) return false
       if (!isUnsealed && used + reserved + tokens > limit + transferred) return false
       reserved += tokens
@@ -80,6 +94,7 @@
     // Transferred tokens are spent first, as they are no part of the lease's limit.
     get committed () { return Math.max(0, used + reserved - transferred) },
     get limit () { return limit },
-    rate: (now) => decayedRecent(now) / RATE_TIME
+    rate: (now) => decayedRecent(now) / RATE_TIME,
+    largest: decayedLargest
   }
 }
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -15,23 +15,27 @@
 /** Pause after a transaction that the store refused or did not answer, milliseconds. */
 const FAILURE_PAUSE = 250
 /** Time for which the sealed part of a grant stays untouched after a renewal, milliseconds; restarts take less. */
-const SEAL_TIME = 0
+const SEAL_TIME = 4000
 /** Interval at which grants are reviewed, milliseconds. */
-const REVIEW_INTERVAL = 400
+const REVIEW_INTERVAL = 350
 /** Age at which a lease is renewed, milliseconds. */
-const RENEWAL_AGE = 1000
+const RENEWAL_AGE = 700
 /** Longest time that a request waits for tokens while the store answers, milliseconds. */
-const LONGEST_WAIT = 1200
-/** Longest time that a request waits for tokens while the store does not answer, milliseconds. */
-const LONGEST_WAIT_WITHOUT_STORE = 200
-/** Pause before a caller returns for whom there were no tokens, milliseconds. */
-const NO_TOKENS_RETRY = 500
+const LONGEST_WAIT = 700
+/** Longest time that a request waits for tokens while the store does not answer, milliseconds: peers answer sooner. */
+const LONGEST_WAIT_WITHOUT_STORE = 130
+/** Pause before a caller returns for whom there were no tokens, milliseconds: other instances have returned theirs. */
+const NO_TOKENS_RETRY = 600
+/** Time after a return for another instance in which nothing is drawn in advance, milliseconds. */
+const RETURN_HOLD = 3000
+/** Time after a draw that found too few tokens in which requests are refused at once, milliseconds. */
+const SHORTAGE_MEMORY = 400
 /** Time of its own use that an instance keeps when a peer asks for tokens, milliseconds. */
 const KEPT_FROM_PEERS = 4000
 /** Interval at which the end of a transaction is awaited at the stop, milliseconds. */
 const CLOSE_CHECK = 20
 /** Pause before balances are looked at again when other instances are to return tokens, milliseconds. */
-const SHORTAGE_PAUSE = 200
+const SHORTAGE_PAUSE = 80
 
 /** Prepaid tokens at this instance: reserves them for requests, draws them from the store and returns them. */
 export interface TokenTask {
@@ -80,6 +84,10 @@
   balanceVersion: number
   returnRequested: boolean
   askingPeers: boolean
+  /** Reading of the steady clock until which nothing is drawn in advance. */
+  heldBackUntil: number
+  /** Reading of the steady clock until which requests that don't fit are refused at once. */
+  shortUntil: number
 }
 
 /** A transaction that was composed. */
@@ -113,7 +121,7 @@
   function stateOf (name: string): AccountState {
     const found = accounts.get(name)
     if (found !== undefined) return found
-    const created: AccountState = { name, prepaid: undefined, book: createTokenBook(), waiting: [], granted: 0, balanceVersion: 0, returnRequested: false, askingPeers: false }
+    const created: AccountState = { name, prepaid: undefined, book: createTokenBook(), waiting: [], granted: 0, balanceVersion: 0, returnRequested: false, askingPeers: false, heldBackUntil: 0, shortUntil: 0 }
     accounts.set(name, created)
     return created
   }
@@ -147,6 +155,7 @@
     const now = steadyNow()
     if (state.prepaid === undefined) return 0
     if (state.returnRequested || closed) return -Math.max(0, Math.floor(state.book.free))
+    if (needed(state) === 0 && now < state.heldBackUntil) return 0
     return grantMove({ free: state.book.free, needed: needed(state), rate: state.book.rate(now), ungranted: ungranted(state), instances: options.instances() })
   }
 
@@ -165,7 +174,7 @@
       const added = Math.max(0, move) + (reclaimed.get(state.name) ?? 0)
       const spendable = Math.max(0, state.book.free + added)
       const waiting = state.waiting.reduce((sum, request) => sum + request.tokens, 0)
-      const limit = state.book.committed + Math.min(spendable, openTokens(state.book.rate(now), spendable) + waiting)
+      const limit = state.book.committed + Math.min(spendable, openTokens(state.book.rate(now), state.book.largest(now), spendable) + waiting)
       state.book.proposeLimit(limit)
       if (state.book.held + added !== 0) rows[state.name] = { held: state.book.held + added, limit }
     }
@@ -181,7 +190,10 @@
       const state = stateOf(name)
       if (move > 0) state.book.receive(move)
       state.granted += move
-      if (move < 0) state.returnRequested = false
+      if (move < 0 && state.returnRequested) {
+        state.returnRequested = false
+        state.heldBackUntil = steadyNow() + RETURN_HOLD
+      }
       log.decision('tokensMoved', { account: name, tokens: move, granted: state.granted, prepaid: state.prepaid, free: state.book.free, sequence: composed.row.sequence })
     }
     for (const [name, tokens] of composed.reclaimed) {
@@ -287,7 +299,7 @@
     for (const state of accounts.values()) {
       if (state.waiting.length === 0) continue
       state.waiting = state.waiting.filter((request) => {
-        if (state.book.reserve(request.tokens, unsealed)) {
+        if (state.book.reserve(request.tokens, unsealed, now)) {
           request.resolve({ kind: 'reserved' })
           return false
         }
@@ -304,7 +316,7 @@
       if (state.waiting.length > 0) return true
       if (state.prepaid !== undefined && moveOf(state) !== 0) return true
       const open = state.book.limit - state.book.committed
-      if (state.book.free > 0 && open < openTokens(state.book.rate(steadyNow()), state.book.free) / 2) return true
+      if (state.book.free > 0 && open < openTokens(state.book.rate(steadyNow()), state.book.largest(steadyNow()), state.book.free) / 2) return true
     }
     return false
   }
@@ -325,7 +337,18 @@
     for (const state of short) if (needed(state) > ungranted(state)) options.noteShortage(state.name)
     await pause(SHORTAGE_PAUSE)
     await readBalances(short.map((state) => state.name))
+    if (await renew() === 'again') await renew()
     serveWaiting()
+    for (const state of short) if (needed(state) > ungranted(state)) refuseShort(state)
+  }
+
+  /** Refuses what waits at once: other instances need longer to return tokens, if they have any. */
+  function refuseShort (state: AccountState): void {
+    const now = steadyNow()
+    state.shortUntil = now + SHORTAGE_MEMORY
+    for (const request of state.waiting) request.resolve({ kind: 'unavailable', retryAt: now + NO_TOKENS_RETRY })
+    log.decision('balanceShort', { account: state.name, needed: needed(state), prepaid: state.prepaid, granted: state.granted, rowVersion: state.balanceVersion })
+    state.waiting = []
   }
 
   /** Reads balances, as other instances may have returned tokens. */
@@ -380,11 +403,12 @@
   function reserve (name: string, tokens: number, deadline: number): Promise<ReservationOutcome> {
     const state = stateOf(name)
     if (state.prepaid === undefined) return Promise.resolve({ kind: 'reserved' })
-    if (state.waiting.length === 0 && state.book.reserve(tokens, isUnsealed())) return Promise.resolve({ kind: 'reserved' })
+    if (state.waiting.length === 0 && state.book.reserve(tokens, isUnsealed(), steadyNow())) return Promise.resolve({ kind: 'reserved' })
     if (tokens > state.prepaid) return Promise.resolve({ kind: 'exhausted' })
+    if (steadyNow() < state.shortUntil) return Promise.resolve({ kind: 'unavailable', retryAt: steadyNow() + NO_TOKENS_RETRY })
     return new Promise((resolve) => {
       state.waiting.push({ tokens, deadline: Math.min(deadline, steadyNow() + LONGEST_WAIT), resolve })
-      if (failedAt > 0 && needed(state) > 0) askPeers(state, needed(state))
+      if (failedAt > 0) askPeers(state, Math.max(needed(state), tokens))
       start()
       setTimeout(serveWaiting, LONGEST_WAIT_WITHOUT_STORE)
     })
@@ -415,7 +439,7 @@
       if (state === undefined || state.prepaid === undefined || state.waiting.length > 0) return 0
       const kept = Math.max(state.book.rate(steadyNow()) * KEPT_FROM_PEERS, state.book.free / 2)
       const given = Math.floor(Math.min(tokens, state.book.free - kept))
-      if (given <= 0 || !state.book.reserve(given, isUnsealed())) return 0
+      if (given <= 0 || !state.book.reserve(given, isUnsealed(), steadyNow())) return 0
       state.book.settleTransfer(given)
       return given
     },
