--- a/packages/gateway/src/decisions/grantSizing.ts
+++ b/packages/gateway/src/decisions/grantSizing.ts
@@ -7,21 +7,21 @@
  */
 
 /** Time of use that a grant covers while the store can't be reached, milliseconds. */
-const GRANT_HORIZON = 12_000
+const GRANT_HORIZON = 9000
 /** Time of use that is open without a renewal of the lease, milliseconds: the seal plus some renewals that fail. */
 const OPEN_HORIZON = 6000
 /** Largest recent requests that fit into the open part. */
 const OPEN_REQUESTS = 1.5
-/** Part of an instance's even share of the ungranted tokens that it may hold beyond its recent use. */
-const SHARE_DIVISOR = 2.5
+/** Part of what is left that one instance may hold for its recent use; an account's callers may all be at one instance. */
+const LEFT_DIVISOR = 4
 /** Part of its even share that an instance holds before any use is known. */
-const IDLE_SHARE_DIVISOR = 6
+const IDLE_SHARE_DIVISOR = 10
 /** A draw is due when the free tokens cover less than this share of the target. */
 const LOW_WATER_SHARE = 0.8
 /** Returned when more than this multiple of the target is free. */
-const EXCESS = 2.5
+const EXCESS = 1.5
 /** Smallest amount worth a return, tokens. */
-const SMALLEST_RETURN = 4000
+const SMALLEST_RETURN = 3000
 /** Smallest amount worth a draw in advance, tokens. */
 const SMALLEST_DRAW = 1500
 
@@ -40,8 +40,9 @@
 
 /** Tokens that an instance should hold free. */
 export function targetGrant (input: Pick<GrantInput, 'rate' | 'ungranted' | 'instances' | 'free'>): number {
-  const evenShare = (input.ungranted + input.free) / Math.max(1, input.instances)
-  return Math.floor(Math.min(Math.max(input.rate * GRANT_HORIZON, evenShare / IDLE_SHARE_DIVISOR), evenShare / SHARE_DIVISOR))
+  const left = input.ungranted + Math.max(0, input.free)
+  const idle = left / Math.max(1, input.instances) / IDLE_SHARE_DIVISOR
+  return Math.floor(Math.max(idle, Math.min(input.rate * GRANT_HORIZON, left / LEFT_DIVISOR)))
 }
 
 /** Tokens to move now: positive to draw, negative to return, 0 for none. */
--- a/packages/gateway/src/decisions/tokenBook.ts
+++ b/packages/gateway/src/decisions/tokenBook.ts
@@ -35,11 +35,14 @@
 }
 
 /** Time over which the rate of use is averaged, milliseconds. */
-const RATE_TIME = 6000
+const RATE_TIME = 12_000
 
 /** Time in which the largest reservation fades, milliseconds. */
 const LARGEST_TIME = 15_000
 
+/** Shortest history from which a rate is taken, milliseconds. */
+const SHORTEST_HISTORY = 4000
+
 /** Creates a book without tokens. */
 export function createTokenBook (): TokenBook {
   let held = 0
@@ -49,6 +52,7 @@
   let limit = 0
   let recent = 0
   let recentAt = 0
+  let firstUseAt: number | undefined
   let largest = 0
   let largestAt = 0
 
@@ -78,6 +82,7 @@
       used += usedTokens
       recent = decayedRecent(now) + usedTokens
       recentAt = now
+      firstUseAt ??= now
     },
     receive: (tokens) => { held += tokens },
     remove: (tokens) => { held -= tokens },
@@ -94,7 +99,8 @@
     // Transferred tokens are spent first, as they are no part of the lease's limit.
     get committed () { return Math.max(0, used + reserved - transferred) },
     get limit () { return limit },
-    rate: (now) => decayedRecent(now) / RATE_TIME,
+    // The average starts without history, so it is scaled by the part of its time that has passed.
+    rate: (now) => firstUseAt === undefined ? 0 : decayedRecent(now) / (RATE_TIME * (1 - Math.exp(-Math.max(SHORTEST_HISTORY, now - firstUseAt) / RATE_TIME))),
     largest: decayedLargest
   }
 }
--- a/packages/gateway/src/tasks/peerTransfers.ts
+++ b/packages/gateway/src/tasks/peerTransfers.ts
@@ -5,7 +5,9 @@
 /** Time in which a peer answers, milliseconds; it is in the same region. */
 const PEER_TIME = 120
 /** Peers asked for one shortage. */
-const PEERS_ASKED = 4
+const PEERS_ASKED = 8
+/** Peers asked at once, so that tokens are not gathered beyond the need. */
+const PEERS_AT_ONCE = 3
 /** Largest message between peers, bytes. */
 const LARGEST_MESSAGE = 1000
 
@@ -18,10 +20,17 @@
  */
 export async function askPeers (peers: readonly string[], account: string, tokens: number, log: DecisionLog): Promise<number> {
   const start = Math.floor(Math.random() * Math.max(1, peers.length))
-  const asked = [...peers.slice(start), ...peers.slice(0, start)].slice(0, PEERS_ASKED)
-  const replies = await Promise.all(asked.map(async (peer) => await askPeer(peer, account, Math.ceil(tokens), log)))
-  const received = replies.reduce((sum, reply) => sum + reply, 0)
-  log.decision('peersAsked', { account, tokens, asked: asked.length, received })
+  const inOrder = [...peers.slice(start), ...peers.slice(0, start)].slice(0, PEERS_ASKED)
+  let received = 0
+  let asked = 0
+  while (received < tokens && asked < inOrder.length) {
+    const round = inOrder.slice(asked, asked + PEERS_AT_ONCE)
+    asked += round.length
+    const wanted = Math.ceil(tokens - received)
+    const replies = await Promise.all(round.map(async (peer) => await askPeer(peer, account, wanted, log)))
+    received += replies.reduce((sum, reply) => sum + reply, 0)
+  }
+  log.decision('peersAsked', { account, tokens, asked, received })
   return received
 }
 
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -31,7 +31,7 @@
 /** Time after a draw that found too few tokens in which requests are refused at once, milliseconds. */
 const SHORTAGE_MEMORY = 400
 /** Time of its own use that an instance keeps when a peer asks for tokens, milliseconds. */
-const KEPT_FROM_PEERS = 4000
+const KEPT_FROM_PEERS = 2000
 /** Interval at which the end of a transaction is awaited at the stop, milliseconds. */
 const CLOSE_CHECK = 20
 /** Pause before balances are looked at again when other instances are to return tokens, milliseconds. */
