--- a/packages/gateway/src/decisions/grantSizing.ts
+++ b/packages/gateway/src/decisions/grantSizing.ts
@@ -8,10 +8,10 @@
 
 /** Time of use that a grant covers while the store can't be reached, milliseconds. */
 const GRANT_HORIZON = 9000
-/** Time of use that is open without a renewal of the lease, milliseconds: the seal plus some renewals that fail. */
-const OPEN_HORIZON = 6000
-/** Largest recent requests that fit into the open part. */
-const OPEN_REQUESTS = 1.5
+/** Time of use that is open without a renewal of the lease, milliseconds: the seal's time and some more. */
+const OPEN_HORIZON = 4500
+/** Tokens that are open whatever the use: about one long request, which may come before its account's use is known. */
+const SMALLEST_OPEN = 12_000
 /** Part of what is left that one instance may hold for its recent use; an account's callers may all be at one instance. */
 const LEFT_DIVISOR = 4
 /** Part of its even share that an instance holds before any use is known. */
@@ -59,6 +59,6 @@
 }
 
 /** Tokens that may be used until the lease is renewed, beyond those in use. */
-export function openTokens (rate: number, largest: number, free: number): number {
-  return Math.floor(Math.min(free, Math.max(rate * OPEN_HORIZON, largest * OPEN_REQUESTS, free / 4)))
+export function openTokens (rate: number, free: number): number {
+  return Math.floor(Math.min(free, Math.max(rate * OPEN_HORIZON, SMALLEST_OPEN)))
 }
--- a/packages/gateway/src/decisions/tokenBook.ts
+++ b/packages/gateway/src/decisions/tokenBook.ts
@@ -7,7 +7,7 @@
  */
 export interface TokenBook {
   /** Takes tokens for a request; false when too few may be used. */
-  reserve (tokens: number, isUnsealed: boolean, now: number): boolean
+  reserve (tokens: number, isUnsealed: boolean): boolean
   /** Ends a reservation of `reserved` tokens of which `used` were used. */
   settle (reserved: number, used: number, now: number): void
   /** Adds granted tokens. */
@@ -30,21 +30,16 @@
   readonly limit: number
   /** Recent use, tokens a millisecond. */
   rate (now: number): number
-  /** Largest recent reservation, counting less with time. */
-  largest (now: number): number
 }
 
 /** Time over which the rate of use is averaged, milliseconds. */
 const RATE_TIME = 12_000
 
-/** Time in which the largest reservation fades, milliseconds. */
-const LARGEST_TIME = 15_000
-
 /** Shortest history from which a rate is taken, milliseconds. */
 const SHORTEST_HISTORY = 4000
 
-/** Creates a book without tokens. */
-export function createTokenBook (): TokenBook {
+/** Creates a book without tokens. `trafficSince` is when the first request of any account came. */
+export function createTokenBook (trafficSince: () => number): TokenBook {
   let held = 0
   let transferred = 0
   let used = 0
@@ -52,26 +47,16 @@
   let limit = 0
   let recent = 0
   let recentAt = 0
-  let firstUseAt: number | undefined
-  let largest = 0
-  let largestAt = 0
 
   function decayedRecent (now: number): number {
     return recent * Math.exp(-Math.max(0, now - recentAt) / RATE_TIME)
   }
-  function decayedLargest (now: number): number {
-    return largest * Math.exp(-Math.max(0, now - largestAt) / LARGEST_TIME)
-  }
   function free (): number {
     return held + transferred - used - reserved
   }
 
   return {
-    reserve: (tokens, isUnsealed, now) => {
-      if (tokens >= decayedLargest(now)) {
-        largest = tokens
-        largestAt = now
-      }
+    reserve: (tokens, isUnsealed) => {
       if (tokens > free()) return false
       if (!isUnsealed && used + reserved + tokens > limit + transferred) return false
       reserved += tokens
@@ -82,7 +67,6 @@
       used += usedTokens
       recent = decayedRecent(now) + usedTokens
       recentAt = now
-      firstUseAt ??= now
     },
     receive: (tokens) => { held += tokens },
     remove: (tokens) => { held -= tokens },
@@ -100,7 +84,6 @@
     get committed () { return Math.max(0, used + reserved - transferred) },
     get limit () { return limit },
     // The average starts without history, so it is scaled by the part of its time that has passed.
-    rate: (now) => firstUseAt === undefined ? 0 : decayedRecent(now) / (RATE_TIME * (1 - Math.exp(-Math.max(SHORTEST_HISTORY, now - firstUseAt) / RATE_TIME))),
-    largest: decayedLargest
+    rate: (now) => decayedRecent(now) / (RATE_TIME * (1 - Math.exp(-Math.max(SHORTEST_HISTORY, now - trafficSince()) / RATE_TIME)))
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,15 +15,15 @@
 import { createDecisionLog, type DecisionLog } from './tasks/decisionLog.js'
 import { startFleetTask } from './tasks/fleetTask.js'
 import type { GatewayContext } from './tasks/gatewayContext.js'
-import { askPeers, createPeerListener } from './tasks/peerTransfers.js'
+import { askPeers, createPeerListener, giveToPeer } from './tasks/peerTransfers.js'
 import { startTokenTask } from './tasks/tokenTask.js'
 
 /** Time for which new connections are still taken after SIGTERM, milliseconds: the balancer needs two missed checks. */
 const LISTEN_AFTER_STOP = 2600
 /** Time before SIGKILL at which the process ends whatever is under way, milliseconds. */
-const STOP_MARGIN = 500
-/** Time before SIGKILL at which tokens are returned, milliseconds. */
-const RETURN_MARGIN = 1500
+const STOP_MARGIN = 150
+/** Time before SIGKILL at which requests are given up and tokens returned, milliseconds; the last sixth is nobody's due. */
+const RETURN_MARGIN = 1000
 const STOP_CHECK_INTERVAL = 50
 
 /** What a gateway process is started with. */
@@ -66,9 +66,10 @@
     spansParts: settings.storeSpansParts,
     instances: () => fleet.instances,
     noteShortage: fleet.noteShortage,
-    askPeers: (account, wanted) => askPeers(fleet.peers, account, wanted, log)
+    askPeers: (account, wanted) => askPeers(fleet.peers, account, wanted, log),
+    giveToPeer: (rest) => giveToPeer(fleet.peers, rest, log)
   })
-  const peerListener = createPeerListener((account, wanted) => tokens.handOver(account, wanted), log)
+  const peerListener = createPeerListener(tokens, log)
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
   const backends = startBackendTask({ platform, log, onGone: (state) => connections.closeIdle(state.entry.address) })
   const context: GatewayContext = {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -35,8 +35,8 @@
 
 /** Outcome of reading rows. */
 export type ReadOutcome =
-  /** `version` is the store's newest version at that moment. */
-  | { readonly kind: 'rows', readonly rows: readonly StoredRow[], readonly version: number }
+  /** `version` is the store's newest version at that moment, `storeTime` its steady clock in milliseconds. */
+  | { readonly kind: 'rows', readonly rows: readonly StoredRow[], readonly version: number, readonly storeTime: number }
   /** The store no longer has the history after the requested version. */
   | { readonly kind: 'historyGone' }
   | { readonly kind: 'unavailable', readonly reason: string }
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -10,7 +10,7 @@
 import type { DecisionLog } from './decisionLog.js'
 import type { FleetTask } from './fleetTask.js'
 import type { RequestState } from './requestTask.js'
-import type { TokenTask } from './tokenTask.js'
+import type { TokenTask } from './tokenAccounts.js'
 
 /** What request tasks share. */
 export interface GatewayContext {
--- a/packages/gateway/src/tasks/peerTransfers.ts
+++ b/packages/gateway/src/tasks/peerTransfers.ts
@@ -9,9 +9,10 @@
 /** Peers asked at once, so that tokens are not gathered beyond the need. */
 const PEERS_AT_ONCE = 3
 /** Largest message between peers, bytes. */
-const LARGEST_MESSAGE = 1000
+const LARGEST_MESSAGE = 65_536
 
 const transferRequestSchema = v.object({ account: v.string(), tokens: v.pipe(v.number(), v.integer(), v.minValue(1)) })
+const handOverSchema = v.object({ accounts: v.record(v.string(), v.pipe(v.number(), v.integer(), v.minValue(1))) })
 const transferReplySchema = v.object({ tokens: v.pipe(v.number(), v.integer(), v.minValue(0)) })
 
 /**
@@ -34,30 +35,45 @@
   return received
 }
 
-function askPeer (peer: string, account: string, tokens: number, log: DecisionLog): Promise<number> {
+async function askPeer (peer: string, account: string, tokens: number, log: DecisionLog): Promise<number> {
+  const answer = await postToPeer(peer, '/transfers', { account, tokens }, log)
+  const reply = v.safeParse(transferReplySchema, answer)
+  return reply.success ? reply.output.tokens : 0
+}
+
+/**
+ * Hands all tokens of a stopping instance to one peer. They have left the books before, and a message without an answer
+ * is not sent to a second peer, as the first may have taken them.
+ */
+export async function giveToPeer (peers: readonly string[], tokens: ReadonlyMap<string, number>, log: DecisionLog): Promise<void> {
+  const peer = peers[Math.floor(Math.random() * peers.length)]
+  if (peer === undefined) return
+  const answer = await postToPeer(peer, '/hand-overs', { accounts: Object.fromEntries(tokens) }, log)
+  log.event('tokensGivenAtStop', { peer, accounts: tokens.size, answered: answer !== undefined })
+}
+
+/** Posts a message; undefined when there is no usable answer. */
+function postToPeer (peer: string, path: string, message: unknown, log: DecisionLog): Promise<unknown> {
   const [host = '', port = ''] = peer.split(':')
-  const body = JSON.stringify({ account, tokens })
+  const body = JSON.stringify(message)
   return new Promise((resolve) => {
-    const fail = (reason: string): void => {
-      log.decision('peerDidNotAnswer', { peer, account, reason })
-      resolve(0)
-    }
-    const outgoing = request({ host, port: Number(port), method: 'POST', path: '/transfers', agent: false, headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) } })
+    const outgoing = request({ host, port: Number(port), method: 'POST', path, agent: false, headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) } })
     const timer = setTimeout(() => outgoing.destroy(new Error('no answer in time')), PEER_TIME)
-    outgoing.on('error', (error) => {
+    const fail = (reason: string): void => {
       clearTimeout(timer)
-      fail(error.message)
-    })
+      log.decision('peerDidNotAnswer', { peer, path, reason })
+      resolve(undefined)
+    }
+    outgoing.on('error', (error) => fail(error.message))
     outgoing.on('response', (incoming) => {
       let text = ''
       incoming.setEncoding('utf8')
       incoming.on('data', (chunk: string) => { text += chunk })
       incoming.on('error', (error) => fail(error.message))
       incoming.on('end', () => {
+        if (incoming.statusCode !== 200) return fail(`status ${incoming.statusCode ?? 0}`)
         clearTimeout(timer)
-        const reply = v.safeParse(transferReplySchema, parseJson(text))
-        if (reply.success) resolve(reply.output.tokens)
-        else fail(`status ${incoming.statusCode ?? 0}`)
+        resolve(parseJson(text))
       })
     })
     outgoing.end(body)
@@ -73,8 +89,35 @@
   }
 }
 
-/** Serves peers' requests for tokens. */
-export function createPeerListener (handOver: (account: string, tokens: number) => number, log: DecisionLog): Server {
+/** What peers' messages act on. */
+export interface PeerHandlers {
+  readonly handOver: (account: string, tokens: number) => number
+  readonly takeOver: (account: string, tokens: number) => void
+}
+
+/** Serves peers' messages. */
+export function createPeerListener (handlers: PeerHandlers, log: DecisionLog): Server {
+  /** Answer of a message; undefined when it can't be read. */
+  function answer (path: string, message: unknown): unknown {
+    switch (path) {
+      case '/transfers': {
+        const asked = v.safeParse(transferRequestSchema, message)
+        if (!asked.success) return undefined
+        const tokens = handlers.handOver(asked.output.account, asked.output.tokens)
+        log.decision('tokensHandedOver', { account: asked.output.account, asked: asked.output.tokens, tokens })
+        return { tokens }
+      }
+      case '/hand-overs': {
+        const given = v.safeParse(handOverSchema, message)
+        if (!given.success) return undefined
+        for (const [account, tokens] of Object.entries(given.output.accounts)) handlers.takeOver(account, tokens)
+        log.event('tokensTakenOver', { accounts: Object.keys(given.output.accounts).length })
+        return {}
+      }
+      default: return undefined
+    }
+  }
+
   return createServer((incoming, response) => {
     let text = ''
     incoming.setEncoding('utf8')
@@ -84,16 +127,9 @@
     })
     incoming.on('error', (error) => log.decision('peerRequestBroken', { reason: error.message }))
     incoming.on('end', () => {
-      const message = v.safeParse(transferRequestSchema, parseJson(text))
-      if (incoming.url !== '/transfers' || !message.success) {
-        response.writeHead(400)
-        response.end()
-        return
-      }
-      const tokens = handOver(message.output.account, message.output.tokens)
-      log.decision('tokensHandedOver', { account: message.output.account, asked: message.output.tokens, tokens })
-      response.writeHead(200, { 'content-type': 'application/json' })
-      response.end(JSON.stringify({ tokens }))
+      const reply = answer(incoming.url ?? '', parseJson(text))
+      response.writeHead(reply === undefined ? 400 : 200, { 'content-type': 'application/json' })
+      response.end(reply === undefined ? undefined : JSON.stringify(reply))
     })
   })
 }
--- /dev/null
+++ b/packages/gateway/src/tasks/tokenAccounts.ts
@@ -0,0 +1,91 @@
+import type { ReservationOutcome } from '../decisions/requestPlan.js'
+import type { LeaseRow } from '../decisions/leaseRow.js'
+import { createTokenBook, type TokenBook } from '../decisions/tokenBook.js'
+import type { RowStore } from '../ports.js'
+import type { DecisionLog } from './decisionLog.js'
+
+/** Prepaid tokens at this instance: reserves them for requests, draws them from the store and returns them. */
+export interface TokenTask {
+  /** Reserves tokens of an account for a request, or tells why not. */
+  reserve (account: string, tokens: number, deadline: number): Promise<ReservationOutcome>
+  settle (account: string, reserved: number, used: number): void
+  /** Sets what is prepaid; undefined for an account without a limit. */
+  setPrepaid (account: string, tokens: number | undefined): void
+  /** Returns what is free, as another instance lacks tokens. */
+  returnFree (account: string): void
+  /** Hands free tokens to a peer that can't reach the store; returns how many. */
+  handOver (account: string, tokens: number): number
+  /** Adds tokens that a stopping peer handed over. */
+  takeOver (account: string, tokens: number): void
+  /** Returns all that is free before the process ends, to the store or else to a peer. */
+  close (): Promise<void>
+}
+
+/** What the task needs. */
+export interface TokenTaskOptions {
+  readonly store: RowStore
+  readonly log: DecisionLog
+  readonly instanceId: string
+  readonly lifetimeId: string
+  /** True when one transaction may change several parts of the store. */
+  readonly spansParts: boolean
+  readonly instances: () => number
+  readonly noteShortage: (account: string) => void
+  /** Asks peers for tokens when the store can't be reached; resolves with what they handed over. */
+  readonly askPeers: (account: string, tokens: number) => Promise<number>
+  /** Hands tokens to a peer when the store can't be reached at the stop. */
+  readonly giveToPeer: (tokens: ReadonlyMap<string, number>) => Promise<void>
+}
+
+/** A request that waits for tokens. */
+export interface WaitingRequest {
+  readonly tokens: number
+  readonly deadline: number
+  readonly resolve: (outcome: ReservationOutcome) => void
+}
+
+/** One account's tokens at this instance. */
+export interface AccountState {
+  readonly name: string
+  prepaid: number | undefined
+  readonly book: TokenBook
+  waiting: WaitingRequest[]
+  /** The account's balance row as last seen: tokens granted to all instances, and the row's version. */
+  granted: number
+  balanceVersion: number
+  returnRequested: boolean
+  askingPeers: boolean
+  /** Reading of the steady clock until which nothing is drawn in advance. */
+  heldBackUntil: number
+  /** Reading of the steady clock until which requests that don't fit are refused at once. */
+  shortUntil: number
+}
+
+/** A transaction that was composed. */
+export interface Composed {
+  readonly row: LeaseRow
+  /** By account: positive to draw, negative to return. */
+  readonly moves: ReadonlyMap<string, number>
+  /** Tokens taken over from the process before this one. */
+  readonly reclaimed: ReadonlyMap<string, number>
+}
+
+/** Creates the state of an account of which nothing is known. `trafficSince` is when the first request of any account came. */
+export function createAccountState (name: string, trafficSince: () => number): AccountState {
+  return { name, prepaid: undefined, book: createTokenBook(trafficSince), waiting: [], granted: 0, balanceVersion: 0, returnRequested: false, askingPeers: false, heldBackUntil: 0, shortUntil: 0 }
+}
+
+/** Tokens of the account that are granted to no instance. */
+export function ungranted (state: AccountState): number {
+  return Math.max(0, (state.prepaid ?? 0) - state.granted)
+}
+
+/** Tokens that waiting requests lack. */
+export function needed (state: AccountState): number {
+  return Math.max(0, waitingTokens(state) - state.book.free)
+}
+
+/** Tokens that waiting requests ask for. */
+export function waitingTokens (state: AccountState): number {
+  return state.waiting.reduce((sum, request) => sum + request.tokens, 0)
+}
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -2,9 +2,8 @@
 import { grantMove, openTokens } from '../decisions/grantSizing.js'
 import { decodeLeaseRow, encodeLeaseRow, reclaimable, type LeaseRow } from '../decisions/leaseRow.js'
 import type { ReservationOutcome } from '../decisions/requestPlan.js'
-import { createTokenBook, type TokenBook } from '../decisions/tokenBook.js'
-import type { RowStore, StoredRow, TransactionOutcome } from '../ports.js'
-import type { DecisionLog } from './decisionLog.js'
+import type { StoredRow, TransactionOutcome } from '../ports.js'
+import { createAccountState, needed, ungranted, waitingTokens, type AccountState, type Composed, type TokenTask, type TokenTaskOptions } from './tokenAccounts.js'
 
 /** Tables of balances, by client account, and of leases, by instance. */
 const TABLE = { balances: 'balances', leases: 'leases' } as const
@@ -15,11 +14,11 @@
 /** Pause after a transaction that the store refused or did not answer, milliseconds. */
 const FAILURE_PAUSE = 250
 /** Time for which the sealed part of a grant stays untouched after a renewal, milliseconds; restarts take less. */
-const SEAL_TIME = 4000
+const SEAL_TIME = 3000
 /** Interval at which grants are reviewed, milliseconds. */
-const REVIEW_INTERVAL = 350
+const REVIEW_INTERVAL = 300
 /** Age at which a lease is renewed, milliseconds. */
-const RENEWAL_AGE = 700
+const RENEWAL_AGE = 300
 /** Longest time that a request waits for tokens while the store answers, milliseconds. */
 const LONGEST_WAIT = 700
 /** Longest time that a request waits for tokens while the store does not answer, milliseconds: peers answer sooner. */
@@ -37,68 +36,6 @@
 /** Pause before balances are looked at again when other instances are to return tokens, milliseconds. */
 const SHORTAGE_PAUSE = 80
 
-/** Prepaid tokens at this instance: reserves them for requests, draws them from the store and returns them. */
-export interface TokenTask {
-  /** Reserves tokens of an account for a request, or tells why not. */
-  reserve (account: string, tokens: number, deadline: number): Promise<ReservationOutcome>
-  settle (account: string, reserved: number, used: number): void
-  /** Sets what is prepaid; undefined for an account without a limit. */
-  setPrepaid (account: string, tokens: number | undefined): void
-  /** Returns what is free, as another instance lacks tokens. */
-  returnFree (account: string): void
-  /** Hands free tokens to a peer that can't reach the store; returns how many. */
-  handOver (account: string, tokens: number): number
-  /** Returns all that is free before the process ends. */
-  close (): Promise<void>
-}
-
-/** What the task needs. */
-export interface TokenTaskOptions {
-  readonly store: RowStore
-  readonly log: DecisionLog
-  readonly instanceId: string
-  readonly lifetimeId: string
-  /** True when one transaction may change several parts of the store. */
-  readonly spansParts: boolean
-  readonly instances: () => number
-  readonly noteShortage: (account: string) => void
-  /** Asks peers for tokens when the store can't be reached; resolves with what they handed over. */
-  readonly askPeers: (account: string, tokens: number) => Promise<number>
-}
-
-/** A request that waits for tokens. */
-interface WaitingRequest {
-  readonly tokens: number
-  readonly deadline: number
-  readonly resolve: (outcome: ReservationOutcome) => void
-}
-
-/** One account's tokens at this instance. */
-interface AccountState {
-  readonly name: string
-  prepaid: number | undefined
-  readonly book: TokenBook
-  waiting: WaitingRequest[]
-  /** The account's balance row as last seen: tokens granted to all instances, and the row's version. */
-  granted: number
-  balanceVersion: number
-  returnRequested: boolean
-  askingPeers: boolean
-  /** Reading of the steady clock until which nothing is drawn in advance. */
-  heldBackUntil: number
-  /** Reading of the steady clock until which requests that don't fit are refused at once. */
-  shortUntil: number
-}
-
-/** A transaction that was composed. */
-interface Composed {
-  readonly row: LeaseRow
-  /** By account: positive to draw, negative to return. */
-  readonly moves: ReadonlyMap<string, number>
-  /** Tokens taken over from the process before this one. */
-  readonly reclaimed: ReadonlyMap<string, number>
-}
-
 /** Starts the task. */
 export function startTokenTask (options: TokenTaskOptions): TokenTask {
   const { store, log } = options
@@ -117,11 +54,12 @@
   let running = false
   let rerun = false
   let closed = false
+  let trafficSince: number | undefined
 
   function stateOf (name: string): AccountState {
     const found = accounts.get(name)
     if (found !== undefined) return found
-    const created: AccountState = { name, prepaid: undefined, book: createTokenBook(), waiting: [], granted: 0, balanceVersion: 0, returnRequested: false, askingPeers: false, heldBackUntil: 0, shortUntil: 0 }
+    const created = createAccountState(name, () => trafficSince ?? steadyNow())
     accounts.set(name, created)
     return created
   }
@@ -143,14 +81,6 @@
     if (storeClock === undefined || time > storeTime()) storeClock = { time, at: steadyNow() }
   }
 
-  function ungranted (state: AccountState): number {
-    return Math.max(0, (state.prepaid ?? 0) - state.granted)
-  }
-
-  function needed (state: AccountState): number {
-    return Math.max(0, state.waiting.reduce((sum, request) => sum + request.tokens, 0) - state.book.free)
-  }
-
   function moveOf (state: AccountState): number {
     const now = steadyNow()
     if (state.prepaid === undefined) return 0
@@ -159,6 +89,11 @@
     return grantMove({ free: state.book.free, needed: needed(state), rate: state.book.rate(now), ungranted: ungranted(state), instances: options.instances() })
   }
 
+  /** While renewals fail the seal is not extended, as each attempt may still take effect and the open part would not last. */
+  function nextSeal (): number {
+    return failedAt === 0 ? storeTime() + SEAL_TIME : sealedUntil
+  }
+
   /** Composes the next transaction; what it returns or limits is taken from the books at once. */
   function compose (): Composed {
     const reclaimed = predecessor === undefined ? new Map<string, number>() : reclaimable(predecessor.row, predecessor.storeTime)
@@ -173,13 +108,12 @@
       if (move < 0) state.book.remove(-move)
       const added = Math.max(0, move) + (reclaimed.get(state.name) ?? 0)
       const spendable = Math.max(0, state.book.free + added)
-      const waiting = state.waiting.reduce((sum, request) => sum + request.tokens, 0)
-      const limit = state.book.committed + Math.min(spendable, openTokens(state.book.rate(now), state.book.largest(now), spendable) + waiting)
+      const limit = state.book.committed + Math.min(spendable, openTokens(state.book.rate(now), spendable) + waitingTokens(state))
       state.book.proposeLimit(limit)
       if (state.book.held + added !== 0) rows[state.name] = { held: state.book.held + added, limit }
     }
     sequence++
-    const row: LeaseRow = { lifetime: options.lifetimeId, sequence, sealedUntil: storeTime() + SEAL_TIME, accounts: rows }
+    const row: LeaseRow = { lifetime: options.lifetimeId, sequence, sealedUntil: nextSeal(), accounts: rows }
     sealedUntil = Math.max(sealedUntil, row.sealedUntil)
     return { row, moves, reclaimed }
   }
@@ -299,7 +233,7 @@
     for (const state of accounts.values()) {
       if (state.waiting.length === 0) continue
       state.waiting = state.waiting.filter((request) => {
-        if (state.book.reserve(request.tokens, unsealed, now)) {
+        if (state.book.reserve(request.tokens, unsealed)) {
           request.resolve({ kind: 'reserved' })
           return false
         }
@@ -316,7 +250,7 @@
       if (state.waiting.length > 0) return true
       if (state.prepaid !== undefined && moveOf(state) !== 0) return true
       const open = state.book.limit - state.book.committed
-      if (state.book.free > 0 && open < openTokens(state.book.rate(steadyNow()), state.book.largest(steadyNow()), state.book.free) / 2) return true
+      if (state.book.free > 0 && open < openTokens(state.book.rate(steadyNow()), state.book.free) / 2) return true
     }
     return false
   }
@@ -400,10 +334,34 @@
       .finally(() => { state.askingPeers = false })
   }
 
+  /** Hands what is free to a peer; it leaves the books first, so that a lost message loses tokens and never doubles them. */
+  async function giveRest (): Promise<void> {
+    const rest = new Map<string, number>()
+    for (const state of accounts.values()) {
+      const tokens = Math.floor(state.book.free)
+      if (tokens <= 0 || !state.book.reserve(tokens, isUnsealed())) continue
+      state.book.settleTransfer(tokens)
+      rest.set(state.name, tokens)
+    }
+    if (rest.size > 0) await options.giveToPeer(rest)
+  }
+
+  /** Learns what the process before this one left, as early as possible: its seal ends soon. */
+  async function readLeaseOfPredecessor (): Promise<void> {
+    const outcome = await store.read(leaseName.table, leaseName.part, steadyNow() + TRANSACTION_TIME, { from: leaseName.key, to: `${leaseName.key}~` })
+    const row = outcome.kind === 'rows' ? outcome.rows.find((candidate) => candidate.key === leaseName.key) : undefined
+    if (outcome.kind !== 'rows' || row === undefined || leaseVersion !== 0) return
+    hearStore(outcome.storeTime)
+    learnLease(row, outcome.storeTime)
+  }
+
+  readLeaseOfPredecessor().catch((error: unknown) => log.warning('leaseNotRead', { reason: String(error) }))
+
   function reserve (name: string, tokens: number, deadline: number): Promise<ReservationOutcome> {
     const state = stateOf(name)
+    trafficSince ??= steadyNow()
     if (state.prepaid === undefined) return Promise.resolve({ kind: 'reserved' })
-    if (state.waiting.length === 0 && state.book.reserve(tokens, isUnsealed(), steadyNow())) return Promise.resolve({ kind: 'reserved' })
+    if (state.waiting.length === 0 && state.book.reserve(tokens, isUnsealed())) return Promise.resolve({ kind: 'reserved' })
     if (tokens > state.prepaid) return Promise.resolve({ kind: 'exhausted' })
     if (steadyNow() < state.shortUntil) return Promise.resolve({ kind: 'unavailable', retryAt: steadyNow() + NO_TOKENS_RETRY })
     return new Promise((resolve) => {
@@ -434,12 +392,16 @@
       state.returnRequested = true
       start()
     },
+    takeOver: (name, tokens) => {
+      stateOf(name).book.receiveTransfer(tokens)
+      serveWaiting()
+    },
     handOver: (name, tokens) => {
       const state = accounts.get(name)
       if (state === undefined || state.prepaid === undefined || state.waiting.length > 0) return 0
       const kept = Math.max(state.book.rate(steadyNow()) * KEPT_FROM_PEERS, state.book.free / 2)
       const given = Math.floor(Math.min(tokens, state.book.free - kept))
-      if (given <= 0 || !state.book.reserve(given, isUnsealed(), steadyNow())) return 0
+      if (given <= 0 || !state.book.reserve(given, isUnsealed())) return 0
       state.book.settleTransfer(given)
       return given
     },
@@ -450,7 +412,12 @@
       const endsBy = steadyNow() + TRANSACTION_TIME
       const isWorking = (): boolean => running && steadyNow() < endsBy
       while (isWorking()) await pause(CLOSE_CHECK)
-      for (let attempt = 0; attempt < CONFLICT_ATTEMPTS; attempt++) if (await renew() === 'done') return
+      for (let attempt = 0; attempt < CONFLICT_ATTEMPTS; attempt++) {
+        const result = await renew()
+        if (result === 'done') return
+        if (result === 'failed') break
+      }
+      await giveRest()
     }
   }
 }
