--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -81,7 +81,7 @@
   response.on('close', () => { if (!response.writableFinished) state.callerGone = true })
   context.retryShares.recordRequest(service, admitted.receivedAt)
   if (context.crashWatch.hasSuspects && context.crashWatch.isQuarantined(fingerprint(state), steadyNow())) {
-    finish(context, state, { kind: 'notRun', reason: 'crashed several backend servers', retryAt: state.deadline })
+    finish(context, state, { kind: 'notRun', reason: 'crashed several backend servers', retryAt: state.deadline }, { reserved: 0, used: 0 })
     return
   }
   const reserved = largestUse(state)
@@ -103,8 +103,9 @@
       }
     }
   )
-  if (isReserved && state.account !== undefined) context.tokens.settle(state.account.name, reserved, usedTokens(context, state))
-  finish(context, state, result)
+  const used = usedTokens(context, state)
+  if (isReserved && state.account !== undefined) context.tokens.settle(state.account.name, reserved, used)
+  finish(context, state, result, { reserved: isReserved ? reserved : 0, used })
 }
 
 function retryAt (state: RequestState): number {
@@ -133,7 +134,7 @@
 }
 
 /** Gives the caller its final answer, and logs what decided it. */
-function finish (context: GatewayContext, state: RequestState, result: PlanResult): void {
+function finish (context: GatewayContext, state: RequestState, result: PlanResult, tokens: { readonly reserved: number, readonly used: number }): void {
   const { response } = state
   const requestId = state.fields.attemptId
   switch (result.kind) {
@@ -174,6 +175,8 @@
     milliseconds: now - state.receivedAt,
     firstByteMilliseconds: state.firstByteAt === undefined ? undefined : state.firstByteAt - state.receivedAt,
     events: state.deliveredEvents,
+    reservedTokens: tokens.reserved,
+    usedTokens: tokens.used,
     configuration: context.configuration()?.configuration.version,
     listAgeMilliseconds: now - context.backends.follower.contactAt
   })
