--- /dev/null
+++ b/packages/gateway/src/__tests__/decisions.test.ts
@@ -0,0 +1,151 @@
+import { describe, expect, test } from '@jest/globals'
+import fastCheck from 'fast-check'
+import { chooseTarget, indexConfiguration } from '../decisions/configurationIndex.js'
+import { createCrashWatch } from '../decisions/crashWatch.js'
+import { createEventSplitter } from '../decisions/eventSplitter.js'
+import { grantMove, openTokens, targetGrant } from '../decisions/grantSizing.js'
+import { reclaimable } from '../decisions/leaseRow.js'
+import { createRetryShares } from '../decisions/retryShares.js'
+import type { FleetConfiguration, Route } from '../fleetConfiguration.js'
+
+function routeTo (pathPrefix: string, changes: Partial<Route> = {}): Route {
+  return { name: pathPrefix, host: 'desk.example', pathPrefix, repetition: { kind: 'idempotent' }, timeoutMilliseconds: 1000, latencyTargetMilliseconds: 300, pauseTargetMilliseconds: 0, priority: 0, targets: [{ service: 'ledger', weight: 1 }], maximumSends: 1, isPublic: false, ...changes }
+}
+
+function configurationWith (routes: readonly Route[]): FleetConfiguration {
+  return {
+    version: 1,
+    routes,
+    services: [],
+    accounts: [{ name: 'school', keys: ['good'], priority: undefined, prepaidTokens: 10 }],
+    limits: { maximumHeaderBytes: 1, maximumBodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 }
+  }
+}
+
+describe('look-up of routes and keys', () => {
+  const index = indexConfiguration(configurationWith([routeTo('/a/'), routeTo('/a/b/'), routeTo('/open/', { isPublic: true })]))
+
+  test('the longest prefix decides, whatever the case and port of the host', () => {
+    expect(index.admit('Desk.Example:80', '/a/b/c', 'good')).toMatchObject({ kind: 'allowed', route: { pathPrefix: '/a/b/' } })
+    expect(index.admit('desk.example', '/a/c', 'good')).toMatchObject({ kind: 'allowed', route: { pathPrefix: '/a/' } })
+  })
+
+  test('unknown hosts, paths and keys', () => {
+    expect(index.admit('other.example', '/a/', 'good').kind).toBe('unknownRoute')
+    expect(index.admit('desk.example', '/ab', 'good').kind).toBe('unknownRoute')
+    expect(index.admit('desk.example', '/a/', 'bad').kind).toBe('unknownKey')
+    expect(index.admit('desk.example', '/open/', '').kind).toBe('allowed')
+  })
+
+  test('targets are chosen by weight', () => {
+    const targets = [{ service: 'old', weight: 90 }, { service: 'new', weight: 10 }]
+    expect(chooseTarget(targets, 0.89)).toBe('old')
+    expect(chooseTarget(targets, 0.91)).toBe('new')
+    expect(chooseTarget([], 0.5)).toBeUndefined()
+  })
+})
+
+describe('streams', () => {
+  test('only whole events are passed on, and all of their bytes, however they arrive', () => {
+    fastCheck.assert(fastCheck.property(fastCheck.array(fastCheck.integer({ min: 1, max: 40 }), { minLength: 1, maxLength: 30 }), fastCheck.boolean(), (cuts, usesCarriageReturns) => {
+      const end = usesCarriageReturns ? '\r\n' : '\n'
+      const text = Array.from({ length: 12 }, (_, event) => `id: ${event}${end}data: x${event}${end}${end}`).join('')
+      const splitter = createEventSplitter()
+      let passed = ''
+      let events = 0
+      let lastEventId = ''
+      let position = 0
+      for (let turn = 0; position < text.length; turn++) {
+        const size = cuts[turn % cuts.length] ?? 1
+        const whole = splitter.push(Buffer.from(text.slice(position, position + size)))
+        position += size
+        passed += whole.bytes.toString()
+        events += whole.events
+        lastEventId = whole.lastEventId === '' ? lastEventId : whole.lastEventId
+        expect(passed === '' || passed.endsWith(end + end)).toBe(true)
+      }
+      expect({ passed, events, lastEventId, held: splitter.heldBytes }).toEqual({ passed: text, events: 12, lastEventId: '11', held: 0 })
+    }))
+  })
+
+  test('an event that breaks off is held', () => {
+    const splitter = createEventSplitter()
+    expect(splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'))).toMatchObject({ events: 1, lastEventId: '1' })
+    expect(splitter.heldBytes).toBeGreaterThan(0)
+  })
+})
+
+describe('pattern: one account drawn on at uneven rates, outages of the store, kills', () => {
+  const idle = { free: 0, needed: 0, rate: 0, ungranted: 1_000_000, instances: 10 }
+
+  test('a busy instance holds the use of an outage, an idle one a small share', () => {
+    expect(targetGrant({ ...idle, rate: 10 })).toBeGreaterThanOrEqual(10 * 8000)
+    expect(targetGrant(idle)).toBeLessThanOrEqual(1_000_000 / 50)
+  })
+
+  test('near exhaustion one instance never takes all that is left in advance', () => {
+    expect(grantMove({ ...idle, rate: 1000, ungranted: 40_000 })).toBeLessThanOrEqual(20_000)
+  })
+
+  test('what waiting requests need is drawn when it is there, and nothing when it is not', () => {
+    expect(grantMove({ ...idle, needed: 5000, ungranted: 5000 })).toBe(5000)
+    expect(grantMove({ ...idle, needed: 5001, ungranted: 5000 })).toBe(0)
+  })
+
+  test('an instance whose callers have gone returns its grant', () => {
+    expect(grantMove({ ...idle, free: 200_000 })).toBeLessThan(0)
+  })
+
+  test('no more is open than is free', () => {
+    expect(openTokens(1000, 500)).toBe(500)
+  })
+
+  test('only what was sealed is taken over, and only before the seal ends', () => {
+    const row = { lifetime: 'a.1', sequence: 3, sealedUntil: 5000, accounts: { school: { held: 100, limit: 30 }, museum: { held: 10, limit: 10 } } }
+    expect([...reclaimable(row, 4999)]).toEqual([['school', 70]])
+    expect([...reclaimable(row, 5000)]).toEqual([])
+  })
+})
+
+describe('requests that crash backend servers', () => {
+  test('the third crash quarantines, each report counts once', () => {
+    const watch = createCrashWatch()
+    watch.recordCrash('poison', 'a/1', 0)
+    watch.recordCrash('poison', 'a/1', 0)
+    watch.recordCrash('poison', 'b/1', 0)
+    expect(watch.isQuarantined('poison', 0)).toBe(false)
+    watch.recordCrash('poison', 'c/1', 0)
+    expect(watch.isQuarantined('poison', 0)).toBe(true)
+    expect(watch.isQuarantined('poison', 121_000)).toBe(false)
+  })
+
+  test('a request that was ever answered is innocent', () => {
+    const watch = createCrashWatch()
+    watch.recordAnswer('status')
+    for (const report of ['1', '2', '3', '4']) watch.recordCrash('status', report, 0)
+    expect(watch.isQuarantined('status', 0)).toBe(false)
+  })
+})
+
+describe('pattern: failures that make every instance repeat at once', () => {
+  test('the fleet stays within ratio and slack in every window, also when it grows', () => {
+    fastCheck.assert(fastCheck.property(fastCheck.integer({ min: 1, max: 20 }), fastCheck.integer({ min: 1, max: 40 }), (instances, requestsPerSecond) => {
+      const limits = { ratio: 0.2, slack: 58, windowMilliseconds: 10_000 }
+      const shares = Array.from({ length: instances }, () => createRetryShares(limits, () => instances))
+      const repeats: number[] = []
+      const seconds = 30
+      for (let now = 0; now < seconds * 1000; now += 1000) {
+        let taken = 0
+        for (const share of shares) {
+          for (let request = 0; request < requestsPerSecond; request++) share.recordRequest('model', now)
+          for (let attempt = 0; attempt < 50; attempt++) if (share.takeRetry('model', now)) taken++
+        }
+        repeats.push(taken)
+      }
+      for (let start = 0; start + 10 <= seconds; start++) {
+        const inWindow = repeats.slice(start, start + 10).reduce((sum, count) => sum + count, 0)
+        expect(inWindow).toBeLessThanOrEqual(limits.ratio * requestsPerSecond * instances * 10 + limits.slack)
+      }
+    }))
+  })
+})
--- /dev/null
+++ b/packages/gateway/src/__tests__/requestPlan.test.ts
@@ -0,0 +1,111 @@
+import { describe, expect, test } from '@jest/globals'
+import type { Repetition } from '../fleetConfiguration.js'
+import { planRequest, type AttemptOutcome, type PlanCommand, type PlanResult, type ReservationOutcome } from '../decisions/requestPlan.js'
+
+interface PlanSetting {
+  readonly repetition?: Repetition
+  readonly maximumSends?: number
+  readonly outcomes: readonly AttemptOutcome[]
+  readonly reservation?: ReservationOutcome
+  readonly backends?: readonly string[]
+  readonly mayRepeat?: boolean
+}
+
+/** Runs a plan against listed outcomes and returns its result and the backend servers that got it. */
+function runPlan (setting: PlanSetting): { readonly result: PlanResult, readonly sentTo: readonly string[] } {
+  const backends = setting.backends ?? ['first', 'second', 'third']
+  const outcomes = [...setting.outcomes]
+  const sentTo: string[] = []
+  const plan = planRequest({ repetition: setting.repetition ?? { kind: 'idempotent' }, maximumSends: setting.maximumSends ?? 2, retryAt: () => 500 })
+  function answer (command: PlanCommand): unknown {
+    switch (command.kind) {
+      case 'reserveTokens': return setting.reservation ?? { kind: 'reserved' }
+      case 'chooseBackend': {
+        const backendId = backends.find((id) => !command.excluded.includes(id))
+        return backendId === undefined ? { kind: 'none', retryAt: 700 } : { kind: 'chosen', backendId }
+      }
+      case 'sendAttempt':
+        sentTo.push(command.backendId)
+        return outcomes.shift()
+      case 'takeRepeat': return setting.mayRepeat ?? true
+    }
+  }
+  let step = plan.next()
+  while (step.done !== true) step = plan.next(answer(step.value))
+  return { result: step.value, sentTo }
+}
+
+const broken: AttemptOutcome = { kind: 'broken', reason: 'reset', begun: false }
+const delivered: AttemptOutcome = { kind: 'delivered', status: 200 }
+const notRun: AttemptOutcome = { kind: 'notRun', reason: 'full' }
+const notSent: AttemptOutcome = { kind: 'notSent', reason: 'refused' }
+
+describe('requests that run once', () => {
+  test('an answer that broke off leaves the outcome unknown and is not sent again', () => {
+    const { result, sentTo } = runPlan({ repetition: { kind: 'once' }, outcomes: [broken] })
+    expect(result.kind).toBe('unknown')
+    expect(sentTo).toEqual(['first'])
+  })
+
+  test('a rejection may be sent to another backend server, within the route\'s limit', () => {
+    expect(runPlan({ repetition: { kind: 'once' }, outcomes: [notRun, delivered] })).toEqual({ result: delivered, sentTo: ['first', 'second'] })
+    expect(runPlan({ repetition: { kind: 'once' }, maximumSends: 1, outcomes: [notRun] }).result).toMatchObject({ kind: 'notRun', retryAt: 500 })
+  })
+
+  test('a connection that failed before a byte was sent does not count as a send', () => {
+    expect(runPlan({ repetition: { kind: 'once' }, maximumSends: 1, outcomes: [notSent, delivered] })).toEqual({ result: delivered, sentTo: ['first', 'second'] })
+  })
+
+  test('a failure of the backend server is passed on', () => {
+    expect(runPlan({ repetition: { kind: 'once' }, outcomes: [{ kind: 'failedAnswer', status: 500 }] }).result.kind).toBe('passFailure')
+  })
+
+  test('a stream that can not be resumed is cut off when it breaks', () => {
+    expect(runPlan({ repetition: { kind: 'onceStream' }, outcomes: [{ kind: 'broken', reason: 'reset', begun: true }] }).result.kind).toBe('cutOff')
+  })
+})
+
+describe('requests that may run again', () => {
+  test('a broken answer is sent to another backend server', () => {
+    expect(runPlan({ outcomes: [broken, delivered] })).toEqual({ result: delivered, sentTo: ['first', 'second'] })
+  })
+
+  test('"not run" is never said after a send that may have run', () => {
+    expect(runPlan({ outcomes: [broken, notRun] }).result.kind).toBe('unknown')
+    expect(runPlan({ outcomes: [broken], backends: ['first'] }).result.kind).toBe('unknown')
+  })
+
+  test('nothing is repeated beyond the fleet\'s budget', () => {
+    expect(runPlan({ outcomes: [broken], mayRepeat: false }).sentTo).toEqual(['first'])
+  })
+
+  test('a resumable stream goes on elsewhere and is cut off when it can not', () => {
+    const begun: AttemptOutcome = { kind: 'broken', reason: 'reset', begun: true }
+    expect(runPlan({ repetition: { kind: 'resumableStream' }, outcomes: [begun, delivered] }).result).toEqual(delivered)
+    expect(runPlan({ repetition: { kind: 'resumableStream' }, outcomes: [begun, notRun] }).result.kind).toBe('cutOff')
+  })
+})
+
+describe('requests that are not sent', () => {
+  test('without tokens', () => {
+    expect(runPlan({ outcomes: [], reservation: { kind: 'exhausted' } })).toEqual({ result: { kind: 'exhausted' }, sentTo: [] })
+    expect(runPlan({ outcomes: [], reservation: { kind: 'unavailable', retryAt: 9 } }).result).toMatchObject({ kind: 'notRun', retryAt: 9 })
+  })
+
+  test('without a backend server', () => {
+    expect(runPlan({ outcomes: [], backends: [] }).result).toMatchObject({ kind: 'notRun', retryAt: 700 })
+  })
+
+  test('after several connections that failed', () => {
+    expect(runPlan({ outcomes: [notSent, notSent, notSent, notSent], backends: ['a', 'b', 'c', 'd', 'e'] }).result.kind).toBe('notRun')
+  })
+
+  test('a caller that left is not served again', () => {
+    expect(runPlan({ outcomes: [{ kind: 'callerGone' }] }).result.kind).toBe('callerGone')
+  })
+
+  test('time that ran out before and after the answer has begun', () => {
+    expect(runPlan({ outcomes: [{ kind: 'timedOut', begun: false }] }).result.kind).toBe('timedOut')
+    expect(runPlan({ outcomes: [{ kind: 'timedOut', begun: true }] }).result.kind).toBe('cutOff')
+  })
+})
--- /dev/null
+++ b/packages/gateway/src/__tests__/tokenTask.test.ts
@@ -0,0 +1,174 @@
+import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals'
+import fastCheck from 'fast-check'
+import { createMemoryRowStore, type MemoryRowStore, type StoreFault } from '../__fixtures__/memoryRowStore.js'
+import { createKeptLog } from '../__fixtures__/silentLog.js'
+import { decodeLeaseRow } from '../decisions/leaseRow.js'
+import type { TokenTask } from '../tasks/tokenAccounts.js'
+import { startTokenTask } from '../tasks/tokenTask.js'
+
+const ACCOUNT = 'school'
+const PREPAID = 100_000
+
+interface TestInstance {
+  readonly tokens: TokenTask
+}
+
+function startInstance (memory: MemoryRowStore, instanceId: string, lifetime: string, askPeers: () => Promise<number> = async () => 0): TestInstance {
+  const tokens = startTokenTask({
+    store: memory.store,
+    log: createKeptLog(),
+    instanceId,
+    lifetimeId: `${instanceId}.${lifetime}`,
+    spansParts: true,
+    instances: () => 3,
+    noteShortage: () => {},
+    askPeers,
+    giveToPeer: async () => {}
+  })
+  tokens.setPrepaid(ACCOUNT, PREPAID)
+  return { tokens }
+}
+
+async function reserveSoon (instance: TestInstance, tokens: number): Promise<string> {
+  const outcome = instance.tokens.reserve(ACCOUNT, tokens, Number.MAX_SAFE_INTEGER)
+  await jest.advanceTimersByTimeAsync(1000)
+  return (await outcome).kind
+}
+
+beforeEach(() => { jest.useFakeTimers() })
+afterEach(() => { jest.useRealTimers() })
+
+describe('prepaid tokens at an instance', () => {
+  test('a request reserves its largest use and the rest stays usable', async () => {
+    const instance = startInstance(createMemoryRowStore(), 'a', '1')
+    expect(await reserveSoon(instance, 60_000)).toBe('reserved')
+    instance.tokens.settle(ACCOUNT, 60_000, 10_000)
+    expect(await reserveSoon(instance, 85_000)).toBe('reserved')
+  })
+
+  test('a request larger than everything prepaid is exhausted', async () => {
+    const instance = startInstance(createMemoryRowStore(), 'a', '1')
+    expect(await reserveSoon(instance, PREPAID + 1)).toBe('exhausted')
+  })
+
+  test('two instances never reserve more than is prepaid', async () => {
+    const memory = createMemoryRowStore()
+    const first = startInstance(memory, 'a', '1')
+    const second = startInstance(memory, 'b', '1')
+    expect(await reserveSoon(first, 60_000)).toBe('reserved')
+    expect(await reserveSoon(second, 60_000)).toBe('unavailable')
+  })
+
+  test('a draw whose reply was lost is found in the lease row and used', async () => {
+    const faults: StoreFault[] = []
+    const memory = createMemoryRowStore(() => faults.shift() ?? { kind: 'none' })
+    const instance = startInstance(memory, 'a', '1')
+    await jest.advanceTimersByTimeAsync(500)
+    faults.push({ kind: 'loseReply' })
+    const outcome = instance.tokens.reserve(ACCOUNT, 95_000, Number.MAX_SAFE_INTEGER)
+    await jest.advanceTimersByTimeAsync(2000)
+    expect(['reserved', 'unavailable']).toContain((await outcome).kind)
+    expect(await reserveSoon(instance, 95_000)).toBe((await outcome).kind === 'reserved' ? 'unavailable' : 'reserved')
+  })
+
+  test('the next process of an instance takes over what was certainly not used', async () => {
+    const memory = createMemoryRowStore()
+    const first = startInstance(memory, 'a', '1')
+    expect(await reserveSoon(first, 10_000)).toBe('reserved')
+    first.tokens.settle(ACCOUNT, 10_000, 10_000)
+    await jest.advanceTimersByTimeAsync(1000)
+    const left = decodeLeaseRow(memory.row({ table: 'leases', part: 'a', key: 'a' }) ?? '').accounts[ACCOUNT]
+    first.tokens.abandon()
+    startInstance(memory, 'a', '2')
+    await jest.advanceTimersByTimeAsync(1000)
+    const held = decodeLeaseRow(memory.row({ table: 'leases', part: 'a', key: 'a' }) ?? '')
+    expect(held.lifetime).toBe('a.2')
+    const granted = Number(memory.row({ table: 'balances', part: ACCOUNT, key: ACCOUNT }))
+    // What the first process may have used counts as used, and no more.
+    expect(granted - (held.accounts[ACCOUNT]?.held ?? 0)).toBe(left?.limit)
+  })
+
+  test('without the store, tokens come from a peer', async () => {
+    let isDown = false
+    const memory = createMemoryRowStore(() => isDown ? { kind: 'refuse' } : { kind: 'none' })
+    const instance = startInstance(memory, 'a', '1', async () => 50_000)
+    await jest.advanceTimersByTimeAsync(500)
+    isDown = true
+    await jest.advanceTimersByTimeAsync(5000)
+    expect(await reserveSoon(instance, 45_000)).toBe('reserved')
+  })
+
+  test('a seal ends although renewals keep failing', async () => {
+    let isDown = false
+    const memory = createMemoryRowStore(() => isDown ? { kind: 'drop' } : { kind: 'none' })
+    const instance = startInstance(memory, 'a', '1')
+    for (let round = 0; round < 30; round++) {
+      expect(await reserveSoon(instance, 400)).toBe('reserved')
+      instance.tokens.settle(ACCOUNT, 400, 400)
+    }
+    const free = decodeLeaseRow(memory.row({ table: 'leases', part: 'a', key: 'a' }) ?? '').accounts[ACCOUNT]?.held ?? 0
+    isDown = true
+    await jest.advanceTimersByTimeAsync(6000)
+    const wanted = Math.floor((free - 12_000) * 0.95)
+    if (wanted > 0) expect(await reserveSoon(instance, wanted)).toBe('reserved')
+  })
+
+  test('a stopping instance returns what is free', async () => {
+    const memory = createMemoryRowStore()
+    const instance = startInstance(memory, 'a', '1')
+    expect(await reserveSoon(instance, 20_000)).toBe('reserved')
+    instance.tokens.settle(ACCOUNT, 20_000, 5000)
+    const closed = instance.tokens.close()
+    await jest.advanceTimersByTimeAsync(2000)
+    await closed
+    expect(memory.row({ table: 'balances', part: ACCOUNT, key: ACCOUNT })).toBe('5000')
+  })
+
+  test('an account is never overspent, whatever store and processes do', async () => {
+    const fault = fastCheck.oneof(
+      { weight: 6, arbitrary: fastCheck.constant<StoreFault>({ kind: 'none' }) },
+      { weight: 1, arbitrary: fastCheck.constant<StoreFault>({ kind: 'refuse' }) },
+      { weight: 2, arbitrary: fastCheck.constant<StoreFault>({ kind: 'loseReply' }) },
+      { weight: 2, arbitrary: fastCheck.integer({ min: 50, max: 4000 }).map<StoreFault>((milliseconds) => ({ kind: 'late', milliseconds })) },
+      { weight: 1, arbitrary: fastCheck.constant<StoreFault>({ kind: 'drop' }) }
+    )
+    const step = fastCheck.record({
+      instance: fastCheck.integer({ min: 0, max: 2 }),
+      action: fastCheck.constantFrom('use', 'use', 'use', 'useLittle', 'kill', 'wait', 'return'),
+      tokens: fastCheck.integer({ min: 100, max: 30_000 })
+    })
+    await fastCheck.assert(fastCheck.asyncProperty(fastCheck.array(fault, { minLength: 20, maxLength: 80 }), fastCheck.array(step, { minLength: 10, maxLength: 50 }), async (faults, steps) => {
+      let next = 0
+      const memory = createMemoryRowStore(() => faults[next++ % faults.length] ?? { kind: 'none' })
+      const names = ['a', 'b', 'c']
+      const running = names.map((name) => startInstance(memory, name, '0'))
+      let used = 0
+      for (const [index, { instance, action, tokens }] of steps.entries()) {
+        const target = running[instance]
+        if (target === undefined) continue
+        switch (action) {
+          case 'use':
+          case 'useLittle': {
+            const outcome = target.tokens.reserve(ACCOUNT, tokens, Number.MAX_SAFE_INTEGER)
+            await jest.advanceTimersByTimeAsync(1500)
+            if ((await outcome).kind !== 'reserved') break
+            const spent = action === 'use' ? tokens : Math.floor(tokens / 3)
+            used += spent
+            target.tokens.settle(ACCOUNT, tokens, spent)
+            break
+          }
+          case 'kill':
+            // A killed process sends nothing any more; its last transactions may still take effect.
+            target.tokens.abandon()
+            running[instance] = startInstance(memory, names[instance] ?? '', String(index + 1))
+            break
+          case 'wait': await jest.advanceTimersByTimeAsync(tokens / 5); break
+          case 'return': target.tokens.returnFree(ACCOUNT); break
+        }
+        expect(used).toBeLessThanOrEqual(PREPAID)
+      }
+      for (const instance of running) instance.tokens.abandon()
+      await jest.advanceTimersByTimeAsync(5000)
+    }), { numRuns: 60 })
+  }, 60_000)
+})
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -89,7 +89,8 @@
   /** Ends the exchange; the outcome is settled when the connection has been dropped. */
   function abort (outcome: AttemptOutcome, reason: string): void {
     abortedAs ??= outcome
-    if (!pending.answered && steadyNow() - sentAt > SILENT_SEND) note({ kind: 'silent' })
+    // A slow answer is no silence while the backend server answers others.
+    if (!pending.answered && silence(backend, steadyNow()) > SILENT_SEND) note({ kind: 'silent' })
     exchange.abort(reason)
   }
 
--- a/packages/gateway/src/tasks/tokenAccounts.ts
+++ b/packages/gateway/src/tasks/tokenAccounts.ts
@@ -17,6 +17,8 @@
   handOver (account: string, tokens: number): number
   /** Adds tokens that a stopping peer handed over. */
   takeOver (account: string, tokens: number): void
+  /** Stops at once without returning anything, as a killed process does. */
+  abandon (): void
   /** Returns all that is free before the process ends, to the store or else to a peer. */
   close (): Promise<void>
 }
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -54,6 +54,7 @@
   let running = false
   let rerun = false
   let closed = false
+  let abandoned = false
   let trafficSince: number | undefined
 
   function stateOf (name: string): AccountState {
@@ -191,6 +192,7 @@
 
   /** Renews the lease and moves tokens once; tells whether another try makes sense at once. */
   async function renew (): Promise<'done' | 'again' | 'failed'> {
+    if (abandoned) return 'failed'
     const composed = compose()
     const outcome = await transact(composed)
     switch (outcome.kind) {
@@ -304,6 +306,7 @@
 
   /** Runs the work, one transaction at a time. */
   function start (): void {
+    if (abandoned) return
     if (running) {
       rerun = true
       return
@@ -405,6 +408,10 @@
       state.book.settleTransfer(given)
       return given
     },
+    abandon: () => {
+      clearInterval(timer)
+      abandoned = true
+    },
     close: async () => {
       clearInterval(timer)
       closed = true
