Let twelve holders of each account draw from the store, and the other instances ask them

Ruled out: larger grants, as an even share is less than one long request. Change: the twelve highest of a rendezvous order draw and hand over; others draw only when two holders don't answer.

--- a/packages/gateway/src/__tests__/tokenTask.test.ts
+++ b/packages/gateway/src/__tests__/tokenTask.test.ts
@@ -22,6 +22,9 @@
     spansParts: true,
     instances: () => 3,
     noteShortage: () => {},
+    isHolder: () => true,
+    askHolders: async () => 0,
+    storeIsLost: () => false,
     askPeers,
     giveToPeer: async () => {}
   })
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import { randomUUID } from 'node:crypto'
 import { readFileSync } from 'node:fs'
 import { createServer, type Server } from 'node:http'
+import { hashPair } from './decisions/backendChoice.js'
 import { createCrashWatch } from './decisions/crashWatch.js'
 import { createRetryShares } from './decisions/retryShares.js'
 import type { FleetConfiguration } from './fleetConfiguration.js'
@@ -15,7 +16,7 @@
 import { createDecisionLog, type DecisionLog } from './tasks/decisionLog.js'
 import { startFleetTask } from './tasks/fleetTask.js'
 import type { GatewayContext } from './tasks/gatewayContext.js'
-import { askPeers, createPeerListener, giveToPeer } from './tasks/peerTransfers.js'
+import { askHolders, askPeers, createPeerListener, giveToPeer } from './tasks/peerTransfers.js'
 import { startTokenTask } from './tasks/tokenTask.js'
 
 /** Time for which new connections are still taken after SIGTERM, milliseconds: the balancer needs two missed checks. */
@@ -25,6 +26,8 @@
 /** Time before SIGKILL at which requests are given up and tokens returned, milliseconds; the last sixth is nobody's due. */
 const RETURN_MARGIN = 1000
 const STOP_CHECK_INTERVAL = 50
+/** Puts holders of other failure domains behind those of this one; larger than any hash. */
+const OTHER_FAILURE_DOMAIN_RANK = 2 ** 32
 
 /** What a gateway process is started with. */
 export interface GatewayOptions {
@@ -51,6 +54,7 @@
     instanceId: settings.instanceId,
     lifetimeId,
     peerAddress: settings.peerAddress,
+    failureDomain: settings.failureDomain,
     onShortage: (account) => tokens.returnFree(account),
     onCrash: (fingerprint, reportId) => {
       const before = crashWatch.crashes(fingerprint)
@@ -66,9 +70,22 @@
     spansParts: settings.storeSpansParts,
     instances: () => fleet.instances,
     noteShortage: fleet.noteShortage,
-    askPeers: (account, wanted) => askPeers(fleet.peers, account, wanted, log),
-    giveToPeer: (rest) => giveToPeer(fleet.peers, rest, log)
+    isHolder: (account) => fleet.holders(account).includes(settings.instanceId),
+    askHolders: (account, wanted, storeIsLost) => askHolders(holderAddresses(account), account, wanted, storeIsLost, log),
+    storeIsLost: () => backends.follower.isLost,
+    askPeers: (account, wanted) => askPeers(fleet.peers.map((peer) => peer.address), account, wanted, log),
+    giveToPeer: (rest) => giveToPeer(fleet.peers.map((peer) => peer.address), rest, log)
   })
+  /** Holders of the same failure domain first; instances start at different ones, so that the load spreads. */
+  function holderAddresses (account: string): readonly string[] {
+    const holders = new Set(fleet.holders(account))
+    return fleet.peers
+      .filter((peer) => holders.has(peer.instanceId))
+      .map((peer) => ({ address: peer.address, rank: hashPair(settings.instanceId, peer.instanceId) + (peer.failureDomain === settings.failureDomain ? 0 : OTHER_FAILURE_DOMAIN_RANK) }))
+      .sort((left, right) => left.rank - right.rank)
+      .map((holder) => holder.address)
+  }
+
   const peerListener = createPeerListener(tokens, log)
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
   const backends = startBackendTask({ platform, log, onGone: (state) => connections.closeIdle(state.entry.address) })
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -1,4 +1,5 @@
 import { steadyNow } from '../clock.js'
+import { hashPair } from '../decisions/backendChoice.js'
 import type { RowStore, StoredRow } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
 import { followTable, type TableFollower } from './tableFollower.js'
@@ -10,6 +11,8 @@
 const FEED_WAIT = 3000
 /** Time that a write may take, milliseconds. */
 const WRITE_TIME = 1000
+/** Instances that draw an account's tokens in advance; with more, draws of a large fleet would conflict most of the time. */
+const HOLDERS = 12
 /** Interval at which gathered crash reports are written, milliseconds. */
 const CRASH_INTERVAL = 200
 /** Crash reports in one transaction, which holds at most 100 entries. */
@@ -19,12 +22,21 @@
 /** Pause before the note of this instance's start is tried again, milliseconds. */
 const REGISTER_PAUSE = 1000
 
+/** Another instance. */
+export interface Peer {
+  readonly instanceId: string
+  readonly address: string
+  readonly failureDomain: string
+}
+
 /** What instances tell each other through the store. */
 export interface FleetTask {
   /** Instances that are listed, at least 1. */
   readonly instances: number
-  /** Addresses of the other instances. */
-  readonly peers: readonly string[]
+  /** The other instances. */
+  readonly peers: readonly Peer[]
+  /** Instances that draw an account's tokens in advance, the same at every instance that knows the same list. */
+  holders (account: string): readonly string[]
   /** Asks all instances to return what they hold of an account. */
   noteShortage (account: string): void
   reportCrash (fingerprint: string): void
@@ -42,6 +54,7 @@
   readonly lifetimeId: string
   /** Where peers reach this instance. */
   readonly peerAddress: string
+  readonly failureDomain: string
   readonly onShortage: (account: string) => void
   readonly onCrash: (fingerprint: string, reportId: string) => void
 }
@@ -49,8 +62,8 @@
 /** Starts to follow and write the fleet's notes. */
 export function startFleetTask (options: FleetTaskOptions): FleetTask {
   const { store, log } = options
-  /** Peer addresses by instance ID. */
-  const instances = new Map<string, string>()
+  const instances = new Map<string, Peer>()
+  const holdersByAccount = new Map<string, readonly string[]>()
   const shortagesNotedAt = new Map<string, number>()
   let crashes: string[] = []
   let crashCount = 0
@@ -66,8 +79,10 @@
   function take (row: StoredRow): void {
     if (row.key.startsWith(PREFIX.instance)) {
       const name = row.key.slice(PREFIX.instance.length)
+      holdersByAccount.clear()
+      const [address = '', failureDomain = ''] = row.value.split(' ')
       if (row.deleted) instances.delete(name)
-      else instances.set(name, row.value)
+      else instances.set(name, { instanceId: name, address, failureDomain })
       return
     }
     if (row.deleted) return
@@ -94,7 +109,7 @@
 
   async function register (): Promise<void> {
     for (;;) {
-      if (stopped || await write(`${PREFIX.instance}${options.instanceId}`, options.peerAddress)) return
+      if (stopped || await write(`${PREFIX.instance}${options.instanceId}`, `${options.peerAddress} ${options.failureDomain}`)) return
       await new Promise((resolve) => setTimeout(resolve, REGISTER_PAUSE))
     }
   }
@@ -120,7 +135,16 @@
   register().catch((error: unknown) => log.warning('registrationFailed', { reason: String(error) }))
   return {
     get instances () { return Math.max(1, instances.size) },
-    get peers () { return [...instances].filter(([name]) => name !== options.instanceId).map(([, address]) => address) },
+    get peers () { return [...instances.values()].filter((peer) => peer.instanceId !== options.instanceId) },
+    holders: (account) => {
+      const known = holdersByAccount.get(account)
+      if (known !== undefined) return known
+      const holders = [...instances.keys()]
+        .sort((left, right) => hashPair(account, right) - hashPair(account, left))
+        .slice(0, HOLDERS)
+      holdersByAccount.set(account, holders)
+      return holders
+    },
     noteShortage: (account) => {
       const now = steadyNow()
       if (now - (shortagesNotedAt.get(account) ?? 0) < SHORTAGE_INTERVAL) return
--- a/packages/gateway/src/tasks/peerTransfers.ts
+++ b/packages/gateway/src/tasks/peerTransfers.ts
@@ -1,4 +1,4 @@
-import { createServer, request, type Server } from 'node:http'
+import { Agent, createServer, request, type Server } from 'node:http'
 import * as v from 'valibot'
 import type { DecisionLog } from './decisionLog.js'
 
@@ -11,6 +11,14 @@
 /** Largest message between peers, bytes. */
 const LARGEST_MESSAGE = 65_536
 
+/** Time in which a holder answers, milliseconds; it may have to draw first. */
+const HOLDER_TIME = 220
+/** Holders asked for one need before this instance draws for itself, and while the store can't be reached. */
+const HOLDERS_ASKED = { normally: 2, withoutStore: 6 } as const
+
+/** Kept connections to peers; a holder is asked for most requests of a large fleet. */
+const peerAgent = new Agent({ keepAlive: true, maxFreeSockets: 2, timeout: 10_000 })
+
 const transferRequestSchema = v.object({ account: v.string(), tokens: v.pipe(v.number(), v.integer(), v.minValue(1)) })
 const handOverSchema = v.object({ accounts: v.record(v.string(), v.pipe(v.number(), v.integer(), v.minValue(1))) })
 const transferReplySchema = v.object({ tokens: v.pipe(v.number(), v.integer(), v.minValue(0)) })
@@ -35,8 +43,18 @@
   return received
 }
 
-async function askPeer (peer: string, account: string, tokens: number, log: DecisionLog): Promise<number> {
-  const answer = await postToPeer(peer, '/transfers', { account, tokens }, log)
+/** Asks an account's holders in turn, in the order given, until the need is met. */
+export async function askHolders (holders: readonly string[], account: string, tokens: number, storeIsLost: boolean, log: DecisionLog): Promise<number> {
+  let received = 0
+  for (const holder of holders.slice(0, storeIsLost ? HOLDERS_ASKED.withoutStore : HOLDERS_ASKED.normally)) {
+    received += await askPeer(holder, account, Math.ceil(tokens - received), log, HOLDER_TIME)
+    if (received >= tokens) break
+  }
+  return received
+}
+
+async function askPeer (peer: string, account: string, tokens: number, log: DecisionLog, milliseconds = PEER_TIME): Promise<number> {
+  const answer = await postToPeer(peer, '/transfers', { account, tokens }, log, milliseconds)
   const reply = v.safeParse(transferReplySchema, answer)
   return reply.success ? reply.output.tokens : 0
 }
@@ -53,12 +71,12 @@
 }
 
 /** Posts a message; undefined when there is no usable answer. */
-function postToPeer (peer: string, path: string, message: unknown, log: DecisionLog): Promise<unknown> {
+function postToPeer (peer: string, path: string, message: unknown, log: DecisionLog, milliseconds = PEER_TIME): Promise<unknown> {
   const [host = '', port = ''] = peer.split(':')
   const body = JSON.stringify(message)
   return new Promise((resolve) => {
-    const outgoing = request({ host, port: Number(port), method: 'POST', path, agent: false, headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) } })
-    const timer = setTimeout(() => outgoing.destroy(new Error('no answer in time')), PEER_TIME)
+    const outgoing = request({ host, port: Number(port), method: 'POST', path, agent: peerAgent, headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) } })
+    const timer = setTimeout(() => outgoing.destroy(new Error('no answer in time')), milliseconds)
     const fail = (reason: string): void => {
       clearTimeout(timer)
       log.decision('peerDidNotAnswer', { peer, path, reason })
@@ -91,19 +109,19 @@
 
 /** What peers' messages act on. */
 export interface PeerHandlers {
-  readonly handOver: (account: string, tokens: number) => number
+  readonly handOver: (account: string, tokens: number) => Promise<number>
   readonly takeOver: (account: string, tokens: number) => void
 }
 
 /** Serves peers' messages. */
 export function createPeerListener (handlers: PeerHandlers, log: DecisionLog): Server {
   /** Answer of a message; undefined when it can't be read. */
-  function answer (path: string, message: unknown): unknown {
+  async function answer (path: string, message: unknown): Promise<unknown> {
     switch (path) {
       case '/transfers': {
         const asked = v.safeParse(transferRequestSchema, message)
         if (!asked.success) return undefined
-        const tokens = handlers.handOver(asked.output.account, asked.output.tokens)
+        const tokens = await handlers.handOver(asked.output.account, asked.output.tokens)
         log.decision('tokensHandedOver', { account: asked.output.account, asked: asked.output.tokens, tokens })
         return { tokens }
       }
@@ -127,9 +145,13 @@
     })
     incoming.on('error', (error) => log.decision('peerRequestBroken', { reason: error.message }))
     incoming.on('end', () => {
-      const reply = answer(incoming.url ?? '', parseJson(text))
-      response.writeHead(reply === undefined ? 400 : 200, { 'content-type': 'application/json' })
-      response.end(reply === undefined ? undefined : JSON.stringify(reply))
+      answer(incoming.url ?? '', parseJson(text)).then((reply) => {
+        response.writeHead(reply === undefined ? 400 : 200, { 'content-type': 'application/json' })
+        response.end(reply === undefined ? undefined : JSON.stringify(reply))
+      }, (error: unknown) => {
+        log.warning('peerMessageFailed', { path: incoming.url, reason: String(error) })
+        response.destroy()
+      })
     })
   })
 }
--- a/packages/gateway/src/tasks/tableFollower.ts
+++ b/packages/gateway/src/tasks/tableFollower.ts
@@ -34,6 +34,8 @@
 export interface TableFollower {
   /** Unix milliseconds of the last answer; 0 when there was none. */
   readonly contactAt: number
+  /** True while the store does not answer. */
+  readonly isLost: boolean
   stop (): void
 }
 
@@ -93,6 +95,7 @@
   run().catch((error: unknown) => options.log.warning('tableFollowerEnded', { table: options.table, reason: String(error) }))
   return {
     get contactAt () { return contactAt },
+    get isLost () { return lostSince !== undefined },
     stop: () => { stopped = true }
   }
 }
--- a/packages/gateway/src/tasks/tokenAccounts.ts
+++ b/packages/gateway/src/tasks/tokenAccounts.ts
@@ -13,8 +13,8 @@
   setPrepaid (account: string, tokens: number | undefined): void
   /** Returns what is free, as another instance lacks tokens. */
   returnFree (account: string): void
-  /** Hands free tokens to a peer that can't reach the store; returns how many. */
-  handOver (account: string, tokens: number): number
+  /** Hands tokens to a peer; resolves with how many. A holder draws what it lacks. */
+  handOver (account: string, tokens: number): Promise<number>
   /** Adds tokens that a stopping peer handed over. */
   takeOver (account: string, tokens: number): void
   /** Stops at once without returning anything, as a killed process does. */
@@ -33,6 +33,12 @@
   readonly spansParts: boolean
   readonly instances: () => number
   readonly noteShortage: (account: string) => void
+  /** True when this instance draws an account's tokens in advance and hands them to others. */
+  readonly isHolder: (account: string) => boolean
+  /** Asks the account's holders for tokens; resolves with what they handed over. */
+  readonly askHolders: (account: string, tokens: number, storeIsLost: boolean) => Promise<number>
+  /** True while other calls find that the store does not answer. */
+  readonly storeIsLost: () => boolean
   /** Asks peers for tokens when the store can't be reached; resolves with what they handed over. */
   readonly askPeers: (account: string, tokens: number) => Promise<number>
   /** Hands tokens to a peer when the store can't be reached at the stop. */
@@ -57,6 +63,8 @@
   balanceVersion: number
   returnRequested: boolean
   askingPeers: boolean
+  /** True while the account's holders don't answer, so that this instance draws for itself. */
+  drawsItself: boolean
   /** Reading of the steady clock until which nothing is drawn in advance. */
   heldBackUntil: number
   /** Reading of the steady clock until which requests that don't fit are refused at once. */
@@ -74,7 +82,7 @@
 
 /** Creates the state of an account of which nothing is known. `trafficSince` is when the first request of any account came. */
 export function createAccountState (name: string, trafficSince: () => number): AccountState {
-  return { name, prepaid: undefined, book: createTokenBook(trafficSince), waiting: [], granted: 0, balanceVersion: 0, returnRequested: false, askingPeers: false, heldBackUntil: 0, shortUntil: 0 }
+  return { name, prepaid: undefined, book: createTokenBook(trafficSince), waiting: [], granted: 0, balanceVersion: 0, returnRequested: false, askingPeers: false, drawsItself: false, heldBackUntil: 0, shortUntil: 0 }
 }
 
 /** Tokens of the account that are granted to no instance. */
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -11,6 +11,10 @@
 const TRANSACTION_TIME = 800
 /** Transactions in a row while other instances change the same balances. */
 const CONFLICT_ATTEMPTS = 8
+/** Transactions in a row that also draw in advance. */
+const ADVANCE_ATTEMPTS = 2
+/** Longest pause after a second conflict, milliseconds, so that instances do not meet again. */
+const CONFLICT_PAUSE = 12
 /** Pause after a transaction that the store refused or did not answer, milliseconds. */
 const FAILURE_PAUSE = 250
 /** Time for which the sealed part of a grant stays untouched after a renewal, milliseconds; restarts take less. */
@@ -29,6 +33,10 @@
 const RETURN_HOLD = 3000
 /** Time after a draw that found too few tokens in which requests are refused at once, milliseconds. */
 const SHORTAGE_MEMORY = 400
+/** Free tokens beyond which an instance that is no holder returns them, about four long requests. */
+const LARGEST_LEFTOVER = 40_000
+/** Longest time that a holder lets a peer wait for tokens, milliseconds. */
+const LONGEST_HAND_OVER = 150
 /** Time of its own use that an instance keeps when a peer asks for tokens, milliseconds. */
 const KEPT_FROM_PEERS = 2000
 /** Interval at which the end of a transaction is awaited at the stop, milliseconds. */
@@ -87,23 +95,31 @@
     if (state.prepaid === undefined) return 0
     if (state.returnRequested || closed) return -Math.max(0, Math.floor(state.book.free))
     if (needed(state) === 0 && now < state.heldBackUntil) return 0
+    if (!options.isHolder(state.name)) return moveOfOther(state)
     return grantMove({ free: state.book.free, needed: needed(state), rate: state.book.rate(now), ungranted: ungranted(state), instances: options.instances() })
   }
 
+  /** An instance that is no holder draws only when the holders don't answer, and returns what piles up. */
+  function moveOfOther (state: AccountState): number {
+    const lacking = state.drawsItself ? needed(state) : 0
+    if (lacking > 0) return lacking <= ungranted(state) ? lacking : 0
+    return state.waiting.length === 0 && state.book.free > LARGEST_LEFTOVER ? -Math.floor(state.book.free) : 0
+  }
+
   /** While renewals fail the seal is not extended, as each attempt may still take effect and the open part would not last. */
   function nextSeal (): number {
     return failedAt === 0 ? storeTime() + SEAL_TIME : sealedUntil
   }
 
   /** Composes the next transaction; what it returns or limits is taken from the books at once. */
-  function compose (): Composed {
+  function compose (onlyNeeded: boolean): Composed {
     const reclaimed = predecessor === undefined ? new Map<string, number>() : reclaimable(predecessor.row, predecessor.storeTime)
     for (const name of reclaimed.keys()) stateOf(name)
     const moves = new Map<string, number>()
     const rows: LeaseRow['accounts'] = {}
     const now = steadyNow()
     for (const state of accounts.values()) {
-      const move = moveOf(state)
+      const move = onlyNeeded && needed(state) === 0 && !state.returnRequested && !closed ? 0 : moveOf(state)
       if (move !== 0) moves.set(state.name, move)
       // A return leaves the book before the store can know of it, so that its tokens are never in two places.
       if (move < 0) state.book.remove(-move)
@@ -191,9 +207,9 @@
   }
 
   /** Renews the lease and moves tokens once; tells whether another try makes sense at once. */
-  async function renew (): Promise<'done' | 'again' | 'failed'> {
+  async function renew (onlyNeeded = false): Promise<'done' | 'again' | 'failed'> {
     if (abandoned) return 'failed'
-    const composed = compose()
+    const composed = compose(onlyNeeded)
     const outcome = await transact(composed)
     switch (outcome.kind) {
       case 'applied':
@@ -239,7 +255,7 @@
           request.resolve({ kind: 'reserved' })
           return false
         }
-        const isLate = now >= request.deadline || (failedAt > 0 && now >= request.deadline - LONGEST_WAIT + LONGEST_WAIT_WITHOUT_STORE)
+        const isLate = now >= request.deadline || (isStoreLost() && now >= request.deadline - LONGEST_WAIT + LONGEST_WAIT_WITHOUT_STORE)
         if (isLate) request.resolve({ kind: 'unavailable', retryAt: now + NO_TOKENS_RETRY })
         return !isLate
       })
@@ -247,9 +263,10 @@
   }
 
   function isWorkDue (): boolean {
-    if (steadyNow() - renewedAt >= RENEWAL_AGE) return true
+    const isRenewalDue = steadyNow() - renewedAt >= RENEWAL_AGE
     for (const state of accounts.values()) {
-      if (state.waiting.length > 0) return true
+      if (isRenewalDue && state.book.held > state.book.committed) return true
+      if (state.waiting.length > 0 && drawsFor(state)) return true
       if (state.prepaid !== undefined && moveOf(state) !== 0) return true
       const open = state.book.limit - state.book.committed
       if (state.book.free > 0 && open < openTokens(state.book.rate(steadyNow()), state.book.free) / 2) return true
@@ -257,10 +274,16 @@
     return false
   }
 
+  function drawsFor (state: AccountState): boolean {
+    return state.drawsItself || options.isHolder(state.name)
+  }
+
   async function work (): Promise<void> {
     for (let attempt = 0; attempt < CONFLICT_ATTEMPTS; attempt++) {
-      const result = await renew()
+      // The fewer balances a transaction changes, the less often another instance has changed one of them before.
+      const result = await renew(attempt >= ADVANCE_ATTEMPTS)
       serveWaiting()
+      if (result === 'again' && attempt > 0) await pause(Math.random() * CONFLICT_PAUSE)
       if (result === 'failed') {
         await pause(FAILURE_PAUSE)
         serveWaiting()
@@ -268,7 +291,7 @@
       }
       if (result === 'done') break
     }
-    const short = [...accounts.values()].filter((state) => state.waiting.length > 0)
+    const short = [...accounts.values()].filter((state) => state.waiting.length > 0 && drawsFor(state))
     if (short.length === 0) return
     for (const state of short) if (needed(state) > ungranted(state)) options.noteShortage(state.name)
     await pause(SHORTAGE_PAUSE)
@@ -318,7 +341,7 @@
         running = false
         if (!rerun || closed) return
         rerun = false
-        if ([...accounts.values()].some((state) => state.waiting.length > 0)) start()
+        if ([...accounts.values()].some((state) => state.waiting.length > 0 && drawsFor(state))) start()
       })
   }
 
@@ -327,14 +350,30 @@
     if (accounts.size > 0 && isWorkDue()) start()
   }, REVIEW_INTERVAL)
 
-  function askPeers (state: AccountState, tokens: number): void {
+  function isStoreLost (): boolean {
+    return failedAt > 0 || options.storeIsLost()
+  }
+
+  /** Gets tokens from other instances: from the account's holders, or from any peer while the store can't be reached. */
+  function askOthers (state: AccountState, tokens: number): void {
     if (state.askingPeers) return
     state.askingPeers = true
-    options.askPeers(state.name, tokens).then((received) => {
+    const asked = options.isHolder(state.name) ? options.askPeers(state.name, tokens) : options.askHolders(state.name, tokens, isStoreLost())
+    asked.then((received) => {
       if (received > 0) state.book.receiveTransfer(received)
+      state.drawsItself = received === 0 && !options.isHolder(state.name)
       serveWaiting()
     }).catch((error: unknown) => log.warning('peersNotAsked', { account: state.name, reason: String(error) }))
-      .finally(() => { state.askingPeers = false })
+      .finally(() => {
+        state.askingPeers = false
+        if (state.waiting.length > 0) getTokens(state)
+      })
+  }
+
+  /** Gets tokens for waiting requests. */
+  function getTokens (state: AccountState): void {
+    if (drawsFor(state)) start()
+    if (!drawsFor(state) && needed(state) > 0) askOthers(state, needed(state))
   }
 
   /** Hands what is free to a peer; it leaves the books first, so that a lost message loses tokens and never doubles them. */
@@ -364,13 +403,17 @@
     const state = stateOf(name)
     trafficSince ??= steadyNow()
     if (state.prepaid === undefined) return Promise.resolve({ kind: 'reserved' })
+    return reserveHere(state, tokens, deadline)
+  }
+
+  function reserveHere (state: AccountState, tokens: number, deadline: number): Promise<ReservationOutcome> {
     if (state.waiting.length === 0 && state.book.reserve(tokens, isUnsealed())) return Promise.resolve({ kind: 'reserved' })
-    if (tokens > state.prepaid) return Promise.resolve({ kind: 'exhausted' })
+    if (tokens > (state.prepaid ?? 0)) return Promise.resolve({ kind: 'exhausted' })
     if (steadyNow() < state.shortUntil) return Promise.resolve({ kind: 'unavailable', retryAt: steadyNow() + NO_TOKENS_RETRY })
     return new Promise((resolve) => {
       state.waiting.push({ tokens, deadline: Math.min(deadline, steadyNow() + LONGEST_WAIT), resolve })
-      if (failedAt > 0) askPeers(state, Math.max(needed(state), tokens))
-      start()
+      if (isStoreLost()) askOthers(state, Math.max(needed(state), tokens))
+      else getTokens(state)
       setTimeout(serveWaiting, LONGEST_WAIT_WITHOUT_STORE)
     })
   }
@@ -399,10 +442,19 @@
       stateOf(name).book.receiveTransfer(tokens)
       serveWaiting()
     },
-    handOver: (name, tokens) => {
+    handOver: async (name, tokens) => {
       const state = accounts.get(name)
-      if (state === undefined || state.prepaid === undefined || state.waiting.length > 0) return 0
-      const kept = Math.max(state.book.rate(steadyNow()) * KEPT_FROM_PEERS, state.book.free / 2)
+      if (state === undefined || state.prepaid === undefined) return 0
+      if (options.isHolder(name) && !isStoreLost()) {
+        const outcome = await reserveHere(state, tokens, steadyNow() + LONGEST_HAND_OVER)
+        if (outcome.kind !== 'reserved') return 0
+        // Counts as this holder's use, so that its grant follows what others ask for.
+        state.book.settle(tokens, tokens, steadyNow())
+        return tokens
+      }
+      if (state.waiting.length > 0) return 0
+      // A holder holds for others too; another instance keeps what its own callers need soon.
+      const kept = options.isHolder(name) ? 0 : Math.max(state.book.rate(steadyNow()) * KEPT_FROM_PEERS, state.book.free / 2)
       const given = Math.floor(Math.min(tokens, state.book.free - kept))
       if (given <= 0 || !state.book.reserve(given, isUnsealed())) return 0
       state.book.settleTransfer(given)
