--- a/packages/gateway/src/decisions/grantSizing.ts
+++ b/packages/gateway/src/decisions/grantSizing.ts
@@ -9,9 +9,9 @@
 /** Time of use that a grant covers while the store can't be reached, milliseconds. */
 const GRANT_HORIZON = 9000
 /** Time of use that is open without a renewal of the lease, milliseconds: the seal's time and some more. */
-const OPEN_HORIZON = 3500
+const OPEN_HORIZON = 4500
 /** Tokens that are open whatever the use: a first request may come before its account's use is known. */
-const SMALLEST_OPEN = 6000
+const SMALLEST_OPEN = 12_000
 /** Part of what is left that one instance may hold for its recent use; an account's callers may all be at one instance. */
 const LEFT_DIVISOR = 4
 /** Part of its even share that an instance holds before any use is known. */
@@ -19,9 +19,9 @@
 /** A draw is due when the free tokens cover less than this share of the target. */
 const LOW_WATER_SHARE = 0.8
 /** Returned when more than this multiple of the target is free. */
-const EXCESS = 1.25
+const EXCESS = 1.5
 /** Smallest amount worth a return, tokens. */
-const SMALLEST_RETURN = 2000
+const SMALLEST_RETURN = 3000
 /** Smallest amount worth a draw in advance, tokens. */
 const SMALLEST_DRAW = 1500
 
--- a/packages/gateway/src/decisions/tokenBook.ts
+++ b/packages/gateway/src/decisions/tokenBook.ts
@@ -33,7 +33,7 @@
 }
 
 /** Time over which the rate of use is averaged, milliseconds. */
-const RATE_TIME = 9000
+const RATE_TIME = 12_000
 
 /** Shortest history from which a rate is taken, milliseconds. */
 const SHORTEST_HISTORY = 4000
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -3,47 +3,13 @@
 import { decodeLeaseRow, encodeLeaseRow, reclaimable, type LeaseRow } from '../decisions/leaseRow.js'
 import type { ReservationOutcome } from '../decisions/requestPlan.js'
 import type { StoredRow, TransactionOutcome } from '../ports.js'
+import {
+  ADVANCE_ATTEMPTS, CLOSE_CHECK, CONFLICT_ATTEMPTS, CONFLICT_PAUSE, FAILURE_PAUSE, KEPT_FROM_PEERS, LARGEST_LEFTOVER, LONGEST_HAND_OVER, LONGEST_WAIT, LONGEST_WAIT_WITHOUT_STORE, NO_TOKENS_RETRY, RENEWAL_AGE, RETURN_HOLD, REVIEW_INTERVAL, SEAL_TIME, SHORTAGE_MEMORY, SHORTAGE_PAUSE, TRANSACTION_TIME
+} from './tokenTiming.js'
 import { createAccountState, needed, ungranted, waitingTokens, type AccountState, type Composed, type TokenTask, type TokenTaskOptions } from './tokenAccounts.js'
 
 /** Tables of balances, by client account, and of leases, by instance. */
 const TABLE = { balances: 'balances', leases: 'leases' } as const
-/** Time that a transaction may take, milliseconds. */
-const TRANSACTION_TIME = 800
-/** Transactions in a row while other instances change the same balances. */
-const CONFLICT_ATTEMPTS = 8
-/** Transactions in a row that also draw in advance. */
-const ADVANCE_ATTEMPTS = 2
-/** Longest pause after a second conflict, milliseconds, so that instances do not meet again. */
-const CONFLICT_PAUSE = 12
-/** Pause after a transaction that the store refused or did not answer, milliseconds. */
-const FAILURE_PAUSE = 250
-/** Time for which the sealed part of a grant stays untouched after a renewal, milliseconds; restarts take less. */
-const SEAL_TIME = 3000
-/** Interval at which grants are reviewed, milliseconds. */
-const REVIEW_INTERVAL = 300
-/** Age at which a lease is renewed, milliseconds. */
-const RENEWAL_AGE = 300
-/** Longest time that a request waits for tokens while the store answers, milliseconds. */
-const LONGEST_WAIT = 700
-/** Longest time that a request waits for tokens while the store does not answer, milliseconds: peers answer sooner. */
-const LONGEST_WAIT_WITHOUT_STORE = 130
-/** Pause before a caller returns for whom there were no tokens, milliseconds: other instances have returned theirs. */
-const NO_TOKENS_RETRY = 600
-/** Time after a return for another instance in which nothing is drawn in advance, milliseconds. */
-const RETURN_HOLD = 3000
-/** Time after a draw that found too few tokens in which requests are refused at once, milliseconds. */
-const SHORTAGE_MEMORY = 400
-/** Free tokens beyond which an instance that is no holder returns them, about four long requests. */
-const LARGEST_LEFTOVER = 40_000
-/** Longest time that a holder lets a peer wait for tokens, milliseconds. */
-const LONGEST_HAND_OVER = 150
-/** Time of its own use that an instance keeps when a peer asks for tokens, milliseconds. */
-const KEPT_FROM_PEERS = 2000
-/** Interval at which the end of a transaction is awaited at the stop, milliseconds. */
-const CLOSE_CHECK = 20
-/** Pause before balances are looked at again when other instances are to return tokens, milliseconds. */
-const SHORTAGE_PAUSE = 80
-
 /** Starts the task. */
 export function startTokenTask (options: TokenTaskOptions): TokenTask {
   const { store, log } = options
