--- a/features/administration.feature
+++ b/features/administration.feature
@@ -1,7 +1,7 @@
 Feature: Operations as the page describes them
-  Every command on docs/operations.md is run as it stands there.
+  Every command on docs/OPERATIONS.md is run as it stands there.
 
-  Scenario: The commands of docs/operations.md
+  Scenario: The commands of docs/OPERATIONS.md
     Given the files of the page in a directory of their own
     And a fleet for the example sheet with 3 routers and 1 administration process
     When the commands of the page are run in order
--- a/packages/router/src/callerError.ts
+++ b/packages/router/src/callerError.ts
@@ -2,7 +2,7 @@
 import type { GiveUpCode } from '@quinceshunt/requests'
 import type { RunState } from './services.js'
 
-/** Stable error codes of the callers' interface; docs/operations.md says what each one means. */
+/** Stable error codes of the callers' interface; docs/OPERATIONS.md says what each one means. */
 export type CallerErrorCode =
   | GiveUpCode
   | 'invalid_json'
--- a/packages/scenarios/src/steps/administrationPage.ts
+++ b/packages/scenarios/src/steps/administrationPage.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs'
 
-const PAGE = 'docs/operations.md'
+const PAGE = 'docs/OPERATIONS.md'
 
 /** A command line as the page shows it. */
 export interface PageCommand {
