--- a/packages/gateway/src/__tests__/requestPlan.test.ts
+++ b/packages/gateway/src/__tests__/requestPlan.test.ts
@@ -57,7 +57,7 @@
   })
 
   test('a failure of the backend server is passed on', () => {
-    expect(runPlan({ repetition: { kind: 'once' }, outcomes: [{ kind: 'failedAnswer', status: 500 }] }).result.kind).toBe('passFailure')
+    expect(runPlan({ repetition: { kind: 'once' }, outcomes: [{ kind: 'failedAnswer', status: 500, serverFails: true }] }).result.kind).toBe('passFailure')
   })
 
   test('a stream that can not be resumed is cut off when it breaks', () => {
@@ -70,6 +70,11 @@
     expect(runPlan({ outcomes: [broken, delivered] })).toEqual({ result: delivered, sentTo: ['first', 'second'] })
   })
 
+  test('a failed answer is repeated only when the backend server fails others too', () => {
+    expect(runPlan({ outcomes: [{ kind: 'failedAnswer', status: 500, serverFails: true }, delivered] })).toEqual({ result: delivered, sentTo: ['first', 'second'] })
+    expect(runPlan({ outcomes: [{ kind: 'failedAnswer', status: 500, serverFails: false }] })).toEqual({ result: { kind: 'passFailure' }, sentTo: ['first'] })
+  })
+
   test('"not run" is never said after a send that may have run', () => {
     expect(runPlan({ outcomes: [broken, notRun] }).result.kind).toBe('unknown')
     expect(runPlan({ outcomes: [broken], backends: ['first'] }).result.kind).toBe('unknown')
--- a/packages/gateway/src/decisions/requestPlan.ts
+++ b/packages/gateway/src/decisions/requestPlan.ts
@@ -9,8 +9,11 @@
   | { readonly kind: 'notSent', readonly reason: string }
   /** The backend server says that it has not run the request. */
   | { readonly kind: 'notRun', readonly reason: string }
-  /** A failure that the backend server vouches for and the caller has not got yet. */
-  | { readonly kind: 'failedAnswer', readonly status: number }
+  /**
+   * A failure that the backend server vouches for and the caller has not got yet. `serverFails`: it has failed others
+   * too, so that another backend server may do better.
+   */
+  | { readonly kind: 'failedAnswer', readonly status: number, readonly serverFails: boolean }
   /** The answer can't be used or broke off; it may have run. `begun`: the caller has the head of the answer. */
   | { readonly kind: 'broken', readonly reason: string, readonly begun: boolean }
   | { readonly kind: 'callerGone' }
@@ -119,7 +122,7 @@
         mayHaveRun = true
         heldFailure = true
         lastReason = `status ${outcome.status}`
-        if (!repeatable) return { kind: 'passFailure' }
+        if (!repeatable || !outcome.serverFails) return { kind: 'passFailure' }
         break
       case 'broken':
         mayHaveRun = true
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -1,6 +1,6 @@
 import { steadyNow } from '../clock.js'
 import type { IncomingMessage } from 'node:http'
-import { observe, rememberParts, silence, type BackendObservation, type PendingSend } from '../decisions/backendState.js'
+import { failureWeight, observe, rememberParts, silence, type BackendObservation, type PendingSend } from '../decisions/backendState.js'
 import { PREFILL_TOKENS_PER_MILLISECOND, type Choice } from '../decisions/backendChoice.js'
 import { createEventSplitter } from '../decisions/eventSplitter.js'
 import { isRepeatable, type AttemptOutcome } from '../decisions/requestPlan.js'
@@ -21,6 +21,9 @@
 /** Wait after which an unanswered send tells that the backend server is silent, milliseconds. */
 const SILENT_SEND = 600
 
+/** Recent failures from which a failed answer is put down to the backend server rather than to the request. */
+const FAILING_SERVER = 0.4
+
 const STATUS = { ok: 200, lastOk: 299, serverError: 500 } as const
 /** Statuses by which this system promises that a request has not run; a backend server's own must not look like one. */
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503])
@@ -201,9 +204,10 @@
       note({ kind: 'failedAnswer' })
       return settle({ kind: 'broken', reason: `status ${status} without proof of the backend server`, begun: state.begun })
     }
+    const serverFails = failureWeight(backend, steadyNow()) >= FAILING_SERVER
     note({ kind: 'failedAnswer' })
     if (!state.begun) state.heldAnswer = answer
-    return settle(state.begun ? { kind: 'broken', reason: `status ${status} to a resumed stream`, begun: true } : { kind: 'failedAnswer', status })
+    return settle(state.begun ? { kind: 'broken', reason: `status ${status} to a resumed stream`, begun: true } : { kind: 'failedAnswer', status, serverFails })
   }
 
   function succeed (): void {
