--- a/packages/gateway/src/decisions/backendChoice.ts
+++ b/packages/gateway/src/decisions/backendChoice.ts
@@ -12,7 +12,7 @@
 /** Prompt tokens that an engine reads in a millisecond, from the deployments' published figures. */
 export const PREFILL_TOKENS_PER_MILLISECOND = 90
 /** Weight of a prompt token read again, beyond the time that it takes, since it delays everyone on that engine. */
-const PREFILL_WEIGHT = 4
+const PREFILL_WEIGHT = 8
 /** Share of a part's tokens that its home is expected to read, as it may not have seen the part yet. */
 const HOME_MISS_SHARE = 0.15
 /** Cost of one running request of an engine, milliseconds: every step slows with the batch. */
