--- a/packages/gateway/src/__tests__/decisions.test.ts
+++ b/packages/gateway/src/__tests__/decisions.test.ts
@@ -97,7 +97,12 @@
   })
 
   test('no more is open than is free', () => {
-    expect(openTokens(1000, 500)).toBe(500)
+    expect(openTokens(1000, 500, 1_000_000)).toBe(500)
+  })
+
+  test('idle instances keep open only a small part of a small account', () => {
+    const instances = 12
+    expect(instances * openTokens(0, 100_000, 400_000)).toBeLessThanOrEqual(400_000 * 0.1)
   })
 
   test('only what was sealed is taken over, and only before the seal ends', () => {
--- a/packages/gateway/src/decisions/grantSizing.ts
+++ b/packages/gateway/src/decisions/grantSizing.ts
@@ -10,8 +10,10 @@
 const GRANT_HORIZON = 9000
 /** Time of use that is open without a renewal of the lease, milliseconds: the seal's time and some more. */
 const OPEN_HORIZON = 4500
-/** Tokens that are open whatever the use: a first request may come before its account's use is known. */
+/** Tokens that are open whatever the use, in a large account: about one long request, which may come before its use is known. */
 const SMALLEST_OPEN = 12_000
+/** The same as a part of what is prepaid, for small accounts, whose open parts at all instances would add up. */
+const SMALLEST_OPEN_DIVISOR = 200
 /** Part of what is left that one instance may hold for its recent use; an account's callers may all be at one instance. */
 const LEFT_DIVISOR = 4
 /** Part of its even share that an instance holds before any use is known. */
@@ -59,6 +61,6 @@
 }
 
 /** Tokens that may be used until the lease is renewed, beyond those in use. */
-export function openTokens (rate: number, free: number): number {
-  return Math.floor(Math.min(free, Math.max(rate * OPEN_HORIZON, SMALLEST_OPEN)))
+export function openTokens (rate: number, free: number, prepaid: number): number {
+  return Math.floor(Math.min(free, Math.max(rate * OPEN_HORIZON, Math.min(SMALLEST_OPEN, prepaid / SMALLEST_OPEN_DIVISOR))))
 }
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -91,7 +91,7 @@
       if (move < 0) state.book.remove(-move)
       const added = Math.max(0, move) + (reclaimed.get(state.name) ?? 0)
       const spendable = Math.max(0, state.book.free + added)
-      const limit = state.book.committed + Math.min(spendable, openTokens(state.book.rate(now), spendable) + waitingTokens(state))
+      const limit = state.book.committed + Math.min(spendable, openTokens(state.book.rate(now), spendable, state.prepaid ?? 0) + waitingTokens(state))
       state.book.proposeLimit(limit)
       if (state.book.held + added !== 0) rows[state.name] = { held: state.book.held + added, limit }
     }
@@ -235,7 +235,7 @@
       if (state.waiting.length > 0 && drawsFor(state)) return true
       if (state.prepaid !== undefined && moveOf(state) !== 0) return true
       const open = state.book.limit - state.book.committed
-      if (state.book.free > 0 && open < openTokens(state.book.rate(steadyNow()), state.book.free) / 2) return true
+      if (state.book.free > 0 && open < openTokens(state.book.rate(steadyNow()), state.book.free, state.prepaid ?? 0) / 2) return true
     }
     return false
   }
