--- a/packages/administration/src/administrationContext.ts
+++ b/packages/administration/src/administrationContext.ts
@@ -1,6 +1,6 @@
 import { type HandlerContext } from '@connectrpc/connect'
 import type { Clock } from '@quinceshunt/effects'
-import type { Platform } from '@quinceshunt/platform'
+import type { Platform } from '@quinceshunt/table-store'
 import type { Author } from '@quinceshunt/sheet'
 import type { Logger } from '@quinceshunt/telemetry'
 import { operatorContextKey, roleName } from './authentication.js'
--- a/packages/administration/src/audit.ts
+++ b/packages/administration/src/audit.ts
@@ -1,6 +1,6 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
 import { Code, ConnectError } from '@connectrpc/connect'
-import type { Row, RowCheck, RowWrite, TableStore } from '@quinceshunt/platform'
+import type { Row, RowCheck, RowWrite, TableStore } from '@quinceshunt/table-store'
 import { AuditRecordSchema, type AuditRecord } from '@quinceshunt/schemas'
 import { auditKey, type Author } from '@quinceshunt/sheet'
 import { randomUUID } from 'node:crypto'
--- a/packages/administration/src/bin/administration.ts
+++ b/packages/administration/src/bin/administration.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 import { systemClock } from '@quinceshunt/effects'
-import { connectPlatform } from '@quinceshunt/platform'
+import { connectPlatform } from '@quinceshunt/table-store'
 import { SETTINGS_EXIT_CODE } from '@quinceshunt/settings'
 import type { AdministrationSettings } from '@quinceshunt/schemas'
 import { createLogger, SettingsError } from '@quinceshunt/telemetry'
--- a/packages/administration/src/configurationStore.ts
+++ b/packages/administration/src/configurationStore.ts
@@ -1,5 +1,5 @@
 import { Code, ConnectError } from '@connectrpc/connect'
-import type { Platform } from '@quinceshunt/platform'
+import type { Platform } from '@quinceshunt/table-store'
 import type { FleetConfiguration, SheetHead } from '@quinceshunt/schemas'
 import { acceptConfiguration, assembleConfiguration, buildConfiguration, HEAD_KEY, objectName, readHead, revisionKey, verifyHead, type AcceptanceOutcome, type Author } from '@quinceshunt/sheet'
 import { randomUUID } from 'node:crypto'
--- a/packages/administration/src/handlers/budgetHandlers.ts
+++ b/packages/administration/src/handlers/budgetHandlers.ts
@@ -1,5 +1,5 @@
 import { Code, ConnectError, type ServiceImpl } from '@connectrpc/connect'
-import { runTableDecision } from '@quinceshunt/platform'
+import { runTableDecision } from '@quinceshunt/table-store'
 import { budgetKeys, resolveLease, summariseBudget, topUpBudget, type BudgetSummary, type ResolveOutcome } from '@quinceshunt/budget'
 import { assertNever } from '@quinceshunt/effects'
 import { ResolveKind, TopUpBudgetResponseSchema, type AdministrationService, type SheetBudget } from '@quinceshunt/schemas'
--- a/packages/administration/src/handlers/orderHandlers.ts
+++ b/packages/administration/src/handlers/orderHandlers.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf'
-import { runTableDecision, scanRows } from '@quinceshunt/platform'
+import { runTableDecision, scanRows } from '@quinceshunt/table-store'
 import { Code, ConnectError, type ServiceImpl } from '@connectrpc/connect'
 import { decodeOrder, ORDER_PREFIX, requestOrder, type OrderKind } from '@quinceshunt/orders'
 import { EngineOrderKind, OrderRecordSchema, type AdministrationService } from '@quinceshunt/schemas'
--- a/packages/administration/src/retryCalls.ts
+++ b/packages/administration/src/retryCalls.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@quinceshunt/effects'
-import type { Platform } from '@quinceshunt/platform'
+import type { Platform } from '@quinceshunt/table-store'
 
 /** An operator waits for the answer; after this time the platform counts as not available. */
 const PATIENCE_MILLISECONDS = 3000
--- a/packages/administration/src/routerFleet.ts
+++ b/packages/administration/src/routerFleet.ts
@@ -1,7 +1,7 @@
 import { createClient, type Client } from '@connectrpc/connect'
 import { createConnectTransport } from '@connectrpc/connect-node'
 import type { Clock } from '@quinceshunt/effects'
-import type { InstanceList } from '@quinceshunt/platform'
+import type { InstanceList } from '@quinceshunt/table-store'
 import { InstanceRole, InstanceState, PeerService, type InstanceEntry, type SheetHead, type StatusResponse, type TlsSettings } from '@quinceshunt/schemas'
 import type { Logger } from '@quinceshunt/telemetry'
 import { readFileSync } from 'node:fs'
--- a/packages/bench/src/experiments/budgetPolicy.ts
+++ b/packages/bench/src/experiments/budgetPolicy.ts
@@ -1,5 +1,5 @@
 import { promptTokenUpperBound, summariseBudget } from '@quinceshunt/budget'
-import { runTableDecision } from '@quinceshunt/platform'
+import { runTableDecision } from '@quinceshunt/table-store'
 import { budgetOf, findViolations, readLedger, startBalancer, startFleet, type AccountOptions, type Fleet, type Organisation } from '@quinceshunt/scenarios'
 import type { ExperimentDefinition, Measurements, RunContext } from '../experiment/experiment.js'
 import { startFaults, type Fault } from '../fleet/faultSchedule.js'
--- a/packages/budget/src/__fixtures__/lossyTable.ts
+++ b/packages/budget/src/__fixtures__/lossyTable.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf'
-import { MemoryTable, runTableDecision, type TableDecision, type TableStore } from '@quinceshunt/platform'
+import { MemoryTable, runTableDecision, type TableDecision, type TableStore } from '@quinceshunt/table-store'
 import { BillRecordSchema, TransferRecordSchema, type TransferRecord } from '@quinceshunt/schemas'
 import { billBatchCodec, billCodec } from '../budgetRecords.js'
 import { emptyLease, type UnsentCharge } from '../leaseLedger.js'
--- a/packages/budget/src/budgetRecords.ts
+++ b/packages/budget/src/budgetRecords.ts
@@ -1,5 +1,5 @@
 import { create, fromBinary, toBinary, type DescMessage, type MessageInitShape, type MessageShape } from '@bufbuild/protobuf'
-import type { Row, RowCheck, RowWrite } from '@quinceshunt/platform'
+import type { Row, RowCheck, RowWrite } from '@quinceshunt/table-store'
 import { BillBatchRecordSchema, BillRecordSchema, BudgetRecordSchema, LeaseRecordSchema, TopUpRecordSchema, TransferRecordSchema, type BudgetRecord, type LeaseRecord } from '@quinceshunt/schemas'
 
 /** Converts one kind of record to and from the value of a row. */
--- a/packages/budget/src/closeLease.ts
+++ b/packages/budget/src/closeLease.ts
@@ -1,4 +1,4 @@
-import { readRows, type Row, type TableDecision, transact } from '@quinceshunt/platform'
+import { readRows, type Row, type TableDecision, transact } from '@quinceshunt/table-store'
 import type { TransferRecord } from '@quinceshunt/schemas'
 import { budgetKeys } from './budgetKeys.js'
 import { absent, budgetCodec, leaseCodec, outstandingOf, put, remove, transferCodec, unchanged } from './budgetRecords.js'
--- a/packages/budget/src/leaseLedger.ts
+++ b/packages/budget/src/leaseLedger.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf'
-import type { Row } from '@quinceshunt/platform'
+import type { Row } from '@quinceshunt/table-store'
 import { LeaseRecordSchema, type BillRecord, type TransferRecord } from '@quinceshunt/schemas'
 import { leaseCodec, outstandingOf, type LeaseFields } from './budgetRecords.js'
 
--- a/packages/budget/src/moveTokens.ts
+++ b/packages/budget/src/moveTokens.ts
@@ -1,4 +1,4 @@
-import { readRows, type Row, type TableDecision, transact } from '@quinceshunt/platform'
+import { readRows, type Row, type TableDecision, transact } from '@quinceshunt/table-store'
 import { budgetKeys } from './budgetKeys.js'
 import { budgetCodec, leaseCodec, outstandingOf, put, undrawnOf, unchanged, type BudgetTotals } from './budgetRecords.js'
 import { leaseBaseOf, type LeaseBase } from './leaseLedger.js'
--- a/packages/budget/src/resolveLease.ts
+++ b/packages/budget/src/resolveLease.ts
@@ -1,5 +1,5 @@
 import { assertNever } from '@quinceshunt/effects'
-import { readRows, type RowWrite, scanRows, type TableDecision, transact } from '@quinceshunt/platform'
+import { readRows, type RowWrite, scanRows, type TableDecision, transact } from '@quinceshunt/table-store'
 import { budgetKeys } from './budgetKeys.js'
 import { absent, budgetCodec, leaseCodec, outstandingOf, put, transferCodec, unchanged, type BudgetTotals, type LeaseFields } from './budgetRecords.js'
 
--- a/packages/budget/src/settleLeases.ts
+++ b/packages/budget/src/settleLeases.ts
@@ -1,4 +1,4 @@
-import { type Row, type RowCheck, type RowWrite, type TableDecision, transact } from '@quinceshunt/platform'
+import { type Row, type RowCheck, type RowWrite, type TableDecision, transact } from '@quinceshunt/table-store'
 import type { BillRecord, TransferRecord } from '@quinceshunt/schemas'
 import { budgetKeys } from './budgetKeys.js'
 import { absent, billBatchCodec, billCodec, leaseCodec, outstandingOf, put, transferCodec, type LeaseFields } from './budgetRecords.js'
--- a/packages/budget/src/summariseBudget.ts
+++ b/packages/budget/src/summariseBudget.ts
@@ -1,5 +1,5 @@
 import { budgetKeys } from './budgetKeys.js'
-import { readRows, scanRows, type TableDecision } from '@quinceshunt/platform'
+import { readRows, scanRows, type TableDecision } from '@quinceshunt/table-store'
 import { budgetCodec, leaseCodec, outstandingOf, transferCodec, undrawnOf, type BudgetTotals, type LeaseFields } from './budgetRecords.js'
 
 /** One lease as operators see it. */
--- a/packages/budget/src/topUpBudget.ts
+++ b/packages/budget/src/topUpBudget.ts
@@ -1,4 +1,4 @@
-import { readRows, type RowWrite, type TableDecision, transact } from '@quinceshunt/platform'
+import { readRows, type RowWrite, type TableDecision, transact } from '@quinceshunt/table-store'
 import type { TopUpRecord } from '@quinceshunt/schemas'
 import { budgetKeys } from './budgetKeys.js'
 import { absent, budgetCodec, put, topUpCodec, unchanged, type BudgetTotals } from './budgetRecords.js'
--- a/packages/orders/src/__tests__/carryOutOrder.test.ts
+++ b/packages/orders/src/__tests__/carryOutOrder.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals'
-import { createMemoryPlatform, runTableDecision, type TableStore } from '@quinceshunt/platform'
+import { createMemoryPlatform, runTableDecision, type TableStore } from '@quinceshunt/table-store'
 import fc from 'fast-check'
 import { carryOutOrder, type EngineOrder, type OrderCommand } from '../carryOutOrder.js'
 import { decodeOrder, orderKey } from '../orderRecords.js'
--- a/packages/orders/src/carryOutOrder.ts
+++ b/packages/orders/src/carryOutOrder.ts
@@ -1,5 +1,5 @@
 import { perform, type Command, type Decision } from '@quinceshunt/effects'
-import { readRows, type TableCommand, transact } from '@quinceshunt/platform'
+import { readRows, type TableCommand, transact } from '@quinceshunt/table-store'
 import { fromBinary, create } from '@bufbuild/protobuf'
 import { OrderRecordSchema, OrderState } from '@quinceshunt/schemas'
 import { encodeOrder, fenceKey, type OrderFields, type OrderKind, type OrderRow } from './orderRecords.js'
--- a/packages/orders/src/orderRecords.ts
+++ b/packages/orders/src/orderRecords.ts
@@ -1,5 +1,5 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
-import type { Row } from '@quinceshunt/platform'
+import type { Row } from '@quinceshunt/table-store'
 import { OrderRecordSchema, type OrderRecord } from '@quinceshunt/schemas'
 
 /** What can be ordered. */
--- a/packages/orders/src/requestOrder.ts
+++ b/packages/orders/src/requestOrder.ts
@@ -1,6 +1,6 @@
 import { create, fromBinary } from '@bufbuild/protobuf'
 import { OrderRecordSchema, OrderState } from '@quinceshunt/schemas'
-import { readRows, type RowWrite, type TableDecision, transact } from '@quinceshunt/platform'
+import { readRows, type RowWrite, type TableDecision, transact } from '@quinceshunt/table-store'
 import { encodeOrder, orderKey, type OrderFields, type OrderKind } from './orderRecords.js'
 
 /** An operator's order. */
--- a/packages/platform-standin/src/__tests__/platformServer.test.ts
+++ b/packages/platform-standin/src/__tests__/platformServer.test.ts
@@ -1,7 +1,7 @@
 import { createClient } from '@connectrpc/connect'
 import { createConnectTransport } from '@connectrpc/connect-node'
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
-import { connectPlatform, type Platform } from '@quinceshunt/platform'
+import { connectPlatform, type Platform } from '@quinceshunt/table-store'
 import { InstanceState, PlatformControlService, PlatformFaultKind, PlatformServiceName } from '@quinceshunt/schemas'
 import { startPlatformServer, type PlatformServer } from '../platformServer.js'
 
--- a/packages/requests/src/__fixtures__/simulation.ts
+++ b/packages/requests/src/__fixtures__/simulation.ts
@@ -1,5 +1,5 @@
 import { assertNever, type Decision } from '@quinceshunt/effects'
-import { MemoryTable, type Row, type RowCheck, type RowWrite } from '@quinceshunt/platform'
+import { MemoryTable, type Row, type RowCheck, type RowWrite } from '@quinceshunt/table-store'
 import type { StoreCommand } from '../storeCommands.js'
 
 /** What happens to one store call: answered, applied with a lost reply, applied later or never, refused, or its process dies. */
--- a/packages/requests/src/__tests__/claims.test.ts
+++ b/packages/requests/src/__tests__/claims.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals'
-import type { Row, RowWrite } from '@quinceshunt/platform'
+import type { Row, RowWrite } from '@quinceshunt/table-store'
 import { ClaimState } from '@quinceshunt/schemas'
 import fc from 'fast-check'
 import { Simulation, type Fate } from '../__fixtures__/simulation.js'
--- a/packages/requests/src/acquireClaim.ts
+++ b/packages/requests/src/acquireClaim.ts
@@ -1,5 +1,5 @@
 import { assertNever, type Decision } from '@quinceshunt/effects'
-import type { Row } from '@quinceshunt/platform'
+import type { Row } from '@quinceshunt/table-store'
 import { ClaimState, type ClaimRecord, type RecordedAnswer } from '@quinceshunt/schemas'
 import { claimWrite, decodeClaim, type ClaimIdentity } from './claimRecords.js'
 import { getObject, longerWait, pause, readRows, readTime, transactRows, type StoreCommand, type TransactReply } from './storeCommands.js'
--- a/packages/requests/src/claimRecords.ts
+++ b/packages/requests/src/claimRecords.ts
@@ -1,5 +1,5 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
-import type { Row, RowWrite } from '@quinceshunt/platform'
+import type { Row, RowWrite } from '@quinceshunt/table-store'
 import { ClaimRecordSchema, ClaimState, type ClaimRecord, type RecordedAnswer } from '@quinceshunt/schemas'
 
 /** Largest answer kept in the claim row, bytes; longer ones are stored as an object. */
--- a/packages/requests/src/quarantineRecords.ts
+++ b/packages/requests/src/quarantineRecords.ts
@@ -1,5 +1,5 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
-import type { Row, RowCheck, RowWrite } from '@quinceshunt/platform'
+import type { Row, RowCheck, RowWrite } from '@quinceshunt/table-store'
 import { SuspectRecordSchema, SuspectState, TrialRecordSchema, type SuspectRecord, type TrialRecord } from '@quinceshunt/schemas'
 
 /** Prefix of all suspects' rows. */
--- a/packages/requests/src/recordCrash.ts
+++ b/packages/requests/src/recordCrash.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf'
 import { assertNever, type Decision } from '@quinceshunt/effects'
-import type { RowCheck, RowWrite } from '@quinceshunt/platform'
+import type { RowCheck, RowWrite } from '@quinceshunt/table-store'
 import { SuspectState, TrialRecordSchema, type SuspectRecord, type TrialRecord } from '@quinceshunt/schemas'
 import { changeSuspect, isSuspected, joinNeighbours, storedSuspect, storedTrial, suspectKey, suspectWrite, trialKey, trialWrite, type Stored } from './quarantineRecords.js'
 import { longerWait, pause, readRows, readTime, transactRows, type StoreCommand } from './storeCommands.js'
--- a/packages/requests/src/storeCommands.ts
+++ b/packages/requests/src/storeCommands.ts
@@ -1,5 +1,5 @@
 import { perform, type Command, type Decision } from '@quinceshunt/effects'
-import type { Row, RowCheck, RowWrite, TransactOutcome } from '@quinceshunt/platform'
+import type { Row, RowCheck, RowWrite, TransactOutcome } from '@quinceshunt/table-store'
 
 /** The call had no effect. */
 export interface StoreUnavailable { readonly kind: 'unavailable' }
--- a/packages/router/src/__fixtures__/backendFleet.ts
+++ b/packages/router/src/__fixtures__/backendFleet.ts
@@ -1,6 +1,6 @@
 import { create, type MessageInitShape } from '@bufbuild/protobuf'
 import { systemClock } from '@quinceshunt/effects'
-import { createMemoryPlatform, type Platform } from '@quinceshunt/platform'
+import { createMemoryPlatform, type Platform } from '@quinceshunt/table-store'
 import { InstanceRole, InstanceState, PeerIdentitySchema, RoutingSettingsSchema, SheetBackendServerSchema, SheetClientAccountSchema, type RoutingSettings, type SheetBackendServer } from '@quinceshunt/schemas'
 import { createLogger, createMetrics } from '@quinceshunt/telemetry'
 import { createServer, type Server } from 'node:http'
--- a/packages/router/src/__fixtures__/budgetFleet.ts
+++ b/packages/router/src/__fixtures__/budgetFleet.ts
@@ -1,6 +1,6 @@
 import { create, type MessageInitShape } from '@bufbuild/protobuf'
 import { billBatchCodec, billCodec, summariseBudget, topUpBudget, type BudgetSummary } from '@quinceshunt/budget'
-import { MemoryTable, type Platform, runTableDecision, type TableStore } from '@quinceshunt/platform'
+import { MemoryTable, type Platform, runTableDecision, type TableStore } from '@quinceshunt/table-store'
 import { BillRecordSchema, BudgetSettingsSchema, PeerIdentitySchema, RefusalPreference, TransferPath, type BillRecord } from '@quinceshunt/schemas'
 import { createLogger, createMetrics, PlatformOutcomeUnknownError, PlatformUnavailableError } from '@quinceshunt/telemetry'
 import { createBudgetTask } from '../budgetTask.js'
--- a/packages/router/src/__fixtures__/quarantineFleet.ts
+++ b/packages/router/src/__fixtures__/quarantineFleet.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf'
 import { systemClock } from '@quinceshunt/effects'
-import { createMemoryPlatform, type Platform } from '@quinceshunt/platform'
+import { createMemoryPlatform, type Platform } from '@quinceshunt/table-store'
 import { InstanceEntrySchema, InstanceRole, PeerIdentitySchema, type PeerIdentity, type SuspectRecord } from '@quinceshunt/schemas'
 import { createLogger, createMetrics, PlatformUnavailableError } from '@quinceshunt/telemetry'
 import { createQuarantineTask } from '../quarantineTask.js'
--- a/packages/router/src/__tests__/backendTask.test.ts
+++ b/packages/router/src/__tests__/backendTask.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
-import { createMemoryPlatform } from '@quinceshunt/platform'
+import { createMemoryPlatform } from '@quinceshunt/table-store'
 import type { BackendServerMark, InstanceEntry } from '@quinceshunt/schemas'
 import fc from 'fast-check'
 import { setTimeout as wait } from 'node:timers/promises'
--- a/packages/router/src/__tests__/claimTask.test.ts
+++ b/packages/router/src/__tests__/claimTask.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from '@jest/globals'
 import { create } from '@bufbuild/protobuf'
 import { systemClock } from '@quinceshunt/effects'
-import { createMemoryPlatform, type Platform } from '@quinceshunt/platform'
+import { createMemoryPlatform, type Platform } from '@quinceshunt/table-store'
 import { PeerIdentitySchema } from '@quinceshunt/schemas'
 import { createLogger, createMetrics, PlatformOutcomeUnknownError, PlatformUnavailableError } from '@quinceshunt/telemetry'
 import { createClaimTask } from '../claimTask.js'
--- a/packages/router/src/__tests__/configurationTask.test.ts
+++ b/packages/router/src/__tests__/configurationTask.test.ts
@@ -1,7 +1,7 @@
 import { create } from '@bufbuild/protobuf'
 import { describe, expect, test } from '@jest/globals'
 import { systemClock } from '@quinceshunt/effects'
-import { createMemoryPlatform } from '@quinceshunt/platform'
+import { createMemoryPlatform } from '@quinceshunt/table-store'
 import { FleetConfigurationSchema, PeerIdentitySchema, RouterSettingsSchema, SheetKeySchema, type FleetConfiguration, type SheetHead } from '@quinceshunt/schemas'
 import { acceptConfiguration, buildConfiguration, hashKey, signHead, type BuiltConfiguration } from '@quinceshunt/sheet'
 import { createLogger, createMetrics } from '@quinceshunt/telemetry'
--- a/packages/router/src/budgetTable.ts
+++ b/packages/router/src/budgetTable.ts
@@ -1,5 +1,5 @@
 import type { TaskContext } from './taskContracts.js'
-import { runTableDecision, type TableDecision } from '@quinceshunt/platform'
+import { runTableDecision, type TableDecision } from '@quinceshunt/table-store'
 
 /** Purposes by which table transactions are counted. */
 export type TablePurpose = 'draw' | 'return' | 'settle' | 'close' | 'topUp' | 'summarise'
--- a/packages/router/src/claimStore.ts
+++ b/packages/router/src/claimStore.ts
@@ -1,5 +1,5 @@
 import { assertNever, type Clock } from '@quinceshunt/effects'
-import type { Platform } from '@quinceshunt/platform'
+import type { Platform } from '@quinceshunt/table-store'
 import type { ObjectReply, PutReply, ReadReply, StoreCommand, TransactReply } from '@quinceshunt/requests'
 import { InternalError, PlatformOutcomeUnknownError } from '@quinceshunt/telemetry'
 
--- a/packages/router/src/configurationObjects.ts
+++ b/packages/router/src/configurationObjects.ts
@@ -1,5 +1,5 @@
 import { hashObject, objectName, readManifest } from '@quinceshunt/sheet'
-import type { Platform } from '@quinceshunt/platform'
+import type { Platform } from '@quinceshunt/table-store'
 import type { ConfigurationPart, SheetHead } from '@quinceshunt/schemas'
 import { PeerError } from '@quinceshunt/telemetry'
 import type { PeerDirectory } from './taskContracts.js'
--- a/packages/router/src/quarantineEvidence.ts
+++ b/packages/router/src/quarantineEvidence.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@quinceshunt/effects'
-import type { InstanceList } from '@quinceshunt/platform'
+import type { InstanceList } from '@quinceshunt/table-store'
 import type { TrialEvidence } from '@quinceshunt/requests'
 import { InstanceRole, type InstanceEntry } from '@quinceshunt/schemas'
 import type { PeerDirectory } from './taskContracts.js'
--- a/packages/router/src/quarantinePoll.ts
+++ b/packages/router/src/quarantinePoll.ts
@@ -1,5 +1,5 @@
 import type { Clock, Decision } from '@quinceshunt/effects'
-import type { Platform, Row } from '@quinceshunt/platform'
+import type { Platform, Row } from '@quinceshunt/table-store'
 import { deletion, releaseExplained, storedSuspect, SUSPECT_PREFIX, type StoreCommand } from '@quinceshunt/requests'
 import { SuspectState, type SuspectRecord } from '@quinceshunt/schemas'
 import type { Logger } from '@quinceshunt/telemetry'
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf'
 import { systemClock, type Clock } from '@quinceshunt/effects'
-import { connectPlatform, type Platform } from '@quinceshunt/platform'
+import { connectPlatform, type Platform } from '@quinceshunt/table-store'
 import { PeerIdentitySchema, type RouterSettings } from '@quinceshunt/schemas'
 import { createLogger, createMetrics, startTracing, type Logger, type Metrics } from '@quinceshunt/telemetry'
 import { randomUUID } from 'node:crypto'
--- a/packages/router/src/taskContracts.ts
+++ b/packages/router/src/taskContracts.ts
@@ -1,6 +1,6 @@
 import type { Client } from '@connectrpc/connect'
 import type { Clock } from '@quinceshunt/effects'
-import type { Platform } from '@quinceshunt/platform'
+import type { Platform } from '@quinceshunt/table-store'
 import type { AdoptLeasesRequest, BackendServerMark, BackendServerStatus, BudgetSettings, GossipMessage, PeerIdentity, PeerService, RouterSettings, RoutingSettings, SheetHead, SuspectRecord, TransferAllowanceRequest, TransferRecord } from '@quinceshunt/schemas'
 import type { Logger, Metrics } from '@quinceshunt/telemetry'
 import type { BackendService, BudgetService, ClaimService, ConfigurationService, QuarantineService } from './services.js'
--- a/packages/scenarios/src/fleet/fleetSheet.ts
+++ b/packages/scenarios/src/fleet/fleetSheet.ts
@@ -1,4 +1,4 @@
-import type { Platform } from '@quinceshunt/platform'
+import type { Platform } from '@quinceshunt/table-store'
 import type { Sheet, SheetHead } from '@quinceshunt/schemas'
 import { acceptConfiguration, buildConfiguration, configurationOf, hashKey, parseSheet } from '@quinceshunt/sheet'
 import { InternalError } from '@quinceshunt/telemetry'
--- a/packages/scenarios/src/fleet/ledger.ts
+++ b/packages/scenarios/src/fleet/ledger.ts
@@ -1,5 +1,5 @@
 import { fromBinary } from '@bufbuild/protobuf'
-import type { Row, TableStore } from '@quinceshunt/platform'
+import type { Row, TableStore } from '@quinceshunt/table-store'
 import { BillBatchRecordSchema, BillRecordSchema, BudgetRecordSchema, LeaseRecordSchema, type BillRecord, type BudgetRecord, type LeaseRecord } from '@quinceshunt/schemas'
 
 const PAGE_ROWS = 1000
--- a/packages/scenarios/src/fleet/platformMember.ts
+++ b/packages/scenarios/src/fleet/platformMember.ts
@@ -1,6 +1,6 @@
 import { createClient, type Client } from '@connectrpc/connect'
 import { createConnectTransport } from '@connectrpc/connect-node'
-import { connectPlatform, type Platform } from '@quinceshunt/platform'
+import { connectPlatform, type Platform } from '@quinceshunt/table-store'
 import { InstanceRole, InstanceState, PlatformControlService, PlatformFaultKind, PlatformServiceName, type ReadCountersResponse } from '@quinceshunt/schemas'
 import { startProcess, type FleetProcess } from '../launcher/startProcess.js'
 
--- a/packages/scenarios/src/steps/budgetSteps.ts
+++ b/packages/scenarios/src/steps/budgetSteps.ts
@@ -1,5 +1,5 @@
 import { Then, When } from '@cucumber/cucumber'
-import { runTableDecision } from '@quinceshunt/platform'
+import { runTableDecision } from '@quinceshunt/table-store'
 import { budgetCodec, budgetKeys, put, resolveLease, summariseBudget, topUpBudget, type BudgetSummary } from '@quinceshunt/budget'
 import assert from 'node:assert/strict'
 import { randomUUID } from 'node:crypto'
--- a/packages/scenarios/src/steps/operationSteps.ts
+++ b/packages/scenarios/src/steps/operationSteps.ts
@@ -1,5 +1,5 @@
 import { Given, Then, When } from '@cucumber/cucumber'
-import { runTableDecision } from '@quinceshunt/platform'
+import { runTableDecision } from '@quinceshunt/table-store'
 import { orderKey, requestOrder } from '@quinceshunt/orders'
 import { strict as assert } from 'node:assert'
 import { spawnSync } from 'node:child_process'
--- a/packages/sheet/src/__tests__/acceptance.test.ts
+++ b/packages/sheet/src/__tests__/acceptance.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals'
-import { createMemoryPlatform } from '@quinceshunt/platform'
+import { createMemoryPlatform } from '@quinceshunt/table-store'
 import fc from 'fast-check'
 import { sheetFixture } from '../__fixtures__/sheetFixture.js'
 import { HEAD_KEY, readHead, type AcceptanceOutcome } from '../acceptance.js'
--- a/packages/sheet/src/acceptConfiguration.ts
+++ b/packages/sheet/src/acceptConfiguration.ts
@@ -1,5 +1,5 @@
 import { assertNever, runDecision } from '@quinceshunt/effects'
-import type { Platform } from '@quinceshunt/platform'
+import type { Platform } from '@quinceshunt/table-store'
 import { acceptChange, type AcceptanceCommand, type AcceptanceOutcome, type ConfigurationChange } from './acceptance.js'
 import { objectName } from './configuration.js'
 
--- a/packages/sheet/src/acceptance.ts
+++ b/packages/sheet/src/acceptance.ts
@@ -1,6 +1,6 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
 import { perform, type Command, type Decision } from '@quinceshunt/effects'
-import type { Row, RowCheck, RowWrite, TransactOutcome } from '@quinceshunt/platform'
+import type { Row, RowCheck, RowWrite, TransactOutcome } from '@quinceshunt/table-store'
 import { AuditRecordSchema, SheetHeadSchema, type SheetHead } from '@quinceshunt/schemas'
 import type { BuiltConfiguration } from './configuration.js'
 import { signHead } from './sheetHead.js'
