--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -88,7 +88,7 @@
 
   const peerListener = createPeerListener(tokens, log)
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
-  const backends = startBackendTask({ platform, log, onGone: (state) => connections.closeIdle(state.entry.address) })
+  const backends = startBackendTask({ platform, log, drainMilliseconds: settings.drainMilliseconds, onGone: (state) => connections.closeIdle(state.entry.address) })
   const context: GatewayContext = {
     settings,
     wire: platform.wire,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -23,14 +23,8 @@
   /** Where other instances reach this one. */
   peerAddress: socketAddress,
   storeAddress: socketAddress,
-  /** Interval at which a backend server renews its entry, milliseconds. */
-  backendHeartbeatMilliseconds: positive,
   /** Longest time after which a leaving backend server still gets work, milliseconds. */
   drainMilliseconds: positive,
-  /** Longest time after which an accepted configuration is in force, milliseconds. */
-  configurationApplyMilliseconds: positive,
-  /** Time without disturbance after which an instance counts as connected, milliseconds. */
-  contactMilliseconds: positive,
   /** Time between SIGTERM and SIGKILL, seconds. */
   stopSeconds: positive,
   /** Repeated sends that the whole fleet may make for each request to a service, 0 to 1. */
@@ -41,8 +35,6 @@
   retrySlack: v.pipe(v.number(), v.minValue(0, '0 or more')),
   /** Time for which a prompt part that was read is expected to stay cached, seconds. */
   promptReuseWindowSeconds: positive,
-  /** Largest value of a row of the store, bytes. */
-  storeRowBytes: positive,
   /** True when one transaction of the store may change rows of several parts. */
   storeSpansParts: v.boolean(),
   /** Lowest level of log lines. */
--- a/packages/gateway/src/tasks/backendTask.ts
+++ b/packages/gateway/src/tasks/backendTask.ts
@@ -5,8 +5,8 @@
 import type { DecisionLog } from './decisionLog.js'
 import { followTable, type Contact, type TableFollower } from './tableFollower.js'
 
-/** Interval at which the list is polled, milliseconds; entries are renewed all the time, so that waiting for a change saves nothing. */
-const POLL_INTERVAL = 650
+/** Polls of the list within the time in which a leaving backend server must get nothing more; one of them may be lost. */
+const POLLS_BEFORE_DRAIN = 3
 /** Time without an answer after which missing entries may have lapsed with the store, milliseconds. */
 const SUSPICIOUS_GAP = 2500
 /** Time that a lapsed entry gets to return, milliseconds; entries are back within two seconds of the store's return. */
@@ -27,6 +27,8 @@
 export interface BackendTaskOptions {
   readonly platform: GatewayPlatform
   readonly log: DecisionLog
+  /** Longest time after which a leaving backend server still gets work, milliseconds. */
+  readonly drainMilliseconds: number
   /** Told when nothing more is sent to a backend server, with the state that still counts its pending requests. */
   readonly onGone: (state: BackendState) => void
 }
@@ -109,8 +111,9 @@
     store: platform.store,
     log,
     table: platform.tables.backendServers.table,
+    // Entries are renewed all the time, so a call that waits for a change would return at once.
     waitMilliseconds: 0,
-    pauseMilliseconds: POLL_INTERVAL,
+    pauseMilliseconds: options.drainMilliseconds / POLLS_BEFORE_DRAIN,
     onAll: takeAll,
     onChanges: takeChanges
   })
