Open a sealed grant evenly after its seal, and heed late writes of a dead process

Cause: a write of a killed process can take effect after its lease row was read. When that write returned tokens, the next process took them over as well, so the account could be overspent (test 'what a dead process returned with a late write is not taken over as well': 9,298 tokens too many before). Change: the newest row of a predecessor counts; the seal lasts 2.4 s with 2.7 s of use open, and then opens evenly over 3 s instead of at once; renewals are repeated sooner while the store is lost.

--- a/packages/gateway/src/__tests__/tokenTask.test.ts
+++ b/packages/gateway/src/__tests__/tokenTask.test.ts
@@ -91,6 +91,29 @@
     expect(granted - (held.accounts[ACCOUNT]?.held ?? 0)).toBe(left?.limit)
   })
 
+  test('what a dead process returned with a late write is not taken over as well', async () => {
+    const faults: StoreFault[] = []
+    const memory = createMemoryRowStore(() => faults.shift() ?? { kind: 'none' })
+    const first = startInstance(memory, 'a', '1')
+    expect(await reserveSoon(first, 60_000)).toBe('reserved')
+    first.tokens.settle(ACCOUNT, 60_000, 5000)
+    await jest.advanceTimersByTimeAsync(1000)
+    const heldBefore = decodeLeaseRow(memory.row({ table: 'leases', part: 'a', key: 'a' }) ?? '').accounts[ACCOUNT]?.held ?? 0
+    faults.push({ kind: 'late', milliseconds: 30 })
+    first.tokens.returnFree(ACCOUNT)
+    await jest.advanceTimersByTimeAsync(1)
+    first.tokens.abandon()
+    // The row is read before the late write takes effect, and the first write of the next process after it.
+    faults.push({ kind: 'refuse' })
+    const second = startInstance(memory, 'a', '2')
+    await jest.advanceTimersByTimeAsync(3000)
+    second.tokens.abandon()
+    const granted = Number(memory.row({ table: 'balances', part: ACCOUNT, key: ACCOUNT }))
+    const held = decodeLeaseRow(memory.row({ table: 'leases', part: 'a', key: 'a' }) ?? '').accounts[ACCOUNT]?.held ?? 0
+    expect(heldBefore).toBeGreaterThan(5000)
+    expect(granted - held).toBeGreaterThanOrEqual(5000)
+  })
+
   test('without the store, tokens come from a peer', async () => {
     let isDown = false
     const memory = createMemoryRowStore(() => isDown ? { kind: 'refuse' } : { kind: 'none' })
--- a/packages/gateway/src/decisions/grantSizing.ts
+++ b/packages/gateway/src/decisions/grantSizing.ts
@@ -8,8 +8,10 @@
 
 /** Time of use that a grant covers while the store can't be reached, milliseconds. */
 const GRANT_HORIZON = 9000
-/** Time of use that is open without a renewal of the lease, milliseconds: the seal's time and some more. */
-const OPEN_HORIZON = 4500
+/** Time of use that is open without a renewal of the lease, milliseconds: the seal's time and the age of a lease. */
+const OPEN_HORIZON = 2700
+/** Time after the seal in which the sealed part opens, milliseconds: with the seal's time, shorter than the grant's horizon. */
+const OPENING_TIME = 3000
 /** Tokens that are open whatever the use, in a large account: about one long request, which may come before its use is known. */
 const SMALLEST_OPEN = 12_000
 /** The same as a part of what is prepaid, for small accounts, whose open parts at all instances would add up. */
@@ -60,6 +62,11 @@
   return input.free > target * EXCESS + SMALLEST_RETURN ? -excess : 0
 }
 
+/** Tokens a millisecond by which the sealed part of a grant opens after the seal. */
+export function openingRate (sealedTokens: number): number {
+  return Math.max(0, sealedTokens) / OPENING_TIME
+}
+
 /** Tokens that may be used until the lease is renewed, beyond those in use. */
 export function openTokens (rate: number, free: number, prepaid: number): number {
   return Math.floor(Math.min(free, Math.max(rate * OPEN_HORIZON, Math.min(SMALLEST_OPEN, prepaid / SMALLEST_OPEN_DIVISOR))))
--- a/packages/gateway/src/decisions/leaseRow.ts
+++ b/packages/gateway/src/decisions/leaseRow.ts
@@ -6,10 +6,10 @@
   lifetime: v.string(),
   /** Counts that process's writes, so that it recognises a write whose reply was lost. */
   sequence: v.number(),
-  /** Store time until which the process uses no more than each account's limit, milliseconds. */
+  /** Store time until which the process uses no more than each account's limit, milliseconds. From then on the rest opens evenly. */
   sealedUntil: v.number(),
-  /** By client account: tokens granted, and the most that may be used before `sealedUntil`. */
-  accounts: v.record(v.string(), v.object({ held: v.number(), limit: v.number() }))
+  /** By client account: tokens granted, the most that may be used before `sealedUntil`, and the tokens a millisecond by which that rises after it. */
+  accounts: v.record(v.string(), v.object({ held: v.number(), limit: v.number(), opening: v.number() }))
 })
 
 /** Lease row of one instance. */
@@ -25,13 +25,20 @@
   return v.parse(leaseRowSchema, JSON.parse(value))
 }
 
+/** Milliseconds that have passed since the end of a seal. */
+export function sinceSeal (sealedUntil: number, storeTime: number): number {
+  return Math.max(0, storeTime - sealedUntil)
+}
+
 /**
  * Tokens of an earlier process of the same instance that were certainly not used, by client account. That process is
- * dead, as this one runs; before `sealedUntil` it can't have used more than the limits that it wrote.
+ * dead, as this one runs, and used no more than its limits as they stood at `storeTime`.
  */
 export function reclaimable (row: LeaseRow, storeTime: number): ReadonlyMap<string, number> {
   const reclaimed = new Map<string, number>()
-  if (storeTime >= row.sealedUntil) return reclaimed
-  for (const [account, { held, limit }] of Object.entries(row.accounts)) if (held > limit) reclaimed.set(account, held - limit)
+  for (const [account, { held, limit, opening }] of Object.entries(row.accounts)) {
+    const unused = Math.floor(held - limit - opening * sinceSeal(row.sealedUntil, storeTime))
+    if (unused > 0) reclaimed.set(account, unused)
+  }
   return reclaimed
 }
--- a/packages/gateway/src/decisions/tokenBook.ts
+++ b/packages/gateway/src/decisions/tokenBook.ts
@@ -3,11 +3,12 @@
  *
  * Tokens are granted from the account's balance in the store. Each request reserves its largest use before it is sent
  * and settles what it used. A grant has an open part, up to `limit`, and a sealed part that stays untouched while the
- * store is in reach; what a killed process certainly left sealed is taken over by the next process of that instance.
+ * store is in reach and opens evenly when it is not; what a killed process certainly left sealed is taken over by the
+ * next process of that instance.
  */
 export interface TokenBook {
-  /** Takes tokens for a request; false when too few may be used. */
-  reserve (tokens: number, isUnsealed: boolean): boolean
+  /** Takes tokens for a request; false when too few may be used `sinceSeal` milliseconds after the end of the seal. */
+  reserve (tokens: number, sinceSeal: number): boolean
   /** Ends a reservation of `reserved` tokens of which `used` were used. */
   settle (reserved: number, used: number, now: number): void
   /** Adds granted tokens. */
@@ -18,9 +19,9 @@
   receiveTransfer (tokens: number): void
   /** Ends a reservation of tokens that were handed to a peer: they count as used, but not as this instance's need. */
   settleTransfer (tokens: number): void
-  /** Lowers the limit to a proposed one at once; raises it only by `confirmLimit`. */
-  proposeLimit (limit: number): void
-  confirmLimit (limit: number): void
+  /** Lowers the limit and its opening to proposed ones at once; raises them only by `confirmLimit`. */
+  proposeLimit (limit: number, opening: number): void
+  confirmLimit (limit: number, opening: number): void
   /** Granted less returned tokens of this process's lease. */
   readonly held: number
   readonly free: number
@@ -28,6 +29,8 @@
   /** Used and reserved since the process started. */
   readonly committed: number
   readonly limit: number
+  /** Tokens a millisecond by which the limit rises after the seal. */
+  readonly opening: number
   /** Recent use, tokens a millisecond. */
   rate (now: number): number
 }
@@ -45,6 +48,7 @@
   let used = 0
   let reserved = 0
   let limit = 0
+  let opening = 0
   let recent = 0
   let recentAt = 0
 
@@ -56,9 +60,9 @@
   }
 
   return {
-    reserve: (tokens, isUnsealed) => {
+    reserve: (tokens, sinceSeal) => {
       if (tokens > free()) return false
-      if (!isUnsealed && used + reserved + tokens > limit + transferred) return false
+      if (used + reserved + tokens > limit + opening * sinceSeal + transferred) return false
       reserved += tokens
       return true
     },
@@ -75,14 +79,21 @@
       reserved -= tokens
       used += tokens
     },
-    proposeLimit: (proposed) => { limit = Math.min(limit, proposed) },
-    confirmLimit: (confirmed) => { limit = confirmed },
+    proposeLimit: (proposedLimit, proposedOpening) => {
+      limit = Math.min(limit, proposedLimit)
+      opening = Math.min(opening, proposedOpening)
+    },
+    confirmLimit: (confirmedLimit, confirmedOpening) => {
+      limit = confirmedLimit
+      opening = confirmedOpening
+    },
     get held () { return held },
     get free () { return free() },
     get reserved () { return reserved },
     // Transferred tokens are spent first, as they are no part of the lease's limit.
     get committed () { return Math.max(0, used + reserved - transferred) },
     get limit () { return limit },
+    get opening () { return opening },
     // The average starts without history, so it is scaled by the part of its time that has passed.
     rate: (now) => decayedRecent(now) / (RATE_TIME * (1 - Math.exp(-Math.max(SHORTEST_HISTORY, now - trafficSince()) / RATE_TIME)))
   }
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -1,10 +1,10 @@
 import { steadyNow } from '../clock.js'
-import { grantMove, openTokens } from '../decisions/grantSizing.js'
-import { decodeLeaseRow, encodeLeaseRow, reclaimable, type LeaseRow } from '../decisions/leaseRow.js'
+import { grantMove, openingRate, openTokens } from '../decisions/grantSizing.js'
+import { decodeLeaseRow, encodeLeaseRow, reclaimable, sinceSeal, type LeaseRow } from '../decisions/leaseRow.js'
 import type { ReservationOutcome } from '../decisions/requestPlan.js'
 import type { StoredRow, TransactionOutcome } from '../ports.js'
 import {
-  ADVANCE_ATTEMPTS, CLOSE_CHECK, CONFLICT_ATTEMPTS, CONFLICT_PAUSE, FAILURE_PAUSE, KEPT_FROM_PEERS, LARGEST_LEFTOVER, LONGEST_HAND_OVER, LONGEST_WAIT, LONGEST_WAIT_WITHOUT_STORE, NO_TOKENS_RETRY, RENEWAL_AGE, RETURN_HOLD, REVIEW_INTERVAL, SEAL_TIME, SHORTAGE_MEMORY, SHORTAGE_PAUSE, TRANSACTION_TIME
+  ADVANCE_ATTEMPTS, CLOSE_CHECK, CONFLICT_ATTEMPTS, CONFLICT_PAUSE, FAILURE_PAUSE, KEPT_FROM_PEERS, LARGEST_LEFTOVER, LONGEST_HAND_OVER, LONGEST_WAIT, LONGEST_WAIT_WITHOUT_STORE, NO_TOKENS_RETRY, RENEWAL_AGE, RETURN_HOLD, REVIEW_INTERVAL, SEAL_TIME, SHORTAGE_MEMORY, SHORTAGE_PAUSE, TRANSACTION_TIME, TRANSACTION_TIME_AFTER_FAILURE
 } from './tokenTiming.js'
 import { createAccountState, needed, ungranted, waitingTokens, type AccountState, type Composed, type TokenTask, type TokenTaskOptions } from './tokenAccounts.js'
 
@@ -48,8 +48,8 @@
     return storeClock === undefined ? 0 : storeClock.time + steadyNow() - storeClock.at
   }
 
-  function isUnsealed (): boolean {
-    return storeTime() >= sealedUntil
+  function unsealedTime (): number {
+    return sinceSeal(sealedUntil, storeTime())
   }
 
   function hearStore (time: number): void {
@@ -91,9 +91,12 @@
       if (move < 0) state.book.remove(-move)
       const added = Math.max(0, move) + (reclaimed.get(state.name) ?? 0)
       const spendable = Math.max(0, state.book.free + added)
-      const limit = state.book.committed + Math.min(spendable, openTokens(state.book.rate(now), spendable, state.prepaid ?? 0) + waitingTokens(state))
-      state.book.proposeLimit(limit)
-      if (state.book.held + added !== 0) rows[state.name] = { held: state.book.held + added, limit }
+      const open = Math.max(openTokens(state.book.rate(now), spendable, state.prepaid ?? 0) + waitingTokens(state), failedAt === 0 ? 0 : state.book.limit - state.book.committed)
+      const limit = state.book.committed + Math.min(spendable, open)
+      // After a failure limit and opening stay, as they apply to all the time since the seal.
+      const opening = failedAt === 0 ? openingRate(state.book.committed + spendable - limit) : state.book.opening
+      state.book.proposeLimit(limit, opening)
+      if (state.book.held + added !== 0) rows[state.name] = { held: state.book.held + added, limit, opening }
     }
     sequence++
     const row: LeaseRow = { lifetime: options.lifetimeId, sequence, sealedUntil: nextSeal(), accounts: rows }
@@ -115,9 +118,9 @@
     }
     for (const [name, tokens] of composed.reclaimed) {
       stateOf(name).book.receive(tokens)
-      log.event('tokensReclaimed', { account: name, tokens, from: predecessor?.row.lifetime, sealedUntil: predecessor?.row.sealedUntil, storeTime: predecessor?.storeTime })
+      log.event('tokensReclaimed', { account: name, tokens, ...predecessor?.row.accounts[name], from: predecessor?.row.lifetime, sealedUntil: predecessor?.row.sealedUntil, storeTime: predecessor?.storeTime })
     }
-    for (const [name, { limit }] of Object.entries(composed.row.accounts)) stateOf(name).book.confirmLimit(limit)
+    for (const [name, { limit, opening }] of Object.entries(composed.row.accounts)) stateOf(name).book.confirmLimit(limit, opening)
     predecessor = undefined
   }
 
@@ -129,7 +132,8 @@
   function learnLease (row: StoredRow | undefined, time: number): void {
     leaseVersion = row === undefined || row.deleted ? 0 : row.version
     const lease = row === undefined || leaseVersion === 0 ? undefined : readLease(row)
-    if (lease !== undefined && lease.lifetime !== options.lifetimeId) predecessor ??= { row: lease, storeTime: time }
+    // A write of the dead process may take effect after its row was read; the newer row counts, as it may have returned tokens.
+    if (lease !== undefined && lease.lifetime !== options.lifetimeId) predecessor = { row: lease, storeTime: time }
     const earlier = open
     open = []
     for (const composed of earlier) {
@@ -169,7 +173,7 @@
       { ...leaseName, value: encodeLeaseRow(composed.row) },
       ...[...composed.moves].map(([name, move]) => ({ ...balanceName(name), value: String(stateOf(name).granted + move) }))
     ]
-    return await store.transact({ expected, writes, removals: [], spansParts: options.spansParts }, steadyNow() + TRANSACTION_TIME)
+    return await store.transact({ expected, writes, removals: [], spansParts: options.spansParts }, steadyNow() + (failedAt === 0 ? TRANSACTION_TIME : TRANSACTION_TIME_AFTER_FAILURE))
   }
 
   /** Renews the lease and moves tokens once; tells whether another try makes sense at once. */
@@ -213,7 +217,7 @@
 
   function serveWaiting (): void {
     const now = steadyNow()
-    const unsealed = isUnsealed()
+    const unsealed = unsealedTime()
     for (const state of accounts.values()) {
       if (state.waiting.length === 0) continue
       state.waiting = state.waiting.filter((request) => {
@@ -347,7 +351,7 @@
     const rest = new Map<string, number>()
     for (const state of accounts.values()) {
       const tokens = Math.floor(state.book.free)
-      if (tokens <= 0 || !state.book.reserve(tokens, isUnsealed())) continue
+      if (tokens <= 0 || !state.book.reserve(tokens, unsealedTime())) continue
       state.book.settleTransfer(tokens)
       rest.set(state.name, tokens)
     }
@@ -373,7 +377,7 @@
   }
 
   function reserveHere (state: AccountState, tokens: number, deadline: number): Promise<ReservationOutcome> {
-    if (state.waiting.length === 0 && state.book.reserve(tokens, isUnsealed())) return Promise.resolve({ kind: 'reserved' })
+    if (state.waiting.length === 0 && state.book.reserve(tokens, unsealedTime())) return Promise.resolve({ kind: 'reserved' })
     if (tokens > (state.prepaid ?? 0)) return Promise.resolve({ kind: 'exhausted' })
     if (steadyNow() < state.shortUntil) return Promise.resolve({ kind: 'unavailable', retryAt: steadyNow() + NO_TOKENS_RETRY })
     return new Promise((resolve) => {
@@ -422,7 +426,7 @@
       // A holder holds for others too; another instance keeps what its own callers need soon.
       const kept = options.isHolder(name) ? 0 : Math.max(state.book.rate(steadyNow()) * KEPT_FROM_PEERS, state.book.free / 2)
       const given = Math.floor(Math.min(tokens, state.book.free - kept))
-      if (given <= 0 || !state.book.reserve(given, isUnsealed())) return 0
+      if (given <= 0 || !state.book.reserve(given, unsealedTime())) return 0
       state.book.settleTransfer(given)
       return given
     },
--- a/packages/gateway/src/tasks/tokenTiming.ts
+++ b/packages/gateway/src/tasks/tokenTiming.ts
@@ -6,10 +6,12 @@
 export const ADVANCE_ATTEMPTS = 2
 /** Longest pause after a second conflict, milliseconds, so that instances do not meet again. */
 export const CONFLICT_PAUSE = 12
+/** The same after one without an answer, milliseconds, so that the end of an outage is noticed soon. */
+export const TRANSACTION_TIME_AFTER_FAILURE = 450
 /** Pause after a transaction that the store refused or did not answer, milliseconds. */
-export const FAILURE_PAUSE = 250
-/** Time for which the sealed part of a grant stays untouched after a renewal, milliseconds; restarts take less. */
-export const SEAL_TIME = 3000
+export const FAILURE_PAUSE = 150
+/** Time for which the sealed part of a grant stays untouched after a renewal, milliseconds; restarts take about 2 s. */
+export const SEAL_TIME = 2400
 /** Interval at which grants are reviewed, milliseconds. */
 export const REVIEW_INTERVAL = 300
 /** Age at which a lease is renewed, milliseconds. */
