--- /dev/null
+++ b/soak/bin/soak.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runSoakCommand } from '../lib/index.js'
+
+await runSoakCommand()
--- /dev/null
+++ b/soak/src/faultPlan.ts
@@ -0,0 +1,49 @@
+import fastCheck from 'fast-check'
+
+/** Length of one soak, milliseconds, and the end of its faults; recovery is watched after that. */
+export const SOAK_LENGTH = 9000
+const FAULTS_END = 6500
+
+/** Processes and links of a soak. */
+export const GATEWAYS = 3
+export const BACKENDS = 4
+
+/** What a link does to the bytes that cross it. */
+export type LinkFault = 'delay' | 'reset' | 'silence' | 'cutTowardsServer' | 'cutTowardsClient'
+
+/** One fault of a plan; times are milliseconds after the start of the load. */
+export type PlannedFault =
+  | { readonly kind: 'kill', readonly at: number, readonly gateway: number, readonly downFor: number }
+  | { readonly kind: 'stop', readonly at: number, readonly gateway: number, readonly downFor: number }
+  | { readonly kind: 'pause', readonly at: number, readonly gateway: number, readonly lasts: number }
+  | { readonly kind: 'reload', readonly at: number, readonly gateway: number }
+  | { readonly kind: 'storeLink', readonly at: number, readonly gateway: number, readonly lasts: number, readonly fault: LinkFault }
+  | { readonly kind: 'backendLink', readonly at: number, readonly backend: number, readonly lasts: number, readonly fault: LinkFault }
+  | { readonly kind: 'storeCalls', readonly at: number, readonly lasts: number, readonly fault: 'refuse' | 'loseReply' | 'late' }
+  | { readonly kind: 'configuration', readonly at: number }
+  | { readonly kind: 'powerLoss', readonly at: number, readonly downFor: number }
+
+const at = fastCheck.integer({ min: 300, max: FAULTS_END - 1500 })
+const lasts = fastCheck.integer({ min: 200, max: 4000 })
+const downFor = fastCheck.integer({ min: 50, max: 1500 })
+const gateway = fastCheck.integer({ min: 0, max: GATEWAYS - 1 })
+const backend = fastCheck.integer({ min: 0, max: BACKENDS - 1 })
+const linkFault = fastCheck.constantFrom<LinkFault>('delay', 'reset', 'silence', 'cutTowardsServer', 'cutTowardsClient')
+
+const plannedFault: fastCheck.Arbitrary<PlannedFault> = fastCheck.oneof(
+  { weight: 3, arbitrary: fastCheck.record({ kind: fastCheck.constant('kill' as const), at, gateway, downFor }) },
+  { weight: 2, arbitrary: fastCheck.record({ kind: fastCheck.constant('stop' as const), at, gateway, downFor }) },
+  { weight: 2, arbitrary: fastCheck.record({ kind: fastCheck.constant('pause' as const), at, gateway, lasts }) },
+  { weight: 1, arbitrary: fastCheck.record({ kind: fastCheck.constant('reload' as const), at, gateway }) },
+  { weight: 3, arbitrary: fastCheck.record({ kind: fastCheck.constant('storeLink' as const), at, gateway, lasts, fault: linkFault }) },
+  { weight: 3, arbitrary: fastCheck.record({ kind: fastCheck.constant('backendLink' as const), at, backend, lasts, fault: linkFault }) },
+  { weight: 3, arbitrary: fastCheck.record({ kind: fastCheck.constant('storeCalls' as const), at, lasts, fault: fastCheck.constantFrom('refuse' as const, 'loseReply' as const, 'late' as const) }) },
+  { weight: 2, arbitrary: fastCheck.record({ kind: fastCheck.constant('configuration' as const), at }) },
+  { weight: 1, arbitrary: fastCheck.record({ kind: fastCheck.constant('powerLoss' as const), at, downFor }) }
+)
+
+/** The faults of a seed, in order of time. The same seed gives the same plan. */
+export function planFaults (seed: number): readonly PlannedFault[] {
+  const [plan = []] = fastCheck.sample(fastCheck.array(plannedFault, { minLength: 2, maxLength: 9, size: 'max' }), { seed, numRuns: 1 })
+  return [...plan].sort((left, right) => left.at - right.at)
+}
