--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 import { steadyNow } from './clock.js'
 import { createMetrics } from '@quinceshunt/telemetry'
 import { randomUUID } from 'node:crypto'
-import { readFileSync } from 'node:fs'
+import { readFileSync, watchFile } from 'node:fs'
 import { createServer, type Server } from 'node:http'
 import { hashPair } from './decisions/backendChoice.js'
 import { createCrashWatch } from './decisions/crashWatch.js'
@@ -26,6 +26,8 @@
 /** Time before SIGKILL at which requests are given up and tokens returned, milliseconds; the last sixth is nobody's due. */
 const RETURN_MARGIN = 1000
 const STOP_CHECK_INTERVAL = 50
+/** Interval at which the settings file is looked at, milliseconds: it may change without a signal. */
+const SETTINGS_CHECK_INTERVAL = 1500
 /** Puts holders of other failure domains behind those of this one; larger than any hash. */
 const OTHER_FAILURE_DOMAIN_RANK = 2 ** 32
 
@@ -165,6 +167,7 @@
   process.on('SIGTERM', stop)
   process.on('SIGINT', stop)
   process.on('SIGHUP', () => checkSettings(options.settingsFile, settings, log))
+  watchFile(options.settingsFile, { interval: SETTINGS_CHECK_INTERVAL, persistent: false }, () => checkSettings(options.settingsFile, settings, log))
 }
 
 /** Reads the settings again; what can't change without a new start is said so. */
