Let peers hand over what is open of their grants when they can't give all that is asked

Change: a peer gives what it may use at the moment; an instance asks for what it lacks beyond its own open part. Test: 'without the store, a peer gives what is open of a grant when it can not give all that is asked' failed first.

--- a/packages/gateway/src/__tests__/tokenTask.test.ts
+++ b/packages/gateway/src/__tests__/tokenTask.test.ts
@@ -151,6 +151,19 @@
     expect(await reserveSoon(instance, 45_000)).toBe('reserved')
   })
 
+  test('without the store, a peer gives what is open of a grant when it can not give all that is asked', async () => {
+    let isDown = false
+    const memory = createMemoryRowStore(() => isDown ? { kind: 'refuse' } : { kind: 'none' })
+    const instance = startInstance(memory, 'a', '1')
+    await jest.advanceTimersByTimeAsync(1000)
+    isDown = true
+    await jest.advanceTimersByTimeAsync(700)
+    const free = instance.tokens.freeTokens(ACCOUNT)
+    const given = await instance.tokens.handOver(ACCOUNT, 90_000)
+    expect(given).toBeGreaterThan(0)
+    expect(given).toBeLessThan(free)
+  })
+
   test('a seal ends although renewals keep failing', async () => {
     let isDown = false
     const memory = createMemoryRowStore(() => isDown ? { kind: 'drop' } : { kind: 'none' })
--- a/packages/gateway/src/decisions/tokenBook.ts
+++ b/packages/gateway/src/decisions/tokenBook.ts
@@ -9,6 +9,8 @@
 export interface TokenBook {
   /** Takes tokens for a request; false when too few may be used `sinceSeal` milliseconds after the end of the seal. */
   reserve (tokens: number, sinceSeal: number): boolean
+  /** Tokens that a request may take `sinceSeal` milliseconds after the end of the seal. */
+  usable (sinceSeal: number): number
   /** Ends a reservation of `reserved` tokens of which `used` were used. */
   settle (reserved: number, used: number, now: number): void
   /** Adds granted tokens. */
@@ -59,10 +61,14 @@
     return held + transferred - used - reserved
   }
 
+  function usable (sinceSeal: number): number {
+    return Math.min(free(), limit + opening * sinceSeal + transferred - used - reserved)
+  }
+
   return {
+    usable,
     reserve: (tokens, sinceSeal) => {
-      if (tokens > free()) return false
-      if (used + reserved + tokens > limit + opening * sinceSeal + transferred) return false
+      if (tokens > usable(sinceSeal)) return false
       reserved += tokens
       return true
     },
--- a/packages/gateway/src/tasks/peerTransfers.ts
+++ b/packages/gateway/src/tasks/peerTransfers.ts
@@ -4,10 +4,10 @@
 
 /** Time in which a peer answers, milliseconds; it is in the same region. */
 const PEER_TIME = 120
-/** Peers asked for one shortage. */
-const PEERS_ASKED = 8
+/** Peers asked for one shortage; each can give only what is open of its grant. */
+const PEERS_ASKED = 12
 /** Peers asked at once, so that tokens are not gathered beyond the need. */
-const PEERS_AT_ONCE = 3
+const PEERS_AT_ONCE = 4
 /** Largest message between peers, bytes. */
 const LARGEST_MESSAGE = 65_536
 
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -351,7 +351,7 @@
   async function giveRest (): Promise<void> {
     const rest = new Map<string, number>()
     for (const state of accounts.values()) {
-      const tokens = Math.floor(state.book.free)
+      const tokens = Math.floor(state.book.usable(unsealedTime()))
       if (tokens <= 0 || !state.book.reserve(tokens, unsealedTime())) continue
       state.book.settleTransfer(tokens)
       rest.set(state.name, tokens)
@@ -383,7 +383,7 @@
     if (steadyNow() < state.shortUntil) return Promise.resolve({ kind: 'unavailable', retryAt: returnAt(state, steadyNow()) })
     return new Promise((resolve) => {
       state.waiting.push({ tokens, deadline: Math.min(deadline, steadyNow() + LONGEST_WAIT), resolve })
-      if (isStoreLost()) askOthers(state, Math.max(needed(state), tokens))
+      if (isStoreLost()) askOthers(state, Math.ceil(waitingTokens(state) - Math.max(0, state.book.usable(unsealedTime()))))
       else getTokens(state)
       setTimeout(serveAllWaiting, LONGEST_WAIT_WITHOUT_STORE)
     })
@@ -427,7 +427,7 @@
       if (state.waiting.length > 0) return 0
       // A holder holds for others too; another instance keeps what its own callers need soon.
       const kept = options.isHolder(name) ? 0 : Math.max(state.book.rate(steadyNow()) * KEPT_FROM_PEERS, state.book.free / 2)
-      const given = Math.floor(Math.min(tokens, state.book.free - kept))
+      const given = Math.floor(Math.min(tokens, state.book.free - kept, state.book.usable(unsealedTime())))
       if (given <= 0 || !state.book.reserve(given, unsealedTime())) return 0
       state.book.settleTransfer(given)
       return given
