Show that the soak fails when a guard is gone

Cause: of three guards taken out on copies, the soak found two (a dead process's whole grant taken over: seed 1000; a stop that does not wait: seed 1000). Sending again what may run once was not found: the route allowed one send only, and the stand-in answered at once. Change: two sends are allowed on each route and the ledger works 40 ms; seed 1011 then finds the second run.

--- a/soak/src/__tests__/soak.test.ts
+++ b/soak/src/__tests__/soak.test.ts
@@ -3,8 +3,8 @@
 import { checkPromises, wholeBody, type CallerRecord, type Observations } from '../promises.js'
 import { runSoak } from '../soakRun.js'
 
-/** Seeds played at each landing: a loss of power, kills, stops, a harmed store. */
-const SEEDS = [1, 2] as const
+/** Seeds played at each landing. With a guard taken out, the first finds an overspent budget and a cut stop, the second a second run. */
+const SEEDS = [1000, 1011] as const
 const EVENTS = 3
 
 function createRecord (changes: Partial<CallerRecord> = {}): CallerRecord {
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -10,6 +10,8 @@
 const PATHS: Readonly<Record<RequestKind, string>> = { stream: '/chat/', once: '/deposit/', repeatable: '/status/' }
 /** Time that a caller waits, milliseconds; all answers are in after it. */
 const CALLER_TIME = 3000
+/** Work of a request that is no stream, milliseconds. */
+const WORK_TIME = 40
 const EVENTS = 10
 const EVENT_INTERVAL = 15
 const PROMPT_TOKENS = 100
@@ -40,7 +42,9 @@
 function configurationOf (version: number): Record<string, unknown> {
   const base = wireConfiguration(version)
   const added = Array.from({ length: version }, (_, index) => ({ name: `v${index + 1}`, host: 'desk.example', path_prefix: `/v${index + 1}/`, route_type: 'idempotent', timeout_ms: 800, slo_ms: 300, service: 'ledger', max_attempts: 2 }))
-  return { ...base, routes: [...base['routes'] as unknown[], ...added], tenants: [{ name: 'school', api_keys: ['good-key'], priority: 1, prepaid: PREPAID_TOKENS }] }
+  // Two sends are allowed on each route, so that only the gateway's own care keeps what may run once from running twice.
+  const routes = (base['routes'] as object[]).map((route) => ({ ...route, max_attempts: 2 }))
+  return { ...base, routes: [...routes, ...added], tenants: [{ name: 'school', api_keys: ['good-key'], priority: 1, prepaid: PREPAID_TOKENS }] }
 }
 
 function startBackendAnswers (backend: BackendStandIn, index: number, runs: BackendRun[]): void {
@@ -48,8 +52,10 @@
     const attempt = String(received.headers['quinceshunt-attempt-id'])
     runs.push({ attempt, at: Date.now(), backend: index })
     if (!received.url.startsWith('/chat/')) {
-      response.writeHead(200, signedHeaders(received))
-      response.end(wholeBody('once', attempt, EVENTS))
+      setTimeout(() => {
+        response.writeHead(200, signedHeaders(received))
+        response.end(wholeBody('once', attempt, EVENTS))
+      }, WORK_TIME)
       return
     }
     let event = Number(received.headers['last-event-id'] ?? 0)
