Move the meaning of statuses into the platform's adapter

Cause: attempt.ts named the statuses of the platform's promises (408, 421, 429, 503) and the misdirected one. Change: the adapter decodes them into isMisplaced and looksNotRun.

--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -106,6 +106,10 @@
   readonly isSigned: boolean
   /** True when the backend server says that the request has not run and will not. */
   readonly isNotRun: boolean
+  /** True when another process than the expected one answers at that address. */
+  readonly isMisplaced: boolean
+  /** True when a caller would read the status as this system's promise that the request has not run. */
+  readonly looksNotRun: boolean
   readonly load: ReportedLoad | undefined
   /** True when the body is not as the backend server made it. */
   readonly isEncoded: boolean
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -25,8 +25,6 @@
 const FAILING_SERVER = 0.4
 
 const STATUS = { ok: 200, lastOk: 299, serverError: 500 } as const
-/** Statuses by which this system promises that a request has not run; a backend server's own must not look like one. */
-const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
 /** An answer that was gathered and may still be passed on. */
 export interface HeldAnswer {
@@ -187,9 +185,10 @@
       response.end()
       return settle({ kind: 'delivered', status })
     }
-    if (wire.readAnswer(status, head.incoming.headers).isNotRun) {
+    const fields = wire.readAnswer(status, head.incoming.headers)
+    if (fields.isNotRun) {
       note({ kind: 'rejected' })
-      if (status === 421) context.backends.markMisplaced(backend.entry.id)
+      if (fields.isMisplaced) context.backends.markMisplaced(backend.entry.id)
       return settle({ kind: 'notRun', reason: `the backend server rejected it with status ${status}` })
     }
     state.mayHaveRun = true
@@ -200,7 +199,7 @@
       answer.deliver()
       return settle({ kind: 'delivered', status })
     }
-    if (!wire.readAnswer(status, head.incoming.headers).isSigned || PROMISES.has(status)) {
+    if (!fields.isSigned || fields.looksNotRun) {
       note({ kind: 'failedAnswer' })
       return settle({ kind: 'broken', reason: `status ${status} without proof of the backend server`, begun: state.begun })
     }
