Let three leads an account draw what callers of a large fleet wait for

Each transaction took 88 ms, as the store works on one balance's changes one after the other, and each success failed all that queued behind it. Change: callers' needs go to one of three leads an account in fleets of more than twelve; own draws are in advance only.

--- a/packages/gateway/src/__fixtures__/memoryRowStore.ts
+++ b/packages/gateway/src/__fixtures__/memoryRowStore.ts
@@ -1,6 +1,9 @@
 import type { ReadOutcome, RowName, RowStore, RowTransaction, StoredRow, TransactionOutcome } from '../ports.js'
 import { steadyNow } from '../clock.js'
 
+/** Time that a message takes when the store's work is modelled, milliseconds. */
+const NETWORK_DELAY = 2
+
 /** What becomes of the next transaction. */
 export type StoreFault =
   | { readonly kind: 'none' }
@@ -21,11 +24,15 @@
   readonly transactions: number
 }
 
-/** Creates an empty store; `chooseFault` is asked for each transaction, which takes effect after half of `delayMilliseconds`. */
-export function createMemoryRowStore (chooseFault: () => StoreFault = () => ({ kind: 'none' }), delayMilliseconds = 0): MemoryRowStore {
+/**
+ * Creates an empty store; `chooseFault` is asked for each transaction. With `workMilliseconds` it takes that long for a
+ * transaction, and a part of the store does one after the other.
+ */
+export function createMemoryRowStore (chooseFault: () => StoreFault = () => ({ kind: 'none' }), workMilliseconds = 0): MemoryRowStore {
   const rows = new Map<string, StoredRow>()
   let version = 0
   let transactions = 0
+  const busyUntil = new Map<string, number>()
 
   const pause = (milliseconds: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, milliseconds))
   const keyOf = (name: RowName): string => `${name.table}\n${name.part}\n${name.key}`
@@ -45,10 +52,14 @@
   async function transact (transaction: RowTransaction): Promise<TransactionOutcome> {
     transactions++
     const fault = chooseFault()
-    if (delayMilliseconds > 0) {
-      await pause(delayMilliseconds / 2)
+    if (workMilliseconds > 0) {
+      await pause(NETWORK_DELAY)
+      const parts = new Set(transaction.writes.map((row) => row.part))
+      const doneAt = Math.max(steadyNow(), ...[...parts].map((part) => busyUntil.get(part) ?? 0)) + workMilliseconds
+      for (const part of parts) busyUntil.set(part, doneAt)
+      await pause(doneAt - steadyNow())
       const outcome = apply(transaction)
-      await pause(delayMilliseconds / 2)
+      await pause(NETWORK_DELAY)
       return outcome
     }
     switch (fault.kind) {
--- a/packages/gateway/src/__tests__/tokenTask.test.ts
+++ b/packages/gateway/src/__tests__/tokenTask.test.ts
@@ -13,7 +13,7 @@
   readonly tokens: TokenTask
 }
 
-function startInstance (memory: MemoryRowStore, instanceId: string, lifetime: string, askPeers: () => Promise<number> = async () => 0, accounts: readonly string[] = [ACCOUNT], fleetSize = 3): TestInstance {
+function startInstance (memory: MemoryRowStore, instanceId: string, lifetime: string, askPeers: () => Promise<number> = async () => 0, accounts: readonly string[] = [ACCOUNT], fleetSize = 3, leads: readonly TestInstance[] | undefined = undefined): TestInstance {
   const tokens = startTokenTask({
     store: memory.store,
     log: createKeptLog(),
@@ -23,7 +23,11 @@
     instances: () => fleetSize,
     noteShortage: () => {},
     isHolder: () => true,
-    askHolders: async () => 0,
+    isLead: () => leads === undefined,
+    askHolders: async (account, wanted) => {
+      await new Promise((resolve) => setTimeout(resolve, 4))
+      return await leads?.[Math.floor(Math.random() * leads.length)]?.tokens.handOver(account, wanted) ?? 0
+    },
     storeIsLost: () => false,
     askPeers,
     giveToPeer: async () => {}
@@ -132,13 +136,15 @@
     expect((await Promise.all(outcomes)).map((outcome) => outcome.kind)).toEqual(['reserved', 'reserved'])
   })
 
-  test('many instances that draw on one account at once all get tokens soon', async () => {
-    const memory = createMemoryRowStore(undefined, 12)
-    const instances = Array.from({ length: 20 }, (_, index) => startInstance(memory, `instance${index}`, '1', async () => 0, ['school', 'museum', 'theatre'], 20))
-    await jest.advanceTimersByTimeAsync(8000)
-    const outcomes = instances.flatMap((instance) => ['school', 'museum', 'theatre'].map((account) => instance.tokens.reserve(account, 3000, Number.MAX_SAFE_INTEGER)))
-    await jest.advanceTimersByTimeAsync(700)
-    expect(new Set((await Promise.all(outcomes)).map((outcome) => outcome.kind))).toEqual(new Set(['reserved']))
+  test('many instances that draw on one account at once all get tokens while their callers wait', async () => {
+    const memory = createMemoryRowStore(undefined, 8)
+    const leads = [0, 1, 2].map((index) => startInstance(memory, `lead${index}`, '1', async () => 0, [ACCOUNT], 60))
+    const others = Array.from({ length: 57 }, (_, index) => startInstance(memory, `instance${index}`, '1', async () => 0, [ACCOUNT], 60, leads))
+    await jest.advanceTimersByTimeAsync(12_000)
+    const outcomes = [...leads, ...others].map(async (instance) => await instance.tokens.reserve(ACCOUNT, 600, Number.MAX_SAFE_INTEGER))
+    await jest.advanceTimersByTimeAsync(1000)
+    const kinds = (await Promise.all(outcomes)).map((outcome) => outcome.kind)
+    expect(kinds.filter((kind) => kind === 'reserved').length).toBe(60)
   })
 
   test('without the store, tokens come from a peer', async () => {
--- a/packages/gateway/src/decisions/balanceMoves.ts
+++ b/packages/gateway/src/decisions/balanceMoves.ts
@@ -3,14 +3,15 @@
  *
  * Pattern: all instances of a large fleet draw on the same accounts at once, after a start or a loss of power. A
  * transaction over several balances takes longer at the store and fails when any of them was changed meanwhile, so each
- * one changes one balance, what callers wait for first. After conflicts, draws in advance keep away for longer and longer
- * random times; draws that callers wait for come back soon.
+ * one changes one balance, what callers wait for first. The store works on a balance's changes one after the other: when all
+ * come back at once, each waits for all others and finds the balance changed. So after a conflict a draw keeps away for a
+ * random time that grows with the time that the transaction took, and draws in advance longer than those that callers wait for.
  */
 
-/** Longest pause after repeated conflicts, milliseconds: for callers the time of two transactions, else a part of a grant's time of use. */
-const LONGEST_PAUSE = { needed: 25, inAdvance: 2000 } as const
-/** Pause after the second conflict in a row, milliseconds, about the time of one transaction; the first is repeated at once. */
-const FIRST_PAUSE = 15
+/** Longest pause after repeated conflicts, milliseconds: about as long as callers wait, and a part of a grant's time of use. */
+const LONGEST_PAUSE = { needed: 700, inAdvance: 2000 } as const
+/** Longest pause after a conflict, as a multiple of the time that the transaction took: a part of the store that all queue for takes long. */
+const PAUSE_FACTOR = { needed: 6, inAdvance: 12 } as const
 
 /** A balance that could change. */
 export interface BalanceMove {
@@ -32,9 +33,8 @@
     .sort((left, right) => right.waiting - left.waiting || Number(right.tokens < 0) - Number(left.tokens < 0) || left.coverage - right.coverage)
 }
 
-/** Reading of the steady clock at which a move may be tried again after `conflicts` conflicts in a row. */
-export function retryMoveAt (conflicts: number, isNeeded: boolean, now: number, random: number): number {
-  if (conflicts <= 1) return now
-  const longest = isNeeded ? LONGEST_PAUSE.needed : LONGEST_PAUSE.inAdvance
-  return now + random * Math.min(longest, FIRST_PAUSE * 2 ** (conflicts - 1))
+/** Reading of the steady clock at which a move may be tried again after a conflict; `took` is what the transaction took, milliseconds. */
+export function retryMoveAt (isNeeded: boolean, took: number, now: number, random: number): number {
+  const kind = isNeeded ? 'needed' : 'inAdvance'
+  return now + random * Math.min(LONGEST_PAUSE[kind], PAUSE_FACTOR[kind] * took)
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -73,14 +73,15 @@
     instances: () => fleet.instances,
     noteShortage: fleet.noteShortage,
     isHolder: (account) => fleet.holders(account).includes(settings.instanceId),
-    askHolders: (account, wanted, storeIsLost) => askHolders(holderAddresses(account), account, wanted, storeIsLost, log),
+    isLead: (account) => fleet.leads(account).includes(settings.instanceId),
+    askHolders: (account, wanted, storeIsLost) => askHolders(addressesOf(storeIsLost ? fleet.holders(account) : fleet.leads(account)), account, wanted, storeIsLost, log),
     storeIsLost: () => backends.follower.isLost,
     askPeers: (account, wanted) => askPeers(fleet.peers.map((peer) => peer.address), account, wanted, log),
     giveToPeer: (rest) => giveToPeer(fleet.peers.map((peer) => peer.address), rest, log)
   })
   /** Holders of the same failure domain first; instances start at different ones, so that the load spreads. */
-  function holderAddresses (account: string): readonly string[] {
-    const holders = new Set(fleet.holders(account))
+  function addressesOf (instanceIds: readonly string[]): readonly string[] {
+    const holders = new Set(instanceIds)
     return fleet.peers
       .filter((peer) => holders.has(peer.instanceId))
       .map((peer) => ({ address: peer.address, rank: hashPair(settings.instanceId, peer.instanceId) + (peer.failureDomain === settings.failureDomain ? 0 : OTHER_FAILURE_DOMAIN_RANK) }))
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -16,6 +16,10 @@
  * fleet of this size hold; with more, draws on one balance would conflict too often.
  */
 const HOLDERS = 100
+/** Holders that draw for others when many draw at once. */
+const LEADS = 3
+/** Instances of a fleet in which all draw for themselves, as few meet at one balance. */
+const FLEET_WITHOUT_LEADS = 12
 /** Interval at which gathered crash reports are written, milliseconds. */
 const CRASH_INTERVAL = 200
 /** Crash reports in one transaction, which holds at most 100 entries. */
@@ -42,6 +46,8 @@
   readonly peers: readonly Peer[]
   /** Instances that draw an account's tokens in advance, the same at every instance that knows the same list. */
   holders (account: string): readonly string[]
+  /** Those of them that draw for others when many draw at once; all in a small fleet. */
+  leads (account: string): readonly string[]
   /** Asks all instances to return what they hold of an account. */
   noteShortage (account: string): void
   reportCrash (fingerprint: string): void
@@ -141,19 +147,22 @@
     if (crashes.length === 1) setTimeout(writeCrashes, CRASH_INTERVAL)
   }
 
+  function holdersOf (account: string): readonly string[] {
+    const known = holdersByAccount.get(account)
+    if (known !== undefined) return known
+    const holders = [...instances.keys()]
+      .sort((left, right) => hashPair(account, right) - hashPair(account, left))
+      .slice(0, HOLDERS)
+    holdersByAccount.set(account, holders)
+    return holders
+  }
+
   register().catch((error: unknown) => log.warning('registrationFailed', { reason: String(error) }))
   return {
     get instances () { return Math.max(1, instances.size) },
     get peers () { return [...instances.values()].filter((peer) => peer.instanceId !== options.instanceId) },
-    holders: (account) => {
-      const known = holdersByAccount.get(account)
-      if (known !== undefined) return known
-      const holders = [...instances.keys()]
-        .sort((left, right) => hashPair(account, right) - hashPair(account, left))
-        .slice(0, HOLDERS)
-      holdersByAccount.set(account, holders)
-      return holders
-    },
+    holders: holdersOf,
+    leads: (account) => instances.size <= FLEET_WITHOUT_LEADS ? holdersOf(account) : holdersOf(account).slice(0, LEADS),
     noteShortage: (account) => {
       const now = steadyNow()
       if (now - (shortagesNotedAt.get(account) ?? 0) < SHORTAGE_INTERVAL) return
--- a/packages/gateway/src/tasks/tokenAccounts.ts
+++ b/packages/gateway/src/tasks/tokenAccounts.ts
@@ -37,7 +37,9 @@
   readonly noteShortage: (account: string) => void
   /** True when this instance draws an account's tokens in advance and hands them to others. */
   readonly isHolder: (account: string) => boolean
-  /** Asks the account's holders for tokens; resolves with what they handed over. */
+  /** True when this instance draws what callers wait for, its own and those of other instances. */
+  readonly isLead: (account: string) => boolean
+  /** Asks the account's leads for tokens, or other holders while the store is lost; resolves with what they handed over. */
   readonly askHolders: (account: string, tokens: number, storeIsLost: boolean) => Promise<number>
   /** True while other calls find that the store does not answer. */
   readonly storeIsLost: () => boolean
@@ -65,16 +67,14 @@
   balanceVersion: number
   returnRequested: boolean
   askingPeers: boolean
-  /** True while the account's holders don't answer, so that this instance draws for itself. */
-  drawsItself: boolean
+  /** Times in a row that the account's leads gave nothing. */
+  fruitlessAsks: number
   /** Reading of the steady clock until which nothing is drawn in advance. */
   heldBackUntil: number
   /** Reading of the steady clock until which requests that don't fit are refused at once. */
   shortUntil: number
   /** Draws in a row that found too few tokens. */
   shortages: number
-  /** Transactions in a row that another instance's change of the balance stopped. */
-  conflicts: number
   /** Reading of the steady clock before which the balance is not changed, after conflicts. */
   moveNotBefore: number
 }
@@ -90,5 +90,5 @@
 
 /** Creates the state of an account of which nothing is known. `trafficSince` is when the first request of any account came. */
 export function createAccountState (name: string, trafficSince: () => number): AccountState {
-  return { name, prepaid: undefined, book: createTokenBook(trafficSince), waiting: [], granted: 0, balanceVersion: 0, returnRequested: false, askingPeers: false, drawsItself: false, heldBackUntil: 0, shortUntil: 0, shortages: 0, conflicts: 0, moveNotBefore: 0 }
+  return { name, prepaid: undefined, book: createTokenBook(trafficSince), waiting: [], granted: 0, balanceVersion: 0, returnRequested: false, askingPeers: false, fruitlessAsks: 0, heldBackUntil: 0, shortUntil: 0, shortages: 0, moveNotBefore: 0 }
 }
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -5,7 +5,7 @@
 import type { ReservationOutcome } from '../decisions/requestPlan.js'
 import type { StoredRow } from '../ports.js'
 import {
-  BALANCES_AT_STOP, CLOSE_CHECK, CONFLICT_CHECK, FAILURE_PAUSE, KEPT_FROM_PEERS, LARGEST_LEFTOVER, LONGEST_HAND_OVER, LONGEST_WAIT, LONGEST_WAIT_WITHOUT_STORE, RENEWAL_AGE, RETURN_HOLD, REVIEW_INTERVAL, SEAL_TIME, SHORTAGE_PAUSE, TRANSACTIONS_AT_STOP, TRANSACTIONS_IN_A_ROW, TRANSACTION_TIME, TRANSACTION_TIME_AFTER_FAILURE
+  BALANCES_AT_STOP, CLOSE_CHECK, CONFLICT_CHECK, FAILURE_PAUSE, FRUITLESS_ASKS, KEPT_FROM_PEERS, LARGEST_LEFTOVER, LONGEST_HAND_OVER, LONGEST_WAIT, LONGEST_WAIT_WITHOUT_STORE, RENEWAL_AGE, RETURN_HOLD, REVIEW_INTERVAL, SEAL_TIME, SHORTAGE_PAUSE, TRANSACTIONS_AT_STOP, TRANSACTIONS_IN_A_ROW, TRANSACTION_TIME, TRANSACTION_TIME_AFTER_FAILURE
 } from './tokenTiming.js'
 import { openBalanceTable } from './balanceTable.js'
 import { createAccountState, type AccountState, type Composed, type TokenTask, type TokenTaskOptions } from './tokenAccounts.js'
@@ -65,7 +65,7 @@
   }
 
   function grantInput (state: AccountState, now: number): GrantInput {
-    return { free: state.book.free, needed: drawable(state), rate: state.book.rate(now), ungranted: ungranted(state), instances: options.instances() }
+    return { free: state.book.free, needed: drawsFor(state) ? drawable(state) : 0, rate: state.book.rate(now), ungranted: ungranted(state), instances: options.instances() }
   }
 
   /** Moves that could be made, in the order in which they should be. */
@@ -81,7 +81,7 @@
 
   /** An instance that is no holder draws only when the holders don't answer, and returns what piles up. */
   function moveOfOther (state: AccountState): number {
-    const lacking = state.drawsItself ? drawable(state) : 0
+    const lacking = drawsFor(state) ? drawable(state) : 0
     if (lacking > 0) return lacking
     return state.waiting.length === 0 && state.book.free > LARGEST_LEFTOVER ? -Math.floor(state.book.free) : 0
   }
@@ -123,6 +123,7 @@
       const state = stateOf(name)
       if (move > 0) {
         state.book.receive(move)
+        state.fruitlessAsks = 0
         state.shortages = 0
       }
       state.granted += move
@@ -183,6 +184,7 @@
     if (abandoned) return 'failed'
     const composed = compose(mostBalances)
     const balances = new Map([...composed.moves.keys()].map((name) => [name, stateOf(name)]))
+    const began = steadyNow()
     const outcome = await table.transact(composed, leaseVersion, balances, steadyNow() + (failedAt === 0 ? TRANSACTION_TIME : TRANSACTION_TIME_AFTER_FAILURE))
     switch (outcome.kind) {
       case 'applied':
@@ -194,7 +196,6 @@
         for (const name of composed.moves.keys()) {
           const state = stateOf(name)
           state.balanceVersion = outcome.version
-          state.conflicts = 0
           state.moveNotBefore = 0
         }
         enter(composed)
@@ -206,7 +207,7 @@
         restore(composed)
         learnLease(table.leaseIn(outcome.rows), outcome.storeTime)
         learnBalances(composed.moves.keys(), outcome.rows)
-        for (const name of composed.moves.keys()) noteConflict(stateOf(name))
+        for (const name of composed.moves.keys()) noteConflict(stateOf(name), steadyNow() - began)
         return 'again'
       case 'refused':
         restore(composed)
@@ -219,9 +220,8 @@
     }
   }
 
-  function noteConflict (state: AccountState): void {
-    state.conflicts++
-    state.moveNotBefore = retryMoveAt(state.conflicts, state.waiting.length > 0, steadyNow(), Math.random())
+  function noteConflict (state: AccountState, took: number): void {
+    state.moveNotBefore = retryMoveAt(state.waiting.length > 0, took, steadyNow(), Math.random())
   }
 
   function noteFailure (reason: string): void {
@@ -247,7 +247,7 @@
   }
 
   function drawsFor (state: AccountState): boolean {
-    return state.drawsItself || options.isHolder(state.name)
+    return state.fruitlessAsks >= FRUITLESS_ASKS || options.isLead(state.name)
   }
 
   async function work (): Promise<void> {
@@ -326,13 +326,12 @@
   }
 
   /** Gets tokens from other instances: from the account's holders, or from any peer while the store can't be reached. */
-  function askOthers (state: AccountState, tokens: number): void {
-    if (state.askingPeers) return
+  function askOthers (state: AccountState, tokens: number, ask = options.isHolder(state.name) ? options.askPeers : askHolders): void {
+    if (state.askingPeers || tokens <= 0) return
     state.askingPeers = true
-    const asked = options.isHolder(state.name) ? options.askPeers(state.name, tokens) : options.askHolders(state.name, tokens, isStoreLost())
-    asked.then((received) => {
+    ask(state.name, tokens).then((received) => {
       if (received > 0) state.book.receiveTransfer(received)
-      state.drawsItself = received === 0 && !options.isHolder(state.name)
+      state.fruitlessAsks = received === 0 ? state.fruitlessAsks + 1 : 0
       serveAllWaiting()
     }).catch((error: unknown) => log.warning('peersNotAsked', { account: state.name, reason: String(error) }))
       .finally(() => {
@@ -341,10 +340,14 @@
       })
   }
 
+  async function askHolders (account: string, tokens: number): Promise<number> {
+    return await options.askHolders(account, tokens, isStoreLost())
+  }
+
   /** Gets tokens for waiting requests. */
   function getTokens (state: AccountState): void {
     if (drawsFor(state)) start()
-    if (!drawsFor(state) && needed(state) > 0) askOthers(state, needed(state))
+    else askOthers(state, Math.ceil(waitingTokens(state) - Math.max(0, state.book.usable(unsealedTime()))), askHolders)
   }
 
   /** Hands what is free to a peer; it leaves the books first, so that a lost message loses tokens and never doubles them. */
@@ -417,7 +420,7 @@
     handOver: async (name, tokens) => {
       const state = accounts.get(name)
       if (state === undefined || state.prepaid === undefined) return 0
-      if (options.isHolder(name) && !isStoreLost()) {
+      if (options.isLead(name) && !isStoreLost()) {
         const outcome = await reserveHere(state, tokens, steadyNow() + LONGEST_HAND_OVER)
         if (outcome.kind !== 'reserved') return 0
         // Counts as this holder's use, so that its grant follows what others ask for.
--- a/packages/gateway/src/tasks/tokenTiming.ts
+++ b/packages/gateway/src/tasks/tokenTiming.ts
@@ -6,6 +6,8 @@
 export const TRANSACTIONS_AT_STOP = 120
 /** Balances that one transaction changes at the stop, where time counts more than conflicts. */
 export const BALANCES_AT_STOP = 4
+/** Times in a row that leads give nothing before an instance draws itself; they answer twice while a caller waits. */
+export const FRUITLESS_ASKS = 2
 /** Pause before a needed draw is looked at again, milliseconds, a part of its shortest pause after conflicts. */
 export const CONFLICT_CHECK = 5
 /** The same after one without an answer, milliseconds, so that the end of an outage is noticed soon. */
@@ -33,7 +35,7 @@
 /** Free tokens beyond which an instance that is no holder returns them, about four long requests. */
 export const LARGEST_LEFTOVER = 40_000
 /** Longest time that a holder lets a peer wait for tokens, milliseconds. */
-export const LONGEST_HAND_OVER = 150
+export const LONGEST_HAND_OVER = 200
 /** Time of its own use that an instance keeps when a peer asks for tokens, milliseconds. */
 export const KEPT_FROM_PEERS = 2000
 /** Interval at which the end of a transaction is awaited at the stop, milliseconds. */
