Split the lease's exchange with the store out of the token task

Cause: tokenTask.ts (458 lines) did two jobs: it kept the lease and its seal in the store, and decided when to draw, ask and refuse. Change: leaseExchange.ts holds the first, word for word but for the moves, which it is given. No behaviour changes.

--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -1,31 +1,20 @@
 import { steadyNow } from '../clock.js'
-import { orderMoves, retryMoveAt, type BalanceMove } from '../decisions/balanceMoves.js'
-import { grantMove, openingRate, openTokens, targetGrant, type GrantInput } from '../decisions/grantSizing.js'
-import { decodeLeaseRow, reclaimable, sinceSeal, type LeaseRow } from '../decisions/leaseRow.js'
+import { orderMoves, type BalanceMove } from '../decisions/balanceMoves.js'
+import { grantMove, openTokens, targetGrant, type GrantInput } from '../decisions/grantSizing.js'
 import type { ReservationOutcome } from '../decisions/requestPlan.js'
-import type { StoredRow } from '../ports.js'
 import {
-  BALANCES_AT_STOP, CLOSE_CHECK, CONFLICT_CHECK, FAILURE_PAUSE, FRUITLESS_ASKS, KEPT_FROM_PEERS, LARGEST_LEFTOVER, LONGEST_HAND_OVER, LONGEST_WAIT, LONGEST_WAIT_WITHOUT_STORE, RENEWAL_AGE, RETURN_HOLD, REVIEW_INTERVAL, SEAL_TIME, SHORTAGE_PAUSE, TRANSACTIONS_AT_STOP, TRANSACTIONS_IN_A_ROW, TRANSACTION_TIME, TRANSACTION_TIME_AFTER_FAILURE
+  BALANCES_AT_STOP, CLOSE_CHECK, CONFLICT_CHECK, FAILURE_PAUSE, FRUITLESS_ASKS, KEPT_FROM_PEERS, LARGEST_LEFTOVER, LONGEST_HAND_OVER, LONGEST_WAIT, LONGEST_WAIT_WITHOUT_STORE, RENEWAL_AGE, REVIEW_INTERVAL, SHORTAGE_PAUSE, TRANSACTIONS_AT_STOP, TRANSACTIONS_IN_A_ROW, TRANSACTION_TIME
 } from './tokenTiming.js'
 import { openBalanceTable } from './balanceTable.js'
-import { createAccountState, type AccountState, type Composed, type TokenTask, type TokenTaskOptions } from './tokenAccounts.js'
+import { createLeaseExchange, type RenewalResult } from './leaseExchange.js'
+import { createAccountState, type AccountState, type TokenTask, type TokenTaskOptions } from './tokenAccounts.js'
 import { drawable, needed, refuseWaiting, returnAt, serveWaiting, ungranted, waitingTokens } from './waitingRequests.js'
 
 /** Starts the task. */
 export function startTokenTask (options: TokenTaskOptions): TokenTask {
   const { store, log } = options
   const accounts = new Map<string, AccountState>()
-  const table = openBalanceTable(store, options.instanceId, options.spansParts)
-  let leaseVersion = 0
-  let sequence = 0
-  /** Lease row of this instance's process before this one, until it is taken over. */
-  let predecessor: { readonly row: LeaseRow, readonly storeTime: number } | undefined
-  /** Transactions without an answer. They expect the same lease version, so at most one of them can take effect. */
-  let open: Composed[] = []
-  let storeClock: { readonly time: number, readonly at: number } | undefined
-  let sealedUntil = 0
-  let renewedAt = 0
-  let failedAt = 0
+  const lease = createLeaseExchange({ table: openBalanceTable(store, options.instanceId, options.spansParts), log, lifetimeId: options.lifetimeId, accounts, stateOf })
   let running = false
   let rerun = false
   let closed = false
@@ -40,19 +29,6 @@
     return created
   }
 
-  /** Store time, or earlier: answers take time to arrive, and a suspended process does not count it. */
-  function storeTime (): number {
-    return storeClock === undefined ? 0 : storeClock.time + steadyNow() - storeClock.at
-  }
-
-  function unsealedTime (): number {
-    return sinceSeal(sealedUntil, storeTime())
-  }
-
-  function hearStore (time: number): void {
-    if (storeClock === undefined || time > storeTime()) storeClock = { time, at: steadyNow() }
-  }
-
   function moveOf (state: AccountState): number {
     const now = steadyNow()
     if (state.prepaid === undefined) return 0
@@ -86,157 +62,19 @@
     return state.waiting.length === 0 && state.book.free > LARGEST_LEFTOVER ? -Math.floor(state.book.free) : 0
   }
 
-  /** While renewals fail the seal is not extended, as each attempt may still take effect and the open part would not last. */
-  function nextSeal (): number {
-    return failedAt === 0 ? storeTime() + SEAL_TIME : sealedUntil
-  }
-
-  /** Composes the next transaction; what it returns or limits is taken from the books at once. */
-  function compose (mostBalances: number): Composed {
-    const reclaimed = predecessor === undefined ? new Map<string, number>() : reclaimable(predecessor.row, predecessor.storeTime)
-    for (const name of reclaimed.keys()) stateOf(name)
-    const rows: LeaseRow['accounts'] = {}
-    const now = steadyNow()
-    const moves = new Map(dueMoves(now).slice(0, mostBalances).map((move) => [move.account, move.tokens]))
-    for (const state of accounts.values()) {
-      const move = moves.get(state.name) ?? 0
-      // A return leaves the book before the store can know of it, so that its tokens are never in two places.
-      if (move < 0) state.book.remove(-move)
-      const added = Math.max(0, move) + (reclaimed.get(state.name) ?? 0)
-      const spendable = Math.max(0, state.book.free + added)
-      const open = Math.max(openTokens(state.book.rate(now), spendable, state.prepaid ?? 0) + waitingTokens(state), failedAt === 0 ? 0 : state.book.limit - state.book.committed)
-      const limit = state.book.committed + Math.min(spendable, open)
-      // After a failure limit and opening stay, as they apply to all the time since the seal.
-      const opening = failedAt === 0 ? openingRate(state.book.rate(now), state.book.committed + spendable - limit) : state.book.opening
-      state.book.proposeLimit(limit, opening)
-      if (state.book.held + added !== 0) rows[state.name] = { held: state.book.held + added, limit, opening }
-    }
-    sequence++
-    const row: LeaseRow = { lifetime: options.lifetimeId, sequence, sealedUntil: nextSeal(), accounts: rows }
-    sealedUntil = Math.max(sealedUntil, row.sealedUntil)
-    return { row, moves, reclaimed }
-  }
-
-  /** Enters a transaction that took effect into the books. */
-  function enter (composed: Composed): void {
-    for (const [name, move] of composed.moves) {
-      const state = stateOf(name)
-      if (move > 0) {
-        state.book.receive(move)
-        state.fruitlessAsks = 0
-        state.shortages = 0
-      }
-      state.granted += move
-      if (move < 0 && state.returnRequested) {
-        state.returnRequested = false
-        state.heldBackUntil = steadyNow() + RETURN_HOLD
-      }
-      log.decision('tokensMoved', { account: name, tokens: move, granted: state.granted, prepaid: state.prepaid, free: state.book.free, sequence: composed.row.sequence })
-    }
-    for (const [name, tokens] of composed.reclaimed) {
-      stateOf(name).book.receive(tokens)
-      log.event('tokensReclaimed', { account: name, tokens, ...predecessor?.row.accounts[name], from: predecessor?.row.lifetime, sealedUntil: predecessor?.row.sealedUntil, storeTime: predecessor?.storeTime })
-    }
-    for (const [name, { limit, opening }] of Object.entries(composed.row.accounts)) stateOf(name).book.confirmLimit(limit, opening)
-    predecessor = undefined
-  }
-
-  /** Puts back what a transaction that had no effect and can't have any more was to return. */
-  function restore (composed: Composed): void {
-    for (const [name, move] of composed.moves) if (move < 0) stateOf(name).book.receive(-move)
-  }
-
-  function learnLease (row: StoredRow | undefined, time: number): void {
-    leaseVersion = row === undefined || row.deleted ? 0 : row.version
-    const lease = row === undefined || leaseVersion === 0 ? undefined : readLease(row)
-    // A write of the dead process may take effect after its row was read; the newer row counts, as it may have returned tokens.
-    if (lease !== undefined && lease.lifetime !== options.lifetimeId) predecessor = { row: lease, storeTime: time }
-    const earlier = open
-    open = []
-    for (const composed of earlier) {
-      const tookEffect = lease?.lifetime === options.lifetimeId && lease.sequence === composed.row.sequence
-      log.event('leaseWriteResolved', { sequence: composed.row.sequence, tookEffect })
-      if (tookEffect) enter(composed)
-      else restore(composed)
-    }
-  }
-
-  function readLease (row: StoredRow): LeaseRow | undefined {
-    try {
-      return decodeLeaseRow(row.value)
-    } catch (error) {
-      log.warning('leaseUnreadable', { rowVersion: row.version, reason: String(error).slice(0, 200) })
-      return undefined
-    }
-  }
-
-  function learnBalances (names: Iterable<string>, rows: readonly StoredRow[]): void {
-    for (const name of names) {
-      const row = table.balanceIn(rows, name)
-      const state = stateOf(name)
-      state.balanceVersion = row === undefined || row.deleted ? 0 : row.version
-      state.granted = row === undefined || row.deleted || row.version === 0 ? 0 : Number(row.value)
-    }
-  }
-
   /** Renews the lease and changes up to `mostBalances` balances; tells whether another try makes sense at once. */
-  async function renew (mostBalances = 1): Promise<'done' | 'again' | 'failed'> {
-    if (abandoned) return 'failed'
-    const composed = compose(mostBalances)
-    const balances = new Map([...composed.moves.keys()].map((name) => [name, stateOf(name)]))
-    const began = steadyNow()
-    const outcome = await table.transact(composed, leaseVersion, balances, steadyNow() + (failedAt === 0 ? TRANSACTION_TIME : TRANSACTION_TIME_AFTER_FAILURE))
-    switch (outcome.kind) {
-      case 'applied':
-        hearStore(outcome.storeTime)
-        // None of the open ones took effect, as this one found the lease at the version that they expected too.
-        for (const earlier of open) restore(earlier)
-        open = []
-        leaseVersion = outcome.version
-        for (const name of composed.moves.keys()) {
-          const state = stateOf(name)
-          state.balanceVersion = outcome.version
-          state.moveNotBefore = 0
-        }
-        enter(composed)
-        renewedAt = steadyNow()
-        failedAt = 0
-        return 'done'
-      case 'conflict':
-        hearStore(outcome.storeTime)
-        restore(composed)
-        learnLease(table.leaseIn(outcome.rows), outcome.storeTime)
-        learnBalances(composed.moves.keys(), outcome.rows)
-        for (const name of composed.moves.keys()) noteConflict(stateOf(name), steadyNow() - began)
-        return 'again'
-      case 'refused':
-        restore(composed)
-        noteFailure(outcome.reason)
-        return 'failed'
-      case 'unknown':
-        open.push(composed)
-        noteFailure(outcome.reason)
-        return 'failed'
-    }
-  }
-
-  function noteConflict (state: AccountState, took: number): void {
-    state.moveNotBefore = retryMoveAt(state.waiting.length > 0, took, steadyNow(), Math.random())
-  }
-
-  function noteFailure (reason: string): void {
-    if (failedAt === 0) log.event('leaseNotRenewed', { reason, renewedAt, sealedUntil, storeTime: storeTime() })
-    failedAt = steadyNow()
+  async function renew (mostBalances = 1): Promise<RenewalResult> {
+    return abandoned ? 'failed' : await lease.renew(dueMoves(steadyNow()).slice(0, mostBalances))
   }
 
   function serveAllWaiting (): void {
     const now = steadyNow()
-    const sinceEnd = unsealedTime()
+    const sinceEnd = lease.unsealedTime()
     for (const state of accounts.values()) serveWaiting(state, sinceEnd, isStoreLost(), now)
   }
 
   function isWorkDue (): boolean {
-    const isRenewalDue = steadyNow() - renewedAt >= RENEWAL_AGE
+    const isRenewalDue = steadyNow() - lease.renewedAt >= RENEWAL_AGE
     for (const state of accounts.values()) {
       if (isRenewalDue && state.book.held > state.book.committed) return true
       if (state.waiting.length > 0 && drawsFor(state)) return true
@@ -266,7 +104,7 @@
     if (short.length === 0) return
     for (const state of short) if (needed(state) > ungranted(state)) options.noteShortage(state.name)
     await pause(SHORTAGE_PAUSE)
-    await readBalances(short.map((state) => state.name))
+    await lease.readBalances(short.map((state) => state.name))
     if (await renew() === 'again') await renew()
     serveAllWaiting()
     for (const state of short) if (needed(state) > ungranted(state)) refuseShort(state)
@@ -282,18 +120,6 @@
     refuseWaiting(state, steadyNow())
   }
 
-  /** Reads balances, as other instances may have returned tokens. */
-  async function readBalances (names: readonly string[]): Promise<void> {
-    for (const name of names) {
-      const outcome = await table.readBalance(name, steadyNow() + TRANSACTION_TIME)
-      if (outcome.kind !== 'rows') {
-        log.decision('balanceNotRead', { account: name, outcome: outcome.kind })
-        return
-      }
-      learnBalances([name], outcome.rows)
-    }
-  }
-
   function pause (milliseconds: number): Promise<void> {
     return new Promise((resolve) => setTimeout(resolve, milliseconds))
   }
@@ -322,7 +148,7 @@
   }, REVIEW_INTERVAL)
 
   function isStoreLost (): boolean {
-    return failedAt > 0 || options.storeIsLost()
+    return lease.isFailing || options.storeIsLost()
   }
 
   /** Gets tokens from other instances: from the account's holders, or from any peer while the store can't be reached. */
@@ -347,32 +173,21 @@
   /** Gets tokens for waiting requests. */
   function getTokens (state: AccountState): void {
     if (drawsFor(state)) start()
-    else askOthers(state, Math.ceil(waitingTokens(state) - Math.max(0, state.book.usable(unsealedTime()))), askHolders)
+    else askOthers(state, Math.ceil(waitingTokens(state) - Math.max(0, state.book.usable(lease.unsealedTime()))), askHolders)
   }
 
   /** Hands what is free to a peer; it leaves the books first, so that a lost message loses tokens and never doubles them. */
   async function giveRest (): Promise<void> {
     const rest = new Map<string, number>()
     for (const state of accounts.values()) {
-      const tokens = Math.floor(state.book.usable(unsealedTime()))
-      if (tokens <= 0 || !state.book.reserve(tokens, unsealedTime())) continue
+      const tokens = Math.floor(state.book.usable(lease.unsealedTime()))
+      if (tokens <= 0 || !state.book.reserve(tokens, lease.unsealedTime())) continue
       state.book.settleTransfer(tokens)
       rest.set(state.name, tokens)
     }
     if (rest.size > 0) await options.giveToPeer(rest)
   }
 
-  /** Learns what the process before this one left, as early as possible: its seal ends soon. */
-  async function readLeaseOfPredecessor (): Promise<void> {
-    const outcome = await table.readLease(steadyNow() + TRANSACTION_TIME)
-    const row = outcome.kind === 'rows' ? table.leaseIn(outcome.rows) : undefined
-    if (outcome.kind !== 'rows' || row === undefined || leaseVersion !== 0) return
-    hearStore(outcome.storeTime)
-    learnLease(row, outcome.storeTime)
-  }
-
-  readLeaseOfPredecessor().catch((error: unknown) => log.warning('leaseNotRead', { reason: String(error) }))
-
   function reserve (name: string, tokens: number, deadline: number): Promise<ReservationOutcome> {
     const state = stateOf(name)
     trafficSince ??= steadyNow()
@@ -381,12 +196,12 @@
   }
 
   function reserveHere (state: AccountState, tokens: number, deadline: number): Promise<ReservationOutcome> {
-    if (state.waiting.length === 0 && state.book.reserve(tokens, unsealedTime())) return Promise.resolve({ kind: 'reserved' })
+    if (state.waiting.length === 0 && state.book.reserve(tokens, lease.unsealedTime())) return Promise.resolve({ kind: 'reserved' })
     if (tokens > (state.prepaid ?? 0)) return Promise.resolve({ kind: 'exhausted' })
     if (steadyNow() < state.shortUntil) return Promise.resolve({ kind: 'unavailable', retryAt: returnAt(state, steadyNow()) })
     return new Promise((resolve) => {
       state.waiting.push({ tokens, deadline: Math.min(deadline, steadyNow() + LONGEST_WAIT), resolve })
-      if (isStoreLost()) askOthers(state, Math.ceil(waitingTokens(state) - Math.max(0, state.book.usable(unsealedTime()))))
+      if (isStoreLost()) askOthers(state, Math.ceil(waitingTokens(state) - Math.max(0, state.book.usable(lease.unsealedTime()))))
       else getTokens(state)
       setTimeout(serveAllWaiting, LONGEST_WAIT_WITHOUT_STORE)
     })
@@ -430,8 +245,8 @@
       if (state.waiting.length > 0) return 0
       // A holder holds for others too; another instance keeps what its own callers need soon.
       const kept = options.isHolder(name) ? 0 : Math.max(state.book.rate(steadyNow()) * KEPT_FROM_PEERS, state.book.free / 2)
-      const given = Math.floor(Math.min(tokens, state.book.free - kept, state.book.usable(unsealedTime())))
-      if (given <= 0 || !state.book.reserve(given, unsealedTime())) return 0
+      const given = Math.floor(Math.min(tokens, state.book.free - kept, state.book.usable(lease.unsealedTime())))
+      if (given <= 0 || !state.book.reserve(given, lease.unsealedTime())) return 0
       state.book.settleTransfer(given)
       return given
     },
