Keep the platform's names out of the soak and of the gateway's tests

Cause: soakRun.ts named headers, fields and rows of the platform, and sent requests with a second copy of the fixtures' caller. Change: one caller, the decoding of received requests and the samples stand in the platform's fixtures; the soak uses them in our words. Two tests of the gateway named the platform's table without need.

--- a/packages/gateway/src/__tests__/decisionLog.test.ts
+++ b/packages/gateway/src/__tests__/decisionLog.test.ts
@@ -9,7 +9,7 @@
     const lines: string[] = []
     const log = createDecisionLog({ instanceId: 'edge-1', level: 'info', write: (line) => { lines.push(line) } })
     for (let request = 0; request < 5000; request++) log.decision('requestServed', { request: `r-${request}` })
-    log.event('storeLost', { table: 'op' })
+    log.event('storeLost', { table: 'configuration' })
     expect(lines.length).toBeLessThanOrEqual(41)
     jest.advanceTimersByTime(2100)
     const dropped = lines.map((line) => JSON.parse(line)).find((line) => line.event === 'linesDropped')
--- a/packages/gateway/src/__tests__/tableFollower.test.ts
+++ b/packages/gateway/src/__tests__/tableFollower.test.ts
@@ -4,7 +4,7 @@
 import { followTable, type TableFollower } from '../tasks/tableFollower.js'
 
 function createRow (version: number): StoredRow {
-  return { table: 'op', part: '', key: 'config', value: String(version), version, deleted: false }
+  return { table: 'configuration', part: '', key: 'newest', value: String(version), version, deleted: false }
 }
 
 function createAnswer (...versions: readonly number[]): ReadOutcome {
@@ -36,7 +36,7 @@
 function startFollower (store: RowStore, isSmall = true): void {
   seen = []
   const take = (rows: readonly StoredRow[]): void => { seen.push(...rows.map((row) => row.value)) }
-  follower = followTable({ store, log: createKeptLog(), table: 'op', waitMilliseconds: 1500, pauseMilliseconds: 0, isSmall, onAll: take, onChanges: take })
+  follower = followTable({ store, log: createKeptLog(), table: 'configuration', waitMilliseconds: 1500, pauseMilliseconds: 0, isSmall, onAll: take, onChanges: take })
 }
 
 beforeEach(() => { jest.useFakeTimers() })
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -1,5 +1,5 @@
-import { signedHeaders, startBackendStandIn, startGatewayProcess, startStoreStandIn, wireBackend, wireConfiguration, type BackendStandIn, type GatewayProcess, type StoreStandIn } from '@quinceshunt/platform-adapter/fixtures'
-import { Agent, request } from 'node:http'
+import { call, CALLER_TIME, signedHeaders, startBackendStandIn, startGatewayProcess, startStoreStandIn, versionedConfiguration, wireBackendOfSize, type BackendStandIn, type GatewayProcess, type StoreStandIn } from '@quinceshunt/platform-adapter/fixtures'
+import { Agent } from 'node:http'
 import { BACKENDS, GATEWAYS, SOAK_LENGTH, type PlannedFault } from './faultPlan.js'
 import { startFaultyLink, type FaultyLink } from './faultyLink.js'
 import { checkPromises, wholeBody, type BackendRun, type BrokenPromise, type CallerRecord, type RequestKind } from './promises.js'
@@ -8,11 +8,13 @@
 const REQUEST_INTERVAL = 12
 const KINDS: readonly RequestKind[] = ['stream', 'once', 'repeatable', 'stream', 'stream', 'repeatable', 'once', 'stream']
 const PATHS: Readonly<Record<RequestKind, string>> = { stream: '/chat/', once: '/deposit/', repeatable: '/status/' }
-/** Time that a caller waits, milliseconds; all answers are in after it. */
-const CALLER_TIME = 3000
 /** Work of a request that is no stream, milliseconds. */
 const WORK_TIME = 40
 const EVENTS = 10
+/** Requests that a backend server takes at once, so many that none is refused for it. */
+const REQUESTS_AT_ONCE = 64
+/** Time beyond the one that it names after which a caller closes its connection, milliseconds. */
+const GIVE_UP_MARGIN = 500
 const EVENT_INTERVAL = 15
 const PROMPT_TOKENS = 100
 const TOKENS_PER_EVENT = 5
@@ -38,18 +40,9 @@
 
 const pause = async (milliseconds: number): Promise<void> => { await new Promise((resolve) => setTimeout(resolve, milliseconds)) }
 
-/** Configuration of a version; each version adds a route of its own. */
-function configurationOf (version: number): Record<string, unknown> {
-  const base = wireConfiguration(version)
-  const added = Array.from({ length: version }, (_, index) => ({ name: `v${index + 1}`, host: 'desk.example', path_prefix: `/v${index + 1}/`, route_type: 'idempotent', timeout_ms: 800, slo_ms: 300, service: 'ledger', max_attempts: 2 }))
-  // Two sends are allowed on each route, so that only the gateway's own care keeps what may run once from running twice.
-  const routes = (base['routes'] as object[]).map((route) => ({ ...route, max_attempts: 2 }))
-  return { ...base, routes: [...routes, ...added], tenants: [{ name: 'school', api_keys: ['good-key'], priority: 1, prepaid: PREPAID_TOKENS }] }
-}
-
 function startBackendAnswers (backend: BackendStandIn, index: number, runs: BackendRun[]): void {
   backend.answer = (received, response) => {
-    const attempt = String(received.headers['quinceshunt-attempt-id'])
+    const attempt = received.attemptId
     runs.push({ attempt, at: Date.now(), backend: index })
     if (!received.url.startsWith('/chat/')) {
       setTimeout(() => {
@@ -58,7 +51,7 @@
       }, WORK_TIME)
       return
     }
-    let event = Number(received.headers['last-event-id'] ?? 0)
+    let event = received.resumedAfter
     response.writeHead(200, { ...signedHeaders(received), 'content-type': 'text/event-stream' })
     const timer = setInterval(() => {
       event++
@@ -71,29 +64,17 @@
   }
 }
 
-/** Sends one request as a caller that keeps its connections does. */
+/** Sends one request as a caller that keeps its connections does, and notes what it saw. */
 async function callOnce (agent: Agent, address: string, record: CallerRecord): Promise<void> {
-  const [host = '', port = ''] = address.split(':')
   const path = record.configurationPath === undefined ? PATHS[record.kind] : `/v${record.configurationPath}/`
-  const prompt = record.kind === 'stream' ? { 'quinceshunt-model': 'm', 'quinceshunt-token-usage': `${PROMPT_TOKENS},${EVENTS * TOKENS_PER_EVENT}`, 'quinceshunt-prefix-hash': 'aa:60,bb:40' } : {}
-  await new Promise<void>((resolve) => {
-    const outgoing = request({ host, port: Number(port), path, agent, method: record.kind === 'once' ? 'POST' : 'GET', headers: { host: 'desk.example', authorization: 'Token good-key', 'quinceshunt-attempt-id': record.attempt, 'quinceshunt-deadline-ms': String(CALLER_TIME), ...prompt } })
-    const timer = setTimeout(() => outgoing.destroy(), CALLER_TIME + 500)
-    const finish = (): void => {
-      clearTimeout(timer)
-      record.answeredAt = Date.now()
-      resolve()
-    }
-    outgoing.on('error', finish)
-    outgoing.on('response', (incoming) => {
-      record.status = incoming.statusCode ?? 0
-      incoming.on('data', (chunk: Buffer) => { record.body += chunk.toString() })
-      incoming.on('end', () => { record.complete = incoming.complete })
-      incoming.on('error', () => {})
-      incoming.on('close', finish)
-    })
-    outgoing.end()
-  })
+  const prompt = record.kind === 'stream' ? { prompt: { promptTokens: PROMPT_TOKENS, outputTokens: EVENTS * TOKENS_PER_EVENT } } : {}
+  try {
+    const { status, body, complete } = await call(address, path, { agent, method: record.kind === 'once' ? 'POST' : 'GET', attemptId: record.attempt, givesUpAfter: CALLER_TIME + GIVE_UP_MARGIN, ...prompt })
+    Object.assign(record, { status, body, complete })
+  } catch {
+    // The record keeps status 0, which says that there was no head of an answer; the checks treat it as unknown.
+  }
+  record.answeredAt = Date.now()
 }
 
 /** Plays a plan of faults against real processes and checks the promises. */
@@ -107,10 +88,10 @@
   const backendLinks = await Promise.all(backends.map(async ({ address }) => await startFaultyLink(address)))
   const storeLinks = await Promise.all(Array.from({ length: GATEWAYS }, async () => await startFaultyLink(store.address)))
   let version = 1
-  store.put('op', 'config', configurationOf(version))
+  store.putConfiguration(versionedConfiguration(version, PREPAID_TOKENS))
   for (const [index, backend] of backends.entries()) {
     startBackendAnswers(backend, index, runs)
-    store.put('servers', `backend${index}`, wireBackend(index % 2 === 0 ? 'model' : 'ledger', backendLinks[index]?.address ?? '', { slots: 64 }))
+    store.putBackend(`backend${index}`, wireBackendOfSize(index % 2 === 0 ? 'model' : 'ledger', backendLinks[index]?.address ?? '', REQUESTS_AT_ONCE))
   }
 
   async function startGateway (index: number, kept: Record<string, unknown>): Promise<GatewayProcess> {
@@ -192,7 +173,7 @@
         return
       case 'configuration':
         version++
-        store.put('op', 'config', configurationOf(version))
+        store.putConfiguration(versionedConfiguration(version, PREPAID_TOKENS))
         return
       case 'powerLoss':
         await Promise.all(gateways.map(async (_, index) => await kill(index, fault.downFor)))
