Bound what a backend server in trouble may send, and end streams that stall with bytes

Change: responses without an id are not accepted on a reused connection; responses that are buffered share 12 MiB, at most 4 MiB each; 16 interim responses; 256 KiB between two events; no more events than tokens. Only whole events are progress of a stream; one that can't be resumed is ended when its caller has abandoned it (PROTOCOL: two seconds, four latency targets or eight gap targets). The splitter searches only new bytes. A stopping process waits up to 1 s for the first request of a connection that it accepted.

--- a/packages/gateway/src/__tests__/decisions.test.ts
+++ b/packages/gateway/src/__tests__/decisions.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals'
-import fastCheck from 'fast-check'
+import fc from 'fast-check'
 import { chooseTarget, indexConfiguration } from '../decisions/configurationIndex.js'
 import { createTokenLedger } from '../decisions/tokenLedger.js'
 import { createCrashTracker } from '../decisions/crashTracker.js'
@@ -49,7 +49,7 @@
 
 describe('server-sent event streams', () => {
   test('only complete events are forwarded, and no byte is lost, for any chunking', () => {
-    fastCheck.assert(fastCheck.property(fastCheck.array(fastCheck.integer({ min: 1, max: 40 }), { minLength: 1, maxLength: 30 }), fastCheck.boolean(), (chunkSizes, usesCarriageReturns) => {
+    fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: 40 }), { minLength: 1, maxLength: 30 }), fc.boolean(), (chunkSizes, usesCarriageReturns) => {
       const end = usesCarriageReturns ? '\r\n' : '\n'
       const text = Array.from({ length: 12 }, (_, event) => `id: ${event}${end}data: x${event}${end}${end}`).join('')
       const splitter = createEventSplitter()
@@ -70,6 +70,33 @@
     }))
   })
 
+  // Guards against events that are lost or joined wrongly when a blank line falls between two chunks.
+  test('the events do not depend on how the stream is cut into chunks', () => {
+    const stream = Buffer.from('id: 1\ndata: a\n\n: comment\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\nid: 4')
+    fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 80, maxLength: 80 }), (sizes) => {
+      const splitter = createEventSplitter()
+      const forwarded: Buffer[] = []
+      let events = 0
+      for (let position = 0, index = 0; position < stream.length; index++) {
+        const size = sizes[index % sizes.length] ?? 1
+        const complete = splitter.push(stream.subarray(position, position + size))
+        forwarded.push(complete.bytes)
+        events += complete.events
+        position += size
+      }
+      expect(events).toBe(3)
+      expect(Buffer.concat(forwarded).toString()).toBe(stream.subarray(0, -5).toString())
+      expect(splitter.bufferedBytes).toBe(5)
+    }))
+  })
+
+  test('an event without end is given up, and its bytes are not kept', () => {
+    const splitter = createEventSplitter()
+    for (let index = 0; index < 1000; index++) splitter.push(Buffer.alloc(16_384, 'x'))
+    expect(splitter.isOverflowing).toBe(true)
+    expect(splitter.bufferedBytes).toBeLessThan(300_000)
+  })
+
   test('an incomplete event is buffered', () => {
     const splitter = createEventSplitter()
     expect(splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'))).toMatchObject({ events: 1, lastEventId: '1' })
@@ -171,7 +198,7 @@
 
 describe('failures that make all instances retry at once', () => {
   test('the fleet stays within ratio and slack in every window, for any fleet size', () => {
-    fastCheck.assert(fastCheck.property(fastCheck.integer({ min: 1, max: 20 }), fastCheck.integer({ min: 1, max: 40 }), (instances, requestsPerSecond) => {
+    fc.assert(fc.property(fc.integer({ min: 1, max: 20 }), fc.integer({ min: 1, max: 40 }), (instances, requestsPerSecond) => {
       const limits = { ratio: 0.2, slack: 58, windowMilliseconds: 10_000 }
       const shares = Array.from({ length: instances }, () => createRetryShares(limits, () => instances))
       const retries: number[] = []
--- a/packages/gateway/src/decisions/eventSplitter.ts
+++ b/packages/gateway/src/decisions/eventSplitter.ts
@@ -4,35 +4,64 @@
   push (chunk: Buffer): { readonly bytes: Buffer, readonly events: number, readonly lastEventId: string }
   /** Bytes of the incomplete last event. */
   readonly bufferedBytes: number
+  /** True once more bytes have come without an event than any event has; further bytes are not kept. */
+  readonly isOverflowing: boolean
 }
 
-const NEWLINE = 0x0a
-const CARRIAGE_RETURN = 0x0d
+/** Bytes between two events, such as comments or an event that does not end. */
+const MAX_BYTES_WITHOUT_EVENT = 262_144
+
+const BLANK_LINES = ['\n\n', '\n\r\n'] as const
+/** Bytes of a blank line that may lie in the chunk before. */
+const BLANK_LINE_OVERLAP = 2
 const ID_PATTERN = /^id: ?(.*?)\r?$/gm
 
 /** Creates a splitter with an empty buffer. */
 export function createEventSplitter (): EventSplitter {
-  let buffered: Buffer = Buffer.alloc(0)
+  let chunks: Buffer[] = []
+  let bufferedBytes = 0
+  let bytesWithoutEvent = 0
 
   /** Returns the index after the last blank line, or 0 when there is none. */
   function endOfEvents (bytes: Buffer): number {
-    for (let index = bytes.length - 1; index > 0; index--) {
-      if (bytes[index] !== NEWLINE) continue
-      const previous = bytes[index - 1] === CARRIAGE_RETURN ? index - 2 : index - 1
-      if (previous >= 0 && bytes[previous] === NEWLINE) return index + 1
-    }
-    return 0
+    return Math.max(...BLANK_LINES.map((blankLine) => {
+      const index = bytes.lastIndexOf(blankLine, undefined, 'latin1')
+      return index === -1 ? 0 : index + blankLine.length
+    }))
+  }
+
+  function keep (bytes: Buffer): void {
+    if (bytes.length === 0) return
+    chunks.push(bytes)
+    bufferedBytes += bytes.length
+  }
+
+  /** Last bytes before the current chunk. */
+  function overlap (): Buffer {
+    return Buffer.concat(chunks.slice(-BLANK_LINE_OVERLAP)).subarray(-BLANK_LINE_OVERLAP)
   }
 
   return {
     push: (chunk) => {
-      const bytes = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk])
-      const end = endOfEvents(bytes)
-      buffered = bytes.subarray(end)
-      const complete = bytes.subarray(0, end)
+      const none = { bytes: Buffer.alloc(0), events: 0, lastEventId: '' }
+      if (bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT) return none
+      bytesWithoutEvent += chunk.length
+      // Only the new bytes are searched, so that an event in many chunks costs no more than one in a single chunk.
+      const before = chunks.length === 0 ? none.bytes : overlap()
+      const end = endOfEvents(before.length === 0 ? chunk : Buffer.concat([before, chunk])) - before.length
+      if (end <= 0) {
+        keep(chunk)
+        return none
+      }
+      const complete = chunks.length === 0 ? chunk.subarray(0, end) : Buffer.concat([...chunks, chunk.subarray(0, end)])
+      chunks = []
+      bufferedBytes = 0
+      keep(chunk.subarray(end))
       const ids = [...complete.toString('latin1').matchAll(ID_PATTERN)]
+      if (ids.length > 0) bytesWithoutEvent = bufferedBytes
       return { bytes: complete, events: ids.length, lastEventId: ids.at(-1)?.[1] ?? '' }
     },
-    get bufferedBytes () { return buffered.length }
+    get bufferedBytes () { return bufferedBytes },
+    get isOverflowing () { return bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import { randomUUID } from 'node:crypto'
 import { readFileSync, watchFile } from 'node:fs'
 import { createServer, type Server } from 'node:http'
+import { createByteBudget } from './decisions/byteBudget.js'
 import { createCrashTracker } from './decisions/crashTracker.js'
 import { createRetryShares } from './decisions/retryShares.js'
 import type { FleetConfiguration } from './fleetConfiguration.js'
@@ -26,8 +27,13 @@
 /** Requests are abandoned and tokens returned this long before SIGKILL; callers have no claim to the last sixth of the stop time. */
 const TOKEN_RETURN_MARGIN_MS = 1000
 const STOP_CHECK_INTERVAL_MS = 50
+/** An accepted connection has this long, from the end of listening, to send its first request. */
+const FIRST_REQUEST_WAIT_MS = 1000
 /** The settings file is also polled, as it may change without a signal. */
 const SETTINGS_CHECK_INTERVAL_MS = 1500
+/** A twentieth of the memory of a small instance. */
+const RESPONSE_BUFFER_BYTES = 12_582_912
+
 /** Options of a gateway process. */
 export interface GatewayOptions {
   readonly settings: GatewaySettings
@@ -98,6 +104,7 @@
     retryShares: createRetryShares({ ratio: settings.retryRatio, slack: settings.retrySlack, windowMilliseconds: settings.retryWindowSeconds * 1000 }, () => fleet.instances),
     crashTracker,
     choices: new WeakMap(),
+    responseBuffer: createByteBudget(RESPONSE_BUFFER_BYTES),
     isStopping: () => stopping
   }
   const callers = createCallersListener(context)
@@ -183,7 +190,8 @@
     if (steadyNow() >= listenUntil) {
       callers.server.close()
       callers.server.closeIdleConnections()
-      if (callers.activeRequests === 0) return
+      const hasOpenConnections = callers.openConnections > 0 && steadyNow() < listenUntil + FIRST_REQUEST_WAIT_MS
+      if (callers.activeRequests === 0 && !hasOpenConnections) return
     }
     await pauseUntil(steadyNow() + STOP_CHECK_INTERVAL_MS)
   }
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -14,10 +14,15 @@
 const STALL_TIMEOUT_FACTOR = { plain: 0.9, stream: 1.6 } as const
 /** Multiple of the event gap target after which a stalled resumable stream is resumed at another backend server. */
 const EVENT_GAP_TIMEOUT_FACTOR = 2.5
+const STALL_CHECK_INTERVAL_MS = 50
 /** Lower bound of both timeouts. */
 const MIN_STALL_TIMEOUT_MS = 250
 /** Responses that are not streamed are buffered whole; larger ones fail. */
-const MAX_BUFFERED_RESPONSE_BYTES = 8_388_608
+const MAX_BUFFERED_RESPONSE_BYTES = 4_194_304
+/** Bytes that each response may buffer, also when others have taken all of the shared buffer. */
+const UNSHARED_RESPONSE_BYTES = 65_536
+/** Callers abandon a stream after a gap of the longest of these: a time, and multiples of the latency target and the event gap target. */
+const ABANDONED_STREAM = { milliseconds: 2000, latencyTargets: 4, eventGapTargets: 8 } as const
 /** Time without any byte after which an aborted attempt marks the backend server as silent. */
 const SILENT_BACKEND_MS = 600
 
@@ -48,6 +53,8 @@
   const splitter = createEventSplitter()
   const bodyChunks: Buffer[] = []
   let bodyBytes = 0
+  let sharedBytes = 0
+  let eventsOfAttempt = 0
   let head: { readonly incoming: IncomingMessage, readonly isStreamed: boolean } | undefined
   let settled = false
   let lastProgressAt = sentAt
@@ -73,7 +80,7 @@
     body: state.body
   }, { onHead, onData, onEnd, onBroken })
   const deadlineTimer = setTimeout(() => abort({ kind: 'timedOut', headersSent: state.headersSent }, 'out of time'), Math.max(1, state.deadline - sentAt))
-  const stallTimer = canRetry ? setInterval(checkStall, 50) : undefined
+  const stallTimer = canRetry || isStream ? setInterval(checkStall, STALL_CHECK_INTERVAL_MS) : undefined
   const onCallerGone = (): void => { if (!response.writableFinished) handleCallerDisconnect() }
   response.on('close', onCallerGone)
 
@@ -82,6 +89,7 @@
     settled = true
     clearTimeout(deadlineTimer)
     clearInterval(stallTimer)
+    context.responseBuffer.release(sharedBytes)
     response.removeListener('close', onCallerGone)
     backend.pending.delete(pending)
     resolve(outcome)
@@ -114,6 +122,7 @@
 
   function checkStall (): void {
     const now = steadyNow()
+    if (!canRetry) return endAbandonedStream(now)
     const isBackendSilent = silenceMilliseconds(backend, now) > 0 || now - backend.lastByteAt > MIN_STALL_TIMEOUT_MS
     const timeoutMilliseconds = state.headersSent
       ? Math.max(MIN_STALL_TIMEOUT_MS, state.route.eventGapTargetMilliseconds * EVENT_GAP_TIMEOUT_FACTOR)
@@ -122,10 +131,18 @@
     abort({ kind: 'broken', reason: `silent for ${now - lastProgressAt} ms`, headersSent: state.headersSent }, 'silent')
   }
 
-  function recordProgress (): void {
+  /** A stream that can't be resumed is ended only when its caller has given it up; before its headers, silence proves nothing. */
+  function endAbandonedStream (now: number): void {
+    if (!state.headersSent) return
+    const gapMilliseconds = Math.max(ABANDONED_STREAM.milliseconds, ABANDONED_STREAM.latencyTargets * state.route.latencyTargetMilliseconds, ABANDONED_STREAM.eventGapTargets * state.route.eventGapTargetMilliseconds)
+    if (now - lastProgressAt >= gapMilliseconds) abort({ kind: 'broken', reason: `no event for ${now - lastProgressAt} ms`, headersSent: true }, 'no event')
+  }
+
+  /** Bytes show that the backend server is alive; only a head, a part of a plain body or a whole event is progress of the request. */
+  function recordBytes (isProgress: boolean): void {
     const now = steadyNow()
     backend.lastByteAt = now
-    lastProgressAt = now
+    if (isProgress) lastProgressAt = now
     if (pending.answered) return
     pending.answered = true
     const expectedMilliseconds = choice.prefillTokens / PREFILL_TOKENS_PER_MILLISECOND + (isStream ? EXPECTED_FIRST_BYTE_MS.engine : EXPECTED_FIRST_BYTE_MS.plain)
@@ -133,11 +150,13 @@
   }
 
   function onHead (incoming: IncomingMessage): void {
-    recordProgress()
+    recordBytes(true)
     const status = incoming.statusCode ?? 0
     const fields = wire.decodeResponseHeaders(status, incoming.headers)
     if (fields.load !== undefined) backend.reportedLoad = { ...fields.load, receivedAt: steadyNow(), attemptsAtReceipt: backend.attempts }
-    if (fields.attemptId !== '' && fields.attemptId !== state.fields.attemptId) {
+    // On a reused connection a response without an ID may be a late copy of an earlier one.
+    const isUnattributable = fields.attemptId === '' && state.fields.attemptId !== '' && exchange.reusedConnection
+    if (isUnattributable || (fields.attemptId !== '' && fields.attemptId !== state.fields.attemptId)) {
       abort({ kind: 'broken', reason: 'response to another request', headersSent: state.headersSent }, 'response to another request')
       return
     }
@@ -156,16 +175,34 @@
     }
   }
 
+  /** Buffers a part of a response that is not streamed; false when it is too large. */
+  function bufferBody (chunk: Buffer): boolean {
+    bodyBytes += chunk.length
+    if (bodyBytes > MAX_BUFFERED_RESPONSE_BYTES) return false
+    if (bodyBytes > UNSHARED_RESPONSE_BYTES) {
+      if (!context.responseBuffer.take(chunk.length)) return false
+      sharedBytes += chunk.length
+    }
+    bodyChunks.push(chunk)
+    return true
+  }
+
   function onData (chunk: Buffer): void {
-    recordProgress()
-    if (head === undefined) return
+    if (head === undefined) return recordBytes(false)
     if (!head.isStreamed) {
-      bodyChunks.push(chunk)
-      bodyBytes += chunk.length
-      if (bodyBytes > MAX_BUFFERED_RESPONSE_BYTES) abort({ kind: 'broken', reason: 'response too large', headersSent: false }, 'response too large')
+      recordBytes(true)
+      if (!bufferBody(chunk)) abort({ kind: 'broken', reason: `response too large: more than ${bodyBytes - chunk.length} bytes`, headersSent: state.headersSent }, 'response too large')
       return
     }
     const complete = splitter.push(chunk)
+    recordBytes(complete.events > 0)
+    eventsOfAttempt += complete.events
+    // An event holds at least one token.
+    const hasTooManyEvents = state.fields.prompt !== undefined && eventsOfAttempt > state.fields.prompt.maximumOutputTokens
+    if (splitter.isOverflowing || hasTooManyEvents) {
+      abort({ kind: 'broken', reason: hasTooManyEvents ? `${eventsOfAttempt} events for ${state.fields.prompt?.maximumOutputTokens ?? 0} tokens` : 'bytes without end between events', headersSent: true }, 'unusable response')
+      return
+    }
     if (complete.bytes.length === 0) return
     state.deliveredEvents += complete.events
     if (complete.lastEventId !== '') state.lastEventId = complete.lastEventId
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -8,6 +8,9 @@
 /** Idle timeout when the backend server announces none or a longer one. */
 const DEFAULT_IDLE_TIMEOUT_MS = 8000
 
+/** More interim responses (1xx) before the final one are taken for bytes that are no response. */
+const MAX_INTERIM_RESPONSES = 16
+
 /** Pools idle connections to one backend server and closes those that receive unsolicited bytes. */
 class BackendAgent extends Agent {
   override keepSocketAlive (socket: Socket): boolean {
@@ -133,6 +136,10 @@
         clearTimeout(connectTimer)
       })
     })
+    let interimResponses = 0
+    outgoing.on('information', () => {
+      if (++interimResponses > MAX_INTERIM_RESPONSES) fail('interim responses without end')
+    })
     outgoing.on('error', (error) => fail(error.message))
     outgoing.on('response', (response) => {
       if (finished) return
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -15,6 +15,7 @@
   readonly server: Server
   /** Requests in progress. */
   readonly activeRequests: number
+  readonly openConnections: number
   /** Unix milliseconds at which the last connection was accepted. */
   readonly lastConnectionAt: number
 }
@@ -22,6 +23,7 @@
 /** Creates the server without binding it. */
 export function createCallersListener (context: GatewayContext): CallersListener {
   let activeRequests = 0
+  let openConnections = 0
   let lastConnectionAt = 0
 
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 15_000, noDelay: true, connectionsCheckingInterval: 1000 }, (incoming, response) => {
@@ -38,7 +40,11 @@
       response.destroy()
     })
   })
-  server.on('connection', () => { lastConnectionAt = steadyNow() })
+  server.on('connection', (socket) => {
+    lastConnectionAt = steadyNow()
+    openConnections++
+    socket.on('close', () => openConnections--)
+  })
   server.on('clientError', (error, socket) => {
     context.log.decision('callerConnectionFailed', { reason: error.message })
     if ((error as NodeJS.ErrnoException).code === 'ECONNRESET' || !socket.writable) {
@@ -48,7 +54,7 @@
     const status = (error as NodeJS.ErrnoException).code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
   })
-  return { server, get activeRequests () { return activeRequests }, get lastConnectionAt () { return lastConnectionAt } }
+  return { server, get activeRequests () { return activeRequests }, get openConnections () { return openConnections }, get lastConnectionAt () { return lastConnectionAt } }
 }
 
 async function handleRequest (context: GatewayContext, incoming: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -1,4 +1,5 @@
 import type { Metrics } from '@quinceshunt/telemetry'
+import type { ByteBudget } from '../decisions/byteBudget.js'
 import type { Choice } from '../decisions/backendChoice.js'
 import type { ConfigurationIndex } from '../decisions/configurationIndex.js'
 import type { CrashTracker } from '../decisions/crashTracker.js'
@@ -27,5 +28,7 @@
   readonly crashTracker: CrashTracker
   /** The backend server last selected for each request. */
   readonly choices: WeakMap<RequestState, Choice>
+  /** For responses that are buffered whole. */
+  readonly responseBuffer: ByteBudget
   readonly isStopping: () => boolean
 }
