Collect an account's last tokens without a cycle between its homes, and refuse returns to an exiting process

A visitor could give tokens back to a process that had already returned its own and was about to exit; they were lost with it. Change: between homes a loan takes what the other holds and never makes it draw; a closing process refuses messages, so that the tokens go to the next home.

--- a/packages/gateway/src/__tests__/tokenLoans.test.ts
+++ b/packages/gateway/src/__tests__/tokenLoans.test.ts
@@ -177,6 +177,24 @@
     }), { numRuns: 40 })
   }, 120_000)
 
+  // Guards against tokens that are given back to a process which is about to exit.
+  test('a stopping home hands what it is given back to the next one', async () => {
+    const fleet = startFleet(6)
+    await jest.advanceTimersByTimeAsync(1000)
+    const peers = Array.from({ length: 6 }, (_, index) => ({ instanceId: `instance${index}`, failureDomain: `domain${index % 3}`, index }))
+    const homes = accountHomes(ACCOUNT, peers)
+    const visitor = peers.find((peer) => !homes.includes(peer))
+    const served = serve(fleet.instances[visitor?.index ?? 0], 150_000, 1000)
+    await jest.advanceTimersByTimeAsync(300)
+    const closed = fleet.instances[homes[0]?.index ?? 0]?.close()
+    await jest.advanceTimersByTimeAsync(3000)
+    await closed
+    expect(await served).toBe(true)
+    // Nearly all of the account can be used through the remaining homes.
+    expect(await serveOne(fleet.instances[homes[1]?.index ?? 0], 190_000, 1000)).toBe(true)
+    for (const instance of fleet.instances) instance.abandon()
+  })
+
   // Guards against callers that wait for an instance which is cut off, although another home could lend.
   test('a home that does not reply is passed over while the caller waits', async () => {
     const fleet = startFleet(6)
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -14,8 +14,8 @@
 const CRASH_REPORT_INTERVAL_MS = 200
 /** A transaction of the store holds at most 100 entries. */
 const CRASH_REPORTS_PER_WRITE = 50
-/** Pause between two polls, so that the messages of a large fleet arrive in batches. */
-const POLL_PAUSE_MS = 200
+/** Pause between two polls: each message wakes all instances, and neither crash reports nor members need to be known sooner. */
+const POLL_PAUSE_MS = 1000
 const REGISTRATION_RETRY_MS = 1000
 
 /** Another instance. */
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -30,7 +30,7 @@
 /** Outcome of one try to deliver a message. */
 export type DeliveryOutcome =
   | { readonly kind: 'answered', readonly reply: unknown }
-  /** Another process runs at that address; this message was not handled by it. */
+  /** Another process runs at that address, or this one is about to exit; it did not handle the message. */
   | { readonly kind: 'otherIncarnation' }
   /** `mayHaveArrived` is false when no connection was established. */
   | { readonly kind: 'failed', readonly mayHaveArrived: boolean, readonly reason: string }
@@ -91,6 +91,8 @@
 
 /** Handlers of messages from peers. */
 export interface PeerHandlers {
+  /** True when the process is about to exit and takes no further messages. */
+  readonly isClosing: boolean
   readonly lend: (account: string, tokens: number, kind: LoanKind) => Promise<LoanReply>
   readonly takeBack: (account: string, tokens: number) => void
 }
@@ -106,7 +108,7 @@
 
 /**
  * Handles each message once: a repeated one gets the reply of the first, so that a sender may repeat it until it is
- * answered. Returns undefined for a malformed message.
+ * answered. Returns `otherIncarnation` for a message that this process does not handle, undefined for a malformed one.
  */
 export function createPeerMessageHandler ({ incarnationId, handlers, log, now }: PeerListenerOptions): (path: string, message: unknown) => Promise<unknown> | 'otherIncarnation' | undefined {
   const replies = new Map<string, { readonly reply: Promise<unknown>, readonly forgetAt: number }>()
@@ -123,6 +125,7 @@
     forgetOldReplies()
     const known = replies.get(id)
     if (known !== undefined) return known.reply
+    if (handlers.isClosing) return 'otherIncarnation'
     const reply = handle()
     replies.set(id, { reply, forgetAt: now() + REPLY_MEMORY_MS })
     return reply
--- a/packages/gateway/src/tasks/tokenAccounts.ts
+++ b/packages/gateway/src/tasks/tokenAccounts.ts
@@ -14,10 +14,12 @@
   freeTokens (account: string): number
   /** Sets an account's prepaid tokens; undefined for an account without a limit. */
   setPrepaid (account: string, tokens: number | undefined): void
-  /** Lends tokens to a peer. A home draws missing ones first, if the store is reachable. */
+  /** Lends tokens to a peer. For a whole loan a home draws missing ones first, if the store is reachable. */
   lend (account: string, tokens: number, kind: LoanKind): Promise<LoanReply>
   /** Adds tokens that a peer gave back, or that were lent to this instance late. */
   takeBack (account: string, tokens: number): void
+  /** True once `close` was called: tokens given to this process now would be lost with it. */
+  readonly isClosing: boolean
   /** Stops at once without returning tokens, like a killed process. */
   abandon (): void
   /** Returns all free tokens before the process exits, to the store or, if that fails, to a peer. */
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -183,7 +183,7 @@
     if (now - ledgerLoggedAt < LEDGER_LOG_INTERVAL_MS) return
     ledgerLoggedAt = now
     for (const { name, ledger, prepaid, granted } of accounts.values()) {
-      if (ledger.held === 0 && ledger.free < 1) continue
+      if (ledger.held === 0 && ledger.free < 1 && ledger.reserved === 0) continue
       log.decision('tokenLedger', { account: name, rank: options.homeRank(name), held: ledger.held, free: Math.floor(ledger.free), reserved: ledger.reserved, committed: ledger.committed, limit: ledger.limit, inTransit: options.tokensInTransit(), granted, prepaid })
     }
   }
@@ -199,8 +199,10 @@
     state.isBorrowing = true
     options.borrow(state.name, tokens, options.homeRank(state.name) === undefined ? 'whole' : 'partial').then((loan) => {
       state.failedLoanRequests = loan.tokens === 0 && !loan.isShort ? state.failedLoanRequests + 1 : 0
-      if (loan.tokens > 0) state.consecutiveShortages = 0
-      if (loan.tokens > 0) takeBack(state.name, loan.tokens)
+      if (loan.tokens > 0) {
+        state.consecutiveShortages = 0
+        takeBack(state.name, loan.tokens)
+      }
       if (loan.isShort && state.waiting.length > 0) rejectWaiting(state, steadyNow())
       return loan.tokens > 0 ? 0 : REPEATED_LOAN_PAUSE_MS
     }).catch((error: unknown) => {
@@ -232,7 +234,7 @@
     await Promise.race([Promise.all(messages), pause(GIVE_BACK_AT_STOP_MS)])
   }
 
-  /** Lends what is usable while the store is unreachable. */
+  /** Lends what is usable, without drawing more. */
   function lendUsable (state: AccountState, tokens: number, kind: LoanKind): LoanReply {
     if (state.waiting.length > 0) return { tokens: 0, isShort: false }
     const usable = Math.floor(state.ledger.usable(lease.timeSinceSeal()))
@@ -248,10 +250,13 @@
     if (state === undefined || state.prepaid === undefined || isClosing) return { tokens: 0, isShort: false }
     trafficSince ??= steadyNow()
     if (isStoreUnreachable() || options.homeRank(name) === undefined) return lendUsable(state, tokens, kind)
-    const outcome = await reserveLimited(state, tokens, steadyNow() + MAX_LOAN_WAIT_MS)
+    // Another home draws on the same balance itself and collects only what this one holds.
+    const lent = kind === 'partial' ? Math.min(tokens, Math.floor(state.ledger.free)) : tokens
+    if (lent <= 0) return { tokens: 0, isShort: false }
+    const outcome = await reserveLimited(state, lent, steadyNow() + MAX_LOAN_WAIT_MS)
     if (outcome.kind !== 'reserved') return { tokens: 0, isShort: state.rejectUntil > steadyNow() }
-    state.ledger.settle(tokens, tokens, steadyNow())
-    return { tokens, isShort: false }
+    state.ledger.settle(lent, lent, steadyNow())
+    return { tokens: lent, isShort: false }
   }
 
   function reserve (name: string, tokens: number, deadline: number): Promise<ReservationOutcome> {
@@ -294,6 +299,7 @@
     },
     lend,
     takeBack,
+    get isClosing () { return isClosing },
     abandon: () => {
       clearInterval(timer)
       isAbandoned = true
