Don't count a caller's slow reading as a stall of its stream

Streams that can be resumed had the fault before. Change: while the response waits for its caller, the gap doesn't grow.

--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -122,6 +122,8 @@
 
   function checkStall (): void {
     const now = steadyNow()
+    // While the caller reads slowly, the exchange is paused and can't show progress.
+    if (response.writableNeedDrain) lastProgressAt = now
     if (!canRetry) return endAbandonedStream(now)
     const isBackendSilent = silenceMilliseconds(backend, now) > 0 || now - backend.lastByteAt > MIN_STALL_TIMEOUT_MS
     const timeoutMilliseconds = state.headersSent
