Log how far a request was when its caller left, and sample the event loop's delay

The logs could not tell the hypotheses on GONE apart: nothing said when a caller's close was read, how far its request was, or how far the process was behind. callerLeft, callerLeftMilliseconds, processBehind and the event_loop_delay histogram do. No request is handled differently.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 import { createCallersListener, type CallersListener } from './tasks/callersListener.js'
 import { startConfigurationTask } from './tasks/configurationTask.js'
 import { createDecisionLog, type DecisionLog } from './tasks/decisionLog.js'
+import { startEventLoopDelay } from './tasks/eventLoopDelay.js'
 import { startFleetTask } from './tasks/fleetTask.js'
 import type { GatewayContext } from './tasks/gatewayContext.js'
 import { createPeerListener } from './tasks/peerMessages.js'
@@ -97,6 +98,7 @@
     wire: platform.wire,
     log,
     metrics,
+    eventLoopDelay: startEventLoopDelay(metrics, log),
     configuration: () => configuration.current,
     backends,
     connections,
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -1,5 +1,7 @@
 import { steadyNow } from '../clock.js'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { watchCaller, type CallerPresence } from './callerPresence.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { sendError, sendNotRun } from './errorResponses.js'
 import { serveRequest } from './requestTask.js'
@@ -28,6 +30,15 @@
   let openConnections = 0
   let acceptedConnections = 0
   let lastConnectionAt = 0
+  const callers = new WeakMap<Socket, CallerPresence>()
+
+  function presenceOf (socket: Socket): CallerPresence {
+    const known = callers.get(socket)
+    if (known !== undefined) return known
+    const presence = watchCaller(socket)
+    callers.set(socket, presence)
+    return presence
+  }
 
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 15_000, noDelay: true, connectionsCheckingInterval: 1000 }, (incoming, response) => {
     activeRequests++
@@ -38,7 +49,7 @@
       activeRequests--
     }
     response.on('close', release)
-    handleRequest(context, incoming, response).catch((error: unknown) => {
+    handleRequest(context, incoming, response, presenceOf(incoming.socket)).catch((error: unknown) => {
       context.log.warning('requestFailed', { request: context.wire.decodeRequestHeaders(incoming.headers).attemptId, reason: error instanceof Error ? `${error.message} ${error.stack ?? ''}` : String(error) })
       response.destroy()
     })
@@ -61,7 +72,7 @@
   return { server, get activeRequests () { return activeRequests }, get openConnections () { return openConnections }, get acceptedConnections () { return acceptedConnections }, get lastConnectionAt () { return lastConnectionAt } }
 }
 
-async function handleRequest (context: GatewayContext, incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+async function handleRequest (context: GatewayContext, incoming: IncomingMessage, response: ServerResponse, caller: CallerPresence): Promise<void> {
   const receivedAt = steadyNow()
   const index = context.configuration()
   if (index === undefined) {
@@ -90,7 +101,7 @@
       response.destroy()
       return
     case 'received':
-      await serveRequest(context, { incoming, response, fields, route: admission.route, account: admission.account, body: body.bytes, receivedAt })
+      await serveRequest(context, { incoming, response, caller, fields, route: admission.route, account: admission.account, body: body.bytes, receivedAt })
   }
 }
 
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -9,6 +9,7 @@
 import type { BackendConnections } from './backendConnections.js'
 import type { BackendTask } from './backendTask.js'
 import type { DecisionLog } from './decisionLog.js'
+import type { EventLoopDelay } from './eventLoopDelay.js'
 import type { FleetTask } from './fleetTask.js'
 import type { RequestState } from './requestTask.js'
 import type { TokenTask } from './tokenAccounts.js'
@@ -19,6 +20,7 @@
   readonly wire: WireFormat
   readonly log: DecisionLog
   readonly metrics: Metrics
+  readonly eventLoopDelay: EventLoopDelay
   readonly configuration: () => ConfigurationIndex | undefined
   readonly backends: BackendTask
   readonly connections: BackendConnections
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -8,6 +8,7 @@
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
 import { runAttempt, type BufferedResponse } from './attempt.js'
+import type { CallerPresence } from './callerPresence.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { sendError, sendNotRun } from './errorResponses.js'
 
@@ -22,6 +23,7 @@
 export interface AdmittedRequest {
   readonly incoming: IncomingMessage
   readonly response: ServerResponse
+  readonly caller: CallerPresence
   readonly fields: CallerFields
   readonly route: Route
   readonly account: ClientAccount | undefined
@@ -84,6 +86,7 @@
     finishRequest(context, state, { kind: 'notRun', reason: 'crashed several backend servers', retryAt: state.deadline }, { reserved: 0, used: 0 })
     return
   }
+  const stopWatching = state.caller.onLeft(() => recordCallerLeft(context, state))
   const reserved = maximumTokens(state)
   let isReserved = false
   const result = await runDecision(
@@ -103,6 +106,7 @@
       }
     }
   )
+  stopWatching()
   const used = usedTokens(context, state)
   if (isReserved && state.account !== undefined) context.tokens.settle(state.account.name, reserved, used)
   finishRequest(context, state, result, { reserved: isReserved ? reserved : 0, used })
@@ -133,6 +137,21 @@
   return await runAttempt(context, state, choice)
 }
 
+/** Logs how far a request was when its caller left; the line of its result tells when the work for it ended. */
+function recordCallerLeft (context: GatewayContext, state: RequestState): void {
+  const phase = state.headersSent ? 'streaming' : state.attempts > 0 ? 'sent' : 'waiting'
+  context.metrics.count('callers_left_total', { phase })
+  context.log.decision('callerLeft', {
+    request: state.fields.attemptId,
+    route: state.route.name,
+    phase,
+    sends: state.attempts,
+    milliseconds: steadyNow() - state.receivedAt,
+    unsentBytes: state.response.writableLength,
+    eventLoopDelayMilliseconds: context.eventLoopDelay.milliseconds
+  })
+}
+
 /** Sends the final response to the caller and logs the result. */
 function finishRequest (context: GatewayContext, state: RequestState, result: PlanResult, tokens: { readonly reserved: number, readonly used: number }): void {
   const { response } = state
@@ -173,6 +192,7 @@
     backends: state.triedBackendIds.join(','),
     sends: state.attempts,
     milliseconds: now - state.receivedAt,
+    callerLeftMilliseconds: state.caller.leftAt === undefined ? undefined : state.caller.leftAt - state.receivedAt,
     firstByteMilliseconds: state.firstByteAt === undefined ? undefined : state.firstByteAt - state.receivedAt,
     events: state.deliveredEvents,
     reservedTokens: tokens.reserved,
