Cancel a departed caller's work when its connection ends, not when its response closes

What callers saw: nothing; backend servers kept working for callers that had left (GONE). Cause: the gateway took the 'close' event of the response for the caller's leaving. After a half-close Node emits it only once all response bytes are written, which never happens when the caller has stopped reading, and for a pipelined request not at all. Such a request was also counted as active until the end of a planned stop. Change: one presence for each caller's connection, set by its end, error or close; attempts, retries and the count of active requests follow it.

--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -81,8 +81,7 @@
   }, { onHead, onData, onEnd, onBroken })
   const deadlineTimer = setTimeout(() => abort({ kind: 'timedOut', headersSent: state.headersSent }, 'out of time'), Math.max(1, state.deadline - sentAt))
   const stallTimer = canRetry || isStream ? setInterval(checkStall, STALL_CHECK_INTERVAL_MS) : undefined
-  const onCallerGone = (): void => { if (!response.writableFinished) handleCallerDisconnect() }
-  response.on('close', onCallerGone)
+  const stopWatchingCaller = state.caller.onLeft(handleCallerDisconnect)
 
   function settle (outcome: AttemptOutcome): void {
     if (settled) return
@@ -90,7 +89,7 @@
     clearTimeout(deadlineTimer)
     clearInterval(stallTimer)
     context.responseBuffer.release(sharedBytes)
-    response.removeListener('close', onCallerGone)
+    stopWatchingCaller()
     backend.pending.delete(pending)
     resolve(outcome)
   }
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -48,8 +48,13 @@
       isCounted = false
       activeRequests--
     }
-    response.on('close', release)
-    handleRequest(context, incoming, response, presenceOf(incoming.socket)).catch((error: unknown) => {
+    const caller = presenceOf(incoming.socket)
+    const stopWatchingCaller = caller.onLeft(release)
+    response.on('close', () => {
+      release()
+      stopWatchingCaller()
+    })
+    handleRequest(context, incoming, response, caller).catch((error: unknown) => {
       context.log.warning('requestFailed', { request: context.wire.decodeRequestHeaders(incoming.headers).attemptId, reason: error instanceof Error ? `${error.message} ${error.stack ?? ''}` : String(error) })
       response.destroy()
     })
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -43,7 +43,6 @@
   /** Events delivered to the caller. */
   deliveredEvents: number
   lastEventId: string
-  callerGone: boolean
   /** True once the response headers were sent to the caller. */
   headersSent: boolean
   bufferedResponse: BufferedResponse | undefined
@@ -74,19 +73,18 @@
 
 /** Serves one admitted request and settles its tokens. */
 export async function serveRequest (context: GatewayContext, admitted: AdmittedRequest): Promise<void> {
-  const { route, fields, response } = admitted
+  const { route, fields } = admitted
   const service = chooseTarget(route.targets, Math.random()) ?? ''
   const timeoutMilliseconds = Math.min(route.timeoutMilliseconds, fields.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MS)
   const state: RequestState = {
-    ...admitted, service, deadline: admitted.receivedAt + timeoutMilliseconds, attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, callerGone: false, headersSent: false, bufferedResponse: undefined, firstByteAt: undefined, triedBackendIds: []
+    ...admitted, service, deadline: admitted.receivedAt + timeoutMilliseconds, attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, bufferedResponse: undefined, firstByteAt: undefined, triedBackendIds: []
   }
-  response.on('close', () => { if (!response.writableFinished) state.callerGone = true })
   context.retryShares.recordRequest(service, admitted.receivedAt)
   if (context.crashTracker.hasSuspects && context.crashTracker.isQuarantined(fingerprint(state), steadyNow())) {
     finishRequest(context, state, { kind: 'notRun', reason: 'crashed several backend servers', retryAt: state.deadline }, { reserved: 0, used: 0 })
     return
   }
-  const stopWatching = state.caller.onLeft(() => recordCallerLeft(context, state))
+  const stopWatchingCaller = state.caller.onLeft(() => recordCallerLeft(context, state))
   const reserved = maximumTokens(state)
   let isReserved = false
   const result = await runDecision(
@@ -101,17 +99,21 @@
         }
         case 'chooseBackend': return chooseNextBackend(context, state, command.excluded)
         case 'sendAttempt': return await attemptBackend(context, state, command.backendId)
-        case 'consumeRetry': return !state.callerGone && context.retryShares.tryAcquireRetry(service, steadyNow())
+        case 'consumeRetry': return !hasCallerLeft(state) && context.retryShares.tryAcquireRetry(service, steadyNow())
         default: return assertNever(command)
       }
     }
   )
-  stopWatching()
+  stopWatchingCaller()
   const used = usedTokens(context, state)
   if (isReserved && state.account !== undefined) context.tokens.settle(state.account.name, reserved, used)
   finishRequest(context, state, result, { reserved: isReserved ? reserved : 0, used })
 }
 
+function hasCallerLeft (state: RequestState): boolean {
+  return state.caller.leftAt !== undefined
+}
+
 function retryAt (state: RequestState): number {
   return steadyNow() + (state.fields.prompt === undefined ? REJECTION_RETRY_MS.plain : REJECTION_RETRY_MS.engine)
 }
@@ -131,7 +133,7 @@
 
 async function attemptBackend (context: GatewayContext, state: RequestState, backendId: string): Promise<AttemptOutcome> {
   const choice: Choice | undefined = context.choices.get(state)
-  if (state.callerGone) return { kind: 'callerGone' }
+  if (hasCallerLeft(state)) return { kind: 'callerGone' }
   if (choice === undefined || choice.state.entry.id !== backendId) return { kind: 'notSent', reason: 'backend server no longer listed' }
   state.triedBackendIds.push(backendId)
   return await runAttempt(context, state, choice)
