Don't forward requests whose callers left before the process read them

What callers saw: nothing; backend servers got requests whose callers had closed their connections long before (GONE), and the callers' account paid for the prompts. Cause: a process that is behind with its work reads a request when its caller's close already lies behind it in the socket. The event loop reads a connection once a pass, and the gateway forwarded the request in the pass that read it, then cancelled it in the next. Change: before each choice of a backend server the plan confirms the caller, two passes of the event loop later.

--- a/packages/gateway/src/__tests__/requestPlan.test.ts
+++ b/packages/gateway/src/__tests__/requestPlan.test.ts
@@ -9,6 +9,8 @@
   readonly reservation?: ReservationOutcome
   readonly backends?: readonly string[]
   readonly mayRetry?: boolean
+  /** The caller has left once this number of attempts was sent. */
+  readonly callerLeavesAfter?: number
 }
 
 /** Runs a plan with scripted attempt outcomes and returns its result and the backend servers that were tried. */
@@ -20,6 +22,7 @@
   function executeCommand (command: PlanCommand): unknown {
     switch (command.kind) {
       case 'reserveTokens': return setting.reservation ?? { kind: 'reserved' }
+      case 'confirmCaller': return sentTo.length < (setting.callerLeavesAfter ?? Infinity)
       case 'chooseBackend': {
         const backendId = backends.find((id) => !command.excluded.includes(id))
         return backendId === undefined ? { kind: 'none', retryAt: 700 } : { kind: 'chosen', backendId }
@@ -114,3 +117,14 @@
     expect(runPlan({ outcomes: [{ kind: 'timedOut', headersSent: true }] }).result.kind).toBe('cutOff')
   })
 })
+
+describe('callers that leave', () => {
+  // Guards against work for a caller that left while its request waited in the process.
+  test('nothing is sent for a caller that left before the first attempt', () => {
+    expect(runPlan({ outcomes: [delivered], callerLeavesAfter: 0 })).toEqual({ result: { kind: 'callerGone' }, sentTo: [] })
+  })
+
+  test('a request is not retried for a caller that left during an attempt', () => {
+    expect(runPlan({ outcomes: [broken, delivered], callerLeavesAfter: 1 })).toEqual({ result: { kind: 'callerGone' }, sentTo: ['first'] })
+  })
+})
--- a/packages/gateway/src/decisions/requestPlan.ts
+++ b/packages/gateway/src/decisions/requestPlan.ts
@@ -33,12 +33,14 @@
   | { readonly kind: 'chosen', readonly backendId: string }
   | { readonly kind: 'none', readonly retryAt: number }
 
+/** Whether the caller still waits; false when its connection has ended. */
+export type ConfirmCaller = Command<'confirmCaller', boolean>
 export type ReserveTokens = Command<'reserveTokens', ReservationOutcome>
 export type ChooseBackend = Command<'chooseBackend', ChoiceOutcome> & { readonly excluded: readonly string[] }
 export type SendAttempt = Command<'sendAttempt', AttemptOutcome> & { readonly backendId: string }
 /** Consumes one retry of the fleet's retry budget; false when it is exhausted. */
 export type ConsumeRetry = Command<'consumeRetry', boolean>
-export type PlanCommand = ReserveTokens | ChooseBackend | SendAttempt | ConsumeRetry
+export type PlanCommand = ConfirmCaller | ReserveTokens | ChooseBackend | SendAttempt | ConsumeRetry
 
 /** Final result of a request, as reported to the caller. */
 export type PlanResult =
@@ -99,6 +101,7 @@
   }
 
   for (;;) {
+    if (!(yield * perform<ConfirmCaller>({ kind: 'confirmCaller' }))) return { kind: 'callerGone' }
     const choice = yield * perform<ChooseBackend>({ kind: 'chooseBackend', excluded: [...excluded] })
     if (choice.kind === 'none') {
       if (lastReason === '') lastReason = 'no backend server'
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -7,6 +7,7 @@
 import { isRetryable, planRequest, type AttemptOutcome, type ChoiceOutcome, type PlanCommand, type PlanResult } from '../decisions/requestPlan.js'
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
+import { handleArrivedEvents } from './arrivedEvents.js'
 import { runAttempt, type BufferedResponse } from './attempt.js'
 import type { CallerPresence } from './callerPresence.js'
 import type { GatewayContext } from './gatewayContext.js'
@@ -97,6 +98,10 @@
           isReserved = outcome.kind === 'reserved'
           return outcome
         }
+        case 'confirmCaller':
+          // A process that is behind with its work may have read the request long after the caller left.
+          await handleArrivedEvents()
+          return !hasCallerLeft(state)
         case 'chooseBackend': return chooseNextBackend(context, state, command.excluded)
         case 'sendAttempt': return await attemptBackend(context, state, command.backendId)
         case 'consumeRetry': return !hasCallerLeft(state) && context.retryShares.tryAcquireRetry(service, steadyNow())
@@ -133,7 +138,6 @@
 
 async function attemptBackend (context: GatewayContext, state: RequestState, backendId: string): Promise<AttemptOutcome> {
   const choice: Choice | undefined = context.choices.get(state)
-  if (hasCallerLeft(state)) return { kind: 'callerGone' }
   if (choice === undefined || choice.state.entry.id !== backendId) return { kind: 'notSent', reason: 'backend server no longer listed' }
   state.triedBackendIds.push(backendId)
   return await runAttempt(context, state, choice)
