--- /dev/null
+++ b/packages/caller-connections/src/index.ts
@@ -0,0 +1,2 @@
+export { createCallerWatch, watchCaller, type CallerPresence } from './callerPresence.js'
+export { handleArrivedEvents } from './arrivedEvents.js'
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -1,7 +1,6 @@
+import { createCallerWatch, type CallerPresence } from '@quinceshunt/caller-connections'
 import { steadyNow } from '../clock.js'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
-import { watchCaller, type CallerPresence } from './callerPresence.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { sendError, sendNotRun } from './errorResponses.js'
 import { serveRequest } from './requestTask.js'
@@ -30,15 +29,7 @@
   let openConnections = 0
   let acceptedConnections = 0
   let lastConnectionAt = 0
-  const callers = new WeakMap<Socket, CallerPresence>()
-
-  function presenceOf (socket: Socket): CallerPresence {
-    const known = callers.get(socket)
-    if (known !== undefined) return known
-    const presence = watchCaller(socket)
-    callers.set(socket, presence)
-    return presence
-  }
+  const callerOf = createCallerWatch(steadyNow)
 
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 15_000, noDelay: true, connectionsCheckingInterval: 1000 }, (incoming, response) => {
     activeRequests++
@@ -48,7 +39,7 @@
       isCounted = false
       activeRequests--
     }
-    const caller = presenceOf(incoming.socket)
+    const caller = callerOf(incoming.socket)
     const stopWatchingCaller = caller.onLeft(release)
     response.on('close', () => {
       release()
