Don't send requests of departed callers from the router either

A chat or call whose caller left before it was claimed or reserved is dropped; a claimed call still runs to its end, as its response is recorded.

--- a/features/wholePath.feature
+++ b/features/wholePath.feature
@@ -61,6 +61,14 @@
     And no tokens remain reserved
     And the ledger has no violation
 
+  # Guards against a router that is behind with its work and forwards requests that nobody waits for any more.
+  Scenario: Callers disconnect before their router reads their requests
+    Given a fleet of 1 routers and 1 engines
+    When 10 callers send a chat to a paused router and disconnect before it resumes
+    Then only the chat of a caller that still waits has run
+    And no tokens remain reserved
+    And the ledger has no violation
+
   Scenario: An engine drops the connection in the middle of its streams
     Given a fleet of 2 routers and 2 engines
     When 3 callers through each router send a streamed chat whose connection the engine drops after 20 tokens
--- a/packages/router/src/callersListener.ts
+++ b/packages/router/src/callersListener.ts
@@ -1,6 +1,7 @@
 import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createSecureServer } from 'node:https'
 import type { Duplex } from 'node:stream'
+import { createCallerWatch, type CallerPresence } from '@quinceshunt/caller-connections'
 import { extractTraceContext, failSpan, SpanKind, startSpan, contextWithSpan, type Span, type TraceContext } from '@quinceshunt/telemetry'
 import { formatCallerError, sendCallerError, type CallerError } from './callerError.js'
 import { serveChat } from './chatRequest.js'
@@ -48,13 +49,21 @@
   let activeRequests = 0
   let lastRequestAt = 0
   let keepAliveDisabled = false
+  const callerOf = createCallerWatch(services.clock.now)
 
   function handleRequest (request: IncomingMessage, response: ServerResponse): void {
     activeRequests += 1
     lastRequestAt = services.clock.now()
     if (keepAliveDisabled) response.setHeader('connection', 'close')
-    response.once('close', () => { activeRequests -= 1 })
-    serveExchange(services, request, response)
+    const caller = callerOf(request.socket)
+    const finish = (): void => {
+      stopWatchingCaller()
+      response.removeListener('close', finish)
+      activeRequests -= 1
+    }
+    const stopWatchingCaller = caller.onLeft(finish)
+    response.once('close', finish)
+    serveExchange(services, request, response, caller)
   }
 
   const options = { maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: Math.min(HEADERS_TIMEOUT_MS, services.settings.requestDeadlineMilliseconds), requestTimeout: services.settings.requestDeadlineMilliseconds, keepAliveTimeout: 30_000 }
@@ -88,17 +97,21 @@
   }
 }
 
-async function serveExchange (services: RouterServices, request: IncomingMessage, response: ServerResponse): Promise<void> {
+async function serveExchange (services: RouterServices, request: IncomingMessage, response: ServerResponse, callerPresence: CallerPresence): Promise<void> {
   const requestId = newRequestId()
   const parent = extractTraceContext(request.headers)
   const path = (request.url ?? '/').split('?')[0]!
   const span = startSpan('caller request', SpanKind.SERVER, parent, { 'http.request.method': request.method ?? '', 'url.path': path })
   const receivedAt = services.clock.now()
   const abortController = new AbortController()
-  response.once('close', () => {
+  const end = (): void => {
+    stopWatchingCaller()
+    response.removeListener('close', end)
     if (!response.writableFinished) abortController.abort()
     span.end()
-  })
+  }
+  const stopWatchingCaller = callerPresence.onLeft(end)
+  response.once('close', end)
   try {
     const admission = authenticateRequest(services, request)
     if (admission.kind === 'refused') return rejectRequest(services, response, admission.error, requestId, span)
--- a/packages/router/src/receiveBody.ts
+++ b/packages/router/src/receiveBody.ts
@@ -1,3 +1,4 @@
+import { handleArrivedEvents } from '@quinceshunt/caller-connections'
 import { readCallerBody } from './callerBody.js'
 import type { CallerError } from './callerError.js'
 import type { CallerExchange } from './callersListener.js'
@@ -16,12 +17,15 @@
   return { kind: 'refused', error: { ...error, run: 'no' } }
 }
 
-/** Reads a caller's request body within `bodyLimitBytes` and the request deadline. */
+/** Reads a caller's request body within `bodyLimitBytes` and the request deadline; `callerGone` if a close followed it. */
 export async function receiveBody (services: RouterServices, exchange: CallerExchange): Promise<ReceiveBodyOutcome> {
   const { bodyLimitBytes } = services.settings
   const received = await readCallerBody(exchange.request, bodyLimitBytes, exchange.deadline)
   switch (received.kind) {
-    case 'whole': return received
+    case 'whole':
+      // A process that is behind with its work may have read the request long after the caller left.
+      await handleArrivedEvents()
+      return exchange.signal.aborted ? { kind: 'callerGone' } : received
     case 'gone': return { kind: 'callerGone' }
     case 'tooLarge': return rejectBeforeRun({ status: 413, code: 'body_too_large', message: `the body is larger than ${bodyLimitBytes} bytes` })
     case 'tooSlow': return rejectBeforeRun({ status: 408, code: 'request_timeout', message: 'the body did not arrive before the deadline' })
--- a/packages/scenarios/src/steps/wholePathSteps.ts
+++ b/packages/scenarios/src/steps/wholePathSteps.ts
@@ -1,6 +1,7 @@
 import { Then, When } from '@cucumber/cucumber'
 import OpenAI from 'openai'
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
 import { connect } from 'node:net'
 import { findResponseFault, createPrompt } from '../callers/findResponseFault.js'
 import { serializeChatBody, sendChat, type ErrorBody, type ChatCall } from '../callers/sendChat.js'
@@ -20,6 +21,9 @@
 /** Exceeds the request deadline, 2 s in these scenarios, at which the router disconnects slow senders. */
 const SLOW_SENDER_TIMEOUT_MS = 10_000
 
+/** Time for which a router is behind with its work; longer than a caller's work may go on after it has left. */
+const PAUSE_MS = 800
+
 type InvalidInputWorld = FleetWorld & { errorResponse?: { readonly status: number, readonly text: string } }
 
 function firstRouter (fleet: Fleet): FleetMember {
@@ -146,6 +150,31 @@
   await assert.rejects(exchange)
 })
 
+When('{int} callers send a chat to a paused router and disconnect before it resumes', async function (this: FleetWorld, callers: number) {
+  const fleet = await this.fleet()
+  const router = firstRouter(fleet)
+  const address = new URL(router.address())
+  router.pause()
+  await Promise.all(Array.from({ length: callers }, async (_, index) => {
+    const call = createChatCall(fleet, router, `gone ${index}`, LONG_ANSWER_TOKENS)
+    const body = serializeChatBody(call)
+    const socket = connect({ host: address.hostname, port: Number(address.port) })
+    await once(socket, 'connect')
+    socket.end(`POST /v1/chat/completions HTTP/1.1\r\nHost: ${address.host}\r\nAuthorization: Bearer ${call.key}\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`)
+    await once(socket, 'finish')
+  }))
+  await new Promise((resolve) => setTimeout(resolve, PAUSE_MS))
+  router.resume()
+})
+
+Then('only the chat of a caller that still waits has run', async function (this: FleetWorld) {
+  const fleet = await this.fleet()
+  const call = createChatCall(fleet, firstRouter(fleet), 'still waits', ANSWER_TOKENS)
+  assert.equal(findResponseFault(call, await sendChat(call)), undefined)
+  const runs = await readRuns(fleet.engines)
+  assert.deepEqual(runs.map((run) => run.outcome), ['complete'])
+})
+
 Then('its run is cancelled at the engine and billed for the tokens used', async function (this: FleetWorld) {
   const fleet = await this.fleet()
   await eventually(BILLING_TIMEOUT_MS, async () => {
