Attribute crashes rather to parts that were never answered, and demand more of shared ones

Parts answered before now come after those that never were; a part with more than eight unanswered requests for each crash needs two crashes more.

--- a/packages/gateway/src/__tests__/crashingParts.test.ts
+++ b/packages/gateway/src/__tests__/crashingParts.test.ts
@@ -51,6 +51,24 @@
     expect(heldBackParts(crashingParts, ['system', 'deadly'], NOW)).toEqual(['deadly'])
   })
 
+  // Guards against a sound part that is taken for the cause because the crashing one came in several requests at once.
+  test('crashes are rather attributed to a part that was never answered', () => {
+    const requests = [1000, 2000, 3000].flatMap((at) => [crashed(['sound'], at), crashed(['deadly'], at), crashed(['deadly'], at + 1, `server-${at}`)])
+    const crashingParts = createCrashingParts()
+    crashingParts.recordAnswer(['sound'], 500, 'own')
+    for (const request of requests) crashingParts.recordCrash(request)
+    expect(heldBackParts(crashingParts, ['sound'], NOW)).toEqual([])
+    expect(heldBackParts(crashingParts, ['deadly'], NOW)).toEqual(['deadly'])
+  })
+
+  // Guards against a fleet that refuses nearly all requests because its backend servers crash for another reason.
+  test('a part that many requests share is held back only after two further crashes', () => {
+    const crashesOf = (count: number): UnansweredRequest[] => Array.from({ length: count }, (_, index) => index + 1)
+      .flatMap((number) => Array.from({ length: 9 }, () => crashed(['system'], number * 1000)))
+    expect(heldBackParts(recordAll(crashesOf(3)), ['system'], 3700)).toEqual([])
+    expect(heldBackParts(recordAll(crashesOf(4)), ['system'], 4700)).toEqual(['system'])
+  })
+
   // Guards against a part that is held back because many backend servers failed together.
   test('simultaneous crashes, and several reports of one crash, count once', () => {
     const simultaneous = ['a', 'b', 'c', 'd'].map((server, index) => crashed(['part'], 1000 + index, server))
--- a/packages/gateway/src/decisions/crashingParts.ts
+++ b/packages/gateway/src/decisions/crashingParts.ts
@@ -5,8 +5,9 @@
  *
  * Expected load: requests that share most of their parts, few of them with the crashing one, at many instances. Each crash
  * makes all parts of the requests that it left unanswered suspects. A sound part is soon answered elsewhere; a crashing
- * one never is. While nothing is answered, each crash is attributed to the part that explains the most crashes with the
- * fewest requests, so that a part that nearly all prompts share is not held back for the one that crashes.
+ * one never is. While nothing is answered, each crash is attributed to one part: rather to one that was never answered,
+ * and to the one that explains the most crashes with the fewest requests. So a part that nearly all prompts share is not
+ * held back for the one that crashes.
  */
 
 /** Successive crashes after which a part is held back for some seconds, in which a sound one is answered, and its requests are not retried. */
@@ -15,6 +16,10 @@
 const SUSPECT_MS = 4000
 /** Successive crashes after which a part is quarantined. */
 const QUARANTINE_CRASH_COUNT = 3
+/** A part that each crash left in more unanswered requests than this is one that many requests share, and needs more crashes. */
+const MAX_REQUESTS_PER_CRASH = 8
+/** Further crashes after which such a part is held back. */
+const FURTHER_CRASHES_OF_SHARED_PART = 2
 /** Crashes further apart are not taken for a series. */
 const SERIES_MS = 120_000
 /** Time after its last crash for which a part is quarantined; then one further crash quarantines it again. */
@@ -67,9 +72,9 @@
 
 /**
  * Counts the crashes of which each request was sent after the crash before: requests that wait at several backend servers
- * when these fail together show nothing about their parts.
+ * when these fail together show nothing about their parts. A part is held back after `furtherCrashes` more than usual.
  */
-function assess (crashes: readonly Crash[]): Assessment {
+function assess (crashes: readonly Crash[], furtherCrashes = 0): Assessment {
   let series: Crash[] = []
   let isQuarantined = false
   let heldBackUntil = -Infinity
@@ -78,9 +83,9 @@
     const isSuccessive = last === undefined || crash.sentAt > last.crashedAt
     if (!isSuccessive || series.some((earlier) => earlier.backendProcess === crash.backendProcess)) continue
     series = [...series.filter((earlier) => earlier.crashedAt > crash.crashedAt - SERIES_MS), crash]
-    isQuarantined ||= series.length >= QUARANTINE_CRASH_COUNT
+    isQuarantined ||= series.length >= QUARANTINE_CRASH_COUNT + furtherCrashes
     if (isQuarantined) heldBackUntil = crash.crashedAt + QUARANTINE_MS
-    else if (series.length >= SUSPECT_CRASH_COUNT) heldBackUntil = crash.crashedAt + SUSPECT_MS
+    else if (series.length >= SUSPECT_CRASH_COUNT + furtherCrashes) heldBackUntil = crash.crashedAt + SUSPECT_MS
   }
   return { crashCount: series.length, heldBackUntil }
 }
@@ -88,33 +93,47 @@
 interface Candidate {
   readonly parts: string[]
   readonly crashes: readonly Crash[]
+  /** All of the parts were answered before the crashes. */
+  wasAnswered: boolean
   /** High for a part that explains many crashes with few requests. */
   readonly score: number
 }
 
+function countProcesses (crashes: readonly Crash[]): number {
+  return new Set(crashes.map((crash) => crash.backendProcess)).size
+}
+
 function scoreOf (crashes: readonly Crash[]): number {
-  return new Set(crashes.map((crash) => crash.backendProcess)).size ** 2 / crashes.length
+  return countProcesses(crashes) ** 2 / crashes.length
 }
 
 /** Joins parts that were in the same crashed requests. */
-function joinCompanions (unexplained: ReadonlyMap<string, readonly Crash[]>): readonly Candidate[] {
+function joinCompanions (unexplained: ReadonlyMap<string, readonly Crash[]>, wasAnswered: (part: string) => boolean): readonly Candidate[] {
   const candidates = new Map<string, Candidate>()
   for (const [part, crashes] of unexplained) {
     const requests = crashes.map((crash) => `${crash.backendProcess} ${crash.sentAt} ${crash.crashedAt}`).join()
     const companion = candidates.get(requests)
-    if (companion === undefined) candidates.set(requests, { parts: [part], crashes, score: scoreOf(crashes) })
-    else companion.parts.push(part)
+    if (companion === undefined) candidates.set(requests, { parts: [part], crashes, wasAnswered: wasAnswered(part), score: scoreOf(crashes) })
+    else {
+      companion.parts.push(part)
+      companion.wasAnswered &&= wasAnswered(part)
+    }
   }
   return [...candidates.values()]
 }
 
+function compareCandidates (left: Candidate, right: Candidate): number {
+  return Number(left.wasAnswered) - Number(right.wasAnswered) || right.score - left.score
+}
+
 /** Attributes each crash to the most likely part; what then still has a series of crashes is suspected. */
-function attributeCrashes (unexplained: ReadonlyMap<string, readonly Crash[]>): readonly SuspectedGroup[] {
+function attributeCrashes (unexplained: ReadonlyMap<string, readonly Crash[]>, wasAnswered: (part: string) => boolean): readonly SuspectedGroup[] {
   const groups: SuspectedGroup[] = []
   const attributed = new Set<string>()
-  for (const { parts, crashes } of joinCompanions(unexplained).toSorted((left, right) => right.score - left.score)) {
+  for (const { parts, crashes } of joinCompanions(unexplained, wasAnswered).toSorted(compareCandidates)) {
     const remaining = crashes.filter((crash) => !attributed.has(crash.backendProcess))
-    const assessment = assess(remaining)
+    const isShared = crashes.length > MAX_REQUESTS_PER_CRASH * countProcesses(crashes)
+    const assessment = assess(remaining, isShared ? FURTHER_CRASHES_OF_SHARED_PART : 0)
     if (assessment.heldBackUntil === -Infinity) continue
     groups.push({ parts, ...assessment })
     for (const crash of crashes) attributed.add(crash.backendProcess)
@@ -163,7 +182,7 @@
       if (counted.length >= SUSPECT_CRASH_COUNT) unexplained.set(part, counted)
     }
     const delay = releaseDelay()
-    groups = { list: attributeCrashes(unexplained).map((group) => ({ ...group, heldBackUntil: group.heldBackUntil + delay })), validUntil }
+    groups = { list: attributeCrashes(unexplained, (part) => answeredAt(part) !== undefined).map((group) => ({ ...group, heldBackUntil: group.heldBackUntil + delay })), validUntil }
     return groups.list
   }
 
