--- a/packages/gateway/src/decisions/crashReport.ts
+++ b/packages/gateway/src/decisions/crashReport.ts
@@ -1,16 +1,7 @@
+import type { UnansweredRequest } from '@quinceshunt/requests'
 import * as v from 'valibot'
 
-const unansweredRequestSchema = v.object({
-  /** Prompt parts that other requests may share. */
-  parts: v.array(v.string()),
-  /** Backend server and its process, so that one crash is told from the next. */
-  backendProcess: v.string(),
-  sentAt: v.number(),
-  crashedAt: v.number()
-})
-
-/** A request that its backend server had not begun to answer when it crashed. Times are on the shared clock, milliseconds. */
-export type UnansweredRequest = v.InferOutput<typeof unansweredRequestSchema>
+const unansweredRequestSchema = v.object({ parts: v.array(v.string()), backendProcess: v.string(), sentAt: v.number(), crashedAt: v.number() })
 
 /** Encodes a request for the row of a crash report. */
 export function encodeUnansweredRequest (request: UnansweredRequest): string {
--- a/packages/gateway/src/tasks/crashGuard.ts
+++ b/packages/gateway/src/tasks/crashGuard.ts
@@ -1,6 +1,5 @@
+import { createCrashingParts, type SuspectedGroup, type UnansweredRequest } from '@quinceshunt/requests'
 import { steadyNow } from '../clock.js'
-import type { UnansweredRequest } from '../decisions/crashReport.js'
-import { createCrashingParts, type SuspectedGroup } from '../decisions/crashingParts.js'
 import { createCrashTracker } from '../decisions/crashTracker.js'
 import type { SharedClock } from '../decisions/sharedClock.js'
 import type { DecisionLog } from './decisionLog.js'
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -1,6 +1,7 @@
+import type { UnansweredRequest } from '@quinceshunt/requests'
 import { steadyNow } from '../clock.js'
 import { accountHomes } from '../decisions/accountHomes.js'
-import { decodeUnansweredRequest, encodeUnansweredRequest, type UnansweredRequest } from '../decisions/crashReport.js'
+import { decodeUnansweredRequest, encodeUnansweredRequest } from '../decisions/crashReport.js'
 import type { RowStore, StoredRow } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
 import { followTable, type TableFollower } from './tableFollower.js'
--- a/packages/gateway/src/decisions/crashingParts.ts
+++ b/packages/requests/src/crashingParts.ts
@@ -1,5 +1,3 @@
-import type { UnansweredRequest } from './crashReport.js'
-
 /**
  * Finds prompt parts that crash each backend server that begins to answer a prompt with them, whatever else it holds.
  *
@@ -31,6 +29,16 @@
 /** The least recently used parts are evicted first. */
 const MAX_PARTS = 10_000
 
+/** A request that its backend server had not begun to answer when it crashed. Times are on a clock that all instances share, milliseconds. */
+export interface UnansweredRequest {
+  /** Prompt parts that other requests may share. */
+  readonly parts: readonly string[]
+  /** Backend server and its process, so that one crash is told from the next. */
+  readonly backendProcess: string
+  readonly sentAt: number
+  readonly crashedAt: number
+}
+
 type Crash = Omit<UnansweredRequest, 'parts'>
 
 /** Who knows of an answer: `own`, only this instance; `shared`, all instances. */
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -1,6 +1,7 @@
 export * from './acquireClaim.js'
 export * from './matchResponse.js'
 export * from './claimRecords.js'
+export * from './crashingParts.js'
 export * from './finishClaim.js'
 export * from './requestIdentity.js'
 export * from './retryBudget.js'
