Hold back chats with a message that crashes engines, in the router too

What callers saw, in a scenario: 24 chats that share one crashing message ended all 10 engines, and sound chats were refused with request_suspect or no_backend_server. Cause: as in the gateway, crashes were counted for whole requests; each crashing chat was tried a second time by itself. Change: promptParts keeps crashingParts by message, tells peers of unanswered prompts and of answers with ReportSuspects (two new fields), and is asked at each admission and when a trial starts.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -7,3 +7,10 @@
     Then no run loses more than 2 engines
     And in each run every router rejects the poison request as quarantined
     And in each run the concurrent requests get complete responses
+
+  # Guards against requests that share one message, and nothing else, and crash one engine after the other.
+  Scenario: Requests that are no two alike share a message that crashes engines
+    When callers send chats with a crashing message among others at 3 routers in front of 10 engines
+    Then at most 3 engines are lost later than 3 s after the fifth
+    And the last chats with the crashing message are rejected as quarantined
+    And the chats that share all other messages get complete responses
--- a/packages/router/src/chatRequest.ts
+++ b/packages/router/src/chatRequest.ts
@@ -8,6 +8,7 @@
 import type { StreamProgress } from './chatStream.js'
 import { createEngineAttemptRunner, type EngineResponse } from './engineAttempt.js'
 import { receiveBody, rejectBeforeRun, type EarlyTermination } from './receiveBody.js'
+import { hashSharedParts } from './promptParts.js'
 import type { RequestResult } from './requestPath.js'
 import { runRequest } from './requestRunner.js'
 import type { RouterServices } from './routerServices.js'
@@ -66,12 +67,14 @@
   const promptBytes = Buffer.byteLength(prompt)
   const ceilingTokens = reservationCeiling(body.messages, chat.completionTokens) + additionalPromptBytes(body)
   const priority = classifyPriority(promptBytes, services.settings.routing!.bulkPromptBytes)
+  const sharedParts = hashSharedParts(body)
   const progress: StreamProgress = { contentTokens: 0, started: false, usageEvent: undefined }
   const attempt = createEngineAttemptRunner({
     services,
     exchange,
     requestId: identity.requestId,
     fingerprint: identity.fingerprint,
+    sharedParts,
     ceilingTokens,
     priority,
     streamed: body.stream === true,
@@ -83,6 +86,7 @@
   const result = await runRequest<EngineResponse>(services, exchange, {
     requestId: identity.requestId,
     fingerprint: identity.fingerprint,
+    sharedParts,
     target: model.id,
     idempotent: true,
     ceilingTokens,
--- a/packages/router/src/crashReporter.ts
+++ b/packages/router/src/crashReporter.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@quinceshunt/effects'
 import type { InFlightRegistry } from './inFlight.js'
+import type { PromptPartGuard } from './promptParts.js'
 import type { BackendService, QuarantineService } from './services.js'
 
 /** All connections broken by a crash are detected within this time. */
@@ -14,13 +15,25 @@
   checkForCrash (backendServer: string, attemptStartedAt: number): Promise<boolean>
 }
 
-export function createCrashReporter (backends: BackendService, quarantine: QuarantineService, inFlight: InFlightRegistry, clock: Clock): CrashReporter {
+/** Dependencies of the crash reporter. */
+export interface CrashReporterOptions {
+  readonly backends: BackendService
+  readonly quarantine: QuarantineService
+  readonly promptParts: PromptPartGuard
+  readonly inFlight: InFlightRegistry
+  readonly clock: Clock
+}
+
+export function createCrashReporter ({ backends, quarantine, promptParts, inFlight, clock }: CrashReporterOptions): CrashReporter {
   const checks = new Map<string, { readonly startedAt: number, readonly result: Promise<boolean> }>()
 
   async function confirmAndRecord (backendServer: string): Promise<boolean> {
     // Read before the first await, while all requests affected by the crash are still registered.
     const fingerprints = inFlight.fingerprints(backendServer)
+    const unansweredPrompts = inFlight.unansweredPrompts(backendServer)
+    const crashedAt = clock.now()
     if (!await backends.confirmCrash(backendServer)) return false
+    promptParts.recordCrash(backendServer, unansweredPrompts, crashedAt)
     await quarantine.recordCrash(backendServer, fingerprints)
     return true
   }
--- a/packages/router/src/engineAttempt.ts
+++ b/packages/router/src/engineAttempt.ts
@@ -4,6 +4,7 @@
 import { readBody, sendBackendRequest, type BackendResponse } from './backendClient.js'
 import type { CallerExchange } from './callersListener.js'
 import { relayChatStream, usageSchema, type StreamOutcome, type StreamProgress, type Usage } from './chatStream.js'
+import type { InFlightEntry } from './inFlight.js'
 import { newAttemptId } from './requestIds.js'
 import type { AttemptCommand, AttemptResult, Charge } from './requestPath.js'
 import type { RouterServices } from './routerServices.js'
@@ -12,6 +13,8 @@
 const MAX_RESPONSE_BYTES = 16_777_216
 /** Short, as a live engine answers a cancellation from memory. */
 const CANCEL_TIMEOUT_MS = 1000
+/** A prompt part that crashes backend servers does so at the start of an answer, so that a second token shows that there is none. */
+const TOKENS_OF_SOUND_ANSWER = 2
 
 const completionSchema = z.looseObject({ id: z.string(), usage: usageSchema.optional() })
 const cancellationSchema = z.looseObject({ usage: usageSchema })
@@ -28,6 +31,8 @@
   readonly exchange: CallerExchange
   readonly requestId: string
   readonly fingerprint: string
+  /** Hashes of the parts of its prompt that other requests may share. */
+  readonly sharedParts: readonly string[]
   readonly ceilingTokens: number
   readonly priority: Priority
   readonly streamed: boolean
@@ -55,7 +60,7 @@
   const { services, exchange } = attempt
   const server = command.slot.backendServer
   const span = startSpan('engine request', SpanKind.CLIENT, exchange.traceContext, { 'peer.id': server.id, 'request.id': attempt.requestId })
-  const removeInFlight = services.inFlight.add(server.id, attempt.fingerprint)
+  const inFlight = services.inFlight.add(server.id, attempt.fingerprint, { parts: attempt.sharedParts, sentAt: attempt.startedAt })
   try {
     const headers = { 'x-request-id': attemptId, 'x-priority': attempt.priority, ...traceHeaders(span, exchange.traceContext) }
     const resumed = command.resumeOffset !== undefined
@@ -70,7 +75,7 @@
       freshConnection: false
     })
     const result = response.kind === 'answering'
-      ? await readResponse(attempt, command, attemptId, response)
+      ? await readResponse({ ...attempt, onAnswered: createAnswerRecorder(attempt, inFlight) }, command, attemptId, response)
       : await handleMissingResponse(attempt, command.slot, attemptId, response)
     if (result.kind === 'failed') {
       failSpan(span, result.outcome.kind)
@@ -78,7 +83,7 @@
     }
     return result
   } finally {
-    removeInFlight()
+    inFlight.remove()
     span.end()
   }
 }
@@ -95,9 +100,27 @@
   }
 }
 
+/** Returns a callback for the moment at which an answer has gone on after its start; calls after the first do nothing. */
+function createAnswerRecorder ({ services, sharedParts }: EngineAttempt, inFlight: InFlightEntry): () => void {
+  const answeredAt = services.clock.now()
+  let isRecorded = false
+  return () => {
+    if (isRecorded) return
+    isRecorded = true
+    inFlight.markAnswered()
+    services.promptParts.recordAnswer(sharedParts, answeredAt)
+  }
+}
+
 type ReceivedResponse = Extract<BackendResponse, { readonly kind: 'answering' }>
 
-async function readResponse (attempt: EngineAttempt, command: AttemptCommand<EngineResponse>, attemptId: string, response: ReceivedResponse): Promise<AttemptResult<EngineResponse>> {
+/** An attempt whose backend server has sent the head of a response. */
+interface AnsweringAttempt extends EngineAttempt {
+  /** To be called when the answer has gone on after its start. */
+  readonly onAnswered: () => void
+}
+
+async function readResponse (attempt: AnsweringAttempt, command: AttemptCommand<EngineResponse>, attemptId: string, response: ReceivedResponse): Promise<AttemptResult<EngineResponse>> {
   if (response.status !== 200) return await readErrorResponse(attempt, command, attemptId, response)
   const responseId = response.headers['x-request-id']
   if (responseId !== undefined && responseId !== attemptId) {
@@ -119,7 +142,7 @@
   return { kind: 'rejected', error: { status: status === 401 || status === 403 ? 502 : status, code: 'backend_rejected', message, run: 'no' }, charge: undefined }
 }
 
-async function relayStream (attempt: EngineAttempt, slot: Slot, attemptId: string, response: ReceivedResponse): Promise<AttemptResult<EngineResponse>> {
+async function relayStream (attempt: AnsweringAttempt, slot: Slot, attemptId: string, response: ReceivedResponse): Promise<AttemptResult<EngineResponse>> {
   const { services, exchange } = attempt
   if (!exchange.response.headersSent) {
     exchange.response.statusCode = 200
@@ -137,7 +160,10 @@
     deadline: exchange.deadline,
     signal: exchange.signal,
     isBackendServerDown: () => services.backends.confirmCrash(slot.backendServer.id),
-    onToken: attempt.onToken
+    onToken: () => {
+      if (attempt.progress.contentTokens >= TOKENS_OF_SOUND_ANSWER) attempt.onAnswered()
+      attempt.onToken()
+    }
   })
   return await handleStreamOutcome(attempt, slot, attemptId, outcome)
 }
@@ -154,7 +180,7 @@
   }
 }
 
-async function readBufferedResponse (attempt: EngineAttempt, slot: Slot, attemptId: string, response: ReceivedResponse): Promise<AttemptResult<EngineResponse>> {
+async function readBufferedResponse (attempt: AnsweringAttempt, slot: Slot, attemptId: string, response: ReceivedResponse): Promise<AttemptResult<EngineResponse>> {
   const body = await readBody(response.message, MAX_RESPONSE_BYTES, attempt.exchange.deadline, attempt.exchange.signal)
   if (attempt.exchange.signal.aborted) return { kind: 'callerGone', charge: await cancelAttempt(attempt, slot, attemptId) }
   switch (body.kind) {
@@ -167,6 +193,7 @@
   const completion = parseJson(completionSchema, text)
   if (completion === undefined) return failedAttempt(attempt, { kind: 'brokenAfterBytes', bytesReceived: 0, resumable: false }, estimatedCharge(attempt))
   if (completion.id !== `chatcmpl-${attemptId}`) return await dropMismatchedResponse(attempt, slot, attemptId, completion.id)
+  attempt.onAnswered()
   return { kind: 'answered', answer: { kind: 'whole', json: text.replace(attemptId, attempt.requestId) }, charge: chargeFromUsage(attempt, completion.usage) }
 }
 
--- a/packages/router/src/peerServer.ts
+++ b/packages/router/src/peerServer.ts
@@ -3,6 +3,7 @@
 import { GetObjectsResponseSchema, PeerService, StatusResponseSchema, TransferAllowanceResponseSchema, type GossipMessage, type StatusResponse, type TlsSettings } from '@quinceshunt/schemas'
 import { createServer, type Server } from 'node:http'
 import { createServer as createSecureServer } from 'node:https'
+import type { PromptPartGuard } from './promptParts.js'
 import type { BudgetPeerHandlers, ConfigurationGossip, SuspectGossip } from './taskContracts.js'
 import { listenerTls } from './tls.js'
 
@@ -13,6 +14,7 @@
   readonly budget: BudgetPeerHandlers
   readonly configuration: ConfigurationGossip
   readonly suspects: SuspectGossip
+  readonly promptParts: PromptPartGuard
   readonly receiveGossip: (message: GossipMessage) => GossipMessage
   readonly answerClaim: (key: string) => { readonly maybeSent: boolean, readonly lostPeers: boolean }
   readonly status: () => StatusResponse
@@ -33,7 +35,8 @@
           contents: request.sha256.slice(0, MAX_OBJECTS_PER_CALL).map((name) => handlers.configuration.object(name) ?? new Uint8Array())
         }),
         reportSuspects: (request) => {
-          handlers.suspects.receiveSuspects(request.suspects)
+          if (request.suspects.length > 0) handlers.suspects.receiveSuspects(request.suspects)
+          handlers.promptParts.receive(request.unanswered, request.answered)
           return {}
         },
         askClaim: (request) => handlers.answerClaim(request.claimKey),
--- a/packages/router/src/requestRunner.ts
+++ b/packages/router/src/requestRunner.ts
@@ -10,6 +10,8 @@
 export interface RequestSpecification<Answer> {
   readonly requestId: string
   readonly fingerprint: string
+  /** Hashes of the parts of its prompt that other requests may share; empty for calls of services. */
+  readonly sharedParts: readonly string[]
   /** Model or service. */
   readonly target: string
   readonly idempotent: boolean
@@ -30,7 +32,7 @@
 
   async function executeCommand (command: RequestCommand<Answer>): Promise<unknown> {
     switch (command.kind) {
-      case 'admit': return services.quarantine.admit(request.fingerprint)
+      case 'admit': return services.promptParts.isHeldBack(request.sharedParts) ? { kind: 'quarantined' } : services.quarantine.admit(request.fingerprint)
       case 'reserve': return await reserve()
       case 'acquire': return await acquireSlot(services, exchange, request, command)
       case 'attempt': {
@@ -111,6 +113,11 @@
     if (candidates.length === 0) return undefined
     const trialServer = await services.quarantine.startTrial(request.fingerprint, candidates, deadline)
     if (trialServer === undefined) return undefined
+    // While the trial waited, further crashes may have shown that a part of the prompt is the cause.
+    if (services.promptParts.isHeldBack(request.sharedParts)) {
+      services.quarantine.abandonTrial(request.fingerprint, trialServer)
+      return undefined
+    }
     const outcome = await services.backends.acquire({ ...slotRequest, only: trialServer })
     if (outcome.kind === 'slot') return outcome
     // The candidate may have become unavailable, for example after a crash that another router observed.
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -51,6 +51,7 @@
     budget: tasks.budgets,
     configuration: tasks.configuration,
     suspects: tasks.quarantine,
+    promptParts: tasks.services.promptParts,
     receiveGossip: tasks.receiveGossip,
     answerClaim: tasks.answerClaim,
     status: () => tasks.describe(notReadyReason() === '', callers.activeRequests())
--- a/packages/router/src/routerServices.ts
+++ b/packages/router/src/routerServices.ts
@@ -4,6 +4,7 @@
 import type { RetryBudget } from '@quinceshunt/requests'
 import type { CrashReporter } from './crashReporter.js'
 import type { InFlightRegistry } from './inFlight.js'
+import type { PromptPartGuard } from './promptParts.js'
 import type { BackendService, BudgetService, ClaimService, ConfigurationService, QuarantineService } from './services.js'
 
 /** Dependencies of the request path. */
@@ -16,6 +17,7 @@
   readonly budgets: BudgetService
   readonly claims: ClaimService
   readonly quarantine: QuarantineService
+  readonly promptParts: PromptPartGuard
   readonly backends: BackendService
   readonly crashes: CrashReporter
   readonly inFlight: InFlightRegistry
--- a/packages/router/src/routerTasks.ts
+++ b/packages/router/src/routerTasks.ts
@@ -12,6 +12,7 @@
 import { createOrderTask } from './orderTask.js'
 import { createPeerTask } from './peerTask.js'
 import { createQuarantineTask } from './quarantineTask.js'
+import { createPromptPartGuard } from './promptParts.js'
 import type { RouterServices } from './routerServices.js'
 import type { TaskContext } from './taskContracts.js'
 
@@ -38,6 +39,7 @@
   const peers = createPeerTask(context, settings)
   const configuration = createConfigurationTask(context, settings, peers)
   const quarantine = createQuarantineTask(context, peers)
+  const promptParts = createPromptPartGuard(context, peers)
   const backends = createBackendTask(context, settings.routing!, configuration)
   const budgets = createBudgetTask(context, settings.budget!, peers, configuration)
   const claimTask = createClaimTask(context)
@@ -53,9 +55,10 @@
     budgets,
     claims,
     quarantine,
+    promptParts,
     backends,
     inFlight,
-    crashes: createCrashReporter(backends, quarantine, inFlight, clock),
+    crashes: createCrashReporter({ backends, quarantine, promptParts, inFlight, clock }),
     retryBudget: createRetryBudget({ retriesPerRequest: settings.retryShare }),
     isIsolated: () => settings.whenIsolated === IsolationPolicy.REFUSE && isolation.isIsolated()
   }
--- a/packages/router/src/serviceAttempt.ts
+++ b/packages/router/src/serviceAttempt.ts
@@ -42,7 +42,7 @@
   const { services, exchange } = attempt
   const server = command.slot.backendServer
   const span = startSpan('service request', SpanKind.CLIENT, exchange.traceContext, { 'peer.id': server.id, 'request.id': attempt.requestId })
-  const removeInFlight = services.inFlight.add(server.id, attempt.fingerprint)
+  const inFlight = services.inFlight.add(server.id, attempt.fingerprint)
   const attemptId = newAttemptId(attempt.requestId, attemptNumber)
   try {
     const response = await sendBackendRequest({
@@ -62,7 +62,7 @@
     }
     return result
   } finally {
-    removeInFlight()
+    inFlight.remove()
     span.end()
   }
 }
--- a/packages/router/src/serviceCall.ts
+++ b/packages/router/src/serviceCall.ts
@@ -110,6 +110,7 @@
   return runRequest<ServiceResponse>(services, exchange, {
     requestId: identity.requestId,
     fingerprint: identity.fingerprint,
+    sharedParts: [],
     target: call.service,
     idempotent: route.idempotent,
     ceilingTokens: priceTokens,
--- a/packages/scenarios/src/steps/quarantineSteps.ts
+++ b/packages/scenarios/src/steps/quarantineSteps.ts
@@ -21,6 +21,11 @@
 /** Limit from section 9 of the design page. */
 const MAX_ENGINES_LOST = 2
 const QUARANTINE_TIMEOUT_MS = 30_000
+const CRASHING_CHATS = 24
+const CRASHING_CHAT_INTERVAL_MS = 400
+const ENGINE_CHECK_INTERVAL_MS = 50
+/** Chats with the crashing message that are rejected at the end. */
+const REJECTED_CHATS = 6
 const POISON_PROMPT = createPrompt('[crash] paint the whole bridge', 20)
 
 /** Result of one run, printed as JSON. */
@@ -36,7 +41,18 @@
   readonly log?: readonly string[]
 }
 
-type QuarantineWorld = FleetWorld & { poisonRuns?: PoisonRun[] }
+/** Result of sending chats with a crashing message. */
+interface CrashingMessageRun {
+  /** Unix milliseconds, in order. */
+  readonly enginesLostAt: readonly number[]
+  /** Error codes of the chats with the crashing message, in the order of sending. */
+  readonly codes: readonly string[]
+  readonly soundFaults: readonly string[]
+  /** Router log lines about prompts; set only if the message was not quarantined at the end. */
+  readonly log?: readonly string[]
+}
+
+type QuarantineWorld = FleetWorld & { poisonRuns?: PoisonRun[], crashingMessageRun?: CrashingMessageRun }
 
 /** Seeded linear congruential generator of numbers in [0, 1). */
 function createRandom (seed: number): () => number {
@@ -110,3 +126,47 @@
 Then('in each run the concurrent requests get complete responses', function (this: QuarantineWorld) {
   assert.deepEqual(this.poisonRuns!.flatMap(({ neighbourFaults }) => neighbourFaults), [])
 })
+
+When('callers send chats with a crashing message among others at {int} routers in front of {int} engines', { timeout: 120_000 }, async function (this: QuarantineWorld, routers: number, engines: number) {
+  const fleet = await startFleet({ routers, engines, engineSettings: { seed: 1 } })
+  try {
+    const reference = { role: 'system', content: 'reference notes of the workshop' }
+    const crashing: Promise<ChatResponse>[] = []
+    const sound: Promise<string | undefined>[] = []
+    const lostAt = new Map<string, number>()
+    const watch = setInterval(() => {
+      for (const engine of fleet.engines) if (engine.process.hasExited() && !lostAt.has(engine.id)) lostAt.set(engine.id, Date.now())
+    }, ENGINE_CHECK_INTERVAL_MS)
+    for (let index = 0; index < CRASHING_CHATS; index++) {
+      crashing.push(sendChat(createChatCall(fleet, index, [reference, { role: 'user', content: '[crash] notes on the bridge' }, ...createPrompt(`order ${index}`, 20)])))
+      const call = createChatCall(fleet, index + 1, [reference, ...createPrompt(`other order ${index}`, NEIGHBOUR_ANSWER_TOKENS)])
+      sound.push(sendChat(call).then((response) => findResponseFault(call, response)))
+      await wait(CRASHING_CHAT_INTERVAL_MS)
+    }
+    const codes = (await Promise.all(crashing)).map((response) => response.error?.code ?? 'none')
+    const soundFaults = (await Promise.all(sound)).filter((fault) => fault !== undefined)
+    clearInterval(watch)
+    const isQuarantined = codes.slice(-REJECTED_CHATS).every((code) => code === 'request_quarantined')
+    const log = isQuarantined ? {} : { log: fleet.routers.flatMap((router) => router.process.log().filter((line) => /prompt/.test(line))) }
+    this.crashingMessageRun = { ...log, enginesLostAt: [...lostAt.values()].sort((left, right) => left - right), codes, soundFaults }
+    process.stdout.write(`${JSON.stringify(this.crashingMessageRun)}\n`)
+  } finally {
+    await fleet.stop()
+  }
+})
+
+Then('at most {int} engines are lost later than {int} s after the fifth', function (this: QuarantineWorld, limit: number, seconds: number) {
+  const { enginesLostAt } = this.crashingMessageRun!
+  assert.ok(enginesLostAt.length > 0, 'the crashing message never crashed an engine')
+  const fifthLostAt = enginesLostAt[4] ?? Infinity
+  const lostLate = enginesLostAt.filter((at) => at > fifthLostAt + seconds * 1000).length
+  assert.ok(lostLate <= limit, `${enginesLostAt.length} engines lost, ${lostLate} of them late`)
+})
+
+Then('the last chats with the crashing message are rejected as quarantined', function (this: QuarantineWorld) {
+  assert.deepEqual(new Set(this.crashingMessageRun!.codes.slice(-REJECTED_CHATS)), new Set(['request_quarantined']))
+})
+
+Then('the chats that share all other messages get complete responses', function (this: QuarantineWorld) {
+  assert.deepEqual(this.crashingMessageRun!.soundFaults, [])
+})
