Repeat reports of unanswered prompts with gossip

Gossip now carries the reports of the last 60 s, each counted once. The test of the peer task passes its sources by name now; it checks the same.

--- a/packages/router/src/__tests__/peerTask.test.ts
+++ b/packages/router/src/__tests__/peerTask.test.ts
@@ -28,10 +28,12 @@
   const context = buildTaskContext(`router-${index}`, address)
   const settings = create(RouterSettingsSchema, { gossipIntervalMilliseconds, peerAddresses: [...peerAddresses] })
   const task = createPeerTask(context, settings)
-  task.connect(
-    { head: () => heads.at(-1), object: () => undefined, receiveHead: (head) => { if (head.revision > (heads.at(-1)?.revision ?? 0n)) heads.push(head) } },
-    { recentMarks: () => marks, learnedMarkCount: () => marks.length, status: () => [], receiveMarks: (received) => { for (const mark of received) if (!marks.some((known) => known.backendServer === mark.backendServer)) marks.push(mark) } },
-    { recentSuspects: () => [], receiveSuspects: () => {} })
+  task.connect({
+    configuration: { head: () => heads.at(-1), object: () => undefined, receiveHead: (head) => { if (head.revision > (heads.at(-1)?.revision ?? 0n)) heads.push(head) } },
+    backends: { recentMarks: () => marks, learnedMarkCount: () => marks.length, status: () => [], receiveMarks: (received) => { for (const mark of received) if (!marks.some((known) => known.backendServer === mark.backendServer)) marks.push(mark) } },
+    suspects: { recentSuspects: () => [], receiveSuspects: () => {} },
+    promptParts: { recentUnanswered: () => [], receive: () => {} }
+  })
   const stop = async (): Promise<void> => {
     await task.stop()
     const closed = new Promise((resolve) => server.close(resolve))
--- a/packages/router/src/__tests__/promptParts.test.ts
+++ b/packages/router/src/__tests__/promptParts.test.ts
@@ -71,6 +71,19 @@
     expect(fleet.guards.map((guard) => guard.isHeldBack(['crashing']))).toEqual([true, true, false])
   })
 
+  // Guards against an instance that never learns of crashes that were reported before it was known.
+  test('gossip brings reports that did not arrive, and each counts once', async () => {
+    const fleet = createFleet('router-3')
+    for (const router of [0, 1, 0]) await crash(fleet, router, ['crashing'])
+    fleet.time.now += REPORT_DELAY_MS
+    expect(fleet.guards[2]?.isHeldBack(['crashing'])).toBe(false)
+    for (const source of [0, 1]) fleet.guards[2]?.receive(fleet.guards[source]?.recentUnanswered() ?? [], [])
+    expect(fleet.guards[2]?.recentUnanswered()).toHaveLength(3)
+    expect(fleet.guards[2]?.isHeldBack(['crashing'])).toBe(true)
+    fleet.time.now += 61_000
+    expect(fleet.guards[2]?.recentUnanswered()).toEqual([])
+  })
+
   test('the parts of a chat are its messages but the last, told apart by role and content', () => {
     const chat = (messages: ChatBody['messages']): ChatBody => ({ model: 'painter', messages })
     const notes = { role: 'system', content: 'notes' }
--- a/packages/router/src/peerTask.ts
+++ b/packages/router/src/peerTask.ts
@@ -4,7 +4,7 @@
 import { GossipMessageSchema, InstanceRole, type GossipMessage, type SheetHead } from '@quinceshunt/schemas'
 import { PeerError } from '@quinceshunt/telemetry'
 import { createPeerClients, PEER_CALL_TIMEOUT_MS } from './peerClients.js'
-import type { BackendGossip, ConfigurationGossip, CreatePeerTask, SuspectGossip } from './taskContracts.js'
+import type { CreatePeerTask, GossipSources } from './taskContracts.js'
 
 /** Time for which a peer that didn't respond is excluded from gossip rounds. */
 const FAILED_PEER_BACKOFF_MS = 3000
@@ -31,13 +31,6 @@
   | { readonly kind: 'listed', readonly addresses: readonly string[] }
   | { readonly kind: 'round' }
 
-/** Tasks that exchange state through gossip. */
-interface GossipSources {
-  readonly configuration: ConfigurationGossip
-  readonly backends: BackendGossip
-  readonly suspects: SuspectGossip
-}
-
 /** Starts the task that owns the peer list; gossip starts once `connect` has been called. */
 export const createPeerTask: CreatePeerTask = (context, settings) => {
   const { clock, identity, logger, metrics } = context
@@ -81,6 +74,7 @@
     if (sheet !== undefined) sources?.configuration.receiveHead(sheet, sender?.address ?? '')
     if (gossip.marks.length > 0) sources?.backends.receiveMarks(gossip.marks)
     if (gossip.suspects.length > 0) sources?.suspects.receiveSuspects(gossip.suspects)
+    if (gossip.unanswered.length > 0) sources?.promptParts.receive(gossip.unanswered, [])
   }
 
   function backOffPeer (address: string, error: unknown): void {
@@ -107,7 +101,8 @@
       sheet: headToSend(peerRevision),
       peers: [...table.peersToSend(clock.now(), Math.random)],
       marks: [...sources?.backends.recentMarks() ?? []],
-      suspects: [...sources?.suspects.recentSuspects() ?? []]
+      suspects: [...sources?.suspects.recentSuspects() ?? []],
+      unanswered: [...sources?.promptParts.recentUnanswered() ?? []]
     })
   }
 
@@ -185,7 +180,7 @@
     client: (address) => clients.client(address),
     otherAddresses,
     hasLostPeers: () => incarnations.hasUnplannedLoss(clock.now()),
-    connect: (configuration, backends, suspects) => { sources = { configuration, backends, suspects } },
+    connect: (connectedSources) => { sources = connectedSources },
     receiveGossip: (request) => {
       task.post({ kind: 'received', gossip: request })
       return buildMessage(request.sheet?.revision)
--- a/packages/router/src/promptParts.ts
+++ b/packages/router/src/promptParts.ts
@@ -1,8 +1,9 @@
+import { create } from '@bufbuild/protobuf'
 import { createCrashingParts, type UnansweredRequest } from '@quinceshunt/requests'
-import type { AnsweredPart, UnansweredPrompt } from '@quinceshunt/schemas'
+import { UnansweredPromptSchema, type UnansweredPrompt } from '@quinceshunt/schemas'
 import { createHash } from 'node:crypto'
 import type { ChatBody } from './chatBody.js'
-import type { PeerDirectory, TaskContext } from './taskContracts.js'
+import type { PeerDirectory, PromptPartGossip, TaskContext } from './taskContracts.js'
 
 const REPORT_TIMEOUT_MS = 500
 const MAX_REPORT_ATTEMPTS = 3
@@ -11,6 +12,9 @@
 /** Mean time between two instances that send a part again; within it, a further crash becomes known to all. */
 const RELEASE_INTERVAL_MS = 500
 const PART_HASH_CHARACTERS = 16
+/** Gossip repeats reports for this time, for instances that were not known or not reached when they were made. */
+const GOSSIP_PERIOD_MS = 60_000
+const MAX_GOSSIPED_PROMPTS = 32
 
 /** A prompt that was sent to a backend server and not answered yet. */
 export interface PendingPrompt {
@@ -20,14 +24,12 @@
 }
 
 /** Holds back prompts with a part that crashes backend servers. */
-export interface PromptPartGuard {
+export interface PromptPartGuard extends PromptPartGossip {
   isHeldBack (parts: readonly string[]): boolean
   /** Records the prompts that a crash left unanswered; `crashedAt` is when their connections broke, Unix milliseconds. */
   recordCrash (backendServer: string, prompts: readonly PendingPrompt[], crashedAt: number): void
   /** Records that a backend server began to answer a prompt at `answeredAt`, Unix milliseconds, and went on. */
   recordAnswer (parts: readonly string[], answeredAt: number): void
-  /** Takes over reports of a peer. */
-  receive (unanswered: readonly UnansweredPrompt[], answered: readonly AnsweredPart[]): void
 }
 
 /** Hashes of the messages that other requests may share: all but the last, which is the request's own. */
@@ -35,14 +37,21 @@
   return body.messages.slice(0, -1).map((message) => createHash('sha256').update(JSON.stringify([message.role, message.content])).digest('hex').slice(0, PART_HASH_CHARACTERS))
 }
 
+function toMessage ({ parts, backendProcess, sentAt, crashedAt }: UnansweredRequest): UnansweredPrompt {
+  return create(UnansweredPromptSchema, { parts: [...parts], backendProcess, sentAt: BigInt(sentAt), crashedAt: BigInt(crashedAt) })
+}
+
 /** Creates a guard that knows of no crash. Instances compare their wall clocks; an error of seconds delays the detection. */
 export function createPromptPartGuard ({ clock, logger, metrics }: Pick<TaskContext, 'clock' | 'logger' | 'metrics'>, peers: Pick<PeerDirectory, 'otherAddresses' | 'client'>): PromptPartGuard {
   const releasePosition = Math.random()
   const parts = createCrashingParts(() => releasePosition * (peers.otherAddresses().length + 1) * RELEASE_INTERVAL_MS)
 
+  /** Reports of the gossip period, by content, so that each counts once. */
+  const recent = new Map<string, UnansweredPrompt>()
+
   function tellPeers (report: { readonly unanswered?: readonly UnansweredRequest[], readonly answered?: readonly { readonly part: string, readonly answeredAt: number }[] }): void {
     const message = {
-      unanswered: (report.unanswered ?? []).map((request) => ({ ...request, parts: [...request.parts], sentAt: BigInt(request.sentAt), crashedAt: BigInt(request.crashedAt) })),
+      unanswered: (report.unanswered ?? []).map(toMessage),
       answered: (report.answered ?? []).map(({ part, answeredAt }) => ({ part, answeredAt: BigInt(answeredAt) }))
     }
     // Includes listed instances that gossip has not discovered yet, for example after a start.
@@ -67,7 +76,14 @@
     tellPeers({ answered })
   }
 
+  function forgetOldReports (): void {
+    for (const [key, prompt] of recent) if (Number(prompt.crashedAt) < clock.now() - GOSSIP_PERIOD_MS) recent.delete(key)
+  }
+
   function learn (request: UnansweredRequest): void {
+    const key = [request.backendProcess, request.sentAt, request.crashedAt, ...request.parts].join(' ')
+    if (recent.has(key) || request.crashedAt < clock.now() - GOSSIP_PERIOD_MS) return
+    recent.set(key, toMessage(request))
     reportAnswers(parts.recordCrash(request))
     logger.info({ step: 'suspect prompt parts', ...request, crashes: request.parts.map((part) => parts.crashCount(part)) }, 'a crash left a prompt unanswered; its parts are suspects')
   }
@@ -89,6 +105,10 @@
       tellPeers({ unanswered })
     },
     recordAnswer: (sharedParts, answeredAt) => reportAnswers(parts.recordAnswer(sharedParts, answeredAt, 'own')),
+    recentUnanswered: () => {
+      forgetOldReports()
+      return [...recent.values()].slice(-MAX_GOSSIPED_PROMPTS).toReversed()
+    },
     receive: (unanswered, answered) => {
       for (const prompt of unanswered) learn({ parts: prompt.parts, backendProcess: prompt.backendProcess, sentAt: Number(prompt.sentAt), crashedAt: Number(prompt.crashedAt) })
       for (const { part, answeredAt } of answered) parts.recordAnswer([part], Number(answeredAt), 'shared')
--- a/packages/router/src/routerTasks.ts
+++ b/packages/router/src/routerTasks.ts
@@ -67,7 +67,7 @@
     budgets,
     configuration,
     quarantine,
-    connectPeers: () => peers.connect(configuration, backends, quarantine),
+    connectPeers: () => peers.connect({ configuration, backends, suspects: quarantine, promptParts }),
     receiveGossip: (message) => {
       isolation.recordContact()
       return peers.receiveGossip(message)
--- a/packages/router/src/taskContracts.ts
+++ b/packages/router/src/taskContracts.ts
@@ -1,7 +1,7 @@
 import type { Client } from '@connectrpc/connect'
 import type { Clock } from '@quinceshunt/effects'
 import type { Platform } from '@quinceshunt/table-store'
-import type { AdoptLeasesRequest, BackendServerMark, BackendServerStatus, BudgetSettings, GossipMessage, PeerIdentity, PeerService, RouterSettings, RoutingSettings, SheetHead, SuspectRecord, TransferAllowanceRequest, TransferRecord } from '@quinceshunt/schemas'
+import type { AdoptLeasesRequest, AnsweredPart, BackendServerMark, BackendServerStatus, BudgetSettings, GossipMessage, PeerIdentity, PeerService, RouterSettings, RoutingSettings, SheetHead, SuspectRecord, TransferAllowanceRequest, TransferRecord, UnansweredPrompt } from '@quinceshunt/schemas'
 import type { Logger, Metrics } from '@quinceshunt/telemetry'
 import type { BackendService, BudgetService, ClaimService, ConfigurationService, QuarantineService } from './services.js'
 
@@ -53,6 +53,13 @@
   status (): readonly BackendServerStatus[]
 }
 
+/** Prompt part guard's interface to gossip. */
+export interface PromptPartGossip {
+  receive (unanswered: readonly UnansweredPrompt[], answered: readonly AnsweredPart[]): void
+  /** Prompts that crashes of the last 60 s left unanswered, newest first, at most 32. */
+  recentUnanswered (): readonly UnansweredPrompt[]
+}
+
 /** Configuration task's interface to gossip. */
 export interface ConfigurationGossip {
   head (): SheetHead | undefined
@@ -62,6 +69,14 @@
   object (sha256: string): Uint8Array | undefined
 }
 
+/** Tasks that exchange state through gossip. */
+export interface GossipSources {
+  readonly configuration: ConfigurationGossip
+  readonly backends: BackendGossip
+  readonly suspects: SuspectGossip
+  readonly promptParts: PromptPartGossip
+}
+
 /** A task that runs in the background until it is stopped. */
 export interface Stoppable {
   stop (): Promise<void>
@@ -82,7 +97,7 @@
 export type CreateConfigurationTask = (context: TaskContext, settings: RouterSettings, peers: PeerDirectory) => ConfigurationService & ConfigurationGossip & Stoppable
 /** Implemented by `createPeerTask` in peerTask.ts; `connect` attaches the tasks that exchange state through gossip. */
 export type CreatePeerTask = (context: TaskContext, settings: RouterSettings) => PeerDirectory & Stoppable & {
-  connect (configuration: ConfigurationGossip, backends: BackendGossip, suspects: SuspectGossip): void
+  connect (sources: GossipSources): void
   /** Handles a gossip message from a peer and returns the reply. */
   receiveGossip (request: GossipMessage): GossipMessage
 }
