--- a/soak/src/__tests__/soak.test.ts
+++ b/soak/src/__tests__/soak.test.ts
@@ -3,13 +3,16 @@
 import { planFaults } from '../faultPlan.js'
 import { runSoak } from '../soakRun.js'
 
-/** With the gateway's safeguards removed, the first seed finds an overspent budget and an interrupted planned stop, the second a second run. */
-const SEEDS = [1000, 1011] as const
+/**
+ * With the gateway's safeguards removed, the first seed finds an overspent budget and an interrupted planned stop, the second
+ * a second run. The third found requests that a paused process forwarded after their callers had left.
+ */
+const SEEDS = [1000, 1011, 8001] as const
 const EVENTS_PER_STREAM = 3
 
 function createRecord (overrides: Partial<CallerRecord> = {}): CallerRecord {
   const kind = overrides.kind ?? 'once'
-  return { attempt: 'attempt-1', kind, sentAt: 100, gateway: 0, generation: 0, routeVersion: undefined, answeredAt: 200, status: 200, body: completeBody(kind, 'attempt-1', EVENTS_PER_STREAM), complete: true, ...overrides }
+  return { attempt: 'attempt-1', kind, sentAt: 100, gateway: 0, generation: 0, routeVersion: undefined, leavesAt: undefined, answeredAt: 200, status: 200, body: completeBody(kind, 'attempt-1', EVENTS_PER_STREAM), complete: true, ...overrides }
 }
 
 function findViolations (callers: readonly CallerRecord[], overrides: Partial<Observations> = {}): readonly string[] {
@@ -42,7 +45,7 @@
   test('a response interrupted by a planned stop is detected unless another fault explains it', () => {
     const plannedStops = [{ gateway: 0, generation: 0, from: 150 }]
     expect(findViolations([createRecord({ complete: false })], { plannedStops })).toEqual(['plannedStop'])
-    expect(findViolations([createRecord({ complete: false })], { plannedStops, faultWindows: [{ from: 140, to: 300, interruptsResponses: true }] })).toEqual([])
+    expect(findViolations([createRecord({ complete: false })], { plannedStops, faultWindows: [{ from: 140, to: 300, interruptsResponses: true, delaysRequests: false }] })).toEqual([])
   })
 
   test('a return to an older configuration is detected', () => {
@@ -51,6 +54,14 @@
     expect(findViolations([served, { ...served, sentAt: 300, answeredAt: 310, status: 404, generation: 1 }])).toEqual([])
   })
 
+  test('a request that starts long after its caller left is detected unless its link held it back', () => {
+    const departed = createRecord({ kind: 'repeatable', leavesAt: 140, status: 0, complete: false })
+    expect(findViolations([departed], { runs: [{ ...run, at: 640 }] })).toEqual([])
+    expect(findViolations([departed], { runs: [{ ...run, at: 641 }] })).toEqual(['departure'])
+    expect(findViolations([departed], { runs: [{ ...run, at: 641 }], faultWindows: [{ from: 500, to: 700, interruptsResponses: true, delaysRequests: false }] })).toEqual(['departure'])
+    expect(findViolations([departed], { runs: [{ ...run, at: 641 }], faultWindows: [{ from: 500, to: 700, interruptsResponses: true, delaysRequests: true }] })).toEqual([])
+  })
+
   test('a fleet that does not recover is detected', () => {
     expect(findViolations(Array.from({ length: 20 }, () => createRecord({ sentAt: 9000, status: 504 })))).toEqual(['recovery'])
   })
--- a/soak/src/checkGuarantees.ts
+++ b/soak/src/checkGuarantees.ts
@@ -11,6 +11,8 @@
   readonly generation: number
   /** Configuration version whose route `/vN/` was requested. */
   readonly routeVersion: number | undefined
+  /** Time at which the caller closes its connection, whatever it has received; undefined for callers that wait. */
+  readonly leavesAt: number | undefined
   answeredAt: number
   /** 0 when the connection failed before the response headers. */
   status: number
@@ -36,13 +38,22 @@
   /** Graceful stops, which must not interrupt requests in progress. */
   readonly plannedStops: readonly { readonly gateway: number, readonly generation: number, readonly from: number }[]
   /** Periods of injected faults; faults of a gateway process or a backend server's link may interrupt responses. */
-  readonly faultWindows: readonly { readonly from: number, readonly to: number, readonly interruptsResponses: boolean }[]
+  readonly faultWindows: readonly FaultWindow[]
+}
+
+/** Period of an injected fault and its aftermath. */
+export interface FaultWindow {
+  readonly from: number
+  readonly to: number
+  readonly interruptsResponses: boolean
+  /** True for faults of the link to a backend server, which may hold a request back. */
+  readonly delaysRequests: boolean
 }
 
 /** A guarantee that did not hold. */
 export interface GuaranteeViolation {
   /** Name of the guarantee. */
-  readonly promise: 'budget' | 'once' | 'refusal' | 'whole' | 'plannedStop' | 'configuration' | 'recovery'
+  readonly promise: 'budget' | 'once' | 'refusal' | 'whole' | 'plannedStop' | 'configuration' | 'recovery' | 'departure'
   readonly detail: string
 }
 
@@ -53,6 +64,9 @@
 /** Time allowed for recovery after the last fault. */
 const RECOVERY_TIME_MS = 2000
 
+/** A backend server must not start work for a caller that left this long before. */
+const MAX_START_AFTER_DEPARTURE_MS = 500
+
 /** Expected body of a complete response. */
 export function completeBody (kind: RequestKind, attempt: string, events: number): string {
   if (kind !== 'stream') return `answer to ${attempt}`
@@ -88,7 +102,7 @@
   for (const stop of observations.plannedStops) {
     for (const record of observations.callers) {
       if (record.gateway !== stop.gateway || record.generation !== stop.generation) continue
-      const isInterrupted = record.status === 200 && !record.complete
+      const isInterrupted = record.status === 200 && !record.complete && record.leavesAt === undefined
       const spansStop = record.sentAt <= stop.from && record.answeredAt >= stop.from
       const isExcused = observations.faultWindows.some(({ from, to, interruptsResponses }) => interruptsResponses && from <= record.answeredAt && to >= record.sentAt)
       if (isInterrupted && spansStop && !isExcused) yield { promise: 'plannedStop', detail: `${record.attempt} was interrupted by a planned stop` }
@@ -108,6 +122,16 @@
   }
 }
 
+function * checkDepartures (observations: Observations): Generator<GuaranteeViolation> {
+  const departures = new Map(observations.callers.flatMap((record) => record.leavesAt === undefined ? [] : [[record.attempt, record.leavesAt]]))
+  for (const run of observations.runs) {
+    const leftAt = departures.get(run.attempt)
+    if (leftAt === undefined || run.at <= leftAt + MAX_START_AFTER_DEPARTURE_MS) continue
+    const isExcused = observations.faultWindows.some(({ from, to, delaysRequests }) => delaysRequests && from <= run.at && to >= leftAt)
+    if (!isExcused) yield { promise: 'departure', detail: `${run.attempt} started ${run.at - leftAt} ms after its caller had left` }
+  }
+}
+
 function * checkRecovery (observations: Observations): Generator<GuaranteeViolation> {
   const lastFault = Math.max(0, ...observations.faultWindows.map(({ to }) => to))
   const sentAfterRecovery = observations.callers.filter((record) => record.kind !== 'stream' && record.sentAt > lastFault + RECOVERY_TIME_MS)
@@ -123,4 +147,5 @@
   yield * checkPlannedStops(observations)
   yield * checkConfiguration(observations)
   yield * checkRecovery(observations)
+  yield * checkDepartures(observations)
 }
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -1,6 +1,6 @@
 import { CALLER_DEADLINE_MS, sendRequest, signedHeaders, startBackendStandIn, startGatewayProcess, startStoreStandIn, versionedConfiguration, wireBackendWithSlots, type BackendStandIn, type GatewayProcess, type StoreStandIn } from '@quinceshunt/platform-adapter/fixtures'
 import { Agent } from 'node:http'
-import { checkGuarantees, completeBody, type BackendRun, type CallerRecord, type GuaranteeViolation, type RequestKind } from './checkGuarantees.js'
+import { checkGuarantees, completeBody, type BackendRun, type CallerRecord, type FaultWindow, type GuaranteeViolation, type RequestKind } from './checkGuarantees.js'
 import { BACKEND_COUNT, GATEWAY_COUNT, SOAK_DURATION_MS, type PlannedFault } from './faultPlan.js'
 import { startFaultyLink, type FaultyLink } from './faultyLink.js'
 
@@ -15,6 +15,10 @@
 /** Time after its stated deadline at which a caller closes its connection. */
 const CALLER_ABORT_MARGIN_MS = 500
 const EVENT_INTERVAL_MS = 15
+/** One request in this many is sent by a caller that leaves early. */
+const DEPARTURE_INTERVAL = 9
+/** Callers leave after up to this time, about that of a whole response. */
+const MAX_PATIENCE_MS = 160
 const PROMPT_TOKENS = 100
 const TOKENS_PER_EVENT = 5
 /** Less than the load requests, so that every soak covers refusals and the use of the last tokens. */
@@ -68,7 +72,7 @@
   const path = record.routeVersion === undefined ? REQUEST_PATHS[record.kind] : `/v${record.routeVersion}/`
   const prompt = record.kind === 'stream' ? { prompt: { promptTokens: PROMPT_TOKENS, outputTokens: EVENTS_PER_STREAM * TOKENS_PER_EVENT } } : {}
   try {
-    const { status, body, complete } = await sendRequest(address, path, { agent, method: record.kind === 'once' ? 'POST' : 'GET', attemptId: record.attempt, abortAfterMilliseconds: CALLER_DEADLINE_MS + CALLER_ABORT_MARGIN_MS, ...prompt })
+    const { status, body, complete } = await sendRequest(address, path, { agent, method: record.kind === 'once' ? 'POST' : 'GET', attemptId: record.attempt, abortAfterMilliseconds: record.leavesAt === undefined ? CALLER_DEADLINE_MS + CALLER_ABORT_MARGIN_MS : Math.max(0, record.leavesAt - Date.now()), ...prompt })
     Object.assign(record, { status, body, complete })
   } catch {
     // The record keeps status 0: no response headers arrived, and the checks treat the outcome as unknown.
@@ -82,7 +86,7 @@
   const runs: BackendRun[] = []
   const callers: CallerRecord[] = []
   const plannedStops: { gateway: number, generation: number, from: number }[] = []
-  const faultWindows: { from: number, to: number, interruptsResponses: boolean }[] = []
+  const faultWindows: FaultWindow[] = []
   const backends = await Promise.all(Array.from({ length: BACKEND_COUNT }, async () => await startBackendStandIn()))
   const backendLinks = await Promise.all(backends.map(async ({ address }) => await startFaultyLink(address)))
   const storeLinks = await Promise.all(Array.from({ length: GATEWAY_COUNT }, async () => await startFaultyLink(store.address)))
@@ -110,13 +114,13 @@
     gateway.state = 'up'
   }
 
-  function recordFaultWindow (duration: number, interruptsResponses: boolean): void {
-    faultWindows.push({ from: Date.now(), to: Date.now() + duration + FAULT_AFTERMATH_MS, interruptsResponses })
+  function recordFaultWindow (duration: number, interruptsResponses: boolean, delaysRequests = false): void {
+    faultWindows.push({ from: Date.now(), to: Date.now() + duration + FAULT_AFTERMATH_MS, interruptsResponses, delaysRequests })
   }
 
   async function applyLinkFault (link: FaultyLink | undefined, fault: Extract<PlannedFault, { kind: 'storeLink' | 'backendLink' }>): Promise<void> {
     if (link === undefined) return
-    recordFaultWindow(fault.lasts, fault.kind === 'backendLink')
+    recordFaultWindow(fault.lasts, fault.kind === 'backendLink', fault.kind === 'backendLink')
     link.fault = fault.fault
     await sleep(fault.lasts)
     link.fault = undefined
@@ -189,7 +193,9 @@
     if (gateway === undefined || agent === undefined) return
     const kind = REQUEST_KINDS[sentCount % REQUEST_KINDS.length] ?? 'once'
     const isVersioned = sentCount % 16 === 2
-    const record: CallerRecord = { attempt: `attempt-${sentCount}`, kind: isVersioned ? 'repeatable' : kind, sentAt: Date.now(), gateway: index, generation: gateway.generation, routeVersion: isVersioned ? version : undefined, answeredAt: 0, status: 0, body: '', complete: false }
+    const isDeparture = sentCount % DEPARTURE_INTERVAL === 4
+    const leavesAt = isDeparture ? Date.now() + (sentCount * 37) % MAX_PATIENCE_MS : undefined
+    const record: CallerRecord = { attempt: `attempt-${sentCount}`, kind: isVersioned ? 'repeatable' : kind, sentAt: Date.now(), gateway: index, generation: gateway.generation, routeVersion: isVersioned ? version : undefined, leavesAt, answeredAt: 0, status: 0, body: '', complete: false }
     sentCount++
     callers.push(record)
     pendingRequests.push(sendRecordedRequest(agent, gateway.process.callersAddress, record))
