Count each report of an unanswered request once, and forget old ones

An instance receives its own reports again with the table, and all reports when the store has dropped its history; each was taken for another request of the same crash, which lowers the score of the crashing part, and after a restart reports of hours ago were suspects again. Requests have an ID now, and crashes older than twelve minutes are dropped. Test: "a report counts once, and one from long ago not at all".

--- a/packages/gateway/src/tasks/crashGuard.ts
+++ b/packages/gateway/src/tasks/crashGuard.ts
@@ -1,5 +1,6 @@
-import { createCrashingParts, type SuspectedGroup, type UnansweredRequest } from '@quinceshunt/requests'
+import { createCrashingParts, type SuspectedGroup } from '@quinceshunt/requests'
 import { steadyNow } from '../clock.js'
+import type { ReportedRequest } from '../decisions/crashReport.js'
 import { createCrashTracker } from '../decisions/crashTracker.js'
 import type { SharedClock } from '../decisions/sharedClock.js'
 import type { DecisionLog } from './decisionLog.js'
@@ -42,7 +43,7 @@
   /** Records that a backend server began to answer at `answeredAt`, by `steadyNow`, and went on. */
   recordAnswer (request: GuardedRequest, answeredAt: number): void
   /** Takes over a report of this or another instance. */
-  learnCrash (fingerprint: string, reportId: string, unanswered: UnansweredRequest | undefined): void
+  learnCrash (fingerprint: string, reportId: string, unanswered: ReportedRequest | undefined): void
   learnAnswer (part: string, answeredAt: number): void
   /** Time of an answer that other instances should know of; undefined when they no longer suspect the part. */
   answerToReport (part: string): number | undefined
@@ -57,7 +58,7 @@
   /** Position of this instance, from 0 to 1, in the order in which instances send a part again that was held back. */
   readonly releasePosition: number
   /** Reports to all instances; calls `learnCrash` for this one. */
-  readonly reportCrash: (fingerprint: string, unanswered: UnansweredRequest | undefined) => void
+  readonly reportCrash: (fingerprint: string, unanswered: ReportedRequest | undefined) => void
   /** Tells all instances of an answer to a part that they may suspect. */
   readonly reportAnswer: (part: string) => void
 }
@@ -86,7 +87,7 @@
     loggedGroups = new Set(current.keys())
   }
 
-  function unansweredRequest (request: GuardedRequest, attempt: BrokenAttempt): UnansweredRequest | undefined {
+  function unansweredRequest (request: GuardedRequest, attempt: BrokenAttempt): ReportedRequest | undefined {
     const sentAt = clock.fromLocal(attempt.sentAt)
     const crashedAt = clock.fromLocal(steadyNow())
     if (sentAt === undefined || crashedAt === undefined || request.sharedParts.length === 0) return undefined
@@ -128,7 +129,7 @@
         if (contents.crashCount(fingerprint) !== previousCount) log.decision('crashCounted', { fingerprint, crashes: contents.crashCount(fingerprint), report: reportId })
       }
       if (unanswered === undefined) return
-      reportAnswers(parts.recordCrash(unanswered))
+      reportAnswers(parts.recordCrash({ ...unanswered, id: reportId }))
       log.decision('partsSuspected', { parts: unanswered.parts.map((part) => `${part}:${parts.crashCount(part)}`).join(','), backend: unanswered.backendProcess, sentAt: unanswered.sentAt, crashedAt: unanswered.crashedAt, report: reportId })
     },
     learnAnswer: (part, answeredAt) => {
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -1,7 +1,6 @@
-import type { UnansweredRequest } from '@quinceshunt/requests'
 import { steadyNow } from '../clock.js'
 import { accountHomes } from '../decisions/accountHomes.js'
-import { decodeUnansweredRequest, encodeUnansweredRequest } from '../decisions/crashReport.js'
+import { decodeUnansweredRequest, encodeUnansweredRequest, type ReportedRequest } from '../decisions/crashReport.js'
 import type { RowStore, StoredRow } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
 import { followTable, type TableFollower } from './tableFollower.js'
@@ -42,7 +41,7 @@
   /** The running process of an instance; undefined when it is not registered. */
   incarnationOf (instanceId: string): string | undefined
   /** Reports a crash to all instances. `fingerprint` is empty when only the prompt's parts are suspects. */
-  reportCrash (fingerprint: string, unanswered: UnansweredRequest | undefined): void
+  reportCrash (fingerprint: string, unanswered: ReportedRequest | undefined): void
   /** Reports a backend server's answer to a prompt part, if other instances still suspect the part when it is written. */
   reportAnswer (part: string): void
   readonly follower: TableFollower
@@ -60,7 +59,7 @@
   /** Address at which peers reach this instance. */
   readonly peerAddress: string
   readonly failureDomain: string
-  readonly onCrash: (fingerprint: string, reportId: string, unanswered: UnansweredRequest | undefined) => void
+  readonly onCrash: (fingerprint: string, reportId: string, unanswered: ReportedRequest | undefined) => void
   readonly onAnswer: (part: string, answeredAt: number) => void
   /** Time of an answer to a part; undefined when no instance needs to know of it. */
   readonly answerToReport: (part: string) => number | undefined
@@ -136,7 +135,7 @@
     if (pendingReports.length === 1) setTimeout(writeReports, CRASH_REPORT_INTERVAL_MS)
   }
 
-  function reportCrash (fingerprint: string, unanswered: UnansweredRequest | undefined): void {
+  function reportCrash (fingerprint: string, unanswered: ReportedRequest | undefined): void {
     reportSequence++
     const key = `${PREFIX.crash}${fingerprint}/${options.incarnationId}/${reportSequence}`
     options.onCrash(fingerprint, key, unanswered)
--- a/packages/requests/src/__tests__/crashingParts.test.ts
+++ b/packages/requests/src/__tests__/crashingParts.test.ts
@@ -4,9 +4,11 @@
 
 const NOW = 100_000
 
+let requestCount = 0
+
 /** A request that was sent 100 ms before its backend server crashed. */
 function crashed (parts: readonly string[], crashedAt: number, backendProcess = `server-${crashedAt}`): UnansweredRequest {
-  return { parts: [...parts], backendProcess, sentAt: crashedAt - 100, crashedAt }
+  return { id: `request-${++requestCount}`, parts: [...parts], backendProcess, sentAt: crashedAt - 100, crashedAt }
 }
 
 function recordAll (requests: readonly UnansweredRequest[]): CrashingParts {
@@ -114,6 +116,7 @@
     expect(crashingParts.isSuspect(['other', 'part'], NOW)).toBe(false)
     crashingParts.recordCrash(crashed(['part'], 2000))
     expect(crashingParts.isSuspect(['other', 'part'], NOW)).toBe(true)
+    expect(crashingParts.isSuspect(['other', 'part'], 126_000)).toBe(false)
   })
 
   test('a quarantine ends ten minutes after the last crash, and one further crash starts it again', () => {
@@ -124,6 +127,19 @@
     expect(heldBackParts(crashingParts, ['part'], 1_299_999)).toEqual(['part'])
   })
 
+  // Guards against an instance that rereads all reports of the store and takes old or repeated ones for new evidence.
+  test('a report counts once, and one from long ago not at all', () => {
+    const reported = [1000, 2000, 3000].map((at) => crashed(['deadly'], at))
+    const once = recordAll(reported)
+    const repeatedly = recordAll([...reported, ...reported, ...reported])
+    expect(repeatedly.suspectedGroups(NOW)).toEqual(once.suspectedGroups(NOW))
+    for (const crashingParts of [once, repeatedly]) crashingParts.recordCrash(crashed(['sound'], 3000))
+    expect(repeatedly.suspectedGroups(NOW)).toEqual(once.suspectedGroups(NOW))
+    const old = recordAll([1000, 2000, 3000].map((at) => crashed(['part'], at)))
+    expect(heldBackParts(old, ['part'], 800_000)).toEqual([])
+    expect(old.hasSuspects).toBe(false)
+  })
+
   test('crashes far apart are no series', () => {
     const crashingParts = recordAll([1000, 200_000, 400_000].map((at) => crashed(['part'], at)))
     expect(heldBackParts(crashingParts, ['part'], 400_001)).toEqual([])
@@ -173,7 +189,7 @@
         if (crashes === 5) fifthCrashAt = now
         engine.downUntil = now + RESTART_MS
         for (const { instance, parts, sentAt } of engine.running) {
-          const report = { parts: [...parts], sentAt, crashedAt: now, backendProcess: `${engine.name}/${engine.life}` }
+          const report = { id: `${engine.name} ${engine.life} ${sentAt} ${instance}`, parts: [...parts], sentAt, crashedAt: now, backendProcess: `${engine.name}/${engine.life}` }
           shareAnswers(instance, instances[instance]?.recordCrash(report), now)
           instances.forEach((other, index) => { if (index !== instance) messages.push({ at: now + REPORT_DELAY_MS, deliver: () => shareAnswers(index, other.recordCrash(report), now + REPORT_DELAY_MS) }) })
         }
--- a/packages/requests/src/crashingParts.ts
+++ b/packages/requests/src/crashingParts.ts
@@ -24,6 +24,8 @@
 const QUARANTINE_MS = 600_000
 /** Time until all reports of a crash are there: an instance that knows only its own requests can't tell their parts apart. */
 const REPORT_DELAY_MS = 600
+/** Older crashes say nothing about the present. */
+const MAX_CRASH_AGE_MS = QUARANTINE_MS + SERIES_MS
 /** Later crashes of a part are recorded in place of its earliest ones. */
 const MAX_CRASHES_PER_PART = 32
 /** The least recently used parts are evicted first. */
@@ -31,6 +33,8 @@
 
 /** A request that its backend server had not begun to answer when it crashed. Times are on a clock that all instances share, milliseconds. */
 export interface UnansweredRequest {
+  /** Unique in the fleet, so that a request that is reported again counts once. */
+  readonly id: string
   /** Prompt parts that other requests may share. */
   readonly parts: readonly string[]
   /** Backend server and its process, so that one crash is told from the next. */
@@ -46,7 +50,7 @@
 
 /** Evidence about prompt parts, from this instance's requests and the reports of other instances. Times are on the shared clock. */
 export interface CrashingParts {
-  /** Returns the parts that this instance knows to be sound while other instances may suspect them. */
+  /** Records a request once, however often it is reported; returns the parts that this instance knows to be sound while others may suspect them. */
   recordCrash (request: UnansweredRequest): readonly string[]
   /** Records that a backend server began to answer a prompt with the parts at `answeredAt` and went on; returns like `recordCrash`. */
   recordAnswer (parts: readonly string[], answeredAt: number, source: AnswerSource): readonly string[]
@@ -54,7 +58,7 @@
   answeredAt (part: string): number | undefined
   /** The suspects because of which a request with these parts may not be sent. */
   findHeldBack (parts: readonly string[], now: number): SuspectedGroup | undefined
-  /** True when a request with the parts must not be sent again. */
+  /** True when a request with the parts must not be retried, also while one is sent to see whether the parts still crash. */
   isSuspect (parts: readonly string[], now: number): boolean
   /** True while other instances may suspect a part that this one knows to be sound. */
   isWronglySuspected (part: string): boolean
@@ -65,28 +69,26 @@
   readonly hasSuspects: boolean
 }
 
-/** Parts that were in the same crashed requests and can't be told apart; only requests with all of them are held back. */
-export interface SuspectedGroup {
-  readonly parts: readonly string[]
-  readonly crashCount: number
-  readonly heldBackUntil: number
-}
-
 /** What crashes say of a part. */
 interface Assessment {
   readonly crashCount: number
   readonly heldBackUntil: number
 }
 
+/** Parts that were in the same crashed requests and can't be told apart; only requests with all of them are held back. */
+export interface SuspectedGroup extends Assessment {
+  readonly parts: readonly string[]
+}
+
 /**
- * Counts the crashes of which each request was sent after the crash before: requests that wait at several backend servers
+ * Counts the crashes, in order of time, of which each request was sent after the crash before: requests that wait at several backend servers
  * when these fail together show nothing about their parts. A part is held back after `furtherCrashes` more than usual.
  */
 function assess (crashes: readonly Crash[], furtherCrashes = 0): Assessment {
   let series: Crash[] = []
   let isQuarantined = false
   let heldBackUntil = -Infinity
-  for (const crash of [...crashes].sort((left, right) => left.crashedAt - right.crashedAt)) {
+  for (const crash of crashes) {
     const last = series.at(-1)
     const isSuccessive = last === undefined || crash.sentAt > last.crashedAt
     if (!isSuccessive || series.some((earlier) => earlier.backendProcess === crash.backendProcess)) continue
@@ -98,6 +100,10 @@
   return { crashCount: series.length, heldBackUntil }
 }
 
+function compareCrashes (left: Crash, right: Crash): number {
+  return left.crashedAt - right.crashedAt
+}
+
 interface Candidate {
   readonly parts: string[]
   readonly crashes: readonly Crash[]
@@ -119,7 +125,7 @@
 function joinCompanions (unexplained: ReadonlyMap<string, readonly Crash[]>, wasAnswered: (part: string) => boolean): readonly Candidate[] {
   const candidates = new Map<string, Candidate>()
   for (const [part, crashes] of unexplained) {
-    const requests = crashes.map((crash) => `${crash.backendProcess} ${crash.sentAt} ${crash.crashedAt}`).join()
+    const requests = crashes.map(({ id }) => id).join()
     const companion = candidates.get(requests)
     if (companion === undefined) candidates.set(requests, { parts: [part], crashes, wasAnswered: wasAnswered(part), score: scoreOf(crashes) })
     else {
@@ -181,7 +187,8 @@
     if (groups !== undefined && now < groups.validUntil) return groups.list
     const unexplained = new Map<string, readonly Crash[]>()
     let validUntil = Infinity
-    for (const part of suspects.keys()) {
+    for (const [part, known] of suspects) {
+      if (known.every((crash) => crash.crashedAt < now - MAX_CRASH_AGE_MS)) suspects.delete(part)
       const crashes = unexplainedCrashes(part)
       if (crashes.length < SUSPECT_CRASH_COUNT) continue
       const countsFrom = (crash: Crash): number => crash.crashedAt + REPORT_DELAY_MS
@@ -214,8 +221,9 @@
     recordCrash: ({ parts, ...crash }) => {
       groups = undefined
       for (const part of parts) {
-        if (crash.crashedAt <= (answers.shared.get(part) ?? -Infinity)) continue
-        put(suspects, part, [...suspects.get(part) ?? [], crash].slice(-MAX_CRASHES_PER_PART))
+        const known = suspects.get(part) ?? []
+        if (crash.crashedAt <= (answers.shared.get(part) ?? -Infinity) || known.some(({ id }) => id === crash.id)) continue
+        put(suspects, part, [...known, crash].sort(compareCrashes).slice(-MAX_CRASHES_PER_PART))
       }
       return parts.filter(isWronglySuspected)
     },
@@ -225,7 +233,7 @@
     },
     answeredAt,
     findHeldBack: (parts, now) => suspectedGroups(now).find((group) => now < group.heldBackUntil && group.parts.every((part) => parts.includes(part))),
-    isSuspect: (parts, now) => suspectedGroups(now).some((group) => group.parts.every((part) => parts.includes(part))),
+    isSuspect: (parts, now) => suspectedGroups(now).some((group) => now < group.heldBackUntil + SERIES_MS && group.parts.every((part) => parts.includes(part))),
     isWronglySuspected,
     crashCount: (part) => assess(unexplainedCrashes(part)).crashCount,
     suspectedGroups,
--- a/packages/router/src/promptParts.ts
+++ b/packages/router/src/promptParts.ts
@@ -1,7 +1,7 @@
 import { create } from '@bufbuild/protobuf'
 import { createCrashingParts, type UnansweredRequest } from '@quinceshunt/requests'
 import { UnansweredPromptSchema, type UnansweredPrompt } from '@quinceshunt/schemas'
-import { createHash } from 'node:crypto'
+import { createHash, randomUUID } from 'node:crypto'
 import type { ChatBody } from './chatBody.js'
 import type { PeerDirectory, PromptPartGossip, TaskContext } from './taskContracts.js'
 
@@ -37,8 +37,8 @@
   return body.messages.slice(0, -1).map((message) => createHash('sha256').update(JSON.stringify([message.role, message.content])).digest('hex').slice(0, PART_HASH_CHARACTERS))
 }
 
-function toMessage ({ parts, backendProcess, sentAt, crashedAt }: UnansweredRequest): UnansweredPrompt {
-  return create(UnansweredPromptSchema, { parts: [...parts], backendProcess, sentAt: BigInt(sentAt), crashedAt: BigInt(crashedAt) })
+function toMessage ({ id, parts, backendProcess, sentAt, crashedAt }: UnansweredRequest): UnansweredPrompt {
+  return create(UnansweredPromptSchema, { id, parts: [...parts], backendProcess, sentAt: BigInt(sentAt), crashedAt: BigInt(crashedAt) })
 }
 
 /** Creates a guard that knows of no crash. Instances compare their wall clocks; an error of seconds delays the detection. */
@@ -46,7 +46,7 @@
   const releasePosition = Math.random()
   const parts = createCrashingParts(() => releasePosition * (peers.otherAddresses().length + 1) * RELEASE_INTERVAL_MS)
 
-  /** Reports of the gossip period, by content, so that each counts once. */
+  /** Reports of the gossip period, by ID. */
   const recent = new Map<string, UnansweredPrompt>()
 
   function tellPeers (report: { readonly unanswered?: readonly UnansweredRequest[], readonly answered?: readonly { readonly part: string, readonly answeredAt: number }[] }): void {
@@ -81,9 +81,8 @@
   }
 
   function learn (request: UnansweredRequest): void {
-    const key = [request.backendProcess, request.sentAt, request.crashedAt, ...request.parts].join(' ')
-    if (recent.has(key) || request.crashedAt < clock.now() - GOSSIP_PERIOD_MS) return
-    recent.set(key, toMessage(request))
+    if (recent.has(request.id) || request.crashedAt < clock.now() - GOSSIP_PERIOD_MS) return
+    recent.set(request.id, toMessage(request))
     reportAnswers(parts.recordCrash(request))
     logger.info({ step: 'suspect prompt parts', ...request, crashes: request.parts.map((part) => parts.crashCount(part)) }, 'a crash left a prompt unanswered; its parts are suspects')
   }
@@ -99,7 +98,7 @@
     },
     recordCrash: (backendServer, prompts, crashedAt) => {
       const backendProcess = `${backendServer}/${Math.round(crashedAt / SAME_CRASH_WINDOW_MS)}`
-      const unanswered = prompts.filter((prompt) => prompt.parts.length > 0).map((prompt) => ({ ...prompt, backendProcess, crashedAt }))
+      const unanswered = prompts.filter((prompt) => prompt.parts.length > 0).map((prompt) => ({ ...prompt, id: randomUUID(), backendProcess, crashedAt }))
       if (unanswered.length === 0) return
       for (const request of unanswered) learn(request)
       tellPeers({ unanswered })
@@ -110,7 +109,7 @@
       return [...recent.values()].slice(-MAX_GOSSIPED_PROMPTS).toReversed()
     },
     receive: (unanswered, answered) => {
-      for (const prompt of unanswered) learn({ parts: prompt.parts, backendProcess: prompt.backendProcess, sentAt: Number(prompt.sentAt), crashedAt: Number(prompt.crashedAt) })
+      for (const prompt of unanswered) learn({ id: prompt.id, parts: prompt.parts, backendProcess: prompt.backendProcess, sentAt: Number(prompt.sentAt), crashedAt: Number(prompt.crashedAt) })
       for (const { part, answeredAt } of answered) parts.recordAnswer([part], Number(answeredAt), 'shared')
     }
   }
