Keep a transaction without a reply open while its lease version stands

Cause: a conflict over one balance was taken for proof that an earlier transaction, whose reply was lost, had not taken effect. It changes other balances and can still take effect while the lease row has the version that it expects. Its returned tokens were put back and returned a second time. The property of overspending has one account and can't meet this conflict.

--- a/packages/gateway/src/__tests__/tokenTask.test.ts
+++ b/packages/gateway/src/__tests__/tokenTask.test.ts
@@ -158,6 +158,35 @@
     expect(granted - held).toBeGreaterThanOrEqual(5000)
   })
 
+  // Guards against tokens that are returned twice: a late write may still take effect after a conflict over another balance.
+  test('a return whose reply was lost stays open while its lease version stands', async () => {
+    const other = 'museum'
+    const faults: StoreFault[] = []
+    const memory = createMemoryRowStore(() => faults.shift() ?? { kind: 'none' })
+    const instance = startInstance(memory, 'a', '1')
+    instance.tokens.setPrepaid(other, PREPAID)
+    await reserveWithinOneSecond(instance, 20_000)
+    instance.tokens.settle(ACCOUNT, 20_000, 0)
+    const first = instance.tokens.reserve(other, 20_000, Number.MAX_SAFE_INTEGER)
+    await jest.advanceTimersByTimeAsync(1000)
+    expect((await first).kind).toBe('reserved')
+
+    faults.push({ kind: 'late', milliseconds: 250 })
+    requestReturn(instance)
+    await jest.advanceTimersByTimeAsync(10)
+    expect(faults).toEqual([])
+    // Another instance has changed the other balance meanwhile, so that the draw on it conflicts; the next try is refused.
+    const otherRow = { table: 'balances', part: other, key: other }
+    memory.putRow(otherRow, memory.getRow(otherRow) ?? '0')
+    faults.push({ kind: 'none' }, { kind: 'refuse' }, { kind: 'refuse' }, { kind: 'refuse' })
+    instance.tokens.reserve(other, 60_000, Number.MAX_SAFE_INTEGER).catch(() => {})
+    await jest.advanceTimersByTimeAsync(3000)
+
+    const lease = decodeLeaseRow(memory.getRow({ table: 'leases', part: 'a', key: 'a' }) ?? '')
+    const granted = Number(memory.getRow({ table: 'balances', part: ACCOUNT, key: ACCOUNT }))
+    expect(granted).toBe(lease.accounts[ACCOUNT]?.held ?? 0)
+  })
+
   test('a request to return tokens that callers use up meanwhile does not stop further draws', async () => {
     const memory = createMemoryRowStore(undefined, 12)
     const instance = startInstance(memory, 'a', '1')
--- a/packages/gateway/src/tasks/leaseManager.ts
+++ b/packages/gateway/src/tasks/leaseManager.ts
@@ -134,7 +134,10 @@
 
   /** `endedBy` is an upper bound of the store time at which the previous process ended. */
   function processLeaseRow (row: StoredRow | undefined, endedBy: number): void {
-    leaseVersion = row === undefined || row.deleted ? 0 : row.version
+    const version = row === undefined || row.deleted ? 0 : row.version
+    // The conflict was over another row, so that a transaction without a reply may still take effect.
+    if (version === leaseVersion && unresolved.length > 0) return
+    leaseVersion = version
     const lease = row === undefined || leaseVersion === 0 ? undefined : parseLeaseRow(row)
     // A write of the previous process may take effect after its row was read. The newer row replaces it, as that write may have returned tokens.
     if (lease !== undefined && lease.lifetime !== incarnationId) predecessorLease = { row: lease, endedBy }
