Log each broken attempt with its headers and events

An attempt that broke after its headers left no line of its own, so that the log could not tell a crash that was not counted from a report that was lost. attemptBroken names the request, the backend server, the reason, the time to the headers and the number of events.

--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -281,6 +281,16 @@
   }
 
   function onBroken (sent: boolean, reason: string): void {
+    context.log.decision('attemptBroken', {
+      request: state.fields.attemptId,
+      backend: backend.entry.id,
+      reason,
+      sent,
+      isAborted: abortOutcome !== undefined,
+      milliseconds: steadyNow() - sentAt,
+      answeredMilliseconds: answeredAt === undefined ? undefined : answeredAt - sentAt,
+      events: eventsOfAttempt
+    })
     if (abortOutcome !== undefined) {
       state.mayHaveRun ||= sent
       return settle(abortOutcome)
