Count crashes of a repeated request also after its response headers

Cause: the gateway counted a crash for the content of a request only while no headers had been sent to the caller, and not at all after two events, to spare streams that break because another request ended their engine. Prompt parts then had to explain the crashes. Class: the evidence depended on how far the forwarding had got, which says nothing about who caused a crash.

Change: the content is a part of its own in crashingParts. Each broken attempt counts for it, and each crash is attributed to the part that explains most crashes with the fewest requests, so that a sound stream beside the crashes is not held back. The third successive crash holds a content back, the fifth one after an answer. crashTracker goes, with its two tests: that a report counts once and the third crash quarantines is tested for contents in crashingParts, also by process. "A request that was answered is never quarantined" let such a request crash engines without end; now it needs five successive crashes, and four of them still don't hold it back, as before.

The router counts all requests in flight on a crashed backend server and is not affected.

--- a/packages/gateway/src/__tests__/decisions.test.ts
+++ b/packages/gateway/src/__tests__/decisions.test.ts
@@ -2,7 +2,6 @@
 import fc from 'fast-check'
 import { chooseTarget, indexConfiguration } from '../decisions/configurationIndex.js'
 import { createTokenLedger } from '../decisions/tokenLedger.js'
-import { createCrashTracker } from '../decisions/crashTracker.js'
 import { createEventSplitter } from '../decisions/eventSplitter.js'
 import { grantChange, limitGrowthRate, targetFreeTokens, usageAllowance } from '../decisions/grantSizing.js'
 import { reclaimableTokens } from '../decisions/leaseRow.js'
@@ -176,26 +175,6 @@
   })
 })
 
-describe('requests that crash backend servers', () => {
-  test('the third crash quarantines a request, and each report counts once', () => {
-    const tracker = createCrashTracker()
-    tracker.recordCrash('poison', 'a/1', 0)
-    tracker.recordCrash('poison', 'a/1', 0)
-    tracker.recordCrash('poison', 'b/1', 0)
-    expect(tracker.quarantinedUntil('poison', 0)).toBeUndefined()
-    tracker.recordCrash('poison', 'c/1', 0)
-    expect(tracker.quarantinedUntil('poison', 0)).toBe(120_000)
-    expect(tracker.quarantinedUntil('poison', 121_000)).toBeUndefined()
-  })
-
-  test('a request that was answered is never quarantined', () => {
-    const tracker = createCrashTracker()
-    tracker.recordResponse('status')
-    for (const report of ['1', '2', '3', '4']) tracker.recordCrash('status', report, 0)
-    expect(tracker.quarantinedUntil('status', 0)).toBeUndefined()
-  })
-})
-
 describe('failures that make all instances retry at once', () => {
   test('the fleet stays within ratio and slack in every window, for any fleet size', () => {
     fc.assert(fc.property(fc.integer({ min: 1, max: 20 }), fc.integer({ min: 1, max: 40 }), (instances, requestsPerSecond) => {
--- a/packages/gateway/src/decisions/crashReport.ts
+++ b/packages/gateway/src/decisions/crashReport.ts
@@ -11,13 +11,13 @@
   return JSON.stringify(request)
 }
 
-/** Returns undefined for rows of reports without a prompt, and for those of earlier versions, which hold an instance ID. */
+/** Returns undefined for rows of earlier versions, which hold an instance ID. */
 export function decodeUnansweredRequest (value: string): ReportedRequest | undefined {
   if (!value.startsWith('{')) return undefined
   try {
     return v.parse(unansweredRequestSchema, JSON.parse(value))
   } catch {
-    // The report still counts for the request's fingerprint.
+    // A malformed report is no evidence.
     return undefined
   }
 }
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -301,7 +301,7 @@
     }
     state.mayHaveRun = true
     recordBackendObservation({ kind: 'broken' })
-    if (!isAnswerSound) context.crashGuard.recordBroken(state.guarded, { backendProcess: `${backend.entry.id}/${backend.entry.startedAt}`, sentAt, isFirstAnswer: !state.headersSent })
+    context.crashGuard.recordBroken(state.guarded, { backendProcess: `${backend.entry.id}/${backend.entry.startedAt}`, sentAt, isAnswerSound })
     settle({ kind: 'broken', reason, headersSent: state.headersSent })
   }
 }
--- a/packages/gateway/src/tasks/crashGuard.ts
+++ b/packages/gateway/src/tasks/crashGuard.ts
@@ -1,7 +1,6 @@
-import { createCrashingParts, type SuspectedGroup } from '@quinceshunt/requests'
+import { contentPart, createCrashingParts, isContentPart, type SuspectedGroup } from '@quinceshunt/requests'
 import { steadyNow } from '../clock.js'
 import type { ReportedRequest } from '../decisions/crashReport.js'
-import { createCrashTracker } from '../decisions/crashTracker.js'
 import type { SharedClock } from '../decisions/sharedClock.js'
 import type { DecisionLog } from './decisionLog.js'
 
@@ -16,13 +15,13 @@
   readonly sharedParts: readonly string[]
 }
 
-/** An attempt that ended without an answer because the backend server broke the connection. */
+/** An attempt that ended without a complete answer because the backend server broke the connection. */
 export interface BrokenAttempt {
   readonly backendProcess: string
   /** By `steadyNow`. */
   readonly sentAt: number
-  /** False for a stream that an earlier attempt has begun; it says nothing about the whole request. */
-  readonly isFirstAnswer: boolean
+  /** True when the answer had gone on after its start, so that the prompt's shared parts are sound. */
+  readonly isAnswerSound: boolean
 }
 
 /** Why a request may not be sent, and until when, by `steadyNow`. */
@@ -35,7 +34,7 @@
 export interface CrashGuard {
   /** Why a request may not be sent; undefined when it may. */
   findQuarantine (request: GuardedRequest): Quarantine | undefined
-  /** False when the request's parts are suspects, so that a retry may crash a further backend server. */
+  /** False when the request's content or parts are suspects, so that a retry may crash a further backend server. */
   mayRetry (request: GuardedRequest): boolean
   recordBroken (request: GuardedRequest, attempt: BrokenAttempt): void
   /** Records a complete response. */
@@ -58,7 +57,7 @@
   /** Position of this instance, from 0 to 1, in the order in which instances send a part again that was held back. */
   readonly releasePosition: number
   /** Reports to all instances; calls `learnCrash` for this one. */
-  readonly reportCrash: (fingerprint: string, unanswered: ReportedRequest | undefined) => void
+  readonly reportCrash: (fingerprint: string, unanswered: ReportedRequest) => void
   /** Tells all instances of an answer to a part that they may suspect. */
   readonly reportAnswer: (part: string) => void
 }
@@ -70,7 +69,6 @@
 /** Creates a guard that knows of no crash. */
 export function createCrashGuard (options: CrashGuardOptions): CrashGuard {
   const { log, clock } = options
-  const contents = createCrashTracker()
   const parts = createCrashingParts(releaseDelay)
   /** Names of the groups of parts that are held back, as logged. */
   let loggedGroups: ReadonlySet<string> = new Set()
@@ -87,11 +85,8 @@
     loggedGroups = new Set(current.keys())
   }
 
-  function unansweredRequest (request: GuardedRequest, attempt: BrokenAttempt): ReportedRequest | undefined {
-    const sentAt = clock.fromLocal(attempt.sentAt)
-    const crashedAt = clock.fromLocal(steadyNow())
-    if (sentAt === undefined || crashedAt === undefined || request.sharedParts.length === 0) return undefined
-    return { parts: [...request.sharedParts], backendProcess: attempt.backendProcess, sentAt, crashedAt }
+  function partsOf (request: GuardedRequest): readonly string[] {
+    return [...request.sharedParts, contentPart(request.fingerprint())]
   }
 
   function reportAnswers (soundParts: readonly string[]): void {
@@ -101,21 +96,28 @@
   return {
     findQuarantine: (request) => {
       const now = steadyNow()
-      const contentUntil = contents.hasSuspects ? contents.quarantinedUntil(request.fingerprint(), now) : undefined
-      if (contentUntil !== undefined) return { reason: 'it crashed several backend servers', until: contentUntil }
       const sharedNow = clock.fromLocal(now)
       if (!parts.hasSuspects || sharedNow === undefined) return undefined
-      const group = parts.findHeldBack(request.sharedParts, sharedNow)
+      const group = parts.findHeldBack(partsOf(request), sharedNow)
       if (group === undefined) return undefined
       if (!loggedGroups.has(nameOf(group))) logChanges('crash')
-      return { reason: `part ${group.parts.join(' and ')} of its prompt crashed several backend servers`, until: now + group.heldBackUntil - sharedNow }
+      const subject = group.parts.some(isContentPart) ? 'it' : `part ${group.parts.join(' and ')} of its prompt`
+      return { reason: `${subject} crashed several backend servers`, until: now + group.heldBackUntil - sharedNow }
     },
-    mayRetry: (request) => !parts.hasSuspects || !parts.isSuspect(request.sharedParts, clock.fromLocal(steadyNow()) ?? 0),
-    recordBroken: (request, attempt) => {
-      const unanswered = unansweredRequest(request, attempt)
-      if (attempt.isFirstAnswer || unanswered !== undefined) options.reportCrash(attempt.isFirstAnswer ? request.fingerprint() : '', unanswered)
+    mayRetry: (request) => !parts.hasSuspects || !parts.isSuspect(partsOf(request), clock.fromLocal(steadyNow()) ?? 0),
+    recordBroken: (request, { backendProcess, sentAt, isAnswerSound }) => {
+      const sharedSentAt = clock.fromLocal(sentAt)
+      const crashedAt = clock.fromLocal(steadyNow())
+      if (sharedSentAt === undefined || crashedAt === undefined) return
+      options.reportCrash(request.fingerprint(), { parts: isAnswerSound ? [] : [...request.sharedParts], backendProcess, sentAt: sharedSentAt, crashedAt })
+    },
+    recordResponse: (request) => {
+      if (!parts.hasSuspects) return
+      const content = contentPart(request.fingerprint())
+      const at = clock.fromLocal(steadyNow())
+      if (at === undefined || !parts.hasCrashed(content)) return
+      reportAnswers(parts.recordAnswer([content], at, 'own'))
     },
-    recordResponse: (request) => { if (contents.hasSuspects) contents.recordResponse(request.fingerprint()) },
     recordAnswer: (request, answeredAt) => {
       const at = clock.fromLocal(answeredAt)
       if (at === undefined) return
@@ -123,13 +125,10 @@
       if (loggedGroups.size > 0) logChanges('answered')
     },
     learnCrash: (fingerprint, reportId, unanswered) => {
-      if (fingerprint !== '') {
-        const previousCount = contents.crashCount(fingerprint)
-        contents.recordCrash(fingerprint, reportId, steadyNow())
-        if (contents.crashCount(fingerprint) !== previousCount) log.decision('crashCounted', { fingerprint, crashes: contents.crashCount(fingerprint), report: reportId })
-      }
       if (unanswered === undefined) return
-      reportAnswers(parts.recordCrash({ ...unanswered, id: reportId }))
+      const content = fingerprint === '' ? [] : [contentPart(fingerprint)]
+      reportAnswers(parts.recordCrash({ ...unanswered, parts: [...unanswered.parts, ...content], id: reportId }))
+      for (const part of content) log.decision('crashCounted', { fingerprint, crashes: parts.crashCount(part), report: reportId })
       log.decision('partsSuspected', { parts: unanswered.parts.map((part) => `${part}:${parts.crashCount(part)}`).join(','), backend: unanswered.backendProcess, sentAt: unanswered.sentAt, crashedAt: unanswered.crashedAt, report: reportId })
     },
     learnAnswer: (part, answeredAt) => {
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -40,8 +40,8 @@
   homes (account: string): readonly Peer[]
   /** The running process of an instance; undefined when it is not registered. */
   incarnationOf (instanceId: string): string | undefined
-  /** Reports a crash to all instances. `fingerprint` is empty when only the prompt's parts are suspects. */
-  reportCrash (fingerprint: string, unanswered: ReportedRequest | undefined): void
+  /** Reports a crash to all instances. */
+  reportCrash (fingerprint: string, unanswered: ReportedRequest): void
   /** Reports a backend server's answer to a prompt part, if other instances still suspect the part when it is written. */
   reportAnswer (part: string): void
   readonly follower: TableFollower
@@ -135,11 +135,11 @@
     if (pendingReports.length === 1) setTimeout(writeReports, CRASH_REPORT_INTERVAL_MS)
   }
 
-  function reportCrash (fingerprint: string, unanswered: ReportedRequest | undefined): void {
+  function reportCrash (fingerprint: string, unanswered: ReportedRequest): void {
     reportSequence++
     const key = `${PREFIX.crash}${fingerprint}/${options.incarnationId}/${reportSequence}`
     options.onCrash(fingerprint, key, unanswered)
-    addReport(key, unanswered === undefined ? options.instanceId : encodeUnansweredRequest(unanswered))
+    addReport(key, encodeUnansweredRequest(unanswered))
   }
 
   function reportAnswer (part: string): void {
--- a/packages/requests/src/__tests__/crashingParts.test.ts
+++ b/packages/requests/src/__tests__/crashingParts.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals'
 import fc from 'fast-check'
-import { createCrashingParts, type CrashingParts, type UnansweredRequest } from '../crashingParts.js'
+import { contentPart, createCrashingParts, type CrashingParts, type UnansweredRequest } from '../crashingParts.js'
 
 const NOW = 100_000
 
@@ -146,6 +146,52 @@
   })
 })
 
+describe('contents that crash backend servers', () => {
+  const POISON = contentPart('poison')
+  const SOUND = contentPart('sound')
+
+  // Guards against a request that crashes one backend server after the other while it is sent again unchanged.
+  test('the third crash quarantines a content, and each report and each process counts once', () => {
+    const reports = [crashed([POISON], 1000), crashed([POISON], 2000)]
+    const crashingParts = recordAll([...reports, ...reports, crashed([POISON], 2100, 'server-2000')])
+    expect(heldBackParts(crashingParts, [POISON], 5000)).toEqual([])
+    crashingParts.recordCrash(crashed([POISON], 3000))
+    expect(heldBackParts(crashingParts, ['system', POISON], 5000)).toEqual([POISON])
+    expect(heldBackParts(crashingParts, ['system', SOUND], 5000)).toEqual([])
+  })
+
+  // Guards against sound requests that are refused because they share prompt parts with a request that is sent again and again.
+  test('the parts of a request that is sent again unchanged are not held back with it', () => {
+    const crashingParts = recordAll([1000, 2000, 3000, 4000].flatMap((at) => [
+      crashed(['system', 'subject', POISON], at),
+      crashed(['system', contentPart(`other${at}`)], at)
+    ]))
+    for (const now of [2700, 3700, NOW]) expect(heldBackParts(crashingParts, ['system', 'subject', SOUND], now)).toEqual([])
+    expect(heldBackParts(crashingParts, ['system', 'subject', POISON], NOW)).toContain(POISON)
+  })
+
+  // Guards against a sound stream that is cut off or refused because its backend servers fell to another request.
+  test('a stream that resumes after crashes of another request is not held back', () => {
+    const crashes = [1000, 2000, 3000, 4000].map((at) => crashed([POISON], at))
+    const twice = recordAll([...crashes.slice(0, 2), crashed([SOUND], 1000), crashed([SOUND], 2000)])
+    expect(heldBackParts(twice, [SOUND], 2700)).toEqual([])
+    expect(twice.isSuspect([SOUND], 2700)).toBe(false)
+    const threeTimes = recordAll([...crashes, ...[1000, 2000, 3000].map((at) => crashed([SOUND], at))])
+    expect(heldBackParts(threeTimes, [SOUND], NOW)).toEqual([])
+    expect(heldBackParts(threeTimes, [POISON], NOW)).toEqual([POISON])
+  })
+
+  // Guards against a common request, such as a status lookup, that is refused although backend servers answer it.
+  test('a content that was answered is quarantined only by five successive crashes after the answer', () => {
+    const crashingParts = recordAll([crashed([SOUND], 1000), crashed([SOUND], 2000)])
+    crashingParts.recordAnswer([SOUND], 2500, 'own')
+    for (const at of [3000, 4000, 5000, 6000]) crashingParts.recordCrash(crashed([SOUND], at))
+    expect(heldBackParts(crashingParts, [SOUND], NOW)).toEqual([])
+    crashingParts.recordCrash(crashed([SOUND], 7000))
+    expect(heldBackParts(crashingParts, [SOUND], NOW)).toEqual([SOUND])
+  })
+})
+
 /** A fleet of instances that share crash reports after a delay, before engines that crash on one part. */
 function playCrashes (seed: number, instanceCount: number, engineCount: number, requestsPerSecond: number): { readonly soundRequests: number, readonly wronglyHeldBack: number, readonly sentAfterFifthCrash: number } {
   const SUBJECTS = 300
--- a/packages/requests/src/crashingParts.ts
+++ b/packages/requests/src/crashingParts.ts
@@ -6,8 +6,13 @@
  * one never is. While nothing is answered, each crash is attributed to one part: rather to one that was never answered,
  * and to the one that explains the most crashes with the fewest requests. So a part that nearly all prompts share is not
  * held back for the one that crashes.
+ *
+ * The content of a request is a part that only its repetitions share. A request that is sent again unchanged is found by
+ * it, however far its backend servers got with the answer.
  */
 
+const CONTENT_PREFIX = 'content:'
+
 /** Successive crashes after which a part is held back for some seconds, in which a sound one is answered, and its requests are not retried. */
 const SUSPECT_CRASH_COUNT = 2
 /** About the time for which a crashed backend server is away. */
@@ -16,8 +21,8 @@
 const QUARANTINE_CRASH_COUNT = 3
 /** A part that each crash left in more unanswered requests than this is one that many requests share, and needs more crashes. */
 const MAX_REQUESTS_PER_CRASH = 8
-/** Further crashes after which such a part is held back. */
-const FURTHER_CRASHES_OF_SHARED_PART = 2
+/** Further crashes after which such a part, or a content that was answered before, is held back. */
+const FURTHER_CRASHES = 2
 /** Crashes further apart are not taken for a series. */
 const SERIES_MS = 120_000
 /** Time after its last crash for which a part is quarantined; then one further crash quarantines it again. */
@@ -45,6 +50,16 @@
 
 type Crash = Omit<UnansweredRequest, 'parts'>
 
+/** Returns the part that stands for a request's content. IDs of prompt parts contain no colon. */
+export function contentPart (fingerprint: string): string {
+  return `${CONTENT_PREFIX}${fingerprint}`
+}
+
+/** Returns true for a part made by `contentPart`. */
+export function isContentPart (part: string): boolean {
+  return part.startsWith(CONTENT_PREFIX)
+}
+
 /** Who knows of an answer: `own`, only this instance; `shared`, all instances. */
 export type AnswerSource = 'own' | 'shared'
 
@@ -58,6 +73,8 @@
   answeredAt (part: string): number | undefined
   /** The suspects because of which a request with these parts may not be sent. */
   findHeldBack (parts: readonly string[], now: number): SuspectedGroup | undefined
+  /** True when a crash of a request with the part is known. */
+  hasCrashed (part: string): boolean
   /** True when a request with the parts must not be retried, also while one is sent to see whether the parts still crash. */
   isSuspect (parts: readonly string[], now: number): boolean
   /** True while other instances may suspect a part that this one knows to be sound. */
@@ -80,11 +97,25 @@
   readonly parts: readonly string[]
 }
 
+/** Numbers of successive crashes from which parts are held back. */
+interface CrashLimits {
+  readonly suspect: number
+  readonly quarantine: number
+}
+
+const PART_LIMITS: CrashLimits = { suspect: SUSPECT_CRASH_COUNT, quarantine: QUARANTINE_CRASH_COUNT }
+/** A sound stream that resumes may well be broken by two crashes of other requests; repeating it once more is its caller's choice. */
+const CONTENT_LIMITS: CrashLimits = { suspect: QUARANTINE_CRASH_COUNT, quarantine: QUARANTINE_CRASH_COUNT }
+
+function raiseLimits (limits: CrashLimits, crashes: number): CrashLimits {
+  return { suspect: limits.suspect + crashes, quarantine: limits.quarantine + crashes }
+}
+
 /**
  * Counts the crashes, in order of time, of which each request was sent after the crash before: requests that wait at several backend servers
- * when these fail together show nothing about their parts. A part is held back after `furtherCrashes` more than usual.
+ * when these fail together show nothing about their parts.
  */
-function assess (crashes: readonly Crash[], furtherCrashes = 0): Assessment {
+function assess (crashes: readonly Crash[], limits: CrashLimits = PART_LIMITS): Assessment {
   let series: Crash[] = []
   let isQuarantined = false
   let heldBackUntil = -Infinity
@@ -93,9 +124,9 @@
     const isSuccessive = last === undefined || crash.sentAt > last.crashedAt
     if (!isSuccessive || series.some((earlier) => earlier.backendProcess === crash.backendProcess)) continue
     series = [...series.filter((earlier) => earlier.crashedAt > crash.crashedAt - SERIES_MS), crash]
-    isQuarantined ||= series.length >= QUARANTINE_CRASH_COUNT + furtherCrashes
+    isQuarantined ||= series.length >= limits.quarantine
     if (isQuarantined) heldBackUntil = crash.crashedAt + QUARANTINE_MS
-    else if (series.length >= SUSPECT_CRASH_COUNT + furtherCrashes) heldBackUntil = crash.crashedAt + SUSPECT_MS
+    else if (series.length >= limits.suspect) heldBackUntil = crash.crashedAt + SUSPECT_MS
   }
   return { crashCount: series.length, heldBackUntil }
 }
@@ -137,20 +168,31 @@
 }
 
 function compareCandidates (left: Candidate, right: Candidate): number {
-  return Number(left.wasAnswered) - Number(right.wasAnswered) || right.score - left.score
+  return Number(left.wasAnswered) - Number(right.wasAnswered) || right.score - left.score || Number(isContent(left)) - Number(isContent(right))
+}
+
+/** True for the content of a request whose prompt parts were in other crashed requests too, or were answered. */
+function isContent ({ parts }: Pick<Candidate, 'parts'>): boolean {
+  return parts.every(isContentPart)
+}
+
+function limitsOf (candidate: Candidate): CrashLimits {
+  if (isContent(candidate)) return candidate.wasAnswered ? raiseLimits(CONTENT_LIMITS, FURTHER_CRASHES) : CONTENT_LIMITS
+  const isShared = candidate.crashes.length > MAX_REQUESTS_PER_CRASH * countProcesses(candidate.crashes)
+  return isShared ? raiseLimits(PART_LIMITS, FURTHER_CRASHES) : PART_LIMITS
 }
 
 /** Attributes each crash to the most likely part; what then still has a series of crashes is suspected. */
 function attributeCrashes (unexplained: ReadonlyMap<string, readonly Crash[]>, wasAnswered: (part: string) => boolean): readonly SuspectedGroup[] {
   const groups: SuspectedGroup[] = []
   const attributed = new Set<string>()
-  for (const { parts, crashes } of joinCompanions(unexplained, wasAnswered).toSorted(compareCandidates)) {
-    const remaining = crashes.filter((crash) => !attributed.has(crash.backendProcess))
-    const isShared = crashes.length > MAX_REQUESTS_PER_CRASH * countProcesses(crashes)
-    const assessment = assess(remaining, isShared ? FURTHER_CRASHES_OF_SHARED_PART : 0)
-    if (assessment.heldBackUntil === -Infinity) continue
-    groups.push({ parts, ...assessment })
-    for (const crash of crashes) attributed.add(crash.backendProcess)
+  for (const candidate of joinCompanions(unexplained, wasAnswered).toSorted(compareCandidates)) {
+    const remaining = candidate.crashes.filter((crash) => !attributed.has(crash.backendProcess))
+    const assessment = assess(remaining, limitsOf(candidate))
+    const isHeldBack = assessment.heldBackUntil > -Infinity
+    if (isHeldBack) groups.push({ parts: candidate.parts, ...assessment })
+    // The content of a repeated request explains its crashes before it is held back for them.
+    if (isHeldBack || (isContent(candidate) && assessment.crashCount >= SUSPECT_CRASH_COUNT)) for (const crash of candidate.crashes) attributed.add(crash.backendProcess)
   }
   return groups
 }
@@ -232,6 +274,7 @@
       return parts.filter(isWronglySuspected)
     },
     answeredAt,
+    hasCrashed: (part) => suspects.has(part),
     findHeldBack: (parts, now) => suspectedGroups(now).find((group) => now < group.heldBackUntil && group.parts.every((part) => parts.includes(part))),
     isSuspect: (parts, now) => suspectedGroups(now).some((group) => now < group.heldBackUntil + SERIES_MS && group.parts.every((part) => parts.includes(part))),
     isWronglySuspected,
