Log the request limits that backend servers name

The responses of a backend server in need name how many requests a second it takes. The log did not show whether an instance had learned of that. requestLimitChanged does; nothing keeps to the limit yet.

--- a/packages/gateway/src/decisions/backendState.ts
+++ b/packages/gateway/src/decisions/backendState.ts
@@ -1,5 +1,5 @@
 import type { BackendServerEntry } from '../fleetConfiguration.js'
-import type { PromptPart, ReportedLoad } from '../ports.js'
+import type { NamedLimit, PromptPart, ReportedLoad } from '../ports.js'
 
 const FAILURE_HALF_LIFE_MS = 4000
 /** Short, so that a slow backend server is tried again after a few half-lives. */
@@ -46,6 +46,8 @@
   avoidanceMilliseconds: number
   failures: { weight: number, at: number }
   delay: { milliseconds: number, at: number }
+  /** Requests a second that it takes from all instances together; undefined while it names no limit. */
+  requestsPerSecond: number | undefined
   /** Expected expiry, in Unix milliseconds, of each prompt part that this instance sent there, by part ID. */
   readonly cachedParts: Map<string, number>
 }
@@ -62,6 +64,7 @@
     avoidanceMilliseconds: 0,
     failures: { weight: 0, at: now },
     delay: { milliseconds: 0, at: now },
+    requestsPerSecond: undefined,
     cachedParts: new Map()
   }
 }
@@ -125,6 +128,15 @@
   state.failures = { weight: failureWeight(state, now) + weight, at: now }
 }
 
+/** Takes over the limit of a response and returns true if it has changed. One that can't be read leaves the known one in force. */
+export function updateRequestLimit (state: BackendState, limit: NamedLimit): boolean {
+  if (limit.kind === 'unreadable') return false
+  const requestsPerSecond = limit.kind === 'named' ? limit.requestsPerSecond : undefined
+  const hasChanged = requestsPerSecond !== state.requestsPerSecond
+  state.requestsPerSecond = requestsPerSecond
+  return hasChanged
+}
+
 /** Records that the prompt parts are expected in the backend server's cache until `cachedUntil`. */
 export function markPartsCached (state: BackendState, parts: readonly PromptPart[], cachedUntil: number): void {
   for (const part of parts) {
@@ -142,6 +154,7 @@
 export function resetProcessState (state: BackendState): void {
   state.cachedParts.clear()
   state.reportedLoad = undefined
+  state.requestsPerSecond = undefined
   state.avoidedUntil = 0
   state.avoidanceMilliseconds = 0
 }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -98,6 +98,14 @@
   readonly slots: number
 }
 
+/** Requests a second that a backend server takes from all instances together, as its response says. */
+export type NamedLimit =
+  /** It takes all. */
+  | { readonly kind: 'none' }
+  | { readonly kind: 'named', readonly requestsPerSecond: number }
+  /** It names a limit that is no number from 0 up. */
+  | { readonly kind: 'unreadable', readonly value: string }
+
 /** Decoded headers of a backend server's response. */
 export interface ResponseFields {
   /** ID of the attempt to which the response belongs; empty when missing. */
@@ -111,6 +119,7 @@
   /** True when callers take the status as the gateway's promise that the request has not run. */
   readonly impliesNotRun: boolean
   readonly load: ReportedLoad | undefined
+  readonly limit: NamedLimit
   /** True when a content encoding was applied, so that the body is not as the backend server produced it. */
   readonly isContentEncoded: boolean
 }
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -1,9 +1,10 @@
 import { steadyNow } from '../clock.js'
 import type { IncomingMessage } from 'node:http'
-import { failureWeight, markPartsCached, recordObservation, silenceMilliseconds, type BackendObservation, type PendingAttempt } from '../decisions/backendState.js'
+import { failureWeight, markPartsCached, recordObservation, silenceMilliseconds, updateRequestLimit, type BackendObservation, type PendingAttempt } from '../decisions/backendState.js'
 import { PREFILL_TOKENS_PER_MILLISECOND, type Choice } from '../decisions/backendChoice.js'
 import { createEventSplitter } from '../decisions/eventSplitter.js'
 import { isRetryable, type AttemptOutcome } from '../decisions/requestPlan.js'
+import type { ResponseFields } from '../ports.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { connectionHeaders } from './errorResponses.js'
 import type { RequestState } from './requestTask.js'
@@ -154,6 +155,15 @@
     recordBackendObservation({ kind: 'answered', delayMilliseconds: now - sentAt, expectedMilliseconds })
   }
 
+  /** Only a signed response shows that the backend server has stopped naming a limit. */
+  function recordLimit ({ limit, isSigned, isMisdirected }: ResponseFields): void {
+    if (isMisdirected || (limit.kind === 'none' && !isSigned)) return
+    const previous = backend.requestsPerSecond
+    if (limit.kind === 'unreadable') context.log.decision('requestLimitUnreadable', { backend: backend.entry.id, value: limit.value })
+    if (!updateRequestLimit(backend, limit)) return
+    context.log.event('requestLimitChanged', { backend: backend.entry.id, service: backend.entry.service, previous, requestsPerSecond: backend.requestsPerSecond, request: state.fields.attemptId })
+  }
+
   function onHead (incoming: IncomingMessage): void {
     recordBytes(true)
     const status = incoming.statusCode ?? 0
@@ -165,6 +175,7 @@
       abort({ kind: 'broken', reason: 'response to another request', headersSent: state.headersSent }, 'response to another request')
       return
     }
+    recordLimit(fields)
     const isSuccess = status >= STATUS.ok && status <= STATUS.lastOk
     if (isSuccess && (!fields.isSigned || fields.isContentEncoded)) {
       abort({ kind: 'broken', reason: 'successful response without a signature or with a content encoding', headersSent: state.headersSent }, 'unusable response')
