Let backend servers of the soak name request limits, and check them

The soak did not know of limits that backend servers name. Its command line now adds some to the faults of a seed, and checkNamedLimits counts, as the users' rule says, the requests from instances that were told and not disrupted. The plans of the older seeds are unchanged.

Seeds 25000 and 25002 are in the test.

--- a/soak/src/__tests__/soak.test.ts
+++ b/soak/src/__tests__/soak.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals'
 import { checkGuarantees, completeBody, type CallerRecord, type Observations } from '../checkGuarantees.js'
-import { planFaults } from '../faultPlan.js'
+import { planFaults, planFaultsAndLimits } from '../faultPlan.js'
 import { runSoak } from '../soakRun.js'
 
 /**
@@ -8,15 +8,17 @@
  * a second run. The third found requests that a paused process forwarded after their callers had left.
  */
 const SEEDS = [1000, 1011, 8001] as const
+/** Without permits, both find a backend server that gets more requests than the limit that it names. */
+const SEEDS_WITH_LIMITS = [25_000, 25_002] as const
 const EVENTS_PER_STREAM = 3
 
 function createRecord (overrides: Partial<CallerRecord> = {}): CallerRecord {
   const kind = overrides.kind ?? 'once'
-  return { attempt: 'attempt-1', kind, sentAt: 100, gateway: 0, generation: 0, routeVersion: undefined, leavesAt: undefined, answeredAt: 200, status: 200, body: completeBody(kind, 'attempt-1', EVENTS_PER_STREAM), complete: true, ...overrides }
+  return { attempt: 'attempt-1', kind, sentAt: 100, gateway: 0, generation: 0, routeVersion: undefined, leavesAt: undefined, answeredAt: 200, namesLimit: false, status: 200, body: completeBody(kind, 'attempt-1', EVENTS_PER_STREAM), complete: true, ...overrides }
 }
 
 function findViolations (callers: readonly CallerRecord[], overrides: Partial<Observations> = {}): readonly string[] {
-  const observations: Observations = { callers, runs: [], prepaidTokens: 1000, promptTokens: 100, tokensPerEvent: 5, eventsPerStream: EVENTS_PER_STREAM, plannedStops: [], faultWindows: [], ...overrides }
+  const observations: Observations = { callers, runs: [], prepaidTokens: 1000, promptTokens: 100, tokensPerEvent: 5, eventsPerStream: EVENTS_PER_STREAM, plannedStops: [], faultWindows: [], namedLimits: [], disruptions: [], ...overrides }
   return [...checkGuarantees(observations)].map(({ promise }) => promise)
 }
 
@@ -62,6 +64,17 @@
     expect(findViolations([departed], { runs: [{ ...run, at: 641 }], faultWindows: [{ from: 500, to: 700, interruptsResponses: true, delaysRequests: true }] })).toEqual([])
   })
 
+  test('requests beyond a named limit are detected, but for those of instances that were not told or were disrupted', () => {
+    const limit = { backend: 0, requestsPerSecond: 1, from: 0, to: 20_000 }
+    const told = createRecord({ attempt: 'told', namesLimit: true, status: 0 })
+    const records = Array.from({ length: 12 }, (_, index) => createRecord({ attempt: `late-${index}`, status: 0 }))
+    const runs = [{ attempt: 'told', at: 150, backend: 0 }, ...records.map(({ attempt }, index) => ({ attempt, at: 5000 + index * 300, backend: 0 }))]
+    expect(findViolations([told, ...records], { runs, namedLimits: [limit] })).toEqual(['limit'])
+    expect(findViolations([told, ...records], { runs: runs.slice(0, -1), namedLimits: [limit] })).toEqual([])
+    expect(findViolations(records, { runs, namedLimits: [limit] })).toEqual([])
+    for (const place of ['gateway', 'backend'] as const) expect(findViolations([told, ...records], { runs, namedLimits: [limit], disruptions: [{ place, index: 0, from: 2500, to: 3000 }] })).toEqual([])
+  })
+
   test('a fleet that does not recover is detected', () => {
     expect(findViolations(Array.from({ length: 20 }, () => createRecord({ sentAt: 9000, status: 504 })))).toEqual(['recovery'])
   })
@@ -82,4 +95,10 @@
     expect(report.broken).toEqual([])
     expect(report.statuses['200']).toBeGreaterThan(0)
   }, 40_000)
+
+  test.each(SEEDS_WITH_LIMITS)('seed %d with named limits violates no guarantee', async (seed) => {
+    const report = await runSoak(planFaultsAndLimits(seed))
+    expect(report.broken).toEqual([])
+    expect(report.statuses['200']).toBeGreaterThan(0)
+  }, 40_000)
 })
--- a/soak/src/checkGuarantees.ts
+++ b/soak/src/checkGuarantees.ts
@@ -14,6 +14,8 @@
   /** Time at which the caller closes its connection, whatever it has received; undefined for callers that wait. */
   readonly leavesAt: number | undefined
   answeredAt: number
+  /** True when the response carried the request limit of its backend server. */
+  namesLimit: boolean
   /** 0 when the connection failed before the response headers. */
   status: number
   body: string
@@ -39,6 +41,25 @@
   readonly plannedStops: readonly { readonly gateway: number, readonly generation: number, readonly from: number }[]
   /** Periods of injected faults; faults of a gateway process or a backend server's link may interrupt responses. */
   readonly faultWindows: readonly FaultWindow[]
+  readonly namedLimits: readonly NamedLimitPeriod[]
+  /** Periods in which a gateway process, or the link to a backend server, was disrupted. */
+  readonly disruptions: readonly Disruption[]
+}
+
+/** Period in which a backend server names a request limit. */
+export interface NamedLimitPeriod {
+  readonly backend: number
+  readonly requestsPerSecond: number
+  readonly from: number
+  readonly to: number
+}
+
+/** Disruption of one gateway process or of the link to one backend server. */
+export interface Disruption {
+  readonly place: 'gateway' | 'backend'
+  readonly index: number
+  readonly from: number
+  readonly to: number
 }
 
 /** Period of an injected fault and its aftermath. */
@@ -53,7 +74,7 @@
 /** A guarantee that did not hold. */
 export interface GuaranteeViolation {
   /** Name of the guarantee. */
-  readonly promise: 'budget' | 'once' | 'refusal' | 'whole' | 'plannedStop' | 'configuration' | 'recovery' | 'departure'
+  readonly promise: 'budget' | 'once' | 'refusal' | 'whole' | 'plannedStop' | 'configuration' | 'recovery' | 'departure' | 'limit'
   readonly detail: string
 }
 
@@ -67,6 +88,12 @@
 /** A backend server must not start work for a caller that left this long before. */
 const MAX_START_AFTER_DEPARTURE_MS = 500
 
+/** From this long after a limit is first named, or a disruption has ended, the limit holds. */
+const CONTACT_MS = 3000
+/** An instance is bound by a limit from this long after it has passed on a response that names it. */
+const LIMIT_NOTICE_MS = 500
+const LIMIT_WINDOW_MS = 4000
+
 /** Expected body of a complete response. */
 export function completeBody (kind: RequestKind, attempt: string, events: number): string {
   if (kind !== 'stream') return `answer to ${attempt}`
@@ -132,6 +159,26 @@
   }
 }
 
+function * checkNamedLimits (observations: Observations): Generator<GuaranteeViolation> {
+  const callers = new Map(observations.callers.map((record) => [record.attempt, record]))
+  const isDisrupted = (place: Disruption['place'], index: number, at: number): boolean => observations.disruptions.some((disruption) => disruption.place === place && disruption.index === index && disruption.from <= at && at <= disruption.to + CONTACT_MS)
+  for (const { backend, requestsPerSecond, from, to } of observations.namedLimits) {
+    const runs = observations.runs.filter((run) => run.backend === backend && run.at >= from && run.at <= to)
+    const toldAt = new Map<number, number>()
+    for (const run of runs) {
+      const record = callers.get(run.attempt)
+      if (record?.namesLimit === true) toldAt.set(record.gateway, Math.min(toldAt.get(record.gateway) ?? Infinity, record.answeredAt))
+    }
+    const counted = runs.map((run) => ({ at: run.at, gateway: callers.get(run.attempt)?.gateway ?? -1 }))
+      .filter(({ at, gateway }) => at >= from + CONTACT_MS && at > (toldAt.get(gateway) ?? Infinity) + LIMIT_NOTICE_MS)
+      .filter(({ at, gateway }) => !isDisrupted('gateway', gateway, at) && !isDisrupted('backend', backend, at))
+      .map(({ at }) => at)
+    const most = Math.max(0, ...counted.map((start) => counted.filter((at) => at >= start && at < start + LIMIT_WINDOW_MS).length))
+    const allowed = Math.floor(requestsPerSecond * LIMIT_WINDOW_MS / 1000 * 1.5 + 5)
+    if (most > allowed) yield { promise: 'limit', detail: `backend server ${backend}, which names ${requestsPerSecond} requests a second, got ${most} in ${LIMIT_WINDOW_MS} ms, allowed ${allowed}` }
+  }
+}
+
 function * checkRecovery (observations: Observations): Generator<GuaranteeViolation> {
   const lastFault = Math.max(0, ...observations.faultWindows.map(({ to }) => to))
   const sentAfterRecovery = observations.callers.filter((record) => record.kind !== 'stream' && record.sentAt > lastFault + RECOVERY_TIME_MS)
@@ -148,4 +195,5 @@
   yield * checkConfiguration(observations)
   yield * checkRecovery(observations)
   yield * checkDepartures(observations)
+  yield * checkNamedLimits(observations)
 }
--- a/soak/src/faultPlan.ts
+++ b/soak/src/faultPlan.ts
@@ -21,6 +21,8 @@
   | { readonly kind: 'storeCalls', readonly at: number, readonly lasts: number, readonly fault: 'refuse' | 'loseReply' | 'late' }
   | { readonly kind: 'configuration', readonly at: number }
   | { readonly kind: 'powerLoss', readonly at: number, readonly downFor: number }
+  /** A backend server in need names a request limit in its responses. */
+  | { readonly kind: 'namedLimit', readonly at: number, readonly backend: number, readonly lasts: number, readonly requestsPerSecond: number }
 
 const at = fastCheck.integer({ min: 300, max: FAULT_PHASE_END_MS - 1500 })
 const lasts = fastCheck.integer({ min: 200, max: 4000 })
@@ -41,6 +43,20 @@
   { weight: 1, arbitrary: fastCheck.record({ kind: fastCheck.constant('powerLoss' as const), at, downFor }) }
 )
 
+const namedLimit = fastCheck.record({
+  kind: fastCheck.constant('namedLimit' as const),
+  at: fastCheck.integer({ min: 300, max: 2000 }),
+  backend,
+  lasts: fastCheck.integer({ min: 4000, max: SOAK_DURATION_MS }),
+  requestsPerSecond: fastCheck.integer({ min: 0, max: 60 }).map((tenths) => tenths / 10)
+})
+
+/** Generates the faults of a seed like `planFaults`, and backend servers that name limits beside them. */
+export function planFaultsAndLimits (seed: number): readonly PlannedFault[] {
+  const [limits = []] = fastCheck.sample(fastCheck.uniqueArray(namedLimit, { minLength: 1, maxLength: BACKEND_COUNT, selector: (limit) => limit.backend }), { seed, numRuns: 1 })
+  return [...planFaults(seed), ...limits].sort((left, right) => left.at - right.at)
+}
+
 /** Generates the faults of a seed in chronological order; the same seed gives the same plan. */
 export function planFaults (seed: number): readonly PlannedFault[] {
   const [plan = []] = fastCheck.sample(fastCheck.array(plannedFault, { minLength: 2, maxLength: 9, size: 'max' }), { seed, numRuns: 1 })
--- a/soak/src/soakCommand.ts
+++ b/soak/src/soakCommand.ts
@@ -1,5 +1,5 @@
 import { defineCommand, runMain } from 'citty'
-import { planFaults, type PlannedFault } from './faultPlan.js'
+import { planFaultsAndLimits, type PlannedFault } from './faultPlan.js'
 import { runSoak } from './soakRun.js'
 
 function writeLine (line: Record<string, unknown>): void {
@@ -29,7 +29,7 @@
     if (!Number.isInteger(first) || !Number.isInteger(count)) throw new Error(`--first is "${args.first ?? ''}" and --seeds is "${args.seeds}"; both must be whole numbers`)
     let failed = 0
     for (let seed = first; seed < first + count; seed++) {
-      const plan = planFaults(seed)
+      const plan = planFaultsAndLimits(seed)
       const report = await runSoak(plan)
       writeLine({ seed, faults: plan.map(({ kind, at }) => `${kind}@${at}`).join(' '), ...report })
       if (report.broken.length === 0) continue
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -1,6 +1,6 @@
 import { CALLER_DEADLINE_MS, sendRequest, signedHeaders, startBackendStandIn, startGatewayProcess, startStoreStandIn, versionedConfiguration, wireBackendWithSlots, type BackendStandIn, type GatewayProcess, type StoreStandIn } from '@quinceshunt/platform-adapter/fixtures'
 import { Agent } from 'node:http'
-import { checkGuarantees, completeBody, type BackendRun, type CallerRecord, type FaultWindow, type GuaranteeViolation, type RequestKind } from './checkGuarantees.js'
+import { checkGuarantees, completeBody, type BackendRun, type CallerRecord, type Disruption, type FaultWindow, type GuaranteeViolation, type NamedLimitPeriod, type RequestKind } from './checkGuarantees.js'
 import { BACKEND_COUNT, GATEWAY_COUNT, SOAK_DURATION_MS, type PlannedFault } from './faultPlan.js'
 import { startFaultyLink, type FaultyLink } from './faultyLink.js'
 
@@ -43,9 +43,11 @@
 
 const sleep = async (milliseconds: number): Promise<void> => { await new Promise((resolve) => setTimeout(resolve, milliseconds)) }
 
-function installBackendHandler (backend: BackendStandIn, index: number, runs: BackendRun[]): void {
+function installBackendHandler (backend: BackendStandIn, index: number, runs: BackendRun[], currentLimit: () => number | undefined): void {
   backend.handler = (received, response) => {
     const attempt = received.attemptId
+    const limit = currentLimit()
+    if (limit !== undefined) response.setHeader('Server-Limit', String(limit))
     runs.push({ attempt, at: Date.now(), backend: index })
     if (!received.url.startsWith('/chat/')) {
       setTimeout(() => {
@@ -72,8 +74,8 @@
   const path = record.routeVersion === undefined ? REQUEST_PATHS[record.kind] : `/v${record.routeVersion}/`
   const prompt = record.kind === 'stream' ? { prompt: { promptTokens: PROMPT_TOKENS, outputTokens: EVENTS_PER_STREAM * TOKENS_PER_EVENT } } : {}
   try {
-    const { status, body, complete } = await sendRequest(address, path, { agent, method: record.kind === 'once' ? 'POST' : 'GET', attemptId: record.attempt, abortAfterMilliseconds: record.leavesAt === undefined ? CALLER_DEADLINE_MS + CALLER_ABORT_MARGIN_MS : Math.max(0, record.leavesAt - Date.now()), ...prompt })
-    Object.assign(record, { status, body, complete })
+    const { status, headers, body, complete } = await sendRequest(address, path, { agent, method: record.kind === 'once' ? 'POST' : 'GET', attemptId: record.attempt, abortAfterMilliseconds: record.leavesAt === undefined ? CALLER_DEADLINE_MS + CALLER_ABORT_MARGIN_MS : Math.max(0, record.leavesAt - Date.now()), ...prompt })
+    Object.assign(record, { status, body, complete, namesLimit: headers['server-limit'] !== undefined })
   } catch {
     // The record keeps status 0: no response headers arrived, and the checks treat the outcome as unknown.
   }
@@ -87,13 +89,16 @@
   const callers: CallerRecord[] = []
   const plannedStops: { gateway: number, generation: number, from: number }[] = []
   const faultWindows: FaultWindow[] = []
+  const namedLimits: NamedLimitPeriod[] = []
+  const disruptions: Disruption[] = []
+  const limits = new Map<number, number>()
   const backends = await Promise.all(Array.from({ length: BACKEND_COUNT }, async () => await startBackendStandIn()))
   const backendLinks = await Promise.all(backends.map(async ({ address }) => await startFaultyLink(address)))
   const storeLinks = await Promise.all(Array.from({ length: GATEWAY_COUNT }, async () => await startFaultyLink(store.address)))
   let version = 1
   store.putConfiguration(versionedConfiguration(version, PREPAID_TOKENS))
   for (const [index, backend] of backends.entries()) {
-    installBackendHandler(backend, index, runs)
+    installBackendHandler(backend, index, runs, () => limits.get(index))
     store.putBackend(`backend${index}`, wireBackendWithSlots(index % 2 === 0 ? 'model' : 'ledger', backendLinks[index]?.address ?? '', BACKEND_SLOTS))
   }
 
@@ -105,6 +110,7 @@
   await sleep(800)
 
   async function restartAfterExit (gateway: RunningGateway, index: number, downFor: number): Promise<void> {
+    const stoppedAt = Date.now()
     const { callersAddress, readinessAddress, metricsAddress, peerAddress } = gateway.process
     await gateway.process.exited
     await gateway.process.dispose()
@@ -112,15 +118,29 @@
     gateway.process = await startGateway(index, { callersAddress, readinessAddress, metricsAddress, peerAddress })
     gateway.generation++
     gateway.state = 'up'
+    disruptions.push({ place: 'gateway', index, from: stoppedAt, to: Date.now() })
   }
 
   function recordFaultWindow (duration: number, interruptsResponses: boolean, delaysRequests = false): void {
     faultWindows.push({ from: Date.now(), to: Date.now() + duration + FAULT_AFTERMATH_MS, interruptsResponses, delaysRequests })
   }
 
+  function recordDisruption (place: Disruption['place'], index: number, duration: number): void {
+    disruptions.push({ place, index, from: Date.now(), to: Date.now() + duration })
+  }
+
+  async function nameLimit ({ backend, requestsPerSecond, lasts }: Extract<PlannedFault, { kind: 'namedLimit' }>): Promise<void> {
+    namedLimits.push({ backend, requestsPerSecond, from: Date.now(), to: Date.now() + lasts })
+    limits.set(backend, requestsPerSecond)
+    await sleep(lasts)
+    limits.delete(backend)
+  }
+
   async function applyLinkFault (link: FaultyLink | undefined, fault: Extract<PlannedFault, { kind: 'storeLink' | 'backendLink' }>): Promise<void> {
     if (link === undefined) return
     recordFaultWindow(fault.lasts, fault.kind === 'backendLink', fault.kind === 'backendLink')
+    if (fault.kind === 'backendLink') recordDisruption('backend', fault.backend, fault.lasts)
+    else recordDisruption('gateway', fault.gateway, fault.lasts)
     link.fault = fault.fault
     await sleep(fault.lasts)
     link.fault = undefined
@@ -150,6 +170,7 @@
     if (gateway === undefined || gateway.state !== 'up') return
     const { process: pausedProcess } = gateway
     recordFaultWindow(duration, true)
+    recordDisruption('gateway', index, duration)
     gateway.state = 'paused'
     pausedProcess.signal('SIGSTOP')
     await sleep(duration)
@@ -178,6 +199,7 @@
         version++
         store.putConfiguration(versionedConfiguration(version, PREPAID_TOKENS))
         return
+      case 'namedLimit': return await nameLimit(fault)
       case 'powerLoss':
         await Promise.all(gateways.map(async (_, index) => await killGateway(index, fault.downFor)))
     }
@@ -195,7 +217,7 @@
     const isVersioned = sentCount % 16 === 2
     const isDeparture = sentCount % DEPARTURE_INTERVAL === 4
     const leavesAt = isDeparture ? Date.now() + (sentCount * 37) % MAX_PATIENCE_MS : undefined
-    const record: CallerRecord = { attempt: `attempt-${sentCount}`, kind: isVersioned ? 'repeatable' : kind, sentAt: Date.now(), gateway: index, generation: gateway.generation, routeVersion: isVersioned ? version : undefined, leavesAt, answeredAt: 0, status: 0, body: '', complete: false }
+    const record: CallerRecord = { attempt: `attempt-${sentCount}`, kind: isVersioned ? 'repeatable' : kind, sentAt: Date.now(), gateway: index, generation: gateway.generation, routeVersion: isVersioned ? version : undefined, leavesAt, answeredAt: 0, namesLimit: false, status: 0, body: '', complete: false }
     sentCount++
     callers.push(record)
     pendingRequests.push(sendRecordedRequest(agent, gateway.process.callersAddress, record))
@@ -212,6 +234,6 @@
 
   const statuses: Record<string, number> = {}
   for (const { status } of callers) statuses[status] = (statuses[status] ?? 0) + 1
-  const broken = [...checkGuarantees({ callers, runs, prepaidTokens: PREPAID_TOKENS, promptTokens: PROMPT_TOKENS, tokensPerEvent: TOKENS_PER_EVENT, eventsPerStream: EVENTS_PER_STREAM, plannedStops, faultWindows })]
+  const broken = [...checkGuarantees({ callers, runs, prepaidTokens: PREPAID_TOKENS, promptTokens: PROMPT_TOKENS, tokensPerEvent: TOKENS_PER_EVENT, eventsPerStream: EVENTS_PER_STREAM, plannedStops, faultWindows, namedLimits, disruptions })]
   return { requests: callers.length, statuses, broken }
 }
