Test the router against a request that crashes engines in the middle of its answer

The gateway did not count crashes after the response had begun. The router's scenario could not show the same, as its stand-in crashes before it answers: it now can crash later (crash_delay_milliseconds).

No logic changes.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -8,6 +8,13 @@
     And in each run every router rejects the poison request as quarantined
     And in each run the concurrent requests get complete responses
 
+  # Guards against a poison request whose crashes are not counted because its answer has begun.
+  Scenario: A poison request that crashes engines in the middle of its answer is resent
+    When in each run a poison request that crashes engines after 60 ms of its answer is resent at 3 routers in front of 6 engines
+    Then no run loses more than 2 engines
+    And in each run every router rejects the poison request as quarantined
+    And in each run the concurrent requests get complete responses
+
   # Guards against requests that share one message, and nothing else, and crash one engine after the other.
   Scenario: Requests that are no two alike share a message that crashes engines
     When callers send chats with a crashing message among others at 3 routers in front of 10 engines
--- a/packages/backend-standin/src/backendServer.ts
+++ b/packages/backend-standin/src/backendServer.ts
@@ -44,7 +44,10 @@
       return sendJson(response, 200, { id: settings.id, kind, incarnation, state: state(), leavingSince: leavingSince ?? null, runs: runs.runs, ...service.recordFields() })
     }
     const body = await readBody(request)
-    if (settings.crashMarker !== '' && body.includes(settings.crashMarker)) return crash()
+    if (settings.crashMarker !== '' && body.includes(settings.crashMarker)) {
+      if (settings.crashDelayMilliseconds === 0) return crash()
+      setTimeout(crash, settings.crashDelayMilliseconds)
+    }
     if (!service.handle(request, url, body, response)) sendError(response, 404, 'not_found', `${request.method} ${url.pathname} is not known`)
   }
 
--- a/packages/scenarios/src/steps/quarantineSteps.ts
+++ b/packages/scenarios/src/steps/quarantineSteps.ts
@@ -78,9 +78,9 @@
   }
 }
 
-async function runPoison (seed: number, routers: number, engines: number): Promise<PoisonRun> {
+async function runPoison (seed: number, routers: number, engines: number, crashDelayMilliseconds: number): Promise<PoisonRun> {
   const random = createRandom(seed)
-  const fleet = await startFleet({ routers, engines, engineSettings: { seed } })
+  const fleet = await startFleet({ routers, engines, engineSettings: { seed, crashDelayMilliseconds } })
   try {
     const neighbours = Promise.all(Array.from({ length: NEIGHBOURS }, async (_unused, index) => {
       await wait(random() * NEIGHBOUR_ARRIVAL_SPREAD_MS)
@@ -104,14 +104,22 @@
   }
 }
 
-When('in each run a poison request is resent at {int} routers in front of {int} engines', { timeout: -1 }, async function (this: QuarantineWorld, routers: number, engines: number) {
-  const runs = Number((this.parameters as { quarantineRuns?: number }).quarantineRuns ?? DEFAULT_RUNS)
-  this.poisonRuns = []
+async function resendInEachRun (world: QuarantineWorld, routers: number, engines: number, crashDelayMilliseconds: number): Promise<void> {
+  const runs = Number((world.parameters as { quarantineRuns?: number }).quarantineRuns ?? DEFAULT_RUNS)
+  world.poisonRuns = []
   for (let seed = 1; seed <= runs; seed++) {
-    const run = await runPoison(seed, routers, engines)
-    this.poisonRuns.push(run)
+    const run = await runPoison(seed, routers, engines, crashDelayMilliseconds)
+    world.poisonRuns.push(run)
     process.stdout.write(`${JSON.stringify(run)}\n`)
   }
+}
+
+When('in each run a poison request is resent at {int} routers in front of {int} engines', { timeout: -1 }, async function (this: QuarantineWorld, routers: number, engines: number) {
+  await resendInEachRun(this, routers, engines, 0)
+})
+
+When('in each run a poison request that crashes engines after {int} ms of its answer is resent at {int} routers in front of {int} engines', { timeout: -1 }, async function (this: QuarantineWorld, crashDelayMilliseconds: number, routers: number, engines: number) {
+  await resendInEachRun(this, routers, engines, crashDelayMilliseconds)
 })
 
 Then('no run loses more than {int} engines', function (this: QuarantineWorld, limit: number) {
