Bound the requests for permits in a large fleet

A home of a backend server would deny up to 195 requests for permits a second with 390 instances, of which each was told to ask again after two seconds at most. At about 400 bytes for a request with its reply that is some 80 KB/s at one instance (calculated, not measured), against 3 KB/s in docs/CAPACITY.md.

Now the interval grows with the number of instances that ask: about ten denials a second, or four for each permit. In the model (permitIssuer) 390 instances ask less than 20 times a second for a limit of 2, and the properties that the limit is used to three quarters hold for 1 to 400 instances. A limit that rises ends the denials of before.

--- a/packages/gateway/src/__tests__/backendChoice.test.ts
+++ b/packages/gateway/src/__tests__/backendChoice.test.ts
@@ -26,6 +26,16 @@
 }
 
 describe('long prompts with shared parts at instances that do not coordinate', () => {
+  // Guards against prompts that are read anew at each request because their part is at home where only a few requests may go.
+  test('a backend server that denied a permit a moment ago is no home of parts', () => {
+    const states = createBackends(4)
+    const { state: home } = choosePrompt(states, 'subject')
+    home.lastDeniedAt = NOW - 1999
+    expect(choosePrompt(states, 'subject').state).not.toBe(home)
+    home.lastDeniedAt = NOW - 2000
+    expect(choosePrompt(states, 'subject').state).toBe(home)
+  })
+
   test('all instances select the same backend server for a shared part', () => {
     for (const shared of ['school', 'museum', 'festival']) {
       expect(choosePrompt(createBackends(6), shared).state.entry.id).toBe(choosePrompt(createBackends(6).reverse(), shared).state.entry.id)
--- a/packages/gateway/src/__tests__/permitIssuer.test.ts
+++ b/packages/gateway/src/__tests__/permitIssuer.test.ts
@@ -125,6 +125,22 @@
     }), { numRuns: 30 })
   })
 
+  // Guards against a large fleet that floods the issuer with requests for a few permits.
+  test('the denials of an instance take longer the more instances ask', () => {
+    const issuer = createIssuer()
+    let asked = 0
+    const askAgainAt = new Map<number, number>()
+    for (let now = 0; now < 60_000; now += 10) {
+      const instance = (now / 10) % 390
+      if ((askAgainAt.get(instance) ?? 0) > now) continue
+      const reply = issuer.ask({ backendProcess: SERVER, instanceId: `instance${instance}`, priority: 0, known: { requestsPerSecond: 2, seenAt: 1 }, demand: [] }, FULL, now)
+      if (now >= 30_000) asked++
+      if (reply.kind === 'denied') askAgainAt.set(instance, reply.askAgainAt)
+    }
+    expect(asked / 30).toBeLessThan(20)
+    expect(asked / 30).toBeGreaterThan(4)
+  })
+
   test('a limit of 0 leaves one request in four seconds, as only its response can tell that the need has ended', () => {
     const issuer = createIssuer()
     const times = Array.from({ length: 400 }, (_, index) => index * 50).filter((now) => ask(issuer, { requestsPerSecond: 0, seenAt: 1 }, now).kind === 'granted')
--- a/packages/gateway/src/decisions/permitIssuer.ts
+++ b/packages/gateway/src/decisions/permitIssuer.ts
@@ -70,11 +70,12 @@
 const MIN_REQUESTS_PER_SECOND = 0.25
 /** Time constant of the average demand. */
 const DEMAND_AVERAGE_MS = 3000
-/** An instance that has not asked for this long does not count as one that sends there. */
-const ASKER_EXPIRY_MS = 5000
-/** Time between two requests of an instance that is denied, for each instance that asks: bounds the messages to the issuer. */
-const ASK_INTERVAL_PER_ASKER_MS = 10
-const MAX_ASK_INTERVAL_MS = 2000
+/** An instance that has not asked for this long, or for two intervals, does not count as one that sends there. */
+const MIN_ASKER_EXPIRY_MS = 5000
+/** Denied requests for permits a second of all instances together, if these spread evenly: bounds the messages to the issuer. */
+const MIN_DENIALS_PER_SECOND = 10
+/** The same for each permit, so that permits don't lie idle. */
+const DENIALS_PER_PERMIT = 4
 /** Part that less urgent requests get at least, of the permits that they would get without priorities. */
 const MIN_FAIR_SHARE = 0.6
 const MAX_RETRY_MS = 3000
@@ -140,10 +141,15 @@
     }
   }
 
-  function countAskers (permits: BackendPermits, instanceId: string, now: number): number {
+  /** Time for which an instance that is denied does not ask again, milliseconds. */
+  function askInterval (permits: BackendPermits, requestsPerSecond: number): number {
+    return permits.askers.size * 1000 / Math.max(MIN_DENIALS_PER_SECOND, DENIALS_PER_PERMIT * requestsPerSecond)
+  }
+
+  function recordAsker (permits: BackendPermits, instanceId: string, requestsPerSecond: number, now: number): void {
     permits.askers.set(instanceId, now)
-    for (const [asker, at] of permits.askers) if (at < now - ASKER_EXPIRY_MS) permits.askers.delete(asker)
-    return permits.askers.size
+    const expiry = Math.max(MIN_ASKER_EXPIRY_MS, 2 * askInterval(permits, requestsPerSecond))
+    for (const [asker, at] of permits.askers) if (at < now - expiry) permits.askers.delete(asker)
   }
 
   /** Permits a second that requests more urgent than `priority` leave. */
@@ -162,13 +168,13 @@
     const { known } = permits
     if (known.requestsPerSecond === undefined) return { kind: 'unlimited', known }
     recordDemand(permits, request.demand, now)
-    const askers = countAskers(permits, request.instanceId, now)
     const requestsPerSecond = Math.max(MIN_REQUESTS_PER_SECOND, known.requestsPerSecond) * power.fraction
-    const share = requestsPerSecond / askers
+    recordAsker(permits, request.instanceId, requestsPerSecond, now)
+    const share = requestsPerSecond / permits.askers.size
 
     function deny (freeAt: number): PermitReply {
       permits.deniedSinceGrant++
-      const askAgainAt = Math.max(freeAt, now + Math.min(MAX_ASK_INTERVAL_MS, askers * ASK_INTERVAL_PER_ASKER_MS))
+      const askAgainAt = Math.max(freeAt, now + askInterval(permits, requestsPerSecond))
       const retryAt = Math.min(now + MAX_RETRY_MS, freeAt + permits.deniedSinceGrant * 1000 / requestsPerSecond)
       return { kind: 'denied', known, askAgainAt, retryAt, share }
     }
--- a/packages/gateway/src/tasks/sendingPermits.ts
+++ b/packages/gateway/src/tasks/sendingPermits.ts
@@ -119,7 +119,8 @@
     if (known.seenAt <= previous.seenAt) return false
     backend.limit = known
     if (known.requestsPerSecond === previous.requestsPerSecond) return false
-    if (known.requestsPerSecond === undefined) backend.denials.clear()
+    // Permits were denied under the limit of before.
+    if (known.requestsPerSecond === undefined || known.requestsPerSecond > (previous.requestsPerSecond ?? Infinity)) backend.denials.clear()
     log.event('requestLimitChanged', { backend: backend.entry.id, service: backend.entry.service, previous: previous.requestsPerSecond, requestsPerSecond: known.requestsPerSecond, ...cause })
     return true
   }
