Don't issue further permits for news that repeats a limit

An instance that reaches no home issues itself its even share. Each response that named the same limit again moved the time of its next permit forward, so that it sent 20 requests in 20 s where its share of 7 is due.

Permits that were issued now take as long as they would under the new limit, and a limit that repeats changes nothing. The new test fails before (20 of 7.7 allowed) and passes; the properties that a falling or rising limit is in force at once pass too.

--- a/packages/gateway/src/__tests__/permitIssuer.test.ts
+++ b/packages/gateway/src/__tests__/permitIssuer.test.ts
@@ -141,6 +141,13 @@
     expect(asked / 30).toBeGreaterThan(4)
   })
 
+  // Guards against an instance without homes whose own responses, which repeat the limit, let it send more than its share.
+  test('repeated news of the same limit issues no further permits', () => {
+    const issuer = createIssuer()
+    const granted = Array.from({ length: 400 }, (_, index) => index * 50).filter((now) => issuer.ask({ backendProcess: SERVER, instanceId: 'instance', priority: 0, known: { requestsPerSecond: 2, seenAt: now + 1 }, demand: [] }, { fraction: 1 / 6, burst: 1 }, now).kind === 'granted')
+    expect(granted.length).toBeLessThanOrEqual(2 / 6 * 20 + 1)
+  })
+
   test('a limit of 0 leaves one request in four seconds, as only its response can tell that the need has ended', () => {
     const issuer = createIssuer()
     const times = Array.from({ length: 400 }, (_, index) => index * 50).filter((now) => ask(issuer, { requestsPerSecond: 0, seenAt: 1 }, now).kind === 'granted')
--- a/packages/gateway/src/__tests__/sendingPermits.test.ts
+++ b/packages/gateway/src/__tests__/sendingPermits.test.ts
@@ -10,6 +10,7 @@
 import { createSendingPermits, type SendingPermits } from '../tasks/sendingPermits.js'
 
 const LIMIT = 2
+const RESPONSE_DELAY_MS = 100
 const WINDOW_MS = 4000
 const ALLOWED_IN_WINDOW = LIMIT * WINDOW_MS / 1000 * 1.5 + 5
 
@@ -22,6 +23,8 @@
 interface Fleet {
   readonly instances: Instance[]
   readonly network: LoanNetwork
+  /** Named by all responses from now on. */
+  nameLimit (requestsPerSecond: number | undefined): void
   /** Plays ten requests a second at each instance, at random times; returns the number that was permitted, by instance. */
   sendFor (milliseconds: number): Promise<readonly number[]>
   restart (index: number): void
@@ -43,6 +46,7 @@
   const network = createLoanNetwork(() => chooseFault(sender), steadyNow)
   const peers = Array.from({ length: count }, (_, index): Peer => ({ instanceId: `instance${index}`, address: `instance${index}:80`, failureDomain: 'north', incarnationId: `instance${index}.0` }))
   const instances: Instance[] = []
+  let currentLimit: number | undefined
 
   function start (index: number): void {
     const peer = peers[index] as Peer
@@ -71,12 +75,22 @@
   return {
     instances,
     network,
+    nameLimit: (requestsPerSecond) => {
+      currentLimit = requestsPerSecond
+      if (requestsPerSecond === undefined) return
+      for (const { backend, permits } of instances) permits.observe(backend, { kind: 'named', requestsPerSecond }, 'request')
+    },
     sendFor: async (milliseconds) => {
       const sent = instances.map(() => 0)
       for (let elapsed = 0; elapsed < milliseconds; elapsed += 20) {
         instances.forEach(({ backend, permits }, index) => {
           if (random() >= 0.2 || permits.isDenied(backend, 0, steadyNow())) return
-          permits.acquire(backend, 0).then((outcome) => { if (outcome.kind === 'granted') sent[index]!++ }, () => {})
+          permits.acquire(backend, 0).then((outcome) => {
+            if (outcome.kind === 'denied') return
+            sent[index]!++
+            const requestsPerSecond = currentLimit
+            if (requestsPerSecond !== undefined) setTimeout(() => permits.observe(backend, { kind: 'named', requestsPerSecond }, 'request'), RESPONSE_DELAY_MS)
+          }, () => {})
         })
         await jest.advanceTimersByTimeAsync(20)
       }
@@ -89,10 +103,6 @@
   }
 }
 
-function nameLimit (fleet: Fleet, requestsPerSecond = LIMIT): void {
-  for (const { backend, permits } of fleet.instances) permits.observe(backend, { kind: 'named', requestsPerSecond }, 'request')
-}
-
 function sum (counts: readonly number[]): number {
   return counts.reduce((total, count) => total + count, 0)
 }
@@ -100,7 +110,7 @@
 describe('permits of several instances', () => {
   test('all together send what the backend server takes, and each instance gets some', async () => {
     const fleet = startFleet(6)
-    nameLimit(fleet)
+    fleet.nameLimit(LIMIT)
     const sent = await fleet.sendFor(20_000)
     expect(sum(sent)).toBeGreaterThanOrEqual(0.9 * LIMIT * 20)
     expect(sum(sent)).toBeLessThanOrEqual(LIMIT * 20 + 3)
@@ -111,7 +121,7 @@
   test.each(['killed', 'silent'] as const)('when the first home is %s, the second one issues half of the limit', async (loss) => {
     let isLost = false
     const fleet = startFleet(6, (sender) => isLost && loss === 'silent' && sender !== 0 ? { kind: 'requestLost' } : { kind: 'none' })
-    nameLimit(fleet)
+    fleet.nameLimit(LIMIT)
     await fleet.sendFor(2000)
     if (loss === 'killed') fleet.network.kill('instance0:80')
     isLost = true
@@ -123,7 +133,7 @@
   // Guards against an instance without peers that sends the whole limit, or nothing although no other backend server is left.
   test('an instance that reaches no home keeps to its even share', async () => {
     const fleet = startFleet(6, (sender) => sender === 5 ? { kind: 'requestLost' } : { kind: 'none' })
-    nameLimit(fleet)
+    fleet.nameLimit(LIMIT)
     const sent = await fleet.sendFor(30_000)
     expect(sent[5]).toBeGreaterThanOrEqual(5)
     expect(sent[5]).toBeLessThanOrEqual(LIMIT / 6 * 30 + 2)
@@ -133,7 +143,7 @@
   // Guards against a restarted home that issues permits for a limit of which it does not know, or none at all.
   test('a restarted home issues permits from what the other instances tell it', async () => {
     const fleet = startFleet(6)
-    nameLimit(fleet)
+    fleet.nameLimit(LIMIT)
     await fleet.sendFor(2000)
     fleet.restart(0)
     const sent = await fleet.sendFor(WINDOW_MS)
@@ -144,8 +154,9 @@
   // Guards against a backend server that has no need any more and is left idle by all instances but the one that got its response.
   test('when one instance learns that the limit has ended, the others send freely within two seconds', async () => {
     const fleet = startFleet(6)
-    nameLimit(fleet)
+    fleet.nameLimit(LIMIT)
     await fleet.sendFor(1000)
+    fleet.nameLimit(undefined)
     const { backend, permits } = fleet.instances[4] as Instance
     permits.observe(backend, { kind: 'none' }, 'request')
     await fleet.sendFor(2000)
@@ -154,7 +165,7 @@
 
   test('a value that can not be read leaves the known limit in force', () => {
     const fleet = startFleet(1)
-    nameLimit(fleet)
+    fleet.nameLimit(LIMIT)
     const { backend, permits } = fleet.instances[0] as Instance
     permits.observe(backend, { kind: 'unreadable', value: 'soon' }, 'request')
     expect(backend.limit.requestsPerSecond).toBe(LIMIT)
@@ -163,7 +174,7 @@
   // Guards against rejected callers that all come back at the same moment.
   test('callers that are rejected one after the other get later retry times', async () => {
     const fleet = startFleet(3)
-    nameLimit(fleet, 8)
+    fleet.nameLimit(8)
     await fleet.sendFor(2000)
     const { backend, permits } = fleet.instances[1] as Instance
     const now = steadyNow()
--- a/packages/gateway/src/decisions/permitIssuer.ts
+++ b/packages/gateway/src/decisions/permitIssuer.ts
@@ -127,9 +127,10 @@
   function learn (backendProcess: string, known: KnownLimit, now: number): void {
     const permits = permitsOf(backendProcess)
     if (known.seenAt <= permits.known.seenAt) return
+    const before = permits.known.requestsPerSecond
     permits.known = known
-    // A risen limit must not wait for the spacing of the lower one.
-    if (known.requestsPerSecond !== undefined) permits.issuedUntil = Math.min(permits.issuedUntil, now + 2 * intervalOf(known.requestsPerSecond))
+    // Permits that were issued take as long as they would have under the new limit.
+    if (before !== undefined && known.requestsPerSecond !== undefined) permits.issuedUntil = now + (permits.issuedUntil - now) * intervalOf(known.requestsPerSecond) / intervalOf(before)
     if (!isNotable(permits.announced, known.requestsPerSecond)) return
     permits.announced = known.requestsPerSecond
     announce(backendProcess, known)
