Look only at parts with several crashes when crashes are attributed

Since contents are parts of their own, each request that a crash breaks adds one that nothing else shares.

No decision changes; the tests of crashingParts pass.

--- a/packages/requests/src/crashingParts.ts
+++ b/packages/requests/src/crashingParts.ts
@@ -36,11 +36,11 @@
 /** The least recently used parts are evicted first. */
 const MAX_PARTS = 10_000
 
-/** A request that its backend server had not begun to answer when it crashed. Times are on a clock that all instances share, milliseconds. */
+/** A request that its backend server had not answered completely when it crashed. Times are on a clock that all instances share, milliseconds. */
 export interface UnansweredRequest {
   /** Unique in the fleet, so that a request that is reported again counts once. */
   readonly id: string
-  /** Prompt parts that other requests may share. */
+  /** Prompt parts that other requests may share, unless the answer had gone on after its start, and the content. */
   readonly parts: readonly string[]
   /** Backend server and its process, so that one crash is told from the next. */
   readonly backendProcess: string
@@ -104,7 +104,7 @@
 }
 
 const PART_LIMITS: CrashLimits = { suspect: SUSPECT_CRASH_COUNT, quarantine: QUARANTINE_CRASH_COUNT }
-/** A sound stream that resumes may well be broken by two crashes of other requests; repeating it once more is its caller's choice. */
+/** Higher, as a sound stream that is resumed can be broken by two crashes of other requests. */
 const CONTENT_LIMITS: CrashLimits = { suspect: QUARANTINE_CRASH_COUNT, quarantine: QUARANTINE_CRASH_COUNT }
 
 function raiseLimits (limits: CrashLimits, crashes: number): CrashLimits {
@@ -204,6 +204,8 @@
 export function createCrashingParts (releaseDelay: () => number = () => 0): CrashingParts {
   /** Crashes of each part that no shared answer has followed. */
   const suspects = new Map<string, readonly Crash[]>()
+  /** The suspects with more than one crash: most parts, above all contents, are in one only. */
+  const repeated = new Set<string>()
   const answers: Readonly<Record<AnswerSource, Map<string, number>>> = { own: new Map(), shared: new Map() }
   let groups: { readonly list: readonly SuspectedGroup[], readonly validUntil: number } | undefined
 
@@ -219,6 +221,21 @@
     return known.length === 0 ? undefined : Math.max(...known)
   }
 
+  function setCrashes (part: string, crashes: readonly Crash[]): void {
+    if (crashes.length === 0) suspects.delete(part)
+    else put(suspects, part, crashes)
+    if (crashes.length >= SUSPECT_CRASH_COUNT) repeated.add(part)
+    else repeated.delete(part)
+  }
+
+  /** Forgets the suspects of long ago, which come first as each crash moves its parts to the end. */
+  function forgetOldCrashes (now: number): void {
+    for (const [part, crashes] of suspects) {
+      if (crashes.some((crash) => crash.crashedAt >= now - MAX_CRASH_AGE_MS)) return
+      setCrashes(part, [])
+    }
+  }
+
   /** Crashes that no known answer has followed. */
   function unexplainedCrashes (part: string): readonly Crash[] {
     const at = answeredAt(part) ?? -Infinity
@@ -229,8 +246,9 @@
     if (groups !== undefined && now < groups.validUntil) return groups.list
     const unexplained = new Map<string, readonly Crash[]>()
     let validUntil = Infinity
-    for (const [part, known] of suspects) {
-      if (known.every((crash) => crash.crashedAt < now - MAX_CRASH_AGE_MS)) suspects.delete(part)
+    forgetOldCrashes(now)
+    for (const part of repeated) {
+      if (!suspects.has(part)) repeated.delete(part)
       const crashes = unexplainedCrashes(part)
       if (crashes.length < SUSPECT_CRASH_COUNT) continue
       const countsFrom = (crash: Crash): number => crash.crashedAt + REPORT_DELAY_MS
@@ -254,9 +272,7 @@
     if (crashes === undefined || !crashes.some((crash) => crash.crashedAt <= at)) return
     groups = undefined
     if (source === 'own') return
-    const remaining = crashes.filter((crash) => crash.crashedAt > at)
-    if (remaining.length === 0) suspects.delete(part)
-    else suspects.set(part, remaining)
+    setCrashes(part, crashes.filter((crash) => crash.crashedAt > at))
   }
 
   return {
@@ -265,7 +281,7 @@
       for (const part of parts) {
         const known = suspects.get(part) ?? []
         if (crash.crashedAt <= (answers.shared.get(part) ?? -Infinity) || known.some(({ id }) => id === crash.id)) continue
-        put(suspects, part, [...known, crash].sort(compareCrashes).slice(-MAX_CRASHES_PER_PART))
+        setCrashes(part, [...known, crash].sort(compareCrashes).slice(-MAX_CRASHES_PER_PART))
       }
       return parts.filter(isWronglySuspected)
     },
