Tell peers directly of crashes while the store is away

Callers and operators would see: a request that comes again ends engines again and again while the store is away, as each instance counts the crashes that it saw itself.

Cause: reports of crashes, answers and limits go through the store only. Class: news for the whole fleet over one channel that fails as a whole.

Change: reports whose write fails go to all registered peers once, beside the writes that are repeated; each has its own key and counts once.

--- a/packages/gateway/src/__tests__/fleetTask.test.ts
+++ b/packages/gateway/src/__tests__/fleetTask.test.ts
@@ -9,6 +9,7 @@
 }
 
 let running: TestInstance[] = []
+let reachesPeers = false
 
 function startInstance (memory: MemoryRowStore, instanceId: string, failureDomain = 'a', onCrash: FleetTaskOptions['onCrash'] = () => {}): TestInstance {
   const fleet = startFleetTask({
@@ -21,14 +22,18 @@
     onCrash,
     onAnswer: () => {},
     onLimit: () => {},
-    answerToReport: () => undefined
+    answerToReport: () => undefined,
+    tellPeer: (peer, reports) => running.find((other) => other.instanceId === peer.instanceId && reachesPeers)?.fleet.receive(reports)
   })
   const instance = { instanceId, fleet }
   running.push(instance)
   return instance
 }
 
-beforeEach(() => { jest.useFakeTimers() })
+beforeEach(() => {
+  jest.useFakeTimers()
+  reachesPeers = false
+})
 afterEach(() => {
   for (const { fleet } of running) fleet.follower.stop()
   running = []
@@ -87,4 +92,24 @@
     await jest.advanceTimersByTimeAsync(3000)
     expect([...learned].sort()).toEqual([...names].sort())
   })
+
+  // Guards against instances that each let a request crash several backend servers while the store is away.
+  test('reports that the store does not take reach the peers at once, and count once when it takes them later', async () => {
+    let fault: StoreFault = { kind: 'none' }
+    const memory = createMemoryRowStore(() => fault)
+    const learned: string[] = []
+    const reporter = startInstance(memory, 'reporter')
+    startInstance(memory, 'other', 'b', (_fingerprint, reportId) => learned.push(reportId))
+    await jest.advanceTimersByTimeAsync(2000)
+    fault = { kind: 'refuse' }
+    reachesPeers = true
+    reporter.fleet.reportCrash('poison', { parts: [], backendProcess: 'server/1', sentAt: 1, crashedAt: 2 })
+    await jest.advanceTimersByTimeAsync(200)
+    expect(learned).toHaveLength(1)
+    await jest.advanceTimersByTimeAsync(3000)
+    expect(learned).toHaveLength(1)
+    fault = { kind: 'none' }
+    await jest.advanceTimersByTimeAsync(3000)
+    expect(new Set(learned).size).toBe(1)
+  })
 })
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,7 +18,7 @@
 import { startEventLoopDelay } from './tasks/eventLoopDelay.js'
 import { startFleetTask } from './tasks/fleetTask.js'
 import type { GatewayContext } from './tasks/gatewayContext.js'
-import { createPeerListener } from './tasks/peerMessages.js'
+import { createPeerListener, PEER_PATH, postToPeer } from './tasks/peerMessages.js'
 import { observeStoreTime } from './tasks/observeStoreTime.js'
 import { createSendingPermits } from './tasks/sendingPermits.js'
 import { createTokenLoans } from './tasks/tokenLoans.js'
@@ -36,6 +36,8 @@
 const FIRST_REQUEST_WAIT_MS = 1000
 /** The settings file is also polled, as it may change without a signal. */
 const SETTINGS_CHECK_INTERVAL_MS = 1500
+/** Timeout of reports to a peer while the store is away; they are not repeated, as they also wait for the store. */
+const REPORT_TIMEOUT_MS = 500
 /** A twentieth of the memory of a small instance. */
 const RESPONSE_BUFFER_BYTES = 12_582_912
 
@@ -77,7 +79,11 @@
     onCrash: crashGuard.learnCrash,
     onAnswer: crashGuard.learnAnswer,
     onLimit: (backendProcess, known) => permits.learn(backendProcess, known),
-    answerToReport: crashGuard.answerToReport
+    answerToReport: crashGuard.answerToReport,
+    tellPeer: (peer, reports) => {
+      postToPeer(peer.address, PEER_PATH.reports, { to: peer.incarnationId, reports }, REPORT_TIMEOUT_MS)
+        .catch((error: unknown) => log.warning('peerNotTold', { peer: peer.instanceId, reason: String(error) }))
+    }
   })
   const loans = createTokenLoans({
     incarnationId,
@@ -111,7 +117,7 @@
     announce: fleet.announceLimit,
     count: (outcome) => metrics.count('permits_total', { outcome })
   })
-  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, log, now: steadyNow })
+  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, receiveReports: fleet.receive, log, now: steadyNow })
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
   const backends = startBackendTask({ platform, log, drainMilliseconds: settings.drainMilliseconds, onRemoved: (state) => connections.closeIdle(state.entry.address) })
   const context: GatewayContext = {
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -26,6 +26,9 @@
 const POLL_PAUSE_MS = 400
 const REGISTRATION_RETRY_MS = 1000
 
+/** A row that tells other instances of a crash, an answer or a limit. */
+export type Report = Pick<StoredRow, 'key' | 'value'>
+
 /** Another instance. */
 export interface Peer {
   readonly instanceId: string
@@ -51,6 +54,8 @@
   reportCrash (fingerprint: string, unanswered: ReportedRequest): void
   /** Reports a backend server's answer to a prompt part, if other instances still suspect the part when it is written. */
   reportAnswer (part: string): void
+  /** Takes over reports that a peer could not write to the store. */
+  receive (reports: readonly Report[]): void
   /** Tells all instances of the limit that a backend server names. */
   announceLimit (backendProcess: string, known: KnownLimit): void
   readonly follower: TableFollower
@@ -71,6 +76,8 @@
   readonly onCrash: (fingerprint: string, reportId: string, unanswered: ReportedRequest | undefined) => void
   readonly onAnswer: (part: string, answeredAt: number) => void
   readonly onLimit: (backendProcess: string, known: KnownLimit) => void
+  /** Tells a peer of reports that can't be written to the store. */
+  readonly tellPeer: (peer: Peer, reports: readonly Report[]) => void
   /** Time of an answer to a part; undefined when no instance needs to know of it. */
   readonly answerToReport: (part: string) => number | undefined
 }
@@ -80,7 +87,9 @@
   const { store, log } = options
   const instances = new Map<string, Peer>()
   const homesByAccount = new Map<string, readonly Peer[]>()
-  let pendingReports: { readonly key: string, readonly value: string }[] = []
+  let pendingReports: Report[] = []
+  /** Reports that peers were told of directly. */
+  const toldPeers = new WeakSet<Report>()
   let isWriteScheduled = false
   const pendingAnswers = new Set<string>()
   let reportSequence = 0
@@ -102,7 +111,10 @@
       else instances.set(name, { instanceId: name, address, failureDomain, incarnationId })
       return
     }
-    if (row.deleted) return
+    if (!row.deleted) applyReport(row)
+  }
+
+  function applyReport (row: Report): void {
     if (row.key.startsWith(PREFIX.crash)) {
       const [fingerprint = ''] = row.key.slice(PREFIX.crash.length).split('/')
       options.onCrash(fingerprint, row.key, decodeUnansweredRequest(row.value))
@@ -129,6 +141,10 @@
     onChanges: (rows) => { for (const row of rows) applyRow(row) }
   })
 
+  function peersOf (): readonly Peer[] {
+    return [...instances.values()].filter((peer) => peer.instanceId !== options.instanceId)
+  }
+
   async function register (): Promise<void> {
     for (;;) {
       if (stopped || await writeRow(`${PREFIX.instance}${options.instanceId}`, `${options.peerAddress} ${options.failureDomain} ${options.incarnationId}`)) return
@@ -144,6 +160,9 @@
     store.transact({ expected: [], writes, removals: [] }, steadyNow() + WRITE_TIMEOUT_MS).then((outcome) => {
       if (outcome.kind === 'applied') return
       log.decision('crashReportsNotWritten', { count: batch.length, outcome: outcome.kind })
+      const untold = batch.filter((report) => !toldPeers.has(report))
+      for (const report of untold) toldPeers.add(report)
+      if (untold.length > 0) for (const peer of peersOf()) options.tellPeer(peer, untold)
       // Each report has a key of its own, so that one that was applied after all is not counted twice.
       pendingReports = [...batch, ...pendingReports].slice(-MAX_PENDING_REPORTS)
       scheduleReports(REPORT_RETRY_MS)
@@ -202,13 +221,14 @@
   register().catch((error: unknown) => log.warning('registrationFailed', { reason: String(error) }))
   return {
     get instances () { return Math.max(1, instances.size) },
-    get peers () { return [...instances.values()].filter((peer) => peer.instanceId !== options.instanceId) },
+    get peers () { return peersOf() },
     homes: homesOf,
     permitHomes: (backendId) => homesOf(`${PREFIX.limit}${backendId}`),
     incarnationOf: (instanceId) => instances.get(instanceId)?.incarnationId,
     reportCrash,
     reportAnswer,
     announceLimit,
+    receive: (reports) => { for (const report of reports) applyReport(report) },
     follower,
     deregister: async () => {
       stopped = true
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -2,6 +2,7 @@
 import * as v from 'valibot'
 import type { KnownLimit, PermitReply, PermitRequest } from '../decisions/permitIssuer.js'
 import type { DecisionLog } from './decisionLog.js'
+import type { Report } from './fleetTask.js'
 
 const MAX_MESSAGE_BYTES = 65_536
 /** Replies are remembered for longer than a sender repeats its message. */
@@ -36,6 +37,7 @@
   v.object({ kind: v.literal('unlimited'), known: knownLimitSchema }),
   v.object({ kind: v.literal('denied'), known: knownLimitSchema, askAgainAt: v.number(), retryAt: v.number(), share: v.number() })
 ])
+const reportsSchema = v.object({ to: v.string(), reports: v.array(v.object({ key: v.string(), value: v.string() })) })
 const limitNewsSchema = v.object({ to: v.string(), backendProcess: v.string(), known: knownLimitSchema })
 
 /** `partial` asks for what can be had, `whole` for all or nothing: parts of a request's tokens would lie idle. */
@@ -53,7 +55,7 @@
   | { readonly kind: 'failed', readonly mayHaveArrived: boolean, readonly reason: string }
 
 /** Paths of the messages between instances. */
-export const PEER_PATH = { loans: '/loans', returns: '/returns', permits: '/permits', limits: '/limits' } as const
+export const PEER_PATH = { loans: '/loans', returns: '/returns', permits: '/permits', limits: '/limits', reports: '/reports' } as const
 
 /** Takes over a limit from JSON, which leaves out an undefined value. */
 function toKnownLimit ({ requestsPerSecond, seenAt }: v.InferOutput<typeof knownLimitSchema>): KnownLimit {
@@ -137,12 +139,16 @@
   readonly receive: (backendProcess: string, known: KnownLimit) => void
 }
 
+/** Handles reports that a peer could not write to the store. */
+export type ReportHandler = (reports: readonly Report[]) => void
+
 /** Options of the listener. */
 export interface PeerListenerOptions {
   /** ID of this run of the process; messages to another one are rejected. */
   readonly incarnationId: string
   readonly tokens: TokenHandlers
   readonly limits: LimitHandlers
+  readonly receiveReports: ReportHandler
   readonly log: DecisionLog
   readonly now: () => number
 }
@@ -151,7 +157,7 @@
  * Handles each message once: a repeated one gets the reply of the first, so that a sender may repeat it until it is
  * answered. Returns `otherIncarnation` for a message that this process does not handle, undefined for a malformed one.
  */
-export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, log, now }: PeerListenerOptions): (path: string, message: unknown) => Promise<unknown> | 'otherIncarnation' | undefined {
+export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, receiveReports, log, now }: PeerListenerOptions): (path: string, message: unknown) => Promise<unknown> | 'otherIncarnation' | undefined {
   const replies = new Map<string, { readonly reply: Promise<unknown>, readonly forgetAt: number }>()
 
   function forgetOldReplies (): void {
@@ -207,6 +213,13 @@
         limits.receive(news.output.backendProcess, toKnownLimit(news.output.known))
         return Promise.resolve({})
       }
+      case PEER_PATH.reports: {
+        const received = v.safeParse(reportsSchema, message)
+        if (!received.success) return undefined
+        if (received.output.to !== incarnationId) return 'otherIncarnation'
+        receiveReports(received.output.reports)
+        return Promise.resolve({})
+      }
       default: return undefined
     }
   }
