Keep the platform's header name of request limits out of the soak

The soak set and read Server-Limit by name. The fixtures of platform/ now name it (limitHeaders, namesLimit of a caller's response).

--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -1,4 +1,4 @@
-import { CALLER_DEADLINE_MS, sendRequest, signedHeaders, startBackendStandIn, startGatewayProcess, startStoreStandIn, versionedConfiguration, wireBackendWithSlots, type BackendStandIn, type GatewayProcess, type StoreStandIn } from '@quinceshunt/platform-adapter/fixtures'
+import { CALLER_DEADLINE_MS, limitHeaders, sendRequest, signedHeaders, startBackendStandIn, startGatewayProcess, startStoreStandIn, versionedConfiguration, wireBackendWithSlots, type BackendStandIn, type GatewayProcess, type StoreStandIn } from '@quinceshunt/platform-adapter/fixtures'
 import { Agent } from 'node:http'
 import { checkGuarantees, completeBody, type BackendRun, type CallerRecord, type Disruption, type FaultWindow, type GuaranteeViolation, type NamedLimitPeriod, type RequestKind } from './checkGuarantees.js'
 import { BACKEND_COUNT, GATEWAY_COUNT, SOAK_DURATION_MS, type PlannedFault } from './faultPlan.js'
@@ -47,7 +47,7 @@
   backend.handler = (received, response) => {
     const attempt = received.attemptId
     const limit = currentLimit()
-    if (limit !== undefined) response.setHeader('Server-Limit', String(limit))
+    if (limit !== undefined) response.setHeaders(new Map(Object.entries(limitHeaders(String(limit)))))
     runs.push({ attempt, at: Date.now(), backend: index })
     if (!received.url.startsWith('/chat/')) {
       setTimeout(() => {
@@ -74,8 +74,8 @@
   const path = record.routeVersion === undefined ? REQUEST_PATHS[record.kind] : `/v${record.routeVersion}/`
   const prompt = record.kind === 'stream' ? { prompt: { promptTokens: PROMPT_TOKENS, outputTokens: EVENTS_PER_STREAM * TOKENS_PER_EVENT } } : {}
   try {
-    const { status, headers, body, complete } = await sendRequest(address, path, { agent, method: record.kind === 'once' ? 'POST' : 'GET', attemptId: record.attempt, abortAfterMilliseconds: record.leavesAt === undefined ? CALLER_DEADLINE_MS + CALLER_ABORT_MARGIN_MS : Math.max(0, record.leavesAt - Date.now()), ...prompt })
-    Object.assign(record, { status, body, complete, namesLimit: headers['server-limit'] !== undefined })
+    const { status, body, complete, namesLimit } = await sendRequest(address, path, { agent, method: record.kind === 'once' ? 'POST' : 'GET', attemptId: record.attempt, abortAfterMilliseconds: record.leavesAt === undefined ? CALLER_DEADLINE_MS + CALLER_ABORT_MARGIN_MS : Math.max(0, record.leavesAt - Date.now()), ...prompt })
+    Object.assign(record, { status, body, complete, namesLimit })
   } catch {
     // The record keeps status 0: no response headers arrived, and the checks treat the outcome as unknown.
   }
