Notice a restored store and read its tables anew

The store names its era in every response; nothing read it, so that neither the log nor the program could tell a restore. A follower noticed one only by status 410, which a store whose version has caught up does not send: changes with reissued versions were never seen.

The adapter reads the era. watchStoreEra logs each restore, lets followers read their tables anew, does not use responses from before the restore, and reports a transaction that a restore overtakes as superseded. Leases treat that like a lost reply for now.

Without the watch, "changes with reissued versions are seen" fails: the row that was written again is missing.

--- a/packages/gateway/src/__fixtures__/memoryRowStore.ts
+++ b/packages/gateway/src/__fixtures__/memoryRowStore.ts
@@ -16,6 +16,12 @@
   /** It is neither applied nor answered. */
   | { readonly kind: 'drop' }
 
+/** Copy of a store's rows and its newest version. */
+export interface RowStoreCopy {
+  readonly rows: ReadonlyMap<string, StoredRow>
+  readonly version: number
+}
+
 /** An in-memory row store with fault injection. */
 export interface MemoryRowStore {
   readonly store: RowStore
@@ -23,6 +29,9 @@
   readonly putRow: (rowKey: RowKey, value: string) => void
   /** Marks a row as deleted, so that followers of its table learn of the removal. */
   readonly removeRow: (rowKey: RowKey) => void
+  readonly takeCopy: () => RowStoreCopy
+  /** Brings the store back from a copy: later writes are lost, their versions are issued again, and the era rises. */
+  readonly restore: (copy: RowStoreCopy) => void
   readonly transactions: number
 }
 
@@ -33,6 +42,7 @@
 export function createMemoryRowStore (chooseFault: () => StoreFault = () => ({ kind: 'none' }), processingMilliseconds = 0): MemoryRowStore {
   const rows = new Map<string, StoredRow>()
   let version = 0
+  let era = 1
   let transactions = 0
   const partBusyUntil = new Map<string, number>()
 
@@ -43,12 +53,12 @@
   function apply (transaction: RowTransaction): TransactionOutcome {
     if (transaction.expected.some((row) => versionOf(row) !== row.version)) {
       const current = transaction.expected.flatMap((row) => rows.get(keyOf(row)) ?? [])
-      return { kind: 'conflict', rows: current, storeTime: steadyNow() }
+      return { kind: 'conflict', rows: current, storeTime: steadyNow(), era }
     }
     version++
     for (const write of transaction.writes) rows.set(keyOf(write), { ...write, version, deleted: false })
     for (const removal of transaction.removals) rows.delete(keyOf(removal))
-    return { kind: 'applied', version, storeTime: steadyNow() }
+    return { kind: 'applied', version, storeTime: steadyNow(), era }
   }
 
   async function transact (transaction: RowTransaction): Promise<TransactionOutcome> {
@@ -78,19 +88,26 @@
   }
 
   function select (predicate: (row: StoredRow) => boolean): ReadOutcome {
-    return { kind: 'rows', rows: [...rows.values()].filter(predicate), version, storeTime: steadyNow() }
+    return { kind: 'rows', rows: [...rows.values()].filter(predicate), version, storeTime: steadyNow(), era }
   }
 
   return {
     store: {
       transact,
       read: async (table, part, deadline, range) => select((row) => row.table === table && row.part === part && (range === undefined || (row.key >= range.from && row.key < range.to))),
-      readChanges: async (table, after) => select((row) => row.table === table && row.version > after),
+      readChanges: async (table, after) => after > version ? { kind: 'historyGone', era } : select((row) => row.table === table && row.version > after),
       close: () => {}
     },
     getRow: (rowKey) => rows.get(keyOf(rowKey))?.value,
     putRow: (rowKey, value) => { rows.set(keyOf(rowKey), { ...rowKey, value, version: ++version, deleted: false }) },
     removeRow: (rowKey) => { rows.set(keyOf(rowKey), { ...rowKey, value: '', version: ++version, deleted: true }) },
+    takeCopy: () => ({ rows: new Map(rows), version }),
+    restore: (copy) => {
+      rows.clear()
+      for (const [key, row] of copy.rows) rows.set(key, row)
+      version = copy.version
+      era++
+    },
     get transactions () { return transactions }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,6 +22,7 @@
 import { observeStoreTime } from './tasks/observeStoreTime.js'
 import { createSendingPermits } from './tasks/sendingPermits.js'
 import { createTokenLoans } from './tasks/tokenLoans.js'
+import { watchStoreEra } from './tasks/storeEra.js'
 import { startTokenTask } from './tasks/tokenTask.js'
 
 /** New connections are accepted for this time after SIGTERM: the load balancer removes an instance after two failed checks. */
@@ -51,14 +52,16 @@
 
 /** Starts a gateway process; resolves once its servers listen. SIGTERM and SIGINT stop it. */
 export async function runGateway (options: GatewayOptions): Promise<void> {
-  const { platform, settings } = options
+  const { settings } = options
   const incarnationId = `${settings.instanceId}.${randomUUID().slice(0, 8)}`
   const log = createDecisionLog({ instanceId: settings.instanceId, level: settings.logLevel })
   const metrics = createMetrics()
   log.event('starting', { lifetime: incarnationId, failureDomain: settings.failureDomain, processId: process.pid })
   const connections = createBackendConnections()
   const sharedClock = createSharedClock()
-  const store = observeStoreTime(platform.store, sharedClock)
+  const { store: watchedStore } = watchStoreEra(options.platform.store, log)
+  const store = observeStoreTime(watchedStore, sharedClock)
+  const platform = { ...options.platform, store }
   const crashGuard = createCrashGuard({
     log,
     clock: sharedClock,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -23,8 +23,14 @@
   readonly spansParts?: boolean
 }
 
+/** What every response of the store tells, whatever its outcome. */
+export interface StoreResponse {
+  /** Number that rises with each restore of the store from an older copy; undefined without a response, or when the store names none. */
+  readonly era?: number | undefined
+}
+
 /** Outcome of a transaction. `storeTime` is the store's monotonic clock, milliseconds. */
-export type TransactionOutcome =
+export type TransactionOutcome = StoreResponse & (
   | { readonly kind: 'applied', readonly version: number, readonly storeTime: number }
   /** Not applied; `rows` are the current versions of the expected rows. */
   | { readonly kind: 'conflict', readonly rows: readonly StoredRow[], readonly storeTime: number }
@@ -32,14 +38,18 @@
   | { readonly kind: 'refused', readonly reason: string }
   /** It may have been applied, or may still be applied as long as the expected versions match. */
   | { readonly kind: 'unknown', readonly reason: string }
+  /** The store was restored from a copy meanwhile: whether the transaction is in the copy, or was applied to it, can only be read. */
+  | { readonly kind: 'superseded' }
+)
 
 /** Outcome of reading rows. */
-export type ReadOutcome =
+export type ReadOutcome = StoreResponse & (
   /** `version` is the store's newest version at the time of the read, `storeTime` its monotonic clock in milliseconds. */
   | { readonly kind: 'rows', readonly rows: readonly StoredRow[], readonly version: number, readonly storeTime: number }
   /** The store no longer has the changes after the requested version. */
   | { readonly kind: 'historyGone' }
   | { readonly kind: 'unavailable', readonly reason: string }
+)
 
 /** The platform's store of versioned rows. Calls never reject; failures are outcomes. Deadlines, by `steadyNow`, apply to the first byte of a response. */
 export interface RowStore {
--- a/packages/gateway/src/tasks/leaseManager.ts
+++ b/packages/gateway/src/tasks/leaseManager.ts
@@ -205,6 +205,10 @@
         unresolved.push(transaction)
         recordFailure(outcome.reason)
         return 'failed'
+      case 'superseded':
+        unresolved.push(transaction)
+        recordFailure('the store was restored')
+        return 'failed'
     }
   }
 
