Record again after a restore what the balances lack

A balance row that comes back older says that fewer tokens were granted than instances hold and have spent, and homes drew the difference again. Balances and leases are written in one transaction, so that the lease row in the copy tells which draws and returns of an instance the balances in the copy hold. Each instance now compares it with its own totals and records the difference; nobody draws until all registered instances have done so, or for 3 s. A few peers are told of each change of the totals and record them for an instance that was killed or is cut off; its next process asks them, does not reclaim tokens of an outdated lease, and without an answer assumes use at the announced rate. The key of a lease row names the era, and the row of the era before is removed, so that a late transaction of an earlier era never finds the version that it expects.

--- a/packages/gateway/src/__fixtures__/loanNetwork.ts
+++ b/packages/gateway/src/__fixtures__/loanNetwork.ts
@@ -61,7 +61,7 @@
   return {
     post,
     listen: (peer, tokens, limits = noLimits) => {
-      processes.set(peer.address, { peer, handle: createPeerMessageHandler({ incarnationId: peer.incarnationId, tokens, limits, receiveReports: () => {}, log: createRecordingLog(), now }) })
+      processes.set(peer.address, { peer, handle: createPeerMessageHandler({ incarnationId: peer.incarnationId, tokens, limits, receiveReports: () => {}, receiveLease: () => undefined, log: createRecordingLog(), now }) })
     },
     kill: (address) => { processes.delete(address) },
     currentIncarnation: (instanceId) => [...processes.values()].find(({ peer }) => peer.instanceId === instanceId)?.peer.incarnationId
--- a/packages/gateway/src/__tests__/fleetTask.test.ts
+++ b/packages/gateway/src/__tests__/fleetTask.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals'
 import { createMemoryRowStore, type MemoryRowStore, type StoreFault } from '../__fixtures__/memoryRowStore.js'
 import { createRecordingLog } from '../__fixtures__/recordingLog.js'
+import { storeWithoutRestores } from '../__fixtures__/storeWithoutRestores.js'
 import { startFleetTask, type FleetTask, type FleetTaskOptions } from '../tasks/fleetTask.js'
 
 interface TestInstance {
@@ -14,6 +15,7 @@
 function startInstance (memory: MemoryRowStore, instanceId: string, failureDomain = 'a', onCrash: FleetTaskOptions['onCrash'] = () => {}): TestInstance {
   const fleet = startFleetTask({
     store: memory.store,
+    era: storeWithoutRestores().era,
     log: createRecordingLog(),
     instanceId,
     incarnationId: `${instanceId}.1`,
--- /dev/null
+++ b/packages/gateway/src/__tests__/restoredTokens.test.ts
@@ -0,0 +1,129 @@
+import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals'
+import { createMemoryRowStore, type MemoryRowStore } from '../__fixtures__/memoryRowStore.js'
+import { createRestorableFleet, type RestorableFleet, type RestorableInstance } from '../__fixtures__/restorableFleet.js'
+
+const ACCOUNT = 'school'
+const PREPAID = 100_000
+const NAMES = ['a', 'b', 'c'] as const
+
+interface TestFleet {
+  readonly memory: MemoryRowStore
+  readonly fleet: RestorableFleet
+  readonly instances: RestorableInstance[]
+  used: number
+}
+
+async function startTestFleet (): Promise<TestFleet> {
+  const memory = createMemoryRowStore()
+  const fleet = createRestorableFleet(memory.store, ACCOUNT, PREPAID)
+  const instances = NAMES.map((name) => fleet.start(name))
+  await jest.advanceTimersByTimeAsync(2000)
+  return { memory, fleet, instances, used: 0 }
+}
+
+/** Uses tokens at an instance if it has them, and returns whether it had. */
+async function use (testFleet: TestFleet, index: number, tokens: number): Promise<boolean> {
+  const outcome = testFleet.instances[index]?.tokens.reserve(ACCOUNT, tokens, Number.MAX_SAFE_INTEGER)
+  await jest.advanceTimersByTimeAsync(800)
+  if ((await outcome)?.kind !== 'reserved') return false
+  testFleet.used += tokens
+  testFleet.instances[index]?.tokens.settle(ACCOUNT, tokens, tokens)
+  return true
+}
+
+/** Uses tokens at all instances until none of them has any. */
+async function useUp (testFleet: TestFleet): Promise<void> {
+  for (const tokens of [8000, 2000, 500]) {
+    let failures = 0
+    while (failures < 12) {
+      const results = [await use(testFleet, 0, tokens), await use(testFleet, 1, tokens), await use(testFleet, 2, tokens)]
+      failures = results.includes(true) ? 0 : failures + 1
+    }
+  }
+}
+
+function restart (testFleet: TestFleet, index: number): void {
+  testFleet.instances[index] = testFleet.fleet.start(NAMES[index] ?? '')
+}
+
+let testFleet: TestFleet
+
+beforeEach(async () => {
+  jest.useFakeTimers()
+  testFleet = await startTestFleet()
+})
+afterEach(() => {
+  for (const instance of testFleet.instances) instance.kill()
+  jest.useRealTimers()
+})
+
+describe('prepaid tokens after the store was restored from an older copy', () => {
+  // Guards against balances that are too low after a restore, so that tokens are granted a second time.
+  test('tokens that were drawn after the copy are not granted again, and all others stay usable', async () => {
+    const copy = testFleet.memory.takeCopy()
+    for (let round = 0; round < 5; round++) await use(testFleet, 0, 8000)
+    testFleet.memory.restore(copy)
+    await useUp(testFleet)
+    expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
+    expect(testFleet.used).toBeGreaterThanOrEqual(PREPAID * 0.97)
+  })
+
+  test('tokens that were returned after the copy can be used', async () => {
+    for (let round = 0; round < 5; round++) await use(testFleet, 0, 8000)
+    const copy = testFleet.memory.takeCopy()
+    testFleet.instances[0]?.tokens.setPrepaid(ACCOUNT, PREPAID - 1)
+    await jest.advanceTimersByTimeAsync(1500)
+    testFleet.memory.restore(copy)
+    await useUp(testFleet)
+    expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
+    expect(testFleet.used).toBeGreaterThanOrEqual(PREPAID * 0.97)
+  })
+
+  // Guards against draws that only a killed process knew of: its lease row in the copy is older.
+  test.each(['before', 'after'])('draws of a process that was killed after the copy and started again %s the restore are not granted again', async (order) => {
+    const copy = testFleet.memory.takeCopy()
+    for (let round = 0; round < 6; round++) await use(testFleet, 0, 8000)
+    testFleet.instances[0]?.kill()
+    if (order === 'before') {
+      restart(testFleet, 0)
+      await jest.advanceTimersByTimeAsync(1000)
+    }
+    testFleet.memory.restore(copy)
+    if (order === 'after') restart(testFleet, 0)
+    await useUp(testFleet)
+    expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
+  })
+
+  test('draws of a process that was killed after the copy and never started again are not granted again', async () => {
+    const copy = testFleet.memory.takeCopy()
+    for (let round = 0; round < 6; round++) await use(testFleet, 0, 8000)
+    testFleet.instances[0]?.kill()
+    testFleet.memory.restore(copy)
+    await useUp(testFleet)
+    expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
+  })
+
+  test('two restores in quick succession grant nothing twice', async () => {
+    const older = testFleet.memory.takeCopy()
+    for (let round = 0; round < 3; round++) await use(testFleet, 0, 8000)
+    const newer = testFleet.memory.takeCopy()
+    for (let round = 0; round < 3; round++) await use(testFleet, 1, 8000)
+    testFleet.memory.restore(newer)
+    await jest.advanceTimersByTimeAsync(250)
+    testFleet.memory.restore(older)
+    await useUp(testFleet)
+    expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
+    expect(testFleet.used).toBeGreaterThanOrEqual(PREPAID * 0.97)
+  })
+
+  test('after the loss of all processes, use at the announced rate since the copy is taken as spent', async () => {
+    for (let round = 0; round < 4; round++) await use(testFleet, 0, 2000)
+    const copy = testFleet.memory.takeCopy()
+    for (let round = 0; round < 6; round++) await use(testFleet, 0, 2000)
+    for (const instance of testFleet.instances) instance.kill()
+    testFleet.memory.restore(copy)
+    for (const index of NAMES.keys()) restart(testFleet, index)
+    await useUp(testFleet)
+    expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
+  })
+})
--- a/packages/gateway/src/__tests__/tokenLoans.test.ts
+++ b/packages/gateway/src/__tests__/tokenLoans.test.ts
@@ -3,6 +3,7 @@
 import { createLoanNetwork, type LinkFault, type LoanNetwork } from '../__fixtures__/loanNetwork.js'
 import { createMemoryRowStore, type MemoryRowStore } from '../__fixtures__/memoryRowStore.js'
 import { createRecordingLog } from '../__fixtures__/recordingLog.js'
+import { storeWithoutRestores } from '../__fixtures__/storeWithoutRestores.js'
 import { steadyNow } from '../clock.js'
 import { accountHomes } from '../decisions/accountHomes.js'
 import type { Peer } from '../tasks/fleetTask.js'
@@ -53,7 +54,8 @@
       borrow: loans.borrow,
       giveBack: loans.giveBack,
       tokensInTransit: () => loans.tokensInTransit,
-      isStoreUnreachable: () => fleet.isStoreDown
+      isStoreUnreachable: () => fleet.isStoreDown,
+      ...storeWithoutRestores()
     })
     network.listen(peer, task)
     task.setPrepaid(ACCOUNT, PREPAID)
--- a/packages/gateway/src/__tests__/tokenTask.test.ts
+++ b/packages/gateway/src/__tests__/tokenTask.test.ts
@@ -2,6 +2,7 @@
 import fastCheck from 'fast-check'
 import { createMemoryRowStore, type MemoryRowStore, type StoreFault } from '../__fixtures__/memoryRowStore.js'
 import { createRecordingLog } from '../__fixtures__/recordingLog.js'
+import { storeWithoutRestores } from '../__fixtures__/storeWithoutRestores.js'
 import { steadyNow } from '../clock.js'
 import { decodeLeaseRow } from '../decisions/leaseRow.js'
 import type { LoanReply } from '../tasks/peerMessages.js'
@@ -37,7 +38,8 @@
     borrow: options.borrow ?? noLoan,
     giveBack: async () => {},
     tokensInTransit: () => 0,
-    isStoreUnreachable: () => false
+    isStoreUnreachable: () => false,
+    ...storeWithoutRestores()
   })
   tokens.setPrepaid(ACCOUNT, PREPAID)
   return { tokens }
--- a/packages/gateway/src/decisions/leaseRow.ts
+++ b/packages/gateway/src/decisions/leaseRow.ts
@@ -1,15 +1,27 @@
 import * as v from 'valibot'
 
+/** Age of a copy from which the store is restored: a drill takes one that is some seconds old. */
+const MAX_COPY_AGE_MS = 30_000
+
+/** Use may have risen after the copy. Tokens that are withheld wrongly come back with a top-up; those spent twice don't. */
+const LATER_USE_FACTOR = 2
+
 /** Lease row of one instance: the tokens of each client account that its process holds. */
 const leaseRowSchema = v.object({
   /** ID of the process (incarnation) that wrote the row. */
   lifetime: v.string(),
   /** Number of the process's write, by which it recognizes a write whose reply was lost. */
   sequence: v.number(),
+  /** Era of the store in which the row was written. A row of an earlier era may lack the last writes of its process. */
+  era: v.optional(v.number()),
   /** Store time, in milliseconds, until which the process uses at most each account's `limit`. Afterwards the limit grows linearly. */
   sealedUntil: v.number(),
-  /** By client account: tokens granted, the maximum use before `sealedUntil`, and its growth afterwards in tokens per millisecond. */
-  accounts: v.record(v.string(), v.object({ held: v.number(), limit: v.number(), opening: v.number() }))
+  /**
+   * By client account: tokens granted, the maximum use before `sealedUntil`, its growth afterwards in tokens per millisecond,
+   * and the tokens that the instance has in the account's balance: those granted and those that its earlier processes did
+   * not leave to this one. A balance is the sum of the totals of all instances.
+   */
+  accounts: v.record(v.string(), v.object({ held: v.number(), limit: v.number(), opening: v.number(), total: v.optional(v.number()) }))
 })
 
 /** Lease row of one instance. */
@@ -25,6 +37,11 @@
   return v.parse(leaseRowSchema, JSON.parse(value))
 }
 
+/** Returns the instance's total by client account. Rows of earlier versions name none; what was granted then stands for it. */
+export function leaseTotals (row: LeaseRow): ReadonlyMap<string, number> {
+  return new Map(Object.entries(row.accounts).map(([name, { held, total }]) => [name, total ?? held]))
+}
+
 /** Returns the milliseconds since the end of the seal, 0 while it lasts. */
 export function elapsedSinceSeal (sealedUntil: number, storeTime: number): number {
   return Math.max(0, storeTime - sealedUntil)
@@ -42,3 +59,12 @@
   }
   return reclaimed
 }
+
+/**
+ * Returns the tokens, by client account, that the process of a lease row from before a restore may have drawn and used after
+ * the row was written: it used tokens at most at the announced rate, and those beyond its grant it had to draw.
+ */
+export function estimateLaterDraws (row: LeaseRow, endedBy: number): ReadonlyMap<string, number> {
+  const elapsed = Math.min(MAX_COPY_AGE_MS, elapsedSinceSeal(row.sealedUntil, endedBy))
+  return new Map(Object.entries(row.accounts).map(([name, { held, limit, opening }]) => [name, Math.max(0, Math.ceil(limit + opening * LATER_USE_FACTOR * elapsed - held))]))
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import { startEventLoopDelay } from './tasks/eventLoopDelay.js'
 import { startFleetTask } from './tasks/fleetTask.js'
 import type { GatewayContext } from './tasks/gatewayContext.js'
+import { createLeaseWitness } from './tasks/leaseWitness.js'
 import { createPeerListener, PEER_PATH, postToPeer } from './tasks/peerMessages.js'
 import { observeStoreTime } from './tasks/observeStoreTime.js'
 import { createSendingPermits } from './tasks/sendingPermits.js'
@@ -59,7 +60,7 @@
   log.event('starting', { lifetime: incarnationId, failureDomain: settings.failureDomain, processId: process.pid })
   const connections = createBackendConnections()
   const sharedClock = createSharedClock()
-  const { store: watchedStore } = watchStoreEra(options.platform.store, log)
+  const { store: watchedStore, era } = watchStoreEra(options.platform.store, log)
   const store = observeStoreTime(watchedStore, sharedClock)
   const platform = { ...options.platform, store }
   const crashGuard = createCrashGuard({
@@ -74,6 +75,7 @@
 
   const fleet = startFleetTask({
     store,
+    era,
     log,
     instanceId: settings.instanceId,
     incarnationId,
@@ -108,7 +110,23 @@
     borrow: loans.borrow,
     giveBack: loans.giveBack,
     tokensInTransit: () => loans.tokensInTransit,
-    isStoreUnreachable: () => backends.follower.isStoreUnreachable
+    isStoreUnreachable: () => backends.follower.isStoreUnreachable,
+    era,
+    mayDraw: () => fleet.mayDraw,
+    onRecovered: fleet.confirmRecovery,
+    onOutdatedLease: fleet.awaitRecovery,
+    onTotals: (totals) => witness.tell(totals)
+  })
+  const witness = createLeaseWitness({
+    store,
+    era,
+    log,
+    instanceId: settings.instanceId,
+    incarnationId,
+    spansParts: settings.storeSpansParts,
+    witnesses: () => fleet.homes(`lease/${settings.instanceId}`).filter((home) => home.instanceId !== settings.instanceId),
+    hasRecovered: fleet.hasRecovered,
+    learnPredecessor: tokens.learnPredecessor
   })
   const permits = createSendingPermits({
     instanceId: settings.instanceId,
@@ -120,7 +138,7 @@
     announce: fleet.announceLimit,
     count: (outcome) => metrics.count('permits_total', { outcome })
   })
-  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, receiveReports: fleet.receive, log, now: steadyNow })
+  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow })
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
   const backends = startBackendTask({ platform, log, drainMilliseconds: settings.drainMilliseconds, onRemoved: (state) => connections.closeIdle(state.entry.address) })
   const context: GatewayContext = {
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -5,11 +5,12 @@
 import type { RowStore, StoredRow } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
 import { parseJson, parseKnownLimit } from './peerMessages.js'
+import type { StoreEra } from './storeEra.js'
 import { followTable, type TableFollower } from './tableFollower.js'
 
 /** Table for messages between instances; its rows change rarely. */
 const TABLE = 'fleet'
-const PREFIX = { instance: 'instance/', crash: 'crash/', answer: 'answer/', limit: 'limit/' } as const
+const PREFIX = { instance: 'instance/', crash: 'crash/', answer: 'answer/', limit: 'limit/', recovered: 'recovered/' } as const
 /** Time that a long poll waits for a change. */
 const LONG_POLL_MS = 3000
 const WRITE_TIMEOUT_MS = 1000
@@ -25,6 +26,8 @@
 /** Pause between two polls: each message wakes all instances. Until a crash is known everywhere, further backend servers crash. */
 const POLL_PAUSE_MS = 400
 const REGISTRATION_RETRY_MS = 1000
+/** Longest pause of draws after a restore of the store; grants last several times as long. */
+const RECOVERY_WAIT_MS = 3000
 
 /** A row that tells other instances of a crash, an answer or a limit. */
 export type Report = Pick<StoredRow, 'key' | 'value'>
@@ -58,6 +61,14 @@
   receive (reports: readonly Report[]): void
   /** Tells all instances of the limit that a backend server names. */
   announceLimit (backendProcess: string, known: KnownLimit): void
+  /** False for some time after a restore of the store, until all instances have recorded again what they had drawn. */
+  readonly mayDraw: boolean
+  /** True when an instance has recorded its draws again since the last restore. */
+  hasRecovered (instanceId: string): boolean
+  /** Tells all instances that this one has recorded its draws again. */
+  confirmRecovery (): void
+  /** Lets draws wait for other instances after a restore that this process did not see. */
+  awaitRecovery (): void
   readonly follower: TableFollower
   /** Removes this instance from the list of instances. */
   deregister (): Promise<void>
@@ -66,6 +77,7 @@
 /** Dependencies of the task. */
 export interface FleetTaskOptions {
   readonly store: RowStore
+  readonly era: StoreEra
   readonly log: DecisionLog
   readonly instanceId: string
   /** Unique ID of this run of the process. */
@@ -84,8 +96,11 @@
 
 /** Registers this instance and starts following the fleet table. */
 export function startFleetTask (options: FleetTaskOptions): FleetTask {
-  const { store, log } = options
+  const { store, log, era } = options
   const instances = new Map<string, Peer>()
+  /** Era in which each instance has last recorded its draws again. */
+  const recoveredEras = new Map<string, number>()
+  let drawFrom = 0
   const homesByAccount = new Map<string, readonly Peer[]>()
   let pendingReports: Report[] = []
   /** Reports that peers were told of directly. */
@@ -94,6 +109,7 @@
   const pendingAnswers = new Set<string>()
   let reportSequence = 0
   let stopped = false
+  const registration = `${options.peerAddress} ${options.failureDomain} ${options.incarnationId}`
 
   async function writeRow (key: string, value: string): Promise<boolean> {
     const outcome = await store.transact({ expected: [], writes: [{ table: TABLE, part: '', key, value }], removals: [] }, steadyNow() + WRITE_TIMEOUT_MS)
@@ -111,6 +127,10 @@
       else instances.set(name, { instanceId: name, address, failureDomain, incarnationId })
       return
     }
+    if (row.key.startsWith(PREFIX.recovered)) {
+      recoveredEras.set(row.key.slice(PREFIX.recovered.length), Number(row.value))
+      return
+    }
     if (!row.deleted) applyReport(row)
   }
 
@@ -141,13 +161,37 @@
     onChanges: (rows) => { for (const row of rows) applyRow(row) }
   })
 
+  function hasRecovered (instanceId: string): boolean {
+    return era.current !== undefined && recoveredEras.get(instanceId) === era.current
+  }
+
+  function awaitRecovery (): void {
+    drawFrom = steadyNow() + RECOVERY_WAIT_MS
+  }
+
+  /** Writes the registration too, as it may be newer than the copy. */
+  async function writeRecovery (): Promise<void> {
+    const confirmed = era.current
+    for (;;) {
+      if (stopped || confirmed === undefined || era.current !== confirmed) return
+      const writes = [
+        { table: TABLE, part: '', key: `${PREFIX.instance}${options.instanceId}`, value: registration },
+        { table: TABLE, part: '', key: `${PREFIX.recovered}${options.instanceId}`, value: String(confirmed) }
+      ]
+      const outcome = await store.transact({ expected: [], writes, removals: [] }, steadyNow() + WRITE_TIMEOUT_MS)
+      if (outcome.kind === 'applied') return
+      log.decision('fleetNoteNotWritten', { key: `${PREFIX.recovered}${options.instanceId}`, outcome: outcome.kind })
+      await new Promise((resolve) => setTimeout(resolve, REPORT_RETRY_MS))
+    }
+  }
+
   function peersOf (): readonly Peer[] {
     return [...instances.values()].filter((peer) => peer.instanceId !== options.instanceId)
   }
 
   async function register (): Promise<void> {
     for (;;) {
-      if (stopped || await writeRow(`${PREFIX.instance}${options.instanceId}`, `${options.peerAddress} ${options.failureDomain} ${options.incarnationId}`)) return
+      if (stopped || await writeRow(`${PREFIX.instance}${options.instanceId}`, registration)) return
       await new Promise((resolve) => setTimeout(resolve, REGISTRATION_RETRY_MS))
     }
   }
@@ -218,6 +262,7 @@
     return homes
   }
 
+  era.onRestored(awaitRecovery)
   register().catch((error: unknown) => log.warning('registrationFailed', { reason: String(error) }))
   return {
     get instances () { return Math.max(1, instances.size) },
@@ -228,6 +273,10 @@
     reportCrash,
     reportAnswer,
     announceLimit,
+    get mayDraw () { return steadyNow() >= drawFrom || (instances.size > 0 && peersOf().every((peer) => hasRecovered(peer.instanceId))) },
+    hasRecovered,
+    confirmRecovery: () => { writeRecovery().catch((error: unknown) => log.warning('recoveryNotConfirmed', { reason: String(error) })) },
+    awaitRecovery,
     receive: (reports) => { for (const report of reports) applyReport(report) },
     follower,
     deregister: async () => {
--- a/packages/gateway/src/tasks/leaseManager.ts
+++ b/packages/gateway/src/tasks/leaseManager.ts
@@ -2,11 +2,13 @@
 import { conflictRetryAt, type BalanceChange } from '../decisions/balanceChanges.js'
 import { limitGrowthRate, usageAllowance } from '../decisions/grantSizing.js'
 import { decodeLeaseRow, elapsedSinceSeal, reclaimableTokens, type LeaseRow } from '../decisions/leaseRow.js'
+import { createRecordedTotals } from '../decisions/recordedTotals.js'
 import type { StoredRow } from '../ports.js'
-import type { BalanceTable } from './balanceTable.js'
+import type { BalanceTable, StoredLease } from './balanceTable.js'
 import type { DecisionLog } from './decisionLog.js'
-import type { AccountState, LeaseTransaction } from './tokenAccounts.js'
-import { PREFETCH_PAUSE_AFTER_RETURN_MS, SEAL_DURATION_MS, TRANSACTION_TIMEOUT_AFTER_FAILURE_MS, TRANSACTION_TIMEOUT_MS } from './tokenTiming.js'
+import type { StoreEra } from './storeEra.js'
+import type { AccountState, LeaseTotals, LeaseTransaction } from './tokenAccounts.js'
+import { CORRECTIONS_PER_TRANSACTION, PREFETCH_PAUSE_AFTER_RETURN_MS, SEAL_DURATION_MS, TRANSACTION_TIMEOUT_AFTER_FAILURE_MS, TRANSACTION_TIMEOUT_MS } from './tokenTiming.js'
 import { waitingTokens } from './waitingRequests.js'
 
 /** Outcome of a renewal: applied, conflicting with another write, or rejected or left unanswered by the store. */
@@ -24,6 +26,12 @@
   readonly renewedAt: number
   /** True from a failed renewal until the next successful one. */
   readonly isFailing: boolean
+  /** True after a restore of the store until the balances hold again what this instance has drawn. */
+  readonly isRecovering: boolean
+  /** Takes over what a peer was told of the totals of this instance's last process. */
+  learnPredecessor (lifetime: string, told: LeaseTotals): void
+  /** Reports the totals for the last time. */
+  reportFinalTotals (): void
 }
 
 /** Dependencies of the lease manager. */
@@ -34,14 +42,26 @@
   readonly incarnationId: string
   readonly accounts: ReadonlyMap<string, AccountState>
   readonly stateOf: (name: string) => AccountState
+  readonly era: StoreEra
+  readonly onRecovered: () => void
+  readonly onOutdatedLease: () => void
+  readonly onTotals: (totals: LeaseTotals) => void
 }
 
 /** Creates the lease manager and starts reading the lease of the instance's previous process. */
 export function createLeaseManager (options: LeaseManagerOptions): LeaseManager {
-  const { table, log, incarnationId, accounts, stateOf } = options
+  const { table, log, incarnationId, accounts, stateOf, era } = options
   const startedAt = steadyNow()
-  let leaseVersion = 0
+  const recorded = createRecordedTotals({ heldTokens: (name) => accounts.get(name)?.ledger.held ?? 0, accounts: () => accounts.keys() })
+  let storedLease: StoredLease | undefined
+  /** False at the start and after a restore, until the lease row was read. */
+  let isLeaseRead = false
+  /** True from a restore until all totals are recorded again. */
+  let isRestored = false
   let sequence = 0
+  let reportedTotals = ''
+  /** Process whose lease this one took over in full. */
+  let lastProcess: string | undefined
   /** Lease row of this instance's previous process, until its tokens are reclaimed, and an upper bound of the store time at which that process ended. */
   let predecessorLease: { readonly row: LeaseRow, readonly endedBy: number } | undefined
   /** Transactions without a reply. They expect the same lease version, so at most one of them can take effect. */
@@ -83,7 +103,10 @@
     for (const name of reclaimed.keys()) stateOf(name)
     const rows: LeaseRow['accounts'] = {}
     const now = steadyNow()
-    const changes = new Map(dueChanges.map((change) => [change.account, change.tokens]))
+    // The balances are corrected first, as draws are sized by what they hold.
+    const corrections = recorded.corrections(CORRECTIONS_PER_TRANSACTION)
+    for (const name of recorded.names()) stateOf(name)
+    const changes = new Map(corrections.size > 0 ? [] : dueChanges.map((change) => [change.account, change.tokens]))
     for (const state of accounts.values()) {
       const change = changes.get(state.name) ?? 0
       // Returned tokens leave the ledger before the transaction is sent, so that they are never in two places.
@@ -95,12 +118,16 @@
       // After a failure the limit and its growth rate stay, as they apply to all the time since the seal.
       const growthRate = failedAt === 0 ? limitGrowthRate(state.ledger.rate(now), state.ledger.committed + freeTokens - limit) : state.ledger.limitGrowthRate
       state.ledger.proposeLimit(limit, growthRate)
-      if (state.ledger.held + addedTokens !== 0) rows[state.name] = { held: state.ledger.held + addedTokens, limit, opening: growthRate }
+      // The next process reclaims only tokens that the balance holds.
+      const unrecorded = recorded.unrecorded(state.name) - (corrections.get(state.name) ?? 0)
+      const held = Math.max(0, state.ledger.held + addedTokens - Math.max(0, unrecorded))
+      const total = recorded.total(state.name) + Math.max(0, change) - unrecorded
+      if (held !== 0 || total !== 0) rows[state.name] = { held, limit, opening: growthRate, total }
     }
     sequence++
-    const row: LeaseRow = { lifetime: incarnationId, sequence, sealedUntil: nextSealEnd(), accounts: rows }
+    const row: LeaseRow = { lifetime: incarnationId, sequence, era: era.current, sealedUntil: nextSealEnd(), accounts: rows }
     sealedUntil = Math.max(sealedUntil, row.sealedUntil)
-    return { row, changes, reclaimed }
+    return { row, changes, corrections, reclaimed }
   }
 
   /** Applies a transaction that took effect to the ledgers. */
@@ -119,12 +146,35 @@
       }
       log.decision('tokensMoved', { account: name, tokens: change, granted: state.granted, prepaid: state.prepaid, free: state.ledger.free, sequence: transaction.row.sequence })
     }
+    for (const [name, tokens] of transaction.corrections) {
+      recorded.addCorrection(name, tokens)
+      stateOf(name).granted += tokens
+      log.event('balanceCorrected', { account: name, tokens, granted: stateOf(name).granted, prepaid: stateOf(name).prepaid, sequence: transaction.row.sequence })
+    }
     for (const [name, tokens] of transaction.reclaimed) {
+      recorded.reclaim(name, tokens)
       stateOf(name).ledger.addGranted(tokens)
       log.event('tokensReclaimed', { account: name, tokens, ...predecessorLease?.row.accounts[name], from: predecessorLease?.row.lifetime, sealedUntil: predecessorLease?.row.sealedUntil, endedBy: predecessorLease?.endedBy })
     }
     for (const [name, { limit, opening }] of Object.entries(transaction.row.accounts)) stateOf(name).ledger.confirmLimit(limit, opening)
     predecessorLease = undefined
+    reportTotals(false)
+    if (!isRestored || recorded.isIncomplete) return
+    isRestored = false
+    options.onRecovered()
+  }
+
+  function describeUnrecorded (): string {
+    return [...recorded.corrections(Infinity)].map(([name, tokens]) => `${name}:${tokens}`).join(',')
+  }
+
+  /** Reports the totals when they have changed. */
+  function reportTotals (isFinal: boolean): void {
+    const totals = Object.fromEntries(recorded.names().map((name) => [name, recorded.total(name)]).filter(([, total]) => total !== 0))
+    const text = JSON.stringify(totals)
+    if (text === reportedTotals && !isFinal) return
+    reportedTotals = text
+    options.onTotals({ sequence, isFinal, after: lastProcess, totals })
   }
 
   /** Restores the tokens that a transaction was to return, once it can no longer take effect. */
@@ -134,13 +184,12 @@
 
   /** `endedBy` is an upper bound of the store time at which the previous process ended. */
   function processLeaseRow (row: StoredRow | undefined, endedBy: number): void {
-    const version = row === undefined || row.deleted ? 0 : row.version
+    const stored = row === undefined || row.version === 0 ? undefined : { key: row.key, version: row.version }
     // The conflict was over another row, so that a transaction without a reply may still take effect.
-    if (version === leaseVersion && unresolved.length > 0) return
-    leaseVersion = version
-    const lease = row === undefined || leaseVersion === 0 ? undefined : parseLeaseRow(row)
-    // A write of the previous process may take effect after its row was read. The newer row replaces it, as that write may have returned tokens.
-    if (lease !== undefined && lease.lifetime !== incarnationId) predecessorLease = { row: lease, endedBy }
+    if (stored?.version === storedLease?.version && stored?.key === storedLease?.key && unresolved.length > 0) return
+    storedLease = stored
+    const lease = row === undefined || stored === undefined ? undefined : parseLeaseRow(row)
+    takeOverTotals(lease, endedBy)
     const earlier = unresolved
     unresolved = []
     for (const transaction of earlier) {
@@ -151,6 +200,33 @@
     }
   }
 
+  /** Compares the lease row with what this process knows of the instance's tokens. */
+  function takeOverTotals (lease: LeaseRow | undefined, endedBy: number): void {
+    const isOutdated = lease !== undefined && lease.era !== era.current
+    const adoption = recorded.adopt(lease, { isOutdated: isOutdated || isRestored, isOwn: lease?.lifetime === incarnationId, endedBy })
+    if (adoption !== 'unchanged') log.event('leaseTakenOver', { adoption, from: lease?.lifetime, sequence: lease?.sequence, rowEra: lease?.era, era: era.current, unrecorded: describeUnrecorded() })
+    // A write of the previous process may take effect after its row was read. The newer row replaces it, as that write may have returned tokens.
+    if (lease !== undefined && adoption === 'predecessor') {
+      predecessorLease = { row: lease, endedBy }
+      lastProcess = lease.lifetime
+    }
+    if (adoption !== 'outdatedPredecessor') return
+    predecessorLease = undefined
+    isRestored = true
+    options.onOutdatedLease()
+  }
+
+  /** After a restore nothing is known of the rows; returns that were under way stay out of the ledgers, as they may be in the copy. */
+  function forgetRows (): void {
+    unresolved = []
+    predecessorLease = undefined
+    storedLease = undefined
+    isLeaseRead = false
+    isRestored = true
+    renewedAt = 0
+    for (const state of accounts.values()) Object.assign(state, { balanceVersion: 0, granted: 0, nextChangeAt: 0 })
+  }
+
   function parseLeaseRow (row: StoredRow): LeaseRow | undefined {
     try {
       return decodeLeaseRow(row.value)
@@ -170,18 +246,24 @@
   }
 
   async function renew (dueChanges: readonly BalanceChange[]): Promise<RenewalResult> {
+    if (!isLeaseRead && !(await readLease())) {
+      recordFailure('the lease row was not read')
+      return 'failed'
+    }
     const transaction = composeTransaction(dueChanges)
-    const balances = new Map([...transaction.changes.keys()].map((name) => [name, stateOf(name)]))
+    const changedAccounts = [...transaction.changes.keys(), ...transaction.corrections.keys()]
+    const balances = new Map(changedAccounts.map((name) => [name, stateOf(name)]))
     const callStartedAt = steadyNow()
-    const outcome = await table.transact(transaction, leaseVersion, balances, steadyNow() + (failedAt === 0 ? TRANSACTION_TIMEOUT_MS : TRANSACTION_TIMEOUT_AFTER_FAILURE_MS))
+    const outcome = await table.transact(transaction, storedLease, balances, steadyNow() + (failedAt === 0 ? TRANSACTION_TIMEOUT_MS : TRANSACTION_TIMEOUT_AFTER_FAILURE_MS))
     switch (outcome.kind) {
       case 'applied':
         updateStoreClock(outcome.storeTime)
         // No unresolved transaction took effect: they expected the lease version at which this one was applied.
         for (const earlier of unresolved) rollBack(earlier)
         unresolved = []
-        leaseVersion = outcome.version
-        for (const name of transaction.changes.keys()) {
+        recorded.confirm()
+        storedLease = { key: table.leaseKey(transaction.row.era), version: outcome.version }
+        for (const name of changedAccounts) {
           const state = stateOf(name)
           state.balanceVersion = outcome.version
           state.nextChangeAt = 0
@@ -194,7 +276,7 @@
         updateStoreClock(outcome.storeTime)
         rollBack(transaction)
         processLeaseRow(table.findLeaseRow(outcome.rows), storeTimeAtStart(outcome.storeTime, callStartedAt))
-        updateBalances(transaction.changes.keys(), outcome.rows)
+        updateBalances(changedAccounts, outcome.rows)
         for (const name of transaction.changes.keys()) deferChange(stateOf(name), steadyNow() - callStartedAt)
         return 'conflict'
       case 'refused':
@@ -206,9 +288,8 @@
         recordFailure(outcome.reason)
         return 'failed'
       case 'superseded':
-        unresolved.push(transaction)
-        recordFailure('the store was restored')
-        return 'failed'
+        // The restored rows tell whether it took effect.
+        return 'conflict'
     }
   }
 
@@ -232,23 +313,33 @@
     }
   }
 
-  /** Reads the lease of the previous process as early as possible, as its seal ends soon. */
-  async function readLeaseOfPredecessor (): Promise<void> {
+  /** Reads the lease row; false when the store did not return it. */
+  async function readLease (): Promise<boolean> {
     const callStartedAt = steadyNow()
     const outcome = await table.readLease(steadyNow() + TRANSACTION_TIMEOUT_MS)
-    const row = outcome.kind === 'rows' ? table.findLeaseRow(outcome.rows) : undefined
-    if (outcome.kind !== 'rows' || row === undefined || leaseVersion !== 0) return
+    if (outcome.kind !== 'rows') return false
+    if (isLeaseRead) return true
     updateStoreClock(outcome.storeTime)
-    processLeaseRow(row, storeTimeAtStart(outcome.storeTime, callStartedAt))
+    processLeaseRow(table.findLeaseRow(outcome.rows), storeTimeAtStart(outcome.storeTime, callStartedAt))
+    isLeaseRead = true
+    return true
   }
 
-  readLeaseOfPredecessor().catch((error: unknown) => log.warning('leaseNotRead', { reason: String(error) }))
+  era.onRestored(forgetRows)
+  // As early as possible, as the seal of the previous process's lease ends soon.
+  readLease().catch((error: unknown) => log.warning('leaseNotRead', { reason: String(error) }))
 
   return {
     renew,
     readBalances,
     timeSinceSeal,
     get renewedAt () { return renewedAt },
-    get isFailing () { return failedAt > 0 }
+    get isFailing () { return failedAt > 0 },
+    get isRecovering () { return isRestored },
+    learnPredecessor: (lifetime, told) => {
+      if (recorded.learnPredecessor(lifetime, told)) log.event('predecessorLearned', { lifetime, sequence: told.sequence, unrecorded: describeUnrecorded() })
+      isRestored ||= recorded.isIncomplete
+    },
+    reportFinalTotals: () => reportTotals(true)
   }
 }
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -1,6 +1,7 @@
 import { Agent, createServer, request, type Server } from 'node:http'
 import * as v from 'valibot'
 import type { KnownLimit, PermitReply, PermitRequest } from '../decisions/permitIssuer.js'
+import { toldTotalsSchema, type ToldLease } from '../decisions/toldLease.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { Report } from './fleetTask.js'
 
@@ -38,6 +39,7 @@
   v.object({ kind: v.literal('denied'), known: knownLimitSchema, askAgainAt: v.number(), retryAt: v.number(), share: v.number() })
 ])
 const reportsSchema = v.object({ to: v.string(), reports: v.array(v.object({ key: v.string(), value: v.string() })) })
+const leaseNewsSchema = v.object({ to: v.string(), ...toldTotalsSchema.entries })
 const limitNewsSchema = v.object({ to: v.string(), backendProcess: v.string(), known: knownLimitSchema })
 
 /** `partial` asks for what can be had, `whole` for all or nothing: parts of a request's tokens would lie idle. */
@@ -55,7 +57,7 @@
   | { readonly kind: 'failed', readonly mayHaveArrived: boolean, readonly reason: string }
 
 /** Paths of the messages between instances. */
-export const PEER_PATH = { loans: '/loans', returns: '/returns', permits: '/permits', limits: '/limits', reports: '/reports' } as const
+export const PEER_PATH = { loans: '/loans', returns: '/returns', permits: '/permits', limits: '/limits', reports: '/reports', leases: '/leases' } as const
 
 /** Takes over a limit from JSON, which leaves out an undefined value. */
 function toKnownLimit ({ requestsPerSecond, seenAt }: v.InferOutput<typeof knownLimitSchema>): KnownLimit {
@@ -142,6 +144,9 @@
 /** Handles reports that a peer could not write to the store. */
 export type ReportHandler = (reports: readonly Report[]) => void
 
+/** Remembers what a peer has recorded in the balances; returns what its last process had recorded, if another one did. */
+export type LeaseNewsHandler = (told: ToldLease) => ToldLease | undefined
+
 /** Options of the listener. */
 export interface PeerListenerOptions {
   /** ID of this run of the process; messages to another one are rejected. */
@@ -149,6 +154,7 @@
   readonly tokens: TokenHandlers
   readonly limits: LimitHandlers
   readonly receiveReports: ReportHandler
+  readonly receiveLease: LeaseNewsHandler
   readonly log: DecisionLog
   readonly now: () => number
 }
@@ -157,7 +163,7 @@
  * Handles each message once: a repeated one gets the reply of the first, so that a sender may repeat it until it is
  * answered. Returns `otherIncarnation` for a message that this process does not handle, undefined for a malformed one.
  */
-export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, receiveReports, log, now }: PeerListenerOptions): (path: string, message: unknown) => Promise<unknown> | 'otherIncarnation' | undefined {
+export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, receiveReports, receiveLease, log, now }: PeerListenerOptions): (path: string, message: unknown) => Promise<unknown> | 'otherIncarnation' | undefined {
   const replies = new Map<string, { readonly reply: Promise<unknown>, readonly forgetAt: number }>()
 
   function forgetOldReplies (): void {
@@ -220,6 +226,13 @@
         receiveReports(received.output.reports)
         return Promise.resolve({})
       }
+      case PEER_PATH.leases: {
+        const news = v.safeParse(leaseNewsSchema, message)
+        if (!news.success) return undefined
+        const { to, ...told } = news.output
+        if (to !== incarnationId) return 'otherIncarnation'
+        return Promise.resolve(receiveLease(told) ?? {})
+      }
       default: return undefined
     }
   }
--- a/packages/gateway/src/tasks/tokenAccounts.ts
+++ b/packages/gateway/src/tasks/tokenAccounts.ts
@@ -4,6 +4,7 @@
 import type { RowStore } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { LoanKind, LoanReply } from './peerMessages.js'
+import type { StoreEra } from './storeEra.js'
 
 /** Manages prepaid tokens at this instance: reserves them for requests, draws them from the store and returns them. */
 export interface TokenTask {
@@ -18,6 +19,8 @@
   lend (account: string, tokens: number, kind: LoanKind): Promise<LoanReply>
   /** Adds tokens that a peer gave back, or that were lent to this instance late. */
   takeBack (account: string, tokens: number): void
+  /** Takes over what a peer was told of the totals of this instance's last process. */
+  learnPredecessor (lifetime: string, told: LeaseTotals): void
   /** True once `close` was called: tokens given to this process now would be lost with it. */
   readonly isClosing: boolean
   /** Stops at once without returning tokens, like a killed process. */
@@ -44,6 +47,25 @@
   readonly tokensInTransit: () => number
   /** True while other calls to the store fail. */
   readonly isStoreUnreachable: () => boolean
+  readonly era: StoreEra
+  /** True once other instances have recorded again, after a restore of the store, what they had drawn before. */
+  readonly mayDraw: () => boolean
+  /** Called when this instance has recorded again what it had drawn before a restore. */
+  readonly onRecovered: () => void
+  /** Called when the last process of this instance wrote its lease before a restore that this process did not see. */
+  readonly onOutdatedLease: () => void
+  /** Called with the instance's totals whenever they have changed; `isFinal` when the process will not change them any more. */
+  readonly onTotals: (totals: LeaseTotals) => void
+}
+
+/** What an instance has in the balances of client accounts, as recorded with a write of its lease. */
+export interface LeaseTotals {
+  /** Number of the process's write. */
+  readonly sequence: number
+  readonly isFinal: boolean
+  /** ID of the instance's process before, if its lease was known in full. */
+  readonly after?: string | undefined
+  readonly totals: Readonly<Record<string, number>>
 }
 
 /** A request that waits for tokens. */
@@ -84,6 +106,8 @@
   readonly row: LeaseRow
   /** Tokens by account: positive to draw, negative to return. */
   readonly changes: ReadonlyMap<string, number>
+  /** Tokens by account that the balances lack, or have too many, since the store was restored; the ledgers don't change. */
+  readonly corrections: ReadonlyMap<string, number>
   /** Tokens reclaimed from the previous process, by account. */
   readonly reclaimed: ReadonlyMap<string, number>
 }
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -15,7 +15,17 @@
 export function startTokenTask (options: TokenTaskOptions): TokenTask {
   const { store, log } = options
   const accounts = new Map<string, AccountState>()
-  const lease = createLeaseManager({ table: openBalanceTable(store, options.instanceId, options.spansParts), log, incarnationId: options.incarnationId, accounts, stateOf })
+  const lease = createLeaseManager({
+    table: openBalanceTable(store, options.instanceId, options.spansParts),
+    log,
+    incarnationId: options.incarnationId,
+    accounts,
+    stateOf,
+    era: options.era,
+    onRecovered: options.onRecovered,
+    onOutdatedLease: options.onOutdatedLease,
+    onTotals: options.onTotals
+  })
   let isRunning = false
   let isRerunNeeded = false
   let isClosing = false
@@ -31,7 +41,17 @@
     return created
   }
 
+  /** After a restore a balance may be too low until all instances have recorded their draws again. */
+  function isDrawingPaused (): boolean {
+    return lease.isRecovering || !options.mayDraw()
+  }
+
   function balanceChangeOf (state: AccountState): number {
+    const change = wantedChangeOf(state)
+    return lease.isRecovering || (change > 0 && isDrawingPaused()) ? 0 : change
+  }
+
+  function wantedChangeOf (state: AccountState): number {
     const now = steadyNow()
     if (state.prepaid === undefined) return 0
     // Clears a request to return tokens when none are free; otherwise this instance would never draw again.
@@ -82,6 +102,7 @@
   }
 
   function isTransactionDue (): boolean {
+    if (lease.isRecovering) return true
     const isRenewalDue = steadyNow() - lease.renewedAt >= LEASE_RENEWAL_AGE_MS
     for (const state of accounts.values()) {
       if (isRenewalDue && state.ledger.held > state.ledger.committed) return true
@@ -106,7 +127,7 @@
         return
       }
       while (dueChanges(steadyNow()).length === 0 && isDrawDeferred()) await pause(CONFLICT_CHECK_INTERVAL_MS)
-      if (result === 'done' && dueChanges(steadyNow()).length === 0) break
+      if (result === 'done' && !lease.isRecovering && dueChanges(steadyNow()).length === 0) break
     }
     const shortAccounts = [...accounts.values()].filter((state) => state.waiting.length > 0 && drawsDirectly(state))
     if (shortAccounts.length === 0) return
@@ -189,7 +210,7 @@
   }
 
   function isStoreUnreachable (): boolean {
-    return lease.isFailing || options.isStoreUnreachable()
+    return lease.isFailing || isDrawingPaused() || options.isStoreUnreachable()
   }
 
   /** Borrows what waiting requests lack from the account's other homes. */
@@ -299,6 +320,7 @@
     },
     lend,
     takeBack,
+    learnPredecessor: lease.learnPredecessor,
     get isClosing () { return isClosing },
     abandon: () => {
       clearInterval(timer)
@@ -314,10 +336,14 @@
       for (let attempt = 0; attempt < MAX_TRANSACTIONS_AT_STOP; attempt++) {
         const result = await renew(BALANCES_PER_TRANSACTION_AT_STOP)
         if (result === 'failed') break
-        if (result === 'done' && [...accounts.values()].every((state) => balanceChangeOf(state) === 0)) return
+        if (result === 'done' && !lease.isRecovering && [...accounts.values()].every((state) => balanceChangeOf(state) === 0)) {
+          lease.reportFinalTotals()
+          return
+        }
         if (dueChanges(steadyNow()).length === 0) await pause(CONFLICT_CHECK_INTERVAL_MS)
       }
       await giveBackAll()
+      lease.reportFinalTotals()
     }
   }
 }
--- a/packages/gateway/src/tasks/tokenTiming.ts
+++ b/packages/gateway/src/tasks/tokenTiming.ts
@@ -5,6 +5,8 @@
 export const MAX_TRANSACTIONS_AT_STOP = 120
 /** More than one, as time matters more than conflicts at the stop. */
 export const BALANCES_PER_TRANSACTION_AT_STOP = 4
+/** Balances that one transaction corrects after a restore of the store: few, as all instances correct theirs at once. */
+export const CORRECTIONS_PER_TRANSACTION = 4
 /** Consecutive loan requests without a reply that helps, after which an instance draws itself. */
 export const MAX_FAILED_LOAN_REQUESTS = 2
 /** Interval at which a draw in backoff is checked, a fraction of its shortest backoff. */
