Use no backend server again that a restored store lists from before it left

A restored list shows backend servers from before the copy until they write their entries again: one that drains is ready there, one that has left is back, and one that registered later is missing. The list was taken as it came. An entry that is older than the one known of the same process no longer counts, whether that is listed or was removed, and entries that are missing after a restore have the time that they have after an outage.

backendTask, 3 tests: without the change 2 fail (a drained and a gone backend server are used again; a sound one is dropped).

--- /dev/null
+++ b/packages/gateway/src/__tests__/backendTask.test.ts
@@ -0,0 +1,92 @@
+import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals'
+import { createMemoryRowStore, type MemoryRowStore } from '../__fixtures__/memoryRowStore.js'
+import { createRecordingLog } from '../__fixtures__/recordingLog.js'
+import { steadyNow } from '../clock.js'
+import type { BackendServerEntry } from '../fleetConfiguration.js'
+import type { GatewayPlatform } from '../ports.js'
+import { startBackendTask, type BackendTask } from '../tasks/backendTask.js'
+import { watchStoreEra } from '../tasks/storeEra.js'
+
+const DRAIN_MS = 2000
+
+function throwUnused (): never {
+  throw new Error('only entries of backend servers are expected')
+}
+
+const unusedWire: GatewayPlatform['wire'] = { decodeRequestHeaders: throwUnused, buildRequestHeaders: throwUnused, decodeResponseHeaders: throwUnused, buildResponseHeaders: throwUnused, decodeConfiguration: throwUnused, decodeBackendServer: throwUnused }
+
+interface TestList {
+  readonly memory: MemoryRowStore
+  readonly task: BackendTask
+  /** Writes an entry like the backend server itself. */
+  write (entry: Partial<BackendServerEntry> & { readonly id: string }): void
+  readonly usable: () => readonly string[]
+}
+
+function startTestList (): TestList {
+  const memory = createMemoryRowStore()
+  const log = createRecordingLog()
+  const { store, era } = watchStoreEra(memory.store, log)
+  const decodeBackendServer = (_id: string, value: string): BackendServerEntry => JSON.parse(value)
+  const platform: GatewayPlatform = { store, wire: { ...unusedWire, decodeBackendServer }, tables: { configuration: { table: 'op', key: 'config' }, backendServers: { table: 'servers' } } }
+  const task = startBackendTask({ platform, log, era, drainMilliseconds: DRAIN_MS, onRemoved: () => {} })
+  return {
+    memory,
+    task,
+    write: (entry) => memory.putRow({ table: 'servers', part: '', key: entry.id }, JSON.stringify({ service: 'ledger', address: `${entry.id}:80`, failureDomain: 'north', slots: 4, state: 'ready', startedAt: 7, sequence: 1, coldUntil: 0, ...entry })),
+    usable: () => task.candidates('ledger', steadyNow()).map(({ entry }) => entry.id).sort()
+  }
+}
+
+let list: TestList
+
+beforeEach(async () => {
+  jest.useFakeTimers()
+  list = startTestList()
+  for (const id of ['a', 'b', 'c']) list.write({ id })
+  await jest.advanceTimersByTimeAsync(DRAIN_MS)
+})
+afterEach(() => {
+  list.task.stop()
+  jest.useRealTimers()
+})
+
+describe('the list of backend servers in a restored store', () => {
+  // Guards against requests to a backend server that drains, or has left, while the restored list still shows it as ready.
+  test('a backend server that drains or has left since the copy is not used again', async () => {
+    const copy = list.memory.takeCopy()
+    list.write({ id: 'a', state: 'draining', sequence: 2 })
+    list.memory.removeRow({ table: 'servers', part: '', key: 'b' })
+    await jest.advanceTimersByTimeAsync(DRAIN_MS)
+    expect(list.usable()).toEqual(['c'])
+    list.memory.restore(copy)
+    for (let passed = 0; passed < 5 * DRAIN_MS; passed += 100) {
+      await jest.advanceTimersByTimeAsync(100)
+      expect(list.usable()).toEqual(['c'])
+    }
+  })
+
+  test('a backend server that comes back with a newer entry, or as a new process, is used', async () => {
+    const copy = list.memory.takeCopy()
+    for (const key of ['a', 'b']) list.memory.removeRow({ table: 'servers', part: '', key })
+    await jest.advanceTimersByTimeAsync(DRAIN_MS)
+    list.memory.restore(copy)
+    list.write({ id: 'a', sequence: 2 })
+    list.write({ id: 'b', startedAt: 8, sequence: 1 })
+    await jest.advanceTimersByTimeAsync(DRAIN_MS)
+    expect(list.usable()).toEqual(['a', 'b', 'c'])
+  })
+
+  // Guards against the loss of sound backend servers that registered after the copy: they write their entries again within two seconds.
+  test('a backend server that registered after the copy stays in use until it has had time to write its entry again', async () => {
+    const copy = list.memory.takeCopy()
+    list.write({ id: 'd' })
+    await jest.advanceTimersByTimeAsync(DRAIN_MS)
+    list.memory.restore(copy)
+    await jest.advanceTimersByTimeAsync(1500)
+    expect(list.usable()).toEqual(['a', 'b', 'c', 'd'])
+    list.write({ id: 'd', sequence: 2 })
+    await jest.advanceTimersByTimeAsync(2 * DRAIN_MS)
+    expect(list.usable()).toEqual(['a', 'b', 'c', 'd'])
+  })
+})
--- a/packages/gateway/src/fleetConfiguration.ts
+++ b/packages/gateway/src/fleetConfiguration.ts
@@ -93,6 +93,8 @@
   readonly state: 'ready' | 'draining'
   /** Unix milliseconds of its start; 0 when unknown. A change under the same ID means that it has restarted. */
   readonly startedAt: number
+  /** Number of the backend server's write of its entry, counted from its start; undefined when it names none. */
+  readonly sequence: number | undefined
   /** Unix milliseconds at which its warm-up ends. */
   readonly coldUntil: number
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -140,7 +140,7 @@
   })
   const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow })
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
-  const backends = startBackendTask({ platform, log, drainMilliseconds: settings.drainMilliseconds, onRemoved: (state) => connections.closeIdle(state.entry.address) })
+  const backends = startBackendTask({ platform, log, era, drainMilliseconds: settings.drainMilliseconds, onRemoved: (state) => connections.closeIdle(state.entry.address) })
   const context: GatewayContext = {
     settings,
     wire: platform.wire,
--- a/packages/gateway/src/tasks/backendTask.ts
+++ b/packages/gateway/src/tasks/backendTask.ts
@@ -1,8 +1,10 @@
 import { steadyNow } from '../clock.js'
 import { createBackendState, resetProcessState, type BackendState } from '../decisions/backendState.js'
+import { isOutdatedEntry, type KnownEntry } from '../decisions/entryOrder.js'
 import type { BackendServerEntry } from '../fleetConfiguration.js'
 import type { GatewayPlatform, StoredRow } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
+import type { StoreEra } from './storeEra.js'
 import { followTable, type ResponseContext, type TableFollower } from './tableFollower.js'
 
 /** Polls of the list within the drain period, after which a leaving backend server must get no requests; one poll may fail. */
@@ -12,6 +14,11 @@
 /** Time before such an entry is removed: backend servers renew their entries within two seconds of the store's return. */
 const REMOVAL_GRACE_MS = 1900
 
+/** Time after a restore of the store in which it may list entries from before the copy. */
+const RESTORED_ENTRIES_MS = 10_000
+/** Removed backend servers that are remembered; the oldest are forgotten first. */
+const MAX_REMEMBERED_REMOVALS = 1000
+
 /** Tracks the backend servers that may get requests. */
 export interface BackendTask {
   /** Backend servers of a service that may get requests now. */
@@ -27,6 +34,7 @@
 export interface BackendTaskOptions {
   readonly platform: GatewayPlatform
   readonly log: DecisionLog
+  readonly era: StoreEra
   /** Maximum time for which a leaving backend server still gets requests. */
   readonly drainMilliseconds: number
   /** Called when a backend server is removed; its state still tracks the pending attempts. */
@@ -35,11 +43,16 @@
 
 /** Starts to follow the platform's list of backend servers. */
 export function startBackendTask (options: BackendTaskOptions): BackendTask {
-  const { platform, log } = options
+  const { platform, log, era } = options
   const states = new Map<string, BackendState>()
   const removalDueAt = new Map<string, number>()
   const unreadable = new Set<string>()
   const misdirected = new Set<string>()
+  const removed = new Map<string, KnownEntry>()
+
+  function isRestoredWithin (milliseconds: number, now: number): boolean {
+    return era.restoredAt !== undefined && now - era.restoredAt < milliseconds
+  }
 
   function decode (row: StoredRow, now: number): BackendServerEntry | undefined {
     try {
@@ -57,23 +70,39 @@
     const state = states.get(id)
     if (state === undefined) return
     states.delete(id)
+    rememberRemoval(state.entry)
     removalDueAt.delete(id)
     misdirected.delete(id)
     log.event('backendGone', { backend: id, service: state.entry.service, reason, pending: state.pending.size })
     options.onRemoved(state)
   }
 
+  function rememberRemoval ({ id, startedAt, sequence, state }: BackendServerEntry): void {
+    removed.delete(id)
+    removed.set(id, { startedAt, sequence, state, isRemoved: true })
+    const oldest = removed.keys().next().value
+    if (removed.size > MAX_REMEMBERED_REMOVALS && oldest !== undefined) removed.delete(oldest)
+  }
+
   function removeOrDefer (id: string, now: number, responseContext: ResponseContext): void {
     if (!states.has(id)) return
-    if (now - responseContext.previousResponseAt < STORE_OUTAGE_GAP_MS) return remove(id, 'entry removed')
+    // The copy of a restored store lacks the entries of backend servers that registered after it.
+    const isSettled = now - responseContext.previousResponseAt < STORE_OUTAGE_GAP_MS && !isRestoredWithin(REMOVAL_GRACE_MS, now)
+    if (isSettled) return remove(id, 'entry removed')
     if (!removalDueAt.has(id)) removalDueAt.set(id, now + REMOVAL_GRACE_MS)
   }
 
   function applyRow (row: StoredRow, now: number): void {
     const entry = decode(row, now)
     if (entry === undefined) return remove(row.key, 'entry unreadable')
-    removalDueAt.delete(entry.id)
     const state = states.get(entry.id)
+    const known = state === undefined ? removed.get(entry.id) : { ...state.entry, isRemoved: false }
+    if (known !== undefined && isOutdatedEntry(entry, known, isRestoredWithin(RESTORED_ENTRIES_MS, now))) {
+      log.decision('backendEntryOutdated', { backend: entry.id, state: entry.state, sequence: entry.sequence, knownState: known.state, knownSequence: known.sequence, isRemoved: known.isRemoved })
+      return
+    }
+    removalDueAt.delete(entry.id)
+    removed.delete(entry.id)
     if (state === undefined) {
       states.set(entry.id, createBackendState(entry, now))
       log.event('backendListed', { backend: entry.id, service: entry.service, address: entry.address, failureDomain: entry.failureDomain, state: entry.state })
