Register again after a restore, and forget instances that stopped since the copy

Registrations that are newer than the copy were lost, so that instances which start after the restore never found their peers; those of instances that had stopped came back and counted for good. Crash reports and named limits of the lost seconds were known only to processes that ran then. An instance now registers again with the era when it notices a restore, writes its recent reports again, and forgets and removes registrations that name no current era after 10 s.

--- a/packages/gateway/src/__tests__/fleetTask.test.ts
+++ b/packages/gateway/src/__tests__/fleetTask.test.ts
@@ -1,8 +1,8 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals'
 import { createMemoryRowStore, type MemoryRowStore, type StoreFault } from '../__fixtures__/memoryRowStore.js'
 import { createRecordingLog } from '../__fixtures__/recordingLog.js'
-import { storeWithoutRestores } from '../__fixtures__/storeWithoutRestores.js'
 import { startFleetTask, type FleetTask, type FleetTaskOptions } from '../tasks/fleetTask.js'
+import { watchStoreEra } from '../tasks/storeEra.js'
 
 interface TestInstance {
   readonly instanceId: string
@@ -13,10 +13,12 @@
 let reachesPeers = false
 
 function startInstance (memory: MemoryRowStore, instanceId: string, failureDomain = 'a', onCrash: FleetTaskOptions['onCrash'] = () => {}): TestInstance {
+  const log = createRecordingLog()
+  const { store, era } = watchStoreEra(memory.store, log)
   const fleet = startFleetTask({
-    store: memory.store,
-    era: storeWithoutRestores().era,
-    log: createRecordingLog(),
+    store,
+    era,
+    log,
     instanceId,
     incarnationId: `${instanceId}.1`,
     peerAddress: `${instanceId}:80`,
@@ -115,3 +117,40 @@
     expect(new Set(learned).size).toBe(1)
   })
 })
+
+describe('the fleet table of a restored store', () => {
+  // Guards against instances that nobody finds any more, and against ones that have stopped and are asked for tokens again.
+  test('an instance that registered after the copy registers again, and one that stopped after it is forgotten', async () => {
+    const memory = createMemoryRowStore()
+    const first = startInstance(memory, 'first')
+    const stopped = startInstance(memory, 'stopped')
+    await jest.advanceTimersByTimeAsync(2000)
+    const copy = memory.takeCopy()
+    startInstance(memory, 'late')
+    await stopped.fleet.deregister()
+    memory.removeRow({ table: 'fleet', part: '', key: 'instance/stopped' })
+    await jest.advanceTimersByTimeAsync(4000)
+    memory.restore(copy)
+    await jest.advanceTimersByTimeAsync(16_000)
+    expect(first.fleet.peers.map((peer) => peer.instanceId)).toEqual(['late'])
+    const next = startInstance(memory, 'next')
+    await jest.advanceTimersByTimeAsync(2000)
+    expect(next.fleet.peers.map((peer) => peer.instanceId).sort()).toEqual(['first', 'late'])
+  })
+
+  // Guards against instances that start after the restore and let a request crash further backend servers.
+  test('crash reports that were written after the copy are written again', async () => {
+    const memory = createMemoryRowStore()
+    const reporter = startInstance(memory, 'reporter')
+    await jest.advanceTimersByTimeAsync(2000)
+    const copy = memory.takeCopy()
+    reporter.fleet.reportCrash('poison', { parts: [], backendProcess: 'server/1', sentAt: 1, crashedAt: 2 })
+    await jest.advanceTimersByTimeAsync(2000)
+    memory.restore(copy)
+    await jest.advanceTimersByTimeAsync(4000)
+    const learned: string[] = []
+    startInstance(memory, 'next', 'b', (fingerprint) => learned.push(fingerprint))
+    await jest.advanceTimersByTimeAsync(2000)
+    expect(learned).toEqual(['poison'])
+  })
+})
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -28,6 +28,10 @@
 const REGISTRATION_RETRY_MS = 1000
 /** Longest pause of draws after a restore of the store; grants last several times as long. */
 const RECOVERY_WAIT_MS = 3000
+/** An instance that has not registered again this long after a restore is taken for one that had stopped since the copy. */
+const REGISTRATION_GRACE_MS = 10_000
+/** Reports of this instance that are written again after a restore; the oldest are dropped first. */
+const MAX_KEPT_REPORTS = 500
 
 /** A row that tells other instances of a crash, an answer or a limit. */
 export type Report = Pick<StoredRow, 'key' | 'value'>
@@ -98,9 +102,13 @@
 export function startFleetTask (options: FleetTaskOptions): FleetTask {
   const { store, log, era } = options
   const instances = new Map<string, Peer>()
+  const rowVersions = new Map<string, number>()
   /** Era in which each instance has last recorded its draws again. */
   const recoveredEras = new Map<string, number>()
+  /** Era in which each instance has registered. */
+  const registeredEras = new Map<string, string>()
   let drawFrom = 0
+  let keptReports: Report[] = []
   const homesByAccount = new Map<string, readonly Peer[]>()
   let pendingReports: Report[] = []
   /** Reports that peers were told of directly. */
@@ -109,7 +117,13 @@
   const pendingAnswers = new Set<string>()
   let reportSequence = 0
   let stopped = false
-  const registration = `${options.peerAddress} ${options.failureDomain} ${options.incarnationId}`
+  let markRead: () => void = () => {}
+  const isRead = new Promise<void>((resolve) => { markRead = resolve })
+
+  /** Value of this instance's row; the era is known from the first response on. */
+  function registration (): string {
+    return `${options.peerAddress} ${options.failureDomain} ${options.incarnationId} ${era.current ?? ''}`
+  }
 
   async function writeRow (key: string, value: string): Promise<boolean> {
     const outcome = await store.transact({ expected: [], writes: [{ table: TABLE, part: '', key, value }], removals: [] }, steadyNow() + WRITE_TIMEOUT_MS)
@@ -122,7 +136,9 @@
     if (row.key.startsWith(PREFIX.instance)) {
       const name = row.key.slice(PREFIX.instance.length)
       homesByAccount.clear()
-      const [address = '', failureDomain = '', incarnationId = ''] = row.value.split(' ')
+      const [address = '', failureDomain = '', incarnationId = '', registeredEra = ''] = row.value.split(' ')
+      rowVersions.set(name, row.version)
+      registeredEras.set(name, registeredEra)
       if (row.deleted) instances.delete(name)
       else instances.set(name, { instanceId: name, address, failureDomain, incarnationId })
       return
@@ -157,7 +173,10 @@
     pauseMilliseconds: POLL_PAUSE_MS,
     // Crash reports are never deleted, so the table grows large.
     prefersFullRead: false,
-    onSnapshot: (rows) => { for (const row of rows) applyRow(row) },
+    onSnapshot: (rows) => {
+      for (const row of rows) applyRow(row)
+      markRead()
+    },
     onChanges: (rows) => { for (const row of rows) applyRow(row) }
   })
 
@@ -169,18 +188,37 @@
     drawFrom = steadyNow() + RECOVERY_WAIT_MS
   }
 
-  /** Writes the registration too, as it may be newer than the copy. */
+  function handleRestore (): void {
+    awaitRecovery()
+    startRegistration()
+    pendingReports = [...keptReports, ...pendingReports].slice(-MAX_PENDING_REPORTS)
+    if (pendingReports.length > 0) scheduleReports(CRASH_REPORT_INTERVAL_MS)
+    const { restoredAt } = era
+    setTimeout(() => { if (era.restoredAt === restoredAt) dropUnregistered() }, REGISTRATION_GRACE_MS)
+  }
+
+  /** Forgets instances that had stopped since the copy: their registrations are back, but no process renews them. */
+  function dropUnregistered (): void {
+    for (const { instanceId } of peersOf()) {
+      if (registeredEras.get(instanceId) === String(era.current)) continue
+      const isRemover = homesOf(`${PREFIX.instance}${instanceId}`).some((home) => home.instanceId === options.instanceId)
+      instances.delete(instanceId)
+      homesByAccount.clear()
+      log.event('instanceNotConfirmed', { instance: instanceId, isRemover })
+      if (isRemover) removeRegistration(instanceId).catch((error: unknown) => log.warning('registrationNotRemoved', { instance: instanceId, reason: String(error) }))
+    }
+  }
+
+  async function removeRegistration (name: string): Promise<void> {
+    const row = { table: TABLE, part: '', key: `${PREFIX.instance}${name}` }
+    await store.transact({ expected: [{ ...row, version: rowVersions.get(name) ?? 0 }], writes: [], removals: [row] }, steadyNow() + WRITE_TIMEOUT_MS)
+  }
+
   async function writeRecovery (): Promise<void> {
     const confirmed = era.current
     for (;;) {
       if (stopped || confirmed === undefined || era.current !== confirmed) return
-      const writes = [
-        { table: TABLE, part: '', key: `${PREFIX.instance}${options.instanceId}`, value: registration },
-        { table: TABLE, part: '', key: `${PREFIX.recovered}${options.instanceId}`, value: String(confirmed) }
-      ]
-      const outcome = await store.transact({ expected: [], writes, removals: [] }, steadyNow() + WRITE_TIMEOUT_MS)
-      if (outcome.kind === 'applied') return
-      log.decision('fleetNoteNotWritten', { key: `${PREFIX.recovered}${options.instanceId}`, outcome: outcome.kind })
+      if (await writeRow(`${PREFIX.recovered}${options.instanceId}`, String(confirmed))) return
       await new Promise((resolve) => setTimeout(resolve, REPORT_RETRY_MS))
     }
   }
@@ -190,12 +228,17 @@
   }
 
   async function register (): Promise<void> {
+    await Promise.race([isRead, new Promise((resolve) => setTimeout(resolve, REGISTRATION_RETRY_MS))])
     for (;;) {
-      if (stopped || await writeRow(`${PREFIX.instance}${options.instanceId}`, registration)) return
+      if (stopped || await writeRow(`${PREFIX.instance}${options.instanceId}`, registration())) return
       await new Promise((resolve) => setTimeout(resolve, REGISTRATION_RETRY_MS))
     }
   }
 
+  function startRegistration (): void {
+    register().catch((error: unknown) => log.warning('registrationFailed', { reason: String(error) }))
+  }
+
   function writeReports (): void {
     const batch = pendingReports.slice(0, REPORTS_PER_WRITE)
     pendingReports = pendingReports.slice(REPORTS_PER_WRITE)
@@ -223,7 +266,9 @@
   }
 
   function addReport (key: string, value: string): void {
-    pendingReports.push({ key, value })
+    const report = { key, value }
+    pendingReports.push(report)
+    keptReports = [...keptReports.filter((kept) => kept.key !== key), report].slice(-MAX_KEPT_REPORTS)
     scheduleReports(CRASH_REPORT_INTERVAL_MS)
   }
 
@@ -262,8 +307,8 @@
     return homes
   }
 
-  era.onRestored(awaitRecovery)
-  register().catch((error: unknown) => log.warning('registrationFailed', { reason: String(error) }))
+  era.onRestored(handleRestore)
+  startRegistration()
   return {
     get instances () { return Math.max(1, instances.size) },
     get peers () { return peersOf() },
