Give up a silent backend server only once a retry elsewhere is reserved

Cause: the gateway aborted an attempt after 750 ms without an event, or 270 ms without a response, and asked for the retry afterwards. All requests of a silent server stall at once, so the retry budget is used up at once, and the rest is cut off; so is each of them when there is no other server. A stream that can't be resumed was ended at the moment at which its caller may give up, counted from an earlier event than the caller's. Change: an attempt asks for its retry while it goes on: a caller, a request that is no suspect, a candidate that is not avoided, the retry budget, a permit. Only then is the silent server given up, and the plan sends the request where the retry was reserved. Otherwise it waits, as the server may go on. A stream that has begun is moved only after 1.5 s without an event. Silence alone ends no stream; one that brings bytes without events is ended half a second after its caller's own limit. `retryRefused` in the decision log tells why a silent server is waited for.

--- a/packages/gateway/src/__tests__/requestPlan.test.ts
+++ b/packages/gateway/src/__tests__/requestPlan.test.ts
@@ -92,6 +92,15 @@
     expect(runPlan({ deliverySemantics: { kind: 'resumableStream' }, outcomes: [begun, delivered] }).result).toEqual(delivered)
     expect(runPlan({ deliverySemantics: { kind: 'resumableStream' }, outcomes: [begun, notRun] }).result.kind).toBe('cutOff')
   })
+
+  // Guards against a retry that is refused after its silent backend server was given up for it.
+  test('a silent backend server\'s request goes where its retry was reserved, without a second draw on the retry budget', () => {
+    const abandoned: AttemptOutcome = { kind: 'abandoned', reason: 'silent', headersSent: false, nextBackendId: 'third' }
+    expect(runPlan({ outcomes: [abandoned, delivered], mayRetry: false })).toEqual({ result: delivered, sentTo: ['first', 'third'] })
+    expect(runPlan({ maximumAttempts: 3, outcomes: [abandoned, broken, delivered] })).toEqual({ result: delivered, sentTo: ['first', 'third', 'second'] })
+    expect(runPlan({ outcomes: [abandoned, notRun] }).result.kind).toBe('unknown')
+    expect(runPlan({ deliverySemantics: { kind: 'resumableStream' }, outcomes: [{ ...abandoned, headersSent: true }, notRun] }).result.kind).toBe('cutOff')
+  })
 })
 
 describe('requests that are not served', () => {
--- a/packages/gateway/src/decisions/requestPlan.ts
+++ b/packages/gateway/src/decisions/requestPlan.ts
@@ -16,10 +16,17 @@
   | { readonly kind: 'errorResponse', readonly status: number, readonly isBackendFailing: boolean }
   /** The response is unusable or incomplete; the request may have run. `headersSent`: to the caller. */
   | { readonly kind: 'broken', readonly reason: string, readonly headersSent: boolean }
+  /** The backend server was silent and was given up, after a retry at another one had been reserved. */
+  | { readonly kind: 'abandoned', readonly reason: string, readonly headersSent: boolean, readonly nextBackendId: string }
   | { readonly kind: 'callerGone' }
   /** The caller's or the route's timeout has passed. */
   | { readonly kind: 'timedOut', readonly headersSent: boolean }
 
+/** Outcome of reserving a retry while an attempt is still in progress; its share of the retry budget is consumed. */
+export type RetryReservation =
+  | { readonly kind: 'reserved', readonly backendId: string }
+  | { readonly kind: 'refused', readonly reason: string }
+
 /** Outcome of a token reservation. */
 export type ReservationOutcome =
   | { readonly kind: 'reserved' }
@@ -95,6 +102,7 @@
   let headersSent = false
   let hasBufferedFailure = false
   let lastReason = ''
+  let reservedBackendId: string | undefined
 
   function failureResult (retryAt: number): PlanResult {
     if (headersSent) return { kind: 'cutOff', reason: lastReason }
@@ -104,7 +112,10 @@
 
   for (;;) {
     if (!(yield * perform<ConfirmCaller>({ kind: 'confirmCaller' }))) return { kind: 'callerGone' }
-    const choice = yield * perform<ChooseBackend>({ kind: 'chooseBackend', excluded: [...excluded] })
+    const choice: ChoiceOutcome = reservedBackendId === undefined
+      ? yield * perform<ChooseBackend>({ kind: 'chooseBackend', excluded: [...excluded] })
+      : { kind: 'chosen', backendId: reservedBackendId }
+    reservedBackendId = undefined
     if (choice.kind === 'quarantined') {
       lastReason = choice.reason
       return failureResult(choice.retryAt)
@@ -139,6 +150,14 @@
         lastReason = outcome.reason
         if (!retryable) return failureResult(input.retryAt())
         break
+      case 'abandoned':
+        mayHaveRun = true
+        headersSent ||= outcome.headersSent
+        lastReason = outcome.reason
+        attempts++
+        excluded.push(choice.backendId)
+        reservedBackendId = outcome.nextBackendId
+        continue
       default: return assertNever(outcome)
     }
     attempts++
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -1,9 +1,10 @@
 import { steadyNow } from '../clock.js'
+import { assertNever } from '@quinceshunt/effects'
 import type { IncomingMessage } from 'node:http'
 import { backendProcessOf, failureWeight, markPartsCached, recordObservation, silenceMilliseconds, type BackendObservation, type PendingAttempt } from '../decisions/backendState.js'
 import { PREFILL_TOKENS_PER_MILLISECOND, type Choice } from '../decisions/backendChoice.js'
 import { createEventSplitter } from '../decisions/eventSplitter.js'
-import { isRetryable, type AttemptOutcome } from '../decisions/requestPlan.js'
+import { isRetryable, type AttemptOutcome, type RetryReservation } from '../decisions/requestPlan.js'
 import type { ResponseFields } from '../ports.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { connectionHeaders } from './errorResponses.js'
@@ -11,19 +12,25 @@
 
 /** Normal time to the first byte, in addition to the prefill. */
 const EXPECTED_FIRST_BYTE_MS = { engine: 120, plain: 120 } as const
-/** Multiple of the latency target after which a retryable request without progress is sent to another backend server. */
+/** Multiple of the latency target after which a retryable request without a response is sent to another backend server. */
 const STALL_TIMEOUT_FACTOR = { plain: 0.9, stream: 1.6 } as const
 /** Multiple of the event gap target after which a stalled resumable stream is resumed at another backend server. */
 const EVENT_GAP_TIMEOUT_FACTOR = 2.5
 const STALL_CHECK_INTERVAL_MS = 50
-/** Lower bound of both timeouts. */
+/** A lower bound for requests without a response. */
 const MIN_STALL_TIMEOUT_MS = 250
+/** A lower bound for streams that have begun, as a sound backend server may fall silent for about a second. */
+const MIN_STREAM_SILENCE_MS = 1500
+/** A retry that was refused is asked for again after this time. */
+const RESERVE_AGAIN_MS = 250
 /** Responses that are not streamed are buffered whole; larger ones fail. */
 const MAX_BUFFERED_RESPONSE_BYTES = 4_194_304
 /** Bytes that each response may buffer, also when others have taken all of the shared buffer. */
 const UNSHARED_RESPONSE_BYTES = 65_536
 /** Callers abandon a stream after a gap of the longest of these: a time, and multiples of the latency target and the event gap target. */
 const ABANDONED_STREAM = { milliseconds: 2000, latencyTargets: 4, eventGapTargets: 8 } as const
+/** The last event reaches the caller later than this process, so that its gap ends later too. */
+const ABANDONED_STREAM_MARGIN_MS = 500
 /** Time without any byte after which an aborted attempt marks the backend server as silent. */
 const SILENT_BACKEND_MS = 600
 /** A prompt part that crashes backend servers does so at the start of an answer, so that a second event shows that there is none. */
@@ -40,12 +47,17 @@
   deliver (): void
 }
 
-/** Sends a request to a backend server once and forwards a usable response to the caller. */
-export function runAttempt (context: GatewayContext, state: RequestState, choice: Choice): Promise<AttemptOutcome> {
-  return new Promise((resolve) => startAttempt(context, state, choice, resolve))
+type ReserveRetry = () => Promise<RetryReservation>
+
+/**
+ * Sends a request to a backend server once and forwards a usable response to the caller. A silent backend server is given
+ * up only once `reserveRetry` has reserved a retry at another one, as it may go on.
+ */
+export function runAttempt (context: GatewayContext, state: RequestState, choice: Choice, reserveRetry: ReserveRetry): Promise<AttemptOutcome> {
+  return new Promise((resolve) => startAttempt(context, state, choice, reserveRetry, resolve))
 }
 
-function startAttempt (context: GatewayContext, state: RequestState, choice: Choice, resolve: (outcome: AttemptOutcome) => void): void {
+function startAttempt (context: GatewayContext, state: RequestState, choice: Choice, reserveRetry: ReserveRetry, resolve: (outcome: AttemptOutcome) => void): void {
   const { wire, connections } = context
   const { response, incoming: callerRequest } = state
   const backend = choice.state
@@ -63,6 +75,10 @@
   let answeredAt: number | undefined
   let isAnswerSound = false
   let lastProgressAt = sentAt
+  let lastBytesAt = sentAt
+  let reserveRetryAt = 0
+  let hasRecordedSilence = false
+  let hasLoggedRefusal = false
   let abortOutcome: AttemptOutcome | undefined
 
   const headers = wire.buildRequestHeaders(callerRequest.rawHeaders, {
@@ -102,11 +118,17 @@
   /** Aborts the exchange; `onBroken` then settles the attempt with `outcome`. */
   function abort (outcome: AttemptOutcome, reason: string): void {
     abortOutcome ??= outcome
-    // A slow response doesn't count as silence while the backend server sends bytes for other requests.
-    if (!pending.answered && silenceMilliseconds(backend, steadyNow()) > SILENT_BACKEND_MS) recordBackendObservation({ kind: 'silent' })
+    recordSilence()
     exchange.abort(reason)
   }
 
+  /** A slow response doesn't count as silence while the backend server sends bytes for other requests. */
+  function recordSilence (): void {
+    if (hasRecordedSilence || pending.answered || silenceMilliseconds(backend, steadyNow()) <= SILENT_BACKEND_MS) return
+    hasRecordedSilence = true
+    recordBackendObservation({ kind: 'silent' })
+  }
+
   function handleCallerDisconnect (): void {
     // A request that runs at most once is not aborted, as that could leave it half executed; its response is discarded.
     if (state.route.deliverySemantics.kind === 'once') {
@@ -128,26 +150,49 @@
     const now = steadyNow()
     // While the caller reads slowly, the exchange is paused and can't show progress.
     if (response.writableNeedDrain) lastProgressAt = now
-    if (!canRetry) return endAbandonedStream(now)
+    endAbandonedStream(now)
+    if (!canRetry || now - lastProgressAt < stallTimeout(now) || now < reserveRetryAt) return
+    recordSilence()
+    reserveRetryAt = now + RESERVE_AGAIN_MS
+    continueElsewhere(now).catch((error: unknown) => context.log.warning('retryFailed', { request: state.fields.attemptId, reason: String(error) }))
+  }
+
+  /** Time without progress after which a retry at another backend server is worth more than a longer wait. */
+  function stallTimeout (now: number): number {
     const isBackendSilent = silenceMilliseconds(backend, now) > 0 || now - backend.lastByteAt > MIN_STALL_TIMEOUT_MS
-    const timeoutMilliseconds = state.headersSent
-      ? Math.max(MIN_STALL_TIMEOUT_MS, state.route.eventGapTargetMilliseconds * EVENT_GAP_TIMEOUT_FACTOR)
-      : Math.max(MIN_STALL_TIMEOUT_MS, state.route.latencyTargetMilliseconds * (isStream ? STALL_TIMEOUT_FACTOR.stream : STALL_TIMEOUT_FACTOR.plain))
-    if (now - lastProgressAt < (isBackendSilent ? timeoutMilliseconds : timeoutMilliseconds * 2)) return
-    abort({ kind: 'broken', reason: `silent for ${now - lastProgressAt} ms`, headersSent: state.headersSent }, 'silent')
+    const factor = isBackendSilent ? 1 : 2
+    if (state.headersSent) return Math.max(MIN_STREAM_SILENCE_MS, state.route.eventGapTargetMilliseconds * EVENT_GAP_TIMEOUT_FACTOR * factor)
+    return Math.max(MIN_STALL_TIMEOUT_MS, state.route.latencyTargetMilliseconds * (isStream ? STALL_TIMEOUT_FACTOR.stream : STALL_TIMEOUT_FACTOR.plain)) * factor
+  }
+
+  async function continueElsewhere (stalledAt: number): Promise<void> {
+    const progressAt = lastProgressAt
+    const reservation = await reserveRetry()
+    const silentMilliseconds = stalledAt - progressAt
+    switch (reservation.kind) {
+      case 'refused':
+        if (!hasLoggedRefusal) context.log.decision('retryRefused', { request: state.fields.attemptId, backend: backend.entry.id, reason: reservation.reason, silentMilliseconds, headersSent: state.headersSent })
+        hasLoggedRefusal = true
+        return
+      case 'reserved':
+        if (settled || lastProgressAt !== progressAt) return
+        return abort({ kind: 'abandoned', reason: `silent for ${silentMilliseconds} ms`, headersSent: state.headersSent, nextBackendId: reservation.backendId }, 'silent')
+      default: assertNever(reservation)
+    }
   }
 
-  /** A stream that can't be resumed is ended only when its caller has given it up; before its headers, silence proves nothing. */
+  /** Ends a stream that brings bytes but no event once its caller has given it up. Silence ends no stream: it may go on. */
   function endAbandonedStream (now: number): void {
-    if (!state.headersSent) return
+    if (!state.headersSent || now - lastBytesAt >= MIN_STREAM_SILENCE_MS) return
     const gapMilliseconds = Math.max(ABANDONED_STREAM.milliseconds, ABANDONED_STREAM.latencyTargets * state.route.latencyTargetMilliseconds, ABANDONED_STREAM.eventGapTargets * state.route.eventGapTargetMilliseconds)
-    if (now - lastProgressAt >= gapMilliseconds) abort({ kind: 'broken', reason: `no event for ${now - lastProgressAt} ms`, headersSent: true }, 'no event')
+    if (now - lastProgressAt >= gapMilliseconds + ABANDONED_STREAM_MARGIN_MS) abort({ kind: 'broken', reason: `no event for ${now - lastProgressAt} ms`, headersSent: true }, 'no event')
   }
 
   /** Bytes show that the backend server is alive; only a head, a part of a plain body or a whole event is progress of the request. */
   function recordBytes (isProgress: boolean): void {
     const now = steadyNow()
     backend.lastByteAt = now
+    lastBytesAt = now
     if (isProgress) lastProgressAt = now
     if (pending.answered) return
     pending.answered = true
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -4,8 +4,9 @@
 import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { chooseBackend, type Choice } from '../decisions/backendChoice.js'
+import type { BackendState } from '../decisions/backendState.js'
 import { chooseTarget } from '../decisions/configurationIndex.js'
-import { isRetryable, planRequest, type AttemptOutcome, type ChoiceOutcome, type PlanCommand, type PlanResult } from '../decisions/requestPlan.js'
+import { isRetryable, planRequest, type AttemptOutcome, type ChoiceOutcome, type PlanCommand, type PlanResult, type RetryReservation } from '../decisions/requestPlan.js'
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
 import { runAttempt, type BufferedResponse } from './attempt.js'
@@ -173,7 +174,20 @@
   // The caller may have left while a permit was asked for.
   if (hasCallerLeft(state)) return { kind: 'callerGone' }
   state.triedBackendIds.push(backendId)
-  return await runAttempt(context, state, choice)
+  return await runAttempt(context, state, choice, async () => await reserveRetry(context, state))
+}
+
+/** Reserves a retry at a backend server that was not tried. What is certain to refuse it is asked before the retry budget. */
+async function reserveRetry (context: GatewayContext, state: RequestState): Promise<RetryReservation> {
+  const now = steadyNow()
+  const isUsable = (candidate: BackendState): boolean => !state.triedBackendIds.includes(candidate.entry.id) &&
+    candidate.avoidedUntil <= now && !context.permits.isDenied(candidate, state.priority, now)
+  if (hasCallerLeft(state)) return { kind: 'refused', reason: 'the caller has left' }
+  if (!context.crashGuard.mayRetry(state.guarded)) return { kind: 'refused', reason: 'the request may crash backend servers' }
+  if (!context.backends.candidates(state.service, now).some(isUsable)) return { kind: 'refused', reason: 'no other backend server' }
+  if (!context.retryShares.tryAcquireRetry(state.service, now)) return { kind: 'refused', reason: 'the retry budget is used up' }
+  const choice = await chooseNextBackend(context, state, state.triedBackendIds)
+  return choice.kind === 'chosen' ? { kind: 'reserved', backendId: choice.backendId } : { kind: 'refused', reason: choice.reason }
 }
 
 /** Logs how far a request was when its caller left; the line of its result tells when the work for it ended. */
