End only the exchange when a response can't be forwarded

What callers saw: the process ended, and with it all requests in progress, when a backend server sent a status below 100 or a header name with a space. Cause: Node's parser accepts such heads and its writer refuses them. The writer threw in an event handler of the response, outside of any promise. Change: an exception in a callback of an exchange breaks that exchange. Headers count as sent only once they were written, and a request whose handling fails gets 500 with run "unknown" in place of a closed connection.

--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -227,10 +227,10 @@
     head = { incoming, isStreamed }
     if (isSuccess) answeredAt = steadyNow()
     if (isStreamed && !state.headersSent) {
-      state.headersSent = true
-      state.firstByteAt = steadyNow()
       const responseHeaders = wire.buildResponseHeaders(incoming.rawHeaders)
       response.writeHead(status, withoutContentLength(responseHeaders, context))
+      state.headersSent = true
+      state.firstByteAt = steadyNow()
     }
   }
 
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -124,6 +124,21 @@
       finish(() => listener.onBroken(connected, reason))
       outgoing.destroy()
     }
+    /** A response that can't be processed, such as one with a header that can't be forwarded, breaks only its own exchange. */
+    function processResponse (callback: () => void): void {
+      try {
+        callback()
+      } catch (error) {
+        fail((error as Error).message)
+      }
+    }
+    function complete (): void {
+      processResponse(() => {
+        if (finished) return
+        listener.onEnd()
+        finish(() => {})
+      })
+    }
     outgoing.on('socket', (socket) => {
       socket.setNoDelay(true)
       if (!socket.connecting) {
@@ -145,15 +160,15 @@
       if (finished) return
       incoming = response
       const resetDetection = isDelimitedByClose(response) ? detectReset(response.socket) : undefined
-      response.on('data', (chunk: Buffer) => { if (!finished) listener.onData(chunk) })
+      response.on('data', (chunk: Buffer) => { if (!finished) processResponse(() => listener.onData(chunk)) })
       response.on('error', (error) => fail(error.message))
       response.on('end', () => {
         if (!response.complete) fail('incomplete response')
-        else if (resetDetection !== undefined) resetDetection.then((isReset) => isReset ? fail('response ended with a connection reset') : finish(listener.onEnd))
-        else finish(listener.onEnd)
+        else if (resetDetection !== undefined) resetDetection.then((isReset) => isReset ? fail('response ended with a connection reset') : complete())
+        else complete()
       })
       response.on('close', () => { if (!response.complete) fail('incomplete response') })
-      listener.onHead(response)
+      processResponse(() => listener.onHead(response))
     })
     outgoing.end(exchange.body.length > 0 ? exchange.body : undefined)
     return {
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -47,7 +47,7 @@
     })
     handleRequest(context, incoming, response, caller).catch((error: unknown) => {
       context.log.warning('requestFailed', { request: context.wire.decodeRequestHeaders(incoming.headers).attemptId, reason: error instanceof Error ? `${error.message} ${error.stack ?? ''}` : String(error) })
-      response.destroy()
+      sendError(context, response, { status: 500, code: 'internal_error', message: 'the response could not be processed', run: 'unknown' })
     })
   })
   server.on('connection', (socket) => {
