Count a stream's tokens as the configuration that admitted it does

What callers saw: nothing; the operator's books were wrong. When a change removed the service of a running stream, each of its events counted as one token, and the rest of its prepaid tokens was given back although it was used. Cause: the tokens of an event were read from the newest configuration at the end of the request. Change: a request keeps the configuration that admitted it. Evidence: configurationChanges.test.ts, real process: 112 of 160 tokens counted before, 160 now. Its other eight tests, each change of a route, service, key, account, time limit or connection limit beside 60 running and 15 half-sent requests, passed before and pass now.

--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -97,7 +97,7 @@
       response.destroy()
       return
     case 'received':
-      await serveRequest(context, { incoming, response, caller, fields, route: admission.route, account: admission.account, body: body.bytes, receivedAt })
+      await serveRequest(context, { incoming, response, caller, fields, route: admission.route, account: admission.account, configuration: index, body: body.bytes, receivedAt })
   }
 }
 
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { chooseBackend, type Choice } from '../decisions/backendChoice.js'
 import type { BackendState } from '../decisions/backendState.js'
-import { chooseTarget } from '../decisions/configurationIndex.js'
+import { chooseTarget, type ConfigurationIndex } from '../decisions/configurationIndex.js'
 import { isRetryable, planRequest, type AttemptOutcome, type ChoiceOutcome, type PlanCommand, type PlanResult, type RetryReservation } from '../decisions/requestPlan.js'
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
@@ -32,6 +32,8 @@
   readonly fields: CallerFields
   readonly route: Route
   readonly account: ClientAccount | undefined
+  /** The configuration that admitted it. */
+  readonly configuration: ConfigurationIndex
   readonly body: Buffer
   /** Unix milliseconds at which its headers were read. */
   readonly receivedAt: number
@@ -79,10 +81,10 @@
   return state.fields.prompt === undefined ? 0 : state.fields.prompt.inputTokens + state.fields.prompt.maximumOutputTokens
 }
 
-function usedTokens (context: GatewayContext, state: RequestState): number {
+function usedTokens (state: RequestState): number {
   const prompt = state.fields.prompt
   if (prompt === undefined || !state.mayHaveRun) return 0
-  const tokensPerEvent = context.configuration()?.service(state.service)?.engine?.tokensPerEvent ?? 1
+  const tokensPerEvent = state.configuration.service(state.service)?.engine?.tokensPerEvent ?? 1
   return prompt.inputTokens + Math.min(prompt.maximumOutputTokens, state.deliveredEvents * tokensPerEvent)
 }
 
@@ -125,7 +127,7 @@
     }
   )
   stopWatchingCaller()
-  const used = usedTokens(context, state)
+  const used = usedTokens(state)
   if (isReserved && state.account !== undefined) context.tokens.settle(state.account.name, reserved, used)
   finishRequest(context, state, result, { reserved: isReserved ? reserved : 0, used })
 }
