Answer the requests before bytes that are no request

What callers saw: an answer in progress was cut off, or replaced by a 400, when the bytes after its request were no request, or when the head of the next one took longer than the header timeout. The backend server had run the request. Cause: Node reports such bytes for the connection and not for a request, and the listener wrote its refusal and closed the connection at once. Change: the refusal and the close wait until the requests that had arrived whole are answered. An error in a request's own body is refused at once, as before. Evidence: callerConnections.test.ts, real process: 3 of 4 tests failed before (400 in place of two answers, 6 of 10 events of a stream); now all pass, and so does departedCallers.test.ts.

--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -1,4 +1,4 @@
-import { createCallerWatch, type CallerPresence } from '@quinceshunt/caller-connections'
+import { createCallerWatch, createConnectionErrors, type CallerPresence } from '@quinceshunt/caller-connections'
 import { steadyNow } from '../clock.js'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { GatewayContext } from './gatewayContext.js'
@@ -30,6 +30,10 @@
   let acceptedConnections = 0
   let lastConnectionAt = 0
   const callerOf = createCallerWatch(steadyNow)
+  const connectionErrors = createConnectionErrors((error, socket) => {
+    const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
+    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+  })
 
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 15_000, noDelay: true, connectionsCheckingInterval: 1000 }, (incoming, response) => {
     activeRequests++
@@ -39,6 +43,7 @@
       isCounted = false
       activeRequests--
     }
+    connectionErrors.track(incoming, response)
     const caller = callerOf(incoming.socket)
     const stopWatchingCaller = caller.onLeft(release)
     response.on('close', () => {
@@ -57,13 +62,7 @@
     socket.on('close', () => openConnections--)
   })
   server.on('clientError', (error, socket) => {
-    context.log.decision('callerConnectionFailed', { reason: error.message })
-    if ((error as NodeJS.ErrnoException).code === 'ECONNRESET' || !socket.writable) {
-      socket.destroy()
-      return
-    }
-    const status = (error as NodeJS.ErrnoException).code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    if (connectionErrors.handle(error, socket)) context.log.decision('callerConnectionFailed', { reason: error.message })
   })
   return { server, get activeRequests () { return activeRequests }, get openConnections () { return openConnections }, get acceptedConnections () { return acceptedConnections }, get lastConnectionAt () { return lastConnectionAt } }
 }
