Answer a router's requests before bytes that are no request

What callers saw: 400 in place of the answer to a whole request, when the bytes after it on its connection were no request. Change: the router's listener uses the same `createConnectionErrors`. Evidence: callersListener.test.ts: statuses 400 before, 404 and 400 now.

--- /dev/null
+++ b/packages/router/src/__tests__/callersListener.test.ts
@@ -0,0 +1,48 @@
+import { afterEach, expect, test } from '@jest/globals'
+import { connect, type AddressInfo } from 'node:net'
+import { createCallersListener } from '../callersListener.js'
+import type { RouterServices } from '../routerServices.js'
+
+let closeServer: () => void = () => {}
+
+afterEach(() => closeServer())
+
+/** The services that a request for a model which does not exist needs. */
+function servicesWithoutModels (): RouterServices {
+  const caller = { account: { id: 'school', targets: [] }, budgetId: 'b', keyId: 'k' }
+  const services = {
+    settings: { requestDeadlineMilliseconds: 5000, bodyLimitBytes: 1000 },
+    clock: { now: Date.now },
+    logger: { info: () => {}, warn: () => {}, error: () => {} },
+    metrics: { count: () => {}, record: () => {} },
+    configuration: { current: () => ({ models: new Map(), authenticate: () => caller }) },
+    isIsolated: () => false
+  }
+  return services as unknown as RouterServices
+}
+
+/** Starts the listener, writes the text on one connection and resolves with all that comes back. */
+async function converse (text: string): Promise<string> {
+  const { server } = createCallersListener(servicesWithoutModels())
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  closeServer = () => {
+    server.closeAllConnections()
+    server.close()
+  }
+  return await new Promise((resolve) => {
+    let received = ''
+    const socket = connect((server.address() as AddressInfo).port, '127.0.0.1', () => socket.write(text))
+    socket.on('data', (bytes) => { received += bytes.toString() })
+    socket.on('error', () => {})
+    socket.on('close', () => resolve(received))
+  })
+}
+
+// Guards against the answer in progress being replaced by the refusal of the bytes after its request.
+test('bytes that are no request are refused after the answer to the request before them', async () => {
+  const body = JSON.stringify({ model: 'none', messages: [{ role: 'user', content: 'hello' }] })
+  const received = await converse(`POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer key\r\nContent-Length: ${body.length}\r\n\r\n${body}GARBAGE\0\r\n\r\n`)
+  expect([...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map((match) => match[1])).toEqual(['404', '400'])
+  expect(received).toContain('model_not_found')
+  expect(received).toContain('malformed_request')
+})
--- a/packages/router/src/callersListener.ts
+++ b/packages/router/src/callersListener.ts
@@ -1,7 +1,7 @@
 import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createSecureServer } from 'node:https'
 import type { Duplex } from 'node:stream'
-import { createCallerWatch, type CallerPresence } from '@quinceshunt/caller-connections'
+import { createCallerWatch, createConnectionErrors, type CallerPresence } from '@quinceshunt/caller-connections'
 import { extractTraceContext, failSpan, SpanKind, startSpan, contextWithSpan, type Span, type TraceContext } from '@quinceshunt/telemetry'
 import { formatCallerError, sendCallerError, type CallerError } from './callerError.js'
 import { serveChat } from './chatRequest.js'
@@ -50,11 +50,13 @@
   let lastRequestAt = 0
   let keepAliveDisabled = false
   const callerOf = createCallerWatch(services.clock.now)
+  const connectionErrors = createConnectionErrors(respondToClientError)
 
   function handleRequest (request: IncomingMessage, response: ServerResponse): void {
     activeRequests += 1
     lastRequestAt = services.clock.now()
     if (keepAliveDisabled) response.setHeader('connection', 'close')
+    connectionErrors.track(request, response)
     const caller = callerOf(request.socket)
     const finish = (): void => {
       stopWatchingCaller()
@@ -69,7 +71,7 @@
   const options = { maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: Math.min(HEADERS_TIMEOUT_MS, services.settings.requestDeadlineMilliseconds), requestTimeout: services.settings.requestDeadlineMilliseconds, keepAliveTimeout: 30_000 }
   const tls = listenerTls(services.settings.callersTls, false)
   const server = tls === undefined ? createServer(options, handleRequest) : createSecureServer({ ...options, ...tls }, handleRequest) as unknown as Server
-  server.on('clientError', respondToClientError)
+  server.on('clientError', connectionErrors.handle)
   return {
     server,
     activeRequests: () => activeRequests,
@@ -80,10 +82,6 @@
 
 /** Sends the usual JSON error for requests that Node's HTTP parser rejects; these have not been run. */
 function respondToClientError (error: NodeJS.ErrnoException, socket: Duplex): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy()
-    return
-  }
   const callerError = toCallerError(error.code)
   const body = formatCallerError(callerError, newRequestId())
   socket.end(`HTTP/1.1 ${callerError.status} ${STATUS_CODES[callerError.status]}\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
