End an attempt whose connection closed without a response

What callers saw: 504 at the time limit, after up to 3 s in the test, when a backend server answered with an upgrade (101) that nobody had asked for. Cause: Node closes such a connection and reports neither a response nor an error. Change: the close of an exchange without a response breaks it at once. Evidence: malformedResponses.test.ts: 504 before, 502 now.

--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -156,6 +156,8 @@
       if (++interimResponses > MAX_INTERIM_RESPONSES) fail('interim responses without end')
     })
     outgoing.on('error', (error) => fail(error.message))
+    // Node closes the connection of a response that upgrades it without any other event.
+    outgoing.on('close', () => { if (incoming === undefined) fail('connection closed without a response') })
     outgoing.on('response', (response) => {
       if (finished) return
       incoming = response
