Keep a router's stream that goes on during the health check of its engine

What callers saw: an error event in a stream whose engine had been silent for over two seconds and had gone on, because a health check that began in the silence failed afterwards. Change: the stream is ended only if it is still stalled when the check fails. Evidence: chatStream.test.ts: a silence of 2.7 s ended the stream before, now it is delivered whole. One of 1.5 s passed before and now.

--- a/packages/router/src/chatStream.ts
+++ b/packages/router/src/chatStream.ts
@@ -82,10 +82,15 @@
       resolve(outcome)
     }
 
+    function isStalled (): boolean {
+      return Date.now() - lastEventAt >= STALL_TIMEOUT_MS
+    }
+
     function checkStall (): void {
-      if (Date.now() - lastEventAt < STALL_TIMEOUT_MS) return
+      if (!isStalled()) return
       relay.isBackendServerDown().then((down) => {
-        if (down) finish({ kind: 'broken', reason: 'the stream stalled and the health check failed' })
+        // The stream may have gone on during the check.
+        if (down && isStalled()) finish({ kind: 'broken', reason: 'the stream stalled and the health check failed' })
       })
     }
 
