--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -4,8 +4,9 @@
 import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { chooseBackend, type Choice } from '../decisions/backendChoice.js'
-import { chooseTarget } from '../decisions/configurationIndex.js'
-import { isRetryable, planRequest, type AttemptOutcome, type ChoiceOutcome, type PlanCommand, type PlanResult } from '../decisions/requestPlan.js'
+import type { BackendState } from '../decisions/backendState.js'
+import { chooseTarget, type ConfigurationIndex } from '../decisions/configurationIndex.js'
+import { isRetryable, planRequest, type AttemptOutcome, type ChoiceOutcome, type PlanCommand, type PlanResult, type RetryReservation } from '../decisions/requestPlan.js'
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
 import { runAttempt, type BufferedResponse } from './attempt.js'
@@ -31,6 +32,8 @@
   readonly fields: CallerFields
   readonly route: Route
   readonly account: ClientAccount | undefined
+  /** The configuration that admitted it. */
+  readonly configuration: ConfigurationIndex
   readonly body: Buffer
   /** Unix milliseconds at which its headers were read. */
   readonly receivedAt: number
@@ -78,10 +81,10 @@
   return state.fields.prompt === undefined ? 0 : state.fields.prompt.inputTokens + state.fields.prompt.maximumOutputTokens
 }
 
-function usedTokens (context: GatewayContext, state: RequestState): number {
+function usedTokens (state: RequestState): number {
   const prompt = state.fields.prompt
   if (prompt === undefined || !state.mayHaveRun) return 0
-  const tokensPerEvent = context.configuration()?.service(state.service)?.engine?.tokensPerEvent ?? 1
+  const tokensPerEvent = state.configuration.service(state.service)?.engine?.tokensPerEvent ?? 1
   return prompt.inputTokens + Math.min(prompt.maximumOutputTokens, state.deliveredEvents * tokensPerEvent)
 }
 
@@ -124,7 +127,7 @@
     }
   )
   stopWatchingCaller()
-  const used = usedTokens(context, state)
+  const used = usedTokens(state)
   if (isReserved && state.account !== undefined) context.tokens.settle(state.account.name, reserved, used)
   finishRequest(context, state, result, { reserved: isReserved ? reserved : 0, used })
 }
@@ -173,7 +176,20 @@
   // The caller may have left while a permit was asked for.
   if (hasCallerLeft(state)) return { kind: 'callerGone' }
   state.triedBackendIds.push(backendId)
-  return await runAttempt(context, state, choice)
+  return await runAttempt(context, state, choice, async () => await reserveRetry(context, state))
+}
+
+/** Reserves a retry at a backend server that was not tried. What is certain to refuse it is asked before the retry budget. */
+async function reserveRetry (context: GatewayContext, state: RequestState): Promise<RetryReservation> {
+  const now = steadyNow()
+  const isUsable = (candidate: BackendState): boolean => !state.triedBackendIds.includes(candidate.entry.id) &&
+    candidate.avoidedUntil <= now && !context.permits.isDenied(candidate, state.priority, now)
+  if (hasCallerLeft(state)) return { kind: 'refused', reason: 'the caller has left' }
+  if (!context.crashGuard.mayRetry(state.guarded)) return { kind: 'refused', reason: 'the request may crash backend servers' }
+  if (!context.backends.candidates(state.service, now).some(isUsable)) return { kind: 'refused', reason: 'no other backend server' }
+  if (!context.retryShares.tryAcquireRetry(state.service, now)) return { kind: 'refused', reason: 'the retry budget is used up' }
+  const choice = await chooseNextBackend(context, state, state.triedBackendIds)
+  return choice.kind === 'chosen' ? { kind: 'reserved', backendId: choice.backendId } : { kind: 'refused', reason: choice.reason }
 }
 
 /** Logs how far a request was when its caller left; the line of its result tells when the work for it ended. */
