Send nothing to a backend server that says it leaves, whatever the list says

Cause: the list was the only source. Responses of the backend server itself were read for its load and its request limit, not for its leaving.

Change: a response with the header is final for the process (ID and start time) that sent it. First sends, retries and resumed streams go elsewhere at once; while there is no other backend server, the leaving one gets what was received within the drain time, and later requests are refused at once with a time, before they wait for tokens. The record is kept apart from the list, so that an entry that goes and comes back changes nothing.

Why it works: every send chooses among findAvailableBackends, and a request is judged by when it was received, so waiting can't carry it past the bound.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import { randomUUID } from 'node:crypto'
 import { readFileSync, watchFile } from 'node:fs'
 import { createServer, type Server } from 'node:http'
+import { createBackendAcceptance } from './decisions/backendAcceptance.js'
 import { createByteBudget } from './decisions/byteBudget.js'
 import { createRetryShares } from './decisions/retryShares.js'
 import { createSharedClock } from './decisions/sharedClock.js'
@@ -128,6 +129,7 @@
     eventLoopDelay: startEventLoopDelay(metrics, log),
     configuration: () => configuration.current,
     backends,
+    acceptance: createBackendAcceptance(),
     connections,
     tokens,
     fleet,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -120,6 +120,8 @@
   readonly impliesNotRun: boolean
   readonly load: ReportedLoad | undefined
   readonly limit: NamedLimit
+  /** True when the backend server says that it is about to end. */
+  readonly isLeaving: boolean
   /** True when a content encoding was applied, so that the body is not as the backend server produced it. */
   readonly isContentEncoded: boolean
 }
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -5,6 +5,7 @@
 import { createEventSplitter } from '../decisions/eventSplitter.js'
 import { isRetryable, type AttemptOutcome } from '../decisions/requestPlan.js'
 import type { ResponseFields } from '../ports.js'
+import { recordAcceptance } from './availableBackends.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { connectionHeaders } from './errorResponses.js'
 import type { RequestState } from './requestTask.js'
@@ -49,6 +50,7 @@
   const { wire, connections } = context
   const { response, incoming: callerRequest } = state
   const backend = choice.state
+  const backendProcess = backendProcessOf(backend.entry)
   const sentAt = steadyNow()
   const isStream = state.route.deliverySemantics.kind === 'resumableStream' || state.route.deliverySemantics.kind === 'onceStream'
   const canRetry = isRetryable(state.route.deliverySemantics) && state.attempts + 1 < state.route.maximumAttempts
@@ -173,6 +175,7 @@
       return
     }
     recordLimit(fields)
+    recordAcceptance(context, { backend, backendProcess, fields, requestId: state.fields.attemptId })
     const isSuccess = status >= STATUS.ok && status <= STATUS.lastOk
     if (isSuccess && (!fields.isSigned || fields.isContentEncoded)) {
       abort({ kind: 'broken', reason: 'successful response without a signature or with a content encoding', headersSent: state.headersSent }, 'unusable response')
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -1,4 +1,5 @@
 import type { Metrics } from '@quinceshunt/telemetry'
+import type { BackendAcceptance } from '../decisions/backendAcceptance.js'
 import type { ByteBudget } from '../decisions/byteBudget.js'
 import type { Choice } from '../decisions/backendChoice.js'
 import type { ConfigurationIndex } from '../decisions/configurationIndex.js'
@@ -24,6 +25,7 @@
   readonly eventLoopDelay: EventLoopDelay
   readonly configuration: () => ConfigurationIndex | undefined
   readonly backends: BackendTask
+  readonly acceptance: BackendAcceptance
   readonly connections: BackendConnections
   readonly tokens: TokenTask
   readonly fleet: FleetTask
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -8,6 +8,7 @@
 import { isRetryable, planRequest, type AttemptOutcome, type ChoiceOutcome, type PlanCommand, type PlanResult } from '../decisions/requestPlan.js'
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
+import { findAvailableBackends } from './availableBackends.js'
 import { runAttempt, type BufferedResponse } from './attempt.js'
 import type { GuardedRequest } from './crashGuard.js'
 import type { GatewayContext } from './gatewayContext.js'
@@ -15,8 +16,6 @@
 
 /** Retry time suggested to callers when backend servers reject requests. */
 const REJECTION_RETRY_MS = { engine: 400, plain: 150 } as const
-/** Retry time suggested to callers when no backend server is available. */
-const NO_BACKEND_RETRY_MS = 700
 /** For callers that send no timeout. */
 const DEFAULT_CALLER_TIMEOUT_MS = 60_000
 
@@ -94,9 +93,9 @@
     ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, bufferedResponse: undefined, firstByteAt: undefined, triedBackendIds: []
   }
   context.retryShares.recordRequest(service, admitted.receivedAt)
-  const quarantine = context.crashGuard.findQuarantine(state.guarded)
-  if (quarantine !== undefined) {
-    finishRequest(context, state, { kind: 'notRun', reason: quarantine.reason, retryAt: quarantine.until }, { reserved: 0, used: 0 })
+  const refusal = findRefusal(context, state)
+  if (refusal !== undefined) {
+    finishRequest(context, state, refusal, { reserved: 0, used: 0 })
     return
   }
   const stopWatchingCaller = state.caller.onLeft(() => recordCallerLeft(context, state))
@@ -129,6 +128,14 @@
   finishRequest(context, state, result, { reserved: isReserved ? reserved : 0, used })
 }
 
+/** Returns why a request can't be served now, so that it is refused before it waits for tokens. */
+function findRefusal (context: GatewayContext, state: RequestState): PlanResult | undefined {
+  const quarantine = context.crashGuard.findQuarantine(state.guarded)
+  if (quarantine !== undefined) return { kind: 'notRun', reason: quarantine.reason, retryAt: quarantine.until }
+  const available = findAvailableBackends(context, state, [])
+  return available.kind === 'none' ? { kind: 'notRun', reason: available.reason, retryAt: available.retryAt } : undefined
+}
+
 function hasCallerLeft (state: RequestState): boolean {
   return state.caller.leftAt !== undefined
 }
@@ -145,8 +152,10 @@
   const denied = new Set<string>()
   for (;;) {
     const now = steadyNow()
-    const candidates = context.backends.candidates(state.service, now).filter((candidate) => !excluded.includes(candidate.entry.id))
-    const areAllLimited = candidates.length > 0 && candidates.every(({ limit }) => limit.requestsPerSecond !== undefined)
+    const available = findAvailableBackends(context, state, excluded)
+    if (available.kind === 'none') return available
+    const candidates = available.backends
+    const areAllLimited = candidates.every(({ limit }) => limit.requestsPerSecond !== undefined)
     if (areAllLimited && denied.size === 0 && state.attempts === 0) permits.recordDemand(candidates, priority)
     const choice = chooseBackend(candidates.filter((candidate) => !denied.has(candidate.entry.id) && !permits.isDenied(candidate, priority, now)), {
       prompt: state.fields.prompt,
@@ -156,7 +165,7 @@
     if (choice === undefined) {
       return areAllLimited
         ? { kind: 'none', reason: 'all backend servers are at the request limits that they name', retryAt: permits.retryAt(candidates, priority, now) }
-        : { kind: 'none', reason: 'no backend server', retryAt: now + NO_BACKEND_RETRY_MS }
+        : { kind: 'none', reason: 'no permit for a backend server', retryAt: retryAt(state) }
     }
     const isPermitted = choice.state.limit.requestsPerSecond === undefined || (await permits.acquire(choice.state, priority)).kind === 'granted'
     if (isPermitted) {
