Send nothing to a backend server before the end of the time that its 503 names

Callers were passed from one refusal to the next, and told to return after 0.15 to 0.7 s whatever the backend servers had said.

Cause: the time was never read. A refusal only raised the cost of its backend server, which stops nothing when all others cost as much.

Change: the process (ID and start time) that names a time gets no first send, retry or resumed stream until its end; a restart ends it. Where no backend server of a service takes requests, callers are refused at once, before tokens are reserved, with the earliest end, spread over up to half a second. A permit that was waited for is not used for a backend server that wants nothing meanwhile.

Why it works: all sends choose among findAvailableBackends, which leaves out a process until the stored end, and the end is rounded up.

--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -106,6 +106,14 @@
   /** It names a limit that is no number from 0 up. */
   | { readonly kind: 'unreadable', readonly value: string }
 
+/** Time for which a backend server that turns a request away wants nothing from this instance. */
+export type RequestedPause =
+  | { readonly kind: 'none' }
+  /** From the response on; may be longer than any process runs. */
+  | { readonly kind: 'named', readonly milliseconds: number }
+  /** It names a time that is no number from 0 up. */
+  | { readonly kind: 'unreadable', readonly value: string }
+
 /** Decoded headers of a backend server's response. */
 export interface ResponseFields {
   /** ID of the attempt to which the response belongs; empty when missing. */
@@ -120,6 +128,7 @@
   readonly impliesNotRun: boolean
   readonly load: ReportedLoad | undefined
   readonly limit: NamedLimit
+  readonly pause: RequestedPause
   /** True when the backend server says that it is about to end. */
   readonly isLeaving: boolean
   /** True when a content encoding was applied, so that the body is not as the backend server produced it. */
--- a/packages/gateway/src/tasks/availableBackends.ts
+++ b/packages/gateway/src/tasks/availableBackends.ts
@@ -1,5 +1,6 @@
+import { assertNever } from '@quinceshunt/effects'
 import { steadyNow } from '../clock.js'
-import { selectAccepting } from '../decisions/backendAcceptance.js'
+import { returnAt, selectAccepting } from '../decisions/backendAcceptance.js'
 import type { BackendState } from '../decisions/backendState.js'
 import type { ResponseFields } from '../ports.js'
 import type { GatewayContext } from './gatewayContext.js'
@@ -21,9 +22,13 @@
 /** Finds the backend servers of a service that are listed, take the request and are not excluded by their IDs. */
 export function findAvailableBackends (context: GatewayContext, { service, receivedAt }: SearchingRequest, excluded: readonly string[]): AvailableBackends {
   const now = steadyNow()
-  const candidates = context.backends.candidates(service, now).filter((candidate) => !excluded.includes(candidate.entry.id))
-  const backends = selectAccepting(candidates, context.acceptance, { receivedAt, drainMilliseconds: context.settings.drainMilliseconds })
+  const { acceptance, settings } = context
+  const listed = context.backends.candidates(service, now)
+  const candidates = listed.filter((candidate) => !excluded.includes(candidate.entry.id))
+  const backends = selectAccepting(candidates, acceptance, { receivedAt, drainMilliseconds: settings.drainMilliseconds }, now)
   if (backends.length > 0) return { kind: 'some', backends }
+  const wantedAt = returnAt(listed, acceptance, now, Math.random())
+  if (wantedAt !== undefined) return { kind: 'none', reason: 'no backend server wants requests now', retryAt: wantedAt }
   return { kind: 'none', reason: candidates.length === 0 ? 'no backend server' : 'all backend servers leave', retryAt: now + NO_BACKEND_RETRY_MS }
 }
 
@@ -37,10 +42,33 @@
 }
 
 /** Takes over what a response says about further requests. */
-export function recordAcceptance (context: GatewayContext, { backend, backendProcess, fields, requestId }: AttributedResponse): void {
-  // Another process answers with 421, and nothing shows who made a response that is neither signed nor a refusal to run.
-  if (fields.isMisdirected || !(fields.isSigned || fields.isNotRun)) return
-  if (!fields.isLeaving || !context.acceptance.markLeaving(backendProcess, steadyNow())) return
+export function recordAcceptance (context: GatewayContext, response: AttributedResponse): void {
+  // Another process answers with 421.
+  if (response.fields.isMisdirected) return
+  recordPause(context, response)
+  // Nothing shows who made a response that is neither signed nor a refusal to run.
+  if (response.fields.isLeaving && (response.fields.isSigned || response.fields.isNotRun)) recordLeaving(context, response)
+}
+
+function recordLeaving (context: GatewayContext, { backend, backendProcess, requestId }: AttributedResponse): void {
+  if (!context.acceptance.markLeaving(backendProcess, steadyNow())) return
   context.metrics.count('backends_leaving_total', { service: backend.entry.service })
   context.log.event('backendLeaving', { backend: backend.entry.id, service: backend.entry.service, state: backend.entry.state, request: requestId })
 }
+
+function recordPause (context: GatewayContext, { backend, backendProcess, fields: { pause }, requestId }: AttributedResponse): void {
+  switch (pause.kind) {
+    case 'none': return
+    case 'unreadable':
+      context.log.decision('retryTimeUnreadable', { backend: backend.entry.id, value: pause.value.slice(0, 100), request: requestId })
+      return
+    case 'named': {
+      const until = context.acceptance.pause(backendProcess, pause.milliseconds, steadyNow())
+      if (until === undefined) return
+      context.metrics.count('backend_pauses_total', { service: backend.entry.service })
+      context.log.decision('backendPaused', { backend: backend.entry.id, service: backend.entry.service, until, request: requestId })
+      return
+    }
+    default: assertNever(pause)
+  }
+}
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -102,7 +102,7 @@
   const reserved = maximumTokens(state)
   let isReserved = false
   const result = await runDecision(
-    planRequest({ deliverySemantics: route.deliverySemantics, maximumAttempts: route.maximumAttempts, retryAt: () => retryAt(state) }),
+    planRequest({ deliverySemantics: route.deliverySemantics, maximumAttempts: route.maximumAttempts, retryAt: () => retryAt(context, state) }),
     async (command: PlanCommand) => {
       switch (command.kind) {
         case 'reserveTokens': {
@@ -140,7 +140,9 @@
   return state.caller.leftAt !== undefined
 }
 
-function retryAt (state: RequestState): number {
+function retryAt (context: GatewayContext, state: RequestState): number {
+  const available = findAvailableBackends(context, state, [])
+  if (available.kind === 'none') return available.retryAt
   return steadyNow() + (state.fields.prompt === undefined ? REJECTION_RETRY_MS.plain : REJECTION_RETRY_MS.engine)
 }
 
@@ -165,9 +167,10 @@
     if (choice === undefined) {
       return areAllLimited
         ? { kind: 'none', reason: 'all backend servers are at the request limits that they name', retryAt: permits.retryAt(candidates, priority, now) }
-        : { kind: 'none', reason: 'no permit for a backend server', retryAt: retryAt(state) }
+        : { kind: 'none', reason: 'no permit for a backend server', retryAt: retryAt(context, state) }
     }
-    const isPermitted = choice.state.limit.requestsPerSecond === undefined || (await permits.acquire(choice.state, priority)).kind === 'granted'
+    const needsPermit = choice.state.limit.requestsPerSecond !== undefined
+    const isPermitted = !needsPermit || ((await permits.acquire(choice.state, priority)).kind === 'granted' && isAvailable(context, state, choice, excluded))
     if (isPermitted) {
       context.choices.set(state, choice)
       return { kind: 'chosen', backendId: choice.state.entry.id }
@@ -176,6 +179,12 @@
   }
 }
 
+/** False when the backend server has said meanwhile that it takes no requests. */
+function isAvailable (context: GatewayContext, state: RequestState, choice: Choice, excluded: readonly string[]): boolean {
+  const available = findAvailableBackends(context, state, excluded)
+  return available.kind === 'some' && available.backends.includes(choice.state)
+}
+
 async function attemptBackend (context: GatewayContext, state: RequestState, backendId: string): Promise<AttemptOutcome> {
   const choice: Choice | undefined = context.choices.get(state)
   if (choice === undefined || choice.state.entry.id !== backendId) return { kind: 'notSent', reason: 'backend server no longer listed' }
