--- /dev/null
+++ b/packages/gateway/src/tasks/availableBackends.ts
@@ -0,0 +1,74 @@
+import { assertNever } from '@quinceshunt/effects'
+import { steadyNow } from '../clock.js'
+import { returnAt, selectAccepting } from '../decisions/backendAcceptance.js'
+import type { BackendState } from '../decisions/backendState.js'
+import type { ResponseFields } from '../ports.js'
+import type { GatewayContext } from './gatewayContext.js'
+
+/** Retry time suggested to callers when no backend server is available. */
+const NO_BACKEND_RETRY_MS = 700
+
+/** Backend servers that a request may be sent to, or why there is none. `retryAt` by `steadyNow`. */
+export type AvailableBackends =
+  | { readonly kind: 'some', readonly backends: readonly BackendState[] }
+  | { readonly kind: 'none', readonly reason: string, readonly retryAt: number }
+
+/** A request that looks for a backend server. */
+export interface SearchingRequest {
+  readonly service: string
+  readonly receivedAt: number
+}
+
+/** Finds the backend servers of a service that are listed, take the request and are not excluded by their IDs. */
+export function findAvailableBackends (context: GatewayContext, { service, receivedAt }: SearchingRequest, excluded: readonly string[]): AvailableBackends {
+  const now = steadyNow()
+  const { acceptance, settings } = context
+  const listed = context.backends.candidates(service, now)
+  const candidates = listed.filter((candidate) => !excluded.includes(candidate.entry.id))
+  const backends = selectAccepting(candidates, acceptance, { receivedAt, drainMilliseconds: settings.drainMilliseconds }, now)
+  if (backends.length > 0) return { kind: 'some', backends }
+  const wantedAt = returnAt(listed, acceptance, now, Math.random())
+  if (wantedAt !== undefined) return { kind: 'none', reason: 'no backend server wants requests now', retryAt: wantedAt }
+  return { kind: 'none', reason: candidates.length === 0 ? 'no backend server' : 'all backend servers leave', retryAt: now + NO_BACKEND_RETRY_MS }
+}
+
+/** A response that was attributed to its attempt. */
+export interface AttributedResponse {
+  readonly backend: BackendState
+  /** The process that was listed when the request was sent. */
+  readonly backendProcess: string
+  readonly fields: ResponseFields
+  readonly requestId: string
+}
+
+/** Takes over what a response says about further requests. */
+export function recordAcceptance (context: GatewayContext, response: AttributedResponse): void {
+  // Another process answers with 421.
+  if (response.fields.isMisdirected) return
+  recordPause(context, response)
+  // Nothing shows who made a response that is neither signed nor a refusal to run.
+  if (response.fields.isLeaving && (response.fields.isSigned || response.fields.isNotRun)) recordLeaving(context, response)
+}
+
+function recordLeaving (context: GatewayContext, { backend, backendProcess, requestId }: AttributedResponse): void {
+  if (!context.acceptance.markLeaving(backendProcess, steadyNow())) return
+  context.metrics.count('backends_leaving_total', { service: backend.entry.service })
+  context.log.event('backendLeaving', { backend: backend.entry.id, service: backend.entry.service, state: backend.entry.state, request: requestId })
+}
+
+function recordPause (context: GatewayContext, { backend, backendProcess, fields: { pause }, requestId }: AttributedResponse): void {
+  switch (pause.kind) {
+    case 'none': return
+    case 'unreadable':
+      context.log.decision('retryTimeUnreadable', { backend: backend.entry.id, value: pause.value.slice(0, 100), request: requestId })
+      return
+    case 'named': {
+      const until = context.acceptance.pause(backendProcess, pause.milliseconds, steadyNow())
+      if (until === undefined) return
+      context.metrics.count('backend_pauses_total', { service: backend.entry.service })
+      context.log.decision('backendPaused', { backend: backend.entry.id, service: backend.entry.service, until, request: requestId })
+      return
+    }
+    default: assertNever(pause)
+  }
+}
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -9,6 +9,7 @@
 import { isRetryable, planRequest, type AttemptOutcome, type ChoiceOutcome, type PlanCommand, type PlanResult, type RetryReservation } from '../decisions/requestPlan.js'
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
+import { findAvailableBackends } from './availableBackends.js'
 import { runAttempt, type BufferedResponse } from './attempt.js'
 import type { GuardedRequest } from './crashGuard.js'
 import type { GatewayContext } from './gatewayContext.js'
@@ -16,8 +17,6 @@
 
 /** Retry time suggested to callers when backend servers reject requests. */
 const REJECTION_RETRY_MS = { engine: 400, plain: 150 } as const
-/** Retry time suggested to callers when no backend server is available. */
-const NO_BACKEND_RETRY_MS = 700
 /** For callers that send no timeout. */
 const DEFAULT_CALLER_TIMEOUT_MS = 60_000
 
@@ -97,16 +96,16 @@
     ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, bufferedResponse: undefined, firstByteAt: undefined, triedBackendIds: []
   }
   context.retryShares.recordRequest(service, admitted.receivedAt)
-  const quarantine = context.crashGuard.findQuarantine(state.guarded)
-  if (quarantine !== undefined) {
-    finishRequest(context, state, { kind: 'notRun', reason: quarantine.reason, retryAt: quarantine.until }, { reserved: 0, used: 0 })
+  const refusal = findRefusal(context, state)
+  if (refusal !== undefined) {
+    finishRequest(context, state, refusal, { reserved: 0, used: 0 })
     return
   }
   const stopWatchingCaller = state.caller.onLeft(() => recordCallerLeft(context, state))
   const reserved = maximumTokens(state)
   let isReserved = false
   const result = await runDecision(
-    planRequest({ deliverySemantics: route.deliverySemantics, maximumAttempts: route.maximumAttempts, retryAt: () => retryAt(state) }),
+    planRequest({ deliverySemantics: route.deliverySemantics, maximumAttempts: route.maximumAttempts, retryAt: () => retryAt(context, state) }),
     async (command: PlanCommand) => {
       switch (command.kind) {
         case 'reserveTokens': {
@@ -132,11 +131,21 @@
   finishRequest(context, state, result, { reserved: isReserved ? reserved : 0, used })
 }
 
+/** Returns why a request can't be served now, so that it is refused before it waits for tokens. */
+function findRefusal (context: GatewayContext, state: RequestState): PlanResult | undefined {
+  const quarantine = context.crashGuard.findQuarantine(state.guarded)
+  if (quarantine !== undefined) return { kind: 'notRun', reason: quarantine.reason, retryAt: quarantine.until }
+  const available = findAvailableBackends(context, state, [])
+  return available.kind === 'none' ? { kind: 'notRun', reason: available.reason, retryAt: available.retryAt } : undefined
+}
+
 function hasCallerLeft (state: RequestState): boolean {
   return state.caller.leftAt !== undefined
 }
 
-function retryAt (state: RequestState): number {
+function retryAt (context: GatewayContext, state: RequestState): number {
+  const available = findAvailableBackends(context, state, [])
+  if (available.kind === 'none') return available.retryAt
   return steadyNow() + (state.fields.prompt === undefined ? REJECTION_RETRY_MS.plain : REJECTION_RETRY_MS.engine)
 }
 
@@ -148,8 +157,10 @@
   const denied = new Set<string>()
   for (;;) {
     const now = steadyNow()
-    const candidates = context.backends.candidates(state.service, now).filter((candidate) => !excluded.includes(candidate.entry.id))
-    const areAllLimited = candidates.length > 0 && candidates.every(({ limit }) => limit.requestsPerSecond !== undefined)
+    const available = findAvailableBackends(context, state, excluded)
+    if (available.kind === 'none') return available
+    const candidates = available.backends
+    const areAllLimited = candidates.every(({ limit }) => limit.requestsPerSecond !== undefined)
     if (areAllLimited && denied.size === 0 && state.attempts === 0) permits.recordDemand(candidates, priority)
     const choice = chooseBackend(candidates.filter((candidate) => !denied.has(candidate.entry.id) && !permits.isDenied(candidate, priority, now)), {
       prompt: state.fields.prompt,
@@ -159,9 +170,10 @@
     if (choice === undefined) {
       return areAllLimited
         ? { kind: 'none', reason: 'all backend servers are at the request limits that they name', retryAt: permits.retryAt(candidates, priority, now) }
-        : { kind: 'none', reason: 'no backend server', retryAt: now + NO_BACKEND_RETRY_MS }
+        : { kind: 'none', reason: 'no permit for a backend server', retryAt: retryAt(context, state) }
     }
-    const isPermitted = choice.state.limit.requestsPerSecond === undefined || (await permits.acquire(choice.state, priority)).kind === 'granted'
+    const needsPermit = choice.state.limit.requestsPerSecond !== undefined
+    const isPermitted = !needsPermit || ((await permits.acquire(choice.state, priority)).kind === 'granted' && isAvailable(context, state, choice, excluded))
     if (isPermitted) {
       context.choices.set(state, choice)
       return { kind: 'chosen', backendId: choice.state.entry.id }
@@ -170,6 +182,12 @@
   }
 }
 
+/** False when the backend server has said meanwhile that it takes no requests. */
+function isAvailable (context: GatewayContext, state: RequestState, choice: Choice, excluded: readonly string[]): boolean {
+  const available = findAvailableBackends(context, state, excluded)
+  return available.kind === 'some' && available.backends.includes(choice.state)
+}
+
 async function attemptBackend (context: GatewayContext, state: RequestState, backendId: string): Promise<AttemptOutcome> {
   const choice: Choice | undefined = context.choices.get(state)
   if (choice === undefined || choice.state.entry.id !== backendId) return { kind: 'notSent', reason: 'backend server no longer listed' }
