Send a request again to the same address over a new connection

Callers were told "not run" for a request that a backend server was running. After a restart, a backend server is listed under its new ID while the entry of its earlier process has not expired. A request that was refused under one ID (as misdirected or full) went to the other ID, at the same address, over the same kept connection. When a faulty server wrote the refusal once more there, the copy carried the ID of this very request, so that it passed the check of the ID and counted as the response to the second sending.

A request that goes to an address again now uses a connection of its own. A copy on the earlier connection meets no request and closes it.

--- a/packages/gateway/src/__tests__/backendConnections.test.ts
+++ b/packages/gateway/src/__tests__/backendConnections.test.ts
@@ -22,7 +22,7 @@
 function exchangeOnce (pool: BackendConnections, address: string): Promise<ExchangeOutcome> {
   return new Promise((resolve) => {
     let body = ''
-    pool.start({ address, method: 'GET', path: '/', headers: { host: 'example' }, body: Buffer.alloc(0) }, {
+    pool.start({ address, method: 'GET', path: '/', headers: { host: 'example' }, body: Buffer.alloc(0), needsNewConnection: false }, {
       onHead: () => {},
       onData: (chunk) => { body += chunk.toString() },
       onEnd: () => resolve({ kind: 'complete', body }),
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -82,8 +82,10 @@
     method: callerRequest.method ?? 'GET',
     path: callerRequest.url ?? '/',
     headers,
-    body: state.body
+    body: state.body,
+    needsNewConnection: state.triedAddresses.has(backend.entry.address)
   }, { onHead, onData, onEnd, onBroken })
+  state.triedAddresses.add(backend.entry.address)
   const deadlineTimer = setTimeout(() => abort({ kind: 'timedOut', headersSent: state.headersSent }, 'out of time'), Math.max(1, state.deadline - sentAt))
   const stallTimer = canRetry || isStream ? setInterval(checkStall, STALL_CHECK_INTERVAL_MS) : undefined
   const stopWatchingCaller = state.caller.onLeft(handleCallerDisconnect)
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -63,6 +63,11 @@
   readonly path: string
   readonly headers: Record<string, string | string[]>
   readonly body: Buffer
+  /**
+   * Uses a connection of its own. A backend server may write a response once more, and a second copy for the same
+   * request carries its ID, so that only the connection tells it from the response to the request that is sent again.
+   */
+  readonly needsNewConnection: boolean
 }
 
 /** Callbacks of an exchange. Exactly one of `onEnd` and `onBroken` is called, at the latest after an abort. */
@@ -111,7 +116,8 @@
     const headers = exchange.body.length > 0 || exchange.method === 'POST' || exchange.method === 'PUT'
       ? { ...exchange.headers, 'content-length': String(exchange.body.length) }
       : exchange.headers
-    const outgoing = request({ agent: agentFor(exchange.address), host, port: Number(port), method: exchange.method, path: exchange.path, headers, setHost: false })
+    const agent = exchange.needsNewConnection ? new Agent({ keepAlive: false }) : agentFor(exchange.address)
+    const outgoing = request({ agent, host, port: Number(port), method: exchange.method, path: exchange.path, headers, setHost: false })
     let connectTimer: NodeJS.Timeout | undefined
 
     function finish (report: () => void): void {
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -55,6 +55,8 @@
   bufferedResponse: BufferedResponse | undefined
   firstByteAt: number | undefined
   triedBackendIds: string[]
+  /** Addresses to which it was sent; two listed backend servers can have the same one for a while after a restart. */
+  readonly triedAddresses: Set<string>
 }
 
 /** Returns the properties by which a request that crashes backend servers is recognized. The last part of a prompt is its own. */
@@ -91,7 +93,7 @@
   const service = chooseTarget(route.targets, Math.random()) ?? ''
   const timeoutMilliseconds = Math.min(route.timeoutMilliseconds, fields.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MS)
   const state: RequestState = {
-    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, bufferedResponse: undefined, firstByteAt: undefined, triedBackendIds: []
+    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, bufferedResponse: undefined, firstByteAt: undefined, triedBackendIds: [], triedAddresses: new Set()
   }
   context.retryShares.recordRequest(service, admitted.receivedAt)
   const quarantine = context.crashGuard.findQuarantine(state.guarded)
