Detect a reset after a body with a transfer coding other than chunked

Callers got a short body with status 200, framed as whole, and short streams that ended as complete. A response with a transfer coding that isn't chunked ends with its connection, like one without any length. The gateway tells a reset from an end only for responses that end with their connection, and took every Transfer-Encoding for one that frames the body itself.

The new test cuts responses at each byte of head and body, in four framings, by a close, a reset and a later reset, on four routes: 4 of its 48 cases failed before, namely the resets that directly follow the data in this framing; all pass now. The others were clean before.

--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -36,7 +36,9 @@
 
 /** Returns true when the end of the connection marks the end of the body. */
 function isDelimitedByClose (response: IncomingMessage): boolean {
-  return response.headers['content-length'] === undefined && response.headers['transfer-encoding'] === undefined && response.statusCode !== 204 && response.statusCode !== 304
+  if (response.statusCode === 204 || response.statusCode === 304) return false
+  const transferEncoding = response.headers['transfer-encoding']
+  return transferEncoding === undefined ? response.headers['content-length'] === undefined : !/(?:^|,)\s*chunked\s*$/i.test(transferEncoding)
 }
 
 /**
