Continue a stream only with a response of the same kind

Callers of a resumable stream found another response's text in it, or got it as complete after two events. When a stream breaks off, the gateway resumes it at another backend server and passed on the body of any signed success there: a 204 or an empty body ended the caller's stream with its last chunk, and a JSON body with a blank line was written between its events.

Only a response with the status and media type of the stream's first head continues it now. Any other one counts as broken, so that the next backend server is tried or the caller's connection is closed without a last chunk.

The new test breaks streams in five framings by a close, a reset, a later reset and silence, and answers the resumption in 20 ways. Four of these (204, 206, a JSON body, an empty body without a media type) failed in all 19 cases of the resumable route before; all 38 cases pass now. Streams that run once are never sent again; their 19 cases passed before, too.

--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -181,10 +181,16 @@
       return
     }
     const isStreamed = isSuccess && isStream
+    const mediaType = mediaTypeOf(incoming)
+    if (isStreamed && state.headersSent && (status !== state.streamHead?.status || mediaType !== state.streamHead.mediaType)) {
+      abort({ kind: 'broken', reason: `status ${status} and media type '${mediaType}' to a resumed stream`, headersSent: true }, 'unusable response')
+      return
+    }
     head = { incoming, isStreamed }
     if (isSuccess) answeredAt = steadyNow()
     if (isStreamed && !state.headersSent) {
       state.headersSent = true
+      state.streamHead = { status, mediaType }
       state.firstByteAt = steadyNow()
       const responseHeaders = wire.buildResponseHeaders(incoming.rawHeaders)
       response.writeHead(status, withoutContentLength(responseHeaders, context))
@@ -316,6 +322,11 @@
   }
 }
 
+/** Returns the media type without its parameters, in lower case; empty when the response has none. */
+function mediaTypeOf (incoming: IncomingMessage): string {
+  return (incoming.headers['content-type'] ?? '').split(';', 1)[0]?.trim().toLowerCase() ?? ''
+}
+
 /** Removes Content-Length, which is recomputed for the forwarded body, and adds the connection headers. */
 function withoutContentLength (headers: readonly string[], context: GatewayContext): string[] {
   const result: string[] = []
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -52,6 +52,8 @@
   lastEventId: string
   /** True once the response headers were sent to the caller. */
   headersSent: boolean
+  /** The head of a stream that was sent to the caller; only a response of its kind continues the stream. */
+  streamHead: { readonly status: number, readonly mediaType: string } | undefined
   bufferedResponse: BufferedResponse | undefined
   firstByteAt: number | undefined
   triedBackendIds: string[]
@@ -93,7 +95,7 @@
   const service = chooseTarget(route.targets, Math.random()) ?? ''
   const timeoutMilliseconds = Math.min(route.timeoutMilliseconds, fields.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MS)
   const state: RequestState = {
-    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, bufferedResponse: undefined, firstByteAt: undefined, triedBackendIds: [], triedAddresses: new Set()
+    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, streamHead: undefined, bufferedResponse: undefined, firstByteAt: undefined, triedBackendIds: [], triedAddresses: new Set()
   }
   context.retryShares.recordRequest(service, admitted.receivedAt)
   const quarantine = context.crashGuard.findQuarantine(state.guarded)
