Resume a stream only with later events

Callers of a resumable stream got its first events twice when the backend server that should have resumed it began anew, for example because it answered with the events of another run. The gateway sends the ID of the last event that the caller has, but did not check that the response goes on after it.

A resumed response whose first event is not later than the last delivered one now counts as broken; nothing of it is written.

Evidence: "events from the first one on" failed in all 19 cases of the resumable route before and passes now. A further test shows that streams resumed with later events are still received whole after each way of breaking off.

--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import { backendProcessOf, failureWeight, markPartsCached, recordObservation, silenceMilliseconds, type BackendObservation, type PendingAttempt } from '../decisions/backendState.js'
 import { PREFILL_TOKENS_PER_MILLISECOND, type Choice } from '../decisions/backendChoice.js'
-import { createEventSplitter } from '../decisions/eventSplitter.js'
+import { createEventSplitter, isLaterEvent } from '../decisions/eventSplitter.js'
 import { isRetryable, type AttemptOutcome } from '../decisions/requestPlan.js'
 import type { ResponseFields } from '../ports.js'
 import type { GatewayContext } from './gatewayContext.js'
@@ -53,6 +53,7 @@
   const isStream = state.route.deliverySemantics.kind === 'resumableStream' || state.route.deliverySemantics.kind === 'onceStream'
   const canRetry = isRetryable(state.route.deliverySemantics) && state.attempts + 1 < state.route.maximumAttempts
   const pending: PendingAttempt = { sentAt, prefillTokens: choice.prefillTokens, answered: false }
+  const resumedAfter = state.headersSent ? state.lastEventId : ''
   const splitter = createEventSplitter()
   const bodyChunks: Buffer[] = []
   let bodyBytes = 0
@@ -218,6 +219,10 @@
     }
     const complete = splitter.push(chunk)
     recordBytes(complete.events > 0)
+    if (eventsOfAttempt === 0 && complete.events > 0 && !isLaterEvent(complete.firstEventId, resumedAfter)) {
+      abort({ kind: 'broken', reason: `event ${complete.firstEventId} to a stream resumed after ${resumedAfter}`, headersSent: true }, 'unusable response')
+      return
+    }
     eventsOfAttempt += complete.events
     if (eventsOfAttempt >= EVENTS_OF_SOUND_ANSWER) recordSoundAnswer()
     // An event holds at least one token.
