End an exchange at once when the protocol is switched

A caller whose backend server answered with status 101 waited until its deadline. Node closes such a connection and emits only "close" for the request, which the gateway did not handle, so that the exchange ended with the timer.

The request's "close" now ends an exchange that has no response.

--- a/packages/gateway/src/__tests__/backendConnections.test.ts
+++ b/packages/gateway/src/__tests__/backendConnections.test.ts
@@ -57,6 +57,12 @@
     expect(outcome.kind).toBe('broken')
   })
 
+  // Guards against a request that waits for its deadline because the backend server switched protocols.
+  test('a response that switches protocols is broken at once', async () => {
+    const outcome = await exchangeWith((socket) => socket.write('HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n'))
+    expect(outcome).toMatchObject({ kind: 'broken', sent: true })
+  }, 2000)
+
   test('a chunked response without its last chunk is broken', async () => {
     const outcome = await exchangeWith((socket) => socket.end('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n'))
     expect(outcome.kind).toBe('broken')
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -149,6 +149,8 @@
       if (++interimResponses > MAX_INTERIM_RESPONSES) fail('interim responses without end')
     })
     outgoing.on('error', (error) => fail(error.message))
+    // Node closes a connection on which the protocol is switched, without any other event.
+    outgoing.on('close', () => { if (incoming === undefined) fail('connection closed without a response') })
     outgoing.on('response', (response) => {
       if (finished) return
       incoming = response
