Reset the connection when a stream to an HTTP/1.0 caller breaks off

A caller that speaks HTTP/1.0 took a stream that broke off for complete: it knows no chunks, so that the end of the connection ends the response, and the gateway closed the connection in order. It resets such a connection now, as a backend server's reset counts here, too.

Tests: both routes failed before (no reset seen) and pass now. The case of a caller that has sent its next request on the same connection was right before: its connection is closed without a last chunk and without the next response.

--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -195,6 +195,12 @@
   })
 }
 
+/** Ends a partly sent response so that it doesn't look complete: for callers without chunks, an orderly close would end it. */
+function cutOffResponse ({ incoming, response }: RequestState): void {
+  if (incoming.httpVersion === '1.0') incoming.socket.resetAndDestroy()
+  else response.destroy()
+}
+
 /** Sends the final response to the caller and logs the result. */
 function finishRequest (context: GatewayContext, state: RequestState, result: PlanResult, tokens: { readonly reserved: number, readonly used: number }): void {
   const { response } = state
@@ -217,7 +223,7 @@
     case 'timedOut':
       sendError(context, response, { status: 504, code: 'timed_out', message: 'no response within the time limit', run: 'unknown' })
       break
-    case 'cutOff': response.destroy(); break
+    case 'cutOff': cutOffResponse(state); break
     default: assertNever(result)
   }
   const now = steadyNow()
