Don't pass on 408 or 429 without the mark of a refusal

Callers were told by status 408 or 429 that a request had not run although its backend server had run it, and sent requests that may run once again. Such a status from the gateway is a promise, which a backend server makes only with the mark of a refusal. The gateway checked that for 503, but passed responses below 500 on before.

The check comes first now: the response counts as broken, the caller gets 502 with "unknown" unless the request may be tried elsewhere.

--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -258,16 +258,16 @@
     }
     state.mayHaveRun = true
     const buffered = bufferResponse(head.incoming)
+    if (fields.impliesNotRun || (status >= STATUS.serverError && !fields.isSigned)) {
+      recordBackendObservation({ kind: 'errorResponse' })
+      return settle({ kind: 'broken', reason: `status ${status} is unsigned or wrongly implies that the request was not run`, headersSent: state.headersSent })
+    }
     if (status < STATUS.serverError) {
       recordSuccess()
       if (state.headersSent) return settle({ kind: 'broken', reason: `status ${status} to a resumed stream`, headersSent: true })
       buffered.deliver()
       return settle({ kind: 'delivered', status })
     }
-    if (!fields.isSigned || fields.impliesNotRun) {
-      recordBackendObservation({ kind: 'errorResponse' })
-      return settle({ kind: 'broken', reason: `status ${status} is unsigned or wrongly implies that the request was not run`, headersSent: state.headersSent })
-    }
     const isBackendFailing = failureWeight(backend, steadyNow()) >= FAILING_BACKEND_WEIGHT
     recordBackendObservation({ kind: 'errorResponse' })
     if (!state.headersSent) state.bufferedResponse = buffered
