--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from 'node:http'
 import { backendProcessOf, failureWeight, markPartsCached, recordObservation, silenceMilliseconds, type BackendObservation, type PendingAttempt } from '../decisions/backendState.js'
 import { PREFILL_TOKENS_PER_MILLISECOND, type Choice } from '../decisions/backendChoice.js'
-import { createEventSplitter } from '../decisions/eventSplitter.js'
+import { createEventSplitter, isLaterEvent } from '../decisions/eventSplitter.js'
 import { isRetryable, type AttemptOutcome, type RetryReservation } from '../decisions/requestPlan.js'
 import type { ResponseFields } from '../ports.js'
 import { recordAcceptance } from './availableBackends.js'
@@ -67,6 +67,7 @@
   const isStream = state.route.deliverySemantics.kind === 'resumableStream' || state.route.deliverySemantics.kind === 'onceStream'
   const canRetry = isRetryable(state.route.deliverySemantics) && state.attempts + 1 < state.route.maximumAttempts
   const pending: PendingAttempt = { sentAt, prefillTokens: choice.prefillTokens, answered: false }
+  const resumedAfter = state.headersSent ? state.lastEventId : ''
   const splitter = createEventSplitter()
   const bodyChunks: Buffer[] = []
   let bodyBytes = 0
@@ -100,8 +101,10 @@
     method: callerRequest.method ?? 'GET',
     path: callerRequest.url ?? '/',
     headers,
-    body: state.body
+    body: state.body,
+    needsNewConnection: state.triedAddresses.has(backend.entry.address)
   }, { onHead, onData, onEnd, onBroken })
+  state.triedAddresses.add(backend.entry.address)
   const deadlineTimer = setTimeout(() => abort({ kind: 'timedOut', headersSent: state.headersSent }, 'out of time'), Math.max(1, state.deadline - sentAt))
   const stallTimer = canRetry || isStream ? setInterval(checkStall, STALL_CHECK_INTERVAL_MS) : undefined
   const stopWatchingCaller = state.caller.onLeft(handleCallerDisconnect)
@@ -227,12 +230,18 @@
       return
     }
     const isStreamed = isSuccess && isStream
+    const mediaType = mediaTypeOf(incoming)
+    if (isStreamed && state.headersSent && (status !== state.streamHead?.status || mediaType !== state.streamHead.mediaType)) {
+      abort({ kind: 'broken', reason: `status ${status} and media type '${mediaType}' to a resumed stream`, headersSent: true }, 'unusable response')
+      return
+    }
     head = { incoming, isStreamed }
     if (isSuccess) answeredAt = steadyNow()
     if (isStreamed && !state.headersSent) {
       const responseHeaders = wire.buildResponseHeaders(incoming.rawHeaders)
       response.writeHead(status, withoutContentLength(responseHeaders, context))
       state.headersSent = true
+      state.streamHead = { status, mediaType }
       state.firstByteAt = steadyNow()
     }
   }
@@ -258,6 +267,10 @@
     }
     const complete = splitter.push(chunk)
     recordBytes(complete.events > 0)
+    if (eventsOfAttempt === 0 && complete.events > 0 && !isLaterEvent(complete.firstEventId, resumedAfter)) {
+      abort({ kind: 'broken', reason: `event ${complete.firstEventId} to a stream resumed after ${resumedAfter}`, headersSent: true }, 'unusable response')
+      return
+    }
     eventsOfAttempt += complete.events
     if (eventsOfAttempt >= EVENTS_OF_SOUND_ANSWER) recordSoundAnswer()
     // An event holds at least one token.
@@ -293,16 +306,16 @@
     }
     state.mayHaveRun = true
     const buffered = bufferResponse(head.incoming)
+    if (fields.impliesNotRun || (status >= STATUS.serverError && !fields.isSigned)) {
+      recordBackendObservation({ kind: 'errorResponse' })
+      return settle({ kind: 'broken', reason: `status ${status} is unsigned or wrongly implies that the request was not run`, headersSent: state.headersSent })
+    }
     if (status < STATUS.serverError) {
       recordSuccess()
       if (state.headersSent) return settle({ kind: 'broken', reason: `status ${status} to a resumed stream`, headersSent: true })
       buffered.deliver()
       return settle({ kind: 'delivered', status })
     }
-    if (!fields.isSigned || fields.impliesNotRun) {
-      recordBackendObservation({ kind: 'errorResponse' })
-      return settle({ kind: 'broken', reason: `status ${status} is unsigned or wrongly implies that the request was not run`, headersSent: state.headersSent })
-    }
     const isBackendFailing = failureWeight(backend, steadyNow()) >= FAILING_BACKEND_WEIGHT
     recordBackendObservation({ kind: 'errorResponse' })
     if (!state.headersSent) state.bufferedResponse = buffered
@@ -362,6 +375,11 @@
   }
 }
 
+/** Returns the media type without its parameters, in lower case; empty when the response has none. */
+function mediaTypeOf (incoming: IncomingMessage): string {
+  return (incoming.headers['content-type'] ?? '').split(';', 1)[0]?.trim().toLowerCase() ?? ''
+}
+
 /** Removes Content-Length, which is recomputed for the forwarded body, and adds the connection headers. */
 function withoutContentLength (headers: readonly string[], context: GatewayContext): string[] {
   const result: string[] = []
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -36,7 +36,9 @@
 
 /** Returns true when the end of the connection marks the end of the body. */
 function isDelimitedByClose (response: IncomingMessage): boolean {
-  return response.headers['content-length'] === undefined && response.headers['transfer-encoding'] === undefined && response.statusCode !== 204 && response.statusCode !== 304
+  if (response.statusCode === 204 || response.statusCode === 304) return false
+  const transferEncoding = response.headers['transfer-encoding']
+  return transferEncoding === undefined ? response.headers['content-length'] === undefined : !/(?:^|,)\s*chunked\s*$/i.test(transferEncoding)
 }
 
 /**
@@ -63,6 +65,11 @@
   readonly path: string
   readonly headers: Record<string, string | string[]>
   readonly body: Buffer
+  /**
+   * Uses a connection of its own. A backend server may write a response once more, and a second copy for the same
+   * request carries its ID, so that only the connection tells it from the response to the request that is sent again.
+   */
+  readonly needsNewConnection: boolean
 }
 
 /** Callbacks of an exchange. Exactly one of `onEnd` and `onBroken` is called, at the latest after an abort. */
@@ -111,7 +118,8 @@
     const headers = exchange.body.length > 0 || exchange.method === 'POST' || exchange.method === 'PUT'
       ? { ...exchange.headers, 'content-length': String(exchange.body.length) }
       : exchange.headers
-    const outgoing = request({ agent: agentFor(exchange.address), host, port: Number(port), method: exchange.method, path: exchange.path, headers, setHost: false })
+    const agent = exchange.needsNewConnection ? new Agent({ keepAlive: false }) : agentFor(exchange.address)
+    const outgoing = request({ agent, host, port: Number(port), method: exchange.method, path: exchange.path, headers, setHost: false })
     let connectTimer: NodeJS.Timeout | undefined
 
     function finish (report: () => void): void {
@@ -156,7 +164,7 @@
       if (++interimResponses > MAX_INTERIM_RESPONSES) fail('interim responses without end')
     })
     outgoing.on('error', (error) => fail(error.message))
-    // Node closes the connection of a response that upgrades it without any other event.
+    // Node closes a connection on which the protocol is switched, without any other event.
     outgoing.on('close', () => { if (incoming === undefined) fail('connection closed without a response') })
     outgoing.on('response', (response) => {
       if (finished) return
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -54,9 +54,13 @@
   lastEventId: string
   /** True once the response headers were sent to the caller. */
   headersSent: boolean
+  /** The head of a stream that was sent to the caller; only a response of its kind continues the stream. */
+  streamHead: { readonly status: number, readonly mediaType: string } | undefined
   bufferedResponse: BufferedResponse | undefined
   firstByteAt: number | undefined
   triedBackendIds: string[]
+  /** Addresses to which it was sent; two listed backend servers can have the same one for a while after a restart. */
+  readonly triedAddresses: Set<string>
 }
 
 /** Returns the properties by which a request that crashes backend servers is recognized. The last part of a prompt is its own. */
@@ -93,7 +97,7 @@
   const service = chooseTarget(route.targets, Math.random()) ?? ''
   const timeoutMilliseconds = Math.min(route.timeoutMilliseconds, fields.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MS)
   const state: RequestState = {
-    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, bufferedResponse: undefined, firstByteAt: undefined, triedBackendIds: []
+    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, streamHead: undefined, bufferedResponse: undefined, firstByteAt: undefined, triedBackendIds: [], triedAddresses: new Set()
   }
   context.retryShares.recordRequest(service, admitted.receivedAt)
   const refusal = findRefusal(context, state)
@@ -225,6 +229,12 @@
   })
 }
 
+/** Ends a partly sent response so that it doesn't look complete: for callers without chunks, an orderly close would end it. */
+function cutOffResponse ({ incoming, response }: RequestState): void {
+  if (incoming.httpVersion === '1.0') incoming.socket.resetAndDestroy()
+  else response.destroy()
+}
+
 /** Sends the final response to the caller and logs the result. */
 function finishRequest (context: GatewayContext, state: RequestState, result: PlanResult, tokens: { readonly reserved: number, readonly used: number }): void {
   const { response } = state
@@ -247,7 +257,7 @@
     case 'timedOut':
       sendError(context, response, { status: 504, code: 'timed_out', message: 'no response within the time limit', run: 'unknown' })
       break
-    case 'cutOff': response.destroy(); break
+    case 'cutOff': cutOffResponse(state); break
     default: assertNever(result)
   }
   const now = steadyNow()
