--- a/packages/gateway/src/__tests__/fleetTask.test.ts
+++ b/packages/gateway/src/__tests__/fleetTask.test.ts
@@ -21,6 +21,7 @@
     log,
     instanceId,
     incarnationId: `${instanceId}.1`,
+    configurationVersion: () => 1,
     peerAddress: `${instanceId}:80`,
     failureDomain,
     onCrash,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 import { createBackendConnections } from './tasks/backendConnections.js'
 import { startBackendTask } from './tasks/backendTask.js'
 import { createCallersListener, type CallersListener } from './tasks/callersListener.js'
+import { createConfirmedConfiguration } from './tasks/confirmedConfiguration.js'
 import { startConfigurationTask } from './tasks/configurationTask.js'
 import { createCrashGuard } from './tasks/crashGuard.js'
 import { createDecisionLog, type DecisionLog } from './tasks/decisionLog.js'
@@ -80,6 +81,7 @@
     log,
     instanceId: settings.instanceId,
     incarnationId,
+    configurationVersion: () => configuration.current?.configuration.version ?? 0,
     peerAddress: settings.peerAddress,
     failureDomain: settings.failureDomain,
     onCrash: crashGuard.learnCrash,
@@ -141,6 +143,7 @@
   })
   const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow })
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
+  const confirmedConfiguration = createConfirmedConfiguration({ current: () => configuration.current, mayBeOutdated: fleet.mayBeOutdated })
   const backends = startBackendTask({ platform, log, era, drainMilliseconds: settings.drainMilliseconds, onRemoved: (state) => connections.closeIdle(state.entry.address) })
   const context: GatewayContext = {
     settings,
@@ -148,7 +151,7 @@
     log,
     metrics,
     eventLoopDelay: startEventLoopDelay(metrics, log),
-    configuration: () => configuration.current,
+    configuration: confirmedConfiguration,
     backends,
     acceptance: createBackendAcceptance(),
     connections,
@@ -173,6 +176,7 @@
   function notReadyReason (): string {
     if (stopping) return 'stopping'
     if (configuration.current === undefined) return 'no configuration'
+    if (confirmedConfiguration() === undefined) return 'the configuration may be outdated'
     if (backends.follower.lastResponseAt === 0) return 'no list of backend servers'
     return ''
   }
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -65,6 +65,8 @@
   receive (reports: readonly Report[]): void
   /** Tells all instances of the limit that a backend server names. */
   announceLimit (backendProcess: string, known: KnownLimit): void
+  /** True when peers know, or may know, a newer configuration than the one that a restored store still holds. */
+  mayBeOutdated (configurationVersion: number): boolean
   /** False for some time after a restore of the store, until all instances have recorded again what they had drawn. */
   readonly mayDraw: boolean
   /** True when an instance has recorded its draws again since the last restore. */
@@ -86,6 +88,8 @@
   readonly instanceId: string
   /** Unique ID of this run of the process. */
   readonly incarnationId: string
+  /** Version of the configuration in force; 0 without one. */
+  readonly configurationVersion: () => number
   /** Address at which peers reach this instance. */
   readonly peerAddress: string
   readonly failureDomain: string
@@ -105,8 +109,8 @@
   const rowVersions = new Map<string, number>()
   /** Era in which each instance has last recorded its draws again. */
   const recoveredEras = new Map<string, number>()
-  /** Era in which each instance has registered. */
-  const registeredEras = new Map<string, string>()
+  /** What each instance told with its registration. */
+  const registrations = new Map<string, { readonly era: string, readonly configurationVersion: number }>()
   let drawFrom = 0
   let keptReports: Report[] = []
   const homesByAccount = new Map<string, readonly Peer[]>()
@@ -117,12 +121,13 @@
   const pendingAnswers = new Set<string>()
   let reportSequence = 0
   let stopped = false
+  let hasReadPeers = false
   let markRead: () => void = () => {}
   const isRead = new Promise<void>((resolve) => { markRead = resolve })
 
   /** Value of this instance's row; the era is known from the first response on. */
   function registration (): string {
-    return `${options.peerAddress} ${options.failureDomain} ${options.incarnationId} ${era.current ?? ''}`
+    return `${options.peerAddress} ${options.failureDomain} ${options.incarnationId} ${era.current ?? ''} ${options.configurationVersion()}`
   }
 
   async function writeRow (key: string, value: string): Promise<boolean> {
@@ -136,9 +141,9 @@
     if (row.key.startsWith(PREFIX.instance)) {
       const name = row.key.slice(PREFIX.instance.length)
       homesByAccount.clear()
-      const [address = '', failureDomain = '', incarnationId = '', registeredEra = ''] = row.value.split(' ')
+      const [address = '', failureDomain = '', incarnationId = '', registeredEra = '', configurationVersion = '0'] = row.value.split(' ')
       rowVersions.set(name, row.version)
-      registeredEras.set(name, registeredEra)
+      registrations.set(name, { era: registeredEra, configurationVersion: Number(configurationVersion) })
       if (row.deleted) instances.delete(name)
       else instances.set(name, { instanceId: name, address, failureDomain, incarnationId })
       return
@@ -175,6 +180,7 @@
     prefersFullRead: false,
     onSnapshot: (rows) => {
       for (const row of rows) applyRow(row)
+      hasReadPeers = true
       markRead()
     },
     onChanges: (rows) => { for (const row of rows) applyRow(row) }
@@ -197,10 +203,14 @@
     setTimeout(() => { if (era.restoredAt === restoredAt) dropUnregistered() }, REGISTRATION_GRACE_MS)
   }
 
+  function hasRegistered (instanceId: string): boolean {
+    return era.current === undefined || registrations.get(instanceId)?.era === String(era.current)
+  }
+
   /** Forgets instances that had stopped since the copy: their registrations are back, but no process renews them. */
   function dropUnregistered (): void {
     for (const { instanceId } of peersOf()) {
-      if (registeredEras.get(instanceId) === String(era.current)) continue
+      if (hasRegistered(instanceId)) continue
       const isRemover = homesOf(`${PREFIX.instance}${instanceId}`).some((home) => home.instanceId === options.instanceId)
       instances.delete(instanceId)
       homesByAccount.clear()
@@ -318,6 +328,7 @@
     reportCrash,
     reportAnswer,
     announceLimit,
+    mayBeOutdated: (configurationVersion) => !hasReadPeers || peersOf().some(({ instanceId }) => !hasRegistered(instanceId) || (registrations.get(instanceId)?.configurationVersion ?? 0) > configurationVersion),
     get mayDraw () { return steadyNow() >= drawFrom || (instances.size > 0 && peersOf().every((peer) => hasRecovered(peer.instanceId))) },
     hasRecovered,
     confirmRecovery: () => { writeRecovery().catch((error: unknown) => log.warning('recoveryNotConfirmed', { reason: String(error) })) },
