Play silent backend servers beside planned work in the soak

New: sound backend servers that fall silent for 0.5 to 1.4 s beside stops, reloads and configurations (`--silences`), and the guarantee that no response is interrupted unless a fault that interrupts responses explains it. The test of planned stops now expects both violations of its interrupted record.

--- a/soak/src/__tests__/soak.test.ts
+++ b/soak/src/__tests__/soak.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals'
 import { checkGuarantees, completeBody, type CallerRecord, type Observations } from '../checkGuarantees.js'
-import { planFaults, planFaultsAndLimits } from '../faultPlan.js'
+import { planFaults, planFaultsAndLimits, planSilences } from '../faultPlan.js'
 import { runSoak } from '../soakRun.js'
 
 /**
@@ -10,6 +10,8 @@
 const SEEDS = [1000, 1011, 8001] as const
 /** Without permits, both find a backend server that gets more requests than the limit that it names. */
 const SEEDS_WITH_LIMITS = [25_000, 25_002] as const
+/** Finds streams that are cut off in a silence when a retry is asked for only after the silent backend server was given up. */
+const SEEDS_WITH_SILENCES = [30_000] as const
 const EVENTS_PER_STREAM = 3
 
 function createRecord (overrides: Partial<CallerRecord> = {}): CallerRecord {
@@ -46,10 +48,17 @@
 
   test('a response interrupted by a planned stop is detected unless another fault explains it', () => {
     const plannedStops = [{ gateway: 0, generation: 0, from: 150 }]
-    expect(findViolations([createRecord({ complete: false })], { plannedStops })).toEqual(['plannedStop'])
+    expect(findViolations([createRecord({ complete: false })], { plannedStops })).toEqual(['plannedStop', 'interrupted'])
     expect(findViolations([createRecord({ complete: false })], { plannedStops, faultWindows: [{ from: 140, to: 300, interruptsResponses: true, delaysRequests: false }] })).toEqual([])
   })
 
+  test('an interrupted response is detected unless a fault explains it or its caller left', () => {
+    expect(findViolations([createRecord({ complete: false })])).toEqual(['interrupted'])
+    expect(findViolations([createRecord({ complete: false, leavesAt: 150 })])).toEqual([])
+    expect(findViolations([createRecord({ complete: false })], { faultWindows: [{ from: 140, to: 300, interruptsResponses: true, delaysRequests: false }] })).toEqual([])
+    expect(findViolations([createRecord({ complete: false })], { faultWindows: [{ from: 140, to: 300, interruptsResponses: false, delaysRequests: false }] })).toEqual(['interrupted'])
+  })
+
   test('a return to an older configuration is detected', () => {
     const served = createRecord({ kind: 'repeatable', routeVersion: 2 })
     expect(findViolations([served, { ...served, sentAt: 300, answeredAt: 310, status: 404 }])).toEqual(['configuration'])
@@ -101,4 +110,10 @@
     expect(report.broken).toEqual([])
     expect(report.statuses['200']).toBeGreaterThan(0)
   }, 40_000)
+
+  test.each(SEEDS_WITH_SILENCES)('seed %d with silent backend servers violates no guarantee', async (seed) => {
+    const report = await runSoak(planSilences(seed))
+    expect(report.broken).toEqual([])
+    expect(report.statuses['200']).toBeGreaterThan(0)
+  }, 40_000)
 })
--- a/soak/src/checkGuarantees.ts
+++ b/soak/src/checkGuarantees.ts
@@ -74,7 +74,7 @@
 /** A guarantee that did not hold. */
 export interface GuaranteeViolation {
   /** Name of the guarantee. */
-  readonly promise: 'budget' | 'once' | 'refusal' | 'whole' | 'plannedStop' | 'configuration' | 'recovery' | 'departure' | 'limit'
+  readonly promise: 'budget' | 'once' | 'refusal' | 'whole' | 'plannedStop' | 'interrupted' | 'configuration' | 'recovery' | 'departure' | 'limit'
   readonly detail: string
 }
 
@@ -137,6 +137,14 @@
   }
 }
 
+function * checkInterruptions (observations: Observations): Generator<GuaranteeViolation> {
+  for (const record of observations.callers) {
+    if (record.status !== 200 || record.complete || record.leavesAt !== undefined) continue
+    const isExcused = observations.faultWindows.some(({ from, to, interruptsResponses }) => interruptsResponses && from <= record.answeredAt && to >= record.sentAt)
+    if (!isExcused) yield { promise: 'interrupted', detail: `${record.attempt} was interrupted after ${record.answeredAt - record.sentAt} ms` }
+  }
+}
+
 function * checkConfiguration (observations: Observations): Generator<GuaranteeViolation> {
   const newestServed = new Map<string, { version: number, at: number }>()
   const ordered = observations.callers.filter((record) => record.routeVersion !== undefined).sort((left, right) => left.sentAt - right.sentAt)
@@ -192,6 +200,7 @@
   yield * checkRuns(observations)
   yield * checkResponses(observations)
   yield * checkPlannedStops(observations)
+  yield * checkInterruptions(observations)
   yield * checkConfiguration(observations)
   yield * checkRecovery(observations)
   yield * checkDepartures(observations)
--- a/soak/src/faultPlan.ts
+++ b/soak/src/faultPlan.ts
@@ -23,6 +23,8 @@
   | { readonly kind: 'powerLoss', readonly at: number, readonly downFor: number }
   /** A backend server in need names a request limit in its responses. */
   | { readonly kind: 'namedLimit', readonly at: number, readonly backend: number, readonly lasts: number, readonly requestsPerSecond: number }
+  /** A sound backend server sends nothing for a while and then goes on; this excuses no interrupted response. */
+  | { readonly kind: 'backendSilence', readonly at: number, readonly backend: number, readonly lasts: number }
 
 const at = fastCheck.integer({ min: 300, max: FAULT_PHASE_END_MS - 1500 })
 const lasts = fastCheck.integer({ min: 200, max: 4000 })
@@ -51,6 +53,27 @@
   requestsPerSecond: fastCheck.integer({ min: 0, max: 60 }).map((tenths) => tenths / 10)
 })
 
+const backendSilence = fastCheck.record({
+  kind: fastCheck.constant('backendSilence' as const),
+  // While there are tokens for streams.
+  at: fastCheck.integer({ min: 300, max: 3000 }),
+  backend,
+  lasts: fastCheck.integer({ min: 500, max: 1400 })
+})
+
+const plannedWork: fastCheck.Arbitrary<PlannedFault> = fastCheck.oneof(
+  fastCheck.record({ kind: fastCheck.constant('stop' as const), at, gateway, downFor }),
+  fastCheck.record({ kind: fastCheck.constant('reload' as const), at, gateway }),
+  fastCheck.record({ kind: fastCheck.constant('configuration' as const), at })
+)
+
+/** Generates sound backend servers that fall silent, each once, beside planned stops, reloads and new configurations. */
+export function planSilences (seed: number): readonly PlannedFault[] {
+  const silences = fastCheck.uniqueArray(backendSilence, { minLength: 2, maxLength: BACKEND_COUNT, selector: (silence) => silence.backend })
+  const [[silent, work] = [[], []]] = fastCheck.sample(fastCheck.tuple(silences, fastCheck.array(plannedWork, { minLength: 1, maxLength: 5 })), { seed, numRuns: 1 })
+  return [...silent, ...work].sort((left, right) => left.at - right.at)
+}
+
 /** Generates the faults of a seed like `planFaults`, and backend servers that name limits beside them. */
 export function planFaultsAndLimits (seed: number): readonly PlannedFault[] {
   const [limits = []] = fastCheck.sample(fastCheck.uniqueArray(namedLimit, { minLength: 1, maxLength: BACKEND_COUNT, selector: (limit) => limit.backend }), { seed, numRuns: 1 })
--- a/soak/src/soakCommand.ts
+++ b/soak/src/soakCommand.ts
@@ -1,5 +1,5 @@
 import { defineCommand, runMain } from 'citty'
-import { planFaultsAndLimits, type PlannedFault } from './faultPlan.js'
+import { planFaultsAndLimits, planSilences, type PlannedFault } from './faultPlan.js'
 import { runSoak } from './soakRun.js'
 
 function writeLine (line: Record<string, unknown>): void {
@@ -21,6 +21,7 @@
   args: {
     first: { type: 'string', description: 'First seed; defaults to one derived from the current time' },
     seeds: { type: 'string', default: '5', description: 'Number of seeds' },
+    silences: { type: 'boolean', default: false, description: 'Sound backend servers fall silent beside planned work, in place of all other faults' },
     shrink: { type: 'boolean', default: false, description: 'Searches for a smaller set of faults that still fails' }
   },
   run: async ({ args }) => {
@@ -29,7 +30,7 @@
     if (!Number.isInteger(first) || !Number.isInteger(count)) throw new Error(`--first is "${args.first ?? ''}" and --seeds is "${args.seeds}"; both must be whole numbers`)
     let failed = 0
     for (let seed = first; seed < first + count; seed++) {
-      const plan = planFaultsAndLimits(seed)
+      const plan = args.silences ? planSilences(seed) : planFaultsAndLimits(seed)
       const report = await runSoak(plan)
       writeLine({ seed, faults: plan.map(({ kind, at }) => `${kind}@${at}`).join(' '), ...report })
       if (report.broken.length === 0) continue
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -43,22 +43,30 @@
 
 const sleep = async (milliseconds: number): Promise<void> => { await new Promise((resolve) => setTimeout(resolve, milliseconds)) }
 
-function installBackendHandler (backend: BackendStandIn, index: number, runs: BackendRun[], currentLimit: () => number | undefined): void {
+/** Calls `write` once the backend server is not silent. */
+function writeAfterSilence (silentUntil: () => number, write: () => void): void {
+  const wait = silentUntil() - Date.now()
+  if (wait > 0) setTimeout(() => writeAfterSilence(silentUntil, write), wait)
+  else write()
+}
+
+function installBackendHandler (backend: BackendStandIn, index: number, runs: BackendRun[], currentLimit: () => number | undefined, silentUntil: () => number): void {
   backend.handler = (received, response) => {
     const attempt = received.attemptId
     const limit = currentLimit()
     if (limit !== undefined) response.setHeaders(new Map(Object.entries(limitHeaders(String(limit)))))
     runs.push({ attempt, at: Date.now(), backend: index })
     if (!received.url.startsWith('/chat/')) {
-      setTimeout(() => {
+      setTimeout(() => writeAfterSilence(silentUntil, () => {
         response.writeHead(200, signedHeaders(received))
         response.end(completeBody('once', attempt, EVENTS_PER_STREAM))
-      }, RESPONSE_DELAY_MS)
+      }), RESPONSE_DELAY_MS)
       return
     }
     let event = received.resumedAfter
     response.writeHead(200, { ...signedHeaders(received), 'content-type': 'text/event-stream' })
     const timer = setInterval(() => {
+      if (Date.now() < silentUntil()) return
       event++
       response.write(`id: ${event}\ndata: ${attempt} token ${event}\n\n`)
       if (event < EVENTS_PER_STREAM) return
@@ -92,13 +100,14 @@
   const namedLimits: NamedLimitPeriod[] = []
   const disruptions: Disruption[] = []
   const limits = new Map<number, number>()
+  const silences = new Map<number, number>()
   const backends = await Promise.all(Array.from({ length: BACKEND_COUNT }, async () => await startBackendStandIn()))
   const backendLinks = await Promise.all(backends.map(async ({ address }) => await startFaultyLink(address)))
   const storeLinks = await Promise.all(Array.from({ length: GATEWAY_COUNT }, async () => await startFaultyLink(store.address)))
   let version = 1
   store.putConfiguration(versionedConfiguration(version, PREPAID_TOKENS))
   for (const [index, backend] of backends.entries()) {
-    installBackendHandler(backend, index, runs, () => limits.get(index))
+    installBackendHandler(backend, index, runs, () => limits.get(index), () => silences.get(index) ?? 0)
     store.putBackend(`backend${index}`, wireBackendWithSlots(index % 2 === 0 ? 'model' : 'ledger', backendLinks[index]?.address ?? '', BACKEND_SLOTS))
   }
 
@@ -200,6 +209,10 @@
         store.putConfiguration(versionedConfiguration(version, PREPAID_TOKENS))
         return
       case 'namedLimit': return await nameLimit(fault)
+      case 'backendSilence':
+        silences.set(fault.backend, Date.now() + fault.lasts)
+        recordFaultWindow(fault.lasts, false)
+        return
       case 'powerLoss':
         await Promise.all(gateways.map(async (_, index) => await killGateway(index, fault.downFor)))
     }
