--- a/packages/gateway/src/__tests__/backendConnections.test.ts
+++ b/packages/gateway/src/__tests__/backendConnections.test.ts
@@ -22,7 +22,7 @@
 function exchangeOnce (pool: BackendConnections, address: string): Promise<ExchangeOutcome> {
   return new Promise((resolve) => {
     let body = ''
-    pool.start({ address, method: 'GET', path: '/', headers: { host: 'example' }, body: Buffer.alloc(0) }, {
+    pool.start({ address, method: 'GET', path: '/', headers: { host: 'example' }, body: Buffer.alloc(0), needsNewConnection: false }, {
       onHead: () => {},
       onData: (chunk) => { body += chunk.toString() },
       onEnd: () => resolve({ kind: 'complete', body }),
@@ -57,6 +57,12 @@
     expect(outcome.kind).toBe('broken')
   })
 
+  // Guards against a request that waits for its deadline because the backend server switched protocols.
+  test('a response that switches protocols is broken at once', async () => {
+    const outcome = await exchangeWith((socket) => socket.write('HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n'))
+    expect(outcome).toMatchObject({ kind: 'broken', sent: true })
+  }, 2000)
+
   test('a chunked response without its last chunk is broken', async () => {
     const outcome = await exchangeWith((socket) => socket.end('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n'))
     expect(outcome.kind).toBe('broken')
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,10 +19,12 @@
 import { startEventLoopDelay } from './tasks/eventLoopDelay.js'
 import { startFleetTask } from './tasks/fleetTask.js'
 import type { GatewayContext } from './tasks/gatewayContext.js'
+import { createLeaseWitness } from './tasks/leaseWitness.js'
 import { createPeerListener, PEER_PATH, postToPeer } from './tasks/peerMessages.js'
 import { observeStoreTime } from './tasks/observeStoreTime.js'
 import { createSendingPermits } from './tasks/sendingPermits.js'
 import { createTokenLoans } from './tasks/tokenLoans.js'
+import { watchStoreEra } from './tasks/storeEra.js'
 import { startTokenTask } from './tasks/tokenTask.js'
 
 /** New connections are accepted for this time after SIGTERM: the load balancer removes an instance after two failed checks. */
@@ -52,14 +54,16 @@
 
 /** Starts a gateway process; resolves once its servers listen. SIGTERM and SIGINT stop it. */
 export async function runGateway (options: GatewayOptions): Promise<void> {
-  const { platform, settings } = options
+  const { settings } = options
   const incarnationId = `${settings.instanceId}.${randomUUID().slice(0, 8)}`
   const log = createDecisionLog({ instanceId: settings.instanceId, level: settings.logLevel })
   const metrics = createMetrics()
   log.event('starting', { lifetime: incarnationId, failureDomain: settings.failureDomain, processId: process.pid })
   const connections = createBackendConnections()
   const sharedClock = createSharedClock()
-  const store = observeStoreTime(platform.store, sharedClock)
+  const { store: watchedStore, era } = watchStoreEra(options.platform.store, log)
+  const store = observeStoreTime(watchedStore, sharedClock)
+  const platform = { ...options.platform, store }
   const crashGuard = createCrashGuard({
     log,
     clock: sharedClock,
@@ -72,6 +76,7 @@
 
   const fleet = startFleetTask({
     store,
+    era,
     log,
     instanceId: settings.instanceId,
     incarnationId,
@@ -106,7 +111,23 @@
     borrow: loans.borrow,
     giveBack: loans.giveBack,
     tokensInTransit: () => loans.tokensInTransit,
-    isStoreUnreachable: () => backends.follower.isStoreUnreachable
+    isStoreUnreachable: () => backends.follower.isStoreUnreachable,
+    era,
+    mayDraw: () => fleet.mayDraw,
+    onRecovered: fleet.confirmRecovery,
+    onOutdatedLease: fleet.awaitRecovery,
+    onTotals: (totals) => witness.tell(totals)
+  })
+  const witness = createLeaseWitness({
+    store,
+    era,
+    log,
+    instanceId: settings.instanceId,
+    incarnationId,
+    spansParts: settings.storeSpansParts,
+    witnesses: () => fleet.homes(`lease/${settings.instanceId}`).filter((home) => home.instanceId !== settings.instanceId),
+    hasRecovered: fleet.hasRecovered,
+    learnPredecessor: tokens.learnPredecessor
   })
   const permits = createSendingPermits({
     instanceId: settings.instanceId,
@@ -118,9 +139,9 @@
     announce: fleet.announceLimit,
     count: (outcome) => metrics.count('permits_total', { outcome })
   })
-  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, receiveReports: fleet.receive, log, now: steadyNow })
+  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow })
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
-  const backends = startBackendTask({ platform, log, drainMilliseconds: settings.drainMilliseconds, onRemoved: (state) => connections.closeIdle(state.entry.address) })
+  const backends = startBackendTask({ platform, log, era, drainMilliseconds: settings.drainMilliseconds, onRemoved: (state) => connections.closeIdle(state.entry.address) })
   const context: GatewayContext = {
     settings,
     wire: platform.wire,
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -1,9 +1,10 @@
 import { steadyNow } from '../clock.js'
+import { assertNever } from '@quinceshunt/effects'
 import type { IncomingMessage } from 'node:http'
 import { backendProcessOf, failureWeight, markPartsCached, recordObservation, silenceMilliseconds, type BackendObservation, type PendingAttempt } from '../decisions/backendState.js'
 import { PREFILL_TOKENS_PER_MILLISECOND, type Choice } from '../decisions/backendChoice.js'
-import { createEventSplitter } from '../decisions/eventSplitter.js'
-import { isRetryable, type AttemptOutcome } from '../decisions/requestPlan.js'
+import { createEventSplitter, isLaterEvent } from '../decisions/eventSplitter.js'
+import { isRetryable, type AttemptOutcome, type RetryReservation } from '../decisions/requestPlan.js'
 import type { ResponseFields } from '../ports.js'
 import { recordAcceptance } from './availableBackends.js'
 import type { GatewayContext } from './gatewayContext.js'
@@ -12,19 +13,25 @@
 
 /** Normal time to the first byte, in addition to the prefill. */
 const EXPECTED_FIRST_BYTE_MS = { engine: 120, plain: 120 } as const
-/** Multiple of the latency target after which a retryable request without progress is sent to another backend server. */
+/** Multiple of the latency target after which a retryable request without a response is sent to another backend server. */
 const STALL_TIMEOUT_FACTOR = { plain: 0.9, stream: 1.6 } as const
 /** Multiple of the event gap target after which a stalled resumable stream is resumed at another backend server. */
 const EVENT_GAP_TIMEOUT_FACTOR = 2.5
 const STALL_CHECK_INTERVAL_MS = 50
-/** Lower bound of both timeouts. */
+/** A lower bound for requests without a response. */
 const MIN_STALL_TIMEOUT_MS = 250
+/** A lower bound for streams that have begun, as a sound backend server may fall silent for about a second. */
+const MIN_STREAM_SILENCE_MS = 1500
+/** A retry that was refused is asked for again after this time. */
+const RESERVE_AGAIN_MS = 250
 /** Responses that are not streamed are buffered whole; larger ones fail. */
 const MAX_BUFFERED_RESPONSE_BYTES = 4_194_304
 /** Bytes that each response may buffer, also when others have taken all of the shared buffer. */
 const UNSHARED_RESPONSE_BYTES = 65_536
 /** Callers abandon a stream after a gap of the longest of these: a time, and multiples of the latency target and the event gap target. */
 const ABANDONED_STREAM = { milliseconds: 2000, latencyTargets: 4, eventGapTargets: 8 } as const
+/** The last event reaches the caller later than this process, so that its gap ends later too. */
+const ABANDONED_STREAM_MARGIN_MS = 500
 /** Time without any byte after which an aborted attempt marks the backend server as silent. */
 const SILENT_BACKEND_MS = 600
 /** A prompt part that crashes backend servers does so at the start of an answer, so that a second event shows that there is none. */
@@ -41,12 +48,17 @@
   deliver (): void
 }
 
-/** Sends a request to a backend server once and forwards a usable response to the caller. */
-export function runAttempt (context: GatewayContext, state: RequestState, choice: Choice): Promise<AttemptOutcome> {
-  return new Promise((resolve) => startAttempt(context, state, choice, resolve))
+type ReserveRetry = () => Promise<RetryReservation>
+
+/**
+ * Sends a request to a backend server once and forwards a usable response to the caller. A silent backend server is given
+ * up only once `reserveRetry` has reserved a retry at another one, as it may go on.
+ */
+export function runAttempt (context: GatewayContext, state: RequestState, choice: Choice, reserveRetry: ReserveRetry): Promise<AttemptOutcome> {
+  return new Promise((resolve) => startAttempt(context, state, choice, reserveRetry, resolve))
 }
 
-function startAttempt (context: GatewayContext, state: RequestState, choice: Choice, resolve: (outcome: AttemptOutcome) => void): void {
+function startAttempt (context: GatewayContext, state: RequestState, choice: Choice, reserveRetry: ReserveRetry, resolve: (outcome: AttemptOutcome) => void): void {
   const { wire, connections } = context
   const { response, incoming: callerRequest } = state
   const backend = choice.state
@@ -55,6 +67,7 @@
   const isStream = state.route.deliverySemantics.kind === 'resumableStream' || state.route.deliverySemantics.kind === 'onceStream'
   const canRetry = isRetryable(state.route.deliverySemantics) && state.attempts + 1 < state.route.maximumAttempts
   const pending: PendingAttempt = { sentAt, prefillTokens: choice.prefillTokens, answered: false }
+  const resumedAfter = state.headersSent ? state.lastEventId : ''
   const splitter = createEventSplitter()
   const bodyChunks: Buffer[] = []
   let bodyBytes = 0
@@ -65,6 +78,10 @@
   let answeredAt: number | undefined
   let isAnswerSound = false
   let lastProgressAt = sentAt
+  let lastBytesAt = sentAt
+  let reserveRetryAt = 0
+  let hasRecordedSilence = false
+  let hasLoggedRefusal = false
   let abortOutcome: AttemptOutcome | undefined
 
   const headers = wire.buildRequestHeaders(callerRequest.rawHeaders, {
@@ -84,8 +101,10 @@
     method: callerRequest.method ?? 'GET',
     path: callerRequest.url ?? '/',
     headers,
-    body: state.body
+    body: state.body,
+    needsNewConnection: state.triedAddresses.has(backend.entry.address)
   }, { onHead, onData, onEnd, onBroken })
+  state.triedAddresses.add(backend.entry.address)
   const deadlineTimer = setTimeout(() => abort({ kind: 'timedOut', headersSent: state.headersSent }, 'out of time'), Math.max(1, state.deadline - sentAt))
   const stallTimer = canRetry || isStream ? setInterval(checkStall, STALL_CHECK_INTERVAL_MS) : undefined
   const stopWatchingCaller = state.caller.onLeft(handleCallerDisconnect)
@@ -104,11 +123,17 @@
   /** Aborts the exchange; `onBroken` then settles the attempt with `outcome`. */
   function abort (outcome: AttemptOutcome, reason: string): void {
     abortOutcome ??= outcome
-    // A slow response doesn't count as silence while the backend server sends bytes for other requests.
-    if (!pending.answered && silenceMilliseconds(backend, steadyNow()) > SILENT_BACKEND_MS) recordBackendObservation({ kind: 'silent' })
+    recordSilence()
     exchange.abort(reason)
   }
 
+  /** A slow response doesn't count as silence while the backend server sends bytes for other requests. */
+  function recordSilence (): void {
+    if (hasRecordedSilence || pending.answered || silenceMilliseconds(backend, steadyNow()) <= SILENT_BACKEND_MS) return
+    hasRecordedSilence = true
+    recordBackendObservation({ kind: 'silent' })
+  }
+
   function handleCallerDisconnect (): void {
     // A request that runs at most once is not aborted, as that could leave it half executed; its response is discarded.
     if (state.route.deliverySemantics.kind === 'once') {
@@ -130,26 +155,49 @@
     const now = steadyNow()
     // While the caller reads slowly, the exchange is paused and can't show progress.
     if (response.writableNeedDrain) lastProgressAt = now
-    if (!canRetry) return endAbandonedStream(now)
+    endAbandonedStream(now)
+    if (!canRetry || now - lastProgressAt < stallTimeout(now) || now < reserveRetryAt) return
+    recordSilence()
+    reserveRetryAt = now + RESERVE_AGAIN_MS
+    continueElsewhere(now).catch((error: unknown) => context.log.warning('retryFailed', { request: state.fields.attemptId, reason: String(error) }))
+  }
+
+  /** Time without progress after which a retry at another backend server is worth more than a longer wait. */
+  function stallTimeout (now: number): number {
     const isBackendSilent = silenceMilliseconds(backend, now) > 0 || now - backend.lastByteAt > MIN_STALL_TIMEOUT_MS
-    const timeoutMilliseconds = state.headersSent
-      ? Math.max(MIN_STALL_TIMEOUT_MS, state.route.eventGapTargetMilliseconds * EVENT_GAP_TIMEOUT_FACTOR)
-      : Math.max(MIN_STALL_TIMEOUT_MS, state.route.latencyTargetMilliseconds * (isStream ? STALL_TIMEOUT_FACTOR.stream : STALL_TIMEOUT_FACTOR.plain))
-    if (now - lastProgressAt < (isBackendSilent ? timeoutMilliseconds : timeoutMilliseconds * 2)) return
-    abort({ kind: 'broken', reason: `silent for ${now - lastProgressAt} ms`, headersSent: state.headersSent }, 'silent')
+    const factor = isBackendSilent ? 1 : 2
+    if (state.headersSent) return Math.max(MIN_STREAM_SILENCE_MS, state.route.eventGapTargetMilliseconds * EVENT_GAP_TIMEOUT_FACTOR * factor)
+    return Math.max(MIN_STALL_TIMEOUT_MS, state.route.latencyTargetMilliseconds * (isStream ? STALL_TIMEOUT_FACTOR.stream : STALL_TIMEOUT_FACTOR.plain)) * factor
+  }
+
+  async function continueElsewhere (stalledAt: number): Promise<void> {
+    const progressAt = lastProgressAt
+    const reservation = await reserveRetry()
+    const silentMilliseconds = stalledAt - progressAt
+    switch (reservation.kind) {
+      case 'refused':
+        if (!hasLoggedRefusal) context.log.decision('retryRefused', { request: state.fields.attemptId, backend: backend.entry.id, reason: reservation.reason, silentMilliseconds, headersSent: state.headersSent })
+        hasLoggedRefusal = true
+        return
+      case 'reserved':
+        if (settled || lastProgressAt !== progressAt) return
+        return abort({ kind: 'abandoned', reason: `silent for ${silentMilliseconds} ms`, headersSent: state.headersSent, nextBackendId: reservation.backendId }, 'silent')
+      default: assertNever(reservation)
+    }
   }
 
-  /** A stream that can't be resumed is ended only when its caller has given it up; before its headers, silence proves nothing. */
+  /** Ends a stream that brings bytes but no event once its caller has given it up. Silence ends no stream: it may go on. */
   function endAbandonedStream (now: number): void {
-    if (!state.headersSent) return
+    if (!state.headersSent || now - lastBytesAt >= MIN_STREAM_SILENCE_MS) return
     const gapMilliseconds = Math.max(ABANDONED_STREAM.milliseconds, ABANDONED_STREAM.latencyTargets * state.route.latencyTargetMilliseconds, ABANDONED_STREAM.eventGapTargets * state.route.eventGapTargetMilliseconds)
-    if (now - lastProgressAt >= gapMilliseconds) abort({ kind: 'broken', reason: `no event for ${now - lastProgressAt} ms`, headersSent: true }, 'no event')
+    if (now - lastProgressAt >= gapMilliseconds + ABANDONED_STREAM_MARGIN_MS) abort({ kind: 'broken', reason: `no event for ${now - lastProgressAt} ms`, headersSent: true }, 'no event')
   }
 
   /** Bytes show that the backend server is alive; only a head, a part of a plain body or a whole event is progress of the request. */
   function recordBytes (isProgress: boolean): void {
     const now = steadyNow()
     backend.lastByteAt = now
+    lastBytesAt = now
     if (isProgress) lastProgressAt = now
     if (pending.answered) return
     pending.answered = true
@@ -182,13 +230,19 @@
       return
     }
     const isStreamed = isSuccess && isStream
+    const mediaType = mediaTypeOf(incoming)
+    if (isStreamed && state.headersSent && (status !== state.streamHead?.status || mediaType !== state.streamHead.mediaType)) {
+      abort({ kind: 'broken', reason: `status ${status} and media type '${mediaType}' to a resumed stream`, headersSent: true }, 'unusable response')
+      return
+    }
     head = { incoming, isStreamed }
     if (isSuccess) answeredAt = steadyNow()
     if (isStreamed && !state.headersSent) {
-      state.headersSent = true
-      state.firstByteAt = steadyNow()
       const responseHeaders = wire.buildResponseHeaders(incoming.rawHeaders)
       response.writeHead(status, withoutContentLength(responseHeaders, context))
+      state.headersSent = true
+      state.streamHead = { status, mediaType }
+      state.firstByteAt = steadyNow()
     }
   }
 
@@ -213,6 +267,10 @@
     }
     const complete = splitter.push(chunk)
     recordBytes(complete.events > 0)
+    if (eventsOfAttempt === 0 && complete.events > 0 && !isLaterEvent(complete.firstEventId, resumedAfter)) {
+      abort({ kind: 'broken', reason: `event ${complete.firstEventId} to a stream resumed after ${resumedAfter}`, headersSent: true }, 'unusable response')
+      return
+    }
     eventsOfAttempt += complete.events
     if (eventsOfAttempt >= EVENTS_OF_SOUND_ANSWER) recordSoundAnswer()
     // An event holds at least one token.
@@ -248,16 +306,16 @@
     }
     state.mayHaveRun = true
     const buffered = bufferResponse(head.incoming)
+    if (fields.impliesNotRun || (status >= STATUS.serverError && !fields.isSigned)) {
+      recordBackendObservation({ kind: 'errorResponse' })
+      return settle({ kind: 'broken', reason: `status ${status} is unsigned or wrongly implies that the request was not run`, headersSent: state.headersSent })
+    }
     if (status < STATUS.serverError) {
       recordSuccess()
       if (state.headersSent) return settle({ kind: 'broken', reason: `status ${status} to a resumed stream`, headersSent: true })
       buffered.deliver()
       return settle({ kind: 'delivered', status })
     }
-    if (!fields.isSigned || fields.impliesNotRun) {
-      recordBackendObservation({ kind: 'errorResponse' })
-      return settle({ kind: 'broken', reason: `status ${status} is unsigned or wrongly implies that the request was not run`, headersSent: state.headersSent })
-    }
     const isBackendFailing = failureWeight(backend, steadyNow()) >= FAILING_BACKEND_WEIGHT
     recordBackendObservation({ kind: 'errorResponse' })
     if (!state.headersSent) state.bufferedResponse = buffered
@@ -317,6 +375,11 @@
   }
 }
 
+/** Returns the media type without its parameters, in lower case; empty when the response has none. */
+function mediaTypeOf (incoming: IncomingMessage): string {
+  return (incoming.headers['content-type'] ?? '').split(';', 1)[0]?.trim().toLowerCase() ?? ''
+}
+
 /** Removes Content-Length, which is recomputed for the forwarded body, and adds the connection headers. */
 function withoutContentLength (headers: readonly string[], context: GatewayContext): string[] {
   const result: string[] = []
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -36,7 +36,9 @@
 
 /** Returns true when the end of the connection marks the end of the body. */
 function isDelimitedByClose (response: IncomingMessage): boolean {
-  return response.headers['content-length'] === undefined && response.headers['transfer-encoding'] === undefined && response.statusCode !== 204 && response.statusCode !== 304
+  if (response.statusCode === 204 || response.statusCode === 304) return false
+  const transferEncoding = response.headers['transfer-encoding']
+  return transferEncoding === undefined ? response.headers['content-length'] === undefined : !/(?:^|,)\s*chunked\s*$/i.test(transferEncoding)
 }
 
 /**
@@ -63,6 +65,11 @@
   readonly path: string
   readonly headers: Record<string, string | string[]>
   readonly body: Buffer
+  /**
+   * Uses a connection of its own. A backend server may write a response once more, and a second copy for the same
+   * request carries its ID, so that only the connection tells it from the response to the request that is sent again.
+   */
+  readonly needsNewConnection: boolean
 }
 
 /** Callbacks of an exchange. Exactly one of `onEnd` and `onBroken` is called, at the latest after an abort. */
@@ -111,7 +118,8 @@
     const headers = exchange.body.length > 0 || exchange.method === 'POST' || exchange.method === 'PUT'
       ? { ...exchange.headers, 'content-length': String(exchange.body.length) }
       : exchange.headers
-    const outgoing = request({ agent: agentFor(exchange.address), host, port: Number(port), method: exchange.method, path: exchange.path, headers, setHost: false })
+    const agent = exchange.needsNewConnection ? new Agent({ keepAlive: false }) : agentFor(exchange.address)
+    const outgoing = request({ agent, host, port: Number(port), method: exchange.method, path: exchange.path, headers, setHost: false })
     let connectTimer: NodeJS.Timeout | undefined
 
     function finish (report: () => void): void {
@@ -124,6 +132,21 @@
       finish(() => listener.onBroken(connected, reason))
       outgoing.destroy()
     }
+    /** A response that can't be processed, such as one with a header that can't be forwarded, breaks only its own exchange. */
+    function processResponse (callback: () => void): void {
+      try {
+        callback()
+      } catch (error) {
+        fail((error as Error).message)
+      }
+    }
+    function complete (): void {
+      processResponse(() => {
+        if (finished) return
+        listener.onEnd()
+        finish(() => {})
+      })
+    }
     outgoing.on('socket', (socket) => {
       socket.setNoDelay(true)
       if (!socket.connecting) {
@@ -141,19 +164,21 @@
       if (++interimResponses > MAX_INTERIM_RESPONSES) fail('interim responses without end')
     })
     outgoing.on('error', (error) => fail(error.message))
+    // Node closes a connection on which the protocol is switched, without any other event.
+    outgoing.on('close', () => { if (incoming === undefined) fail('connection closed without a response') })
     outgoing.on('response', (response) => {
       if (finished) return
       incoming = response
       const resetDetection = isDelimitedByClose(response) ? detectReset(response.socket) : undefined
-      response.on('data', (chunk: Buffer) => { if (!finished) listener.onData(chunk) })
+      response.on('data', (chunk: Buffer) => { if (!finished) processResponse(() => listener.onData(chunk)) })
       response.on('error', (error) => fail(error.message))
       response.on('end', () => {
         if (!response.complete) fail('incomplete response')
-        else if (resetDetection !== undefined) resetDetection.then((isReset) => isReset ? fail('response ended with a connection reset') : finish(listener.onEnd))
-        else finish(listener.onEnd)
+        else if (resetDetection !== undefined) resetDetection.then((isReset) => isReset ? fail('response ended with a connection reset') : complete())
+        else complete()
       })
       response.on('close', () => { if (!response.complete) fail('incomplete response') })
-      listener.onHead(response)
+      processResponse(() => listener.onHead(response))
     })
     outgoing.end(exchange.body.length > 0 ? exchange.body : undefined)
     return {
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -5,11 +5,12 @@
 import type { RowStore, StoredRow } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
 import { parseJson, parseKnownLimit } from './peerMessages.js'
+import type { StoreEra } from './storeEra.js'
 import { followTable, type TableFollower } from './tableFollower.js'
 
 /** Table for messages between instances; its rows change rarely. */
 const TABLE = 'fleet'
-const PREFIX = { instance: 'instance/', crash: 'crash/', answer: 'answer/', limit: 'limit/' } as const
+const PREFIX = { instance: 'instance/', crash: 'crash/', answer: 'answer/', limit: 'limit/', recovered: 'recovered/' } as const
 /** Time that a long poll waits for a change. */
 const LONG_POLL_MS = 3000
 const WRITE_TIMEOUT_MS = 1000
@@ -25,6 +26,12 @@
 /** Pause between two polls: each message wakes all instances. Until a crash is known everywhere, further backend servers crash. */
 const POLL_PAUSE_MS = 400
 const REGISTRATION_RETRY_MS = 1000
+/** Longest pause of draws after a restore of the store; grants last several times as long. */
+const RECOVERY_WAIT_MS = 3000
+/** An instance that has not registered again this long after a restore is taken for one that had stopped since the copy. */
+const REGISTRATION_GRACE_MS = 10_000
+/** Reports of this instance that are written again after a restore; the oldest are dropped first. */
+const MAX_KEPT_REPORTS = 500
 
 /** A row that tells other instances of a crash, an answer or a limit. */
 export type Report = Pick<StoredRow, 'key' | 'value'>
@@ -58,6 +65,14 @@
   receive (reports: readonly Report[]): void
   /** Tells all instances of the limit that a backend server names. */
   announceLimit (backendProcess: string, known: KnownLimit): void
+  /** False for some time after a restore of the store, until all instances have recorded again what they had drawn. */
+  readonly mayDraw: boolean
+  /** True when an instance has recorded its draws again since the last restore. */
+  hasRecovered (instanceId: string): boolean
+  /** Tells all instances that this one has recorded its draws again. */
+  confirmRecovery (): void
+  /** Lets draws wait for other instances after a restore that this process did not see. */
+  awaitRecovery (): void
   readonly follower: TableFollower
   /** Removes this instance from the list of instances. */
   deregister (): Promise<void>
@@ -66,6 +81,7 @@
 /** Dependencies of the task. */
 export interface FleetTaskOptions {
   readonly store: RowStore
+  readonly era: StoreEra
   readonly log: DecisionLog
   readonly instanceId: string
   /** Unique ID of this run of the process. */
@@ -84,8 +100,15 @@
 
 /** Registers this instance and starts following the fleet table. */
 export function startFleetTask (options: FleetTaskOptions): FleetTask {
-  const { store, log } = options
+  const { store, log, era } = options
   const instances = new Map<string, Peer>()
+  const rowVersions = new Map<string, number>()
+  /** Era in which each instance has last recorded its draws again. */
+  const recoveredEras = new Map<string, number>()
+  /** Era in which each instance has registered. */
+  const registeredEras = new Map<string, string>()
+  let drawFrom = 0
+  let keptReports: Report[] = []
   const homesByAccount = new Map<string, readonly Peer[]>()
   let pendingReports: Report[] = []
   /** Reports that peers were told of directly. */
@@ -94,6 +117,13 @@
   const pendingAnswers = new Set<string>()
   let reportSequence = 0
   let stopped = false
+  let markRead: () => void = () => {}
+  const isRead = new Promise<void>((resolve) => { markRead = resolve })
+
+  /** Value of this instance's row; the era is known from the first response on. */
+  function registration (): string {
+    return `${options.peerAddress} ${options.failureDomain} ${options.incarnationId} ${era.current ?? ''}`
+  }
 
   async function writeRow (key: string, value: string): Promise<boolean> {
     const outcome = await store.transact({ expected: [], writes: [{ table: TABLE, part: '', key, value }], removals: [] }, steadyNow() + WRITE_TIMEOUT_MS)
@@ -106,11 +136,17 @@
     if (row.key.startsWith(PREFIX.instance)) {
       const name = row.key.slice(PREFIX.instance.length)
       homesByAccount.clear()
-      const [address = '', failureDomain = '', incarnationId = ''] = row.value.split(' ')
+      const [address = '', failureDomain = '', incarnationId = '', registeredEra = ''] = row.value.split(' ')
+      rowVersions.set(name, row.version)
+      registeredEras.set(name, registeredEra)
       if (row.deleted) instances.delete(name)
       else instances.set(name, { instanceId: name, address, failureDomain, incarnationId })
       return
     }
+    if (row.key.startsWith(PREFIX.recovered)) {
+      recoveredEras.set(row.key.slice(PREFIX.recovered.length), Number(row.value))
+      return
+    }
     if (!row.deleted) applyReport(row)
   }
 
@@ -137,21 +173,72 @@
     pauseMilliseconds: POLL_PAUSE_MS,
     // Crash reports are never deleted, so the table grows large.
     prefersFullRead: false,
-    onSnapshot: (rows) => { for (const row of rows) applyRow(row) },
+    onSnapshot: (rows) => {
+      for (const row of rows) applyRow(row)
+      markRead()
+    },
     onChanges: (rows) => { for (const row of rows) applyRow(row) }
   })
 
+  function hasRecovered (instanceId: string): boolean {
+    return era.current !== undefined && recoveredEras.get(instanceId) === era.current
+  }
+
+  function awaitRecovery (): void {
+    drawFrom = steadyNow() + RECOVERY_WAIT_MS
+  }
+
+  function handleRestore (): void {
+    awaitRecovery()
+    startRegistration()
+    pendingReports = [...keptReports, ...pendingReports].slice(-MAX_PENDING_REPORTS)
+    if (pendingReports.length > 0) scheduleReports(CRASH_REPORT_INTERVAL_MS)
+    const { restoredAt } = era
+    setTimeout(() => { if (era.restoredAt === restoredAt) dropUnregistered() }, REGISTRATION_GRACE_MS)
+  }
+
+  /** Forgets instances that had stopped since the copy: their registrations are back, but no process renews them. */
+  function dropUnregistered (): void {
+    for (const { instanceId } of peersOf()) {
+      if (registeredEras.get(instanceId) === String(era.current)) continue
+      const isRemover = homesOf(`${PREFIX.instance}${instanceId}`).some((home) => home.instanceId === options.instanceId)
+      instances.delete(instanceId)
+      homesByAccount.clear()
+      log.event('instanceNotConfirmed', { instance: instanceId, isRemover })
+      if (isRemover) removeRegistration(instanceId).catch((error: unknown) => log.warning('registrationNotRemoved', { instance: instanceId, reason: String(error) }))
+    }
+  }
+
+  async function removeRegistration (name: string): Promise<void> {
+    const row = { table: TABLE, part: '', key: `${PREFIX.instance}${name}` }
+    await store.transact({ expected: [{ ...row, version: rowVersions.get(name) ?? 0 }], writes: [], removals: [row] }, steadyNow() + WRITE_TIMEOUT_MS)
+  }
+
+  async function writeRecovery (): Promise<void> {
+    const confirmed = era.current
+    for (;;) {
+      if (stopped || confirmed === undefined || era.current !== confirmed) return
+      if (await writeRow(`${PREFIX.recovered}${options.instanceId}`, String(confirmed))) return
+      await new Promise((resolve) => setTimeout(resolve, REPORT_RETRY_MS))
+    }
+  }
+
   function peersOf (): readonly Peer[] {
     return [...instances.values()].filter((peer) => peer.instanceId !== options.instanceId)
   }
 
   async function register (): Promise<void> {
+    await Promise.race([isRead, new Promise((resolve) => setTimeout(resolve, REGISTRATION_RETRY_MS))])
     for (;;) {
-      if (stopped || await writeRow(`${PREFIX.instance}${options.instanceId}`, `${options.peerAddress} ${options.failureDomain} ${options.incarnationId}`)) return
+      if (stopped || await writeRow(`${PREFIX.instance}${options.instanceId}`, registration())) return
       await new Promise((resolve) => setTimeout(resolve, REGISTRATION_RETRY_MS))
     }
   }
 
+  function startRegistration (): void {
+    register().catch((error: unknown) => log.warning('registrationFailed', { reason: String(error) }))
+  }
+
   function writeReports (): void {
     const batch = pendingReports.slice(0, REPORTS_PER_WRITE)
     pendingReports = pendingReports.slice(REPORTS_PER_WRITE)
@@ -179,7 +266,9 @@
   }
 
   function addReport (key: string, value: string): void {
-    pendingReports.push({ key, value })
+    const report = { key, value }
+    pendingReports.push(report)
+    keptReports = [...keptReports.filter((kept) => kept.key !== key), report].slice(-MAX_KEPT_REPORTS)
     scheduleReports(CRASH_REPORT_INTERVAL_MS)
   }
 
@@ -218,7 +307,8 @@
     return homes
   }
 
-  register().catch((error: unknown) => log.warning('registrationFailed', { reason: String(error) }))
+  era.onRestored(handleRestore)
+  startRegistration()
   return {
     get instances () { return Math.max(1, instances.size) },
     get peers () { return peersOf() },
@@ -228,6 +318,10 @@
     reportCrash,
     reportAnswer,
     announceLimit,
+    get mayDraw () { return steadyNow() >= drawFrom || (instances.size > 0 && peersOf().every((peer) => hasRecovered(peer.instanceId))) },
+    hasRecovered,
+    confirmRecovery: () => { writeRecovery().catch((error: unknown) => log.warning('recoveryNotConfirmed', { reason: String(error) })) },
+    awaitRecovery,
     receive: (reports) => { for (const report of reports) applyReport(report) },
     follower,
     deregister: async () => {
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -4,8 +4,9 @@
 import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { chooseBackend, type Choice } from '../decisions/backendChoice.js'
-import { chooseTarget } from '../decisions/configurationIndex.js'
-import { isRetryable, planRequest, type AttemptOutcome, type ChoiceOutcome, type PlanCommand, type PlanResult } from '../decisions/requestPlan.js'
+import type { BackendState } from '../decisions/backendState.js'
+import { chooseTarget, type ConfigurationIndex } from '../decisions/configurationIndex.js'
+import { isRetryable, planRequest, type AttemptOutcome, type ChoiceOutcome, type PlanCommand, type PlanResult, type RetryReservation } from '../decisions/requestPlan.js'
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
 import { findAvailableBackends } from './availableBackends.js'
@@ -30,6 +31,8 @@
   readonly fields: CallerFields
   readonly route: Route
   readonly account: ClientAccount | undefined
+  /** The configuration that admitted it. */
+  readonly configuration: ConfigurationIndex
   readonly body: Buffer
   /** Unix milliseconds at which its headers were read. */
   readonly receivedAt: number
@@ -51,9 +54,13 @@
   lastEventId: string
   /** True once the response headers were sent to the caller. */
   headersSent: boolean
+  /** The head of a stream that was sent to the caller; only a response of its kind continues the stream. */
+  streamHead: { readonly status: number, readonly mediaType: string } | undefined
   bufferedResponse: BufferedResponse | undefined
   firstByteAt: number | undefined
   triedBackendIds: string[]
+  /** Addresses to which it was sent; two listed backend servers can have the same one for a while after a restart. */
+  readonly triedAddresses: Set<string>
 }
 
 /** Returns the properties by which a request that crashes backend servers is recognized. The last part of a prompt is its own. */
@@ -77,10 +84,10 @@
   return state.fields.prompt === undefined ? 0 : state.fields.prompt.inputTokens + state.fields.prompt.maximumOutputTokens
 }
 
-function usedTokens (context: GatewayContext, state: RequestState): number {
+function usedTokens (state: RequestState): number {
   const prompt = state.fields.prompt
   if (prompt === undefined || !state.mayHaveRun) return 0
-  const tokensPerEvent = context.configuration()?.service(state.service)?.engine?.tokensPerEvent ?? 1
+  const tokensPerEvent = state.configuration.service(state.service)?.engine?.tokensPerEvent ?? 1
   return prompt.inputTokens + Math.min(prompt.maximumOutputTokens, state.deliveredEvents * tokensPerEvent)
 }
 
@@ -90,7 +97,7 @@
   const service = chooseTarget(route.targets, Math.random()) ?? ''
   const timeoutMilliseconds = Math.min(route.timeoutMilliseconds, fields.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MS)
   const state: RequestState = {
-    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, bufferedResponse: undefined, firstByteAt: undefined, triedBackendIds: []
+    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, streamHead: undefined, bufferedResponse: undefined, firstByteAt: undefined, triedBackendIds: [], triedAddresses: new Set()
   }
   context.retryShares.recordRequest(service, admitted.receivedAt)
   const refusal = findRefusal(context, state)
@@ -123,7 +130,7 @@
     }
   )
   stopWatchingCaller()
-  const used = usedTokens(context, state)
+  const used = usedTokens(state)
   if (isReserved && state.account !== undefined) context.tokens.settle(state.account.name, reserved, used)
   finishRequest(context, state, result, { reserved: isReserved ? reserved : 0, used })
 }
@@ -191,7 +198,20 @@
   // The caller may have left while a permit was asked for.
   if (hasCallerLeft(state)) return { kind: 'callerGone' }
   state.triedBackendIds.push(backendId)
-  return await runAttempt(context, state, choice)
+  return await runAttempt(context, state, choice, async () => await reserveRetry(context, state))
+}
+
+/** Reserves a retry at a backend server that was not tried. What is certain to refuse it is asked before the retry budget. */
+async function reserveRetry (context: GatewayContext, state: RequestState): Promise<RetryReservation> {
+  const now = steadyNow()
+  const isUsable = (candidate: BackendState): boolean => !state.triedBackendIds.includes(candidate.entry.id) &&
+    candidate.avoidedUntil <= now && !context.permits.isDenied(candidate, state.priority, now)
+  if (hasCallerLeft(state)) return { kind: 'refused', reason: 'the caller has left' }
+  if (!context.crashGuard.mayRetry(state.guarded)) return { kind: 'refused', reason: 'the request may crash backend servers' }
+  if (!context.backends.candidates(state.service, now).some(isUsable)) return { kind: 'refused', reason: 'no other backend server' }
+  if (!context.retryShares.tryAcquireRetry(state.service, now)) return { kind: 'refused', reason: 'the retry budget is used up' }
+  const choice = await chooseNextBackend(context, state, state.triedBackendIds)
+  return choice.kind === 'chosen' ? { kind: 'reserved', backendId: choice.backendId } : { kind: 'refused', reason: choice.reason }
 }
 
 /** Logs how far a request was when its caller left; the line of its result tells when the work for it ended. */
@@ -209,6 +229,12 @@
   })
 }
 
+/** Ends a partly sent response so that it doesn't look complete: for callers without chunks, an orderly close would end it. */
+function cutOffResponse ({ incoming, response }: RequestState): void {
+  if (incoming.httpVersion === '1.0') incoming.socket.resetAndDestroy()
+  else response.destroy()
+}
+
 /** Sends the final response to the caller and logs the result. */
 function finishRequest (context: GatewayContext, state: RequestState, result: PlanResult, tokens: { readonly reserved: number, readonly used: number }): void {
   const { response } = state
@@ -231,7 +257,7 @@
     case 'timedOut':
       sendError(context, response, { status: 504, code: 'timed_out', message: 'no response within the time limit', run: 'unknown' })
       break
-    case 'cutOff': response.destroy(); break
+    case 'cutOff': cutOffResponse(state); break
     default: assertNever(result)
   }
   const now = steadyNow()
