Check the request ID of every response in the router

Callers were told "not run" for chats that an engine was running, or got the error of another request, and the run was not billed: the router compared the request ID of answers with status 200 only, so that a refusal that an engine wrote once more on a kept connection counted as the response to the next request there. A plain service's answer without an ID, written once more, even went to the next caller of an idempotent route.

Every response is compared now. One without an ID is taken only on a new connection, which is then closed, so that no copy of it meets another request. A response that isn't the request's own leaves the outcome unknown. The stand-ins of backend servers send the ID with errors, too.

The cost is a new connection for each request to a backend server that sends no IDs.

--- a/packages/backend-standin/src/backendServer.ts
+++ b/packages/backend-standin/src/backendServer.ts
@@ -3,7 +3,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { createEngineService } from './engineService.js'
-import { readBody, sendError, sendJson } from './http.js'
+import { headerValue, readBody, sendError, sendJson } from './http.js'
 import { createLoadHistory } from './loadHistory.js'
 import { createPlainService } from './plainService.js'
 import { createRunRecord } from './runRecord.js'
@@ -43,6 +43,8 @@
       const kind = BackendServerKind[settings.kind]
       return sendJson(response, 200, { id: settings.id, kind, incarnation, state: state(), leavingSince: leavingSince ?? null, runs: runs.runs, ...service.recordFields() })
     }
+    const requestId = headerValue(request, 'x-request-id')
+    if (requestId !== '') response.setHeader('x-request-id', requestId)
     const body = await readBody(request)
     if (settings.crashMarker !== '' && body.includes(settings.crashMarker)) {
       if (settings.crashDelayMilliseconds === 0) return crash()
--- a/packages/backend-standin/src/chatStream.ts
+++ b/packages/backend-standin/src/chatStream.ts
@@ -60,7 +60,6 @@
     if (sequence.state === 'cancelled') response.destroy()
     if (sequence.state !== 'complete') return
     removeReader()
-    response.setHeader('x-request-id', sequence.requestId)
     const message = { role: 'assistant', content: answerText(sequence.promptDigest, 0, sequence.generatedTokens) }
     sendJson(response, 200, { ...envelope(sequence, model, 'chat.completion'), choices: [{ index: 0, message, finish_reason: sequence.finishReason }], usage: usageOf(sequence) })
   }
--- a/packages/router/src/__tests__/backendClient.test.ts
+++ b/packages/router/src/__tests__/backendClient.test.ts
@@ -19,7 +19,7 @@
 }
 
 function send (address: string, changes: Partial<BackendRequest> = {}): Promise<BackendResponse> {
-  return sendBackendRequest({ address, method: 'POST', path: '/', headers: {}, body: Buffer.from('body'), deadline: Date.now() + LONG_TIMEOUT_MS, signal: new AbortController().signal, freshConnection: true, ...changes })
+  return sendBackendRequest({ address, method: 'POST', path: '/', headers: { 'x-request-id': 'request' }, body: Buffer.from('body'), deadline: Date.now() + LONG_TIMEOUT_MS, signal: new AbortController().signal, freshConnection: true, ...changes })
 }
 
 /** Returns the head of the response; fails the test for any other outcome. */
--- a/packages/router/src/backendClient.ts
+++ b/packages/router/src/backendClient.ts
@@ -1,3 +1,4 @@
+import { matchResponse, REQUEST_ID_HEADER } from '@quinceshunt/requests'
 import { Agent, request as httpRequest, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
 
 /** A live backend server on the local network accepts a connection within milliseconds. */
@@ -12,7 +13,8 @@
   readonly address: string
   readonly method: string
   readonly path: string
-  readonly headers: Record<string, string>
+  /** With the ID by which the response is recognized. */
+  readonly headers: Record<string, string> & { readonly [REQUEST_ID_HEADER]: string }
   readonly body: Buffer
   /** Unix milliseconds. */
   readonly deadline: number
@@ -24,9 +26,19 @@
   readonly freshConnection: boolean
 }
 
+/** The head of a response. */
+export interface ReceivedResponse {
+  readonly kind: 'answering'
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly message: IncomingMessage
+  /** False when it belongs to another request, or may do so: a backend server may write an earlier response once more. */
+  readonly isOwn: boolean
+}
+
 /** Result of sending a request, up to the head of the response. */
 export type BackendResponse =
-  | { readonly kind: 'answering', readonly status: number, readonly headers: IncomingHttpHeaders, readonly message: IncomingMessage }
+  | ReceivedResponse
   /** Nothing was sent. */
   | { readonly kind: 'notSent', readonly reason: string }
   /** May have been sent in part or in full; no response was received. */
@@ -69,7 +81,14 @@
       if (socket.connecting) socket.once('connect', markConnected)
       else markConnected()
     })
-    client.on('response', (message) => finish({ kind: 'answering', status: message.statusCode ?? 0, headers: message.headers, message }))
+    client.on('response', (message) => {
+      const match = matchResponse(request.headers[REQUEST_ID_HEADER], message.headers)
+      const { socket } = message
+      // A copy of a response without an ID must not meet the next request.
+      if (match.kind === 'missing') message.once('end', () => socket.destroy())
+      const isOwn = match.kind === 'matches' || (match.kind === 'missing' && !client.reusedSocket)
+      finish({ kind: 'answering', status: message.statusCode ?? 0, headers: message.headers, message, isOwn })
+    })
     client.on('error', (error) => finish(connected ? { kind: 'broken', reason: error.message } : { kind: 'notSent', reason: error.message }))
     if (request.signal.aborted) return abort()
     client.end(request.body)
--- a/packages/router/src/engineAttempt.ts
+++ b/packages/router/src/engineAttempt.ts
@@ -1,7 +1,7 @@
 import { SpanKind, failSpan, startSpan, traceHeaders } from '@quinceshunt/telemetry'
 import type { AttemptOutcome } from '@quinceshunt/requests'
 import { z } from 'zod'
-import { readBody, sendBackendRequest, type BackendResponse } from './backendClient.js'
+import { readBody, sendBackendRequest, type BackendResponse, type ReceivedResponse } from './backendClient.js'
 import type { CallerExchange } from './callersListener.js'
 import { relayChatStream, usageSchema, type StreamOutcome, type StreamProgress, type Usage } from './chatStream.js'
 import type { InFlightEntry } from './inFlight.js'
@@ -112,8 +112,6 @@
   }
 }
 
-type ReceivedResponse = Extract<BackendResponse, { readonly kind: 'answering' }>
-
 /** An attempt whose backend server has sent the head of a response. */
 interface AnsweringAttempt extends EngineAttempt {
   /** To be called when the answer has gone on after its start. */
@@ -121,12 +119,11 @@
 }
 
 async function readResponse (attempt: AnsweringAttempt, command: AttemptCommand<EngineResponse>, attemptId: string, response: ReceivedResponse): Promise<AttemptResult<EngineResponse>> {
-  if (response.status !== 200) return await readErrorResponse(attempt, command, attemptId, response)
-  const responseId = response.headers['x-request-id']
-  if (responseId !== undefined && responseId !== attemptId) {
+  if (!response.isOwn) {
     response.message.destroy()
-    return await dropMismatchedResponse(attempt, command.slot, attemptId, String(responseId))
+    return await dropMismatchedResponse(attempt, command.slot, attemptId, String(response.headers['x-request-id'] ?? ''))
   }
+  if (response.status !== 200) return await readErrorResponse(attempt, command, attemptId, response)
   return attempt.streamed ? await relayStream(attempt, command.slot, attemptId, response) : await readBufferedResponse(attempt, command.slot, attemptId, response)
 }
 
@@ -227,6 +224,10 @@
     freshConnection: false
   })
   if (response.kind !== 'answering') return estimatedCharge(attempt)
+  if (!response.isOwn) {
+    response.message.destroy()
+    return estimatedCharge(attempt)
+  }
   const body = await readBody(response.message, MAX_RESPONSE_BYTES, deadline)
   const cancellation = body.kind === 'whole' && response.status === 200 ? parseJson(cancellationSchema, body.body.toString('utf8')) : undefined
   return chargeFromUsage(attempt, cancellation?.usage)
--- a/packages/router/src/orderTask.ts
+++ b/packages/router/src/orderTask.ts
@@ -2,6 +2,7 @@
 import { executeOrder, decodeOrder, ORDER_PREFIX, type EngineOrder, type OrderAnswer, type OrderCommand, type OrderKind, type OrderRow, type RoundOutcome } from '@quinceshunt/orders'
 import { z } from 'zod'
 import { readBody, sendBackendRequest } from './backendClient.js'
+import { newRequestId } from './requestIds.js'
 import type { ConfigurationService } from './services.js'
 import type { PeerDirectory, Stoppable, TaskContext } from './taskContracts.js'
 
@@ -86,7 +87,7 @@
       address,
       method,
       path: '/orders',
-      headers: { 'content-type': 'application/json' },
+      headers: { 'x-request-id': newRequestId(), 'content-type': 'application/json' },
       body: Buffer.from(content),
       deadline,
       signal: stopping.signal,
--- a/packages/router/src/serviceAttempt.ts
+++ b/packages/router/src/serviceAttempt.ts
@@ -1,6 +1,6 @@
 import { SpanKind, failSpan, startSpan, traceHeaders } from '@quinceshunt/telemetry'
 import type { AttemptOutcome } from '@quinceshunt/requests'
-import { readBody, sendBackendRequest, type BackendResponse } from './backendClient.js'
+import { readBody, sendBackendRequest, type BackendRequest, type BackendResponse, type ReceivedResponse } from './backendClient.js'
 import type { CallerExchange } from './callersListener.js'
 import { newAttemptId } from './requestIds.js'
 import type { AttemptCommand, AttemptResult, Charge } from './requestPath.js'
@@ -55,7 +55,7 @@
       signal: attempt.signal,
       freshConnection: !attempt.idempotent
     })
-    const result = response.kind === 'answering' ? await readResponse(attempt, server.id, attemptId, response) : await handleMissingResponse(attempt, server.id, response)
+    const result = response.kind === 'answering' ? await readResponse(attempt, server.id, response) : await handleMissingResponse(attempt, server.id, response)
     if (result.kind === 'failed') {
       failSpan(span, result.outcome.kind)
       services.logger.warn({ requestId: attempt.requestId, step: 'service request', peer: server.id, outcome: result.outcome.kind }, 'attempt failed')
@@ -67,9 +67,9 @@
   }
 }
 
-function createRequestHeaders (request: ServiceRequest, attemptId: string, trace: Record<string, string>): Record<string, string> {
+function createRequestHeaders (request: ServiceRequest, attemptId: string, trace: Record<string, string>): BackendRequest['headers'] {
   const { exchange } = request
-  const headers: Record<string, string> = { ...trace, 'x-request-id': attemptId, 'x-client-account': exchange.caller.account.id }
+  const headers: BackendRequest['headers'] = { ...trace, 'x-request-id': attemptId, 'x-client-account': exchange.caller.account.id }
   const contentType = exchange.request.headers['content-type']
   if (contentType !== undefined) headers['content-type'] = contentType
   if (exchange.request.headers.accept !== undefined) headers.accept = exchange.request.headers.accept
@@ -88,9 +88,8 @@
   }
 }
 
-async function readResponse (attempt: ServiceAttempt, backendServer: string, attemptId: string, response: Extract<BackendResponse, { readonly kind: 'answering' }>): Promise<AttemptResult<ServiceResponse>> {
-  const responseId = response.headers['x-request-id']
-  if (responseId !== undefined && responseId !== attemptId) {
+async function readResponse (attempt: ServiceAttempt, backendServer: string, response: ReceivedResponse): Promise<AttemptResult<ServiceResponse>> {
+  if (!response.isOwn) {
     response.message.destroy()
     attempt.services.metrics.count('answers_dropped_total', { reason: 'wrong_request_id' })
     return failedAttempt({ kind: 'wrongRequestId' }, fixedCharge(attempt))
