Detect a reset after a body without a length in the router, too

Callers of plain services got a short body with status 200, framed as whole. A response without a length ends with its connection; Node reports a reset of that connection as a normal end of the body. The router took such a body for whole.

The gateway's detection of resets moves to caller-connections, and the router waits for it before it takes such a body.

--- a/packages/caller-connections/src/index.ts
+++ b/packages/caller-connections/src/index.ts
@@ -1,2 +1,3 @@
 export { createCallerWatch, watchCaller, type CallerPresence } from './callerPresence.js'
 export { handleArrivedEvents } from './arrivedEvents.js'
+export { detectReset, isDelimitedByClose } from './detectReset.js'
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -1,3 +1,4 @@
+import { detectReset } from '@quinceshunt/caller-connections'
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 
@@ -34,26 +35,6 @@
   }
 }
 
-/** Returns true when the end of the connection marks the end of the body. */
-function isDelimitedByClose (response: IncomingMessage): boolean {
-  if (response.statusCode === 204 || response.statusCode === 304) return false
-  const transferEncoding = response.headers['transfer-encoding']
-  return transferEncoding === undefined ? response.headers['content-length'] === undefined : !/(?:^|,)\s*chunked\s*$/i.test(transferEncoding)
-}
-
-/**
- * Resolves with true when the connection was reset. Node reports a reset that directly follows data as a normal end of
- * the stream; an empty write then still fails with the error of the reset.
- */
-function detectReset (socket: Socket): Promise<boolean> {
-  return new Promise((resolve) => {
-    socket.prependOnceListener('end', () => {
-      socket.write(Buffer.alloc(0), (error) => resolve(error !== null && error !== undefined))
-    })
-    socket.once('close', (hadError) => resolve(hadError))
-  })
-}
-
 function destroyIdle (this: Socket): void {
   this.destroy()
 }
@@ -154,7 +135,7 @@
     outgoing.on('response', (response) => {
       if (finished) return
       incoming = response
-      const resetDetection = isDelimitedByClose(response) ? detectReset(response.socket) : undefined
+      const resetDetection = detectReset(response)
       response.on('data', (chunk: Buffer) => { if (!finished) listener.onData(chunk) })
       response.on('error', (error) => fail(error.message))
       response.on('end', () => {
--- a/packages/router/src/backendClient.ts
+++ b/packages/router/src/backendClient.ts
@@ -1,3 +1,4 @@
+import { detectReset, isDelimitedByClose } from '@quinceshunt/caller-connections'
 import { matchResponse, REQUEST_ID_HEADER } from '@quinceshunt/requests'
 import { Agent, request as httpRequest, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
 
@@ -85,7 +86,7 @@
       const match = matchResponse(request.headers[REQUEST_ID_HEADER], message.headers)
       const { socket } = message
       // A copy of a response without an ID must not meet the next request.
-      if (match.kind === 'missing') message.once('end', () => socket.destroy())
+      if (match.kind === 'missing' && !isDelimitedByClose(message)) message.once('end', () => socket.destroy())
       const isOwn = match.kind === 'matches' || (match.kind === 'missing' && !client.reusedSocket)
       finish({ kind: 'answering', status: message.statusCode ?? 0, headers: message.headers, message, isOwn })
     })
@@ -105,6 +106,7 @@
 /** Reads a complete response body; never returns part of one when the connection breaks or the caller aborts. */
 export function readBody (message: IncomingMessage, limitBytes: number, deadline: number, signal?: AbortSignal): Promise<BodyOutcome> {
   return new Promise((resolve) => {
+    const resetDetection = detectReset(message)
     const chunks: Buffer[] = []
     let size = 0
     const timer = setTimeout(() => finish({ kind: 'deadline' }), Math.max(0, deadline - Date.now()))
@@ -120,9 +122,13 @@
       if (size > limitBytes) return finish({ kind: 'tooLarge' })
       chunks.push(chunk)
     })
-    message.on('end', () => finish(message.complete ? { kind: 'whole', body: Buffer.concat(chunks) } : { kind: 'broken', reason: 'the response was incomplete' }))
+    message.on('end', () => {
+      if (!message.complete) finish({ kind: 'broken', reason: 'the response was incomplete' })
+      else if (resetDetection === undefined) finish({ kind: 'whole', body: Buffer.concat(chunks) })
+      else resetDetection.then((isReset) => finish(isReset ? { kind: 'broken', reason: 'the response ended with a connection reset' } : { kind: 'whole', body: Buffer.concat(chunks) }))
+    })
     message.on('error', (error) => finish({ kind: 'broken', reason: error.message }))
-    message.on('close', () => finish({ kind: 'broken', reason: 'the connection closed before the response was complete' }))
+    message.on('close', () => { if (!message.complete) finish({ kind: 'broken', reason: 'the connection closed before the response was complete' }) })
     signal?.addEventListener('abort', abort, { once: true })
     if (signal?.aborted === true) abort()
   })
