End a request of the router at once when the protocol is switched

A caller whose backend server answered with status 101 waited until its deadline: Node closes such a connection and emits only "close" for the request. The router handles that event now, like the gateway.

--- a/packages/router/src/__tests__/brokenResponses.test.ts
+++ b/packages/router/src/__tests__/brokenResponses.test.ts
@@ -56,6 +56,12 @@
     backend.respond = (socket, { requestId }) => { socket.end(`HTTP/1.1 200 OK\r\n${framing}\r\n${bodyOf(requestId).padEnd(200)}`) }
     for (let round = 0; round < 20; round++) expect((await attempt(backend.address)).kind).toBe('answered')
   })
+
+  // Guards against a request that waits for its deadline.
+  test('that switches protocols fails at once', async () => {
+    backend.respond = (socket) => { socket.write('HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n') }
+    expect((await attempt(backend.address)).kind).toBe('failed')
+  }, 2000)
 })
 
 const token = (requestId: string, text: string): string => `data: ${JSON.stringify({ id: `chatcmpl-${requestId}`, choices: [{ delta: { content: text } }] })}\n\n`
--- a/packages/router/src/backendClient.ts
+++ b/packages/router/src/backendClient.ts
@@ -52,6 +52,7 @@
   return new Promise((resolve) => {
     const url = new URL(request.path, request.address)
     let connected = false
+    let finished = false
     const client: ClientRequest = httpRequest({
       host: url.hostname,
       port: url.port,
@@ -65,6 +66,8 @@
     const abort = (): void => finish({ kind: 'aborted', sent: connected })
 
     function finish (result: BackendResponse): void {
+      if (finished) return
+      finished = true
       clearTimeout(connectTimer)
       clearTimeout(deadlineTimer)
       request.signal.removeEventListener('abort', abort)
@@ -90,6 +93,8 @@
       const isOwn = match.kind === 'matches' || (match.kind === 'missing' && !client.reusedSocket)
       finish({ kind: 'answering', status: message.statusCode ?? 0, headers: message.headers, message, isOwn })
     })
+    // Node closes a connection on which the protocol is switched, without any other event.
+    client.on('close', () => finish(connected ? { kind: 'broken', reason: 'the connection closed without a response' } : { kind: 'notSent', reason: 'the connection closed before it was made' }))
     client.on('error', (error) => finish(connected ? { kind: 'broken', reason: error.message } : { kind: 'notSent', reason: error.message }))
     if (request.signal.aborted) return abort()
     client.end(request.body)
