--- a/packages/router/src/backendClient.ts
+++ b/packages/router/src/backendClient.ts
@@ -1,3 +1,5 @@
+import { detectReset, isDelimitedByClose } from '@quinceshunt/caller-connections'
+import { matchResponse, REQUEST_ID_HEADER } from '@quinceshunt/requests'
 import { Agent, request as httpRequest, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
 
 /** A live backend server on the local network accepts a connection within milliseconds. */
@@ -12,7 +14,8 @@
   readonly address: string
   readonly method: string
   readonly path: string
-  readonly headers: Record<string, string>
+  /** With the ID by which the response is recognized. */
+  readonly headers: Record<string, string> & { readonly [REQUEST_ID_HEADER]: string }
   readonly body: Buffer
   /** Unix milliseconds. */
   readonly deadline: number
@@ -24,9 +27,19 @@
   readonly freshConnection: boolean
 }
 
+/** The head of a response. */
+export interface ReceivedResponse {
+  readonly kind: 'answering'
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly message: IncomingMessage
+  /** False when it belongs to another request, or may do so: a backend server may write an earlier response once more. */
+  readonly isOwn: boolean
+}
+
 /** Result of sending a request, up to the head of the response. */
 export type BackendResponse =
-  | { readonly kind: 'answering', readonly status: number, readonly headers: IncomingHttpHeaders, readonly message: IncomingMessage }
+  | ReceivedResponse
   /** Nothing was sent. */
   | { readonly kind: 'notSent', readonly reason: string }
   /** May have been sent in part or in full; no response was received. */
@@ -39,6 +52,7 @@
   return new Promise((resolve) => {
     const url = new URL(request.path, request.address)
     let connected = false
+    let finished = false
     const client: ClientRequest = httpRequest({
       host: url.hostname,
       port: url.port,
@@ -52,6 +66,8 @@
     const abort = (): void => finish({ kind: 'aborted', sent: connected })
 
     function finish (result: BackendResponse): void {
+      if (finished) return
+      finished = true
       clearTimeout(connectTimer)
       clearTimeout(deadlineTimer)
       request.signal.removeEventListener('abort', abort)
@@ -69,7 +85,16 @@
       if (socket.connecting) socket.once('connect', markConnected)
       else markConnected()
     })
-    client.on('response', (message) => finish({ kind: 'answering', status: message.statusCode ?? 0, headers: message.headers, message }))
+    client.on('response', (message) => {
+      const match = matchResponse(request.headers[REQUEST_ID_HEADER], message.headers)
+      const { socket } = message
+      // A copy of a response without an ID must not meet the next request.
+      if (match.kind === 'missing' && !isDelimitedByClose(message)) message.once('end', () => socket.destroy())
+      const isOwn = match.kind === 'matches' || (match.kind === 'missing' && !client.reusedSocket)
+      finish({ kind: 'answering', status: message.statusCode ?? 0, headers: message.headers, message, isOwn })
+    })
+    // Node closes a connection on which the protocol is switched, without any other event.
+    client.on('close', () => finish(connected ? { kind: 'broken', reason: 'the connection closed without a response' } : { kind: 'notSent', reason: 'the connection closed before it was made' }))
     client.on('error', (error) => finish(connected ? { kind: 'broken', reason: error.message } : { kind: 'notSent', reason: error.message }))
     if (request.signal.aborted) return abort()
     client.end(request.body)
@@ -86,6 +111,7 @@
 /** Reads a complete response body; never returns part of one when the connection breaks or the caller aborts. */
 export function readBody (message: IncomingMessage, limitBytes: number, deadline: number, signal?: AbortSignal): Promise<BodyOutcome> {
   return new Promise((resolve) => {
+    const resetDetection = detectReset(message)
     const chunks: Buffer[] = []
     let size = 0
     const timer = setTimeout(() => finish({ kind: 'deadline' }), Math.max(0, deadline - Date.now()))
@@ -101,9 +127,13 @@
       if (size > limitBytes) return finish({ kind: 'tooLarge' })
       chunks.push(chunk)
     })
-    message.on('end', () => finish(message.complete ? { kind: 'whole', body: Buffer.concat(chunks) } : { kind: 'broken', reason: 'the response was incomplete' }))
+    message.on('end', () => {
+      if (!message.complete) finish({ kind: 'broken', reason: 'the response was incomplete' })
+      else if (resetDetection === undefined) finish({ kind: 'whole', body: Buffer.concat(chunks) })
+      else resetDetection.then((isReset) => finish(isReset ? { kind: 'broken', reason: 'the response ended with a connection reset' } : { kind: 'whole', body: Buffer.concat(chunks) }))
+    })
     message.on('error', (error) => finish({ kind: 'broken', reason: error.message }))
-    message.on('close', () => finish({ kind: 'broken', reason: 'the connection closed before the response was complete' }))
+    message.on('close', () => { if (!message.complete) finish({ kind: 'broken', reason: 'the connection closed before the response was complete' }) })
     signal?.addEventListener('abort', abort, { once: true })
     if (signal?.aborted === true) abort()
   })
