--- a/packages/gateway/src/__tests__/backendTask.test.ts
+++ b/packages/gateway/src/__tests__/backendTask.test.ts
@@ -8,6 +8,7 @@
 import { watchStoreEra } from '../tasks/storeEra.js'
 
 const DRAIN_MS = 2000
+const REWRITE_MS = 2000
 
 function throwUnused (): never {
   throw new Error('only entries of backend servers are expected')
@@ -60,12 +61,37 @@
     await jest.advanceTimersByTimeAsync(DRAIN_MS)
     expect(list.usable()).toEqual(['c'])
     list.memory.restore(copy)
+    // The copy still lists it as ready; the operator or the backend servers write the newer entries again after two seconds.
     for (let passed = 0; passed < 5 * DRAIN_MS; passed += 100) {
+      if (passed === REWRITE_MS) {
+        list.write({ id: 'a', state: 'draining', sequence: 2 })
+        list.memory.removeRow({ table: 'servers', part: '', key: 'b' })
+      }
       await jest.advanceTimersByTimeAsync(100)
       expect(list.usable()).toEqual(['c'])
     }
   })
 
+  // Guards against the loss of a sound backend server whose entry lapsed during the outage and came back with the number that it had.
+  test('an entry that may be from before the copy counts when it is still listed five seconds after the restore', async () => {
+    const copy = list.memory.takeCopy()
+    list.memory.removeRow({ table: 'servers', part: '', key: 'b' })
+    await jest.advanceTimersByTimeAsync(DRAIN_MS)
+    list.memory.restore(copy)
+    await jest.advanceTimersByTimeAsync(4000)
+    expect(list.usable()).toEqual(['a', 'c'])
+    await jest.advanceTimersByTimeAsync(2000)
+    expect(list.usable()).toEqual(['a', 'b', 'c'])
+  })
+
+  test('an entry that was removed and comes back with the same number is used at once when the store was not restored', async () => {
+    list.memory.removeRow({ table: 'servers', part: '', key: 'b' })
+    await jest.advanceTimersByTimeAsync(DRAIN_MS)
+    list.write({ id: 'b' })
+    await jest.advanceTimersByTimeAsync(1000)
+    expect(list.usable()).toEqual(['a', 'b', 'c'])
+  })
+
   test('a backend server that comes back with a newer entry, or as a new process, is used', async () => {
     const copy = list.memory.takeCopy()
     for (const key of ['a', 'b']) list.memory.removeRow({ table: 'servers', part: '', key })
--- a/packages/gateway/src/decisions/entryOrder.ts
+++ b/packages/gateway/src/decisions/entryOrder.ts
@@ -9,13 +9,14 @@
 /**
  * Returns true for an entry that is older than the one known of the same backend server. A restored store lists entries from
  * before the copy until the backend servers write them again: one that drains is ready there, and one that has left is back.
- * `isAfterRestore` is true for some time after a restore; only then does a lower number of an unknown process count.
+ * The number of an entry counts only for some time after a restore (`isAfterRestore`), as it may stand still or start anew.
  */
 export function isOutdatedEntry (entry: BackendServerEntry, known: KnownEntry, isAfterRestore: boolean): boolean {
   const isSameProcess = entry.startedAt === known.startedAt && (entry.startedAt !== 0 || isAfterRestore)
-  if (!isSameProcess) return isAfterRestore && entry.startedAt !== 0 && entry.startedAt < known.startedAt
   // A backend server that drains exits, so that this process never becomes ready again.
-  if (!known.isRemoved && known.state === 'draining' && entry.state === 'ready') return true
-  if (entry.sequence === undefined || known.sequence === undefined) return known.isRemoved && isAfterRestore
+  if (isSameProcess && !known.isRemoved && known.state === 'draining' && entry.state === 'ready') return true
+  if (!isAfterRestore) return false
+  if (!isSameProcess) return entry.startedAt !== 0 && entry.startedAt < known.startedAt
+  if (entry.sequence === undefined || known.sequence === undefined) return known.isRemoved
   return known.isRemoved ? entry.sequence <= known.sequence : entry.sequence < known.sequence
 }
--- a/packages/gateway/src/tasks/backendTask.ts
+++ b/packages/gateway/src/tasks/backendTask.ts
@@ -14,8 +14,8 @@
 /** Time before such an entry is removed: backend servers renew their entries within two seconds of the store's return. */
 const REMOVAL_GRACE_MS = 1900
 
-/** Time after a restore of the store in which it may list entries from before the copy. */
-const RESTORED_ENTRIES_MS = 10_000
+/** Time after a restore of the store in which it may list entries from before the copy: backend servers renew theirs within two seconds. */
+const RESTORED_ENTRIES_MS = 5000
 /** Removed backend servers that are remembered; the oldest are forgotten first. */
 const MAX_REMEMBERED_REMOVALS = 1000
 
@@ -49,6 +49,8 @@
   const unreadable = new Set<string>()
   const misdirected = new Set<string>()
   const removed = new Map<string, KnownEntry>()
+  /** Entries that may be from before the copy; those that are still listed some time after the restore count. */
+  const doubtful = new Map<string, StoredRow>()
 
   function isRestoredWithin (milliseconds: number, now: number): boolean {
     return era.restoredAt !== undefined && now - era.restoredAt < milliseconds
@@ -85,6 +87,7 @@
   }
 
   function removeOrDefer (id: string, now: number, responseContext: ResponseContext): void {
+    doubtful.delete(id)
     if (!states.has(id)) return
     // The copy of a restored store lacks the entries of backend servers that registered after it.
     const isSettled = now - responseContext.previousResponseAt < STORE_OUTAGE_GAP_MS && !isRestoredWithin(REMOVAL_GRACE_MS, now)
@@ -93,12 +96,14 @@
   }
 
   function applyRow (row: StoredRow, now: number): void {
+    doubtful.delete(row.key)
     const entry = decode(row, now)
     if (entry === undefined) return remove(row.key, 'entry unreadable')
     const state = states.get(entry.id)
     const known = state === undefined ? removed.get(entry.id) : { ...state.entry, isRemoved: false }
     if (known !== undefined && isOutdatedEntry(entry, known, isRestoredWithin(RESTORED_ENTRIES_MS, now))) {
       log.decision('backendEntryOutdated', { backend: entry.id, state: entry.state, sequence: entry.sequence, knownState: known.state, knownSequence: known.sequence, isRemoved: known.isRemoved })
+      if (isRestoredWithin(RESTORED_ENTRIES_MS, now)) doubtful.set(row.key, row)
       return
     }
     removalDueAt.delete(entry.id)
@@ -120,6 +125,7 @@
   function applySnapshot (rows: readonly StoredRow[], responseContext: ResponseContext): void {
     const now = steadyNow()
     const listed = new Set(rows.map((row) => row.key))
+    for (const id of doubtful.keys()) if (!listed.has(id)) doubtful.delete(id)
     for (const row of rows) applyRow(row, now)
     for (const id of [...states.keys()]) if (!listed.has(id)) removeOrDefer(id, now, responseContext)
   }
@@ -132,6 +138,11 @@
     }
   }
 
+  function applyDoubtful (now: number): void {
+    if (isRestoredWithin(RESTORED_ENTRIES_MS, now)) return
+    for (const row of [...doubtful.values()]) applyRow(row, now)
+  }
+
   function removeOverdue (now: number): void {
     for (const [id, at] of removalDueAt) if (at <= now) remove(id, 'entry did not return')
   }
@@ -151,6 +162,7 @@
   return {
     candidates: (service, now) => {
       if (removalDueAt.size > 0) removeOverdue(now)
+      if (doubtful.size > 0) applyDoubtful(now)
       const found: BackendState[] = []
       for (const state of states.values()) {
         if (state.entry.service === service && state.entry.state === 'ready' && !misdirected.has(state.entry.id)) found.push(state)
