Take a retry from the budget only when a backend server may take it

Callers of idempotent requests got 502 or 504 although another backend server was free. Before that, all others had asked for no requests by 503 with a time, or had said that they leave.

Cause: an instance took a retry from its share of the fleet's budget before it looked for a backend server, and for silent ones it counted those that want nothing or leave as usable. Each broken request, and each silent one four times a second, used up a retry that nobody got.

Both places now ask first for backend servers that take the request and were not tried, as the choice after them does.

--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -124,7 +124,9 @@
           return !hasCallerLeft(state)
         case 'chooseBackend': return await chooseNextBackend(context, state, command.excluded)
         case 'sendAttempt': return await attemptBackend(context, state, command.backendId)
-        case 'consumeRetry': return !hasCallerLeft(state) && (!state.mayHaveRun || context.crashGuard.mayRetry(state.guarded)) && context.retryShares.tryAcquireRetry(service, steadyNow())
+        case 'consumeRetry':
+          if (hasCallerLeft(state) || (state.mayHaveRun && !context.crashGuard.mayRetry(state.guarded))) return false
+          return findUntriedBackends(context, state).length > 0 && context.retryShares.tryAcquireRetry(service, steadyNow())
         default: return assertNever(command)
       }
     }
@@ -192,6 +194,12 @@
   return available.kind === 'some' && available.backends.includes(choice.state)
 }
 
+/** Finds the backend servers that take a retry of the request, so that the retry budget is kept for requests that have one. */
+function findUntriedBackends (context: GatewayContext, state: RequestState): readonly BackendState[] {
+  const available = findAvailableBackends(context, state, state.triedBackendIds)
+  return available.kind === 'some' ? available.backends : []
+}
+
 async function attemptBackend (context: GatewayContext, state: RequestState, backendId: string): Promise<AttemptOutcome> {
   const choice: Choice | undefined = context.choices.get(state)
   if (choice === undefined || choice.state.entry.id !== backendId) return { kind: 'notSent', reason: 'backend server no longer listed' }
@@ -204,11 +212,10 @@
 /** Reserves a retry at a backend server that was not tried. What is certain to refuse it is asked before the retry budget. */
 async function reserveRetry (context: GatewayContext, state: RequestState): Promise<RetryReservation> {
   const now = steadyNow()
-  const isUsable = (candidate: BackendState): boolean => !state.triedBackendIds.includes(candidate.entry.id) &&
-    candidate.avoidedUntil <= now && !context.permits.isDenied(candidate, state.priority, now)
+  const isUsable = (candidate: BackendState): boolean => candidate.avoidedUntil <= now && !context.permits.isDenied(candidate, state.priority, now)
   if (hasCallerLeft(state)) return { kind: 'refused', reason: 'the caller has left' }
   if (!context.crashGuard.mayRetry(state.guarded)) return { kind: 'refused', reason: 'the request may crash backend servers' }
-  if (!context.backends.candidates(state.service, now).some(isUsable)) return { kind: 'refused', reason: 'no other backend server' }
+  if (!findUntriedBackends(context, state).some(isUsable)) return { kind: 'refused', reason: 'no other backend server' }
   if (!context.retryShares.tryAcquireRetry(state.service, now)) return { kind: 'refused', reason: 'the retry budget is used up' }
   const choice = await chooseNextBackend(context, state, state.triedBackendIds)
   return choice.kind === 'chosen' ? { kind: 'reserved', backendId: choice.backendId } : { kind: 'refused', reason: choice.reason }
