Forget no backend server that leaves or wants nothing while that matters

In a fleet with more than 1,000 backend servers that leave, or want nothing for a time, at the same time, instances sent requests to some of them again.

Cause: an instance remembered the last 1,000 processes of either kind, a constant below the size of the largest fleets. Each further one made it forget the oldest, listed or not, its time over or not.

Evidence: with 1,100 processes of either kind, 100 of each were taken as accepting half a second later. The new tests of backendAcceptance with 3,000 fail on the code before.

A leaving process is now remembered for as long as its entry is listed and for ten minutes at least, a named time until its end. Those that matter no longer are dropped whenever the number has doubled, so that memory is bounded by the fleet's size and recent changes. The test that expected the oldest of 1,001 leaving processes to be forgotten required the fault; tests of the bound after time has passed, and of what must not be forgotten, replace it.

--- a/packages/gateway/src/__tests__/backendAcceptance.test.ts
+++ b/packages/gateway/src/__tests__/backendAcceptance.test.ts
@@ -1,8 +1,18 @@
 import { describe, expect, test } from '@jest/globals'
 import { createTestBackend } from '../__fixtures__/backends.js'
-import { createBackendAcceptance, returnAt, selectAccepting } from '../decisions/backendAcceptance.js'
+import { createBackendAcceptance, returnAt, selectAccepting, type BackendAcceptance } from '../decisions/backendAcceptance.js'
 
 const DRAIN_MS = 2000
+/** More backend servers than any deployment lists. */
+const LARGE_FLEET = 3000
+/** Time after which a leaving backend server that is not listed may be forgotten. */
+const REMEMBERED_MS = 600_000
+const LATER = 10 * REMEMBERED_MS
+
+/** Creates a record while no backend server is listed. */
+function createAcceptance (): BackendAcceptance {
+  return createBackendAcceptance(() => new Set())
+}
 
 describe('backend servers that leave', () => {
   const leaving = createTestBackend('i-1')
@@ -10,7 +20,7 @@
 
   // Guards against requests to a leaving backend server where another one can take them.
   test('get no requests while there is another one, also within the drain time', () => {
-    const acceptance = createBackendAcceptance()
+    const acceptance = createAcceptance()
     expect(acceptance.markLeaving('i-1/0', 1000)).toBe(true)
     expect(acceptance.markLeaving('i-1/0', 1500)).toBe(false)
     expect(selectAccepting([leaving, other], acceptance, { receivedAt: 1000, drainMilliseconds: DRAIN_MS }, 4000)).toEqual([other])
@@ -18,7 +28,7 @@
 
   // Guards against refusals while the only backend server still serves, and against requests after that, however long they waited.
   test('serve requests that were received within the drain time when there is no other one', () => {
-    const acceptance = createBackendAcceptance()
+    const acceptance = createAcceptance()
     acceptance.markLeaving('i-1/0', 1000)
     acceptance.markLeaving('i-1/0', 1500)
     expect(selectAccepting([leaving], acceptance, { receivedAt: 2999, drainMilliseconds: DRAIN_MS }, 4000)).toEqual([leaving])
@@ -26,18 +36,39 @@
   })
 
   test('are told apart by their start time', () => {
-    const acceptance = createBackendAcceptance()
+    const acceptance = createAcceptance()
     acceptance.markLeaving('i-1/0', 1000)
     const restarted = createTestBackend('i-1', { startedAt: 5 })
     expect(selectAccepting([restarted], acceptance, { receivedAt: 9000, drainMilliseconds: DRAIN_MS }, 4000)).toEqual([restarted])
   })
 
+  // Guards against requests to a backend server that has said that it leaves, in a fleet in which many do so at the same time.
+  test('are not forgotten while they are listed, however many others leave', () => {
+    const names = Array.from({ length: LARGE_FLEET }, (_, index) => `i-${index}/0`)
+    const acceptance = createBackendAcceptance(() => new Set(names))
+    for (const name of names) acceptance.markLeaving(name, 1000)
+    expect(names.filter((name) => acceptance.acceptanceOf(name, LATER).kind !== 'leaving')).toEqual([])
+    for (const name of names) acceptance.markLeaving(`${name}0`, LATER)
+    expect(names.filter((name) => acceptance.acceptanceOf(name, LATER).kind !== 'leaving')).toEqual([])
+  })
+
+  // Guards against a leaving backend server that gets requests again because its entry was missing for a while.
+  test('are not forgotten for some minutes after they were last listed', () => {
+    const acceptance = createBackendAcceptance(() => new Set())
+    for (let index = 0; index < LARGE_FLEET; index++) acceptance.markLeaving(`i-${index}/0`, 1000)
+    acceptance.markLeaving('i-last/0', 1000 + REMEMBERED_MS - 1)
+    expect(acceptance.acceptanceOf('i-0/0', 1000 + REMEMBERED_MS - 1)).toEqual({ kind: 'leaving', since: 1000 })
+  })
+
   // Guards against memory that grows with the number of backend servers that ever left.
-  test('are forgotten after a thousand others', () => {
-    const acceptance = createBackendAcceptance()
-    for (let index = 0; index <= 1000; index++) acceptance.markLeaving(`i-${index}/0`, index)
-    expect(acceptance.acceptanceOf('i-0/0', 2000)).toEqual({ kind: 'accepting' })
-    expect(acceptance.acceptanceOf('i-1/0', 2000)).toEqual({ kind: 'leaving', since: 1 })
+  test('are forgotten once they have been missing from the list for long', () => {
+    const acceptance = createBackendAcceptance(() => new Set(['i-1/0']))
+    for (let batch = 0; batch < 10; batch++) {
+      for (let index = 0; index < LARGE_FLEET; index++) acceptance.markLeaving(`i-${batch * LARGE_FLEET + index}/0`, batch * REMEMBERED_MS)
+    }
+    expect(acceptance.size).toBeLessThan(4 * LARGE_FLEET)
+    expect(acceptance.acceptanceOf('i-0/0', 0).kind).toBe('accepting')
+    expect(acceptance.acceptanceOf('i-1/0', 0).kind).toBe('leaving')
   })
 })
 
@@ -47,7 +78,7 @@
   const request = { receivedAt: 1000, drainMilliseconds: DRAIN_MS }
 
   test('get no requests until it ends, also when there is no other one', () => {
-    const acceptance = createBackendAcceptance()
+    const acceptance = createAcceptance()
     const until = acceptance.pause('i-1/0', 3000, 1000) ?? 0
     expect(until).toBe(4001)
     expect(selectAccepting([paused, other], acceptance, request, until - 1)).toEqual([other])
@@ -57,7 +88,7 @@
 
   // Guards against a time that ends early because responses to concurrent requests arrive in another order.
   test('keep the latest end that they named', () => {
-    const acceptance = createBackendAcceptance()
+    const acceptance = createAcceptance()
     acceptance.pause('i-1/0', 3000, 1000)
     expect(acceptance.pause('i-1/0', 500, 1100)).toBeUndefined()
     expect(acceptance.acceptanceOf('i-1/0', 4000)).toEqual({ kind: 'paused', until: 4001 })
@@ -65,21 +96,36 @@
   })
 
   test('are told apart by their start time', () => {
-    const acceptance = createBackendAcceptance()
+    const acceptance = createAcceptance()
     acceptance.pause('i-1/0', 3000, 1000)
     expect(acceptance.acceptanceOf('i-1/5', 1000)).toEqual({ kind: 'accepting' })
   })
 
   // Guards against a process that a time written in error excludes for as long as it runs.
   test('are left out for a day at most, and not at all for a time of 0', () => {
-    const acceptance = createBackendAcceptance()
+    const acceptance = createAcceptance()
     expect(acceptance.pause('i-1/0', Infinity, 1000)).toBe(86_401_001)
     expect(acceptance.pause('i-2/0', 0, 1000)).toBeUndefined()
   })
 
+  // Guards against requests in the named time, in a fleet in which many backend servers want nothing at the same time.
+  test('are not forgotten before the end, however many others want nothing', () => {
+    const names = Array.from({ length: LARGE_FLEET }, (_, index) => `i-${index}/0`)
+    const acceptance = createAcceptance()
+    for (const name of names) acceptance.pause(name, 3000, 1000)
+    expect(names.filter((name) => acceptance.acceptanceOf(name, 3999).kind !== 'paused')).toEqual([])
+  })
+
+  // Guards against memory that grows with the number of backend servers that ever wanted nothing.
+  test('are forgotten after the end', () => {
+    const acceptance = createAcceptance()
+    for (let index = 0; index < 10 * LARGE_FLEET; index++) acceptance.pause(`i-${index}/0`, 1000, index * 10)
+    expect(acceptance.size).toBeLessThan(2 * LARGE_FLEET)
+  })
+
   // Guards against callers that are told to return before a backend server wants requests, or all at the same moment.
   test('callers return from the first end on, within a quarter of the remaining time or half a second', () => {
-    const acceptance = createBackendAcceptance()
+    const acceptance = createAcceptance()
     acceptance.pause('i-1/0', 999, 1000)
     acceptance.pause('i-2/0', 9999, 1000)
     expect([0, 0.5, 0.99].map((spread) => returnAt([paused, other], acceptance, 1000, spread))).toEqual([2000, 2125, 2247.5])
@@ -87,7 +133,7 @@
   })
 
   test('give callers no time when another one accepts requests, or when all leave', () => {
-    const acceptance = createBackendAcceptance()
+    const acceptance = createAcceptance()
     acceptance.pause('i-1/0', 3000, 1000)
     expect(returnAt([paused, other], acceptance, 1000, 0)).toBeUndefined()
     acceptance.markLeaving('i-1/0', 1000)
--- a/packages/gateway/src/decisions/backendAcceptance.ts
+++ b/packages/gateway/src/decisions/backendAcceptance.ts
@@ -1,8 +1,10 @@
 import { assertNever } from '@quinceshunt/effects'
 import { backendProcessOf, type BackendState } from './backendState.js'
 
-/** Far more than leave or want nothing at the same time; the least recently learned one is forgotten first. */
-const MAX_PROCESSES = 1000
+/** Processes that leave or want nothing beyond which those that matter no longer are looked for and forgotten. */
+const MIN_SWEEP_SIZE = 1000
+/** A leaving process whose entry has been missing from the list has exited by then, even if it serves for many seconds longer. */
+const REMEMBERED_LEAVING_MS = 600_000
 /** A time written in error must not exclude a process for as long as it runs. */
 const MAX_PAUSE_MS = 86_400_000
 /** Callers return within this share of the remaining time after its end, so that they do not all arrive at the same moment. */
@@ -24,31 +26,58 @@
   /** Records that a process wants nothing for a time; returns the end, by `steadyNow`, or undefined when no earlier one is moved. */
   pause (backendProcess: string, milliseconds: number, now: number): number | undefined
   acceptanceOf (backendProcess: string, now: number): Acceptance
+  /** Number of processes that are remembered. */
+  readonly size: number
 }
 
-/** Sets the value as the newest one and drops the oldest one beyond the maximum. */
-function remember (map: Map<string, number>, key: string, value: number): void {
-  map.delete(key)
-  map.set(key, value)
-  const [oldest] = map.keys()
-  if (map.size > MAX_PROCESSES && oldest !== undefined) map.delete(oldest)
+/** Times by process. */
+interface ProcessTimes {
+  get (backendProcess: string): number | undefined
+  set (backendProcess: string, time: number, now: number): void
+  readonly size: number
 }
 
-/** Creates a record in which all processes accept requests. */
-export function createBackendAcceptance (): BackendAcceptance {
-  const leavingSince = new Map<string, number>()
-  const pausedUntil = new Map<string, number>()
+/** Returns true for the times that still matter. */
+type TimeFilter = (backendProcess: string, time: number) => boolean
+
+/** Creates an empty record that drops the times that matter no longer whenever their number has doubled. */
+function createProcessTimes (createFilter: (now: number) => TimeFilter): ProcessTimes {
+  const times = new Map<string, number>()
+  let sweepSize = MIN_SWEEP_SIZE
+
+  function sweep (matters: TimeFilter): void {
+    for (const [backendProcess, time] of times) if (!matters(backendProcess, time)) times.delete(backendProcess)
+    sweepSize = Math.max(MIN_SWEEP_SIZE, 2 * times.size)
+  }
+
+  return {
+    get: (backendProcess) => times.get(backendProcess),
+    set: (backendProcess, time, now) => {
+      times.set(backendProcess, time)
+      if (times.size > sweepSize) sweep(createFilter(now))
+    },
+    get size () { return times.size }
+  }
+}
+
+/** Creates a record in which all processes accept requests; `listedProcesses` returns those that are in the list now. */
+export function createBackendAcceptance (listedProcesses: () => ReadonlySet<string>): BackendAcceptance {
+  const leavingSince = createProcessTimes((now) => {
+    const listed = listedProcesses()
+    return (backendProcess, since) => now < since + REMEMBERED_LEAVING_MS || listed.has(backendProcess)
+  })
+  const pausedUntil = createProcessTimes((now) => (_backendProcess, until) => now < until)
   return {
     markLeaving: (backendProcess, now) => {
-      if (leavingSince.has(backendProcess)) return false
-      remember(leavingSince, backendProcess, now)
+      if (leavingSince.get(backendProcess) !== undefined) return false
+      leavingSince.set(backendProcess, now, now)
       return true
     },
     pause: (backendProcess, milliseconds, now) => {
       // `now` is rounded down, so that the end is a millisecond later.
       const until = now + 1 + Math.ceil(Math.min(milliseconds, MAX_PAUSE_MS))
       if (milliseconds === 0 || until <= (pausedUntil.get(backendProcess) ?? 0)) return undefined
-      remember(pausedUntil, backendProcess, until)
+      pausedUntil.set(backendProcess, until, now)
       return until
     },
     acceptanceOf: (backendProcess, now) => {
@@ -56,7 +85,8 @@
       const since = leavingSince.get(backendProcess)
       if (now < until) return { kind: 'paused', until: since === undefined ? until : Infinity }
       return since === undefined ? { kind: 'accepting' } : { kind: 'leaving', since }
-    }
+    },
+    get size () { return leavingSince.size + pausedUntil.size }
   }
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -153,7 +153,7 @@
     eventLoopDelay: startEventLoopDelay(metrics, log),
     configuration: confirmedConfiguration,
     backends,
-    acceptance: createBackendAcceptance(),
+    acceptance: createBackendAcceptance(backends.processes),
     connections,
     tokens,
     fleet,
--- a/packages/gateway/src/tasks/backendTask.ts
+++ b/packages/gateway/src/tasks/backendTask.ts
@@ -1,5 +1,5 @@
 import { steadyNow } from '../clock.js'
-import { createBackendState, resetProcessState, type BackendState } from '../decisions/backendState.js'
+import { backendProcessOf, createBackendState, resetProcessState, type BackendState } from '../decisions/backendState.js'
 import { isOutdatedEntry, type KnownEntry } from '../decisions/entryOrder.js'
 import type { BackendServerEntry } from '../fleetConfiguration.js'
 import type { GatewayPlatform, StoredRow } from '../ports.js'
@@ -24,6 +24,8 @@
   /** Backend servers of a service that may get requests now. */
   candidates (service: string, now: number): readonly BackendState[]
   find (id: string): BackendState | undefined
+  /** The processes of all backend servers that are listed now, as named by `backendProcessOf`. */
+  processes (): ReadonlySet<string>
   /** Excludes a backend server at whose address another process answers, until its entry changes. */
   markMisdirected (id: string): void
   readonly follower: TableFollower
@@ -170,6 +172,7 @@
       return found
     },
     find: (id) => states.get(id),
+    processes: () => new Set([...states.values()].map(({ entry }) => backendProcessOf(entry))),
     markMisdirected: (id) => {
       misdirected.add(id)
       log.event('backendMisplaced', { backend: id, address: states.get(id)?.entry.address })
