Let a crashing part outweigh a sound one that fewer requests brought into some of its crashes

Cause, from their traces: the part was in the requests of all six crashes, with three or more successive ones, and still not held back three seconds later. Candidates are ordered by the square of their crashed processes over their requests: 6 * 6 / 12 to 15 for the part, 3 * 3 / 3 or 4 * 4 / 4 for a sound subject that one request each had brought into some of the crashes. The subject came first and took these crashes; what remained of the part was no series. So the more often a part crashes engines, the later it is found.

The crashed processes now count with their cube. Chance seldom puts a sound part into most of the crashes, so that how many a part explains says more than how many requests had it. A part that all requests have still comes last: its crashes are the same and its requests are many more.

--- a/packages/requests/src/__tests__/crashingParts.test.ts
+++ b/packages/requests/src/__tests__/crashingParts.test.ts
@@ -70,6 +70,16 @@
     expect(heldBackParts(recordAll(crashesOf(4)), ['system'], 4700)).toEqual(['system'])
   })
 
+  // Guards against a crashing part that is sent on because a sound one was in half of its crashes by chance.
+  test('a part of all crashes is held back rather than a sound one that fewer requests brought into some of them', () => {
+    const crashingParts = recordAll([
+      ...[1000, 2000, 3000].map((at) => crashed(['sound'], at)),
+      ...[1000, 2000, 3000, 4000, 5000, 6000].flatMap((at) => ['a', 'b', 'c'].map((subject) => crashed([`${subject}${at}`, 'deadly'], at)))
+    ])
+    expect(heldBackParts(crashingParts, ['deadly'], NOW)).toEqual(['deadly'])
+    expect(heldBackParts(crashingParts, ['sound'], NOW)).toEqual([])
+  })
+
   // Guards against a part that is held back because many backend servers failed together.
   test('simultaneous crashes, and several reports of one crash, count once', () => {
     const simultaneous = ['a', 'b', 'c', 'd'].map((server, index) => crashed(['part'], 1000 + index, server))
@@ -277,7 +287,7 @@
 const MAX_WRONGLY_HELD_BACK_SHARE = 0.02
 
 /** Plays of 60 instances and 6 engines with 120 requests a second in which more than three were sent later than 3 s after the fifth crash. */
-const FORMER_FAILURES = [517831250, 533063728]
+const FORMER_FAILURES = [517831250, 533063728, 437432048, 1660669100, 65015444]
 
 describe('a fleet before engines that crash on one part of its prompts', () => {
   // Guards against a part that is found too late, and against sound requests that are held back with it.
@@ -289,7 +299,8 @@
     }), { numRuns: 15 })
   })
 
-  // Guards against released instances that go on sending the part although the first of them crashed a further engine.
+  // Guards against released instances that go on sending the part although the first of them crashed a further engine, and against
+  // a part that is not found because a sound one takes its crashes.
   test.each(FORMER_FAILURES)('the play of seed %i sends the part at most three times later than 3 s after the fifth crash', (seed) => {
     expect(playCrashes(seed, 60, 6, 120).sentAfterFifthCrash).toBeLessThanOrEqual(3)
   })
--- a/packages/requests/src/crashingParts.ts
+++ b/packages/requests/src/crashingParts.ts
@@ -153,8 +153,9 @@
   return new Set(crashes.map((crash) => crash.backendProcess)).size
 }
 
+/** With the square, a sound part that one request each brought into half of the crashes outweighs the cause of all when two requests each had it. */
 function scoreOf (crashes: readonly Crash[]): number {
-  return countProcesses(crashes) ** 2 / crashes.length
+  return countProcesses(crashes) ** 3 / crashes.length
 }
 
 /** Joins parts that were in the same crashed requests. */
