Learn the draws of a process whose lease row the copy lacks

An instance that first wrote its lease after the copy, and was killed and started again around the restore, found no lease row. Its new process took itself for the first one and wrote an empty lease in the new era; peers that knew the totals of the process before then had nothing to do, as a lease of the current era was there, and their replies were ignored. All that it had drawn was granted again.

--- a/packages/gateway/src/__tests__/restoredTokens.test.ts
+++ b/packages/gateway/src/__tests__/restoredTokens.test.ts
@@ -36,7 +36,8 @@
   for (const tokens of [8000, 2000, 500]) {
     let failures = 0
     while (failures < 12) {
-      const results = [await use(testFleet, 0, tokens), await use(testFleet, 1, tokens), await use(testFleet, 2, tokens)]
+      const results: boolean[] = []
+      for (const index of testFleet.instances.keys()) results.push(await use(testFleet, index, tokens))
       failures = results.includes(true) ? 0 : failures + 1
     }
   }
@@ -126,4 +127,18 @@
     await useUp(testFleet)
     expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
   })
+
+  // Guards against draws of an instance that the copy does not know: without a lease row its next process took it for new.
+  test.each(['and started again', 'and never started again'])('draws of an instance that first started after the copy and was killed %s are not granted again', async (what) => {
+    const copy = testFleet.memory.takeCopy()
+    testFleet.instances.push(testFleet.fleet.start('d'))
+    await jest.advanceTimersByTimeAsync(1000)
+    for (let round = 0; round < 5; round++) await use(testFleet, 3, 8000)
+    testFleet.instances[3]?.kill()
+    testFleet.memory.restore(copy)
+    if (what === 'and started again') testFleet.instances[3] = testFleet.fleet.start('d')
+    else testFleet.instances.pop()
+    await useUp(testFleet)
+    expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
+  })
 })
--- a/packages/gateway/src/decisions/recordedTotals.ts
+++ b/packages/gateway/src/decisions/recordedTotals.ts
@@ -72,8 +72,8 @@
   const unrecorded = new Map<string, number>()
   /** True once the totals of all earlier processes are known. */
   let isExact = false
-  /** Outdated row whose process may have drawn more than it says. */
-  let outdated: { readonly lifetime: string, readonly sequence: number } | undefined
+  /** Outdated row whose process may have drawn more than it says; without a lifetime when the store has no row. */
+  let outdated: { readonly lifetime: string | undefined, readonly sequence: number } | undefined
 
   const total = (name: string): number => (earlier.get(name) ?? 0) + heldTokens(name)
 
@@ -112,6 +112,7 @@
     adopt: (lease, { isOutdated, isOwn, endedBy }) => {
       if (isExact && isOutdated) return compareWithRow(lease === undefined ? new Map() : leaseTotals(lease))
       if (lease !== undefined && isOutdated) return takeOverOutdated(lease, endedBy)
+      if (lease === undefined && !isExact) outdated = { lifetime: undefined, sequence: 0 }
       if (lease === undefined || isOwn) {
         isExact = true
         return 'unchanged'
@@ -124,7 +125,7 @@
     learnPredecessor: (lifetime, told) => {
       if (outdated === undefined) return false
       if (outdated.lifetime === lifetime && told.sequence <= outdated.sequence) return false
-      const isLater = outdated.lifetime === lifetime || outdated.lifetime === told.after
+      const isLater = outdated.lifetime === undefined || outdated.lifetime === lifetime || outdated.lifetime === told.after
       let isNews = false
       for (const [name, toldTotal] of Object.entries(told.totals)) {
         const known = earlier.get(name) ?? 0
