Let a process that starts wait for draws that others have to record again

After a restore only processes that saw it, or found an outdated lease, paused their draws.

Registrations now tell whether the instance may still have draws to record. A process that starts draws once each peer has registered in the current era without that mark or has recorded its draws, after 3 s at the latest, so that ordinary starts wait for the list of instances only (tested). A registration that was written before the era was known is written again, as it would let others wait; that also ends a wait of 5 s for the configuration.

--- a/packages/gateway/src/__fixtures__/restorableFleet.ts
+++ b/packages/gateway/src/__fixtures__/restorableFleet.ts
@@ -61,7 +61,7 @@
       era,
       mayDraw: () => fleet.mayDraw,
       onRecovered: fleet.confirmRecovery,
-      onOutdatedLease: fleet.awaitRecovery,
+      onLeaseRead: fleet.noteLease,
       onTotals: (totals) => { if (!isKilled) witness.tell(totals) }
     })
     const witness: LeaseWitness = createLeaseWitness({
--- a/packages/gateway/src/__fixtures__/storeWithoutRestores.ts
+++ b/packages/gateway/src/__fixtures__/storeWithoutRestores.ts
@@ -1,12 +1,12 @@
 import type { TokenTaskOptions } from '../tasks/tokenAccounts.js'
 
 /** Options of a token task whose store is never restored from a copy. */
-export function storeWithoutRestores (): Pick<TokenTaskOptions, 'era' | 'mayDraw' | 'onRecovered' | 'onOutdatedLease' | 'onTotals'> {
+export function storeWithoutRestores (): Pick<TokenTaskOptions, 'era' | 'mayDraw' | 'onRecovered' | 'onLeaseRead' | 'onTotals'> {
   return {
     era: { current: undefined, restoredAt: undefined, onRestored: () => {} },
     mayDraw: () => true,
     onRecovered: () => {},
-    onOutdatedLease: () => {},
+    onLeaseRead: () => {},
     onTotals: () => {}
   }
 }
--- a/packages/gateway/src/__tests__/fleetTask.test.ts
+++ b/packages/gateway/src/__tests__/fleetTask.test.ts
@@ -12,9 +12,9 @@
 let running: TestInstance[] = []
 let reachesPeers = false
 
-function startInstance (memory: MemoryRowStore, instanceId: string, failureDomain = 'a', onCrash: FleetTaskOptions['onCrash'] = () => {}): TestInstance {
+function startInstance (memory: MemoryRowStore, instanceId: string, failureDomain = 'a', onCrash: FleetTaskOptions['onCrash'] = () => {}, rowStore = memory.store): TestInstance {
   const log = createRecordingLog()
-  const { store, era } = watchStoreEra(memory.store, log)
+  const { store, era } = watchStoreEra(rowStore, log)
   const fleet = startFleetTask({
     store,
     era,
@@ -121,6 +121,18 @@
 
 describe('the fleet table of a restored store', () => {
   // Guards against instances that nobody finds any more, and against ones that have stopped and are asked for tokens again.
+  // Guards against registrations that name no era: processes that start later waited for these instances to register again.
+  test('an instance that registers before it knows the era of the store registers again with it', async () => {
+    const memory = createMemoryRowStore()
+    const writer = startInstance(memory, 'instance0', 'a', () => {}, {
+      ...memory.store,
+      read: async () => ({ kind: 'unavailable', reason: 'slow in the test' })
+    })
+    writer.fleet.noteLease(false)
+    await jest.advanceTimersByTimeAsync(3000)
+    expect(memory.getRow({ table: 'fleet', part: '', key: 'instance/instance0' })?.split(' ').slice(3, 5)).toEqual(['1', 'recorded'])
+  })
+
   test('an instance that registered after the copy registers again, and one that stopped after it is forgotten', async () => {
     const memory = createMemoryRowStore()
     const first = startInstance(memory, 'first')
--- a/packages/gateway/src/__tests__/restoredTokens.test.ts
+++ b/packages/gateway/src/__tests__/restoredTokens.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals'
 import { createMemoryRowStore, type MemoryRowStore } from '../__fixtures__/memoryRowStore.js'
+import type { RowStore } from '../ports.js'
 import { createRestorableFleet, type RestorableFleet, type RestorableInstance } from '../__fixtures__/restorableFleet.js'
 
 const ACCOUNT = 'school'
@@ -47,6 +48,21 @@
   testFleet.instances[index] = testFleet.fleet.start(NAMES[index] ?? '')
 }
 
+/** A connection to the store that fails while `isCut`. */
+function createCuttableStore (store: RowStore): { readonly store: RowStore, isCut: boolean } {
+  const state = { isCut: false }
+  return {
+    store: {
+      transact: async (transaction, deadline) => state.isCut ? { kind: 'refused', reason: 'cut by the test' } : await store.transact(transaction, deadline),
+      read: async (table, part, deadline, range) => state.isCut ? { kind: 'unavailable', reason: 'cut by the test' } : await store.read(table, part, deadline, range),
+      readChanges: async (table, after, waitMilliseconds, deadline) => state.isCut ? { kind: 'unavailable', reason: 'cut by the test' } : await store.readChanges(table, after, waitMilliseconds, deadline),
+      close: () => {}
+    },
+    get isCut () { return state.isCut },
+    set isCut (isCut) { state.isCut = isCut }
+  }
+}
+
 let testFleet: TestFleet
 
 beforeEach(async () => {
@@ -141,4 +157,50 @@
     await useUp(testFleet)
     expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
   })
+
+  // Guards against draws by processes that start after the restore, before the others have recorded theirs again.
+  test('an instance that is added right after the restore waits with its draws for the others', async () => {
+    const connection = createCuttableStore(testFleet.memory.store)
+    testFleet.instances[2]?.kill()
+    testFleet.instances[2] = testFleet.fleet.start('c', connection.store)
+    await jest.advanceTimersByTimeAsync(1000)
+    const copy = testFleet.memory.takeCopy()
+    for (let round = 0; round < 11; round++) await use(testFleet, 2, 8000)
+    connection.isCut = true
+    testFleet.memory.restore(copy)
+    testFleet.instances.push(testFleet.fleet.start('d'))
+    await use(testFleet, 3, 8000)
+    await use(testFleet, 3, 8000)
+    connection.isCut = false
+    await useUp(testFleet)
+    expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
+  })
+
+  test('an instance that starts again after it has recorded its draws waits for the others', async () => {
+    const connection = createCuttableStore(testFleet.memory.store)
+    testFleet.instances[2]?.kill()
+    testFleet.instances[2] = testFleet.fleet.start('c', connection.store)
+    await jest.advanceTimersByTimeAsync(1000)
+    const copy = testFleet.memory.takeCopy()
+    for (let round = 0; round < 11; round++) await use(testFleet, 2, 8000)
+    connection.isCut = true
+    testFleet.memory.restore(copy)
+    await jest.advanceTimersByTimeAsync(400)
+    testFleet.instances[0]?.kill()
+    restart(testFleet, 0)
+    // More than its last process left, so that it has to draw.
+    await use(testFleet, 0, 24_000)
+    connection.isCut = false
+    await useUp(testFleet)
+    expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
+  })
+
+  // Guards against processes that wait for a recovery on ordinary starts.
+  test('an instance that starts again without a restore draws at once', async () => {
+    await use(testFleet, 0, 8000)
+    testFleet.instances[0]?.kill()
+    restart(testFleet, 0)
+    await jest.advanceTimersByTimeAsync(200)
+    expect(testFleet.instances[0]?.fleet.mayDraw).toBe(true)
+  })
 })
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -117,7 +117,7 @@
     era,
     mayDraw: () => fleet.mayDraw,
     onRecovered: fleet.confirmRecovery,
-    onOutdatedLease: fleet.awaitRecovery,
+    onLeaseRead: fleet.noteLease,
     onTotals: (totals) => witness.tell(totals)
   })
   const witness = createLeaseWitness({
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -30,6 +30,9 @@
 const RECOVERY_WAIT_MS = 3000
 /** An instance that has not registered again this long after a restore is taken for one that had stopped since the copy. */
 const REGISTRATION_GRACE_MS = 10_000
+/** Parts of a registration: whether the instance has draws from before a restore to record again. */
+const RECORDING = 'recording'
+const RECORDED = 'recorded'
 /** Reports of this instance that are written again after a restore; the oldest are dropped first. */
 const MAX_KEPT_REPORTS = 500
 
@@ -73,8 +76,11 @@
   hasRecovered (instanceId: string): boolean
   /** Tells all instances that this one has recorded its draws again. */
   confirmRecovery (): void
-  /** Lets draws wait for other instances after a restore that this process did not see. */
-  awaitRecovery (): void
+  /**
+   * Notes that the lease of this instance's last process was read. An outdated one was written before a restore that this
+   * process did not see.
+   */
+  noteLease (isOutdated: boolean): void
   readonly follower: TableFollower
   /** Removes this instance from the list of instances. */
   deregister (): Promise<void>
@@ -110,8 +116,14 @@
   /** Era in which each instance has last recorded its draws again. */
   const recoveredEras = new Map<string, number>()
   /** What each instance told with its registration. */
-  const registrations = new Map<string, { readonly era: string, readonly configurationVersion: number }>()
-  let drawFrom = 0
+  const registrations = new Map<string, { readonly era: string, readonly configurationVersion: number, readonly isRecording: boolean }>()
+  /** A process that starts may have missed a restore, so that it waits as well until the others are known. */
+  let drawFrom = steadyNow() + RECOVERY_WAIT_MS
+  /** True while the balances may lack tokens that this instance drew before a restore. */
+  let isRecording = true
+  let isRegistering = false
+  let registeredState: string | undefined
+  let hasReadLease = false
   let keptReports: Report[] = []
   const homesByAccount = new Map<string, readonly Peer[]>()
   let pendingReports: Report[] = []
@@ -124,10 +136,17 @@
   let hasReadPeers = false
   let markRead: () => void = () => {}
   const isRead = new Promise<void>((resolve) => { markRead = resolve })
+  let markLeaseRead: () => void = () => {}
+  const isLeaseRead = new Promise<void>((resolve) => { markLeaseRead = resolve })
 
-  /** Value of this instance's row; the era is known from the first response on. */
+  /** Part of the registration that is written again when it changes; the era is known from the first response on. */
+  function recordingState (): string {
+    return `${era.current ?? ''} ${isRecording ? RECORDING : RECORDED}`
+  }
+
+  /** Value of this instance's row. */
   function registration (): string {
-    return `${options.peerAddress} ${options.failureDomain} ${options.incarnationId} ${era.current ?? ''} ${options.configurationVersion()}`
+    return `${options.peerAddress} ${options.failureDomain} ${options.incarnationId} ${recordingState()} ${options.configurationVersion()}`
   }
 
   async function writeRow (key: string, value: string): Promise<boolean> {
@@ -141,9 +160,9 @@
     if (row.key.startsWith(PREFIX.instance)) {
       const name = row.key.slice(PREFIX.instance.length)
       homesByAccount.clear()
-      const [address = '', failureDomain = '', incarnationId = '', registeredEra = '', configurationVersion = '0'] = row.value.split(' ')
+      const [address = '', failureDomain = '', incarnationId = '', registeredEra = '', recordingState = RECORDED, configurationVersion = '0'] = row.value.split(' ')
       rowVersions.set(name, row.version)
-      registrations.set(name, { era: registeredEra, configurationVersion: Number(configurationVersion) })
+      registrations.set(name, { era: registeredEra, configurationVersion: Number(configurationVersion), isRecording: recordingState === RECORDING })
       if (row.deleted) instances.delete(name)
       else instances.set(name, { instanceId: name, address, failureDomain, incarnationId })
       return
@@ -192,11 +211,27 @@
 
   function awaitRecovery (): void {
     drawFrom = steadyNow() + RECOVERY_WAIT_MS
+    isRecording = true
+    startRegistration()
+  }
+
+  function noteLease (isOutdated: boolean): void {
+    if (isOutdated) awaitRecovery()
+    else if (!hasReadLease && era.restoredAt === undefined) isRecording = false
+    hasReadLease = true
+    markLeaseRead()
+    if (registeredState !== undefined && registeredState !== recordingState()) startRegistration()
+  }
+
+  /** True when the balances lack no tokens that the instance drew before a restore. */
+  function isSettled (instanceId: string): boolean {
+    if (hasRecovered(instanceId)) return true
+    // A process that saw the restore knows which instances ran before: each of them records its draws again.
+    return era.restoredAt === undefined && hasRegistered(instanceId) && registrations.get(instanceId)?.isRecording === false
   }
 
   function handleRestore (): void {
     awaitRecovery()
-    startRegistration()
     pendingReports = [...keptReports, ...pendingReports].slice(-MAX_PENDING_REPORTS)
     if (pendingReports.length > 0) scheduleReports(CRASH_REPORT_INTERVAL_MS)
     const { restoredAt } = era
@@ -238,15 +273,24 @@
   }
 
   async function register (): Promise<void> {
-    await Promise.race([isRead, new Promise((resolve) => setTimeout(resolve, REGISTRATION_RETRY_MS))])
+    await Promise.race([Promise.all([isRead, isLeaseRead]), new Promise((resolve) => setTimeout(resolve, REGISTRATION_RETRY_MS))])
     for (;;) {
-      if (stopped || await writeRow(`${PREFIX.instance}${options.instanceId}`, registration())) return
+      if (stopped) return
+      const state = recordingState()
+      const isWritten = await writeRow(`${PREFIX.instance}${options.instanceId}`, registration())
+      if (isWritten) registeredState = state
+      if (state !== recordingState()) continue
+      if (isWritten) return
       await new Promise((resolve) => setTimeout(resolve, REGISTRATION_RETRY_MS))
     }
   }
 
   function startRegistration (): void {
-    register().catch((error: unknown) => log.warning('registrationFailed', { reason: String(error) }))
+    if (isRegistering || stopped) return
+    isRegistering = true
+    register()
+      .catch((error: unknown) => log.warning('registrationFailed', { reason: String(error) }))
+      .finally(() => { isRegistering = false })
   }
 
   function writeReports (): void {
@@ -329,10 +373,10 @@
     reportAnswer,
     announceLimit,
     mayBeOutdated: (configurationVersion) => !hasReadPeers || peersOf().some(({ instanceId }) => !hasRegistered(instanceId) || (registrations.get(instanceId)?.configurationVersion ?? 0) > configurationVersion),
-    get mayDraw () { return steadyNow() >= drawFrom || (instances.size > 0 && peersOf().every((peer) => hasRecovered(peer.instanceId))) },
+    get mayDraw () { return steadyNow() >= drawFrom || (hasReadPeers && instances.size > 0 && peersOf().every((peer) => isSettled(peer.instanceId))) },
     hasRecovered,
     confirmRecovery: () => { writeRecovery().catch((error: unknown) => log.warning('recoveryNotConfirmed', { reason: String(error) })) },
-    awaitRecovery,
+    noteLease,
     receive: (reports) => { for (const report of reports) applyReport(report) },
     follower,
     deregister: async () => {
--- a/packages/gateway/src/tasks/leaseManager.ts
+++ b/packages/gateway/src/tasks/leaseManager.ts
@@ -44,7 +44,7 @@
   readonly stateOf: (name: string) => AccountState
   readonly era: StoreEra
   readonly onRecovered: () => void
-  readonly onOutdatedLease: () => void
+  readonly onLeaseRead: (isOutdated: boolean) => void
   readonly onTotals: (totals: LeaseTotals) => void
 }
 
@@ -210,10 +210,11 @@
       predecessorLease = { row: lease, endedBy }
       lastProcess = lease.lifetime
     }
-    if (adoption !== 'outdatedPredecessor') return
-    predecessorLease = undefined
-    isRestored = true
-    options.onOutdatedLease()
+    if (adoption === 'outdatedPredecessor') {
+      predecessorLease = undefined
+      isRestored = true
+    }
+    options.onLeaseRead(adoption === 'outdatedPredecessor')
   }
 
   /** After a restore nothing is known of the rows; returns that were under way stay out of the ledgers, as they may be in the copy. */
--- a/packages/gateway/src/tasks/tokenAccounts.ts
+++ b/packages/gateway/src/tasks/tokenAccounts.ts
@@ -52,8 +52,8 @@
   readonly mayDraw: () => boolean
   /** Called when this instance has recorded again what it had drawn before a restore. */
   readonly onRecovered: () => void
-  /** Called when the last process of this instance wrote its lease before a restore that this process did not see. */
-  readonly onOutdatedLease: () => void
+  /** Called when the lease of this instance's last process was read; an outdated one was written before a restore that this process did not see. */
+  readonly onLeaseRead: (isOutdated: boolean) => void
   /** Called with the instance's totals whenever they have changed; `isFinal` when the process will not change them any more. */
   readonly onTotals: (totals: LeaseTotals) => void
 }
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -23,7 +23,7 @@
     stateOf,
     era: options.era,
     onRecovered: options.onRecovered,
-    onOutdatedLease: options.onOutdatedLease,
+    onLeaseRead: options.onLeaseRead,
     onTotals: options.onTotals
   })
   let isRunning = false
