Show that nothing bounds unannounced use after the loss of all processes

When all instances lose power before they have recorded their draws in the new era, only the rows of the copy tell what they had used.

--- a/packages/gateway/src/__tests__/restoredTokens.test.ts
+++ b/packages/gateway/src/__tests__/restoredTokens.test.ts
@@ -133,6 +133,17 @@
     expect(testFleet.used).toBeGreaterThanOrEqual(PREPAID * 0.97)
   })
 
+  // Guards against use that no row of the copy announces, when no process is left that knows of it.
+  test('after the loss of all processes, an account whose use began after the copy is not overspent', async () => {
+    const copy = testFleet.memory.takeCopy()
+    for (let round = 0; round < 9; round++) await use(testFleet, 0, 8000)
+    for (const instance of testFleet.instances) instance.kill()
+    testFleet.memory.restore(copy)
+    for (const index of NAMES.keys()) restart(testFleet, index)
+    await useUp(testFleet)
+    expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
+  })
+
   test('after the loss of all processes, use at the announced rate since the copy is taken as spent', async () => {
     for (let round = 0; round < 4; round++) await use(testFleet, 0, 2000)
     const copy = testFleet.memory.takeCopy()
