Let the number of instances that release a prompt part grow e-fold in a constant time

Cause, from the trace: two successive crashes hold the part back; from 5.3 s on one instance each half second releases it, so that one sends it and the others learn of the crash. But an instance stays released until it has a request with the part, and none of the first 18 had one. At 14.1 s any of 18 could send it, and four did within 0.8 s, the last one before the first report was due. Steady steps let the more instances send the part at once the longer none does.

The number of released instances now grows e-fold in five seconds: 2 of 60 after 3.5 s, 18 after 14.5 s. When the first of them has a request with the part, the next is about five seconds away, whatever the rate of such requests and the size of the fleet. The last of 6 releases after 9 s instead of 2.5 s, the last of 60 after 20 s instead of 30 s. The gateway and the router, which had a copy of the interval each, share the function, and the model plays it.

Tests of packages/requests, gateway and router and of platform repeatedCrashes and crashingPrompts pass.

--- a/packages/gateway/src/tasks/crashGuard.ts
+++ b/packages/gateway/src/tasks/crashGuard.ts
@@ -1,12 +1,9 @@
-import { contentPart, createCrashingParts, isContentPart, type SuspectedGroup } from '@quinceshunt/requests'
+import { computeReleaseDelay, contentPart, createCrashingParts, isContentPart, type SuspectedGroup } from '@quinceshunt/requests'
 import { steadyNow } from '../clock.js'
 import type { ReportedRequest } from '../decisions/crashReport.js'
 import type { SharedClock } from '../decisions/sharedClock.js'
 import type { DecisionLog } from './decisionLog.js'
 
-/** Mean time between two instances that send a part again; within it, a further crash becomes known to most. */
-const RELEASE_INTERVAL_MS = 500
-
 /** Properties of a request by which it is recognized when it crashes backend servers. */
 export interface GuardedRequest {
   /** Hash of its content; computed only when needed. */
@@ -74,7 +71,7 @@
   let loggedGroups: ReadonlySet<string> = new Set()
 
   function releaseDelay (): number {
-    return options.releasePosition * options.instances() * RELEASE_INTERVAL_MS
+    return computeReleaseDelay(options.releasePosition, options.instances())
   }
 
   function logChanges (cause: string): void {
--- a/packages/requests/src/__tests__/crashingParts.test.ts
+++ b/packages/requests/src/__tests__/crashingParts.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals'
 import fc from 'fast-check'
-import { contentPart, createCrashingParts, type CrashingParts, type UnansweredRequest } from '../crashingParts.js'
+import { computeReleaseDelay, contentPart, createCrashingParts, type CrashingParts, type UnansweredRequest } from '../crashingParts.js'
 
 const NOW = 100_000
 
@@ -134,6 +134,15 @@
     expect(heldBackParts(crashingParts, ['deadly', 'school'], 6701)).toEqual([])
   })
 
+  // Guards against a part that many released instances send at once when none of the first had a request with it.
+  test.each([6, 60, 400])('of %i instances at most one and half as many as before are released within two seconds', (instanceCount) => {
+    const delays = Array.from({ length: instanceCount }, (_, index) => computeReleaseDelay(index / (instanceCount - 1), instanceCount))
+    const releasedAt = (time: number): number => delays.filter((delay) => delay <= time).length
+    expect(releasedAt(0)).toBe(1)
+    expect(releasedAt(60_000)).toBe(instanceCount)
+    for (let time = 0; time < 60_000; time += 100) expect(releasedAt(time + 2000)).toBeLessThanOrEqual(1 + 1.5 * releasedAt(time))
+  })
+
   test('a request with a part of two successive crashes is a suspect', () => {
     const crashingParts = recordAll([crashed(['part'], 1000)])
     expect(crashingParts.isSuspect(['other', 'part'], NOW)).toBe(false)
@@ -220,7 +229,6 @@
   const SUBJECTS = 300
   const DEADLY_SHARE = 0.05
   const REPORT_DELAY_MS = 500
-  const RELEASE_INTERVAL_MS = 500
   const ANSWER_MS = 300
   const RESTART_MS = 3000
   const END_MS = 25_000
@@ -231,7 +239,7 @@
   }
   interface InFlight { readonly parts: readonly string[], readonly sentAt: number, readonly instance: number, readonly answersAt: number }
   const engines = Array.from({ length: engineCount }, (_, index) => ({ name: `engine-${index}`, life: 0, downUntil: 0, running: [] as InFlight[] }))
-  const instances = Array.from({ length: instanceCount }, (_, index) => createCrashingParts(() => index * RELEASE_INTERVAL_MS))
+  const instances = Array.from({ length: instanceCount }, (_, index) => createCrashingParts(() => computeReleaseDelay(index / Math.max(1, instanceCount - 1), instanceCount)))
   const messages: { readonly at: number, readonly deliver: () => void }[] = []
   let crashes = 0
   let soundRequests = 0
@@ -287,7 +295,7 @@
 const MAX_WRONGLY_HELD_BACK_SHARE = 0.02
 
 /** Plays of 60 instances and 6 engines with 120 requests a second in which more than three were sent later than 3 s after the fifth crash. */
-const FORMER_FAILURES = [517831250, 533063728, 437432048, 1660669100, 65015444]
+const FORMER_FAILURES = [517831250, 533063728, 437432048, 1660669100, 65015444, 1833569371, 215831388]
 
 describe('a fleet before engines that crash on one part of its prompts', () => {
   // Guards against a part that is found too late, and against sound requests that are held back with it.
@@ -299,8 +307,8 @@
     }), { numRuns: 15 })
   })
 
-  // Guards against released instances that go on sending the part although the first of them crashed a further engine, and against
-  // a part that is not found because a sound one takes its crashes.
+  // Guards against released instances that go on sending the part although the first of them crashed a further engine, against many that
+  // are released before any has a request with the part, and against a part that is not found because a sound one takes its crashes.
   test.each(FORMER_FAILURES)('the play of seed %i sends the part at most three times later than 3 s after the fifth crash', (seed) => {
     expect(playCrashes(seed, 60, 6, 120).sentAfterFifthCrash).toBeLessThanOrEqual(3)
   })
--- a/packages/requests/src/crashingParts.ts
+++ b/packages/requests/src/crashingParts.ts
@@ -25,6 +25,8 @@
 const FURTHER_CRASHES = 2
 /** Crashes further apart are not taken for a series. */
 const SERIES_MS = 120_000
+/** Time in which the number of instances that may send a released part again grows e-fold: several times the second in which most learn of a crash. */
+const RELEASE_GROWTH_MS = 5000
 /** Time after its last crash for which a part is quarantined; then one further crash quarantines it again. */
 const QUARANTINE_MS = 600_000
 /** Time until all reports of a crash are there: an instance that knows only its own requests can't tell their parts apart. */
@@ -153,7 +155,7 @@
   return new Set(crashes.map((crash) => crash.backendProcess)).size
 }
 
-/** With the square, a sound part that one request each brought into half of the crashes outweighs the cause of all when two requests each had it. */
+/** With the square, a sound part that one request each brought into half of the crashes outweighs the cause of all when more than two each had it. */
 function scoreOf (crashes: readonly Crash[]): number {
   return countProcesses(crashes) ** 3 / crashes.length
 }
@@ -203,6 +205,15 @@
   return groups
 }
 
+/**
+ * Time, in milliseconds, for which an instance holds a part back after its release; `position` is its place, from 0 to 1, in the order of
+ * release. Released instances that have no request with the part add up. As their number grows e-fold in a constant time, the first of them
+ * to have one is about as far ahead of the second for a rare part as for a frequent one, and in a large fleet as in a small one.
+ */
+export function computeReleaseDelay (position: number, instanceCount: number): number {
+  return RELEASE_GROWTH_MS * Math.log(1 + position * Math.max(0, instanceCount - 1))
+}
+
 /**
  * Creates a record without evidence. `releaseDelay` is the time, in milliseconds, for which this instance holds a part back
  * after its release; it differs between instances, so that they don't all send a part again before the first one crashes.
--- a/packages/router/src/promptParts.ts
+++ b/packages/router/src/promptParts.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf'
-import { createCrashingParts, type UnansweredRequest } from '@quinceshunt/requests'
+import { computeReleaseDelay, createCrashingParts, type UnansweredRequest } from '@quinceshunt/requests'
 import { UnansweredPromptSchema, type UnansweredPrompt } from '@quinceshunt/schemas'
 import { createHash, randomUUID } from 'node:crypto'
 import type { ChatBody } from './chatBody.js'
@@ -9,8 +9,6 @@
 const MAX_REPORT_ATTEMPTS = 3
 /** Crashes of one backend server further apart than this are crashes of different processes. */
 const SAME_CRASH_WINDOW_MS = 2000
-/** Mean time between two instances that send a part again; within it, a further crash becomes known to all. */
-const RELEASE_INTERVAL_MS = 500
 const PART_HASH_CHARACTERS = 16
 /** Gossip repeats reports for this time, for instances that were not known or not reached when they were made. */
 const GOSSIP_PERIOD_MS = 60_000
@@ -44,7 +42,7 @@
 /** Creates a guard that knows of no crash. Instances compare their wall clocks; an error of seconds delays the detection. */
 export function createPromptPartGuard ({ clock, logger, metrics }: Pick<TaskContext, 'clock' | 'logger' | 'metrics'>, peers: Pick<PeerDirectory, 'otherAddresses' | 'client'>): PromptPartGuard {
   const releasePosition = Math.random()
-  const parts = createCrashingParts(() => releasePosition * (peers.otherAddresses().length + 1) * RELEASE_INTERVAL_MS)
+  const parts = createCrashingParts(() => computeReleaseDelay(releasePosition, peers.otherAddresses().length + 1))
 
   /** Reports of the gossip period, by ID. */
   const recent = new Map<string, UnansweredPrompt>()
