Take an unsigned response's word that its backend server leaves

A backend server that said in an unsigned 404 that it leaves went on getting requests after the drain time, although the response had been passed on to its caller together with the header.

Cause: only a signed response or a refusal to run counted, but responses below 500 other than successes are passed on without a signature.

Evidence: platform leavingBackends, "gets none either when it says so in an unsigned response": the second request, sent after the drain time, was answered with 404 by the backend server before, and with 503 now.

The attempt's ID, the expected backend server named on the request and the status 421 already tell whose response it is, as for a 503 that names a time.

--- a/packages/gateway/src/tasks/availableBackends.ts
+++ b/packages/gateway/src/tasks/availableBackends.ts
@@ -46,8 +46,7 @@
   // Another process answers with 421.
   if (response.fields.isMisdirected) return
   recordPause(context, response)
-  // Nothing shows who made a response that is neither signed nor a refusal to run.
-  if (response.fields.isLeaving && (response.fields.isSigned || response.fields.isNotRun)) recordLeaving(context, response)
+  if (response.fields.isLeaving) recordLeaving(context, response)
 }
 
 function recordLeaving (context: GatewayContext, { backend, backendProcess, requestId }: AttributedResponse): void {
