Keep a silent backend server's attempt until its retry is answered

Cause: a silent attempt was ended as soon as a retry elsewhere was reserved. A reserved retry can still fail: the other backend server is full, takes no connection or resets it. With two attempts allowed nothing was left then. Change: the attempt is set aside while its retry is in progress. Whichever sends a usable head or further bytes first ends the other; a retry without an answer gives the request back to the attempt that was set aside. That attempt ends at the latest 250 ms after its retry was sent, so that two backend servers never work on a request for longer. A pending reservation is not asked for twice. Remains: a retry that fails later than 250 ms after it was sent, or after its first bytes, can still end a stream.

--- a/packages/gateway/src/__tests__/requestPlan.test.ts
+++ b/packages/gateway/src/__tests__/requestPlan.test.ts
@@ -9,6 +9,8 @@
   readonly reservation?: ReservationOutcome
   readonly backends?: readonly string[]
   readonly mayRetry?: boolean
+  /** Outcome of the attempt that was set aside; undefined when it was given up. */
+  readonly continued?: AttemptOutcome
   /** The caller has left once this number of attempts was sent. */
   readonly callerLeavesAfter?: number
 }
@@ -30,6 +32,7 @@
       case 'sendAttempt':
         sentTo.push(command.backendId)
         return outcomes.shift()
+      case 'continueAttempt': return setting.continued
       case 'consumeRetry': return setting.mayRetry ?? true
     }
   }
@@ -93,13 +96,35 @@
     expect(runPlan({ deliverySemantics: { kind: 'resumableStream' }, outcomes: [begun, notRun] }).result.kind).toBe('cutOff')
   })
 
-  // Guards against a retry that is refused after its silent backend server was given up for it.
-  test('a silent backend server\'s request goes where its retry was reserved, without a second draw on the retry budget', () => {
-    const abandoned: AttemptOutcome = { kind: 'abandoned', reason: 'silent', headersSent: false, nextBackendId: 'third' }
-    expect(runPlan({ outcomes: [abandoned, delivered], mayRetry: false })).toEqual({ result: delivered, sentTo: ['first', 'third'] })
-    expect(runPlan({ maximumAttempts: 3, outcomes: [abandoned, broken, delivered] })).toEqual({ result: delivered, sentTo: ['first', 'third', 'second'] })
-    expect(runPlan({ outcomes: [abandoned, notRun] }).result.kind).toBe('unknown')
-    expect(runPlan({ deliverySemantics: { kind: 'resumableStream' }, outcomes: [{ ...abandoned, headersSent: true }, notRun] }).result.kind).toBe('cutOff')
+  const setAside: AttemptOutcome = { kind: 'setAside', reason: 'silent', headersSent: false, nextBackendId: 'third' }
+  const begun: AttemptOutcome = { ...setAside, headersSent: true }
+
+  // Guards against a second draw on the retry budget for a retry that is reserved.
+  test('a silent backend server\'s request goes where its retry was reserved', () => {
+    expect(runPlan({ outcomes: [setAside, delivered], mayRetry: false })).toEqual({ result: delivered, sentTo: ['first', 'third'] })
+  })
+
+  // Guards against a request that is lost because its retry fails although its silent backend server goes on.
+  test('a retry without an answer returns the request to the silent backend server', () => {
+    for (const retry of [notSent, notRun, broken, { kind: 'superseded' } as const]) {
+      expect(runPlan({ deliverySemantics: { kind: 'resumableStream' }, outcomes: [begun, retry], continued: delivered })).toEqual({ result: delivered, sentTo: ['first', 'third'] })
+    }
+    expect(runPlan({ outcomes: [setAside, notRun], continued: broken }).result.kind).toBe('unknown')
+    expect(runPlan({ deliverySemantics: { kind: 'resumableStream' }, outcomes: [begun, notRun], continued: { ...broken, headersSent: true } }).result.kind).toBe('cutOff')
+  })
+
+  // Guards against more attempts than the route allows, and against fewer when no byte of the retry was sent.
+  test('the silent backend server and its retry count as one attempt each', () => {
+    expect(runPlan({ maximumAttempts: 3, outcomes: [setAside, broken, delivered], continued: broken })).toEqual({ result: delivered, sentTo: ['first', 'third', 'second'] })
+    expect(runPlan({ maximumAttempts: 2, outcomes: [setAside, broken, delivered], continued: broken }).sentTo).toEqual(['first', 'third'])
+    expect(runPlan({ maximumAttempts: 2, outcomes: [setAside, notSent, delivered], continued: broken }).sentTo).toEqual(['first', 'third', 'second'])
+  })
+
+  // Guards against a request that waits for a backend server which was given up for its retry.
+  test('a retry that fails after the silent backend server was given up ends or repeats the request as any other', () => {
+    expect(runPlan({ maximumAttempts: 3, outcomes: [setAside, broken, delivered] })).toEqual({ result: delivered, sentTo: ['first', 'third', 'second'] })
+    expect(runPlan({ outcomes: [setAside, notRun] }).result.kind).toBe('unknown')
+    expect(runPlan({ deliverySemantics: { kind: 'resumableStream' }, outcomes: [begun, notRun] }).result.kind).toBe('cutOff')
   })
 })
 
--- a/packages/gateway/src/decisions/requestPlan.ts
+++ b/packages/gateway/src/decisions/requestPlan.ts
@@ -16,8 +16,10 @@
   | { readonly kind: 'errorResponse', readonly status: number, readonly isBackendFailing: boolean }
   /** The response is unusable or incomplete; the request may have run. `headersSent`: to the caller. */
   | { readonly kind: 'broken', readonly reason: string, readonly headersSent: boolean }
-  /** The backend server was silent and was given up, after a retry at another one had been reserved. */
-  | { readonly kind: 'abandoned', readonly reason: string, readonly headersSent: boolean, readonly nextBackendId: string }
+  /** The backend server is silent and a retry at another one is reserved. The attempt goes on until that retry is answered. */
+  | { readonly kind: 'setAside', readonly reason: string, readonly headersSent: boolean, readonly nextBackendId: string }
+  /** A retry that was ended because the attempt that was set aside for it has gone on. */
+  | { readonly kind: 'superseded' }
   | { readonly kind: 'callerGone' }
   /** The caller's or the route's timeout has passed. */
   | { readonly kind: 'timedOut', readonly headersSent: boolean }
@@ -47,9 +49,11 @@
 export type ReserveTokens = Command<'reserveTokens', ReservationOutcome>
 export type ChooseBackend = Command<'chooseBackend', ChoiceOutcome> & { readonly excluded: readonly string[] }
 export type SendAttempt = Command<'sendAttempt', AttemptOutcome> & { readonly backendId: string }
+/** Goes on with the attempt that was set aside; undefined when it was given up for the retry. */
+export type ContinueAttempt = Command<'continueAttempt', AttemptOutcome | undefined>
 /** Consumes one retry of the fleet's retry budget; false when it is exhausted. */
 export type ConsumeRetry = Command<'consumeRetry', boolean>
-export type PlanCommand = ConfirmCaller | ReserveTokens | ChooseBackend | SendAttempt | ConsumeRetry
+export type PlanCommand = ConfirmCaller | ReserveTokens | ChooseBackend | SendAttempt | ContinueAttempt | ConsumeRetry
 
 /** Final result of a request, as reported to the caller. */
 export type PlanResult =
@@ -89,6 +93,22 @@
   }
 }
 
+/** Returns true when an attempt has brought nothing to forward, so that one that was set aside for it is still of use. */
+function isWithoutAnswer (outcome: AttemptOutcome): boolean {
+  switch (outcome.kind) {
+    case 'notSent':
+    case 'notRun':
+    case 'broken':
+    case 'superseded': return true
+    case 'delivered':
+    case 'errorResponse':
+    case 'setAside':
+    case 'callerGone':
+    case 'timedOut': return false
+    default: return assertNever(outcome)
+  }
+}
+
 /** Plans a request: reserves tokens, sends it to a backend server, and retries where its delivery semantics allow it. */
 export function * planRequest (input: PlanInput): Decision<PlanCommand, PlanResult> {
   const reservation = yield * perform<ReserveTokens>({ kind: 'reserveTokens' })
@@ -103,6 +123,7 @@
   let hasBufferedFailure = false
   let lastReason = ''
   let reservedBackendId: string | undefined
+  let isOneSetAside = false
 
   function failureResult (retryAt: number): PlanResult {
     if (headersSent) return { kind: 'cutOff', reason: lastReason }
@@ -124,14 +145,22 @@
       if (lastReason === '') lastReason = choice.reason
       return failureResult(choice.retryAt)
     }
-    const outcome = yield * perform<SendAttempt>({ kind: 'sendAttempt', backendId: choice.backendId })
+    let outcome = yield * perform<SendAttempt>({ kind: 'sendAttempt', backendId: choice.backendId })
+    excluded.push(choice.backendId)
+    const continued: AttemptOutcome | undefined = isOneSetAside && isWithoutAnswer(outcome) ? yield * perform<ContinueAttempt>({ kind: 'continueAttempt' }) : undefined
+    if (continued !== undefined) {
+      // The attempt that was set aside was counted then; the retry counts in its place.
+      mayHaveRun ||= outcome.kind === 'broken' || outcome.kind === 'superseded'
+      if (outcome.kind === 'notSent') attempts--
+      isOneSetAside = false
+      outcome = continued
+    }
     switch (outcome.kind) {
       case 'delivered': return outcome
       case 'callerGone': return outcome
       case 'timedOut': return outcome.headersSent || headersSent ? { kind: 'cutOff', reason: 'out of time' } : { kind: 'timedOut', wasSent: true }
       case 'notSent':
         connectFailures++
-        excluded.push(choice.backendId)
         lastReason = outcome.reason
         if (connectFailures > MAX_CONNECT_FAILURES) return failureResult(input.retryAt())
         continue
@@ -150,18 +179,20 @@
         lastReason = outcome.reason
         if (!retryable) return failureResult(input.retryAt())
         break
-      case 'abandoned':
+      case 'setAside':
         mayHaveRun = true
         headersSent ||= outcome.headersSent
         lastReason = outcome.reason
         attempts++
-        excluded.push(choice.backendId)
         reservedBackendId = outcome.nextBackendId
+        isOneSetAside = true
         continue
+      case 'superseded':
+        lastReason = 'the attempt before it has gone on'
+        break
       default: return assertNever(outcome)
     }
     attempts++
-    excluded.push(choice.backendId)
     if (attempts >= input.maximumAttempts) return failureResult(input.retryAt())
     if (!(yield * perform<ConsumeRetry>({ kind: 'consumeRetry' }))) return failureResult(input.retryAt())
   }
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -32,6 +32,8 @@
 const ABANDONED_STREAM = { milliseconds: 2000, latencyTargets: 4, eventGapTargets: 8 } as const
 /** The last event reaches the caller later than this process, so that its gap ends later too. */
 const ABANDONED_STREAM_MARGIN_MS = 500
+/** The attempt that was set aside ends this long after its retry was sent, so that two backend servers don't work on a request for longer. */
+const SET_ASIDE_MS = 250
 /** Time without any byte after which an aborted attempt marks the backend server as silent. */
 const SILENT_BACKEND_MS = 600
 /** A prompt part that crashes backend servers does so at the start of an answer, so that a second event shows that there is none. */
@@ -48,11 +50,22 @@
   deliver (): void
 }
 
+/** An attempt at a silent backend server that goes on until its retry elsewhere is answered. */
+export interface AttemptSetAside {
+  /** True once the backend server has sent bytes again. */
+  hasGoneOn: boolean
+  /** Called when the backend server goes on, before any of its bytes are forwarded. */
+  onGoneOn: () => void
+  /** Resolves with the outcome of the attempt, which is checked for progress again from now on; undefined when it was given up. */
+  resume (): Promise<AttemptOutcome> | undefined
+  giveUp (): void
+}
+
 type ReserveRetry = () => Promise<RetryReservation>
 
 /**
- * Sends a request to a backend server once and forwards a usable response to the caller. A silent backend server is given
- * up only once `reserveRetry` has reserved a retry at another one, as it may go on.
+ * Sends a request to a backend server once and forwards a usable response to the caller. When the backend server is silent
+ * and `reserveRetry` has reserved a retry at another one, the attempt is set aside: whichever goes on first ends the other.
  */
 export function runAttempt (context: GatewayContext, state: RequestState, choice: Choice, reserveRetry: ReserveRetry): Promise<AttemptOutcome> {
   return new Promise((resolve) => startAttempt(context, state, choice, reserveRetry, resolve))
@@ -65,7 +78,8 @@
   const backendProcess = backendProcessOf(backend.entry)
   const sentAt = steadyNow()
   const isStream = state.route.deliverySemantics.kind === 'resumableStream' || state.route.deliverySemantics.kind === 'onceStream'
-  const canRetry = isRetryable(state.route.deliverySemantics) && state.attempts + 1 < state.route.maximumAttempts
+  const isRepeatable = isRetryable(state.route.deliverySemantics)
+  const earlier = state.setAside
   const pending: PendingAttempt = { sentAt, prefillTokens: choice.prefillTokens, answered: false }
   const resumedAfter = state.headersSent ? state.lastEventId : ''
   const splitter = createEventSplitter()
@@ -75,11 +89,15 @@
   let eventsOfAttempt = 0
   let head: { readonly incoming: IncomingMessage, readonly isStreamed: boolean } | undefined
   let settled = false
+  let setAside: AttemptSetAside | undefined
+  let resolveOutcome = resolve
   let answeredAt: number | undefined
   let isAnswerSound = false
   let lastProgressAt = sentAt
   let lastBytesAt = sentAt
   let reserveRetryAt = 0
+  let isReserving = false
+  let earlierTimer: NodeJS.Timeout | undefined
   let hasRecordedSilence = false
   let hasLoggedRefusal = false
   let abortOutcome: AttemptOutcome | undefined
@@ -103,10 +121,11 @@
     headers,
     body: state.body,
     needsNewConnection: state.triedAddresses.has(backend.entry.address)
-  }, { onHead, onData, onEnd, onBroken })
+  }, { onConnected, onHead, onData, onEnd, onBroken })
   state.triedAddresses.add(backend.entry.address)
   const deadlineTimer = setTimeout(() => abort({ kind: 'timedOut', headersSent: state.headersSent }, 'out of time'), Math.max(1, state.deadline - sentAt))
-  const stallTimer = canRetry || isStream ? setInterval(checkStall, STALL_CHECK_INTERVAL_MS) : undefined
+  if (earlier !== undefined) earlier.onGoneOn = () => abort({ kind: 'superseded' }, 'the attempt before it has gone on')
+  const stallTimer = isRepeatable || isStream ? setInterval(checkStall, STALL_CHECK_INTERVAL_MS) : undefined
   const stopWatchingCaller = state.caller.onLeft(handleCallerDisconnect)
 
   function settle (outcome: AttemptOutcome): void {
@@ -114,10 +133,47 @@
     settled = true
     clearTimeout(deadlineTimer)
     clearInterval(stallTimer)
+    clearTimeout(earlierTimer)
     context.responseBuffer.release(sharedBytes)
     stopWatchingCaller()
     backend.pending.delete(pending)
-    resolve(outcome)
+    resolveOutcome(outcome)
+  }
+
+  /** Leaves the request to its retry, until that fails or this backend server goes on. */
+  function setAttemptAside (silentMilliseconds: number, nextBackendId: string): void {
+    const reason = `silent for ${silentMilliseconds} ms`
+    const resolveSetAside = resolveOutcome
+    const outcome = new Promise<AttemptOutcome>((resolve) => { resolveOutcome = resolve })
+    let isGivenUp = false
+    const own: AttemptSetAside = {
+      hasGoneOn: false,
+      onGoneOn: () => {},
+      resume: () => {
+        state.setAside = undefined
+        setAside = undefined
+        return isGivenUp ? undefined : outcome
+      },
+      giveUp: () => {
+        if (setAside !== own || isGivenUp) return
+        isGivenUp = true
+        abort({ kind: 'broken', reason, headersSent: state.headersSent }, reason)
+      }
+    }
+    earlier?.giveUp()
+    setAside = own
+    state.setAside = own
+    context.log.decision('attemptSetAside', { request: state.fields.attemptId, backend: backend.entry.id, nextBackend: nextBackendId, silentMilliseconds, headersSent: state.headersSent })
+    resolveSetAside({ kind: 'setAside', reason, headersSent: state.headersSent, nextBackendId })
+  }
+
+  /** Takes the request back from its retry, as this backend server has gone on. */
+  function endSetAside (): void {
+    if (setAside === undefined || settled) return
+    const own = setAside
+    setAside = undefined
+    own.hasGoneOn = true
+    own.onGoneOn()
   }
 
   /** Aborts the exchange; `onBroken` then settles the attempt with `outcome`. */
@@ -156,7 +212,8 @@
     // While the caller reads slowly, the exchange is paused and can't show progress.
     if (response.writableNeedDrain) lastProgressAt = now
     endAbandonedStream(now)
-    if (!canRetry || now - lastProgressAt < stallTimeout(now) || now < reserveRetryAt) return
+    if (!isRepeatable || state.attempts >= state.route.maximumAttempts || setAside !== undefined || isReserving) return
+    if (now - lastProgressAt < stallTimeout(now) || now < reserveRetryAt) return
     recordSilence()
     reserveRetryAt = now + RESERVE_AGAIN_MS
     continueElsewhere(now).catch((error: unknown) => context.log.warning('retryFailed', { request: state.fields.attemptId, reason: String(error) }))
@@ -172,7 +229,8 @@
 
   async function continueElsewhere (stalledAt: number): Promise<void> {
     const progressAt = lastProgressAt
-    const reservation = await reserveRetry()
+    isReserving = true
+    const reservation = await reserveRetry().finally(() => { isReserving = false })
     const silentMilliseconds = stalledAt - progressAt
     switch (reservation.kind) {
       case 'refused':
@@ -181,7 +239,7 @@
         return
       case 'reserved':
         if (settled || lastProgressAt !== progressAt) return
-        return abort({ kind: 'abandoned', reason: `silent for ${silentMilliseconds} ms`, headersSent: state.headersSent, nextBackendId: reservation.backendId }, 'silent')
+        return setAttemptAside(silentMilliseconds, reservation.backendId)
       default: assertNever(reservation)
     }
   }
@@ -211,6 +269,10 @@
     context.permits.observe(backend, limit, state.fields.attemptId)
   }
 
+  function onConnected (): void {
+    if (earlier !== undefined) earlierTimer = setTimeout(earlier.giveUp, SET_ASIDE_MS)
+  }
+
   function onHead (incoming: IncomingMessage): void {
     recordBytes(true)
     const status = incoming.statusCode ?? 0
@@ -236,7 +298,11 @@
       return
     }
     head = { incoming, isStreamed }
-    if (isSuccess) answeredAt = steadyNow()
+    if (isSuccess) {
+      answeredAt = steadyNow()
+      endSetAside()
+      earlier?.giveUp()
+    }
     if (isStreamed && !state.headersSent) {
       const responseHeaders = wire.buildResponseHeaders(incoming.rawHeaders)
       response.writeHead(status, withoutContentLength(responseHeaders, context))
@@ -265,6 +331,7 @@
       if (!bufferBody(chunk)) abort({ kind: 'broken', reason: `response too large: more than ${bodyBytes - chunk.length} bytes`, headersSent: state.headersSent }, 'response too large')
       return
     }
+    endSetAside()
     const complete = splitter.push(chunk)
     recordBytes(complete.events > 0)
     if (eventsOfAttempt === 0 && complete.events > 0 && !isLaterEvent(complete.firstEventId, resumedAfter)) {
@@ -295,6 +362,7 @@
       if (splitter.bufferedBytes > 0) return onBroken(true, 'stream ended within an event')
       state.mayHaveRun = true
       recordSuccess()
+      endSetAside()
       response.end()
       return settle({ kind: 'delivered', status })
     }
@@ -312,6 +380,7 @@
     }
     if (status < STATUS.serverError) {
       recordSuccess()
+      endSetAside()
       if (state.headersSent) return settle({ kind: 'broken', reason: `status ${status} to a resumed stream`, headersSent: true })
       buffered.deliver()
       return settle({ kind: 'delivered', status })
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -55,6 +55,8 @@
 
 /** Callbacks of an exchange. Exactly one of `onEnd` and `onBroken` is called, at the latest after an abort. */
 export interface ExchangeListener {
+  /** The request is being sent on an open connection. */
+  readonly onConnected?: () => void
   readonly onHead: (incoming: IncomingMessage) => void
   readonly onData: (chunk: Buffer) => void
   /** The response is complete. */
@@ -109,6 +111,10 @@
       clearTimeout(connectTimer)
       report()
     }
+    function handleConnected (): void {
+      connected = true
+      if (!finished) listener.onConnected?.()
+    }
     function fail (reason: string): void {
       finish(() => listener.onBroken(connected, reason))
       outgoing.destroy()
@@ -131,13 +137,13 @@
     outgoing.on('socket', (socket) => {
       socket.setNoDelay(true)
       if (!socket.connecting) {
-        connected = true
+        handleConnected()
         return
       }
       connectTimer = setTimeout(() => fail('connection timed out'), CONNECT_TIMEOUT_MS)
       socket.once('connect', () => {
-        connected = true
         clearTimeout(connectTimer)
+        handleConnected()
       })
     })
     let interimResponses = 0
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -10,7 +10,7 @@
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
 import { findAvailableBackends } from './availableBackends.js'
-import { runAttempt, type BufferedResponse } from './attempt.js'
+import { runAttempt, type AttemptSetAside, type BufferedResponse } from './attempt.js'
 import type { GuardedRequest } from './crashGuard.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { sendError, sendNotRun } from './errorResponses.js'
@@ -57,6 +57,8 @@
   /** The head of a stream that was sent to the caller; only a response of its kind continues the stream. */
   streamHead: { readonly status: number, readonly mediaType: string } | undefined
   bufferedResponse: BufferedResponse | undefined
+  /** The attempt at a silent backend server whose retry is in progress. */
+  setAside: AttemptSetAside | undefined
   firstByteAt: number | undefined
   triedBackendIds: string[]
   /** Addresses to which it was sent; two listed backend servers can have the same one for a while after a restart. */
@@ -97,7 +99,7 @@
   const service = chooseTarget(route.targets, Math.random()) ?? ''
   const timeoutMilliseconds = Math.min(route.timeoutMilliseconds, fields.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MS)
   const state: RequestState = {
-    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, streamHead: undefined, bufferedResponse: undefined, firstByteAt: undefined, triedBackendIds: [], triedAddresses: new Set()
+    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, streamHead: undefined, bufferedResponse: undefined, setAside: undefined, firstByteAt: undefined, triedBackendIds: [], triedAddresses: new Set()
   }
   context.retryShares.recordRequest(service, admitted.receivedAt)
   const refusal = findRefusal(context, state)
@@ -124,12 +126,14 @@
           return !hasCallerLeft(state)
         case 'chooseBackend': return await chooseNextBackend(context, state, command.excluded)
         case 'sendAttempt': return await attemptBackend(context, state, command.backendId)
+        case 'continueAttempt': return await state.setAside?.resume()
         case 'consumeRetry': return !hasCallerLeft(state) && (!state.mayHaveRun || context.crashGuard.mayRetry(state.guarded)) && context.retryShares.tryAcquireRetry(service, steadyNow())
         default: return assertNever(command)
       }
     }
   )
   stopWatchingCaller()
+  state.setAside?.giveUp()
   const used = usedTokens(state)
   if (isReserved && state.account !== undefined) context.tokens.settle(state.account.name, reserved, used)
   finishRequest(context, state, result, { reserved: isReserved ? reserved : 0, used })
@@ -197,6 +201,7 @@
   if (choice === undefined || choice.state.entry.id !== backendId) return { kind: 'notSent', reason: 'backend server no longer listed' }
   // The caller may have left while a permit was asked for.
   if (hasCallerLeft(state)) return { kind: 'callerGone' }
+  if (state.setAside?.hasGoneOn === true) return { kind: 'superseded' }
   state.triedBackendIds.push(backendId)
   return await runAttempt(context, state, choice, async () => await reserveRetry(context, state))
 }
