Continue a stream only with an event that has an ID

Callers of a resumable stream found an error's text in the middle of it, or got it as complete after two events. The stream had broken off, and the next backend server answered with a signed success of the same media type whose first event told an error.

Cause: a resumed response was checked at its first event with an ID. An error event has none, so that it was passed on unchecked, and its end ended the caller's stream.

The first event that is no comment must have an ID now, and a later one than the caller has; otherwise the response counts as broken and nothing of it is written. The router was not affected: it passes on chat completion chunks with the request's ID only.

--- a/packages/gateway/src/decisions/eventSplitter.ts
+++ b/packages/gateway/src/decisions/eventSplitter.ts
@@ -1,7 +1,7 @@
 /** Splits a byte stream at the boundaries of server-sent events, so that only complete events are forwarded. */
 export interface EventSplitter {
   /** Adds bytes and returns those of all complete events, unchanged. */
-  push (chunk: Buffer): { readonly bytes: Buffer, readonly events: number, readonly firstEventId: string, readonly lastEventId: string }
+  push (chunk: Buffer): { readonly bytes: Buffer, readonly events: number, readonly lastEventId: string }
   /** Bytes of the incomplete last event. */
   readonly bufferedBytes: number
   /** True once more bytes have come without an event than any event has; further bytes are not kept. */
@@ -15,10 +15,29 @@
 /** Bytes of a blank line that may lie in the chunk before. */
 const BLANK_LINE_OVERLAP = 2
 const NUMBER_PATTERN = /^\d{1,15}$/
+const BLANK_LINE_PATTERN = /\n\r?\n/
+/** A line of an event that is no comment. */
+const FIELD_PATTERN = /^[^:\r\n]/m
 const ID_PATTERN = /^id: ?(.*?)\r?$/gm
 
+/** What the first events of a response to a resumed stream show. */
+export type Continuation =
+  /** There are only comments so far. */
+  | { readonly kind: 'pending' }
+  | { readonly kind: 'continues' }
+  | { readonly kind: 'unrelated', readonly reason: string }
+
+/** Tells from the first complete events whether a response goes on after the event with the given ID; an error event has no ID. */
+export function checkContinuation (bytes: Buffer, previousId: string): Continuation {
+  const first = bytes.toString('latin1').split(BLANK_LINE_PATTERN).find((event) => FIELD_PATTERN.test(event))
+  if (first === undefined) return { kind: 'pending' }
+  const id = [...first.matchAll(ID_PATTERN)].at(-1)?.[1]
+  if (id === undefined) return { kind: 'unrelated', reason: `event without an ID to a stream resumed after '${previousId}'` }
+  return isLaterEvent(id, previousId) ? { kind: 'continues' } : { kind: 'unrelated', reason: `event ${id} to a stream resumed after '${previousId}'` }
+}
+
 /** Returns false when both IDs are numbers and the event is not after the previous one. */
-export function isLaterEvent (eventId: string, previousId: string): boolean {
+function isLaterEvent (eventId: string, previousId: string): boolean {
   return !NUMBER_PATTERN.test(eventId) || !NUMBER_PATTERN.test(previousId) || Number(eventId) > Number(previousId)
 }
 
@@ -49,7 +68,7 @@
 
   return {
     push: (chunk) => {
-      const none = { bytes: Buffer.alloc(0), events: 0, firstEventId: '', lastEventId: '' }
+      const none = { bytes: Buffer.alloc(0), events: 0, lastEventId: '' }
       if (bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT) return none
       bytesWithoutEvent += chunk.length
       // Only the new bytes are searched, so that an event in many chunks costs no more than one in a single chunk.
@@ -65,7 +84,7 @@
       keep(chunk.subarray(end))
       const ids = [...complete.toString('latin1').matchAll(ID_PATTERN)]
       if (ids.length > 0) bytesWithoutEvent = bufferedBytes
-      return { bytes: complete, events: ids.length, firstEventId: ids[0]?.[1] ?? '', lastEventId: ids.at(-1)?.[1] ?? '' }
+      return { bytes: complete, events: ids.length, lastEventId: ids.at(-1)?.[1] ?? '' }
     },
     get bufferedBytes () { return bufferedBytes },
     get isOverflowing () { return bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT }
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from 'node:http'
 import { backendProcessOf, failureWeight, markPartsCached, recordObservation, silenceMilliseconds, type BackendObservation, type PendingAttempt } from '../decisions/backendState.js'
 import { PREFILL_TOKENS_PER_MILLISECOND, type Choice } from '../decisions/backendChoice.js'
-import { createEventSplitter, isLaterEvent } from '../decisions/eventSplitter.js'
+import { checkContinuation, createEventSplitter } from '../decisions/eventSplitter.js'
 import { isRetryable, type AttemptOutcome, type RetryReservation } from '../decisions/requestPlan.js'
 import type { ResponseFields } from '../ports.js'
 import { recordAcceptance } from './availableBackends.js'
@@ -67,12 +67,13 @@
   const isStream = state.route.deliverySemantics.kind === 'resumableStream' || state.route.deliverySemantics.kind === 'onceStream'
   const canRetry = isRetryable(state.route.deliverySemantics) && state.attempts + 1 < state.route.maximumAttempts
   const pending: PendingAttempt = { sentAt, prefillTokens: choice.prefillTokens, answered: false }
-  const resumedAfter = state.headersSent ? state.lastEventId : ''
+  const resumedAfter = state.lastEventId
   const splitter = createEventSplitter()
   const bodyChunks: Buffer[] = []
   let bodyBytes = 0
   let sharedBytes = 0
   let eventsOfAttempt = 0
+  let mayBeUnrelated = state.headersSent
   let head: { readonly incoming: IncomingMessage, readonly isStreamed: boolean } | undefined
   let settled = false
   let answeredAt: number | undefined
@@ -267,9 +268,13 @@
     }
     const complete = splitter.push(chunk)
     recordBytes(complete.events > 0)
-    if (eventsOfAttempt === 0 && complete.events > 0 && !isLaterEvent(complete.firstEventId, resumedAfter)) {
-      abort({ kind: 'broken', reason: `event ${complete.firstEventId} to a stream resumed after ${resumedAfter}`, headersSent: true }, 'unusable response')
-      return
+    if (mayBeUnrelated) {
+      const continuation = checkContinuation(complete.bytes, resumedAfter)
+      if (continuation.kind === 'unrelated') {
+        abort({ kind: 'broken', reason: continuation.reason, headersSent: true }, 'unusable response')
+        return
+      }
+      mayBeUnrelated = continuation.kind === 'pending'
     }
     eventsOfAttempt += complete.events
     if (eventsOfAttempt >= EVENTS_OF_SOUND_ANSWER) recordSoundAnswer()
