Take a crash report for written only when all its rows are as written

The write of instance one gets no answer and is not applied; that of instance two is, in the same millisecond. Instance one then looks for traces of its write and finds one equal row, that of the unrelated request (same state, count and time), which instance two wrote. So it takes its report for written, and the crash in the trial, which only the holder evaluates, is lost: the trial ends without a result and the poison gets another one.

A transaction writes all its rows or none, so that all of them must be as written. A report that is written a second time because a row has changed since counts the crash twice, which the code allowed before.

Tests named quarantine* of packages/requests pass.

--- a/packages/requests/src/__tests__/quarantine.test.ts
+++ b/packages/requests/src/__tests__/quarantine.test.ts
@@ -52,6 +52,8 @@
 const seeds: readonly (readonly [string, number])[] = [
   ['the seed of two trials on one backend server', -952565118],
   ['the seed of a trial that was decided before its neighbour was reported', -1789518842],
+  ['the seed of a refused report that equals the one of another instance', 1092616988],
+  ['a second seed of equal reports', 1117654066],
   ['a new seed', Date.now()]
 ]
 
--- a/packages/requests/src/recordCrash.ts
+++ b/packages/requests/src/recordCrash.ts
@@ -49,7 +49,7 @@
   let attempted: readonly SuspectRecord[] = []
   for (;;) {
     const rows = yield * readCrashRows(report.backendServer, batch)
-    if (rows !== undefined && attempted.some((record) => isApplied(record, rows))) return attempted
+    if (rows !== undefined && attempted.length > 0 && attempted.every((record) => isApplied(record, rows))) return attempted
     if (rows !== undefined) {
       const { checks, writes, records } = evaluateCrash(report, batch, rows, yield * readTime())
       if (writes.length === 0) return records
@@ -70,8 +70,9 @@
 }
 
 /**
- * Whether a transaction whose reply was lost took effect. A write that has been overwritten since is not recognized, so
- * the crash counts twice; that is harmless, because the count alone never quarantines.
+ * Whether one write of a transaction whose reply was lost took effect. Only all writes together prove the transaction: another
+ * instance's report of the same crash may write an equal record in the same millisecond. A write that has been overwritten since is
+ * not recognized, so the crash counts twice; that is harmless, because the count alone never quarantines.
  */
 function isApplied (record: SuspectRecord, rows: CrashRows): boolean {
   const stored = rows.suspects.get(record.fingerprint)?.record
