Send no third attempt while the silent one may go on

On a route of three attempts, a retry that a failing backend server answered with an error was followed by a third attempt, although the attempt that was set aside could go on at the same moment; the plan did not know of it and could end the request with the error while the other one was being delivered. Change: such an error returns the request to the attempt that was set aside; it is passed on if that one fails, too.

--- a/packages/gateway/src/__tests__/requestPlan.test.ts
+++ b/packages/gateway/src/__tests__/requestPlan.test.ts
@@ -113,6 +113,14 @@
     expect(runPlan({ deliverySemantics: { kind: 'resumableStream' }, outcomes: [begun, notRun], continued: { ...broken, headersSent: true } }).result.kind).toBe('cutOff')
   })
 
+  // Guards against two answers when another attempt follows an error of the retry while the silent backend server goes on.
+  test('an error of a failing backend server returns the request to the silent one, and is passed on if that fails, too', () => {
+    const failing: AttemptOutcome = { kind: 'errorResponse', status: 500, isBackendFailing: true }
+    expect(runPlan({ maximumAttempts: 3, outcomes: [setAside, failing, delivered], continued: delivered }).sentTo).toEqual(['first', 'third'])
+    expect(runPlan({ outcomes: [setAside, failing], continued: broken }).result).toEqual({ kind: 'passFailure' })
+    expect(runPlan({ outcomes: [setAside, { ...failing, isBackendFailing: false }], continued: delivered }).result).toEqual({ kind: 'passFailure' })
+  })
+
   // Guards against more attempts than the route allows, and against fewer when no byte of the retry was sent.
   test('the silent backend server and its retry count as one attempt each', () => {
     expect(runPlan({ maximumAttempts: 3, outcomes: [setAside, broken, delivered], continued: broken })).toEqual({ result: delivered, sentTo: ['first', 'third', 'second'] })
--- a/packages/gateway/src/decisions/requestPlan.ts
+++ b/packages/gateway/src/decisions/requestPlan.ts
@@ -93,15 +93,15 @@
   }
 }
 
-/** Returns true when an attempt has brought nothing to forward, so that one that was set aside for it is still of use. */
+/** Returns true when an attempt has brought nothing that must be forwarded, so that one that was set aside for it is still of use. */
 function isWithoutAnswer (outcome: AttemptOutcome): boolean {
   switch (outcome.kind) {
     case 'notSent':
     case 'notRun':
     case 'broken':
     case 'superseded': return true
+    case 'errorResponse': return outcome.isBackendFailing
     case 'delivered':
-    case 'errorResponse':
     case 'setAside':
     case 'callerGone':
     case 'timedOut': return false
@@ -151,6 +151,7 @@
     if (continued !== undefined) {
       // The attempt that was set aside was counted then; the retry counts in its place.
       mayHaveRun ||= outcome.kind === 'broken' || outcome.kind === 'superseded'
+      hasBufferedFailure ||= outcome.kind === 'errorResponse'
       if (outcome.kind === 'notSent') attempts--
       isOneSetAside = false
       outcome = continued
