Reject for lack of tokens only requests for which other homes were asked

Cause: when the balance does not cover the waiting requests, the first home asks the other homes for what is missing, reads the balance again, and rejects all requests that wait by then. A request that arrived meanwhile was rejected with them although nobody was asked for its tokens, and requests of its size were refused for 0.4 to 1.6 s. Borrowers did the same with requests that came during a loan.

Only the requests that waited when the homes were asked are rejected now; for later ones the homes are asked again.

The new test fails without the change (refused requests before 97 in 100 are used).

--- a/packages/gateway/src/__tests__/tokenLoans.test.ts
+++ b/packages/gateway/src/__tests__/tokenLoans.test.ts
@@ -24,10 +24,10 @@
 }
 
 /** Starts instances that share one account and lend its tokens over a network with the given faults. */
-function startFleet (size: number, chooseFault: () => LinkFault = () => ({ kind: 'none' })): TestFleet {
+function startFleet (size: number, chooseFault: () => LinkFault = () => ({ kind: 'none' }), { prepaidTokens = PREPAID, storeMilliseconds = 0 } = {}): TestFleet {
   const network = createLoanNetwork(chooseFault, steadyNow)
   const fleet: TestFleet = { instances: [], network, isStoreDown: false, restart }
-  const memory: MemoryRowStore = createMemoryRowStore(() => fleet.isStoreDown ? { kind: 'drop' } : { kind: 'none' })
+  const memory: MemoryRowStore = createMemoryRowStore(() => fleet.isStoreDown ? { kind: 'drop' } : { kind: 'none' }, storeMilliseconds)
   const peers: Peer[] = Array.from({ length: size }, (_, index) => ({ instanceId: `instance${index}`, address: `instance${index}:80`, failureDomain: `domain${index % 3}`, incarnationId: `instance${index}.0` }))
   let restarts = 0
 
@@ -58,7 +58,7 @@
       ...storeWithoutRestores()
     })
     network.listen(peer, task)
-    task.setPrepaid(ACCOUNT, PREPAID)
+    task.setPrepaid(ACCOUNT, prepaidTokens)
     return task
   }
 
@@ -115,6 +115,25 @@
     for (const instance of fleet.instances) instance.abandon()
   }, 60_000)
 
+  // Guards against requests that are refused with earlier ones although no other home was asked for their tokens.
+  test('is used up to 97 in 100 by requests that overlap, without a refusal', async () => {
+    const prepaidTokens = 1_600_000
+    const fleet = startFleet(9, undefined, { prepaidTokens, storeMilliseconds: 4 })
+    await jest.advanceTimersByTimeAsync(1000)
+    const sizes = [9200, 700, 5200, 1300]
+    let committed = 0
+    const outcomes: Promise<boolean>[] = []
+    for (let index = 0; committed + 9200 <= prepaidTokens * 0.97; index++) {
+      const size = sizes[index % sizes.length] ?? 0
+      committed += size
+      outcomes.push(serve(fleet.instances[index * 4 % 9], size, size))
+      await jest.advanceTimersByTimeAsync(index % 8 === 7 ? 250 : index * 7 % 13)
+    }
+    await jest.advanceTimersByTimeAsync(2000)
+    expect((await Promise.all(outcomes)).filter((isServed) => !isServed)).toHaveLength(0)
+    for (const instance of fleet.instances) instance.abandon()
+  }, 60_000)
+
   // Guards against a fleet whose tokens can't be reached once all instances have lost the store.
   test('is served at its recent rate through an outage of the store of 8 s', async () => {
     const fleet = startFleet(FLEET_SIZE)
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -8,7 +8,7 @@
 import { openBalanceTable } from './balanceTable.js'
 import { createLeaseManager, type RenewalResult } from './leaseManager.js'
 import type { LoanKind, LoanReply } from './peerMessages.js'
-import { createAccountState, type AccountState, type TokenTask, type TokenTaskOptions } from './tokenAccounts.js'
+import { createAccountState, type AccountState, type TokenTask, type TokenTaskOptions, type WaitingRequest } from './tokenAccounts.js'
 import { drawableTokens, isRejectedAtOnce, missingTokens, rejectWaiting, serveWaiting, tokenRetryAt, ungrantedTokens, waitingTokens } from './waitingRequests.js'
 
 /** Starts the task, which reviews all accounts at a fixed interval. */
@@ -131,11 +131,12 @@
     }
     const shortAccounts = [...accounts.values()].filter((state) => state.waiting.length > 0 && drawsDirectly(state))
     if (shortAccounts.length === 0) return
+    const shortages = shortAccounts.map((state) => ({ state, requests: new Set(state.waiting) }))
     await Promise.all(shortAccounts.map(borrowForShortage))
     await lease.readBalances(shortAccounts.map((state) => state.name))
     if (await renew() === 'conflict') await renew()
     serveAllWaiting()
-    for (const state of shortAccounts) if (missingTokens(state) > ungrantedTokens(state)) rejectForShortage(state)
+    for (const { state, requests } of shortages) if (missingTokens(state) > ungrantedTokens(state)) rejectForShortage(state, requests)
   }
 
   /** True while callers wait for a draw that is backing off after a conflict. */
@@ -151,9 +152,12 @@
     if (loan.tokens > 0) takeBack(state.name, loan.tokens)
   }
 
-  function rejectForShortage (state: AccountState): void {
+  /** Rejects the requests that waited when the other homes were asked; for later ones they are asked again. */
+  function rejectForShortage (state: AccountState, requests: ReadonlySet<WaitingRequest>): void {
+    const rejected = state.waiting.filter((request) => requests.has(request))
+    if (rejected.length === 0) return
     log.decision('balanceShort', { account: state.name, needed: missingTokens(state), prepaid: state.prepaid, granted: state.granted, rowVersion: state.balanceVersion, shortages: state.consecutiveShortages })
-    rejectWaiting(state, steadyNow())
+    rejectWaiting(state, rejected, steadyNow())
   }
 
   function pause (milliseconds: number): Promise<void> {
@@ -218,13 +222,15 @@
     const tokens = Math.ceil(waitingTokens(state) - Math.max(0, state.ledger.usable(lease.timeSinceSeal())))
     if (state.isBorrowing || tokens <= 0) return
     state.isBorrowing = true
+    const requests = new Set(state.waiting)
     options.borrow(state.name, tokens, options.homeRank(state.name) === undefined ? 'whole' : 'partial').then((loan) => {
       state.failedLoanRequests = loan.tokens === 0 && !loan.isShort ? state.failedLoanRequests + 1 : 0
       if (loan.tokens > 0) {
         state.consecutiveShortages = 0
         takeBack(state.name, loan.tokens)
       }
-      if (loan.isShort && state.waiting.length > 0) rejectWaiting(state, steadyNow())
+      const rejected = state.waiting.filter((request) => requests.has(request))
+      if (loan.isShort && rejected.length > 0) rejectWaiting(state, rejected, steadyNow())
       return loan.tokens > 0 ? 0 : REPEATED_LOAN_PAUSE_MS
     }).catch((error: unknown) => {
       log.warning('loanFailed', { account: state.name, reason: String(error) })
--- a/packages/gateway/src/tasks/waitingRequests.ts
+++ b/packages/gateway/src/tasks/waitingRequests.ts
@@ -1,4 +1,4 @@
-import type { AccountState } from './tokenAccounts.js'
+import type { AccountState, WaitingRequest } from './tokenAccounts.js'
 import { MAX_SHORTAGE_REJECTION_MS, MAX_TOKEN_WAIT_MS, MAX_TOKEN_WAIT_WITHOUT_STORE_MS, NO_TOKENS_RETRY_MS, SHORTAGE_REJECTION_MS } from './tokenTiming.js'
 
 /** Returns the tokens of the account that no instance holds. */
@@ -48,12 +48,12 @@
   return now < state.rejectUntil && tokens >= state.rejectFromTokens
 }
 
-/** Rejects all waiting requests and, for some time, new ones that are not smaller: tokens come back only when running requests end. */
-export function rejectWaiting (state: AccountState, now: number): void {
-  const smallest = state.waiting.reduce((size, request) => Math.min(size, request.tokens), Infinity)
+/** Rejects waiting requests and, for some time, new ones that are not smaller: tokens come back only when running requests end. */
+export function rejectWaiting (state: AccountState, rejected: readonly WaitingRequest[], now: number): void {
+  const smallest = rejected.reduce((size, request) => Math.min(size, request.tokens), Infinity)
   state.rejectFromTokens = now < state.rejectUntil ? Math.min(state.rejectFromTokens, smallest) : smallest
   state.rejectUntil = now + Math.min(MAX_SHORTAGE_REJECTION_MS, SHORTAGE_REJECTION_MS * 2 ** state.consecutiveShortages)
   state.consecutiveShortages++
-  for (const request of state.waiting) request.resolve({ kind: 'unavailable', retryAt: tokenRetryAt(state, now) })
-  state.waiting = []
+  for (const request of rejected) request.resolve({ kind: 'unavailable', retryAt: tokenRetryAt(state, now) })
+  state.waiting = state.waiting.filter((request) => !rejected.includes(request))
 }
