Answer 402 when what callers have used leaves too little for a request

Cause: an instance knew what was granted, but not what was used, and could not tell tokens that are gone from tokens that running requests may give back.

Each message about an account's tokens now carries what callers of the sender have used and the sum that the sender knows of. The sum is a lower bound for the whole fleet: use of killed processes that was not reported is missing in it. A request that exceeds what the sum leaves of the prepaid tokens gets 402 at once; others are told to come back as before.

The property test over kills, outages and lost messages now also checks that no account is reported as used up too early.

--- a/packages/gateway/src/__tests__/sendingPermits.test.ts
+++ b/packages/gateway/src/__tests__/sendingPermits.test.ts
@@ -33,7 +33,7 @@
 beforeEach(() => { jest.useFakeTimers() })
 afterEach(() => { jest.useRealTimers() })
 
-const noTokens: TokenHandlers = { isClosing: false, lend: async () => ({ tokens: 0, isShort: false }), takeBack: () => {} }
+const noTokens: TokenHandlers = { isClosing: false, lend: async () => ({ tokens: 0, isShort: false }), takeBack: () => {}, receiveUse: () => {} }
 
 /** Starts instances of which the first three are the homes of the backend server, in that order. `chooseFault` applies to messages of an instance. */
 function startFleet (count: number, chooseFault: (sender: number) => LinkFault = () => ({ kind: 'none' })): Fleet {
--- a/packages/gateway/src/__tests__/tokenLoans.test.ts
+++ b/packages/gateway/src/__tests__/tokenLoans.test.ts
@@ -6,6 +6,7 @@
 import { storeWithoutRestores } from '../__fixtures__/storeWithoutRestores.js'
 import { steadyNow } from '../clock.js'
 import { accountHomes } from '../decisions/accountHomes.js'
+import type { ReservationOutcome } from '../decisions/requestPlan.js'
 import type { Peer } from '../tasks/fleetTask.js'
 import type { TokenTask } from '../tasks/tokenAccounts.js'
 import { createTokenLoans } from '../tasks/tokenLoans.js'
@@ -39,6 +40,7 @@
       currentIncarnation: network.currentIncarnation,
       log: createRecordingLog(),
       onLateTokens: (account, tokens) => task.takeBack(account, tokens),
+      onUse: (account, use) => task.receiveUse(account, use),
       post: network.post
     })
     const task = startTokenTask({
@@ -75,13 +77,19 @@
 
 const SERVICE_TIME_MS = 400
 
-/** Serves a request while the test advances the time. */
-async function serve (instance: TokenTask | undefined, reserved: number, used: number): Promise<boolean> {
+/** Serves a request while the test advances the time, if it gets tokens; returns the outcome of their reservation. */
+async function tryToServe (instance: TokenTask | undefined, reserved: number, used: number): Promise<ReservationOutcome | undefined> {
   const outcome = await instance?.reserve(ACCOUNT, reserved, Number.MAX_SAFE_INTEGER)
-  if (outcome?.kind !== 'reserved') return false
+  if (outcome?.kind !== 'reserved') return outcome
   await new Promise((resolve) => setTimeout(resolve, SERVICE_TIME_MS))
   instance?.settle(ACCOUNT, reserved, used)
-  return true
+  instance?.recordUse(ACCOUNT, used)
+  return outcome
+}
+
+/** Like `tryToServe`; returns whether the request was served. */
+async function serve (instance: TokenTask | undefined, reserved: number, used: number): Promise<boolean> {
+  return (await tryToServe(instance, reserved, used))?.kind === 'reserved'
 }
 
 /** Serves a request and advances the time by more than it takes. */
@@ -134,6 +142,44 @@
     for (const instance of fleet.instances) instance.abandon()
   }, 60_000)
 
+  // Guards against callers that are told to come back although the account is used up, and against the opposite while tokens may come back.
+  test('is reported as used up once what its callers have used leaves too little, and not before', async () => {
+    const fleet = startFleet(FLEET_SIZE)
+    await jest.advanceTimersByTimeAsync(1000)
+    const reserve = async (index: number, tokens: number): Promise<string | undefined> => {
+      const outcome = fleet.instances[index]?.reserve(ACCOUNT, tokens, Number.MAX_SAFE_INTEGER)
+      await jest.advanceTimersByTimeAsync(2500)
+      return (await outcome)?.kind
+    }
+    for (let index = 0; index < 9; index++) expect(await serveOne(fleet.instances[index], 20_000, 19_000)).toBe(true)
+    // 171,000 of 200,000 are used and 25,000 reserved.
+    expect(await reserve(10, 25_000)).toBe('reserved')
+    expect(await reserve(11, 12_000)).toBe('unavailable')
+    fleet.instances[10]?.settle(ACCOUNT, 25_000, 24_000)
+    fleet.instances[10]?.recordUse(ACCOUNT, 24_000)
+    await jest.advanceTimersByTimeAsync(2500)
+    expect(await reserve(11, 12_000)).toBe('exhausted')
+    expect(await reserve(12, 3000)).toBe('reserved')
+    for (const instance of fleet.instances) instance.setPrepaid(ACCOUNT, PREPAID + 20_000)
+    expect(await reserve(11, 12_000)).toBe('reserved')
+    for (const instance of fleet.instances) instance.abandon()
+  })
+
+  // Guards against accounts that look used up because a process was killed with tokens that nobody has used.
+  test('is not reported as used up for the tokens that a killed process held', async () => {
+    const fleet = startFleet(FLEET_SIZE)
+    await jest.advanceTimersByTimeAsync(1000)
+    const outcome = fleet.instances[10]?.reserve(ACCOUNT, 150_000, Number.MAX_SAFE_INTEGER)
+    await jest.advanceTimersByTimeAsync(1000)
+    expect((await outcome)?.kind).toBe('reserved')
+    fleet.restart(10)
+    await jest.advanceTimersByTimeAsync(3000)
+    const refused = fleet.instances[11]?.reserve(ACCOUNT, 60_000, Number.MAX_SAFE_INTEGER)
+    await jest.advanceTimersByTimeAsync(1000)
+    expect((await refused)?.kind).toBe('unavailable')
+    for (const instance of fleet.instances) instance.abandon()
+  })
+
   // Guards against a fleet whose tokens can't be reached once all instances have lost the store.
   test('is served at its recent rate through an outage of the store of 8 s', async () => {
     const fleet = startFleet(FLEET_SIZE)
@@ -173,7 +219,7 @@
   }, 120_000)
 
   // Guards against a loan or a return that counts twice, also when either side is restarted between two messages.
-  test('an account is never overspent, also when processes are killed', async () => {
+  test('an account is never overspent, nor reported as used up too early, also when processes are killed', async () => {
     const step = fastCheck.record({
       instance: fastCheck.nat({ max: 4 }),
       action: fastCheck.constantFrom('use', 'use', 'use', 'use', 'kill', 'wait', 'storeDown', 'storeUp'),
@@ -185,7 +231,14 @@
       let used = 0
       for (const { instance, action, tokens } of steps) {
         switch (action) {
-          case 'use': if (await serveOne(fleet.instances[instance], tokens, Math.ceil(tokens * 0.8))) used += Math.ceil(tokens * 0.8); break
+          case 'use': {
+            const outcome = tryToServe(fleet.instances[instance], tokens, Math.ceil(tokens * 0.8))
+            await jest.advanceTimersByTimeAsync(1200)
+            const { kind } = await outcome ?? {}
+            if (kind === 'reserved') used += Math.ceil(tokens * 0.8)
+            if (kind === 'exhausted') expect(used + tokens).toBeGreaterThan(PREPAID)
+            break
+          }
           case 'kill': fleet.restart(instance); break
           case 'wait': await jest.advanceTimersByTimeAsync(tokens / 4); break
           case 'storeDown': fleet.isStoreDown = true; break
--- a/packages/gateway/src/__tests__/tokenTask.test.ts
+++ b/packages/gateway/src/__tests__/tokenTask.test.ts
@@ -241,7 +241,7 @@
     await jest.advanceTimersByTimeAsync(700)
     const free = instance.tokens.freeTokens(ACCOUNT)
     // An instance that can use only the whole of what it asks for gets nothing, so that others can use the tokens.
-    expect(await instance.tokens.lend(ACCOUNT, 90_000, 'whole')).toEqual({ tokens: 0, isShort: false })
+    expect(await instance.tokens.lend(ACCOUNT, 90_000, 'whole')).toEqual({ tokens: 0, isShort: false, use: { process: 'a.1', own: 0, total: 0 } })
     const { tokens: lent } = await instance.tokens.lend(ACCOUNT, 90_000, 'partial')
     expect(lent).toBeGreaterThan(0)
     expect(lent).toBeLessThan(free)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -98,7 +98,8 @@
     homes: (account) => fleet.homes(account).filter((home) => home.instanceId !== settings.instanceId),
     currentIncarnation: (instanceId) => fleet.incarnationOf(instanceId),
     log,
-    onLateTokens: (account, late) => tokens.takeBack(account, late)
+    onLateTokens: (account, late) => tokens.takeBack(account, late),
+    onUse: (account, use) => tokens.receiveUse(account, use)
   })
   const tokens = startTokenTask({
     store,
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -9,6 +9,7 @@
 import { recordAcceptance } from './availableBackends.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { connectionHeaders } from './errorResponses.js'
+import { recordUse } from './recordUse.js'
 import type { RequestState } from './requestTask.js'
 
 /** Normal time to the first byte, in addition to the prefill. */
@@ -308,6 +309,7 @@
       const responseHeaders = wire.buildResponseHeaders(incoming.rawHeaders)
       response.writeHead(status, withoutContentLength(responseHeaders, context))
       state.headersSent = true
+      recordUse(context, state, state.fields.prompt?.inputTokens ?? 0)
       state.streamHead = { status, mediaType }
       state.firstByteAt = steadyNow()
     }
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -1,5 +1,6 @@
 import { Agent, createServer, request, type Server } from 'node:http'
 import * as v from 'valibot'
+import { reportedUseSchema, type ReportedUse } from '../decisions/knownUse.js'
 import type { KnownLimit, PermitReply, PermitRequest } from '../decisions/permitIssuer.js'
 import { toldTotalsSchema, type ToldLease } from '../decisions/toldLease.js'
 import type { DecisionLog } from './decisionLog.js'
@@ -16,12 +17,14 @@
 const tokenCount = v.pipe(v.number(), v.integer(), v.minValue(1))
 /** Fields of each message: `id` names it across repeats, `to` is the incarnation that it is meant for. */
 const envelope = { id: v.string(), to: v.string() }
-const loanRequestSchema = v.object({ ...envelope, account: v.string(), tokens: tokenCount, kind: v.picklist(['whole', 'partial']) })
-const returnSchema = v.object({ ...envelope, accounts: v.record(v.string(), tokenCount) })
+const loanRequestSchema = v.object({ ...envelope, account: v.string(), tokens: tokenCount, kind: v.picklist(['whole', 'partial']), use: v.optional(reportedUseSchema) })
+const returnSchema = v.object({ ...envelope, accounts: v.record(v.string(), tokenCount), use: v.optional(v.record(v.string(), reportedUseSchema)) })
 const loanReplySchema = v.object({
   tokens: v.pipe(v.number(), v.integer(), v.minValue(0)),
   /** True when the account's remaining tokens don't cover the request, as far as the home knows. */
-  isShort: v.boolean()
+  isShort: v.boolean(),
+  /** What the home knows of the account's use; processes of earlier versions don't tell. */
+  use: v.optional(reportedUseSchema)
 })
 
 const knownLimitSchema = v.object({ requestsPerSecond: v.optional(v.pipe(v.number(), v.minValue(0))), seenAt: v.number() })
@@ -133,6 +136,7 @@
   readonly isClosing: boolean
   readonly lend: (account: string, tokens: number, kind: LoanKind) => Promise<LoanReply>
   readonly takeBack: (account: string, tokens: number) => void
+  readonly receiveUse: (account: string, report: ReportedUse) => void
 }
 
 /** Handlers of messages about the limits that backend servers name. */
@@ -189,8 +193,9 @@
       case PEER_PATH.loans: {
         const loan = v.safeParse(loanRequestSchema, message)
         if (!loan.success) return undefined
-        const { account, tokens, kind } = loan.output
+        const { account, tokens, kind, use } = loan.output
         return handleOnce(loan.output, async () => {
+          if (use !== undefined) tokenHandlers.receiveUse(account, use)
           const reply = await tokenHandlers.lend(account, tokens, kind)
           log.decision('tokensLent', { account, asked: tokens, tokens: reply.tokens, isShort: reply.isShort })
           return reply
@@ -199,8 +204,10 @@
       case PEER_PATH.returns: {
         const returned = v.safeParse(returnSchema, message)
         if (!returned.success) return undefined
+        const { accounts, use = {} } = returned.output
         return handleOnce(returned.output, async () => {
-          for (const [account, tokens] of Object.entries(returned.output.accounts)) tokenHandlers.takeBack(account, tokens)
+          for (const [account, reported] of Object.entries(use)) tokenHandlers.receiveUse(account, reported)
+          for (const [account, tokens] of Object.entries(accounts)) tokenHandlers.takeBack(account, tokens)
           return {}
         })
       }
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -14,6 +14,7 @@
 import type { GuardedRequest } from './crashGuard.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { sendError, sendNotRun } from './errorResponses.js'
+import { recordUse } from './recordUse.js'
 
 /** Retry time suggested to callers when backend servers reject requests. */
 const REJECTION_RETRY_MS = { engine: 400, plain: 150 } as const
@@ -51,6 +52,8 @@
   mayHaveRun: boolean
   /** Events delivered to the caller. */
   deliveredEvents: number
+  /** Tokens that are already recorded as used. */
+  recordedUse: number
   lastEventId: string
   /** True once the response headers were sent to the caller. */
   headersSent: boolean
@@ -99,7 +102,7 @@
   const service = chooseTarget(route.targets, Math.random()) ?? ''
   const timeoutMilliseconds = Math.min(route.timeoutMilliseconds, fields.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MS)
   const state: RequestState = {
-    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, streamHead: undefined, bufferedResponse: undefined, setAside: undefined, firstByteAt: undefined, triedBackendIds: [], triedAddresses: new Set()
+    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, recordedUse: 0, lastEventId: fields.lastEventId, headersSent: false, streamHead: undefined, bufferedResponse: undefined, setAside: undefined, firstByteAt: undefined, triedBackendIds: [], triedAddresses: new Set()
   }
   context.retryShares.recordRequest(service, admitted.receivedAt)
   const refusal = findRefusal(context, state)
@@ -138,6 +141,7 @@
   state.setAside?.giveUp()
   const used = usedTokens(state)
   if (isReserved && state.account !== undefined) context.tokens.settle(state.account.name, reserved, used)
+  recordUse(context, state, used)
   finishRequest(context, state, result, { reserved: isReserved ? reserved : 0, used })
 }
 
--- a/packages/gateway/src/tasks/tokenAccounts.ts
+++ b/packages/gateway/src/tasks/tokenAccounts.ts
@@ -1,4 +1,5 @@
 import type { ReservationOutcome } from '../decisions/requestPlan.js'
+import { createKnownUse, type KnownUse, type ReportedUse } from '../decisions/knownUse.js'
 import type { LeaseRow } from '../decisions/leaseRow.js'
 import { createTokenLedger, type TokenLedger } from '../decisions/tokenLedger.js'
 import type { RowStore } from '../ports.js'
@@ -11,6 +12,8 @@
   /** Reserves tokens of an account for a request; may wait until `deadline` (`steadyNow`). */
   reserve (account: string, tokens: number, deadline: number): Promise<ReservationOutcome>
   settle (account: string, reserved: number, used: number): void
+  /** Notes tokens that a caller of this instance has certainly used, as soon as that is known. */
+  recordUse (account: string, tokens: number): void
   /** Tokens of an account at this instance that are neither used nor reserved. */
   freeTokens (account: string): number
   /** Sets an account's prepaid tokens; undefined for an account without a limit. */
@@ -19,6 +22,8 @@
   lend (account: string, tokens: number, kind: LoanKind): Promise<LoanReply>
   /** Adds tokens that a peer gave back, or that were lent to this instance late. */
   takeBack (account: string, tokens: number): void
+  /** Takes over what another process knows of the use of an account. */
+  receiveUse (account: string, report: ReportedUse): void
   /** Takes over what a peer was told of the totals of this instance's last process. */
   learnPredecessor (lifetime: string, told: LeaseTotals): void
   /** True once `close` was called: tokens given to this process now would be lost with it. */
@@ -39,10 +44,10 @@
   readonly spansParts: boolean
   /** Rank of this instance among the account's homes, 0 for the first; undefined for other instances. */
   readonly homeRank: (account: string) => number | undefined
-  /** Borrows tokens from the account's other homes. */
-  readonly borrow: (account: string, tokens: number, kind: LoanKind) => Promise<LoanReply>
+  /** Borrows tokens from the account's other homes. `use` is told to them. */
+  readonly borrow: (account: string, tokens: number, kind: LoanKind, use: ReportedUse) => Promise<LoanReply>
   /** Gives tokens back to a home; resolves once their place is known. */
-  readonly giveBack: (account: string, tokens: number) => Promise<void>
+  readonly giveBack: (account: string, tokens: number, use: ReportedUse) => Promise<void>
   /** Tokens in messages whose outcome is not known yet. */
   readonly tokensInTransit: () => number
   /** True while other calls to the store fail. */
@@ -80,6 +85,7 @@
   readonly name: string
   prepaid: number | undefined
   readonly ledger: TokenLedger
+  readonly knownUse: KnownUse
   waiting: WaitingRequest[]
   /** Tokens granted to all instances, from the account's balance row as last read; `balanceVersion` is the row's version. */
   granted: number
@@ -112,7 +118,7 @@
   readonly reclaimed: ReadonlyMap<string, number>
 }
 
-/** Creates the initial state of an account. `trafficSince` returns the arrival time, by `steadyNow`, of the first request of any account. */
-export function createAccountState (name: string, trafficSince: () => number): AccountState {
-  return { name, prepaid: undefined, ledger: createTokenLedger(trafficSince), waiting: [], granted: 0, balanceVersion: 0, isReturnRequested: false, isBorrowing: false, failedLoanRequests: 0, usedAt: 0, prefetchPausedUntil: 0, rejectUntil: 0, rejectFromTokens: 0, consecutiveShortages: 0, nextChangeAt: 0 }
+/** Creates the initial state of an account at the process `incarnationId`. `trafficSince` returns the arrival time, by `steadyNow`, of the first request of any account. */
+export function createAccountState (name: string, incarnationId: string, trafficSince: () => number): AccountState {
+  return { name, prepaid: undefined, ledger: createTokenLedger(trafficSince), knownUse: createKnownUse(incarnationId), waiting: [], granted: 0, balanceVersion: 0, isReturnRequested: false, isBorrowing: false, failedLoanRequests: 0, usedAt: 0, prefetchPausedUntil: 0, rejectUntil: 0, rejectFromTokens: 0, consecutiveShortages: 0, nextChangeAt: 0 }
 }
--- a/packages/gateway/src/tasks/tokenLoans.ts
+++ b/packages/gateway/src/tasks/tokenLoans.ts
@@ -1,4 +1,5 @@
 import { steadyNow } from '../clock.js'
+import type { ReportedUse } from '../decisions/knownUse.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { Peer } from './fleetTask.js'
 import { parseLoanReply, PEER_PATH, postToPeer, type DeliveryOutcome, type LoanKind, type LoanReply } from './peerMessages.js'
@@ -23,9 +24,9 @@
 /** Borrows tokens of client accounts from their homes and gives them back. */
 export interface TokenLoans {
   /** Resolves once enough tokens are borrowed, or all homes have replied or are late. Tokens that come later go to `onLateTokens`. */
-  borrow (account: string, tokens: number, kind: LoanKind): Promise<LoanReply>
+  borrow (account: string, tokens: number, kind: LoanKind, use: ReportedUse): Promise<LoanReply>
   /** Gives tokens back to the first reachable home; the caller has removed them from its ledger. Resolves once their place is known. */
-  giveBack (account: string, tokens: number): Promise<void>
+  giveBack (account: string, tokens: number, use: ReportedUse): Promise<void>
   /** Tokens in messages whose outcome is not known yet. */
   readonly tokensInTransit: number
 }
@@ -41,6 +42,8 @@
   readonly log: DecisionLog
   /** Receives tokens that a home lent after the request stopped waiting, and those that could not be given back. */
   readonly onLateTokens: (account: string, tokens: number) => void
+  /** Receives what a home knows of the use of an account. */
+  readonly onUse: (account: string, use: ReportedUse) => void
   readonly post?: Post
 }
 
@@ -84,16 +87,17 @@
     }
   }
 
-  async function requestLoan (home: Peer, account: string, tokens: number, kind: LoanKind): Promise<LoanReply | undefined> {
+  async function requestLoan (home: Peer, account: string, tokens: number, kind: LoanKind, use: ReportedUse): Promise<LoanReply | undefined> {
     tokensInTransit += tokens
-    const { reply, mayHaveArrived } = await deliver(home, PEER_PATH.loans, { account, tokens, kind })
+    const { reply, mayHaveArrived } = await deliver(home, PEER_PATH.loans, { account, tokens, kind, use })
     tokensInTransit -= tokens
     const loan = parseLoanReply(reply)
+    if (loan?.use !== undefined) options.onUse(account, loan.use)
     if (loan === undefined && mayHaveArrived) log.event('tokensGivenUp', { account, tokens, reason: 'loan in doubt', peer: home.instanceId })
     return loan
   }
 
-  function borrow (account: string, tokens: number, kind: LoanKind): Promise<LoanReply> {
+  function borrow (account: string, tokens: number, kind: LoanKind, use: ReportedUse): Promise<LoanReply> {
     const homes = homesInOrder(account)
     if (homes.length === 0) return Promise.resolve({ tokens: 0, isShort: false })
     return new Promise((resolve) => {
@@ -117,7 +121,7 @@
         if (isSettled || home === undefined) return settle()
         const asked = Math.ceil(tokens - received)
         pending++
-        requestLoan(home, account, asked, kind).then((loan) => {
+        requestLoan(home, account, asked, kind, use).then((loan) => {
           pending--
           if (isSettled) {
             if (loan !== undefined && loan.tokens > 0) onLateTokens(account, loan.tokens)
@@ -139,11 +143,11 @@
     })
   }
 
-  async function giveBack (account: string, tokens: number): Promise<void> {
+  async function giveBack (account: string, tokens: number, use: ReportedUse): Promise<void> {
     tokensInTransit += tokens
     try {
       for (const home of homesInOrder(account)) {
-        const { reply, mayHaveArrived } = await deliver(home, PEER_PATH.returns, { accounts: { [account]: tokens } })
+        const { reply, mayHaveArrived } = await deliver(home, PEER_PATH.returns, { accounts: { [account]: tokens }, use: { [account]: use } })
         if (reply !== undefined) return
         if (!mayHaveArrived) continue
         log.event('tokensGivenUp', { account, tokens, reason: 'return in doubt', peer: home.instanceId })
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -9,7 +9,7 @@
 import { createLeaseManager, type RenewalResult } from './leaseManager.js'
 import type { LoanKind, LoanReply } from './peerMessages.js'
 import { createAccountState, type AccountState, type TokenTask, type TokenTaskOptions, type WaitingRequest } from './tokenAccounts.js'
-import { drawableTokens, isRejectedAtOnce, missingTokens, rejectWaiting, serveWaiting, tokenRetryAt, ungrantedTokens, waitingTokens } from './waitingRequests.js'
+import { drawableTokens, isRejectedAtOnce, missingTokens, rejectWaiting, serveWaiting, tokenRetryAt, ungrantedTokens, unusedTokensAtMost, waitingTokens } from './waitingRequests.js'
 
 /** Starts the task, which reviews all accounts at a fixed interval. */
 export function startTokenTask (options: TokenTaskOptions): TokenTask {
@@ -36,7 +36,7 @@
   function stateOf (name: string): AccountState {
     const found = accounts.get(name)
     if (found !== undefined) return found
-    const created = createAccountState(name, () => trafficSince ?? steadyNow())
+    const created = createAccountState(name, options.incarnationId, () => trafficSince ?? steadyNow())
     accounts.set(name, created)
     return created
   }
@@ -148,7 +148,7 @@
   async function borrowForShortage (state: AccountState): Promise<void> {
     const missing = Math.ceil(missingTokens(state))
     if (missing <= ungrantedTokens(state) || state.isBorrowing) return
-    const loan = await options.borrow(state.name, missing, 'partial')
+    const loan = await options.borrow(state.name, missing, 'partial', state.knownUse.report())
     if (loan.tokens > 0) takeBack(state.name, loan.tokens)
   }
 
@@ -156,7 +156,7 @@
   function rejectForShortage (state: AccountState, requests: ReadonlySet<WaitingRequest>): void {
     const rejected = state.waiting.filter((request) => requests.has(request))
     if (rejected.length === 0) return
-    log.decision('balanceShort', { account: state.name, needed: missingTokens(state), prepaid: state.prepaid, granted: state.granted, rowVersion: state.balanceVersion, shortages: state.consecutiveShortages })
+    log.decision('balanceShort', { account: state.name, needed: missingTokens(state), prepaid: state.prepaid, granted: state.granted, knownUse: state.knownUse.total, rowVersion: state.balanceVersion, shortages: state.consecutiveShortages })
     rejectWaiting(state, rejected, steadyNow())
   }
 
@@ -200,16 +200,16 @@
     if (tokens <= 0 || !state.ledger.reserve(tokens, lease.timeSinceSeal())) return undefined
     state.ledger.settleTransferred(tokens)
     state.usedAt = steadyNow()
-    return options.giveBack(state.name, tokens).catch((error: unknown) => log.warning('tokensNotGivenBack', { account: state.name, tokens, reason: String(error) }))
+    return options.giveBack(state.name, tokens, state.knownUse.report()).catch((error: unknown) => log.warning('tokensNotGivenBack', { account: state.name, tokens, reason: String(error) }))
   }
 
   function logLedgers (): void {
     const now = steadyNow()
     if (now - ledgerLoggedAt < LEDGER_LOG_INTERVAL_MS) return
     ledgerLoggedAt = now
-    for (const { name, ledger, prepaid, granted } of accounts.values()) {
+    for (const { name, ledger, knownUse, prepaid, granted } of accounts.values()) {
       if (ledger.held === 0 && ledger.free < 1 && ledger.reserved === 0) continue
-      log.decision('tokenLedger', { account: name, rank: options.homeRank(name), held: ledger.held, free: Math.floor(ledger.free), reserved: ledger.reserved, committed: ledger.committed, limit: ledger.limit, inTransit: options.tokensInTransit(), granted, prepaid })
+      log.decision('tokenLedger', { account: name, rank: options.homeRank(name), held: ledger.held, free: Math.floor(ledger.free), reserved: ledger.reserved, committed: ledger.committed, limit: ledger.limit, inTransit: options.tokensInTransit(), granted, prepaid, ownUse: knownUse.report().own, knownUse: knownUse.total })
     }
   }
 
@@ -223,7 +223,7 @@
     if (state.isBorrowing || tokens <= 0) return
     state.isBorrowing = true
     const requests = new Set(state.waiting)
-    options.borrow(state.name, tokens, options.homeRank(state.name) === undefined ? 'whole' : 'partial').then((loan) => {
+    options.borrow(state.name, tokens, options.homeRank(state.name) === undefined ? 'whole' : 'partial', state.knownUse.report()).then((loan) => {
       state.failedLoanRequests = loan.tokens === 0 && !loan.isShort ? state.failedLoanRequests + 1 : 0
       if (loan.tokens > 0) {
         state.consecutiveShortages = 0
@@ -276,7 +276,12 @@
     const state = accounts.get(name)
     if (state === undefined || state.prepaid === undefined || isClosing) return { tokens: 0, isShort: false }
     trafficSince ??= steadyNow()
-    if (isStoreUnreachable() || options.homeRank(name) === undefined) return lendUsable(state, tokens, kind)
+    const reply = await lendFrom(state, tokens, kind)
+    return { ...reply, use: state.knownUse.report() }
+  }
+
+  async function lendFrom (state: AccountState, tokens: number, kind: LoanKind): Promise<LoanReply> {
+    if (isStoreUnreachable() || options.homeRank(state.name) === undefined) return lendUsable(state, tokens, kind)
     // Another home draws on the same balance itself and collects only what this one holds.
     const lent = kind === 'partial' ? Math.min(tokens, Math.floor(state.ledger.free)) : tokens
     if (lent <= 0) return { tokens: 0, isShort: false }
@@ -295,7 +300,7 @@
 
   function reserveLimited (state: AccountState, tokens: number, deadline: number): Promise<ReservationOutcome> {
     if (state.waiting.length === 0 && state.ledger.reserve(tokens, lease.timeSinceSeal())) return Promise.resolve({ kind: 'reserved' })
-    if (tokens > (state.prepaid ?? 0)) return Promise.resolve({ kind: 'exhausted' })
+    if (tokens > unusedTokensAtMost(state)) return Promise.resolve({ kind: 'exhausted' })
     if (isRejectedAtOnce(state, tokens, steadyNow())) return Promise.resolve({ kind: 'unavailable', retryAt: tokenRetryAt(state, steadyNow()) })
     return new Promise((resolve) => {
       const waitsUntil = Math.min(deadline, steadyNow() + MAX_TOKEN_WAIT_MS)
@@ -316,6 +321,8 @@
       state.usedAt = steadyNow()
       if (state.waiting.length > 0) serveAllWaiting()
     },
+    recordUse: (name, tokens) => stateOf(name).knownUse.add(tokens),
+    receiveUse: (name, report) => stateOf(name).knownUse.receive(report),
     setPrepaid: (name, tokens) => {
       const state = stateOf(name)
       const previous = state.prepaid
--- a/packages/gateway/src/tasks/waitingRequests.ts
+++ b/packages/gateway/src/tasks/waitingRequests.ts
@@ -1,3 +1,4 @@
+import type { ReservationOutcome } from '../decisions/requestPlan.js'
 import type { AccountState, WaitingRequest } from './tokenAccounts.js'
 import { MAX_SHORTAGE_REJECTION_MS, MAX_TOKEN_WAIT_MS, MAX_TOKEN_WAIT_WITHOUT_STORE_MS, NO_TOKENS_RETRY_MS, SHORTAGE_REJECTION_MS } from './tokenTiming.js'
 
@@ -6,6 +7,11 @@
   return Math.max(0, (state.prepaid ?? 0) - state.granted)
 }
 
+/** Returns an upper bound of the tokens that callers have not used, wherever they are. */
+export function unusedTokensAtMost (state: AccountState): number {
+  return Math.max(0, (state.prepaid ?? 0) - state.knownUse.total)
+}
+
 /** Returns the tokens by which waiting requests exceed the free ones. */
 export function missingTokens (state: AccountState): number {
   return Math.max(0, waitingTokens(state) - state.ledger.free)
@@ -29,6 +35,11 @@
   return Math.max(now + NO_TOKENS_RETRY_MS, state.rejectUntil)
 }
 
+/** Returns what a request without tokens is told: to come back, unless what callers have used shows that the balance won't cover it. */
+function describeShortage (state: AccountState, { tokens }: WaitingRequest, now: number): ReservationOutcome {
+  return tokens > unusedTokensAtMost(state) ? { kind: 'exhausted' } : { kind: 'unavailable', retryAt: tokenRetryAt(state, now) }
+}
+
 /** Reserves usable tokens for waiting requests, and rejects requests that have waited too long. */
 export function serveWaiting (state: AccountState, timeSinceSeal: number, isStoreUnreachable: boolean, now: number): void {
   if (state.waiting.length === 0) return
@@ -38,7 +49,7 @@
       return false
     }
     const isLate = now >= request.deadline || (isStoreUnreachable && now >= request.deadline - MAX_TOKEN_WAIT_MS + MAX_TOKEN_WAIT_WITHOUT_STORE_MS)
-    if (isLate) request.resolve({ kind: 'unavailable', retryAt: tokenRetryAt(state, now) })
+    if (isLate) request.resolve(describeShortage(state, request, now))
     return !isLate
   })
 }
@@ -54,6 +65,6 @@
   state.rejectFromTokens = now < state.rejectUntil ? Math.min(state.rejectFromTokens, smallest) : smallest
   state.rejectUntil = now + Math.min(MAX_SHORTAGE_REJECTION_MS, SHORTAGE_REJECTION_MS * 2 ** state.consecutiveShortages)
   state.consecutiveShortages++
-  for (const request of rejected) request.resolve({ kind: 'unavailable', retryAt: tokenRetryAt(state, now) })
+  for (const request of rejected) request.resolve(describeShortage(state, request, now))
   state.waiting = state.waiting.filter((request) => !rejected.includes(request))
 }
