Count the wait for a newer configuration from the first read

A process that started while the store was away counted its wait of five seconds from its start. If the store came back from a copy after that, the process took the older configuration at once: routes added since the copy got 404 and withdrawn keys worked. The new test failed before (version 1 in force 6 s after the start while peers know version 2).

--- a/packages/gateway/src/tasks/confirmedConfiguration.ts
+++ b/packages/gateway/src/tasks/confirmedConfiguration.ts
@@ -1,7 +1,10 @@
 import { steadyNow } from '../clock.js'
 import type { ConfigurationIndex } from '../decisions/configurationIndex.js'
 
-/** Longest time for which a process that starts after a restore of the store waits for the operators to write again. */
+/**
+ * Longest time, from the first read, for which a process that starts after a restore of the store waits for the operators to
+ * write again.
+ */
 const CONFIRMATION_WAIT_MS = 5000
 
 /** Dependencies. */
@@ -17,11 +20,12 @@
  * have: it uses none until theirs is written again. Once it has used one, it never falls back to none.
  */
 export function createConfirmedConfiguration ({ current, mayBeOutdated }: ConfirmedConfigurationOptions): () => ConfigurationIndex | undefined {
-  const confirmBy = steadyNow() + CONFIRMATION_WAIT_MS
+  let confirmBy: number | undefined
   let isConfirmed = false
   return () => {
     const index = current()
     if (index === undefined) return undefined
+    confirmBy ??= steadyNow() + CONFIRMATION_WAIT_MS
     isConfirmed ||= steadyNow() >= confirmBy || !mayBeOutdated(index.configuration.version)
     return isConfirmed ? index : undefined
   }
