Count the wait before draws from the first read of the lease

A process that started while the store was away let its wait of three seconds pass before the store was back. After a restore it drew at once on balances that lacked what its peers had not recorded again. The first read of the lease now starts the wait, and changes that were due before it are computed again.

--- a/packages/gateway/src/__tests__/restoredTokens.test.ts
+++ b/packages/gateway/src/__tests__/restoredTokens.test.ts
@@ -206,6 +206,32 @@
     expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
   })
 
+  // Guards against a wait that is over before the store is back, so that an instance that started meanwhile draws on balances that are too low.
+  test('an instance that was added while the store was away waits with its draws for the others', async () => {
+    const copy = testFleet.memory.takeCopy()
+    const connections = NAMES.map((name, index) => {
+      testFleet.instances[index]?.kill()
+      const connection = createCuttableStore(testFleet.memory.store)
+      testFleet.instances[index] = testFleet.fleet.start(name, connection.store)
+      return connection
+    })
+    const added = createCuttableStore(testFleet.memory.store)
+    await jest.advanceTimersByTimeAsync(1000)
+    for (let round = 0; round < 11; round++) await use(testFleet, 2, 8000)
+    for (const connection of connections) connection.isCut = true
+    added.isCut = true
+    testFleet.instances.push(testFleet.fleet.start('d', added.store))
+    await jest.advanceTimersByTimeAsync(5000)
+    testFleet.memory.restore(copy)
+    // The instances notice the return of the store within their pauses after a failed call.
+    added.isCut = false
+    await use(testFleet, 3, 8000)
+    await use(testFleet, 3, 8000)
+    for (const connection of connections) connection.isCut = false
+    await useUp(testFleet)
+    expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
+  })
+
   // Guards against processes that wait for a recovery on ordinary starts.
   test('an instance that starts again without a restore draws at once', async () => {
     await use(testFleet, 0, 8000)
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -216,6 +216,8 @@
   }
 
   function noteLease (isOutdated: boolean): void {
+    // The store may have been away, and restored, since this process started.
+    if (!hasReadLease) drawFrom = steadyNow() + RECOVERY_WAIT_MS
     if (isOutdated) awaitRecovery()
     else if (!hasReadLease && era.restoredAt === undefined) isRecording = false
     hasReadLease = true
--- a/packages/gateway/src/tasks/leaseManager.ts
+++ b/packages/gateway/src/tasks/leaseManager.ts
@@ -247,7 +247,9 @@
   }
 
   async function renew (dueChanges: readonly BalanceChange[]): Promise<RenewalResult> {
-    if (!isLeaseRead && !(await readLease())) {
+    if (!isLeaseRead) {
+      // Whether draws are allowed depends on the row, so the due changes are computed again.
+      if (await readLease()) return 'conflict'
       recordFailure('the lease row was not read')
       return 'failed'
     }
