Remove registrations whose homes have ended too, or that a restart of all instances left

After a restore, the removers of an outdated registration were chosen among instances that had ended themselves, and processes that started after the restore removed none. Such a registration stayed for the whole era: each process that started later waited five seconds before it served and three before it drew. Removers are now chosen among the instances that are left, and a process that starts looks for outdated registrations as well.

--- a/packages/gateway/src/__tests__/fleetTask.test.ts
+++ b/packages/gateway/src/__tests__/fleetTask.test.ts
@@ -151,6 +151,38 @@
     expect(next.fleet.peers.map((peer) => peer.instanceId).sort()).toEqual(['first', 'late'])
   })
 
+  // Guards against registrations that nobody removes, for which each process that starts later waits before it serves and draws.
+  test('the registrations of many instances that were killed beside the restore are removed', async () => {
+    const memory = createMemoryRowStore()
+    const instances = Array.from({ length: 30 }, (_, index) => startInstance(memory, `instance${index}`, `domain${index % 3}`))
+    await jest.advanceTimersByTimeAsync(4000)
+    const copy = memory.takeCopy()
+    const killed = instances.slice(0, 20)
+    for (const { fleet } of killed) fleet.follower.stop()
+    memory.restore(copy)
+    await jest.advanceTimersByTimeAsync(20_000)
+    expect(instances.at(-1)?.fleet.peers).toHaveLength(9)
+    const left = killed.filter(({ instanceId }) => memory.getRow({ table: 'fleet', part: '', key: `instance/${instanceId}` }) !== undefined)
+    expect(left.map(({ instanceId }) => instanceId)).toEqual([])
+  })
+
+  test('the registration of an instance that stays away after a restart of all others in a restored store is removed', async () => {
+    const memory = createMemoryRowStore()
+    const instances = ['first', 'second', 'third', 'away'].map((name) => startInstance(memory, name))
+    await jest.advanceTimersByTimeAsync(4000)
+    const copy = memory.takeCopy()
+    for (const { fleet } of instances) fleet.follower.stop()
+    memory.restore(copy)
+    for (const name of ['first', 'second', 'third']) startInstance(memory, name).fleet.noteLease(false)
+    await jest.advanceTimersByTimeAsync(30_000)
+    expect(memory.getRow({ table: 'fleet', part: '', key: 'instance/away' })).toBeUndefined()
+    const next = startInstance(memory, 'next')
+    next.fleet.noteLease(false)
+    await jest.advanceTimersByTimeAsync(2000)
+    expect(next.fleet.mayBeOutdated(1)).toBe(false)
+    expect(next.fleet.mayDraw).toBe(true)
+  })
+
   // Guards against instances that start after the restore and let a request crash further backend servers.
   test('crash reports that were written after the copy are written again', async () => {
     const memory = createMemoryRowStore()
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -199,6 +199,8 @@
     prefersFullRead: false,
     onSnapshot: (rows) => {
       for (const row of rows) applyRow(row)
+      // All processes that saw the restore may have ended before they dropped the instances that stay away.
+      if (!hasReadPeers) scheduleDrop()
       hasReadPeers = true
       markRead()
     },
@@ -236,8 +238,13 @@
     awaitRecovery()
     pendingReports = [...keptReports, ...pendingReports].slice(-MAX_PENDING_REPORTS)
     if (pendingReports.length > 0) scheduleReports(CRASH_REPORT_INTERVAL_MS)
-    const { restoredAt } = era
-    setTimeout(() => { if (era.restoredAt === restoredAt) dropUnregistered() }, REGISTRATION_GRACE_MS)
+    scheduleDrop()
+  }
+
+  /** Drops the instances that don't register in the current era in time. */
+  function scheduleDrop (): void {
+    const { current } = era
+    setTimeout(() => { if (era.current === current) dropUnregistered() }, REGISTRATION_GRACE_MS)
   }
 
   function hasRegistered (instanceId: string): boolean {
@@ -246,11 +253,12 @@
 
   /** Forgets instances that had stopped since the copy: their registrations are back, but no process renews them. */
   function dropUnregistered (): void {
-    for (const { instanceId } of peersOf()) {
-      if (hasRegistered(instanceId)) continue
+    const unregistered = peersOf().filter(({ instanceId }) => !hasRegistered(instanceId))
+    for (const { instanceId } of unregistered) instances.delete(instanceId)
+    homesByAccount.clear()
+    for (const { instanceId } of unregistered) {
+      // Chosen among the instances that are left.
       const isRemover = homesOf(`${PREFIX.instance}${instanceId}`).some((home) => home.instanceId === options.instanceId)
-      instances.delete(instanceId)
-      homesByAccount.clear()
       log.event('instanceNotConfirmed', { instance: instanceId, isRemover })
       if (isRemover) removeRegistration(instanceId).catch((error: unknown) => log.warning('registrationNotRemoved', { instance: instanceId, reason: String(error) }))
     }
