Show that a lease row outgrows a row of the store

Since totals are recorded for restores, a lease row keeps each account that any process of the instance has served; before, it held only what its own process had been granted. A row holds 65,536 bytes: after about 1,000 accounts the store refuses it, the lease is not renewed and nothing is drawn.

--- a/packages/gateway/src/__tests__/tokenTask.test.ts
+++ b/packages/gateway/src/__tests__/tokenTask.test.ts
@@ -383,3 +383,28 @@
     }), { numRuns: 60 })
   }, 60_000)
 })
+
+describe('the lease row of an instance that serves many accounts', () => {
+  const ROW_BYTES = 65_536
+
+  // Guards against a row that the store refuses as too large: it keeps the totals of all accounts that any process of the instance has served.
+  test('fits a row of the store although earlier processes served many other accounts', async () => {
+    const memory = createMemoryRowStore()
+    const spent = Object.fromEntries(Array.from({ length: 900 }, (_, index) => [`earlier-account-${index}`, { held: 5000, limit: 5000, opening: 0 }]))
+    const earlierRow = JSON.stringify({ lifetime: 'a.1', sequence: 900, sealedUntil: 0, accounts: spent })
+    expect(earlierRow.length).toBeLessThanOrEqual(ROW_BYTES)
+    memory.putRow({ table: 'leases', part: 'a', key: 'a' }, earlierRow)
+    const { tokens } = startInstance(memory, 'a', '2')
+    for (let index = 0; index < 100; index++) {
+      const name = `account-${index}`
+      tokens.setPrepaid(name, 5000)
+      const outcome = tokens.reserve(name, 5000, Number.MAX_SAFE_INTEGER)
+      await jest.advanceTimersByTimeAsync(1000)
+      expect((await outcome).kind).toBe('reserved')
+      tokens.settle(name, 5000, 5000)
+    }
+    await jest.advanceTimersByTimeAsync(1000)
+    tokens.abandon()
+    expect(memory.getRow({ table: 'leases', part: 'a', key: 'a' })?.length).toBeLessThanOrEqual(ROW_BYTES)
+  }, 60_000)
+})
