Close the callers' connections before the last step of a stop

Once no request was in progress, a stopping process returned its tokens and exited, but still passed on requests from connections that had been accepted and silent. They were cut off by the exit. The new test failed before: 4 of 4 requests reached the backend server and none was answered, with a store that is silent during the last step.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -250,7 +250,11 @@
       callers.server.close()
       callers.server.closeIdleConnections()
       const hasOpenConnections = callers.openConnections > 0 && steadyNow() < listenUntil + FIRST_REQUEST_WAIT_MS
-      if (callers.activeRequests === 0 && !hasOpenConnections) return
+      if (callers.activeRequests === 0 && !hasOpenConnections) {
+        // A request that comes while the tokens are returned would be cut off by the exit.
+        callers.server.closeAllConnections()
+        return
+      }
     }
     await pauseUntil(steadyNow() + STOP_CHECK_INTERVAL_MS)
   }
