Show the gap between the grace of missing entries and the next poll

After a restore, an entry that is missing from the copy is removed 1900 ms after the first read, but the list is polled every 667 ms, so that an entry written again shortly before or after the end of the grace is found up to 0.7 s later. If all backend servers of a service registered after the copy, requests are refused meanwhile.

--- a/packages/gateway/src/__tests__/backendTask.test.ts
+++ b/packages/gateway/src/__tests__/backendTask.test.ts
@@ -115,4 +115,19 @@
     await jest.advanceTimersByTimeAsync(2 * DRAIN_MS)
     expect(list.usable()).toEqual(['a', 'b', 'c', 'd'])
   })
+
+  // Guards against a service without backend servers from the end of the grace until the poll that finds the entries written again.
+  test('a backend server that writes its entry again two seconds after the restore stays in use all the time', async () => {
+    const copy = list.memory.takeCopy()
+    list.write({ id: 'd' })
+    await jest.advanceTimersByTimeAsync(DRAIN_MS)
+    list.memory.restore(copy)
+    const missingAt: number[] = []
+    for (let passed = 0; passed < 2 * DRAIN_MS; passed += 20) {
+      if (passed === REWRITE_MS) list.write({ id: 'd', sequence: 2 })
+      await jest.advanceTimersByTimeAsync(20)
+      if (!list.usable().includes('d')) missingAt.push(passed)
+    }
+    expect(missingAt).toEqual([])
+  })
 })
