Remove a missing backend server only at a response after its grace

After an outage or a restore of the store, entries of live backend servers are missing until they are written again, about two seconds later. Callers got 503 for up to 0.7 s when the last ones of a service were among them: an entry was dropped 1900 ms after the first read without it, also when it had been written again since the last poll.

It is now dropped by the first response after that time that does not list it. That is at most one poll later; a backend server that is really gone takes no connections, and one that leaves was listed as draining before.

--- a/packages/gateway/src/tasks/backendTask.ts
+++ b/packages/gateway/src/tasks/backendTask.ts
@@ -11,7 +11,7 @@
 const POLLS_PER_DRAIN_PERIOD = 3
 /** Time without a store response after which entries may be missing only because they expired during the outage. */
 const STORE_OUTAGE_GAP_MS = 2500
-/** Time before such an entry is removed: backend servers renew their entries within two seconds of the store's return. */
+/** Time before such an entry is removed, at the next response without it: backend servers renew their entries within about two seconds. */
 const REMOVAL_GRACE_MS = 1900
 
 /** Time after a restore of the store in which it may list entries from before the copy: backend servers renew theirs within two seconds. */
@@ -145,8 +145,9 @@
     for (const row of [...doubtful.values()]) applyRow(row, now)
   }
 
-  function removeOverdue (now: number): void {
-    for (const [id, at] of removalDueAt) if (at <= now) remove(id, 'entry did not return')
+  /** An entry that was written again since the last response is found by the next one. */
+  function removeOverdue (): void {
+    for (const [id, at] of removalDueAt) if (at <= follower.lastResponseAt) remove(id, 'entry did not return')
   }
 
   const follower = followTable({
@@ -163,7 +164,7 @@
 
   return {
     candidates: (service, now) => {
-      if (removalDueAt.size > 0) removeOverdue(now)
+      if (removalDueAt.size > 0) removeOverdue()
       if (doubtful.size > 0) applyDoubtful(now)
       const found: BackendState[] = []
       for (const state of states.values()) {
