--- a/packages/gateway/src/__tests__/tokenLoans.test.ts
+++ b/packages/gateway/src/__tests__/tokenLoans.test.ts
@@ -6,6 +6,7 @@
 import { storeWithoutRestores } from '../__fixtures__/storeWithoutRestores.js'
 import { steadyNow } from '../clock.js'
 import { accountHomes } from '../decisions/accountHomes.js'
+import type { ReservationOutcome } from '../decisions/requestPlan.js'
 import type { Peer } from '../tasks/fleetTask.js'
 import type { TokenTask } from '../tasks/tokenAccounts.js'
 import { createTokenLoans } from '../tasks/tokenLoans.js'
@@ -24,10 +25,10 @@
 }
 
 /** Starts instances that share one account and lend its tokens over a network with the given faults. */
-function startFleet (size: number, chooseFault: () => LinkFault = () => ({ kind: 'none' })): TestFleet {
+function startFleet (size: number, chooseFault: () => LinkFault = () => ({ kind: 'none' }), { prepaidTokens = PREPAID, storeMilliseconds = 0 } = {}): TestFleet {
   const network = createLoanNetwork(chooseFault, steadyNow)
   const fleet: TestFleet = { instances: [], network, isStoreDown: false, restart }
-  const memory: MemoryRowStore = createMemoryRowStore(() => fleet.isStoreDown ? { kind: 'drop' } : { kind: 'none' })
+  const memory: MemoryRowStore = createMemoryRowStore(() => fleet.isStoreDown ? { kind: 'drop' } : { kind: 'none' }, storeMilliseconds)
   const peers: Peer[] = Array.from({ length: size }, (_, index) => ({ instanceId: `instance${index}`, address: `instance${index}:80`, failureDomain: `domain${index % 3}`, incarnationId: `instance${index}.0` }))
   let restarts = 0
 
@@ -39,6 +40,7 @@
       currentIncarnation: network.currentIncarnation,
       log: createRecordingLog(),
       onLateTokens: (account, tokens) => task.takeBack(account, tokens),
+      onUse: (account, use) => task.receiveUse(account, use),
       post: network.post
     })
     const task = startTokenTask({
@@ -58,7 +60,7 @@
       ...storeWithoutRestores()
     })
     network.listen(peer, task)
-    task.setPrepaid(ACCOUNT, PREPAID)
+    task.setPrepaid(ACCOUNT, prepaidTokens)
     return task
   }
 
@@ -75,13 +77,19 @@
 
 const SERVICE_TIME_MS = 400
 
-/** Serves a request while the test advances the time. */
-async function serve (instance: TokenTask | undefined, reserved: number, used: number): Promise<boolean> {
+/** Serves a request while the test advances the time, if it gets tokens; returns the outcome of their reservation. */
+async function tryToServe (instance: TokenTask | undefined, reserved: number, used: number): Promise<ReservationOutcome | undefined> {
   const outcome = await instance?.reserve(ACCOUNT, reserved, Number.MAX_SAFE_INTEGER)
-  if (outcome?.kind !== 'reserved') return false
+  if (outcome?.kind !== 'reserved') return outcome
   await new Promise((resolve) => setTimeout(resolve, SERVICE_TIME_MS))
   instance?.settle(ACCOUNT, reserved, used)
-  return true
+  instance?.recordUse(ACCOUNT, used)
+  return outcome
+}
+
+/** Like `tryToServe`; returns whether the request was served. */
+async function serve (instance: TokenTask | undefined, reserved: number, used: number): Promise<boolean> {
+  return (await tryToServe(instance, reserved, used))?.kind === 'reserved'
 }
 
 /** Serves a request and advances the time by more than it takes. */
@@ -115,6 +123,63 @@
     for (const instance of fleet.instances) instance.abandon()
   }, 60_000)
 
+  // Guards against requests that are refused with earlier ones although no other home was asked for their tokens.
+  test('is used up to 97 in 100 by requests that overlap, without a refusal', async () => {
+    const prepaidTokens = 1_600_000
+    const fleet = startFleet(9, undefined, { prepaidTokens, storeMilliseconds: 4 })
+    await jest.advanceTimersByTimeAsync(1000)
+    const sizes = [9200, 700, 5200, 1300]
+    let committed = 0
+    const outcomes: Promise<boolean>[] = []
+    for (let index = 0; committed + 9200 <= prepaidTokens * 0.97; index++) {
+      const size = sizes[index % sizes.length] ?? 0
+      committed += size
+      outcomes.push(serve(fleet.instances[index * 4 % 9], size, size))
+      await jest.advanceTimersByTimeAsync(index % 8 === 7 ? 250 : index * 7 % 13)
+    }
+    await jest.advanceTimersByTimeAsync(2000)
+    expect((await Promise.all(outcomes)).filter((isServed) => !isServed)).toHaveLength(0)
+    for (const instance of fleet.instances) instance.abandon()
+  }, 60_000)
+
+  // Guards against callers that are told to come back although the account is used up, and against the opposite while tokens may come back.
+  test('is reported as used up once what its callers have used leaves too little, and not before', async () => {
+    const fleet = startFleet(FLEET_SIZE)
+    await jest.advanceTimersByTimeAsync(1000)
+    const reserve = async (index: number, tokens: number): Promise<string | undefined> => {
+      const outcome = fleet.instances[index]?.reserve(ACCOUNT, tokens, Number.MAX_SAFE_INTEGER)
+      await jest.advanceTimersByTimeAsync(2500)
+      return (await outcome)?.kind
+    }
+    for (let index = 0; index < 9; index++) expect(await serveOne(fleet.instances[index], 20_000, 19_000)).toBe(true)
+    // 171,000 of 200,000 are used and 25,000 reserved.
+    expect(await reserve(10, 25_000)).toBe('reserved')
+    expect(await reserve(11, 12_000)).toBe('unavailable')
+    fleet.instances[10]?.settle(ACCOUNT, 25_000, 24_000)
+    fleet.instances[10]?.recordUse(ACCOUNT, 24_000)
+    await jest.advanceTimersByTimeAsync(2500)
+    expect(await reserve(11, 12_000)).toBe('exhausted')
+    expect(await reserve(12, 3000)).toBe('reserved')
+    for (const instance of fleet.instances) instance.setPrepaid(ACCOUNT, PREPAID + 20_000)
+    expect(await reserve(11, 12_000)).toBe('reserved')
+    for (const instance of fleet.instances) instance.abandon()
+  })
+
+  // Guards against accounts that look used up because a process was killed with tokens that nobody has used.
+  test('is not reported as used up for the tokens that a killed process held', async () => {
+    const fleet = startFleet(FLEET_SIZE)
+    await jest.advanceTimersByTimeAsync(1000)
+    const outcome = fleet.instances[10]?.reserve(ACCOUNT, 150_000, Number.MAX_SAFE_INTEGER)
+    await jest.advanceTimersByTimeAsync(1000)
+    expect((await outcome)?.kind).toBe('reserved')
+    fleet.restart(10)
+    await jest.advanceTimersByTimeAsync(3000)
+    const refused = fleet.instances[11]?.reserve(ACCOUNT, 60_000, Number.MAX_SAFE_INTEGER)
+    await jest.advanceTimersByTimeAsync(1000)
+    expect((await refused)?.kind).toBe('unavailable')
+    for (const instance of fleet.instances) instance.abandon()
+  })
+
   // Guards against a fleet whose tokens can't be reached once all instances have lost the store.
   test('is served at its recent rate through an outage of the store of 8 s', async () => {
     const fleet = startFleet(FLEET_SIZE)
@@ -154,7 +219,7 @@
   }, 120_000)
 
   // Guards against a loan or a return that counts twice, also when either side is restarted between two messages.
-  test('an account is never overspent, also when processes are killed', async () => {
+  test('an account is never overspent, nor reported as used up too early, also when processes are killed', async () => {
     const step = fastCheck.record({
       instance: fastCheck.nat({ max: 4 }),
       action: fastCheck.constantFrom('use', 'use', 'use', 'use', 'kill', 'wait', 'storeDown', 'storeUp'),
@@ -166,7 +231,14 @@
       let used = 0
       for (const { instance, action, tokens } of steps) {
         switch (action) {
-          case 'use': if (await serveOne(fleet.instances[instance], tokens, Math.ceil(tokens * 0.8))) used += Math.ceil(tokens * 0.8); break
+          case 'use': {
+            const outcome = tryToServe(fleet.instances[instance], tokens, Math.ceil(tokens * 0.8))
+            await jest.advanceTimersByTimeAsync(1200)
+            const { kind } = await outcome ?? {}
+            if (kind === 'reserved') used += Math.ceil(tokens * 0.8)
+            if (kind === 'exhausted') expect(used + tokens).toBeGreaterThan(PREPAID)
+            break
+          }
           case 'kill': fleet.restart(instance); break
           case 'wait': await jest.advanceTimersByTimeAsync(tokens / 4); break
           case 'storeDown': fleet.isStoreDown = true; break
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -98,7 +98,8 @@
     homes: (account) => fleet.homes(account).filter((home) => home.instanceId !== settings.instanceId),
     currentIncarnation: (instanceId) => fleet.incarnationOf(instanceId),
     log,
-    onLateTokens: (account, late) => tokens.takeBack(account, late)
+    onLateTokens: (account, late) => tokens.takeBack(account, late),
+    onUse: (account, use) => tokens.receiveUse(account, use)
   })
   const tokens = startTokenTask({
     store,
@@ -250,7 +251,11 @@
       callers.server.close()
       callers.server.closeIdleConnections()
       const hasOpenConnections = callers.openConnections > 0 && steadyNow() < listenUntil + FIRST_REQUEST_WAIT_MS
-      if (callers.activeRequests === 0 && !hasOpenConnections) return
+      if (callers.activeRequests === 0 && !hasOpenConnections) {
+        // A request that comes while the tokens are returned would be cut off by the exit.
+        callers.server.closeAllConnections()
+        return
+      }
     }
     await pauseUntil(steadyNow() + STOP_CHECK_INTERVAL_MS)
   }
