Do not resume a stream after an event without an ID

Seen: a backend server sends an error event, or another event without an ID, in a resumable stream and breaks off. The caller got that event followed by the events of another run from the first one on, as one complete stream; or the event between the pieces of two runs.

Cause: a run goes on after the last ID that was delivered. Events without one left it where it was, so that the resumed run repeated or followed what the caller had already received.

Change: such an event, when it carries data, ends the chance of a resumed run and of a retry while the backend server is silent; the caller's stream is cut off. Comments and fields without data are no events.

--- a/packages/gateway/src/decisions/eventSplitter.ts
+++ b/packages/gateway/src/decisions/eventSplitter.ts
@@ -1,7 +1,17 @@
+/** Complete events of a stream. */
+export interface CompleteEvents {
+  readonly bytes: Buffer
+  /** Number of events that have an ID. */
+  readonly events: number
+  readonly lastEventId: string
+  /** True when there is an event without an ID, after which a stream can't be resumed. */
+  readonly hasUnidentified: boolean
+}
+
 /** Splits a byte stream at the boundaries of server-sent events, so that only complete events are forwarded. */
 export interface EventSplitter {
   /** Adds bytes and returns those of all complete events, unchanged. */
-  push (chunk: Buffer): { readonly bytes: Buffer, readonly events: number, readonly lastEventId: string }
+  push (chunk: Buffer): CompleteEvents
   /** Bytes of the incomplete last event. */
   readonly bufferedBytes: number
   /** True once more bytes have come without an event than any event has; further bytes are not kept. */
@@ -19,6 +29,8 @@
 /** A line of an event that is no comment. */
 const FIELD_PATTERN = /^[^:\r\n]/m
 const ID_PATTERN = /^id: ?(.*?)\r?$/gm
+/** Only an event with data is one for the caller. */
+const DATA_PATTERN = /^data(?::|\r?$)/m
 
 /** What the first events of a response to a resumed stream show. */
 export type Continuation =
@@ -41,6 +53,10 @@
   return !NUMBER_PATTERN.test(eventId) || !NUMBER_PATTERN.test(previousId) || Number(eventId) > Number(previousId)
 }
 
+function isUnidentified (event: string): boolean {
+  return DATA_PATTERN.test(event) && event.search(ID_PATTERN) === -1
+}
+
 /** Creates a splitter with an empty buffer. */
 export function createEventSplitter (): EventSplitter {
   let chunks: Buffer[] = []
@@ -68,7 +84,7 @@
 
   return {
     push: (chunk) => {
-      const none = { bytes: Buffer.alloc(0), events: 0, lastEventId: '' }
+      const none = { bytes: Buffer.alloc(0), events: 0, lastEventId: '', hasUnidentified: false }
       if (bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT) return none
       bytesWithoutEvent += chunk.length
       // Only the new bytes are searched, so that an event in many chunks costs no more than one in a single chunk.
@@ -82,9 +98,10 @@
       chunks = []
       bufferedBytes = 0
       keep(chunk.subarray(end))
-      const ids = [...complete.toString('latin1').matchAll(ID_PATTERN)]
+      const text = complete.toString('latin1')
+      const ids = [...text.matchAll(ID_PATTERN)]
       if (ids.length > 0) bytesWithoutEvent = bufferedBytes
-      return { bytes: complete, events: ids.length, lastEventId: ids.at(-1)?.[1] ?? '' }
+      return { bytes: complete, events: ids.length, lastEventId: ids.at(-1)?.[1] ?? '', hasUnidentified: text.split(BLANK_LINE_PATTERN).some(isUnidentified) }
     },
     get bufferedBytes () { return bufferedBytes },
     get isOverflowing () { return bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT }
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -353,6 +353,7 @@
     }
     if (complete.bytes.length === 0) return
     state.deliveredEvents += complete.events
+    state.hasUnidentifiedEvents ||= complete.hasUnidentified
     if (complete.lastEventId !== '') state.lastEventId = complete.lastEventId
     if (!response.write(complete.bytes)) {
       exchange.pause()
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -51,6 +51,8 @@
   mayHaveRun: boolean
   /** Events delivered to the caller. */
   deliveredEvents: number
+  /** True once an event without an ID was delivered: no ID then tells where another run has to go on. */
+  hasUnidentifiedEvents: boolean
   lastEventId: string
   /** True once the response headers were sent to the caller. */
   headersSent: boolean
@@ -99,7 +101,7 @@
   const service = chooseTarget(route.targets, Math.random()) ?? ''
   const timeoutMilliseconds = Math.min(route.timeoutMilliseconds, fields.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MS)
   const state: RequestState = {
-    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, streamHead: undefined, bufferedResponse: undefined, setAside: undefined, firstByteAt: undefined, triedBackendIds: [], triedAddresses: new Set()
+    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, hasUnidentifiedEvents: false, lastEventId: fields.lastEventId, headersSent: false, streamHead: undefined, bufferedResponse: undefined, setAside: undefined, firstByteAt: undefined, triedBackendIds: [], triedAddresses: new Set()
   }
   context.retryShares.recordRequest(service, admitted.receivedAt)
   const refusal = findRefusal(context, state)
@@ -128,7 +130,7 @@
         case 'sendAttempt': return await attemptBackend(context, state, command.backendId)
         case 'continueAttempt': return await state.setAside?.resume()
         case 'consumeRetry':
-          if (hasCallerLeft(state) || (state.mayHaveRun && !context.crashGuard.mayRetry(state.guarded))) return false
+          if (hasCallerLeft(state) || state.hasUnidentifiedEvents || (state.mayHaveRun && !context.crashGuard.mayRetry(state.guarded))) return false
           return findUntriedBackends(context, state).length > 0 && context.retryShares.tryAcquireRetry(service, steadyNow())
         default: return assertNever(command)
       }
@@ -219,6 +221,7 @@
   const now = steadyNow()
   const isUsable = (candidate: BackendState): boolean => candidate.avoidedUntil <= now && !context.permits.isDenied(candidate, state.priority, now)
   if (hasCallerLeft(state)) return { kind: 'refused', reason: 'the caller has left' }
+  if (state.hasUnidentifiedEvents) return { kind: 'refused', reason: 'events without an ID were delivered' }
   if (!context.crashGuard.mayRetry(state.guarded)) return { kind: 'refused', reason: 'the request may crash backend servers' }
   if (!findUntriedBackends(context, state).some(isUsable)) return { kind: 'refused', reason: 'no other backend server' }
   if (!context.retryShares.tryAcquireRetry(state.service, now)) return { kind: 'refused', reason: 'the retry budget is used up' }
