Resume a chat stream of the router over a new connection

Seen: an engine ends the first part of a stream without its end marker and writes that part once more on the kept connection. The caller got the tokens of the first part twice.

Cause: the resumption carries the ID of the interrupted attempt and was sent over the pooled connection, so that a copy of the attempt's response passed for the response to the resumption.

Change: a resumption has a connection of its own.

Test: repeatedResponses, "the first part of a chat stream that an engine writes once more" failed before: one, two, one, two.

--- a/packages/router/src/__tests__/repeatedResponses.test.ts
+++ b/packages/router/src/__tests__/repeatedResponses.test.ts
@@ -60,6 +60,22 @@
   })
 })
 
+describe('the first part of a chat stream that an engine writes once more', () => {
+  const event = (data: string): string => `data: ${data}\n\n`
+  const token = (requestId: string, text: string): string => event(JSON.stringify({ id: `chatcmpl-${requestId}`, choices: [{ delta: { content: text } }] }))
+  const stream = (requestId: string, ...events: readonly string[]): string => answer(requestId, '200 OK', events.join(''))
+
+  // Guards against tokens that a caller gets twice: the copy carries the request's own ID, so only a new connection tells the two apart.
+  test('is not taken for its rest', async () => {
+    const first = (requestId: string): string => stream(requestId, token(requestId, 'one'), token(requestId, 'two'))
+    repeatErrors(first, first, (requestId) => stream(requestId, token(requestId, 'three'), event('[DONE]')))
+    const { result, text } = await attemptChat(backend.address, { streamed: true, resumes: true })
+    expect(backend.requests.map(({ method }) => method)).toEqual(['POST', 'GET'])
+    expect(text.match(/"content":"(\w+)"/g)).toEqual(['"content":"one"', '"content":"two"', '"content":"three"'])
+    expect(result.kind).toBe('answered')
+  })
+})
+
 describe('an answer that a plain service writes once more', () => {
   const copies: readonly (readonly [string, (earlier: string | undefined) => string])[] = [
     ['with its ID', (earlier) => answer(earlier, '200 OK', 'earlier')],
--- a/packages/router/src/engineAttempt.ts
+++ b/packages/router/src/engineAttempt.ts
@@ -72,7 +72,8 @@
       body: resumed ? Buffer.alloc(0) : attempt.body,
       deadline: exchange.deadline,
       signal: exchange.signal,
-      freshConnection: false
+      // A copy of the interrupted response carries the ID of the resumed one.
+      freshConnection: resumed
     })
     const result = response.kind === 'answering'
       ? await readResponse({ ...attempt, onAnswered: createAnswerRecorder(attempt, inFlight) }, command, attemptId, response)
