Cancel a chat of the router over a new connection

Seen: an engine fails a chat and writes that error once more. The client account was billed the most tokens that the chat could use, 1000 in the test, though the engine would have told the 3 that it used.

Cause: the cancellation carries the ID of its attempt and was sent over the pooled connection, so that the copy passed for its response.

Change: a cancellation has a connection of its own.

Test: repeatedResponses, "an error of a chat that an engine writes once more" failed before.

--- a/packages/router/src/__fixtures__/attempts.ts
+++ b/packages/router/src/__fixtures__/attempts.ts
@@ -24,10 +24,12 @@
   readonly address: string
   readonly requests: readonly RawRequest[]
   respond: (socket: Socket, request: RawRequest) => void
+  /** Answers a cancellation; no attempt is known by default. */
+  respondToCancellation: (socket: Socket, request: RawRequest) => void
   close (): Promise<void>
 }
 
-/** Starts a raw backend server; `respond` is called for each complete request but cancellations, of which none is known. */
+/** Starts a raw backend server; `respond` is called for each complete request but cancellations. */
 export async function startRawBackend (): Promise<RawBackend> {
   const sockets = new Set<Socket>()
   const requests: RawRequest[] = []
@@ -44,7 +46,7 @@
       const request = { method: text.split(' ', 1)[0] ?? '', requestId: /x-request-id: (\S+)/i.exec(text)?.[1] ?? '' }
       text = text.slice(end + 4 + length)
       if (request.method === 'DELETE') {
-        socket.write(`HTTP/1.1 404 Not Found\r\nX-Request-Id: ${request.requestId}\r\nContent-Length: 0\r\n\r\n`)
+        backend.respondToCancellation(socket, request)
         return
       }
       requests.push(request)
@@ -56,6 +58,7 @@
     address: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
     requests,
     respond: () => {},
+    respondToCancellation: (socket, { requestId }) => { socket.write(`HTTP/1.1 404 Not Found\r\nX-Request-Id: ${requestId}\r\nContent-Length: 0\r\n\r\n`) },
     close: async () => {
       for (const socket of sockets) socket.destroy()
       await new Promise((resolve) => server.close(resolve))
--- a/packages/router/src/__tests__/repeatedResponses.test.ts
+++ b/packages/router/src/__tests__/repeatedResponses.test.ts
@@ -76,6 +76,22 @@
   })
 })
 
+describe('an error of a chat that an engine writes once more', () => {
+  // Guards against a bill for the most tokens that a chat can use, where the engine says how many it has used.
+  test('is not taken for the answer to the cancellation of the chat', async () => {
+    const failed = new WeakSet<Socket>()
+    backend.respond = (socket, { requestId }) => {
+      failed.add(socket)
+      socket.write(answer(requestId, '500 Internal Server Error', ERROR_BODY))
+    }
+    backend.respondToCancellation = (socket, { requestId }) => {
+      if (failed.has(socket)) socket.write(answer(requestId, '500 Internal Server Error', ERROR_BODY))
+      else socket.write(answer(requestId, '200 OK', '{"usage":{"prompt_tokens":1,"completion_tokens":2}}'))
+    }
+    expect((await attemptChat(backend.address)).result.charge).toEqual({ promptTokens: 1, completionTokens: 2, estimated: false })
+  })
+})
+
 describe('an answer that a plain service writes once more', () => {
   const copies: readonly (readonly [string, (earlier: string | undefined) => string])[] = [
     ['with its ID', (earlier) => answer(earlier, '200 OK', 'earlier')],
--- a/packages/router/src/engineAttempt.ts
+++ b/packages/router/src/engineAttempt.ts
@@ -222,7 +222,8 @@
     body: Buffer.alloc(0),
     deadline,
     signal: new AbortController().signal,
-    freshConnection: false
+    // A copy of the attempt's response carries the ID of the cancellation.
+    freshConnection: true
   })
   if (response.kind !== 'answering') return estimatedCharge(attempt)
   if (!response.isOwn) {
