Treat an engine's success other than 200 as a failed chat in the router

Seen: an engine answers a chat with 204, 201, 206 or a redirection. The caller got that status, 204 as an empty success, with "run": "no" where a body fits, and the chat was not billed although it may have run.

Cause: every status below 500 but 200, 429 and 503 was taken for the engine's rejection of the request.

Change: only 4xx is a rejection. Other statuses are a failed attempt, which is cancelled, billed as the engine says and tried elsewhere.

Test: brokenResponses, "the response of an engine to a chat", five cases failed before with "rejected".

--- a/packages/router/src/__tests__/brokenResponses.test.ts
+++ b/packages/router/src/__tests__/brokenResponses.test.ts
@@ -64,6 +64,16 @@
   }, 2000)
 })
 
+describe('the response of an engine to a chat', () => {
+  // Guards against an empty success, or "not run", where nothing shows that the chat was not run.
+  test.each(['201 Created', '204 No Content', '206 Partial Content', '302 Found', '304 Not Modified'])('with status %s is a failed attempt', async (status) => {
+    backend.respond = (socket, { requestId }) => { socket.write(head(requestId, 'Content-Length: 0\r\n', status)) }
+    const { result } = await attemptChat(backend.address)
+    expect(result).toMatchObject({ kind: 'failed', outcome: { kind: 'resetBeforeFirstByte' } })
+    expect(result.charge).toBeDefined()
+  })
+})
+
 const token = (requestId: string, text: string): string => `data: ${JSON.stringify({ id: `chatcmpl-${requestId}`, choices: [{ delta: { content: text } }] })}\n\n`
 const EVENTS = 'Content-Type: text/event-stream\r\n'
 const whole = (requestId: string, status: string, more: string, body: string): string => `${head(requestId, `${more}Content-Length: ${body.length}\r\n`, status)}${body}`
--- a/packages/router/src/engineAttempt.ts
+++ b/packages/router/src/engineAttempt.ts
@@ -134,7 +134,8 @@
   // The engine no longer has the stream, so it can't be resumed.
   if (command.resumeOffset !== undefined) return failedAttempt(attempt, { kind: 'brokenAfterBytes', bytesReceived: attempt.progress.contentTokens, resumable: false }, await cancelAttempt(attempt, command.slot, attemptId))
   if (status === 429 || status === 503) return failedAttempt(attempt, { kind: 'refusedBeforeRunning' }, undefined)
-  if (status >= 500) return failedAttempt(attempt, { kind: 'resetBeforeFirstByte' }, await cancelAttempt(attempt, command.slot, attemptId))
+  // Only an error that names the request's own fault tells that the chat was not run.
+  if (status < 400 || status >= 500) return failedAttempt(attempt, { kind: 'resetBeforeFirstByte' }, await cancelAttempt(attempt, command.slot, attemptId))
   const text = body.kind === 'whole' ? body.body.toString('utf8') : ''
   const message = parseJson(engineErrorSchema, text)?.error.message ?? `the engine rejected the request with status ${status}`
   return { kind: 'rejected', error: { status: status === 401 || status === 403 ? 502 : status, code: 'backend_rejected', message, run: 'no' }, charge: undefined }
