Do not use an entry that lacks the known start time of its backend server

Seen: a backend server says that it leaves, and another writer writes its entry without a start time. It got requests again after the drain time, and a second time when its own entry came back.

Cause: a missing start time was read as 0 and so named another process, of which no response was known.

Change: for an ID whose start time is known, an entry without one is another writer's and names no backend server, like an unreadable one. Where no entry has a start time nothing changes.

Test: leavingBackends, "gets none either after its entry was written without a start time" failed before with 200 instead of 503.

--- a/packages/gateway/src/tasks/backendTask.ts
+++ b/packages/gateway/src/tasks/backendTask.ts
@@ -103,6 +103,8 @@
     if (entry === undefined) return remove(row.key, 'entry unreadable')
     const state = states.get(entry.id)
     const known = state === undefined ? removed.get(entry.id) : { ...state.entry, isRemoved: false }
+    // A backend server never leaves out its start time, so that another writer wrote this entry.
+    if (known !== undefined && known.startedAt !== 0 && entry.startedAt === 0) return remove(row.key, 'entry without its start time')
     if (known !== undefined && isOutdatedEntry(entry, known, isRestoredWithin(RESTORED_ENTRIES_MS, now))) {
       log.decision('backendEntryOutdated', { backend: entry.id, state: entry.state, sequence: entry.sequence, knownState: known.state, knownSequence: known.sequence, isRemoved: known.isRemoved })
       if (isRestoredWithin(RESTORED_ENTRIES_MS, now)) doubtful.set(row.key, row)
