Limit what a backend server gets right after the time for which it wanted nothing

Seen: three backend servers that take five times the load turn requests away for half a second and name 3 s. They never recovered: at each end all callers that were refused meanwhile arrived together, a third of them were turned away, and the next 3 s began.

Cause: an instance sent everything that it got to whichever backend server wanted requests again, without a limit.

Change: for as long as the time lasted, at most 5 s, a backend server that wants requests again has no more requests of an instance in progress than the instance's even share of its slots. What no backend server has room for is refused at once, with a time.

--- a/packages/gateway/src/__tests__/backendAcceptance.test.ts
+++ b/packages/gateway/src/__tests__/backendAcceptance.test.ts
@@ -23,7 +23,7 @@
     const acceptance = createAcceptance()
     expect(acceptance.markLeaving('i-1/0', 1000)).toBe(true)
     expect(acceptance.markLeaving('i-1/0', 1500)).toBe(false)
-    expect(selectAccepting([leaving, other], acceptance, { receivedAt: 1000, drainMilliseconds: DRAIN_MS }, 4000)).toEqual([other])
+    expect(selectAccepting([leaving, other], acceptance, { receivedAt: 1000, drainMilliseconds: DRAIN_MS, instances: 1 }, 4000)).toEqual([other])
   })
 
   // Guards against refusals while the only backend server still serves, and against requests after that, however long they waited.
@@ -31,15 +31,15 @@
     const acceptance = createAcceptance()
     acceptance.markLeaving('i-1/0', 1000)
     acceptance.markLeaving('i-1/0', 1500)
-    expect(selectAccepting([leaving], acceptance, { receivedAt: 2999, drainMilliseconds: DRAIN_MS }, 4000)).toEqual([leaving])
-    expect(selectAccepting([leaving], acceptance, { receivedAt: 3000, drainMilliseconds: DRAIN_MS }, 4000)).toEqual([])
+    expect(selectAccepting([leaving], acceptance, { receivedAt: 2999, drainMilliseconds: DRAIN_MS, instances: 1 }, 4000)).toEqual([leaving])
+    expect(selectAccepting([leaving], acceptance, { receivedAt: 3000, drainMilliseconds: DRAIN_MS, instances: 1 }, 4000)).toEqual([])
   })
 
   test('are told apart by their start time', () => {
     const acceptance = createAcceptance()
     acceptance.markLeaving('i-1/0', 1000)
     const restarted = createTestBackend('i-1', { startedAt: 5 })
-    expect(selectAccepting([restarted], acceptance, { receivedAt: 9000, drainMilliseconds: DRAIN_MS }, 4000)).toEqual([restarted])
+    expect(selectAccepting([restarted], acceptance, { receivedAt: 9000, drainMilliseconds: DRAIN_MS, instances: 1 }, 4000)).toEqual([restarted])
   })
 
   // Guards against requests to a backend server that has said that it leaves, in a fleet in which many do so at the same time.
@@ -75,7 +75,7 @@
 describe('backend servers that want nothing for a time', () => {
   const paused = createTestBackend('i-1')
   const other = createTestBackend('i-2')
-  const request = { receivedAt: 1000, drainMilliseconds: DRAIN_MS }
+  const request = { receivedAt: 1000, drainMilliseconds: DRAIN_MS, instances: 1 }
 
   test('get no requests until it ends, also when there is no other one', () => {
     const acceptance = createAcceptance()
@@ -101,6 +101,31 @@
     expect(acceptance.acceptanceOf('i-1/5', 1000)).toEqual({ kind: 'accepting' })
   })
 
+  // Guards against instances that all send what has accumulated in the named time to the first backend server that wants requests again.
+  test('get no more than an even share of their slots for as long again', () => {
+    const acceptance = createAcceptance()
+    const resuming = createTestBackend('i-1')
+    const until = acceptance.pause('i-1/0', 3000, 1000) ?? 0
+    const isSelected = (now: number, instances: number): boolean => selectAccepting([resuming], acceptance, { ...request, instances }, now).length > 0
+    const send = (): void => { resuming.pending.add({ sentAt: until, prefillTokens: 0, answered: false }) }
+    expect(isSelected(until, 100)).toBe(true)
+    send()
+    expect(isSelected(until, 100)).toBe(false)
+    for (let sent = 1; sent < 4; sent++) send()
+    expect([isSelected(until, 1), isSelected(until, 2), isSelected(until + 2999, 2), isSelected(until + 3000, 2)]).toEqual([true, false, false, true])
+    expect(selectAccepting([resuming, other], acceptance, { ...request, instances: 2 }, until)).toEqual([other])
+    expect(returnAt([resuming], acceptance, 2, until, 0)).toBe(until + 200)
+  })
+
+  // Guards against a long resumption, in which instances with more callers than others are held to an even share, after a short time.
+  test('are used as before after a short time', () => {
+    const acceptance = createAcceptance()
+    const until = acceptance.pause('i-1/0', 100, 1000) ?? 0
+    expect([0, 99, 100].map((later) => acceptance.acceptanceOf('i-1/0', until + later).kind)).toEqual(['resuming', 'resuming', 'accepting'])
+    const longUntil = acceptance.pause('i-2/0', 60_000, 1000) ?? 0
+    expect([4999, 5000].map((later) => acceptance.acceptanceOf('i-2/0', longUntil + later).kind)).toEqual(['resuming', 'accepting'])
+  })
+
   // Guards against a process that a time written in error excludes for as long as it runs.
   test('are left out for a day at most, and not at all for a time of 0', () => {
     const acceptance = createAcceptance()
@@ -128,16 +153,16 @@
     const acceptance = createAcceptance()
     acceptance.pause('i-1/0', 999, 1000)
     acceptance.pause('i-2/0', 9999, 1000)
-    expect([0, 0.5, 0.99].map((spread) => returnAt([paused, other], acceptance, 1000, spread))).toEqual([2000, 2125, 2247.5])
-    expect([0, 0.5].map((spread) => returnAt([other], acceptance, 1000, spread))).toEqual([11_000, 11_250])
+    expect([0, 0.5, 0.99].map((spread) => returnAt([paused, other], acceptance, 1, 1000, spread))).toEqual([2000, 2125, 2247.5])
+    expect([0, 0.5].map((spread) => returnAt([other], acceptance, 1, 1000, spread))).toEqual([11_000, 11_250])
   })
 
   test('give callers no time when another one accepts requests, or when all leave', () => {
     const acceptance = createAcceptance()
     acceptance.pause('i-1/0', 3000, 1000)
-    expect(returnAt([paused, other], acceptance, 1000, 0)).toBeUndefined()
+    expect(returnAt([paused, other], acceptance, 1, 1000, 0)).toBeUndefined()
     acceptance.markLeaving('i-1/0', 1000)
-    expect(returnAt([paused], acceptance, 1000, 0)).toBeUndefined()
+    expect(returnAt([paused], acceptance, 1, 1000, 0)).toBeUndefined()
     expect(selectAccepting([paused], acceptance, request, 1000)).toEqual([])
   })
 })
--- a/packages/gateway/src/decisions/backendAcceptance.ts
+++ b/packages/gateway/src/decisions/backendAcceptance.ts
@@ -7,6 +7,10 @@
 const REMEMBERED_LEAVING_MS = 600_000
 /** A time written in error must not exclude a process for as long as it runs. */
 const MAX_PAUSE_MS = 86_400_000
+/** A resumption lasts as long as the pause before it, up to this: the callers that were refused in the pause return then. */
+const MAX_RESUMPTION_MS = 5000
+/** About the time in which a backend server answers a few requests. */
+const RESUMPTION_RETURN_MS = 200
 /** Callers return within this share of the remaining time after its end, so that they do not all arrive at the same moment. */
 const RETURN_SHARE = 0.25
 const MAX_RETURN_MS = 500
@@ -16,6 +20,8 @@
   | { readonly kind: 'accepting' }
   /** It wants no requests before `until`; Infinity when it leaves too, as it will not want any after that. */
   | { readonly kind: 'paused', readonly until: number }
+  /** The time for which it wanted none has ended a moment ago. */
+  | { readonly kind: 'resuming' }
   /** It is about to end; `since` is the time of its first response that said so. */
   | { readonly kind: 'leaving', readonly since: number }
 
@@ -30,43 +36,52 @@
   readonly size: number
 }
 
-/** Times by process. */
-interface ProcessTimes {
-  get (backendProcess: string): number | undefined
-  set (backendProcess: string, time: number, now: number): void
+/** What is known of processes. */
+interface ProcessRecords<Known> {
+  get (backendProcess: string): Known | undefined
+  set (backendProcess: string, known: Known, now: number): void
   readonly size: number
 }
 
-/** Returns true for the times that still matter. */
-type TimeFilter = (backendProcess: string, time: number) => boolean
+/** Returns true for what still matters. */
+type KnownFilter<Known> = (backendProcess: string, known: Known) => boolean
 
-/** Creates an empty record that drops the times that matter no longer whenever their number has doubled. */
-function createProcessTimes (createFilter: (now: number) => TimeFilter): ProcessTimes {
-  const times = new Map<string, number>()
+/** Creates empty records that drop what matters no longer whenever their number has doubled. */
+function createProcessRecords<Known> (createFilter: (now: number) => KnownFilter<Known>): ProcessRecords<Known> {
+  const records = new Map<string, Known>()
   let sweepSize = MIN_SWEEP_SIZE
 
-  function sweep (matters: TimeFilter): void {
-    for (const [backendProcess, time] of times) if (!matters(backendProcess, time)) times.delete(backendProcess)
-    sweepSize = Math.max(MIN_SWEEP_SIZE, 2 * times.size)
+  function sweep (matters: KnownFilter<Known>): void {
+    for (const [backendProcess, known] of records) if (!matters(backendProcess, known)) records.delete(backendProcess)
+    sweepSize = Math.max(MIN_SWEEP_SIZE, 2 * records.size)
   }
 
   return {
-    get: (backendProcess) => times.get(backendProcess),
-    set: (backendProcess, time, now) => {
-      times.set(backendProcess, time)
-      if (times.size > sweepSize) sweep(createFilter(now))
+    get: (backendProcess) => records.get(backendProcess),
+    set: (backendProcess, known, now) => {
+      records.set(backendProcess, known)
+      if (records.size > sweepSize) sweep(createFilter(now))
     },
-    get size () { return times.size }
+    get size () { return records.size }
   }
 }
 
+/** A time for which a process wants nothing. */
+interface Pause {
+  readonly until: number
+  /** End of the resumption after it. */
+  readonly resumedAt: number
+}
+
+const NO_PAUSE: Pause = { until: -Infinity, resumedAt: -Infinity }
+
 /** Creates a record in which all processes accept requests; `listedProcesses` returns those that are in the list now. */
 export function createBackendAcceptance (listedProcesses: () => ReadonlySet<string>): BackendAcceptance {
-  const leavingSince = createProcessTimes((now) => {
+  const leavingSince = createProcessRecords<number>((now) => {
     const listed = listedProcesses()
     return (backendProcess, since) => now < since + REMEMBERED_LEAVING_MS || listed.has(backendProcess)
   })
-  const pausedUntil = createProcessTimes((now) => (_backendProcess, until) => now < until)
+  const pauses = createProcessRecords<Pause>((now) => (_backendProcess, { resumedAt }) => now < resumedAt)
   return {
     markLeaving: (backendProcess, now) => {
       if (leavingSince.get(backendProcess) !== undefined) return false
@@ -74,19 +89,23 @@
       return true
     },
     pause: (backendProcess, milliseconds, now) => {
+      const duration = Math.ceil(Math.min(milliseconds, MAX_PAUSE_MS))
       // `now` is rounded down, so that the end is a millisecond later.
-      const until = now + 1 + Math.ceil(Math.min(milliseconds, MAX_PAUSE_MS))
-      if (milliseconds === 0 || until <= (pausedUntil.get(backendProcess) ?? 0)) return undefined
-      pausedUntil.set(backendProcess, until, now)
+      const until = now + 1 + duration
+      const known = pauses.get(backendProcess)
+      if (milliseconds === 0 || until <= (known?.until ?? 0)) return undefined
+      const resumedAt = until + Math.min(duration, MAX_RESUMPTION_MS)
+      pauses.set(backendProcess, { until, resumedAt: Math.max(resumedAt, known?.resumedAt ?? 0) }, now)
       return until
     },
     acceptanceOf: (backendProcess, now) => {
-      const until = pausedUntil.get(backendProcess) ?? 0
+      const { until, resumedAt } = pauses.get(backendProcess) ?? NO_PAUSE
       const since = leavingSince.get(backendProcess)
       if (now < until) return { kind: 'paused', until: since === undefined ? until : Infinity }
-      return since === undefined ? { kind: 'accepting' } : { kind: 'leaving', since }
+      if (since !== undefined) return { kind: 'leaving', since }
+      return { kind: now < resumedAt ? 'resuming' : 'accepting' }
     },
-    get size () { return leavingSince.size + pausedUntil.size }
+    get size () { return leavingSince.size + pauses.size }
   }
 }
 
@@ -95,6 +114,16 @@
   readonly receivedAt: number
   /** Time for which a leaving backend server still serves. */
   readonly drainMilliseconds: number
+  /** Number of instances that send requests to the same backend servers. */
+  readonly instances: number
+}
+
+/**
+ * Returns false for a backend server that resumes while it has this instance's even share of requests. Without this limit
+ * all instances send what has accumulated to the first backend server that resumes, which turns requests away again.
+ */
+function hasRoom ({ entry, pending }: BackendState, instances: number): boolean {
+  return pending.size < Math.max(1, Math.floor(entry.slots / instances))
 }
 
 /** Selects the candidates that take the request: those that accept requests or, if there are none, those that still serve although they leave. */
@@ -108,6 +137,9 @@
         accepting.push(candidate)
         break
       case 'paused': break
+      case 'resuming':
+        if (hasRoom(candidate, request.instances)) accepting.push(candidate)
+        break
       case 'leaving':
         if (request.receivedAt < found.since + request.drainMilliseconds) draining.push(candidate)
         break
@@ -117,21 +149,21 @@
   return accepting.length > 0 ? accepting : draining
 }
 
-/** When the first of the candidates wants requests again, by `steadyNow`: `now` if one accepts them, undefined if none ever will. */
-function firstAcceptanceAt (candidates: readonly BackendState[], acceptance: BackendAcceptance, now: number): number | undefined {
-  let first: number | undefined
-  for (const candidate of candidates) {
-    const found = acceptance.acceptanceOf(backendProcessOf(candidate.entry), now)
-    if (found.kind === 'leaving') continue
-    const at = found.kind === 'paused' ? found.until : now
-    if (at < (first ?? Infinity)) first = at
+/** When a backend server wants requests again, by `steadyNow`; `now` if it accepts them, Infinity if it never will. */
+function acceptanceAt (candidate: BackendState, acceptance: BackendAcceptance, instances: number, now: number): number {
+  const found = acceptance.acceptanceOf(backendProcessOf(candidate.entry), now)
+  switch (found.kind) {
+    case 'accepting': return now
+    case 'resuming': return hasRoom(candidate, instances) ? now : now + RESUMPTION_RETURN_MS
+    case 'paused': return found.until
+    case 'leaving': return Infinity
+    default: return assertNever(found)
   }
-  return first
 }
 
 /** When a caller may return for whose request all candidates want nothing, by `steadyNow`; undefined when one accepts requests or none ever will. `spread` is in [0, 1). */
-export function returnAt (candidates: readonly BackendState[], acceptance: BackendAcceptance, now: number, spread: number): number | undefined {
-  const first = firstAcceptanceAt(candidates, acceptance, now)
-  if (first === undefined || first === now) return undefined
+export function returnAt (candidates: readonly BackendState[], acceptance: BackendAcceptance, instances: number, now: number, spread: number): number | undefined {
+  const first = candidates.reduce((earliest, candidate) => Math.min(earliest, acceptanceAt(candidate, acceptance, instances, now)), Infinity)
+  if (first === Infinity || first === now) return undefined
   return first + spread * Math.min(MAX_RETURN_MS, (first - now) * RETURN_SHARE)
 }
--- a/packages/gateway/src/tasks/availableBackends.ts
+++ b/packages/gateway/src/tasks/availableBackends.ts
@@ -22,12 +22,12 @@
 /** Finds the backend servers of a service that are listed, take the request and are not excluded by their IDs. */
 export function findAvailableBackends (context: GatewayContext, { service, receivedAt }: SearchingRequest, excluded: readonly string[]): AvailableBackends {
   const now = steadyNow()
-  const { acceptance, settings } = context
+  const { acceptance, settings, fleet: { instances } } = context
   const listed = context.backends.candidates(service, now)
   const candidates = listed.filter((candidate) => !excluded.includes(candidate.entry.id))
-  const backends = selectAccepting(candidates, acceptance, { receivedAt, drainMilliseconds: settings.drainMilliseconds }, now)
+  const backends = selectAccepting(candidates, acceptance, { receivedAt, drainMilliseconds: settings.drainMilliseconds, instances }, now)
   if (backends.length > 0) return { kind: 'some', backends }
-  const wantedAt = returnAt(listed, acceptance, now, Math.random())
+  const wantedAt = returnAt(listed, acceptance, instances, now, Math.random())
   if (wantedAt !== undefined) return { kind: 'none', reason: 'no backend server wants requests now', retryAt: wantedAt }
   return { kind: 'none', reason: candidates.length === 0 ? 'no backend server' : 'all backend servers leave', retryAt: now + NO_BACKEND_RETRY_MS }
 }
