Let callers return at the rate at which they were refused

Cause: all callers were told to return within half a second after the end, more than all instances have room for, and those refused then returned after 0.2 s, again and again.

Change: a caller returns half of the remaining time after the end, so that the returns of a pause are spread over half of it, the last refused first. While all backend servers that resume are busy, callers return after 0.4 to 0.6 s.

--- a/packages/gateway/src/decisions/backendAcceptance.ts
+++ b/packages/gateway/src/decisions/backendAcceptance.ts
@@ -9,11 +9,12 @@
 const MAX_PAUSE_MS = 86_400_000
 /** A resumption lasts as long as the pause before it, up to this: the callers that were refused in the pause return then. */
 const MAX_RESUMPTION_MS = 5000
-/** About the time in which a backend server answers a few requests. */
-const RESUMPTION_RETURN_MS = 200
-/** Callers return within this share of the remaining time after its end, so that they do not all arrive at the same moment. */
-const RETURN_SHARE = 0.25
-const MAX_RETURN_MS = 500
+/** When all backend servers that resume are busy, callers return after this time: each return costs them one of few attempts. */
+const RESUMPTION_RETURN_MS = 400
+/** Share of the remaining time that is added to it, so that callers return at about the rate at which they were refused. */
+const RETURN_SHARE = 0.5
+/** Callers that are refused at the same moment do not return at the same moment. */
+const RETURN_SPREAD_MS = 200
 
 /** Whether one run of a backend server's process takes requests, as its responses say. Times by `steadyNow`. */
 export type Acceptance =
@@ -165,5 +166,5 @@
 export function returnAt (candidates: readonly BackendState[], acceptance: BackendAcceptance, instances: number, now: number, spread: number): number | undefined {
   const first = candidates.reduce((earliest, candidate) => Math.min(earliest, acceptanceAt(candidate, acceptance, instances, now)), Infinity)
   if (first === Infinity || first === now) return undefined
-  return first + spread * Math.min(MAX_RETURN_MS, (first - now) * RETURN_SHARE)
+  return first + (first - now) * RETURN_SHARE + spread * RETURN_SPREAD_MS
 }
