Keep the time that a restarted backend server names before it is listed

Seen: a backend server starts again under its ID and turns requests away with a time of 60 s before its entry shows the new start.

Cause: a response is attributed to the process that was listed when the request was sent, so that the time was kept for the predecessor.

Change: when an entry shows a restart, a time that was named in the two seconds before also counts for the new process. An older one is the predecessor's, as a start takes longer than the list is late.

--- a/packages/gateway/src/decisions/backendAcceptance.ts
+++ b/packages/gateway/src/decisions/backendAcceptance.ts
@@ -16,6 +16,9 @@
 /** Callers that are refused at the same moment do not return at the same moment. */
 const RETURN_SPREAD_MS = 200
 
+/** A process can be listed this long after its first responses, which are attributed to the process that was listed before. */
+const LISTING_DELAY_MS = 2000
+
 /** Whether one run of a backend server's process takes requests, as its responses say. Times by `steadyNow`. */
 export type Acceptance =
   | { readonly kind: 'accepting' }
@@ -32,6 +35,8 @@
   markLeaving (backendProcess: string, now: number): boolean
   /** Records that a process wants nothing for a time; returns the end, by `steadyNow`, or undefined when no earlier one is moved. */
   pause (backendProcess: string, milliseconds: number, now: number): number | undefined
+  /** Takes over for a newly listed process what was attributed to its predecessor but may be its own. */
+  restart (predecessor: string, backendProcess: string, now: number): void
   acceptanceOf (backendProcess: string, now: number): Acceptance
   /** Number of processes that are remembered. */
   readonly size: number
@@ -69,12 +74,13 @@
 
 /** A time for which a process wants nothing. */
 interface Pause {
+  readonly namedAt: number
   readonly until: number
   /** End of the resumption after it. */
   readonly resumedAt: number
 }
 
-const NO_PAUSE: Pause = { until: -Infinity, resumedAt: -Infinity }
+const NO_PAUSE: Pause = { namedAt: -Infinity, until: -Infinity, resumedAt: -Infinity }
 
 /** Creates a record in which all processes accept requests; `listedProcesses` returns those that are in the list now. */
 export function createBackendAcceptance (listedProcesses: () => ReadonlySet<string>): BackendAcceptance {
@@ -96,9 +102,13 @@
       const known = pauses.get(backendProcess)
       if (milliseconds === 0 || until <= (known?.until ?? 0)) return undefined
       const resumedAt = until + Math.min(duration, MAX_RESUMPTION_MS)
-      pauses.set(backendProcess, { until, resumedAt: Math.max(resumedAt, known?.resumedAt ?? 0) }, now)
+      pauses.set(backendProcess, { namedAt: now, until, resumedAt: Math.max(resumedAt, known?.resumedAt ?? 0) }, now)
       return until
     },
+    restart: (predecessor, backendProcess, now) => {
+      const pause = pauses.get(predecessor) ?? NO_PAUSE
+      if (now < pause.namedAt + LISTING_DELAY_MS) pauses.set(backendProcess, pause, now)
+    },
     acceptanceOf: (backendProcess, now) => {
       const { until, resumedAt } = pauses.get(backendProcess) ?? NO_PAUSE
       const since = leavingSince.get(backendProcess)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -144,7 +144,15 @@
   const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow })
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
   const confirmedConfiguration = createConfirmedConfiguration({ current: () => configuration.current, mayBeOutdated: fleet.mayBeOutdated })
-  const backends = startBackendTask({ platform, log, era, drainMilliseconds: settings.drainMilliseconds, onRemoved: (state) => connections.closeIdle(state.entry.address) })
+  const backends = startBackendTask({
+    platform,
+    log,
+    era,
+    drainMilliseconds: settings.drainMilliseconds,
+    onRemoved: (state) => connections.closeIdle(state.entry.address),
+    onRestarted: (predecessor, backendProcess) => acceptance.restart(predecessor, backendProcess, steadyNow())
+  })
+  const acceptance = createBackendAcceptance(backends.processes)
   const context: GatewayContext = {
     settings,
     wire: platform.wire,
@@ -153,7 +161,7 @@
     eventLoopDelay: startEventLoopDelay(metrics, log),
     configuration: confirmedConfiguration,
     backends,
-    acceptance: createBackendAcceptance(backends.processes),
+    acceptance,
     connections,
     tokens,
     fleet,
--- a/packages/gateway/src/tasks/backendTask.ts
+++ b/packages/gateway/src/tasks/backendTask.ts
@@ -41,6 +41,8 @@
   readonly drainMilliseconds: number
   /** Called when a backend server is removed; its state still tracks the pending attempts. */
   readonly onRemoved: (state: BackendState) => void
+  /** Called when another process is listed under an ID. */
+  readonly onRestarted: (predecessor: string, backendProcess: string) => void
 }
 
 /** Starts to follow the platform's list of backend servers. */
@@ -121,6 +123,7 @@
     if (entry.startedAt !== state.entry.startedAt) {
       misdirected.delete(entry.id)
       resetProcessState(state)
+      options.onRestarted(backendProcessOf(state.entry), backendProcessOf(entry))
     }
     if (entry.address !== state.entry.address) misdirected.delete(entry.id)
     state.entry = entry
