Spread the returns after a long time over five seconds at most

Seen: a backend server that wants nothing for an hour, and callers that are told to return after an hour and a half.

Cause: a caller returns half of the remaining time after the end, however long that is.

Change: a time of more than 10 s adds a random part of 5 s, which is how long a backend server that wants requests again is spared.

Test: backendAcceptance, "callers return … over the longest resumption after a long time" failed before with 5,400 s instead of 3,600 to 3,605.

--- a/packages/gateway/src/__tests__/backendAcceptance.test.ts
+++ b/packages/gateway/src/__tests__/backendAcceptance.test.ts
@@ -160,6 +160,15 @@
     expect(returns([other], 1000, 0)).toBe(16_000)
   })
 
+  // Guards against callers that are told to return half an hour after a backend server wants requests again.
+  test('callers return from the first end on, over the longest resumption after a long time', () => {
+    const acceptance = createAcceptance()
+    acceptance.pause('i-1/0', 3_599_999, 0)
+    const returns = (now: number, spread: number): number | undefined => returnAt([paused], acceptance, 1, now, spread)
+    expect([0, 0.5, 0.99].map((spread) => returns(0, spread))).toEqual([3_600_000, 3_602_500, 3_604_950])
+    expect(returns(3_590_000, 0)).toBe(3_605_000)
+  })
+
   test('give callers no time when another one accepts requests, or when all leave', () => {
     const acceptance = createAcceptance()
     acceptance.pause('i-1/0', 3000, 1000)
--- a/packages/gateway/src/decisions/backendAcceptance.ts
+++ b/packages/gateway/src/decisions/backendAcceptance.ts
@@ -176,5 +176,6 @@
 export function returnAt (candidates: readonly BackendState[], acceptance: BackendAcceptance, instances: number, now: number, spread: number): number | undefined {
   const first = candidates.reduce((earliest, candidate) => Math.min(earliest, acceptanceAt(candidate, acceptance, instances, now)), Infinity)
   if (first === Infinity || first === now) return undefined
-  return first + (first - now) * RETURN_SHARE + spread * RETURN_SPREAD_MS
+  const delay = (first - now) * RETURN_SHARE
+  return first + (delay > MAX_RESUMPTION_MS ? spread * MAX_RESUMPTION_MS : delay + spread * RETURN_SPREAD_MS)
 }
