Treat an encoded response of a plain service as broken in the router

Seen: a plain service answers with a Content-Encoding that nobody asked for. The caller got the encoded bytes as a whole success, without the header that tells how to read them.

Cause: the router passes on the status, the media type and the body only.

Change: such a response is a failed attempt whose outcome is unknown, and it is charged like any other broken response.

Test: brokenResponses, "the response of a plain service to a call" failed before with "answered".

--- a/packages/router/src/__tests__/brokenResponses.test.ts
+++ b/packages/router/src/__tests__/brokenResponses.test.ts
@@ -64,6 +64,16 @@
   }, 2000)
 })
 
+describe('the response of a plain service to a call', () => {
+  // Guards against bytes that the caller can't read, as it isn't told of the encoding that nobody asked for.
+  test.each([['gzip', 'failed'], ['identity', 'answered']])('with the content encoding %s is %s', async (encoding, kind) => {
+    backend.respond = (socket, { requestId }) => { socket.write(`${head(requestId, `Content-Encoding: ${encoding}\r\nContent-Length: 4\r\n`)}body`) }
+    const result = await attemptCall(backend.address, false)
+    expect(result.kind).toBe(kind)
+    expect(result).toHaveProperty('charge.completionTokens', 5)
+  })
+})
+
 describe('the response of an engine to a chat', () => {
   // Guards against an empty success, or "not run", where nothing shows that the chat was not run.
   test.each(['201 Created', '204 No Content', '206 Partial Content', '302 Found', '304 Not Modified'])('with status %s is a failed attempt', async (status) => {
--- a/packages/router/src/serviceAttempt.ts
+++ b/packages/router/src/serviceAttempt.ts
@@ -8,6 +8,7 @@
 
 const MAX_RESPONSE_BYTES = 16_777_216
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream'
+const IDENTITY_ENCODING = 'identity'
 
 /** Complete response of a service. */
 export interface ServiceResponse {
@@ -94,6 +95,11 @@
     attempt.services.metrics.count('answers_dropped_total', { reason: 'wrong_request_id' })
     return failedAttempt({ kind: 'wrongRequestId' }, fixedCharge(attempt))
   }
+  // None was asked for, and the caller would get the bytes without a header that tells how to read them.
+  if ((response.headers['content-encoding'] ?? IDENTITY_ENCODING) !== IDENTITY_ENCODING) {
+    response.message.destroy()
+    return failedAttempt({ kind: 'brokenAfterBytes', bytesReceived: 1, resumable: false }, fixedCharge(attempt))
+  }
   const body = await readBody(response.message, MAX_RESPONSE_BYTES, attempt.exchange.deadline)
   switch (body.kind) {
     case 'whole': {
