--- a/packages/gateway/src/tasks/backendTask.ts
+++ b/packages/gateway/src/tasks/backendTask.ts
@@ -41,6 +41,8 @@
   readonly drainMilliseconds: number
   /** Called when a backend server is removed; its state still tracks the pending attempts. */
   readonly onRemoved: (state: BackendState) => void
+  /** Called when another process is listed under an ID. */
+  readonly onRestarted: (predecessor: string, backendProcess: string) => void
 }
 
 /** Starts to follow the platform's list of backend servers. */
@@ -103,6 +105,8 @@
     if (entry === undefined) return remove(row.key, 'entry unreadable')
     const state = states.get(entry.id)
     const known = state === undefined ? removed.get(entry.id) : { ...state.entry, isRemoved: false }
+    // A backend server never leaves out its start time, so that another writer wrote this entry.
+    if (known !== undefined && known.startedAt !== 0 && entry.startedAt === 0) return remove(row.key, 'entry without its start time')
     if (known !== undefined && isOutdatedEntry(entry, known, isRestoredWithin(RESTORED_ENTRIES_MS, now))) {
       log.decision('backendEntryOutdated', { backend: entry.id, state: entry.state, sequence: entry.sequence, knownState: known.state, knownSequence: known.sequence, isRemoved: known.isRemoved })
       if (isRestoredWithin(RESTORED_ENTRIES_MS, now)) doubtful.set(row.key, row)
@@ -119,6 +123,7 @@
     if (entry.startedAt !== state.entry.startedAt) {
       misdirected.delete(entry.id)
       resetProcessState(state)
+      options.onRestarted(backendProcessOf(state.entry), backendProcessOf(entry))
     }
     if (entry.address !== state.entry.address) misdirected.delete(entry.id)
     state.entry = entry
