Write bills that came while a draw or return was in progress when it ends

Callers saw nothing; operators saw requests that had ended without bills, until the next bill of the budget or the renewal of the lease. An instance that died in that time left the tokens withheld.

Cause: a flush passes over a lease on which a draw or a return is in progress, and only the end of a settlement scheduled another flush.

Change: the end of a draw or a return schedules a flush when the lease has unrecorded changes.

The new test of budgetFleet failed before: the second bill was missing 1 s after the table had answered again.

--- a/packages/router/src/__tests__/budgetFleet.test.ts
+++ b/packages/router/src/__tests__/budgetFleet.test.ts
@@ -116,6 +116,26 @@
   expect(summary.budget.committedTokens - summary.spentTokens).toBe(outstanding)
 }
 
+/** Time after the end of an outage in which the transaction in progress is repeated and the bills are written. */
+const MAX_BILLING_DELAY_MS = 1_000
+
+// Guards against bills that wait for the next bill or for the renewal of the lease, because they came while tokens were drawn.
+test('bills of requests that end while a draw waits for the table are written soon after it answers', async () => {
+  const fleet = new BudgetFleet(1)
+  const [instance] = fleet.instances
+  const run = (requestId: string): void => fleet.run(instance!, { requestId, budgetId: 'budget', ceiling: 150, charge: 100, keyed: false, milliseconds: 100 })
+  await fleet.topUp('budget', 'first', 100_000)
+  run('before')
+  await fleet.time.advance(1_000)
+  fleet.tableFault = 'down'
+  run('during')
+  await fleet.time.advance(2_000)
+  expect(fleet.runs.map(({ requestId }) => requestId)).toEqual(['before', 'during'])
+  fleet.tableFault = 'none'
+  await fleet.time.advance(MAX_BILLING_DELAY_MS)
+  expect(fleet.bills().map(({ requestId }) => requestId)).toEqual(['before', 'during'])
+})
+
 describe('budget tasks of a fleet', () => {
   const settings = { numRuns: Number(process.env['BUDGET_RUNS'] ?? 60), endOnFailure: true }
 
--- a/packages/router/src/budgetSettlement.ts
+++ b/packages/router/src/budgetSettlement.ts
@@ -14,6 +14,11 @@
   postAt(state, flushAt, { kind: 'flush' })
 }
 
+/** Schedules a settlement after a draw or a return, as a flush passes over a lease on which a transaction is in progress. */
+export function scheduleFlushOfChanges (state: BudgetTaskState, entry: BudgetEntry): void {
+  if (entry.ledger.hasUnrecordedChanges) scheduleFlush(state)
+}
+
 /** Starts one settlement of the leases with unrecorded changes or a due renewal. */
 export function flush (state: BudgetTaskState): void {
   state.flushScheduled = false
--- a/packages/router/src/budgetTask.ts
+++ b/packages/router/src/budgetTask.ts
@@ -6,7 +6,7 @@
 import { finishDraw, finishReturn, returnUnusedTokens } from './budgetDraws.js'
 import type { BudgetMessage } from './budgetMessages.js'
 import { endReservation, getOrCreateEntry, processWaitingReservations, reserve } from './budgetReservations.js'
-import { finishSettlement, flush, renewLeases } from './budgetSettlement.js'
+import { finishSettlement, flush, renewLeases, scheduleFlushOfChanges } from './budgetSettlement.js'
 import { closeLeaseWithRetry, closeOrHandOverLeases, createHandovers } from './budgetStop.js'
 import { createTableDecisionRunner } from './budgetTable.js'
 import { acceptTransfer, answerTransferRequest, finishTransferRound, repeatTransferRequests } from './budgetTransfers.js'
@@ -118,9 +118,14 @@
     case 'drawn': {
       const entry = getOrCreateEntry(state, message.budgetId)
       finishDraw(state, entry, message.topUpIds, message.outcome)
+      scheduleFlushOfChanges(state, entry)
       return processWaitingReservations(state, entry)
     }
-    case 'returned': return finishReturn(getOrCreateEntry(state, message.budgetId), message.tokens, message.outcome)
+    case 'returned': {
+      const entry = getOrCreateEntry(state, message.budgetId)
+      finishReturn(entry, message.tokens, message.outcome)
+      return scheduleFlushOfChanges(state, entry)
+    }
     case 'settled':
       finishSettlement(state, message.budgetIds, message.outcome)
       for (const budgetId of message.budgetIds) processWaitingReservations(state, getOrCreateEntry(state, budgetId))
