Send a request only once its caller is confirmed on the new connection

Cause: the caller was confirmed before a backend server was chosen, but the request was written in the pass of the event loop that learned that its new connection was established. In a process that is paused between the two, the caller's close is read after that. The log shows it: the attempt began 150 ms before the pause, the backend server got the request 12 to 23 ms after its end, and callerLeft came after that, with an eventLoopDelay of 1.8 to 2.3 s.

The new test of backendConnections failed before (57 bytes received, sent: true).

--- a/packages/gateway/src/__tests__/backendConnections.test.ts
+++ b/packages/gateway/src/__tests__/backendConnections.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
-import type { Socket } from 'node:net'
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
 import { createBackendConnections, type BackendConnections } from '../tasks/backendConnections.js'
 import { startRawServer, type RawServer } from '../__fixtures__/rawServer.js'
 
@@ -19,6 +19,17 @@
   return await exchangeOnce(connections, server.address)
 }
 
+/** A connection of a caller in this process, as both ends see it. */
+async function openCallerConnection (): Promise<{ readonly caller: Socket, readonly accepted: Socket }> {
+  const listener = createServer()
+  await new Promise<void>((resolve) => listener.listen(0, '127.0.0.1', resolve))
+  const acceptedSocket = new Promise<Socket>((resolve) => listener.once('connection', resolve))
+  const caller = connect({ host: '127.0.0.1', port: (listener.address() as AddressInfo).port })
+  const accepted = await acceptedSocket
+  listener.close()
+  return { caller, accepted }
+}
+
 function exchangeOnce (pool: BackendConnections, address: string): Promise<ExchangeOutcome> {
   return new Promise((resolve) => {
     let body = ''
@@ -97,3 +108,28 @@
     expect(server.connections).toBe(1)
   })
 })
+
+// Guards against work for callers that left while the connection was being established, which takes long in a process that is paused or behind.
+test('a request whose caller left before the connection was established is not sent', async () => {
+  let receivedBytes = 0
+  const { caller, accepted } = await openCallerConnection()
+  // The connection is accepted before this process handles that it is established, and the end of the caller's is read after both.
+  const backend = createServer((socket) => {
+    caller.destroy()
+    socket.on('data', (chunk) => { receivedBytes += chunk.length })
+    socket.on('error', () => {})
+  })
+  await new Promise<void>((resolve) => backend.listen(0, '127.0.0.1', resolve))
+  const pool = connections = createBackendConnections()
+  const outcome = await new Promise((resolve) => {
+    const exchange = pool.start({ address: `127.0.0.1:${(backend.address() as AddressInfo).port}`, method: 'GET', path: '/', headers: { host: 'example' }, body: Buffer.alloc(0), needsNewConnection: false }, {
+      onHead: () => {},
+      onData: () => {},
+      onEnd: () => resolve('complete'),
+      onBroken: (sent, reason) => resolve({ sent, reason })
+    })
+    accepted.resume().once('end', () => exchange.abort('the caller left'))
+  })
+  await new Promise((resolve) => backend.close(resolve))
+  expect({ outcome, receivedBytes }).toEqual({ outcome: { sent: false, reason: 'the caller left' }, receivedBytes: 0 })
+})
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -1,4 +1,4 @@
-import { detectReset } from '@quinceshunt/caller-connections'
+import { detectReset, handleArrivedEvents } from '@quinceshunt/caller-connections'
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 
@@ -111,9 +111,12 @@
       clearTimeout(connectTimer)
       report()
     }
-    function handleConnected (): void {
+    /** The headers and the body are sent only now, so that an exchange that is aborted before reaches no backend server. */
+    function sendOnConnection (): void {
+      if (finished) return
       connected = true
-      if (!finished) listener.onConnected?.()
+      listener.onConnected?.()
+      outgoing.end(exchange.body.length > 0 ? exchange.body : undefined)
     }
     function fail (reason: string): void {
       finish(() => listener.onBroken(connected, reason))
@@ -137,13 +140,14 @@
     outgoing.on('socket', (socket) => {
       socket.setNoDelay(true)
       if (!socket.connecting) {
-        handleConnected()
+        sendOnConnection()
         return
       }
       connectTimer = setTimeout(() => fail('connection timed out'), CONNECT_TIMEOUT_MS)
       socket.once('connect', () => {
         clearTimeout(connectTimer)
-        handleConnected()
+        // In a process that was paused or behind, the caller may have left while the connection was being established.
+        handleArrivedEvents().then(sendOnConnection, (error: unknown) => fail(String(error)))
       })
     })
     let interimResponses = 0
@@ -167,7 +171,6 @@
       response.on('close', () => { if (!response.complete) fail('incomplete response') })
       processResponse(() => listener.onHead(response))
     })
-    outgoing.end(exchange.body.length > 0 ? exchange.body : undefined)
     return {
       abort: fail,
       pause: () => incoming?.pause(),
