Take a crash in the millisecond of a trial's start as no crash of the trial

A sound request stayed refused: its trial was taken for crashed and quarantined, although its backend server had crashed before the trial ran.

A report of another instance with the time of the start counted as a crash of the trial, with the neighbours of that report alone. The request that had crashed the backend server was not among them, so that its quarantine did not release the sound one.

Change: a report of another instance with the time of the trial's start adds neighbours but no crash. Whether the backend server restarted then decides, with all suspects as neighbours. The holder's own reports count as before.

--- a/packages/requests/src/__tests__/quarantine.test.ts
+++ b/packages/requests/src/__tests__/quarantine.test.ts
@@ -54,6 +54,7 @@
   ['the seed of a trial that was decided before its neighbour was reported', -1789518842],
   ['the seed of a refused report that equals the one of another instance', 1092616988],
   ['a second seed of equal reports', 1117654066],
+  ['the seed of a crash in the millisecond in which a trial started', 1092833080],
   ['a new seed', Date.now()]
 ]
 
--- a/packages/requests/src/recordCrash.ts
+++ b/packages/requests/src/recordCrash.ts
@@ -149,7 +149,9 @@
   } else {
     // Only the holder knows whether its trial was running at that moment; the report is kept in case the holder has died.
     addChange(rows.onTrial, updateSuspect(onTrialRecord.fingerprint, onTrialRecord, now, { neighbours }))
-    writes.push(trialWrite(report.backendServer, { ...(rows.trial.record ?? create(TrialRecordSchema)), crashedAt: BigInt(now) }))
+    const trial = rows.trial.record ?? create(TrialRecordSchema)
+    // A crash in the millisecond in which the trial started may have come before it, so that it shows neighbours but no crash of the trial.
+    writes.push(trialWrite(report.backendServer, BigInt(report.observedAt) > trial.startedAt ? { ...trial, crashedAt: BigInt(now) } : trial))
   }
   return { checks, writes, records }
 }
