Do not count the soak's own stalls as delays of the gateways

Cause: callers, links and backend servers share the soak's process. A caller counted as gone from the time at which it was to leave, also when the process stalled and closed its connection 643 ms later. A stream ended at its caller's deadline of 3 s, 2042 ms of which the backend servers stood still.

Change: a caller is gone from the moment at which it closes its connection. A timer of 10 ms records stalls of 50 ms and more. Their time does not count after a departure, and a request that its caller's deadline ended is not taken for interrupted when more than half of the deadline was stalled. A caller that was to leave but did not no longer excuses an interruption.

--- a/soak/src/checkGuarantees.ts
+++ b/soak/src/checkGuarantees.ts
@@ -1,3 +1,5 @@
+import { stalledMilliseconds, type EventLoopStall } from './eventLoopStalls.js'
+
 /** Kinds of requests that callers send: at most once, idempotent, or a resumable stream. */
 export type RequestKind = 'once' | 'repeatable' | 'stream'
 
@@ -11,8 +13,10 @@
   readonly generation: number
   /** Configuration version whose route `/vN/` was requested. */
   readonly routeVersion: number | undefined
-  /** Time at which the caller closes its connection, whatever it has received; undefined for callers that wait. */
+  /** Time at which the caller is to close its connection, whatever it has received; undefined for callers that wait. */
   readonly leavesAt: number | undefined
+  /** Time at which it did so; undefined for callers that wait or had their whole response before. */
+  leftAt: number | undefined
   answeredAt: number
   /** True when the response carried the request limit of its backend server. */
   namesLimit: boolean
@@ -46,6 +50,10 @@
   readonly plainBackends: readonly number[]
   /** Periods in which a gateway process, or the link to a backend server, was disrupted. */
   readonly disruptions: readonly Disruption[]
+  /** Time after which a request ends by its caller's own deadline. */
+  readonly callerDeadlineMilliseconds: number
+  /** Stalls of the process that holds the callers, the links and the backend servers. */
+  readonly stalls: readonly EventLoopStall[]
 }
 
 /** Period in which a backend server names a request limit. */
@@ -90,6 +98,9 @@
 /** A backend server must not start work for a caller that left this long before. */
 const MAX_START_AFTER_DEPARTURE_MS = 500
 
+/** A request that ends by its caller's deadline is not taken for interrupted when no more than this share of the deadline was free of stalls. */
+const MAX_UNSTALLED_SHARE = 0.5
+
 /** From this long after a limit is first named, or a disruption has ended, the limit holds. */
 const CONTACT_MS = 3000
 /** An instance is bound by a limit from this long after it has passed on a response that names it. */
@@ -131,22 +142,30 @@
   for (const stop of observations.plannedStops) {
     for (const record of observations.callers) {
       if (record.gateway !== stop.gateway || record.generation !== stop.generation) continue
-      const isInterrupted = record.status === 200 && !record.complete && record.leavesAt === undefined
       const spansStop = record.sentAt <= stop.from && record.answeredAt >= stop.from
-      const isExcused = observations.faultWindows.some(({ from, to, interruptsResponses }) => interruptsResponses && from <= record.answeredAt && to >= record.sentAt)
-      if (isInterrupted && spansStop && !isExcused) yield { promise: 'plannedStop', detail: `${record.attempt} was interrupted by a planned stop` }
+      if (spansStop && isInterruptedWithoutCause(observations, record)) yield { promise: 'plannedStop', detail: `${record.attempt} was interrupted by a planned stop` }
     }
   }
 }
 
 function * checkInterruptions (observations: Observations): Generator<GuaranteeViolation> {
   for (const record of observations.callers) {
-    if (record.status !== 200 || record.complete || record.leavesAt !== undefined) continue
-    const isExcused = observations.faultWindows.some(({ from, to, interruptsResponses }) => interruptsResponses && from <= record.answeredAt && to >= record.sentAt)
-    if (!isExcused) yield { promise: 'interrupted', detail: `${record.attempt} was interrupted after ${record.answeredAt - record.sentAt} ms` }
+    if (isInterruptedWithoutCause(observations, record)) yield { promise: 'interrupted', detail: `${record.attempt} was interrupted after ${record.answeredAt - record.sentAt} ms` }
   }
 }
 
+function isInterruptedWithoutCause (observations: Observations, record: CallerRecord): boolean {
+  if (record.status !== 200 || record.complete || record.leftAt !== undefined) return false
+  const isExcused = observations.faultWindows.some(({ from, to, interruptsResponses }) => interruptsResponses && from <= record.answeredAt && to >= record.sentAt)
+  return !isExcused && !isCutByStalls(observations, record)
+}
+
+/** Whether a request ended by its caller's deadline, most of which passed while the backend servers and callers were stalled. */
+function isCutByStalls ({ callerDeadlineMilliseconds, stalls }: Observations, { sentAt, answeredAt }: CallerRecord): boolean {
+  const milliseconds = answeredAt - sentAt
+  return milliseconds >= callerDeadlineMilliseconds && milliseconds - stalledMilliseconds(stalls, sentAt, answeredAt) < callerDeadlineMilliseconds * MAX_UNSTALLED_SHARE
+}
+
 function * checkConfiguration (observations: Observations): Generator<GuaranteeViolation> {
   const newestServed = new Map<string, { version: number, at: number }>()
   const ordered = observations.callers.filter((record) => record.routeVersion !== undefined).sort((left, right) => left.sentAt - right.sentAt)
@@ -159,13 +178,16 @@
   }
 }
 
+/** A request may have reached its backend server, unread, when the stall began, so that the time of stalls shows nothing. */
 function * checkDepartures (observations: Observations): Generator<GuaranteeViolation> {
-  const departures = new Map(observations.callers.flatMap((record) => record.leavesAt === undefined ? [] : [[record.attempt, record.leavesAt]]))
+  const departures = new Map(observations.callers.flatMap((record) => record.leftAt === undefined ? [] : [[record.attempt, record.leftAt]]))
   for (const run of observations.runs) {
     const leftAt = departures.get(run.attempt)
-    if (leftAt === undefined || run.at <= leftAt + MAX_START_AFTER_DEPARTURE_MS) continue
+    if (leftAt === undefined) continue
+    const milliseconds = run.at - leftAt - stalledMilliseconds(observations.stalls, leftAt, run.at)
+    if (milliseconds <= MAX_START_AFTER_DEPARTURE_MS) continue
     const isExcused = observations.faultWindows.some(({ from, to, delaysRequests }) => delaysRequests && from <= run.at && to >= leftAt)
-    if (!isExcused) yield { promise: 'departure', detail: `${run.attempt} started ${run.at - leftAt} ms after its caller had left` }
+    if (!isExcused) yield { promise: 'departure', detail: `${run.attempt} started ${milliseconds} ms after its caller had left` }
   }
 }
 
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -2,6 +2,7 @@
 import { Agent } from 'node:http'
 import { checkGuarantees, completeBody, type BackendRun, type CallerRecord, type Disruption, type FaultWindow, type GuaranteeViolation, type NamedLimitPeriod, type RequestKind } from './checkGuarantees.js'
 import { BACKEND_COUNT, GATEWAY_COUNT, SOAK_DURATION_MS, type PlannedFault } from './faultPlan.js'
+import { recordStalls } from './eventLoopStalls.js'
 import { startFaultyLink, type FaultyLink } from './faultyLink.js'
 
 const REQUEST_INTERVAL_MS = 12
@@ -34,6 +35,8 @@
 export interface SoakReport {
   readonly requests: number
   readonly statuses: Readonly<Record<string, number>>
+  /** Time in which the soak's own process was stalled; the more, the less the soak can show. */
+  readonly stalledMilliseconds: number
   readonly broken: readonly GuaranteeViolation[]
 }
 
@@ -83,8 +86,9 @@
 async function sendRecordedRequest (agent: Agent, address: string, record: CallerRecord): Promise<void> {
   const path = record.routeVersion === undefined ? REQUEST_PATHS[record.kind] : `/v${record.routeVersion}/`
   const prompt = record.kind === 'stream' ? { prompt: { promptTokens: PROMPT_TOKENS, outputTokens: EVENTS_PER_STREAM * TOKENS_PER_EVENT } } : {}
+  const onAbort = (): void => { if (record.leavesAt !== undefined) record.leftAt = Date.now() }
   try {
-    const { status, body, complete, namesLimit } = await sendRequest(address, path, { agent, method: record.kind === 'once' ? 'POST' : 'GET', attemptId: record.attempt, abortAfterMilliseconds: record.leavesAt === undefined ? CALLER_DEADLINE_MS + CALLER_ABORT_MARGIN_MS : Math.max(0, record.leavesAt - Date.now()), ...prompt })
+    const { status, body, complete, namesLimit } = await sendRequest(address, path, { agent, method: record.kind === 'once' ? 'POST' : 'GET', attemptId: record.attempt, abortAfterMilliseconds: record.leavesAt === undefined ? CALLER_DEADLINE_MS + CALLER_ABORT_MARGIN_MS : Math.max(0, record.leavesAt - Date.now()), onAbort, ...prompt })
     Object.assign(record, { status, body, complete, namesLimit })
   } catch {
     // The record keeps status 0: no response headers arrived, and the checks treat the outcome as unknown.
@@ -231,6 +235,7 @@
     }
   }
 
+  const stallRecorder = recordStalls()
   const agents = gateways.map(() => new Agent({ keepAlive: true, maxSockets: 200 }))
   const pendingRequests: Promise<void>[] = []
   let sentCount = 0
@@ -243,7 +248,7 @@
     const isVersioned = sentCount % 16 === 2
     const isDeparture = sentCount % DEPARTURE_INTERVAL === 4
     const leavesAt = isDeparture ? Date.now() + (sentCount * 37) % MAX_PATIENCE_MS : undefined
-    const record: CallerRecord = { attempt: `attempt-${sentCount}`, kind: isVersioned ? 'repeatable' : kind, sentAt: Date.now(), gateway: index, generation: gateway.generation, routeVersion: isVersioned ? version : undefined, leavesAt, answeredAt: 0, namesLimit: false, status: 0, body: '', complete: false }
+    const record: CallerRecord = { attempt: `attempt-${sentCount}`, kind: isVersioned ? 'repeatable' : kind, sentAt: Date.now(), gateway: index, generation: gateway.generation, routeVersion: isVersioned ? version : undefined, leavesAt, leftAt: undefined, answeredAt: 0, namesLimit: false, status: 0, body: '', complete: false }
     sentCount++
     callers.push(record)
     pendingRequests.push(sendRecordedRequest(agent, gateway.process.callersAddress, record))
@@ -254,12 +259,13 @@
   clearInterval(loadTimer)
   await Promise.all([...faults, ...pendingRequests])
   await sleep(LATE_WRITE_DELAY_MS)
+  stallRecorder.stop()
   for (const agent of agents) agent.destroy()
   await Promise.all(gateways.map(async ({ process }) => await process.dispose()))
   await Promise.all([store, ...backends, ...backendLinks, ...storeLinks].map(async (resource) => await resource.close()))
 
   const statuses: Record<string, number> = {}
   for (const { status } of callers) statuses[status] = (statuses[status] ?? 0) + 1
-  const broken = [...checkGuarantees({ callers, runs, prepaidTokens: PREPAID_TOKENS, promptTokens: PROMPT_TOKENS, tokensPerEvent: TOKENS_PER_EVENT, eventsPerStream: EVENTS_PER_STREAM, plannedStops, faultWindows, namedLimits, plainBackends: PLAIN_BACKENDS, disruptions })]
-  return { requests: callers.length, statuses, broken }
+  const broken = [...checkGuarantees({ callers, runs, prepaidTokens: PREPAID_TOKENS, promptTokens: PROMPT_TOKENS, tokensPerEvent: TOKENS_PER_EVENT, eventsPerStream: EVENTS_PER_STREAM, plannedStops, faultWindows, namedLimits, plainBackends: PLAIN_BACKENDS, disruptions, callerDeadlineMilliseconds: CALLER_DEADLINE_MS, stalls: stallRecorder.stalls })]
+  return { requests: callers.length, statuses, stalledMilliseconds: stallRecorder.stalls.reduce((sum, { from, to }) => sum + to - from, 0), broken }
 }
