Return a request to its silent backend server when its retry fails late

Callers lost resumable streams (cut off) and idempotent requests (502) when their backend server fell silent for 2.5 s and the retry elsewhere failed half a second after it was sent: refused after a time in the queue, reset, answered without a signature, or broken off after the head.

Cause: the silent attempt ends at the latest 250 ms after its retry was sent, as two engines must not work on a request for longer. When the retry fails after that, the route's attempts are used up.

Such a request now goes once more to the backend server that was given up for it, which is not a further backend server for `max_attempts`. A retry for a silence is sent only when the retry budget also covers this return; the reserve is released when the retry has answered.

--- a/packages/gateway/src/__tests__/decisions.test.ts
+++ b/packages/gateway/src/__tests__/decisions.test.ts
@@ -186,7 +186,12 @@
         let acquired = 0
         for (const share of shares) {
           for (let request = 0; request < requestsPerSecond; request++) share.recordRequest('model', now)
-          for (let attempt = 0; attempt < 50; attempt++) if (share.tryAcquireRetry('model', now)) acquired++
+          for (let attempt = 0; attempt < 50; attempt++) {
+            const reserved = share.tryAcquireWithReturn('model', now)
+            reserved?.consume()
+            if (reserved !== undefined) acquired += 2
+            else if (share.tryAcquireRetry('model', now)) acquired++
+          }
         }
         retries.push(acquired)
       }
--- a/packages/gateway/src/__tests__/requestPlan.test.ts
+++ b/packages/gateway/src/__tests__/requestPlan.test.ts
@@ -9,6 +9,8 @@
   readonly reservation?: ReservationOutcome
   readonly backends?: readonly string[]
   readonly mayRetry?: boolean
+  /** Whether the retry budget allows a return to a backend server that was given up. */
+  readonly mayReturn?: boolean
   /** Outcome of the attempt that was set aside; undefined when it was given up. */
   readonly continued?: AttemptOutcome
   /** The caller has left once this number of attempts was sent. */
@@ -34,6 +36,7 @@
         return outcomes.shift()
       case 'continueAttempt': return setting.continued
       case 'consumeRetry': return setting.mayRetry ?? true
+      case 'reserveReturn': return setting.mayReturn === true ? { kind: 'reserved', backendId: command.backendIds[0] } : { kind: 'refused', reason: 'the retry budget is used up' }
     }
   }
   let step = plan.next()
@@ -134,6 +137,21 @@
     expect(runPlan({ outcomes: [setAside, notRun] }).result.kind).toBe('unknown')
     expect(runPlan({ deliverySemantics: { kind: 'resumableStream' }, outcomes: [begun, notRun] }).result.kind).toBe('cutOff')
   })
+
+  // Guards against a request that is lost although its attempts are used up at a backend server that may have gone on.
+  test('a request whose retry failed returns once to the backend server that was given up for it', () => {
+    for (const retry of [notRun, broken]) {
+      expect(runPlan({ outcomes: [setAside, retry, delivered], mayReturn: true })).toEqual({ result: delivered, sentTo: ['first', 'third', 'first'] })
+      expect(runPlan({ outcomes: [setAside, retry, broken, delivered], mayReturn: true })).toMatchObject({ result: { kind: 'unknown' }, sentTo: ['first', 'third', 'first'] })
+    }
+    expect(runPlan({ outcomes: [setAside, broken, delivered], maximumAttempts: 3, mayReturn: true }).sentTo).toEqual(['first', 'third', 'second'])
+    expect(runPlan({ outcomes: [setAside, broken, delivered], maximumAttempts: 3, mayRetry: false, mayReturn: true }).sentTo).toEqual(['first', 'third', 'first'])
+  })
+
+  // Guards against a request at more backend servers than its route allows.
+  test('a request that returns is not sent elsewhere when it can\'t be sent', () => {
+    expect(runPlan({ outcomes: [setAside, broken, notSent, delivered], mayReturn: true })).toEqual({ result: delivered, sentTo: ['first', 'third', 'first', 'first'] })
+  })
 })
 
 describe('requests that are not served', () => {
--- a/packages/gateway/src/decisions/requestPlan.ts
+++ b/packages/gateway/src/decisions/requestPlan.ts
@@ -53,7 +53,9 @@
 export type ContinueAttempt = Command<'continueAttempt', AttemptOutcome | undefined>
 /** Consumes one retry of the fleet's retry budget; false when it is exhausted. */
 export type ConsumeRetry = Command<'consumeRetry', boolean>
-export type PlanCommand = ConfirmCaller | ReserveTokens | ChooseBackend | SendAttempt | ContinueAttempt | ConsumeRetry
+/** Reserves one more send to one of the backend servers that were given up for a silence. */
+export type ReserveReturn = Command<'reserveReturn', RetryReservation> & { readonly backendIds: readonly string[] }
+export type PlanCommand = ConfirmCaller | ReserveTokens | ChooseBackend | SendAttempt | ContinueAttempt | ConsumeRetry | ReserveReturn
 
 /** Final result of a request, as reported to the caller. */
 export type PlanResult =
@@ -123,7 +125,10 @@
   let hasBufferedFailure = false
   let lastReason = ''
   let reservedBackendId: string | undefined
-  let isOneSetAside = false
+  /** The backend server of the attempt that is set aside. */
+  let setAsideId: string | undefined
+  /** Backend servers that were given up for a retry elsewhere and may have gone on since; the request returns to one of them at most once. */
+  let returnIds: string[] = []
 
   function failureResult (retryAt: number): PlanResult {
     if (headersSent) return { kind: 'cutOff', reason: lastReason }
@@ -145,17 +150,21 @@
       if (lastReason === '') lastReason = choice.reason
       return failureResult(choice.retryAt)
     }
+    let sentTo = choice.backendId
     let outcome = yield * perform<SendAttempt>({ kind: 'sendAttempt', backendId: choice.backendId })
     excluded.push(choice.backendId)
-    const continued: AttemptOutcome | undefined = isOneSetAside && isWithoutAnswer(outcome) ? yield * perform<ContinueAttempt>({ kind: 'continueAttempt' }) : undefined
+    const continued: AttemptOutcome | undefined = setAsideId !== undefined && isWithoutAnswer(outcome) ? yield * perform<ContinueAttempt>({ kind: 'continueAttempt' }) : undefined
     if (continued !== undefined) {
       // The attempt that was set aside was counted then; the retry counts in its place.
       mayHaveRun ||= outcome.kind === 'broken' || outcome.kind === 'superseded'
       hasBufferedFailure ||= outcome.kind === 'errorResponse'
       if (outcome.kind === 'notSent') attempts--
-      isOneSetAside = false
+      sentTo = setAsideId ?? sentTo
       outcome = continued
+    } else if (setAsideId !== undefined) {
+      returnIds.push(setAsideId)
     }
+    setAsideId = undefined
     switch (outcome.kind) {
       case 'delivered': return outcome
       case 'callerGone': return outcome
@@ -164,6 +173,8 @@
         connectFailures++
         lastReason = outcome.reason
         if (connectFailures > MAX_CONNECT_FAILURES) return failureResult(input.retryAt())
+        // Only a request that has returned is sent without an attempt left; another backend server would be one too many.
+        if (attempts >= input.maximumAttempts) reservedBackendId = sentTo
         continue
       case 'notRun':
         lastReason = outcome.reason
@@ -186,7 +197,7 @@
         lastReason = outcome.reason
         attempts++
         reservedBackendId = outcome.nextBackendId
-        isOneSetAside = true
+        setAsideId = sentTo
         continue
       case 'superseded':
         lastReason = 'the attempt before it has gone on'
@@ -194,7 +205,11 @@
       default: return assertNever(outcome)
     }
     attempts++
-    if (attempts >= input.maximumAttempts) return failureResult(input.retryAt())
-    if (!(yield * perform<ConsumeRetry>({ kind: 'consumeRetry' }))) return failureResult(input.retryAt())
+    if (attempts < input.maximumAttempts && (yield * perform<ConsumeRetry>({ kind: 'consumeRetry' }))) continue
+    if (returnIds.length === 0) return failureResult(input.retryAt())
+    const returned = yield * perform<ReserveReturn>({ kind: 'reserveReturn', backendIds: returnIds })
+    returnIds = []
+    if (returned.kind === 'refused') return failureResult(input.retryAt())
+    reservedBackendId = returned.backendId
   }
 }
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -404,6 +404,8 @@
   function recordSoundAnswer (): void {
     if (isAnswerSound || answeredAt === undefined) return
     isAnswerSound = true
+    state.reservedReturn?.release()
+    state.reservedReturn = undefined
     context.crashGuard.recordAnswer(state.guarded, answeredAt)
   }
 
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -1,6 +1,7 @@
 import { handleArrivedEvents, type CallerPresence } from '@quinceshunt/caller-connections'
 import { steadyNow } from '../clock.js'
 import { assertNever, runDecision } from '@quinceshunt/effects'
+import type { ReservedRetry } from '@quinceshunt/requests'
 import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { chooseBackend, type Choice } from '../decisions/backendChoice.js'
@@ -59,6 +60,8 @@
   bufferedResponse: BufferedResponse | undefined
   /** The attempt at a silent backend server whose retry is in progress. */
   setAside: AttemptSetAside | undefined
+  /** With which it may return to a backend server that was given up for a silence; held until a retry has answered. */
+  reservedReturn: ReservedRetry | undefined
   firstByteAt: number | undefined
   triedBackendIds: string[]
   /** Addresses to which it was sent; two listed backend servers can have the same one for a while after a restart. */
@@ -99,7 +102,7 @@
   const service = chooseTarget(route.targets, Math.random()) ?? ''
   const timeoutMilliseconds = Math.min(route.timeoutMilliseconds, fields.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MS)
   const state: RequestState = {
-    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, streamHead: undefined, bufferedResponse: undefined, setAside: undefined, firstByteAt: undefined, triedBackendIds: [], triedAddresses: new Set()
+    ...admitted, guarded: guardedRequest(admitted), service, deadline: admitted.receivedAt + timeoutMilliseconds, priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority), attempts: 0, mayHaveRun: false, deliveredEvents: 0, lastEventId: fields.lastEventId, headersSent: false, streamHead: undefined, bufferedResponse: undefined, setAside: undefined, reservedReturn: undefined, firstByteAt: undefined, triedBackendIds: [], triedAddresses: new Set()
   }
   context.retryShares.recordRequest(service, admitted.receivedAt)
   const refusal = findRefusal(context, state)
@@ -126,16 +129,22 @@
           return !hasCallerLeft(state)
         case 'chooseBackend': return await chooseNextBackend(context, state, command.excluded)
         case 'sendAttempt': return await attemptBackend(context, state, command.backendId)
-        case 'continueAttempt': return await state.setAside?.resume()
+        case 'continueAttempt': {
+          const continued = state.setAside?.resume()
+          if (continued !== undefined) releaseReturn(state)
+          return await continued
+        }
         case 'consumeRetry':
           if (hasCallerLeft(state) || (state.mayHaveRun && !context.crashGuard.mayRetry(state.guarded))) return false
-          return findUntriedBackends(context, state).length > 0 && context.retryShares.tryAcquireRetry(service, steadyNow())
+          return findUntriedBackends(context, state).length > 0 && tryConsumeRetry(context, state)
+        case 'reserveReturn': return await reserveReturn(context, state, command.backendIds)
         default: return assertNever(command)
       }
     }
   )
   stopWatchingCaller()
   state.setAside?.giveUp()
+  releaseReturn(state)
   const used = usedTokens(state)
   if (isReserved && state.account !== undefined) context.tokens.settle(state.account.name, reserved, used)
   finishRequest(context, state, result, { reserved: isReserved ? reserved : 0, used })
@@ -159,7 +168,8 @@
   return steadyNow() + (state.fields.prompt === undefined ? REJECTION_RETRY_MS.plain : REJECTION_RETRY_MS.engine)
 }
 
-async function chooseNextBackend (context: GatewayContext, state: RequestState, excluded: readonly string[]): Promise<ChoiceOutcome> {
+/** Chooses among the backend servers that are not excluded; `among`, if given, limits them to these IDs. */
+async function chooseNextBackend (context: GatewayContext, state: RequestState, excluded: readonly string[], among?: readonly string[]): Promise<ChoiceOutcome> {
   const quarantine = context.crashGuard.findQuarantine(state.guarded)
   if (quarantine !== undefined) return { kind: 'quarantined', reason: quarantine.reason, retryAt: quarantine.until }
   const { permits } = context
@@ -169,7 +179,8 @@
     const now = steadyNow()
     const available = findAvailableBackends(context, state, excluded)
     if (available.kind === 'none') return available
-    const candidates = available.backends
+    const candidates = available.backends.filter(({ entry }) => among?.includes(entry.id) !== false)
+    if (candidates.length === 0) return { kind: 'none', reason: 'no backend server to return to', retryAt: retryAt(context, state) }
     const areAllLimited = candidates.every(({ limit }) => limit.requestsPerSecond !== undefined)
     if (areAllLimited && denied.size === 0 && state.attempts === 0) permits.recordDemand(candidates, priority)
     const choice = chooseBackend(candidates.filter((candidate) => !denied.has(candidate.entry.id) && !permits.isDenied(candidate, priority, now)), {
@@ -221,9 +232,43 @@
   if (hasCallerLeft(state)) return { kind: 'refused', reason: 'the caller has left' }
   if (!context.crashGuard.mayRetry(state.guarded)) return { kind: 'refused', reason: 'the request may crash backend servers' }
   if (!findUntriedBackends(context, state).some(isUsable)) return { kind: 'refused', reason: 'no other backend server' }
-  if (!context.retryShares.tryAcquireRetry(state.service, now)) return { kind: 'refused', reason: 'the retry budget is used up' }
+  if (!tryAcquireWithReturn(context, state)) return { kind: 'refused', reason: 'the retry budget is used up' }
   const choice = await chooseNextBackend(context, state, state.triedBackendIds)
-  return choice.kind === 'chosen' ? { kind: 'reserved', backendId: choice.backendId } : { kind: 'refused', reason: choice.reason }
+  if (choice.kind === 'chosen') return { kind: 'reserved', backendId: choice.backendId }
+  releaseReturn(state)
+  return { kind: 'refused', reason: choice.reason }
+}
+
+/** A request that has a return reserved already needs no second one. */
+function tryAcquireWithReturn (context: GatewayContext, state: RequestState): boolean {
+  if (state.reservedReturn !== undefined) return context.retryShares.tryAcquireRetry(state.service, steadyNow())
+  state.reservedReturn = context.retryShares.tryAcquireWithReturn(state.service, steadyNow())
+  return state.reservedReturn !== undefined
+}
+
+/** Consumes the retry that is reserved for a return, or else one of the budget. */
+function tryConsumeRetry (context: GatewayContext, state: RequestState): boolean {
+  if (state.reservedReturn === undefined) return context.retryShares.tryAcquireRetry(state.service, steadyNow())
+  state.reservedReturn.consume()
+  state.reservedReturn = undefined
+  return true
+}
+
+/** Gives the retry back that is reserved for a return. */
+function releaseReturn (state: RequestState): void {
+  state.reservedReturn?.release()
+  state.reservedReturn = undefined
+}
+
+/** Reserves one more send to a backend server that was given up for a silence. */
+async function reserveReturn (context: GatewayContext, state: RequestState, backendIds: readonly string[]): Promise<RetryReservation> {
+  if (hasCallerLeft(state)) return { kind: 'refused', reason: 'the caller has left' }
+  if (!context.crashGuard.mayRetry(state.guarded)) return { kind: 'refused', reason: 'the request may crash backend servers' }
+  const choice = await chooseNextBackend(context, state, [], backendIds)
+  if (choice.kind !== 'chosen') return { kind: 'refused', reason: choice.reason }
+  if (!tryConsumeRetry(context, state)) return { kind: 'refused', reason: 'the retry budget is used up' }
+  context.log.decision('attemptReturned', { request: state.fields.attemptId, backend: choice.backendId, headersSent: state.headersSent })
+  return { kind: 'reserved', backendId: choice.backendId }
 }
 
 /** Logs how far a request was when its caller left; the line of its result tells when the work for it ended. */
--- a/packages/requests/src/__tests__/retryPolicy.test.ts
+++ b/packages/requests/src/__tests__/retryPolicy.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals'
 import fc from 'fast-check'
-import { createRetryBudget } from '../retryBudget.js'
+import { createRetryBudget, type RetryBudget } from '../retryBudget.js'
 import { decideAfterAttempt, type AttemptContext, type AttemptOutcome } from '../retryPolicy.js'
 
 const bytes = fc.nat({ max: 5000 })
@@ -78,6 +78,23 @@
     expect([1, 2, 3].map(() => budget.tryAcquireRetry(100_000))).toEqual([true, true, false])
   })
 
+  // Guards against a request that can't use the retry that was reserved for it because others have used up the budget.
+  test('keeps a reserved retry until it is consumed or released', () => {
+    const create = (): RetryBudget => createRetryBudget({ retriesPerRequest: 0, capacity: 3, idleRetriesPerSecond: 0, overdraft: 1 })
+    const consumed = create()
+    const reserved = consumed.tryAcquireWithReserve(0)
+    expect([1, 2, 3].map(() => consumed.tryAcquireRetry(0))).toEqual([true, true, false])
+    expect(consumed.tryAcquireWithReserve(0)).toBeUndefined()
+    reserved?.consume()
+    expect(consumed.tryAcquireRetry(0)).toBe(false)
+    const released = create()
+    const both = [released.tryAcquireWithReserve(0), released.tryAcquireWithReserve(0)]
+    expect(released.tryAcquireWithReserve(0)).toBeUndefined()
+    for (const one of both) one?.release()
+    both[0]?.consume()
+    expect([1, 2].map(() => released.tryAcquireRetry(0))).toEqual([true, false])
+  })
+
   // Guards against a bucket that is never refilled.
   test('grants retries after requests', () => {
     const budget = createRetryBudget({ retriesPerRequest: 0.5, capacity: 1, idleRetriesPerSecond: 0 })
--- a/packages/requests/src/retryBudget.ts
+++ b/packages/requests/src/retryBudget.ts
@@ -10,6 +10,14 @@
   recordRequest (now: number): void
   /** Consumes one retry and returns true if one is available; `now` in Unix milliseconds. */
   tryAcquireRetry (now: number): boolean
+  /** Consumes one retry and reserves another, for the case that it fails; undefined unless both are available. */
+  tryAcquireWithReserve (now: number): ReservedRetry | undefined
+}
+
+/** A retry that is kept for one request. Only the first call of either method has an effect. */
+export interface ReservedRetry {
+  consume (): void
+  release (): void
 }
 
 export interface RetryBudgetOptions {
@@ -19,17 +27,21 @@
   readonly capacity?: number
   /** Retries per second allowed without requests. */
   readonly idleRetriesPerSecond?: number
+  /** Retries beyond the accumulated ones that only reserved retries may consume; they are paid back before the next retry. */
+  readonly overdraft?: number
 }
 
 /**
  * Creates a token bucket: each request adds `retriesPerRequest` tokens and each second `idleRetriesPerSecond`, up to
  * `capacity`; a retry consumes one. Over any period, the number of retries is at most
- * capacity + retriesPerRequest x requests + idleRetriesPerSecond x seconds.
+ * capacity + overdraft + retriesPerRequest x requests + idleRetriesPerSecond x seconds.
  */
 export function createRetryBudget (options: RetryBudgetOptions): RetryBudget {
   const capacity = options.capacity ?? DEFAULT_RETRY_CAPACITY
   const idleRate = options.idleRetriesPerSecond ?? DEFAULT_IDLE_RETRIES_PER_SECOND
+  const overdraft = options.overdraft ?? 0
   let tokens = capacity
+  let reserved = 0
   let refilledAt: number | undefined
 
   function addTokens (amount: number): void {
@@ -42,16 +54,32 @@
     addTokens(elapsed / MILLISECONDS_PER_SECOND * idleRate)
   }
 
+  /** Consumes one retry and reserves `toReserve` more, unless that would leave less than what is reserved already. */
+  function tryAcquire (now: number, toReserve: number): boolean {
+    refill(now)
+    if (tokens < 1 || (reserved + toReserve > 0 && tokens - 1 + overdraft < reserved + toReserve)) return false
+    tokens -= 1
+    reserved += toReserve
+    return true
+  }
+
+  function createReservedRetry (): ReservedRetry {
+    let isEnded = false
+    const end = (consumed: number): void => {
+      if (isEnded) return
+      isEnded = true
+      reserved -= 1
+      tokens -= consumed
+    }
+    return { consume: () => end(1), release: () => end(0) }
+  }
+
   return {
     recordRequest: (now) => {
       refill(now)
       addTokens(options.retriesPerRequest)
     },
-    tryAcquireRetry: (now) => {
-      refill(now)
-      if (tokens < 1) return false
-      tokens -= 1
-      return true
-    }
+    tryAcquireRetry: (now) => tryAcquire(now, 0),
+    tryAcquireWithReserve: (now) => tryAcquire(now, 1) ? createReservedRetry() : undefined
   }
 }
