Refuse a request whose head arrives too late with 408

Callers got 400 when the head of their request was not complete within the header timeout, and don't send such a request again. Cause: every error of a caller's connection except too large headers was answered with 400. The router's listener already tells them apart.

--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -31,8 +31,7 @@
   let lastConnectionAt = 0
   const callerOf = createCallerWatch(steadyNow)
   const connectionErrors = createConnectionErrors((error, socket) => {
-    const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    socket.end(`HTTP/1.1 ${statusLineOf(error)}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
   })
 
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 15_000, noDelay: true, connectionsCheckingInterval: 1000 }, (incoming, response) => {
@@ -100,6 +99,15 @@
   }
 }
 
+/** Callers send a request again after 408 and give it up after 400 and 431. */
+function statusLineOf (error: NodeJS.ErrnoException): string {
+  switch (error.code) {
+    case 'HPE_HEADER_OVERFLOW': return '431 Request Header Fields Too Large'
+    case 'ERR_HTTP_REQUEST_TIMEOUT': return '408 Request Timeout'
+    default: return '400 Bad Request'
+  }
+}
+
 type ReceivedBody =
   | { readonly kind: 'received', readonly bytes: Buffer }
   | { readonly kind: 'tooLarge' }
