Keep a stopping instance's connections until their responses are written

A caller that reads slowly got a truncated response when its instance stopped: at the end of listening Node closes the connections that it takes as idle, and it takes one as idle once its response was ended, even while bytes of it wait to be written.

The listener now stops without closing connections, and idle ones are closed only while no ended response waits for its caller.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -246,9 +246,11 @@
   const listenUntil = steadyNow() + LISTEN_AFTER_STOP_MS
   while (steadyNow() < killedAt - TOKEN_RETURN_MARGIN_MS) {
     if (steadyNow() >= listenUntil) {
-      if (callers.server.listening) await acceptQueuedConnections(callers)
-      callers.server.close()
-      callers.server.closeIdleConnections()
+      if (callers.server.listening) {
+        await acceptQueuedConnections(callers)
+        callers.stopListening()
+      }
+      callers.closeIdleConnections()
       const hasOpenConnections = callers.openConnections > 0 && steadyNow() < listenUntil + FIRST_REQUEST_WAIT_MS
       if (callers.activeRequests === 0 && !hasOpenConnections) return
     }
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -1,6 +1,7 @@
 import { createCallerWatch, createConnectionErrors, type CallerPresence } from '@quinceshunt/caller-connections'
 import { steadyNow } from '../clock.js'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { Server as NetServer } from 'node:net'
 import type { GatewayContext } from './gatewayContext.js'
 import { sendError, sendNotRun } from './errorResponses.js'
 import { serveRequest } from './requestTask.js'
@@ -21,6 +22,10 @@
   readonly acceptedConnections: number
   /** Unix milliseconds at which the last connection was accepted. */
   readonly lastConnectionAt: number
+  /** Stops accepting connections; those that are open stay open. */
+  stopListening (): void
+  /** Closes the connections that have no request or response in progress. */
+  closeIdleConnections (): void
 }
 
 /** Creates the server without binding it. */
@@ -29,6 +34,7 @@
   let openConnections = 0
   let acceptedConnections = 0
   let lastConnectionAt = 0
+  const openResponses = new Set<ServerResponse>()
   const callerOf = createCallerWatch(steadyNow)
   const connectionErrors = createConnectionErrors((error, socket) => {
     socket.end(`HTTP/1.1 ${statusLineOf(error)}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
@@ -43,9 +49,11 @@
       activeRequests--
     }
     connectionErrors.track(incoming, response)
+    openResponses.add(response)
     const caller = callerOf(incoming.socket)
     const stopWatchingCaller = caller.onLeft(release)
     response.on('close', () => {
+      openResponses.delete(response)
       release()
       stopWatchingCaller()
     })
@@ -63,7 +71,22 @@
   server.on('clientError', (error, socket) => {
     if (connectionErrors.handle(error, socket)) context.log.decision('callerConnectionFailed', { reason: error.message })
   })
-  return { server, get activeRequests () { return activeRequests }, get openConnections () { return openConnections }, get acceptedConnections () { return acceptedConnections }, get lastConnectionAt () { return lastConnectionAt } }
+
+  /** Node takes a connection as idle once its response was ended, also while its bytes wait for a caller that reads slowly. */
+  function closeIdleConnections (): void {
+    if ([...openResponses].every((response) => !response.writableEnded)) server.closeIdleConnections()
+  }
+
+  return {
+    server,
+    // The method of the HTTP server also closes the connections that Node takes as idle.
+    stopListening: () => { NetServer.prototype.close.call(server) },
+    closeIdleConnections,
+    get activeRequests () { return activeRequests },
+    get openConnections () { return openConnections },
+    get acceptedConnections () { return acceptedConnections },
+    get lastConnectionAt () { return lastConnectionAt }
+  }
 }
 
 async function handleRequest (context: GatewayContext, incoming: IncomingMessage, response: ServerResponse, caller: CallerPresence): Promise<void> {
