Answer pipelined requests on a connection that a stopping instance closes

Callers that pipelined a second request got no answer to it when the instance stopped, although it was passed on to its backend server: the response to the first one carried `Connection: close`, after which Node closes the connection.

While the process stops, only the last response of a connection closes it. A request that crosses such a response is no longer passed on, as its answer could not be sent.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 import { startFleetTask } from './tasks/fleetTask.js'
 import type { GatewayContext } from './tasks/gatewayContext.js'
 import { createLeaseWitness } from './tasks/leaseWitness.js'
+import { createOpenResponses } from './tasks/openResponses.js'
 import { createPeerListener, PEER_PATH, postToPeer } from './tasks/peerMessages.js'
 import { observeStoreTime } from './tasks/observeStoreTime.js'
 import { createSendingPermits } from './tasks/sendingPermits.js'
@@ -162,6 +163,7 @@
     permits,
     choices: new WeakMap(),
     responseBuffer: createByteBudget(RESPONSE_BUFFER_BYTES),
+    openResponses: createOpenResponses(),
     isStopping: () => stopping
   }
   const callers = createCallersListener(context)
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -306,7 +306,7 @@
     }
     if (isStreamed && !state.headersSent) {
       const responseHeaders = wire.buildResponseHeaders(incoming.rawHeaders)
-      response.writeHead(status, withoutContentLength(responseHeaders, context))
+      response.writeHead(status, [...withoutContentLength(responseHeaders), ...closingHeaders()])
       state.headersSent = true
       state.streamHead = { status, mediaType }
       state.firstByteAt = steadyNow()
@@ -409,17 +409,21 @@
     context.crashGuard.recordAnswer(state.guarded, answeredAt)
   }
 
+  function closingHeaders (): string[] {
+    return Object.entries(connectionHeaders(context, response)).flat()
+  }
+
   function bufferResponse (incoming: IncomingMessage): BufferedResponse {
     const body = Buffer.concat(bodyChunks)
     const status = incoming.statusCode ?? 0
-    const responseHeaders = withoutContentLength(wire.buildResponseHeaders(incoming.rawHeaders), context)
+    const responseHeaders = withoutContentLength(wire.buildResponseHeaders(incoming.rawHeaders))
     const hasNoBody = callerRequest.method === 'HEAD' || status === 204 || status === 304
     return {
       status,
       deliver: () => {
         if (response.headersSent || response.destroyed) return
         state.firstByteAt = steadyNow()
-        response.writeHead(status, hasNoBody ? responseHeaders : [...responseHeaders, 'Content-Length', String(body.length)])
+        response.writeHead(status, [...responseHeaders, ...(hasNoBody ? [] : ['Content-Length', String(body.length)]), ...closingHeaders()])
         response.end(hasNoBody ? undefined : body)
       }
     }
@@ -456,12 +460,11 @@
   return (incoming.headers['content-type'] ?? '').split(';', 1)[0]?.trim().toLowerCase() ?? ''
 }
 
-/** Removes Content-Length, which is recomputed for the forwarded body, and adds the connection headers. */
-function withoutContentLength (headers: readonly string[], context: GatewayContext): string[] {
+/** Removes Content-Length, which is recomputed for the forwarded body. */
+function withoutContentLength (headers: readonly string[]): string[] {
   const result: string[] = []
   for (let index = 0; index < headers.length; index += 2) {
     if (headers[index]?.toLowerCase() !== 'content-length') result.push(headers[index] ?? '', headers[index + 1] ?? '')
   }
-  for (const [name, value] of Object.entries(connectionHeaders(context))) result.push(name, value)
   return result
 }
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -34,13 +34,14 @@
   let openConnections = 0
   let acceptedConnections = 0
   let lastConnectionAt = 0
-  const openResponses = new Set<ServerResponse>()
   const callerOf = createCallerWatch(steadyNow)
   const connectionErrors = createConnectionErrors((error, socket) => {
     socket.end(`HTTP/1.1 ${statusLineOf(error)}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
   })
 
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 15_000, noDelay: true, connectionsCheckingInterval: 1000 }, (incoming, response) => {
+    // The caller sends a request again that crosses the end of its connection; passed on, it would run without an answer.
+    if (!context.openResponses.add(response)) return
     activeRequests++
     let isCounted = true
     const release = (): void => {
@@ -49,11 +50,9 @@
       activeRequests--
     }
     connectionErrors.track(incoming, response)
-    openResponses.add(response)
     const caller = callerOf(incoming.socket)
     const stopWatchingCaller = caller.onLeft(release)
     response.on('close', () => {
-      openResponses.delete(response)
       release()
       stopWatchingCaller()
     })
@@ -74,7 +73,7 @@
 
   /** Node takes a connection as idle once its response was ended, also while its bytes wait for a caller that reads slowly. */
   function closeIdleConnections (): void {
-    if ([...openResponses].every((response) => !response.writableEnded)) server.closeIdleConnections()
+    if (!context.openResponses.hasUnwritten) server.closeIdleConnections()
   }
 
   return {
--- a/packages/gateway/src/tasks/errorResponses.ts
+++ b/packages/gateway/src/tasks/errorResponses.ts
@@ -20,7 +20,7 @@
   }
   const body = JSON.stringify({ error: { message: error.message, type: 'quinceshunt_error', code: error.code, param: null, run: error.run } })
   context.metrics.count('refusals_total', { code: error.code })
-  response.writeHead(error.status, { 'content-type': 'application/json', 'content-length': String(Buffer.byteLength(body)), ...connectionHeaders(context), ...headers })
+  response.writeHead(error.status, { 'content-type': 'application/json', 'content-length': String(Buffer.byteLength(body)), ...connectionHeaders(context, response), ...headers })
   response.end(body)
 }
 
@@ -30,7 +30,7 @@
   sendError(context, response, { status: 503, code: 'not_run', message: `the request was not run: ${reason}`, run: 'no' }, { 'retry-after': seconds.toFixed(2) })
 }
 
-/** While the process stops, responses close the connection, so that callers connect to another instance. */
-export function connectionHeaders (context: GatewayContext): Record<string, string> {
-  return context.isStopping() ? { connection: 'close' } : {}
+/** While the process stops, the last response of a connection closes it, so that callers connect to another instance. */
+export function connectionHeaders (context: GatewayContext, response: ServerResponse): Record<string, string> {
+  return context.isStopping() && context.openResponses.tryEndConnection(response) ? { connection: 'close' } : {}
 }
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -12,6 +12,7 @@
 import type { DecisionLog } from './decisionLog.js'
 import type { EventLoopDelay } from './eventLoopDelay.js'
 import type { FleetTask } from './fleetTask.js'
+import type { OpenResponses } from './openResponses.js'
 import type { RequestState } from './requestTask.js'
 import type { SendingPermits } from './sendingPermits.js'
 import type { TokenTask } from './tokenAccounts.js'
@@ -36,5 +37,6 @@
   readonly choices: WeakMap<RequestState, Choice>
   /** For responses that are buffered whole. */
   readonly responseBuffer: ByteBudget
+  readonly openResponses: OpenResponses
   readonly isStopping: () => boolean
 }
