Refuse requests that a stopping instance could not finish

Callers whose stream ended 3 s after SIGTERM on a kept connection and who sent the next request there at once lost it: the instance took it, passed it on and cut it off when the process ended.

Cause: `Connection: close` is sent only with heads after SIGTERM. A connection kept by an earlier head is closed when a check every 50 ms finds it idle, and a caller's next request comes sooner.

A request that is complete later than 3 s after SIGTERM now gets 503 ("not run") and `Connection: close`, so that its caller goes to another instance. Earlier ones are served as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,8 @@
 
 /** New connections are accepted for this time after SIGTERM: the load balancer removes an instance after two failed checks. */
 const LISTEN_AFTER_STOP_MS = 2600
+/** Requests that come later than this after SIGTERM are refused, as they may not be finished when the process exits. */
+const TAKE_AFTER_STOP_MS = 3000
 /** The process exits this long before SIGKILL, whatever is still in progress. */
 const FORCED_EXIT_MARGIN_MS = 150
 /** Requests are abandoned and tokens returned this long before SIGKILL; callers have no claim to the last sixth of the stop time. */
@@ -75,6 +77,7 @@
     reportAnswer: (part) => fleet.reportAnswer(part)
   })
   let stopping = false
+  let refusesFrom = Infinity
 
   const fleet = startFleetTask({
     store,
@@ -164,7 +167,8 @@
     choices: new WeakMap(),
     responseBuffer: createByteBudget(RESPONSE_BUFFER_BYTES),
     openResponses: createOpenResponses(),
-    isStopping: () => stopping
+    isStopping: () => stopping,
+    takesRequests: () => steadyNow() < refusesFrom
   }
   const callers = createCallersListener(context)
 
@@ -209,6 +213,7 @@
   function stop (): void {
     if (stopping) return
     stopping = true
+    refusesFrom = steadyNow() + TAKE_AFTER_STOP_MS
     const killedAt = steadyNow() + settings.stopSeconds * 1000
     log.event('stopping', { active: callers.activeRequests, killedAt })
     stopGracefully({ context, callers, killedAt })
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -12,6 +12,9 @@
 /** Retry time suggested to callers while no configuration is loaded. */
 const NO_CONFIGURATION_RETRY_MS = 500
 
+/** Callers connect to another instance at once. */
+const STOPPING_RETRY_MS = 50
+
 /** HTTP server for callers. */
 export interface CallersListener {
   readonly server: Server
@@ -117,6 +120,10 @@
       response.destroy()
       return
     case 'received':
+      if (!context.takesRequests()) {
+        sendNotRun(context, response, 'the instance stops', steadyNow() + STOPPING_RETRY_MS)
+        return
+      }
       await serveRequest(context, { incoming, response, caller, fields, route: admission.route, account: admission.account, configuration: index, body: body.bytes, receivedAt })
   }
 }
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -39,4 +39,6 @@
   readonly responseBuffer: ByteBudget
   readonly openResponses: OpenResponses
   readonly isStopping: () => boolean
+  /** False once a request that comes now may still run when the process exits. */
+  readonly takesRequests: () => boolean
 }
