--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -1,6 +1,7 @@
 import { createCallerWatch, createConnectionErrors, type CallerPresence } from '@quinceshunt/caller-connections'
 import { steadyNow } from '../clock.js'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { Server as NetServer } from 'node:net'
 import type { GatewayContext } from './gatewayContext.js'
 import { sendError, sendNotRun } from './errorResponses.js'
 import { serveRequest } from './requestTask.js'
@@ -11,6 +12,9 @@
 /** Retry time suggested to callers while no configuration is loaded. */
 const NO_CONFIGURATION_RETRY_MS = 500
 
+/** Callers connect to another instance at once. */
+const STOPPING_RETRY_MS = 50
+
 /** HTTP server for callers. */
 export interface CallersListener {
   readonly server: Server
@@ -21,6 +25,10 @@
   readonly acceptedConnections: number
   /** Unix milliseconds at which the last connection was accepted. */
   readonly lastConnectionAt: number
+  /** Stops accepting connections; those that are open stay open. */
+  stopListening (): void
+  /** Closes the connections that have no request or response in progress. */
+  closeIdleConnections (): void
 }
 
 /** Creates the server without binding it. */
@@ -31,11 +39,12 @@
   let lastConnectionAt = 0
   const callerOf = createCallerWatch(steadyNow)
   const connectionErrors = createConnectionErrors((error, socket) => {
-    const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    socket.end(`HTTP/1.1 ${statusLineOf(error)}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
   })
 
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 15_000, noDelay: true, connectionsCheckingInterval: 1000 }, (incoming, response) => {
+    // The caller sends a request again that crosses the end of its connection; passed on, it would run without an answer.
+    if (!context.openResponses.add(response)) return
     activeRequests++
     let isCounted = true
     const release = (): void => {
@@ -64,7 +73,22 @@
   server.on('clientError', (error, socket) => {
     if (connectionErrors.handle(error, socket)) context.log.decision('callerConnectionFailed', { reason: error.message })
   })
-  return { server, get activeRequests () { return activeRequests }, get openConnections () { return openConnections }, get acceptedConnections () { return acceptedConnections }, get lastConnectionAt () { return lastConnectionAt } }
+
+  /** Node takes a connection as idle once its response was ended, also while its bytes wait for a caller that reads slowly. */
+  function closeIdleConnections (): void {
+    if (!context.openResponses.hasUnwritten) server.closeIdleConnections()
+  }
+
+  return {
+    server,
+    // The method of the HTTP server also closes the connections that Node takes as idle.
+    stopListening: () => { NetServer.prototype.close.call(server) },
+    closeIdleConnections,
+    get activeRequests () { return activeRequests },
+    get openConnections () { return openConnections },
+    get acceptedConnections () { return acceptedConnections },
+    get lastConnectionAt () { return lastConnectionAt }
+  }
 }
 
 async function handleRequest (context: GatewayContext, incoming: IncomingMessage, response: ServerResponse, caller: CallerPresence): Promise<void> {
@@ -96,10 +120,23 @@
       response.destroy()
       return
     case 'received':
+      if (!context.takesRequests()) {
+        sendNotRun(context, response, 'the instance stops', steadyNow() + STOPPING_RETRY_MS)
+        return
+      }
       await serveRequest(context, { incoming, response, caller, fields, route: admission.route, account: admission.account, configuration: index, body: body.bytes, receivedAt })
   }
 }
 
+/** Callers send a request again after 408 and give it up after 400 and 431. */
+function statusLineOf (error: NodeJS.ErrnoException): string {
+  switch (error.code) {
+    case 'HPE_HEADER_OVERFLOW': return '431 Request Header Fields Too Large'
+    case 'ERR_HTTP_REQUEST_TIMEOUT': return '408 Request Timeout'
+    default: return '400 Bad Request'
+  }
+}
+
 type ReceivedBody =
   | { readonly kind: 'received', readonly bytes: Buffer }
   | { readonly kind: 'tooLarge' }
