Queue reports that are written again once

After a restore, reports that still waited for the store were queued a second time, as were those of a write that the restore overtook, so that one transaction named a row twice. A store that refuses such a transaction would refuse it each time, and with it all reports behind it. The new test failed before (each write after the restore held the report twice).

--- a/packages/gateway/src/__tests__/fleetTask.test.ts
+++ b/packages/gateway/src/__tests__/fleetTask.test.ts
@@ -198,4 +198,28 @@
     await jest.advanceTimersByTimeAsync(2000)
     expect(learned).toEqual(['poison'])
   })
+
+  // Guards against a transaction that the store may refuse for ever, as it names a row twice.
+  test('reports that wait for the store when it is restored are written once', async () => {
+    let fault: StoreFault = { kind: 'none' }
+    const memory = createMemoryRowStore(() => fault)
+    const keys: string[][] = []
+    const reporter = startInstance(memory, 'reporter', 'a', () => {}, {
+      ...memory.store,
+      transact: async (transaction, deadline) => {
+        keys.push(transaction.writes.map(({ key }) => key))
+        return await memory.store.transact(transaction, deadline)
+      }
+    })
+    await jest.advanceTimersByTimeAsync(2000)
+    const copy = memory.takeCopy()
+    fault = { kind: 'refuse' }
+    reporter.fleet.reportCrash('poison', { parts: [], backendProcess: 'server/1', sentAt: 1, crashedAt: 2 })
+    await jest.advanceTimersByTimeAsync(700)
+    memory.restore(copy)
+    await jest.advanceTimersByTimeAsync(3000)
+    fault = { kind: 'none' }
+    await jest.advanceTimersByTimeAsync(3000)
+    expect(keys.filter((written) => new Set(written).size < written.length)).toEqual([])
+  })
 })
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -236,7 +236,7 @@
 
   function handleRestore (): void {
     awaitRecovery()
-    pendingReports = [...keptReports, ...pendingReports].slice(-MAX_PENDING_REPORTS)
+    queueAgain(keptReports)
     if (pendingReports.length > 0) scheduleReports(CRASH_REPORT_INTERVAL_MS)
     scheduleDrop()
   }
@@ -315,11 +315,17 @@
       for (const report of untold) toldPeers.add(report)
       if (untold.length > 0) for (const peer of peersOf()) options.tellPeer(peer, untold)
       // Each report has a key of its own, so that one that was applied after all is not counted twice.
-      pendingReports = [...batch, ...pendingReports].slice(-MAX_PENDING_REPORTS)
+      queueAgain(batch)
       scheduleReports(REPORT_RETRY_MS)
     }, (error: unknown) => log.warning('crashReportsFailed', { reason: String(error) }))
   }
 
+  /** Puts reports first; those that wait already are not queued twice, as a transaction names each row once. */
+  function queueAgain (reports: readonly Report[]): void {
+    const waiting = new Set(pendingReports.map(({ key }) => key))
+    pendingReports = [...reports.filter(({ key }) => !waiting.has(key)), ...pendingReports].slice(-MAX_PENDING_REPORTS)
+  }
+
   function scheduleReports (delayMilliseconds: number): void {
     if (isWriteScheduled || stopped) return
     isWriteScheduled = true
