Show that reports of a killed instance are lost with a restore

Instances write only their own crash reports again. When the reporter was killed between copy and restore, an instance that starts later knows none of its reports, although the others do.

--- a/packages/gateway/src/__tests__/fleetTask.test.ts
+++ b/packages/gateway/src/__tests__/fleetTask.test.ts
@@ -199,6 +199,26 @@
     expect(learned).toEqual(['poison'])
   })
 
+  // Guards against an instance that starts after the restore and lets a request crash further backend servers, as the only writer of its reports has ended.
+  test('crash reports of an instance that was killed are written again by those that know them', async () => {
+    const memory = createMemoryRowStore()
+    const reporter = startInstance(memory, 'reporter')
+    const known: string[] = []
+    startInstance(memory, 'other', 'b', (fingerprint) => known.push(fingerprint))
+    await jest.advanceTimersByTimeAsync(2000)
+    const copy = memory.takeCopy()
+    for (let crash = 0; crash < 3; crash++) reporter.fleet.reportCrash('poison', { parts: [], backendProcess: `server/${crash}`, sentAt: 10 * crash, crashedAt: 10 * crash + 5 })
+    await jest.advanceTimersByTimeAsync(2000)
+    expect(known).toHaveLength(3)
+    reporter.fleet.follower.stop()
+    memory.restore(copy)
+    await jest.advanceTimersByTimeAsync(6000)
+    const learned: string[] = []
+    startInstance(memory, 'reporter', 'a', (fingerprint) => learned.push(fingerprint))
+    await jest.advanceTimersByTimeAsync(2000)
+    expect(learned).toHaveLength(3)
+  })
+
   // Guards against a transaction that the store may refuse for ever, as it names a row twice.
   test('reports that wait for the store when it is restored are written once', async () => {
     let fault: StoreFault = { kind: 'none' }
