Show that a kill during the recovery loses the draws not recorded yet

After a restore a process corrects four balances in a transaction. The first one writes its lease row in the new era, without the draws that are still to be recorded. If the process is killed then, witnesses find a row of the current era and leave it, and its next process takes the row for exact.

--- a/packages/gateway/src/__tests__/restoredTokens.test.ts
+++ b/packages/gateway/src/__tests__/restoredTokens.test.ts
@@ -232,6 +232,44 @@
     expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
   })
 
+  // Guards against the loss of what a process had not recorded again yet when it was killed: its row is of the new era, but lacks draws.
+  test.each(['lives', 'is killed and started again', 'is killed and stays away'])('draws of a process that %s while it records them again are not granted again', async (fate) => {
+    const accounts = Array.from({ length: 12 }, (_, index) => `account${index}`)
+    const memory = createMemoryRowStore(() => ({ kind: 'none' }), 20)
+    const fleet = createRestorableFleet(memory.store, ACCOUNT, PREPAID)
+    const start = (name: string): RestorableInstance => {
+      const instance = fleet.start(name)
+      for (const account of accounts) instance.tokens.setPrepaid(account, PREPAID)
+      return instance
+    }
+    const instances = NAMES.map(start)
+    testFleet.instances.push(...instances)
+    const used = new Map(accounts.map((account) => [account, 0]))
+    const useTokens = async (index: number, account: string, tokens: number): Promise<boolean> => {
+      const outcome = instances[index]?.tokens.reserve(account, tokens, Number.MAX_SAFE_INTEGER)
+      await jest.advanceTimersByTimeAsync(800)
+      if ((await outcome)?.kind !== 'reserved') return false
+      used.set(account, (used.get(account) ?? 0) + tokens)
+      instances[index]?.tokens.settle(account, tokens, tokens)
+      return true
+    }
+    await jest.advanceTimersByTimeAsync(4000)
+    const copy = memory.takeCopy()
+    for (const account of accounts) for (let round = 0; round < 5; round++) await useTokens(0, account, 10_000)
+    await jest.advanceTimersByTimeAsync(2000)
+    memory.restore(copy)
+    while (memory.getRow({ table: 'leases', part: 'a', key: 'a@2' }) === undefined) await jest.advanceTimersByTimeAsync(5)
+    if (fate !== 'lives') instances[0]?.kill()
+    await jest.advanceTimersByTimeAsync(500)
+    if (fate === 'is killed and started again') testFleet.instances.push(instances[0] = start('a'))
+    await jest.advanceTimersByTimeAsync(5000)
+    if (fate === 'is killed and stays away') instances.shift()
+    for (const account of accounts) {
+      for (let failures = 0; failures < 6;) failures = (await useTokens(failures % instances.length, account, 8000)) ? 0 : failures + 1
+    }
+    expect(Math.max(...used.values())).toBeLessThanOrEqual(PREPAID)
+  }, 60_000)
+
   // Guards against processes that wait for a recovery on ordinary starts.
   test('an instance that starts again without a restore draws at once', async () => {
     await use(testFleet, 0, 8000)
