Read answers that have arrived before a silence is judged

After a pause of the process, timers ran before the answers that had arrived were read: each request in progress counted as silent, its backend server was avoided for four seconds and its idle connections were closed. Both new tests failed before (20 requests, process stopped for two seconds: all backend servers avoided). The stall check now lets arrived events be handled first.

--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -1,4 +1,5 @@
 import { steadyNow } from '../clock.js'
+import { handleArrivedEvents } from '@quinceshunt/caller-connections'
 import { assertNever } from '@quinceshunt/effects'
 import type { IncomingMessage } from 'node:http'
 import { backendProcessOf, failureWeight, markPartsCached, recordObservation, silenceMilliseconds, type BackendObservation, type PendingAttempt } from '../decisions/backendState.js'
@@ -216,7 +217,6 @@
     endAbandonedStream(now)
     if (!isRepeatable || state.attempts >= state.route.maximumAttempts || setAside !== undefined || isReserving) return
     if (now - lastProgressAt < stallTimeout(now) || now < reserveRetryAt) return
-    recordSilence()
     reserveRetryAt = now + RESERVE_AGAIN_MS
     continueElsewhere(now).catch((error: unknown) => context.log.warning('retryFailed', { request: state.fields.attemptId, reason: String(error) }))
   }
@@ -232,6 +232,13 @@
   async function continueElsewhere (stalledAt: number): Promise<void> {
     const progressAt = lastProgressAt
     isReserving = true
+    // After a pause of this process, answers that had arrived are read only now.
+    await handleArrivedEvents()
+    if (settled || lastProgressAt !== progressAt) {
+      isReserving = false
+      return
+    }
+    recordSilence()
     const reservation = await reserveRetry().finally(() => { isReserving = false })
     const silentMilliseconds = stalledAt - progressAt
     switch (reservation.kind) {
