Leave a connection open while a stopping router serves requests behind a response

As in the gateway, each response of a stopping router closed its connection, and requests that the caller had already sent behind it got no answer. The new test failed before (1 of 3 answers).

--- a/packages/router/src/__tests__/callersListener.test.ts
+++ b/packages/router/src/__tests__/callersListener.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, expect, test } from '@jest/globals'
 import { connect, type AddressInfo } from 'node:net'
-import { createCallersListener } from '../callersListener.js'
+import { createCallersListener, type CallersListener } from '../callersListener.js'
 import type { RouterServices } from '../routerServices.js'
 
 let closeServer: () => void = () => {}
@@ -22,8 +22,10 @@
 }
 
 /** Starts the listener, writes the text on one connection and resolves with all that comes back. */
-async function converse (text: string): Promise<string> {
-  const { server } = createCallersListener(servicesWithoutModels())
+async function converse (text: string, prepare: (listener: CallersListener) => void = () => {}): Promise<string> {
+  const listener = createCallersListener(servicesWithoutModels())
+  const { server } = listener
+  prepare(listener)
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   closeServer = () => {
     server.closeAllConnections()
@@ -46,3 +48,11 @@
   expect(received).toContain('model_not_found')
   expect(received).toContain('malformed_request')
 })
+
+// Guards against requests that are taken from a connection and get no answer, as the response before them closes it.
+test('requests that are sent before the answer to the one before them are all answered when the process stops', async () => {
+  const body = JSON.stringify({ model: 'none', messages: [{ role: 'user', content: 'hello' }] })
+  const request = `POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer key\r\nContent-Length: ${body.length}\r\n\r\n${body}`
+  const received = await converse(request.repeat(3), (listener) => listener.disableKeepAlive())
+  expect(received.match(/model_not_found/g)).toHaveLength(3)
+})
--- a/packages/router/src/callersListener.ts
+++ b/packages/router/src/callersListener.ts
@@ -1,5 +1,6 @@
 import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createSecureServer } from 'node:https'
+import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { createCallerWatch, createConnectionErrors, type CallerPresence } from '@quinceshunt/caller-connections'
 import { extractTraceContext, failSpan, SpanKind, startSpan, contextWithSpan, type Span, type TraceContext } from '@quinceshunt/telemetry'
@@ -49,13 +50,20 @@
   let activeRequests = 0
   let lastRequestAt = 0
   let keepAliveDisabled = false
+  const newestResponses = new WeakMap<Socket, ServerResponse>()
   const callerOf = createCallerWatch(services.clock.now)
   const connectionErrors = createConnectionErrors(respondToClientError)
 
   function handleRequest (request: IncomingMessage, response: ServerResponse): void {
     activeRequests += 1
     lastRequestAt = services.clock.now()
-    if (keepAliveDisabled) response.setHeader('connection', 'close')
+    const earlier = newestResponses.get(request.socket)
+    newestResponses.set(request.socket, response)
+    if (keepAliveDisabled) {
+      response.setHeader('connection', 'close')
+      // Closing the connection after an earlier response would cut off this request.
+      if (earlier?.headersSent === false) earlier.setHeader('connection', 'keep-alive')
+    }
     connectionErrors.track(request, response)
     const caller = callerOf(request.socket)
     const finish = (): void => {
