Write crash reports again whose writer has ended when the store is restored

A request that crashes backend servers was free again at instances that started after a restore of the store: each instance wrote only its own reports again, and those of an instance that was killed since the copy stayed lost, although the others knew them.

Instances now keep the reports that they learned in the last minute. After a restore, once processes that run have written theirs, one of the instances that still miss some writes them again; each report has a key of its own, so that none counts twice. Limits of backend servers are left out, as only their newest value counts.

--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -2,6 +2,7 @@
 import { accountHomes } from '../decisions/accountHomes.js'
 import { decodeUnansweredRequest, encodeUnansweredRequest, type ReportedRequest } from '../decisions/crashReport.js'
 import type { KnownLimit } from '../decisions/permitIssuer.js'
+import { createRecentReports } from '../decisions/recentReports.js'
 import type { RowStore, StoredRow } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
 import { parseJson, parseKnownLimit } from './peerMessages.js'
@@ -35,6 +36,8 @@
 const RECORDED = 'recorded'
 /** Reports of this instance that are written again after a restore; the oldest are dropped first. */
 const MAX_KEPT_REPORTS = 500
+/** After a restore, processes that run have written their reports again within this time. */
+const MISSING_REPORTS_DELAY_MS = 1500
 
 /** A row that tells other instances of a crash, an answer or a limit. */
 export type Report = Pick<StoredRow, 'key' | 'value'>
@@ -125,6 +128,9 @@
   let registeredState: string | undefined
   let hasReadLease = false
   let keptReports: Report[] = []
+  const recentReports = createRecentReports()
+  /** Keys of the reports that the store holds, from a restore until missing ones are written again. */
+  let listedReports: Set<string> | undefined
   const homesByAccount = new Map<string, readonly Peer[]>()
   let pendingReports: Report[] = []
   /** Reports that peers were told of directly. */
@@ -171,10 +177,13 @@
       recoveredEras.set(row.key.slice(PREFIX.recovered.length), Number(row.value))
       return
     }
-    if (!row.deleted) applyReport(row)
+    if (row.deleted) return
+    listedReports?.add(row.key)
+    applyReport(row)
   }
 
   function applyReport (row: Report): void {
+    if (!row.key.startsWith(PREFIX.limit)) recentReports.add({ key: row.key, value: row.value }, steadyNow())
     if (row.key.startsWith(PREFIX.crash)) {
       const [fingerprint = ''] = row.key.slice(PREFIX.crash.length).split('/')
       options.onCrash(fingerprint, row.key, decodeUnansweredRequest(row.value))
@@ -238,9 +247,25 @@
     awaitRecovery()
     queueAgain(keptReports)
     if (pendingReports.length > 0) scheduleReports(CRASH_REPORT_INTERVAL_MS)
+    listedReports = new Set()
+    scheduleMissingReports()
     scheduleDrop()
   }
 
+  /** Writes reports again whose writers have ended, once those that run have written theirs. One of the instances does so first. */
+  function scheduleMissingReports (): void {
+    const { current } = era
+    setTimeout(() => {
+      if (stopped || era.current !== current) return
+      const missing = recentReports.missingIn(listedReports ?? new Set(), steadyNow())
+      listedReports = undefined
+      if (missing.length === 0) return
+      log.event('reportsWrittenAgain', { count: missing.length })
+      queueAgain(missing)
+      scheduleReports(CRASH_REPORT_INTERVAL_MS)
+    }, MISSING_REPORTS_DELAY_MS * (1 + Math.random()))
+  }
+
   /** Drops the instances that don't register in the current era in time. */
   function scheduleDrop (): void {
     const { current } = era
