--- a/packages/gateway/src/__fixtures__/restorableFleet.ts
+++ b/packages/gateway/src/__fixtures__/restorableFleet.ts
@@ -60,6 +60,7 @@
       isStoreUnreachable: () => false,
       era,
       mayDraw: () => fleet.mayDraw,
+      lossesSince: fleet.lossesSince,
       onRecovered: fleet.confirmRecovery,
       onLeaseRead: fleet.noteLease,
       onTotals: (totals) => { if (!isKilled) witness.tell(totals) }
@@ -73,6 +74,7 @@
       spansParts: true,
       witnesses: () => others(`lease/${instanceId}`),
       hasRecovered: fleet.hasRecovered,
+      onRestated: fleet.confirmRecoveryOf,
       learnPredecessor: tokens.learnPredecessor,
       post: async (peerAddress, path, message) => isKilled ? { kind: 'failed', mayHaveArrived: false, reason: 'killed' } : await post(peerAddress, path, message)
     })
--- a/packages/gateway/src/__tests__/balanceChanges.test.ts
+++ b/packages/gateway/src/__tests__/balanceChanges.test.ts
@@ -2,7 +2,7 @@
 import { conflictRetryAt, prioritizeChanges, type BalanceChange } from '../decisions/balanceChanges.js'
 
 function createChange (changes: Partial<BalanceChange>): BalanceChange {
-  return { account: 'school', tokens: 1000, waitingRequests: 0, coverage: 0.5, notBefore: 0, ...changes }
+  return { account: 'school', tokens: 1000, isAnnouncement: false, waitingRequests: 0, coverage: 0.5, notBefore: 0, ...changes }
 }
 
 function orderedAccounts (changes: readonly BalanceChange[], now = 100): readonly string[] {
--- a/packages/gateway/src/__tests__/decisions.test.ts
+++ b/packages/gateway/src/__tests__/decisions.test.ts
@@ -104,7 +104,7 @@
 })
 
 describe('one account used at uneven rates, with store outages and killed instances', () => {
-  const idle = { free: 0, missingTokens: 0, rate: 0, ungranted: 1_000_000, rank: 0 }
+  const idle = { free: 0, missingTokens: 0, rate: 0, ungranted: 1_000_000, drawable: 1_000_000, rank: 0 }
 
   test('a busy home holds enough tokens for an outage, all homes of an idle account a small share', () => {
     expect(targetFreeTokens({ ...idle, rate: 10 })).toBeGreaterThanOrEqual(10 * 8000)
@@ -113,12 +113,12 @@
   })
 
   test('near exhaustion one instance does not draw all remaining tokens in advance', () => {
-    expect(grantChange({ ...idle, rate: 1000, ungranted: 40_000 })).toBeLessThanOrEqual(20_000)
+    expect(grantChange({ ...idle, rate: 1000, ungranted: 40_000, drawable: 40_000 })).toBeLessThanOrEqual(20_000)
   })
 
   test('tokens for waiting requests are drawn in full or not at all', () => {
-    expect(grantChange({ ...idle, missingTokens: 5000, ungranted: 5000 })).toBe(5000)
-    expect(grantChange({ ...idle, missingTokens: 5001, ungranted: 5000 })).toBe(0)
+    expect(grantChange({ ...idle, missingTokens: 5000, ungranted: 5000, drawable: 5000 })).toBe(5000)
+    expect(grantChange({ ...idle, missingTokens: 5001, ungranted: 5000, drawable: 5000 })).toBe(0)
   })
 
   test('an instance without callers returns tokens of a large grant', () => {
--- a/packages/gateway/src/__tests__/fleetTask.test.ts
+++ b/packages/gateway/src/__tests__/fleetTask.test.ts
@@ -133,6 +133,27 @@
     expect(memory.getRow({ table: 'fleet', part: '', key: 'instance/instance0' })?.split(' ').slice(3, 5)).toEqual(['1', 'recorded'])
   })
 
+  // Guards against tokens that are withheld after a restore since an instance that had left long before records nothing.
+  test('an instance that recorded its draws after one restore and left is not waited for after the next', async () => {
+    const memory = createMemoryRowStore()
+    const [stays, leaves] = [startInstance(memory, 'stays'), startInstance(memory, 'leaves')]
+    await jest.advanceTimersByTimeAsync(2000)
+    memory.restore(memory.takeCopy())
+    await jest.advanceTimersByTimeAsync(1000)
+    for (const { fleet } of [stays, leaves]) fleet.confirmRecovery(true)
+    await jest.advanceTimersByTimeAsync(4000)
+    leaves.fleet.follower.stop()
+    memory.removeRow({ table: 'fleet', part: '', key: 'instance/leaves' })
+    await jest.advanceTimersByTimeAsync(4000)
+    expect(stays.fleet.lossesSince(1)).toBe(0)
+    memory.restore(memory.takeCopy())
+    await jest.advanceTimersByTimeAsync(1000)
+    expect(stays.fleet.lossesSince(2)).toBe(1)
+    stays.fleet.confirmRecovery(true)
+    await jest.advanceTimersByTimeAsync(4000)
+    expect(stays.fleet.lossesSince(2)).toBe(0)
+  })
+
   test('an instance that registered after the copy registers again, and one that stopped after it is forgotten', async () => {
     const memory = createMemoryRowStore()
     const first = startInstance(memory, 'first')
--- a/packages/gateway/src/__tests__/restoredTokens.test.ts
+++ b/packages/gateway/src/__tests__/restoredTokens.test.ts
@@ -1,23 +1,29 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals'
-import { createMemoryRowStore, type MemoryRowStore } from '../__fixtures__/memoryRowStore.js'
+import fastCheck from 'fast-check'
+import { createMemoryRowStore, type MemoryRowStore, type RowStoreCopy } from '../__fixtures__/memoryRowStore.js'
 import type { RowStore } from '../ports.js'
 import { createRestorableFleet, type RestorableFleet, type RestorableInstance } from '../__fixtures__/restorableFleet.js'
 
 const ACCOUNT = 'school'
 const PREPAID = 100_000
+const LARGE_PREPAID = 1_000_000
+/** Sizes of requests that use up a large account. */
+const LARGE_SIZES = [80_000, 20_000, 5000]
+/** Longer than an announcement of a ceiling takes to count. */
+const PATIENT_FAILURES = 24
 const NAMES = ['a', 'b', 'c'] as const
 
 interface TestFleet {
   readonly memory: MemoryRowStore
   readonly fleet: RestorableFleet
-  readonly instances: RestorableInstance[]
+  instances: RestorableInstance[]
   used: number
 }
 
-async function startTestFleet (): Promise<TestFleet> {
+async function startTestFleet (prepaid = PREPAID, names: readonly string[] = NAMES): Promise<TestFleet> {
   const memory = createMemoryRowStore()
-  const fleet = createRestorableFleet(memory.store, ACCOUNT, PREPAID)
-  const instances = NAMES.map((name) => fleet.start(name))
+  const fleet = createRestorableFleet(memory.store, ACCOUNT, prepaid)
+  const instances = names.map((name) => fleet.start(name))
   await jest.advanceTimersByTimeAsync(2000)
   return { memory, fleet, instances, used: 0 }
 }
@@ -32,11 +38,11 @@
   return true
 }
 
-/** Uses tokens at all instances until none of them has any. */
-async function useUp (testFleet: TestFleet): Promise<void> {
-  for (const tokens of [8000, 2000, 500]) {
+/** Uses tokens at all instances until none of them has any, nor gets any in some rounds. */
+async function useUp (testFleet: TestFleet, sizes: readonly number[] = [8000, 2000, 500], maximumFailures = 12): Promise<void> {
+  for (const tokens of sizes) {
     let failures = 0
-    while (failures < 12) {
+    while (failures < maximumFailures) {
       const results: boolean[] = []
       for (const index of testFleet.instances.keys()) results.push(await use(testFleet, index, tokens))
       failures = results.includes(true) ? 0 : failures + 1
@@ -48,6 +54,19 @@
   testFleet.instances[index] = testFleet.fleet.start(NAMES[index] ?? '')
 }
 
+/** Kills all processes, restores the store from a copy and starts the instances again. */
+function loseAll (testFleet: TestFleet, copy: RowStoreCopy): void {
+  for (const instance of testFleet.instances) instance.kill()
+  testFleet.memory.restore(copy)
+  testFleet.instances = testFleet.instances.map((_, index) => testFleet.fleet.start(NAMES[index] ?? ''))
+}
+
+/** Replaces the fleet by one whose account is so large that part of its tokens is closed to draws at first. */
+async function startLargeAccount (names?: readonly string[]): Promise<void> {
+  for (const instance of testFleet.instances) instance.kill()
+  testFleet = await startTestFleet(LARGE_PREPAID, names)
+}
+
 /** A connection to the store that fails while `isCut`. */
 function createCuttableStore (store: RowStore): { readonly store: RowStore, isCut: boolean } {
   const state = { isCut: false }
@@ -215,3 +234,130 @@
     expect(testFleet.instances[0]?.fleet.mayDraw).toBe(true)
   })
 })
+
+/** A step of a play: the index of an instance is taken modulo their number. */
+type Step =
+  | { readonly kind: 'use', readonly instance: number, readonly tokens: number }
+  | { readonly kind: 'kill', readonly instance: number }
+  | { readonly kind: 'restore', readonly age: number }
+  | { readonly kind: 'loseAll', readonly age: number }
+
+const step: fastCheck.Arbitrary<Step> = fastCheck.oneof(
+  { weight: 8, arbitrary: fastCheck.record({ kind: fastCheck.constant('use' as const), instance: fastCheck.nat(2), tokens: fastCheck.integer({ min: 20_000, max: 120_000 }) }) },
+  { weight: 1, arbitrary: fastCheck.record({ kind: fastCheck.constant('kill' as const), instance: fastCheck.nat(2) }) },
+  { weight: 1, arbitrary: fastCheck.record({ kind: fastCheck.constant('restore' as const), age: fastCheck.nat(10) }) },
+  { weight: 2, arbitrary: fastCheck.record({ kind: fastCheck.constant('loseAll' as const), age: fastCheck.nat(10) }) }
+)
+
+/** Plays the steps, each of which takes 0.8 s, and then uses up the account. `age` is that of the copy, in steps. */
+async function play (steps: readonly Step[]): Promise<void> {
+  const copies: RowStoreCopy[] = [testFleet.memory.takeCopy()]
+  for (const next of steps) {
+    switch (next.kind) {
+      case 'use':
+        await use(testFleet, next.instance, next.tokens)
+        break
+      case 'kill':
+        testFleet.instances[next.instance]?.kill()
+        restart(testFleet, next.instance)
+        await jest.advanceTimersByTimeAsync(800)
+        break
+      case 'restore':
+      case 'loseAll': {
+        const copy = copies.at(-1 - next.age) ?? copies[0]
+        if (copy === undefined) throw new Error('no copy was taken')
+        if (next.kind === 'restore') testFleet.memory.restore(copy)
+        else loseAll(testFleet, copy)
+        await jest.advanceTimersByTimeAsync(800)
+      }
+    }
+    copies.push(testFleet.memory.takeCopy())
+  }
+  await useUp(testFleet, LARGE_SIZES)
+}
+
+describe('prepaid tokens after all processes that knew of their draws were lost with the store\'s last writes', () => {
+  // Guards against a bound that follows the use before the copy.
+  test.each([PREPAID, LARGE_PREPAID])('use that rises fivefold after the copy does not overspend an account of %i tokens', async (prepaid) => {
+    if (prepaid === LARGE_PREPAID) await startLargeAccount()
+    for (let round = 0; round < 4; round++) await use(testFleet, 0, prepaid / 100)
+    const copy = testFleet.memory.takeCopy()
+    for (let round = 0; round < 12; round++) await use(testFleet, round % 3, prepaid / 20)
+    loseAll(testFleet, copy)
+    await useUp(testFleet, LARGE_SIZES)
+    expect(testFleet.used).toBeLessThanOrEqual(prepaid)
+  })
+
+  // Guards against a loss that closes accounts that were hardly used.
+  test('a large account that was idle keeps a part that can be used, and all of a top-up', async () => {
+    await startLargeAccount()
+    await use(testFleet, 0, 5000)
+    loseAll(testFleet, testFleet.memory.takeCopy())
+    await useUp(testFleet, LARGE_SIZES, PATIENT_FAILURES)
+    expect(testFleet.used).toBeGreaterThanOrEqual(LARGE_PREPAID / 5)
+    const before = testFleet.used
+    for (const { tokens } of testFleet.instances) tokens.setPrepaid(ACCOUNT, LARGE_PREPAID + 200_000)
+    await useUp(testFleet, LARGE_SIZES)
+    expect(testFleet.used - before).toBeGreaterThanOrEqual(200_000 * 0.97)
+    expect(testFleet.used).toBeLessThanOrEqual(LARGE_PREPAID + 200_000)
+  })
+
+  // Guards against a loss that is accounted for by the prepaid tokens of an older configuration, before operators write theirs again.
+  test.each([PREPAID, LARGE_PREPAID])('tokens of a top-up that was used after the copy are not granted again when it is written again (%i tokens)', async (prepaid) => {
+    if (prepaid === LARGE_PREPAID) await startLargeAccount()
+    const copy = testFleet.memory.takeCopy()
+    const raised = prepaid * 1.5
+    for (const { tokens } of testFleet.instances) tokens.setPrepaid(ACCOUNT, raised)
+    for (let round = 0; round < 12; round++) await use(testFleet, round % 3, prepaid / 12)
+    loseAll(testFleet, copy)
+    await jest.advanceTimersByTimeAsync(1000)
+    for (const { tokens } of testFleet.instances) tokens.setPrepaid(ACCOUNT, raised)
+    await useUp(testFleet, LARGE_SIZES)
+    expect(testFleet.used).toBeLessThanOrEqual(raised)
+  })
+
+  // Guards against a process that survives, knows nothing of the others' draws, and draws as if there were none.
+  test.each(['start again', 'never start again'])('an instance that survives does not draw what others may have that were killed with all their peers and %s', async (what) => {
+    const names = Array.from({ length: 9 }, (_, index) => `node${index}`)
+    await startLargeAccount(names)
+    const copy = testFleet.memory.takeCopy()
+    for (let round = 0; round < 9; round++) await use(testFleet, 0, 60_000)
+    const told = testFleet.instances[0]?.fleet.homes('lease/node0').map(({ instanceId }) => instanceId) ?? []
+    const killed = new Set(['node0', ...told])
+    const running = names.map((name, index) => ({ name, instance: testFleet.instances[index] })).filter(({ name }) => !killed.has(name))
+    for (const [index, instance] of testFleet.instances.entries()) if (killed.has(names[index] ?? '')) instance.kill()
+    testFleet.memory.restore(copy)
+    testFleet.instances = running.flatMap(({ instance }) => instance ?? [])
+    if (what === 'start again') testFleet.instances.push(...[...killed].map((name) => testFleet.fleet.start(name)))
+    await useUp(testFleet, LARGE_SIZES)
+    expect(testFleet.used).toBeLessThanOrEqual(LARGE_PREPAID)
+  })
+
+  // Guards against a second loss from a copy that is older than the first one's record.
+  test('two losses in quick succession do not overspend', async () => {
+    await startLargeAccount()
+    const copy = testFleet.memory.takeCopy()
+    for (let round = 0; round < 4; round++) await use(testFleet, 0, 80_000)
+    loseAll(testFleet, copy)
+    await jest.advanceTimersByTimeAsync(3500)
+    for (let round = 0; round < 4; round++) await use(testFleet, 1, 80_000)
+    loseAll(testFleet, copy)
+    await useUp(testFleet, LARGE_SIZES)
+    expect(testFleet.used).toBeLessThanOrEqual(LARGE_PREPAID)
+  })
+
+  // Guards against ceilings that callers meet on ordinary days.
+  test('without a loss, an account that is used up within 25 s is never refused', async () => {
+    await startLargeAccount(['a'])
+    for (let round = 0; round < 28; round++) expect([round, await use(testFleet, 0, 32_000)]).toEqual([round, true])
+  })
+
+  // Guards against orders of copies, kills and restores that nobody thought of.
+  test('an account is never overspent, whatever is killed and restored', async () => {
+    await fastCheck.assert(fastCheck.asyncProperty(fastCheck.array(step, { minLength: 10, maxLength: 30, size: 'max' }), async (steps) => {
+      await startLargeAccount()
+      await play(steps)
+      expect(testFleet.used).toBeLessThanOrEqual(LARGE_PREPAID)
+    }), { numRuns: 25, endOnFailure: true })
+  })
+})
--- a/packages/gateway/src/decisions/balanceChanges.ts
+++ b/packages/gateway/src/decisions/balanceChanges.ts
@@ -18,6 +18,8 @@
   readonly account: string
   /** Positive to draw, negative to return. */
   readonly tokens: number
+  /** True when the account's ceiling has to rise, with or without a draw. */
+  readonly isAnnouncement: boolean
   readonly waitingRequests: number
   /** Free tokens as a fraction of the target; lower values are drawn first. */
   readonly coverage: number
@@ -28,7 +30,7 @@
 /** Returns the changes that may be tried now: draws that callers wait for, then returns, which other instances may need, then draws in advance. */
 export function prioritizeChanges (changes: readonly BalanceChange[], now: number): readonly BalanceChange[] {
   return changes
-    .filter((change) => change.tokens !== 0 && change.notBefore <= now)
+    .filter((change) => (change.tokens !== 0 || change.isAnnouncement) && change.notBefore <= now)
     .sort((left, right) => right.waitingRequests - left.waitingRequests || Number(right.tokens < 0) - Number(left.tokens < 0) || left.coverage - right.coverage)
 }
 
--- a/packages/gateway/src/decisions/grantSizing.ts
+++ b/packages/gateway/src/decisions/grantSizing.ts
@@ -43,6 +43,8 @@
   readonly rate: number
   /** Tokens of the account that no instance holds. */
   readonly ungranted: number
+  /** Those of them that may be drawn now. */
+  readonly drawable: number
   /** Rank of this instance among the account's homes, 0 for the first. */
   readonly rank: number
 }
@@ -59,7 +61,7 @@
   const target = targetFreeTokens(input)
   if (input.missingTokens > 0 || input.free < target * REFILL_THRESHOLD) {
     const wanted = input.missingTokens + Math.max(0, target * REFILL_FACTOR - Math.max(0, input.free))
-    const drawn = Math.floor(Math.min(wanted, input.ungranted))
+    const drawn = Math.floor(Math.min(wanted, input.drawable))
     if (input.missingTokens === 0 && drawn < MIN_PREFETCH_TOKENS) return 0
     return drawn >= input.missingTokens ? drawn : 0
   }
--- a/packages/gateway/src/decisions/leaseRow.ts
+++ b/packages/gateway/src/decisions/leaseRow.ts
@@ -1,11 +1,5 @@
 import * as v from 'valibot'
 
-/** Age of a copy from which the store is restored: a drill takes one that is some seconds old. */
-const MAX_COPY_AGE_MS = 30_000
-
-/** Use may have risen after the copy. Tokens that are withheld wrongly come back with a top-up; those spent twice don't. */
-const LATER_USE_FACTOR = 2
-
 /** Lease row of one instance: the tokens of each client account that its process holds. */
 const leaseRowSchema = v.object({
   /** ID of the process (incarnation) that wrote the row. */
@@ -59,12 +53,3 @@
   }
   return reclaimed
 }
-
-/**
- * Returns the tokens, by client account, that the process of a lease row from before a restore may have drawn and used after
- * the row was written: it used tokens at most at the announced rate, and those beyond its grant it had to draw.
- */
-export function estimateLaterDraws (row: LeaseRow, endedBy: number): ReadonlyMap<string, number> {
-  const elapsed = Math.min(MAX_COPY_AGE_MS, elapsedSinceSeal(row.sealedUntil, endedBy))
-  return new Map(Object.entries(row.accounts).map(([name, { held, limit, opening }]) => [name, Math.max(0, Math.ceil(limit + opening * LATER_USE_FACTOR * elapsed - held))]))
-}
--- a/packages/gateway/src/decisions/recordedTotals.ts
+++ b/packages/gateway/src/decisions/recordedTotals.ts
@@ -1,12 +1,12 @@
-import { estimateLaterDraws, leaseTotals, type LeaseRow } from './leaseRow.js'
+import { leaseTotals, type LeaseRow } from './leaseRow.js'
 
 /**
  * What an instance has in the balances of client accounts, and what the store lacks of it after a restore.
  *
  * The store may come back from an older copy. Balances and leases are written in one transaction, so the instance's lease
  * row in the copy tells exactly which of its draws and returns the balances in the copy hold. The difference to what the
- * process knows is recorded again. A process that starts after the restore doesn't know what its predecessor drew later: it
- * assumes use at the announced rate, until a peer tells what the predecessor had recorded.
+ * process knows is recorded again. A process that starts after the restore doesn't know what its predecessor drew later until a
+ * peer tells what the predecessor had recorded; meanwhile the accounts' ceilings bound it.
  */
 export interface RecordedTotals {
   /** Tokens of an account that the instance has drawn and not returned, in all of its lifetimes. */
@@ -29,6 +29,8 @@
   names (): readonly string[]
   /** True while balances lack tokens of this instance. */
   readonly isIncomplete: boolean
+  /** False while it is unknown what earlier processes of this instance drew. */
+  readonly isComplete: boolean
 }
 
 /** How a lease row relates to this process. */
@@ -37,8 +39,6 @@
   readonly isOutdated: boolean
   /** True when this process wrote the row. */
   readonly isOwn: boolean
-  /** Upper bound of the store time at which the previous process ended. */
-  readonly endedBy: number
 }
 
 /** What was taken over from a lease row. */
@@ -73,6 +73,7 @@
   /** True once the totals of all earlier processes are known. */
   let isExact = false
   /** Outdated row whose process may have drawn more than it says; without a lifetime when the store has no row. */
+  let isComplete = true
   let outdated: { readonly lifetime: string | undefined, readonly sequence: number } | undefined
 
   const total = (name: string): number => (earlier.get(name) ?? 0) + heldTokens(name)
@@ -92,13 +93,13 @@
     return 'restored'
   }
 
-  function takeOverOutdated (lease: LeaseRow, endedBy: number): Adoption {
-    const later = estimateLaterDraws(lease, endedBy)
+  function takeOverOutdated (lease: LeaseRow): Adoption {
     for (const [name, rowTotal] of leaseTotals(lease)) {
-      earlier.set(name, Math.max(earlier.get(name) ?? 0, rowTotal + (later.get(name) ?? 0)))
+      earlier.set(name, Math.max(earlier.get(name) ?? 0, rowTotal))
       setUnrecorded(name, total(name) - rowTotal)
     }
     outdated = { lifetime: lease.lifetime, sequence: lease.sequence }
+    isComplete = false
     return 'outdatedPredecessor'
   }
 
@@ -109,10 +110,13 @@
     addCorrection: (name, tokens) => setUnrecorded(name, (unrecorded.get(name) ?? 0) - tokens),
     reclaim: (name, tokens) => { earlier.set(name, (earlier.get(name) ?? 0) - tokens) },
     confirm: () => { isExact = true },
-    adopt: (lease, { isOutdated, isOwn, endedBy }) => {
+    adopt: (lease, { isOutdated, isOwn }) => {
       if (isExact && isOutdated) return compareWithRow(lease === undefined ? new Map() : leaseTotals(lease))
-      if (lease !== undefined && isOutdated) return takeOverOutdated(lease, endedBy)
-      if (lease === undefined && !isExact) outdated = { lifetime: undefined, sequence: 0 }
+      if (lease !== undefined && isOutdated) return takeOverOutdated(lease)
+      if (lease === undefined && !isExact) {
+        outdated = { lifetime: undefined, sequence: 0 }
+        if (isOutdated) isComplete = false
+      }
       if (lease === undefined || isOwn) {
         isExact = true
         return 'unchanged'
@@ -124,7 +128,10 @@
     },
     learnPredecessor: (lifetime, told) => {
       if (outdated === undefined) return false
-      if (outdated.lifetime === lifetime && told.sequence <= outdated.sequence) return false
+      if (outdated.lifetime === lifetime && told.sequence <= outdated.sequence) {
+        if (told.sequence === outdated.sequence) isComplete = true
+        return false
+      }
       const isLater = outdated.lifetime === undefined || outdated.lifetime === lifetime || outdated.lifetime === told.after
       let isNews = false
       for (const [name, toldTotal] of Object.entries(told.totals)) {
@@ -136,10 +143,14 @@
         earlier.set(name, learned)
         setUnrecorded(name, (unrecorded.get(name) ?? 0) + learned - known)
       }
-      if (isLater) outdated = { lifetime, sequence: told.sequence }
+      if (isLater) {
+        outdated = { lifetime, sequence: told.sequence }
+        isComplete = true
+      }
       return isNews
     },
     names,
-    get isIncomplete () { return unrecorded.size > 0 }
+    get isIncomplete () { return unrecorded.size > 0 },
+    get isComplete () { return isComplete }
   }
 }
--- a/packages/gateway/src/decisions/toldLease.ts
+++ b/packages/gateway/src/decisions/toldLease.ts
@@ -36,3 +36,11 @@
   }
   return missing
 }
+
+/** True when no lease row shows that the instance wrote something that it did not tell: the last of its totals are known. */
+export function isCurrentKnowledge (row: LeaseRow | undefined, told: ToldLease): boolean {
+  if (row === undefined || row.lifetime === told.after) return true
+  if (row.lifetime !== told.lifetime) return false
+  // Rows are renewed more often than totals change and are told.
+  return row.sequence <= told.sequence || [...leaseTotals(row)].every(([name, total]) => total === (told.totals[name] ?? 0))
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -116,6 +116,7 @@
     isStoreUnreachable: () => backends.follower.isStoreUnreachable,
     era,
     mayDraw: () => fleet.mayDraw,
+    lossesSince: fleet.lossesSince,
     onRecovered: fleet.confirmRecovery,
     onLeaseRead: fleet.noteLease,
     onTotals: (totals) => witness.tell(totals)
@@ -129,6 +130,7 @@
     spansParts: settings.storeSpansParts,
     witnesses: () => fleet.homes(`lease/${settings.instanceId}`).filter((home) => home.instanceId !== settings.instanceId),
     hasRecovered: fleet.hasRecovered,
+    onRestated: fleet.confirmRecoveryOf,
     learnPredecessor: tokens.learnPredecessor
   })
   const permits = createSendingPermits({
--- a/packages/gateway/src/tasks/balanceTable.ts
+++ b/packages/gateway/src/tasks/balanceTable.ts
@@ -1,3 +1,4 @@
+import { encodeDrawCeilings } from '../decisions/drawCeilings.js'
 import { encodeLeaseRow } from '../decisions/leaseRow.js'
 import type { ReadOutcome, RowStore, StoredRow, TransactionOutcome } from '../ports.js'
 import type { LeaseTransaction } from './tokenAccounts.js'
@@ -10,6 +11,7 @@
   /** Tokens granted to all instances. */
   readonly granted: number
   readonly balanceVersion: number
+  readonly ceilingsVersion: number
 }
 
 /** A lease row as last read. */
@@ -29,8 +31,11 @@
   /** Returns the instance's lease row of the newest era. */
   findLeaseRow (rows: readonly StoredRow[]): StoredRow | undefined
   findBalanceRow (rows: readonly StoredRow[], account: string): StoredRow | undefined
+  findCeilingsRow (rows: readonly StoredRow[], account: string): StoredRow | undefined
 }
 
+/** Key of an account's ceilings, after that of its balance; both are read in one range. */
+const CEILINGS_SUFFIX = '!ceilings'
 /** Separates an instance's ID from the era in the key of a lease row. */
 const ERA_SEPARATOR = '@'
 
@@ -58,6 +63,10 @@
     return { table: TABLE.balances, part: spansParts ? account : '', key: account }
   }
 
+  function ceilingsKey (account: string): { table: string, part: string, key: string } {
+    return { ...balanceKey(account), key: `${account}${CEILINGS_SUFFIX}` }
+  }
+
   async function read ({ table, part, key }: { table: string, part: string, key: string }, deadline: number): Promise<ReadOutcome> {
     return await store.read(table, part, deadline, { from: key, to: `${key}~` })
   }
@@ -70,11 +79,13 @@
       const expected = [
         { ...leasePlace, key, version: isFirstOfEra ? 0 : stored?.version ?? 0 },
         ...(isFirstOfEra ? [{ ...leasePlace, ...stored }] : []),
-        ...[...balances].map(([account, { balanceVersion }]) => ({ ...balanceKey(account), version: balanceVersion }))
+        ...[...balances].map(([account, { balanceVersion }]) => ({ ...balanceKey(account), version: balanceVersion })),
+        ...[...transaction.ceilings.keys()].map((account) => ({ ...ceilingsKey(account), version: balances.get(account)?.ceilingsVersion ?? 0 }))
       ]
       const writes = [
         { ...leasePlace, key, value: encodeLeaseRow(transaction.row) },
-        ...[...balances].map(([account, { granted }]) => ({ ...balanceKey(account), value: String(granted + (transaction.changes.get(account) ?? 0) + (transaction.corrections.get(account) ?? 0)) }))
+        ...[...balances].map(([account, { granted }]) => ({ ...balanceKey(account), value: String(granted + (transaction.changes.get(account) ?? 0) + (transaction.corrections.get(account) ?? 0)) })),
+        ...[...transaction.ceilings].map(([account, ceilings]) => ({ ...ceilingsKey(account), value: encodeDrawCeilings(ceilings) }))
       ]
       return await store.transact({ expected, writes, removals: isFirstOfEra ? [{ ...leasePlace, key: stored.key }] : [], spansParts }, deadline)
     },
@@ -84,6 +95,7 @@
       .filter((row) => !row.deleted && leaseEra(row) !== undefined)
       .sort((left, right) => (leaseEra(right) ?? 0) - (leaseEra(left) ?? 0))
       .at(0),
-    findBalanceRow: (rows, account) => rows.find((row) => row.table === TABLE.balances && row.key === account)
+    findBalanceRow: (rows, account) => rows.find((row) => row.table === TABLE.balances && row.key === account),
+    findCeilingsRow: (rows, account) => rows.find((row) => row.table === TABLE.balances && row.key === ceilingsKey(account).key)
   }
 }
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -10,7 +10,7 @@
 
 /** Table for messages between instances; its rows change rarely. */
 const TABLE = 'fleet'
-const PREFIX = { instance: 'instance/', crash: 'crash/', answer: 'answer/', limit: 'limit/', recovered: 'recovered/' } as const
+const PREFIX = { instance: 'instance/', crash: 'crash/', answer: 'answer/', limit: 'limit/', recovered: 'recovered/', unknownDraws: 'unknownDraws/' } as const
 /** Time that a long poll waits for a change. */
 const LONG_POLL_MS = 3000
 const WRITE_TIMEOUT_MS = 1000
@@ -30,9 +30,8 @@
 const RECOVERY_WAIT_MS = 3000
 /** An instance that has not registered again this long after a restore is taken for one that had stopped since the copy. */
 const REGISTRATION_GRACE_MS = 10_000
-/** Parts of a registration: whether the instance has draws from before a restore to record again. */
-const RECORDING = 'recording'
-const RECORDED = 'recorded'
+/** Part of a registration: whether the instance has draws from before a restore to record again. Not known yet while it starts. */
+type RecordingState = 'starting' | 'recording' | 'recorded'
 /** Reports of this instance that are written again after a restore; the oldest are dropped first. */
 const MAX_KEPT_REPORTS = 500
 
@@ -74,8 +73,15 @@
   readonly mayDraw: boolean
   /** True when an instance has recorded its draws again since the last restore. */
   hasRecovered (instanceId: string): boolean
-  /** Tells all instances that this one has recorded its draws again. */
-  confirmRecovery (): void
+  /**
+   * Number of restores since an era of the store after which draws of an instance may be unknown; 0 when all are recorded. Without
+   * an era, restores count only if an instance is known to have run before them.
+   */
+  lossesSince (era: number | undefined): number
+  /** Notes that this instance has recorded its draws again, and tells all instances if it knows all of them. */
+  confirmRecovery (isComplete: boolean): void
+  /** Tells all instances that the draws of a peer are recorded again. */
+  confirmRecoveryOf (instanceId: string): void
   /**
    * Notes that the lease of this instance's last process was read. An outdated one was written before a restore that this
    * process did not see.
@@ -116,11 +122,22 @@
   /** Era in which each instance has last recorded its draws again. */
   const recoveredEras = new Map<string, number>()
   /** What each instance told with its registration. */
-  const registrations = new Map<string, { readonly era: string, readonly configurationVersion: number, readonly isRecording: boolean }>()
+  const registrations = new Map<string, { readonly era: string, readonly configurationVersion: number, readonly state: string }>()
+  /** Instances that ran before a restore and have to record their draws again. */
+  const ranBeforeRestore = new Set<string>()
+  let lastRestoredEra: number | undefined
+  /** Eras in which an instance was forgotten whose draws nobody had recorded. */
+  const erasWithUnknownDraws = new Set<string>()
+  /** Earliest era in which an instance was registered. */
+  let earliestEra: number | undefined
   /** A process that starts may have missed a restore, so that it waits as well until the others are known. */
   let drawFrom = steadyNow() + RECOVERY_WAIT_MS
   /** True while the balances may lack tokens that this instance drew before a restore. */
-  let isRecording = true
+  let recordingState: RecordingState = 'starting'
+  /** Era in which this instance has recorded all of its draws again. */
+  let confirmedEra: number | undefined
+  /** Kept until a row or the state of this instance changes, as each review of an account asks for it. */
+  let unsettled: { readonly era: number | undefined, readonly instanceIds: readonly string[] } | undefined
   let isRegistering = false
   let registeredState: string | undefined
   let hasReadLease = false
@@ -140,13 +157,13 @@
   const isLeaseRead = new Promise<void>((resolve) => { markLeaseRead = resolve })
 
   /** Part of the registration that is written again when it changes; the era is known from the first response on. */
-  function recordingState (): string {
-    return `${era.current ?? ''} ${isRecording ? RECORDING : RECORDED}`
+  function registeredPart (): string {
+    return `${era.current ?? ''} ${recordingState}`
   }
 
   /** Value of this instance's row. */
   function registration (): string {
-    return `${options.peerAddress} ${options.failureDomain} ${options.incarnationId} ${recordingState()} ${options.configurationVersion()}`
+    return `${options.peerAddress} ${options.failureDomain} ${options.incarnationId} ${registeredPart()} ${options.configurationVersion()}`
   }
 
   async function writeRow (key: string, value: string): Promise<boolean> {
@@ -157,12 +174,14 @@
   }
 
   function applyRow (row: StoredRow): void {
+    unsettled = undefined
     if (row.key.startsWith(PREFIX.instance)) {
       const name = row.key.slice(PREFIX.instance.length)
       homesByAccount.clear()
-      const [address = '', failureDomain = '', incarnationId = '', registeredEra = '', recordingState = RECORDED, configurationVersion = '0'] = row.value.split(' ')
+      const [address = '', failureDomain = '', incarnationId = '', registeredEra = '', state = 'recorded', configurationVersion = '0'] = row.value.split(' ')
       rowVersions.set(name, row.version)
-      registrations.set(name, { era: registeredEra, configurationVersion: Number(configurationVersion), isRecording: recordingState === RECORDING })
+      registrations.set(name, { era: registeredEra, configurationVersion: Number(configurationVersion), state })
+      if (registeredEra !== '') earliestEra = Math.min(earliestEra ?? Infinity, Number(registeredEra))
       if (row.deleted) instances.delete(name)
       else instances.set(name, { instanceId: name, address, failureDomain, incarnationId })
       return
@@ -171,6 +190,10 @@
       recoveredEras.set(row.key.slice(PREFIX.recovered.length), Number(row.value))
       return
     }
+    if (row.key.startsWith(PREFIX.unknownDraws)) {
+      erasWithUnknownDraws.add(row.key.slice(PREFIX.unknownDraws.length))
+      return
+    }
     if (!row.deleted) applyReport(row)
   }
 
@@ -211,26 +234,55 @@
 
   function awaitRecovery (): void {
     drawFrom = steadyNow() + RECOVERY_WAIT_MS
-    isRecording = true
+    recordingState = 'recording'
+    unsettled = undefined
     startRegistration()
   }
 
   function noteLease (isOutdated: boolean): void {
     if (isOutdated) awaitRecovery()
-    else if (!hasReadLease && era.restoredAt === undefined) isRecording = false
+    else if (!hasReadLease && era.restoredAt === undefined) recordingState = 'recorded'
     hasReadLease = true
+    unsettled = undefined
     markLeaseRead()
-    if (registeredState !== undefined && registeredState !== recordingState()) startRegistration()
+    if (registeredState !== undefined && registeredState !== registeredPart()) startRegistration()
   }
 
   /** True when the balances lack no tokens that the instance drew before a restore. */
   function isSettled (instanceId: string): boolean {
     if (hasRecovered(instanceId)) return true
-    // A process that saw the restore knows which instances ran before: each of them records its draws again.
-    return era.restoredAt === undefined && hasRegistered(instanceId) && registrations.get(instanceId)?.isRecording === false
+    if (instanceId === options.instanceId) return recordingState !== 'recording' || (confirmedEra !== undefined && confirmedEra === era.current)
+    return !ranBeforeRestore.has(instanceId) && hasRegistered(instanceId) && registrations.get(instanceId)?.state === 'recorded'
+  }
+
+  /** Instances whose draws from before a restore may be missing in the balances. */
+  function unsettledInstances (): readonly string[] {
+    if (unsettled?.era !== era.current || unsettled === undefined) unsettled = { era: era.current, instanceIds: findUnsettled() }
+    return unsettled.instanceIds
+  }
+
+  function findUnsettled (): readonly string[] {
+    return [...new Set([...instances.keys(), ...ranBeforeRestore, options.instanceId])].filter((instanceId) => !isSettled(instanceId))
+  }
+
+  /** True for an instance that is known to have run before a restore. */
+  function isFromEarlierEra (instanceId: string): boolean {
+    const registration = registrations.get(instanceId)
+    return instanceId === options.instanceId || ranBeforeRestore.has(instanceId) || registration?.state === 'recording' || (registration?.era !== '' && !hasRegistered(instanceId))
+  }
+
+  function lossesSince (accountedEra: number | undefined): number {
+    const { current } = era
+    if (current === undefined || current === accountedEra) return 0
+    const isUnknown = erasWithUnknownDraws.has(String(current)) || unsettledInstances().some((instanceId) => accountedEra !== undefined || isFromEarlierEra(instanceId))
+    return isUnknown ? Math.max(1, current - (accountedEra ?? earliestEra ?? current)) : 0
   }
 
   function handleRestore (): void {
+    // Instances that recorded their draws after the restore before and have left since have nothing to record again.
+    for (const instanceId of ranBeforeRestore) if (recoveredEras.get(instanceId) === lastRestoredEra) ranBeforeRestore.delete(instanceId)
+    for (const instanceId of instances.keys()) ranBeforeRestore.add(instanceId)
+    lastRestoredEra = era.current
     awaitRecovery()
     pendingReports = [...keptReports, ...pendingReports].slice(-MAX_PENDING_REPORTS)
     if (pendingReports.length > 0) scheduleReports(CRASH_REPORT_INTERVAL_MS)
@@ -247,8 +299,13 @@
     for (const { instanceId } of peersOf()) {
       if (hasRegistered(instanceId)) continue
       const isRemover = homesOf(`${PREFIX.instance}${instanceId}`).some((home) => home.instanceId === options.instanceId)
+      if (!isSettled(instanceId)) {
+        ranBeforeRestore.add(instanceId)
+        writeRow(`${PREFIX.unknownDraws}${era.current ?? ''}`, instanceId).catch((error: unknown) => log.warning('unknownDrawsNotNoted', { instance: instanceId, reason: String(error) }))
+      }
       instances.delete(instanceId)
       homesByAccount.clear()
+      unsettled = undefined
       log.event('instanceNotConfirmed', { instance: instanceId, isRemover })
       if (isRemover) removeRegistration(instanceId).catch((error: unknown) => log.warning('registrationNotRemoved', { instance: instanceId, reason: String(error) }))
     }
@@ -259,15 +316,19 @@
     await store.transact({ expected: [{ ...row, version: rowVersions.get(name) ?? 0 }], writes: [], removals: [row] }, steadyNow() + WRITE_TIMEOUT_MS)
   }
 
-  async function writeRecovery (): Promise<void> {
+  async function writeRecovery (instanceId: string): Promise<void> {
     const confirmed = era.current
     for (;;) {
       if (stopped || confirmed === undefined || era.current !== confirmed) return
-      if (await writeRow(`${PREFIX.recovered}${options.instanceId}`, String(confirmed))) return
+      if (await writeRow(`${PREFIX.recovered}${instanceId}`, String(confirmed))) return
       await new Promise((resolve) => setTimeout(resolve, REPORT_RETRY_MS))
     }
   }
 
+  function confirmRecoveryOf (instanceId: string): void {
+    writeRecovery(instanceId).catch((error: unknown) => log.warning('recoveryNotConfirmed', { instance: instanceId, reason: String(error) }))
+  }
+
   function peersOf (): readonly Peer[] {
     return [...instances.values()].filter((peer) => peer.instanceId !== options.instanceId)
   }
@@ -276,10 +337,10 @@
     await Promise.race([Promise.all([isRead, isLeaseRead]), new Promise((resolve) => setTimeout(resolve, REGISTRATION_RETRY_MS))])
     for (;;) {
       if (stopped) return
-      const state = recordingState()
+      const state = registeredPart()
       const isWritten = await writeRow(`${PREFIX.instance}${options.instanceId}`, registration())
       if (isWritten) registeredState = state
-      if (state !== recordingState()) continue
+      if (state !== registeredPart()) continue
       if (isWritten) return
       await new Promise((resolve) => setTimeout(resolve, REGISTRATION_RETRY_MS))
     }
@@ -373,9 +434,16 @@
     reportAnswer,
     announceLimit,
     mayBeOutdated: (configurationVersion) => !hasReadPeers || peersOf().some(({ instanceId }) => !hasRegistered(instanceId) || (registrations.get(instanceId)?.configurationVersion ?? 0) > configurationVersion),
-    get mayDraw () { return steadyNow() >= drawFrom || (hasReadPeers && instances.size > 0 && peersOf().every((peer) => isSettled(peer.instanceId))) },
+    get mayDraw () { return steadyNow() >= drawFrom || (hasReadPeers && instances.size > 0 && unsettledInstances().length === 0) },
     hasRecovered,
-    confirmRecovery: () => { writeRecovery().catch((error: unknown) => log.warning('recoveryNotConfirmed', { reason: String(error) })) },
+    lossesSince,
+    confirmRecovery: (isComplete) => {
+      if (!isComplete) return
+      confirmedEra = era.current
+      unsettled = undefined
+      confirmRecoveryOf(options.instanceId)
+    },
+    confirmRecoveryOf,
     noteLease,
     receive: (reports) => { for (const report of reports) applyReport(report) },
     follower,
--- a/packages/gateway/src/tasks/leaseManager.ts
+++ b/packages/gateway/src/tasks/leaseManager.ts
@@ -1,5 +1,6 @@
 import { steadyNow } from '../clock.js'
 import { conflictRetryAt, type BalanceChange } from '../decisions/balanceChanges.js'
+import { accountForDraws, announceCeiling, closedTokens, decodeDrawCeilings, MAX_COPY_AGE_MS, type DrawCeilings } from '../decisions/drawCeilings.js'
 import { limitGrowthRate, usageAllowance } from '../decisions/grantSizing.js'
 import { decodeLeaseRow, elapsedSinceSeal, reclaimableTokens, type LeaseRow } from '../decisions/leaseRow.js'
 import { createRecordedTotals } from '../decisions/recordedTotals.js'
@@ -9,7 +10,7 @@
 import type { StoreEra } from './storeEra.js'
 import type { AccountState, LeaseTotals, LeaseTransaction } from './tokenAccounts.js'
 import { CORRECTIONS_PER_TRANSACTION, PREFETCH_PAUSE_AFTER_RETURN_MS, SEAL_DURATION_MS, TRANSACTION_TIMEOUT_AFTER_FAILURE_MS, TRANSACTION_TIMEOUT_MS } from './tokenTiming.js'
-import { waitingTokens } from './waitingRequests.js'
+import { missingTokens, waitingTokens } from './waitingRequests.js'
 
 /** Outcome of a renewal: applied, conflicting with another write, or rejected or left unanswered by the store. */
 export type RenewalResult = 'done' | 'conflict' | 'failed'
@@ -20,6 +21,12 @@
   renew (changes: readonly BalanceChange[]): Promise<RenewalResult>
   /** Reads the balances again, as other instances may have returned tokens. */
   readBalances (names: readonly string[]): Promise<void>
+  /** Tokens of an account that are neither granted nor withheld. */
+  ungranted (state: AccountState): number
+  /** Those of them that may be drawn now. */
+  drawable (state: AccountState): number
+  /** True when the use of an account comes near the tokens that may be drawn and a higher ceiling can be announced. */
+  isAnnouncementDue (state: AccountState): boolean
   /** Milliseconds since the end of the seal, 0 while it lasts. */
   timeSinceSeal (): number
   /** Time of the last renewal, by `steadyNow`. */
@@ -43,7 +50,8 @@
   readonly accounts: ReadonlyMap<string, AccountState>
   readonly stateOf: (name: string) => AccountState
   readonly era: StoreEra
-  readonly onRecovered: () => void
+  readonly lossesSince: (era: number | undefined) => number
+  readonly onRecovered: (isComplete: boolean) => void
   readonly onLeaseRead: (isOutdated: boolean) => void
   readonly onTotals: (totals: LeaseTotals) => void
 }
@@ -66,6 +74,8 @@
   let predecessorLease: { readonly row: LeaseRow, readonly endedBy: number } | undefined
   /** Transactions without a reply. They expect the same lease version, so at most one of them can take effect. */
   let unresolved: LeaseTransaction[] = []
+  /** False after a restore: the store's clock may have gone back with its rows. */
+  let isClockValid = true
   let storeClock: { readonly time: number, readonly at: number } | undefined
   let sealedUntil = 0
   let renewedAt = 0
@@ -81,7 +91,8 @@
   }
 
   function updateStoreClock (time: number): void {
-    if (storeClock === undefined || time > storeTime()) storeClock = { time, at: steadyNow() }
+    if (storeClock === undefined || !isClockValid || time > storeTime()) storeClock = { time, at: steadyNow() }
+    isClockValid = true
   }
 
   /**
@@ -97,6 +108,24 @@
     return failedAt === 0 ? storeTime() + SEAL_DURATION_MS : sealedUntil
   }
 
+  function ceilingsOf (state: AccountState): DrawCeilings {
+    return accountForDraws(state.ceilings, { era: era.current, prepaid: state.prepaid ?? 0, granted: state.granted, losses: state.ceilings?.era === era.current && state.ceilings !== undefined ? 0 : options.lossesSince(state.ceilings?.era) })
+  }
+
+  function ungranted (state: AccountState): number {
+    return Math.max(0, (state.prepaid ?? 0) - state.granted - ceilingsOf(state).withheld)
+  }
+
+  function drawable (state: AccountState): number {
+    // The restores of a store that names no era can't be noticed, so that closed tokens would never be of use.
+    return Math.max(0, ungranted(state) - (era.current === undefined ? 0 : closedTokens(ceilingsOf(state), storeTime())))
+  }
+
+  /** Ceilings after a draw of `tokens`. */
+  function nextCeilings (state: AccountState, tokens: number): DrawCeilings {
+    return announceCeiling(ceilingsOf(state), { ungranted: ungranted(state) - tokens, rate: state.ledger.rate(steadyNow()), missingTokens: missingTokens(state), storeTime: storeTime() })
+  }
+
   /** Composes the next transaction. Returned tokens leave the ledgers and lower limits apply at once. */
   function composeTransaction (dueChanges: readonly BalanceChange[]): LeaseTransaction {
     const reclaimed = predecessorLease === undefined ? new Map<string, number>() : reclaimableTokens(predecessorLease.row, predecessorLease.endedBy)
@@ -127,7 +156,8 @@
     sequence++
     const row: LeaseRow = { lifetime: incarnationId, sequence, era: era.current, sealedUntil: nextSealEnd(), accounts: rows }
     sealedUntil = Math.max(sealedUntil, row.sealedUntil)
-    return { row, changes, corrections, reclaimed }
+    const ceilings = new Map([...changes].filter(([, change]) => change >= 0 && era.current !== undefined).map(([name, change]) => [name, nextCeilings(stateOf(name), change)]))
+    return { row, changes, corrections, reclaimed, ceilings }
   }
 
   /** Applies a transaction that took effect to the ledgers. */
@@ -161,7 +191,7 @@
     reportTotals(false)
     if (!isRestored || recorded.isIncomplete) return
     isRestored = false
-    options.onRecovered()
+    options.onRecovered(recorded.isComplete)
   }
 
   function describeUnrecorded (): string {
@@ -203,7 +233,7 @@
   /** Compares the lease row with what this process knows of the instance's tokens. */
   function takeOverTotals (lease: LeaseRow | undefined, endedBy: number): void {
     const isOutdated = lease !== undefined && lease.era !== era.current
-    const adoption = recorded.adopt(lease, { isOutdated: isOutdated || isRestored, isOwn: lease?.lifetime === incarnationId, endedBy })
+    const adoption = recorded.adopt(lease, { isOutdated: isOutdated || isRestored, isOwn: lease?.lifetime === incarnationId })
     if (adoption !== 'unchanged') log.event('leaseTakenOver', { adoption, from: lease?.lifetime, sequence: lease?.sequence, rowEra: lease?.era, era: era.current, unrecorded: describeUnrecorded() })
     // A write of the previous process may take effect after its row was read. The newer row replaces it, as that write may have returned tokens.
     if (lease !== undefined && adoption === 'predecessor') {
@@ -222,10 +252,11 @@
     unresolved = []
     predecessorLease = undefined
     storedLease = undefined
+    isClockValid = false
     isLeaseRead = false
     isRestored = true
     renewedAt = 0
-    for (const state of accounts.values()) Object.assign(state, { balanceVersion: 0, granted: 0, nextChangeAt: 0 })
+    for (const state of accounts.values()) Object.assign(state, { balanceVersion: 0, granted: 0, ceilings: undefined, ceilingsVersion: 0, nextChangeAt: 0 })
   }
 
   function parseLeaseRow (row: StoredRow): LeaseRow | undefined {
@@ -237,12 +268,24 @@
     }
   }
 
+  function parseCeilings (row: StoredRow): DrawCeilings | undefined {
+    try {
+      return decodeDrawCeilings(row.value)
+    } catch (error) {
+      log.warning('ceilingsUnreadable', { rowVersion: row.version, reason: String(error).slice(0, 200) })
+      return undefined
+    }
+  }
+
   function updateBalances (names: Iterable<string>, rows: readonly StoredRow[]): void {
     for (const name of names) {
       const row = table.findBalanceRow(rows, name)
       const state = stateOf(name)
       state.balanceVersion = row === undefined || row.deleted ? 0 : row.version
       state.granted = row === undefined || row.deleted || row.version === 0 ? 0 : Number(row.value)
+      const ceilingsRow = table.findCeilingsRow(rows, name)
+      state.ceilingsVersion = ceilingsRow?.version ?? 0
+      state.ceilings = ceilingsRow === undefined || ceilingsRow.version === 0 ? undefined : parseCeilings(ceilingsRow)
     }
   }
 
@@ -267,6 +310,10 @@
         for (const name of changedAccounts) {
           const state = stateOf(name)
           state.balanceVersion = outcome.version
+          const ceilings = transaction.ceilings.get(name)
+          if (ceilings === undefined) continue
+          if (ceilings.withheld > (state.ceilings?.withheld ?? 0)) log.event('tokensWithheld', { account: name, tokens: ceilings.withheld, granted: state.granted, prepaid: state.prepaid, rowEra: state.ceilings?.era, era: ceilings.era })
+          Object.assign(state, { ceilings, ceilingsVersion: outcome.version })
           state.nextChangeAt = 0
         }
         applyTransaction(transaction)
@@ -333,13 +380,17 @@
   return {
     renew,
     readBalances,
+    ungranted,
+    drawable,
+    isAnnouncementDue: (state) => era.current !== undefined && drawable(state) < Math.max(missingTokens(state), state.ledger.rate(steadyNow()) * MAX_COPY_AGE_MS) && nextCeilings(state, 0) !== ceilingsOf(state),
     timeSinceSeal,
     get renewedAt () { return renewedAt },
     get isFailing () { return failedAt > 0 },
     get isRecovering () { return isRestored },
     learnPredecessor: (lifetime, told) => {
+      const wasComplete = recorded.isComplete
       if (recorded.learnPredecessor(lifetime, told)) log.event('predecessorLearned', { lifetime, sequence: told.sequence, unrecorded: describeUnrecorded() })
-      isRestored ||= recorded.isIncomplete
+      isRestored ||= recorded.isIncomplete || (recorded.isComplete && !wasComplete)
     },
     reportFinalTotals: () => reportTotals(true)
   }
--- a/packages/gateway/src/tasks/leaseWitness.ts
+++ b/packages/gateway/src/tasks/leaseWitness.ts
@@ -1,6 +1,6 @@
 import { steadyNow } from '../clock.js'
 import { decodeLeaseRow, leaseTotals, type LeaseRow } from '../decisions/leaseRow.js'
-import { missingTotals, toldTotalsSchema, type ToldLease } from '../decisions/toldLease.js'
+import { isCurrentKnowledge, missingTotals, toldTotalsSchema, type ToldLease } from '../decisions/toldLease.js'
 import type { RowStore } from '../ports.js'
 import { openBalanceTable, type BalanceTable, type ObservedBalance } from './balanceTable.js'
 import type { DecisionLog } from './decisionLog.js'
@@ -44,6 +44,8 @@
   readonly witnesses: () => readonly Peer[]
   /** True when an instance has recorded its totals itself since the last restore. */
   readonly hasRecovered: (instanceId: string) => boolean
+  /** Called when the totals of an instance are recorded as its last process knew them. */
+  readonly onRestated: (instanceId: string) => void
   readonly learnPredecessor: (lifetime: string, told: LeaseTotals) => void
   readonly post?: Post
 }
@@ -95,7 +97,7 @@
       const outcome = await table.readBalance(name, steadyNow() + TRANSACTION_TIMEOUT_MS)
       if (outcome.kind !== 'rows') return undefined
       const row = table.findBalanceRow(outcome.rows, name)
-      balances.set(name, row === undefined || row.deleted ? { granted: 0, balanceVersion: 0 } : { granted: Number(row.value), balanceVersion: row.version })
+      balances.set(name, row === undefined || row.deleted ? { granted: 0, balanceVersion: 0, ceilingsVersion: 0 } : { granted: Number(row.value), balanceVersion: row.version, ceilingsVersion: 0 })
     }
     return balances
   }
@@ -110,7 +112,10 @@
     // The instance has recorded its totals itself, or its next process asks for them.
     if (row !== undefined && row.era === era.current) return 'done'
     const missing = missingTotals(row, lease)
-    if (missing.size === 0) return 'done'
+    if (missing.size === 0) {
+      if (isCurrentKnowledge(row, lease)) options.onRestated(lease.instanceId)
+      return 'done'
+    }
     const corrections = new Map([...missing].slice(0, CORRECTIONS_PER_TRANSACTION))
     const balances = await readBalances(table, corrections.keys())
     if (balances === undefined) return 'again'
@@ -118,9 +123,11 @@
     const accounts = { ...row?.accounts }
     for (const [name, tokens] of corrections) accounts[name] = { held: 0, limit: 0, opening: 0, total: (rowTotals.get(name) ?? 0) + tokens }
     const written: LeaseRow = { sealedUntil: 0, ...row, lifetime: lease.lifetime, era: row?.era ?? lease.era, sequence: corrections.size === missing.size ? lease.sequence : row?.sequence ?? 0, accounts }
-    const result = await table.transact({ row: written, changes: new Map(), corrections, reclaimed: new Map() }, stored === undefined ? undefined : { key: stored.key, version: stored.version }, balances, steadyNow() + TRANSACTION_TIMEOUT_MS)
+    const result = await table.transact({ row: written, changes: new Map(), corrections, reclaimed: new Map(), ceilings: new Map() }, stored === undefined ? undefined : { key: stored.key, version: stored.version }, balances, steadyNow() + TRANSACTION_TIMEOUT_MS)
     if (result.kind === 'applied') log.event('balanceCorrectedForPeer', { instance: lease.instanceId, lifetime: lease.lifetime, accounts: [...corrections].map(([name, tokens]) => `${name}:${tokens}`).join(',') })
-    return result.kind === 'applied' && corrections.size === missing.size ? 'done' : 'again'
+    if (result.kind !== 'applied' || corrections.size !== missing.size) return 'again'
+    if (isCurrentKnowledge(row, lease)) options.onRestated(lease.instanceId)
+    return 'done'
   }
 
   async function restate (lease: ToldLease, restoredAt: number | undefined): Promise<void> {
--- a/packages/gateway/src/tasks/tokenAccounts.ts
+++ b/packages/gateway/src/tasks/tokenAccounts.ts
@@ -1,4 +1,5 @@
 import type { ReservationOutcome } from '../decisions/requestPlan.js'
+import type { DrawCeilings } from '../decisions/drawCeilings.js'
 import type { LeaseRow } from '../decisions/leaseRow.js'
 import { createTokenLedger, type TokenLedger } from '../decisions/tokenLedger.js'
 import type { RowStore } from '../ports.js'
@@ -50,8 +51,13 @@
   readonly era: StoreEra
   /** True once other instances have recorded again, after a restore of the store, what they had drawn before. */
   readonly mayDraw: () => boolean
-  /** Called when this instance has recorded again what it had drawn before a restore. */
-  readonly onRecovered: () => void
+  /**
+   * Number of restores, since the era in which an account's draws were last accounted for, after which draws of an instance may be
+   * unknown; 0 when all are recorded. The era is undefined for an account that was never drawn on.
+   */
+  readonly lossesSince: (era: number | undefined) => number
+  /** Called when this instance has recorded again what it had drawn before a restore; it may be unknown what its last process drew. */
+  readonly onRecovered: (isComplete: boolean) => void
   /** Called when the lease of this instance's last process was read; an outdated one was written before a restore that this process did not see. */
   readonly onLeaseRead: (isOutdated: boolean) => void
   /** Called with the instance's totals whenever they have changed; `isFinal` when the process will not change them any more. */
@@ -84,6 +90,9 @@
   /** Tokens granted to all instances, from the account's balance row as last read; `balanceVersion` is the row's version. */
   granted: number
   balanceVersion: number
+  /** Limits to draws as last read; undefined without a row. */
+  ceilings: DrawCeilings | undefined
+  ceilingsVersion: number
   isReturnRequested: boolean
   isBorrowing: boolean
   /** Consecutive loan requests that yielded no tokens although no home knew the account to be short. */
@@ -108,11 +117,13 @@
   readonly changes: ReadonlyMap<string, number>
   /** Tokens by account that the balances lack, or have too many, since the store was restored; the ledgers don't change. */
   readonly corrections: ReadonlyMap<string, number>
+  /** Limits to later draws, by account that is drawn on. */
+  readonly ceilings: ReadonlyMap<string, DrawCeilings>
   /** Tokens reclaimed from the previous process, by account. */
   readonly reclaimed: ReadonlyMap<string, number>
 }
 
 /** Creates the initial state of an account. `trafficSince` returns the arrival time, by `steadyNow`, of the first request of any account. */
 export function createAccountState (name: string, trafficSince: () => number): AccountState {
-  return { name, prepaid: undefined, ledger: createTokenLedger(trafficSince), waiting: [], granted: 0, balanceVersion: 0, isReturnRequested: false, isBorrowing: false, failedLoanRequests: 0, usedAt: 0, prefetchPausedUntil: 0, rejectUntil: 0, rejectFromTokens: 0, consecutiveShortages: 0, nextChangeAt: 0 }
+  return { name, prepaid: undefined, ledger: createTokenLedger(trafficSince), waiting: [], granted: 0, balanceVersion: 0, ceilings: undefined, ceilingsVersion: 0, isReturnRequested: false, isBorrowing: false, failedLoanRequests: 0, usedAt: 0, prefetchPausedUntil: 0, rejectUntil: 0, rejectFromTokens: 0, consecutiveShortages: 0, nextChangeAt: 0 }
 }
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -9,7 +9,7 @@
 import { createLeaseManager, type RenewalResult } from './leaseManager.js'
 import type { LoanKind, LoanReply } from './peerMessages.js'
 import { createAccountState, type AccountState, type TokenTask, type TokenTaskOptions } from './tokenAccounts.js'
-import { drawableTokens, isRejectedAtOnce, missingTokens, rejectWaiting, serveWaiting, tokenRetryAt, ungrantedTokens, waitingTokens } from './waitingRequests.js'
+import { coveredMissingTokens, isRejectedAtOnce, missingTokens, rejectWaiting, serveWaiting, tokenRetryAt, waitingTokens } from './waitingRequests.js'
 
 /** Starts the task, which reviews all accounts at a fixed interval. */
 export function startTokenTask (options: TokenTaskOptions): TokenTask {
@@ -22,6 +22,7 @@
     accounts,
     stateOf,
     era: options.era,
+    lossesSince: options.lossesSince,
     onRecovered: options.onRecovered,
     onLeaseRead: options.onLeaseRead,
     onTotals: options.onTotals
@@ -51,6 +52,10 @@
     return lease.isRecovering || (change > 0 && isDrawingPaused()) ? 0 : change
   }
 
+  function isAnnouncementDue (state: AccountState): boolean {
+    return state.prepaid !== undefined && !isClosing && !isDrawingPaused() && drawsDirectly(state) && lease.isAnnouncementDue(state)
+  }
+
   function wantedChangeOf (state: AccountState): number {
     const now = steadyNow()
     if (state.prepaid === undefined) return 0
@@ -63,7 +68,7 @@
   }
 
   function grantInput (state: AccountState, now: number): GrantInput {
-    return { free: state.ledger.free, missingTokens: drawsDirectly(state) ? drawableTokens(state) : 0, rate: state.ledger.rate(now), ungranted: ungrantedTokens(state), rank: options.homeRank(state.name) ?? 0 }
+    return { free: state.ledger.free, missingTokens: drawsDirectly(state) ? coveredMissingTokens(state, lease.drawable(state)) : 0, rate: state.ledger.rate(now), ungranted: lease.ungranted(state), drawable: lease.drawable(state), rank: options.homeRank(state.name) ?? 0 }
   }
 
   /** Balance changes that may be made now, in order of priority. */
@@ -71,6 +76,7 @@
     return prioritizeChanges([...accounts.values()].map((state) => ({
       account: state.name,
       tokens: balanceChangeOf(state),
+      isAnnouncement: isAnnouncementDue(state),
       waitingRequests: state.waiting.length,
       coverage: state.ledger.free / Math.max(1, targetFreeTokens(grantInput(state, now))),
       notBefore: state.nextChangeAt
@@ -79,7 +85,7 @@
 
   /** An instance that is not a home draws only after the homes lent nothing, and returns to the store what it holds of its own lease. */
   function visitorChange (state: AccountState): number {
-    const missing = drawsDirectly(state) ? drawableTokens(state) : 0
+    const missing = drawsDirectly(state) ? coveredMissingTokens(state, lease.drawable(state)) : 0
     if (missing > 0) return missing
     const isReturnDue = state.waiting.length === 0 && (isIdle(state) || state.ledger.free > MAX_VISITOR_FREE_TOKENS)
     return isReturnDue && state.ledger.held > 0 ? -Math.max(0, Math.floor(Math.min(state.ledger.free, state.ledger.held))) : 0
@@ -135,7 +141,7 @@
     await lease.readBalances(shortAccounts.map((state) => state.name))
     if (await renew() === 'conflict') await renew()
     serveAllWaiting()
-    for (const state of shortAccounts) if (missingTokens(state) > ungrantedTokens(state)) rejectForShortage(state)
+    for (const state of shortAccounts) if (missingTokens(state) > lease.drawable(state)) rejectForShortage(state)
   }
 
   /** True while callers wait for a draw that is backing off after a conflict. */
@@ -146,7 +152,7 @@
   /** Collects what the account's other homes hold, before its callers are rejected. */
   async function borrowForShortage (state: AccountState): Promise<void> {
     const missing = Math.ceil(missingTokens(state))
-    if (missing <= ungrantedTokens(state) || state.isBorrowing) return
+    if (missing <= lease.drawable(state) || state.isBorrowing) return
     const loan = await options.borrow(state.name, missing, 'partial')
     if (loan.tokens > 0) takeBack(state.name, loan.tokens)
   }
--- a/packages/gateway/src/tasks/waitingRequests.ts
+++ b/packages/gateway/src/tasks/waitingRequests.ts
@@ -1,19 +1,14 @@
 import type { AccountState } from './tokenAccounts.js'
 import { MAX_SHORTAGE_REJECTION_MS, MAX_TOKEN_WAIT_MS, MAX_TOKEN_WAIT_WITHOUT_STORE_MS, NO_TOKENS_RETRY_MS, SHORTAGE_REJECTION_MS } from './tokenTiming.js'
 
-/** Returns the tokens of the account that no instance holds. */
-export function ungrantedTokens (state: AccountState): number {
-  return Math.max(0, (state.prepaid ?? 0) - state.granted)
-}
-
 /** Returns the tokens by which waiting requests exceed the free ones. */
 export function missingTokens (state: AccountState): number {
   return Math.max(0, waitingTokens(state) - state.ledger.free)
 }
 
-/** Like `missingTokens`, counting only requests that the account's remaining tokens cover. */
-export function drawableTokens (state: AccountState): number {
-  const available = ungrantedTokens(state) + Math.max(0, state.ledger.free)
+/** Like `missingTokens`, counting only requests that the free tokens and `drawable` further ones cover. */
+export function coveredMissingTokens (state: AccountState, drawable: number): number {
+  const available = drawable + Math.max(0, state.ledger.free)
   let fitting = 0
   for (const request of state.waiting) if (fitting + request.tokens <= available) fitting += request.tokens
   return Math.max(0, fitting - Math.max(0, state.ledger.free))
