Vouch for a process whose instance was killed around two restores from copies of the same time

The copy of the second restore named a process before the one that peers had been told of, and that one named no predecessor, as it had learned its predecessor's totals from a peer and not from a lease row. It names it now.

--- a/packages/gateway/src/__tests__/restoredTokens.test.ts
+++ b/packages/gateway/src/__tests__/restoredTokens.test.ts
@@ -9,6 +9,8 @@
 const LARGE_PREPAID = 1_000_000
 /** Sizes of requests that use up a large account. */
 const LARGE_SIZES = [80_000, 20_000, 5000]
+/** Used of an account after the kills of two processes that held a part of it. */
+const WITHOUT_LOSS_SHARE = 0.6
 /** Longer than an announcement of a ceiling takes to count. */
 const PATIENT_FAILURES = 24
 const NAMES = ['a', 'b', 'c'] as const
@@ -333,6 +335,22 @@
     expect(testFleet.used).toBeLessThanOrEqual(LARGE_PREPAID)
   })
 
+  // Guards against tokens that are withheld although a peer knows them: the copy names a process before the one that peers know.
+  test('nothing is withheld from an instance that was killed around each of two restores while its peers ran on', async () => {
+    const copy = testFleet.memory.takeCopy()
+    for (let round = 0; round < 2; round++) {
+      for (let request = 0; request < 3; request++) await use(testFleet, 0, 8000)
+      testFleet.instances[0]?.kill()
+      testFleet.memory.restore(copy)
+      restart(testFleet, 0)
+      await jest.advanceTimersByTimeAsync(1000)
+    }
+    await useUp(testFleet)
+    expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
+    // What the killed processes held is lost with them.
+    expect(testFleet.used).toBeGreaterThanOrEqual(PREPAID * WITHOUT_LOSS_SHARE)
+  })
+
   // Guards against a second loss from a copy that is older than the first one's record.
   test('two losses in quick succession do not overspend', async () => {
     await startLargeAccount()
--- a/packages/gateway/src/tasks/leaseManager.ts
+++ b/packages/gateway/src/tasks/leaseManager.ts
@@ -201,7 +201,7 @@
   /** Reports the totals when they have changed. */
   function reportTotals (isFinal: boolean): void {
     const totals = Object.fromEntries(recorded.names().map((name) => [name, recorded.total(name)]).filter(([, total]) => total !== 0))
-    const text = JSON.stringify(totals)
+    const text = JSON.stringify([lastProcess, totals])
     if (text === reportedTotals && !isFinal) return
     reportedTotals = text
     options.onTotals({ sequence, isFinal, after: lastProcess, totals })
@@ -390,7 +390,11 @@
     learnPredecessor: (lifetime, told) => {
       const wasComplete = recorded.isComplete
       if (recorded.learnPredecessor(lifetime, told)) log.event('predecessorLearned', { lifetime, sequence: told.sequence, unrecorded: describeUnrecorded() })
-      isRestored ||= recorded.isIncomplete || (recorded.isComplete && !wasComplete)
+      if (recorded.isComplete && !wasComplete) {
+        lastProcess = lifetime
+        isRestored = true
+      }
+      isRestored ||= recorded.isIncomplete
     },
     reportFinalTotals: () => reportTotals(true)
   }
