Record draws again that a process left unrecorded when it was killed during the recovery

After a restore of the store a process records its draws again, a few accounts a transaction.

The row now names, by account, the tokens that the balance still lacks. The next process takes them over, records them, and counts as recovering until then, so that the others wait with their draws.

--- a/packages/gateway/src/decisions/leaseRow.ts
+++ b/packages/gateway/src/decisions/leaseRow.ts
@@ -13,9 +13,10 @@
   /**
    * By client account: tokens granted, the maximum use before `sealedUntil`, its growth afterwards in tokens per millisecond,
    * and the tokens that the instance has in the account's balance: those granted and those that its earlier processes did
-   * not leave to this one. A balance is the sum of the totals of all instances.
+   * not leave to this one. A balance is the sum of the totals of all instances. `unrecorded` tokens are still to be added to
+   * the total after a restore of the store.
    */
-  accounts: v.record(v.string(), v.object({ held: v.number(), limit: v.number(), opening: v.number(), total: v.optional(v.number()) }))
+  accounts: v.record(v.string(), v.object({ held: v.number(), limit: v.number(), opening: v.number(), total: v.optional(v.number()), unrecorded: v.optional(v.number()) }))
 })
 
 /** Lease row of one instance. */
@@ -36,6 +37,11 @@
   return new Map(Object.entries(row.accounts).map(([name, { held, total }]) => [name, total ?? held]))
 }
 
+/** Returns the tokens, by client account, that the balances lacked when the row was written. */
+export function unrecordedTokens (row: LeaseRow): ReadonlyMap<string, number> {
+  return new Map(Object.entries(row.accounts).flatMap(([name, { unrecorded = 0 }]) => unrecorded === 0 ? [] : [[name, unrecorded]]))
+}
+
 /** Returns the milliseconds since the end of the seal, 0 while it lasts. */
 export function elapsedSinceSeal (sealedUntil: number, storeTime: number): number {
   return Math.max(0, storeTime - sealedUntil)
--- a/packages/gateway/src/decisions/recordedTotals.ts
+++ b/packages/gateway/src/decisions/recordedTotals.ts
@@ -1,4 +1,4 @@
-import { leaseTotals, type LeaseRow } from './leaseRow.js'
+import { leaseTotals, unrecordedTokens, type LeaseRow } from './leaseRow.js'
 
 /**
  * What an instance has in the balances of client accounts, and what the store lacks of it after a restore.
@@ -94,8 +94,9 @@
   }
 
   function takeOverOutdated (lease: LeaseRow): Adoption {
+    const lacking = unrecordedTokens(lease)
     for (const [name, rowTotal] of leaseTotals(lease)) {
-      earlier.set(name, Math.max(earlier.get(name) ?? 0, rowTotal))
+      earlier.set(name, Math.max(earlier.get(name) ?? 0, rowTotal + (lacking.get(name) ?? 0)))
       setUnrecorded(name, total(name) - rowTotal)
     }
     outdated = { lifetime: lease.lifetime, sequence: lease.sequence }
@@ -123,7 +124,13 @@
       }
       isExact = true
       earlier.clear()
+      unrecorded.clear()
       for (const [name, rowTotal] of leaseTotals(lease)) earlier.set(name, rowTotal)
+      // That process was killed before it had recorded all of its draws again.
+      for (const [name, tokens] of unrecordedTokens(lease)) {
+        earlier.set(name, (earlier.get(name) ?? 0) + tokens)
+        setUnrecorded(name, tokens)
+      }
       return 'predecessor'
     },
     learnPredecessor: (lifetime, told) => {
--- a/packages/gateway/src/tasks/leaseManager.ts
+++ b/packages/gateway/src/tasks/leaseManager.ts
@@ -52,7 +52,7 @@
   readonly era: StoreEra
   readonly lossesSince: (era: number | undefined) => number
   readonly onRecovered: (isComplete: boolean) => void
-  readonly onLeaseRead: (isOutdated: boolean) => void
+  readonly onLeaseRead: (hasMissedRestore: boolean) => void
   readonly onTotals: (totals: LeaseTotals) => void
 }
 
@@ -151,7 +151,7 @@
       const unrecorded = recorded.unrecorded(state.name) - (corrections.get(state.name) ?? 0)
       const held = Math.max(0, state.ledger.held + addedTokens - Math.max(0, unrecorded))
       const total = recorded.total(state.name) + Math.max(0, change) - unrecorded
-      if (held !== 0 || total !== 0) rows[state.name] = { held, limit, opening: growthRate, total }
+      if (held !== 0 || total !== 0 || unrecorded !== 0) rows[state.name] = { held, limit, opening: growthRate, total, ...(unrecorded === 0 ? {} : { unrecorded }) }
     }
     sequence++
     const row: LeaseRow = { lifetime: incarnationId, sequence, era: era.current, sealedUntil: nextSealEnd(), accounts: rows }
@@ -240,11 +240,10 @@
       predecessorLease = { row: lease, endedBy }
       lastProcess = lease.lifetime
     }
-    if (adoption === 'outdatedPredecessor') {
-      predecessorLease = undefined
-      isRestored = true
-    }
-    options.onLeaseRead(adoption === 'outdatedPredecessor')
+    if (adoption === 'outdatedPredecessor') predecessorLease = undefined
+    const hasMissedRestore = adoption === 'outdatedPredecessor' || (adoption === 'predecessor' && recorded.isIncomplete)
+    if (hasMissedRestore) isRestored = true
+    options.onLeaseRead(hasMissedRestore)
   }
 
   /** After a restore nothing is known of the rows; returns that were under way stay out of the ledgers, as they may be in the copy. */
