Keep idle connections on which a request has arrived

Cause: Node runs timers before it reads connections. When a connection's idle timeout passes while the process is busy, a request that arrived meanwhile is dropped unread. Node closes a second after the timeout, so that it takes a process that is over a second behind or a caller at the edge of its time. A connection is now closed only when reading it has brought nothing; the same holds for the idle connections of an instance that stops, and for the router.

--- a/packages/caller-connections/src/index.ts
+++ b/packages/caller-connections/src/index.ts
@@ -2,3 +2,4 @@
 export { handleArrivedEvents } from './arrivedEvents.js'
 export { createConnectionErrors, type ConnectionErrors } from './connectionErrors.js'
 export { detectReset, isDelimitedByClose } from './detectReset.js'
+export { keepConnectionsWithUnreadRequests } from './idleConnections.js'
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,3 +1,4 @@
+import { handleArrivedEvents } from '@quinceshunt/caller-connections'
 import { steadyNow } from './clock.js'
 import { createMetrics } from '@quinceshunt/telemetry'
 import { randomUUID } from 'node:crypto'
@@ -257,6 +258,7 @@
         await acceptQueuedConnections(callers)
         callers.stopListening()
       }
+      await handleArrivedEvents()
       callers.closeIdleConnections()
       const hasOpenConnections = callers.openConnections > 0 && steadyNow() < listenUntil + FIRST_REQUEST_WAIT_MS
       if (callers.activeRequests === 0 && !hasOpenConnections) return
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -1,4 +1,4 @@
-import { createCallerWatch, createConnectionErrors, type CallerPresence } from '@quinceshunt/caller-connections'
+import { createCallerWatch, createConnectionErrors, keepConnectionsWithUnreadRequests, type CallerPresence } from '@quinceshunt/caller-connections'
 import { steadyNow } from '../clock.js'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Server as NetServer } from 'node:net'
@@ -64,6 +64,7 @@
       sendError(context, response, { status: 500, code: 'internal_error', message: 'the response could not be processed', run: 'unknown' })
     })
   })
+  keepConnectionsWithUnreadRequests(server)
   server.on('connection', (socket) => {
     lastConnectionAt = steadyNow()
     openConnections++
--- a/packages/router/src/callersListener.ts
+++ b/packages/router/src/callersListener.ts
@@ -1,7 +1,7 @@
 import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createSecureServer } from 'node:https'
 import type { Duplex } from 'node:stream'
-import { createCallerWatch, createConnectionErrors, type CallerPresence } from '@quinceshunt/caller-connections'
+import { createCallerWatch, createConnectionErrors, keepConnectionsWithUnreadRequests, type CallerPresence } from '@quinceshunt/caller-connections'
 import { extractTraceContext, failSpan, SpanKind, startSpan, contextWithSpan, type Span, type TraceContext } from '@quinceshunt/telemetry'
 import { formatCallerError, sendCallerError, type CallerError } from './callerError.js'
 import { serveChat } from './chatRequest.js'
@@ -71,6 +71,7 @@
   const options = { maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: Math.min(HEADERS_TIMEOUT_MS, services.settings.requestDeadlineMilliseconds), requestTimeout: services.settings.requestDeadlineMilliseconds, keepAliveTimeout: 30_000 }
   const tls = listenerTls(services.settings.callersTls, false)
   const server = tls === undefined ? createServer(options, handleRequest) : createSecureServer({ ...options, ...tls }, handleRequest) as unknown as Server
+  keepConnectionsWithUnreadRequests(server)
   server.on('clientError', connectionErrors.handle)
   return {
     server,
