Release the reserved return of a request whose backend server went on

A retry for a silence reserves a second one for the request's return. When the backend server went on while the retry was being reserved, the reserve was kept until the request ended, so that for that time other requests had one retry less. It is released at once now.

--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -9,6 +9,7 @@
 import { recordAcceptance } from './availableBackends.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { connectionHeaders } from './errorResponses.js'
+import { releaseReturn } from './releaseReturn.js'
 import type { RequestState } from './requestTask.js'
 
 /** Normal time to the first byte, in addition to the prefill. */
@@ -239,8 +240,10 @@
         hasLoggedRefusal = true
         return
       case 'reserved':
-        if (settled || lastProgressAt !== progressAt) return
-        return setAttemptAside(silentMilliseconds, reservation.backendId)
+        if (settled) return
+        if (lastProgressAt === progressAt) setAttemptAside(silentMilliseconds, reservation.backendId)
+        else releaseReturn(state)
+        return
       default: assertNever(reservation)
     }
   }
@@ -404,8 +407,7 @@
   function recordSoundAnswer (): void {
     if (isAnswerSound || answeredAt === undefined) return
     isAnswerSound = true
-    state.reservedReturn?.release()
-    state.reservedReturn = undefined
+    releaseReturn(state)
     context.crashGuard.recordAnswer(state.guarded, answeredAt)
   }
 
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -12,6 +12,7 @@
 import type { CallerFields } from '../ports.js'
 import { findAvailableBackends } from './availableBackends.js'
 import { runAttempt, type AttemptSetAside, type BufferedResponse } from './attempt.js'
+import { releaseReturn } from './releaseReturn.js'
 import type { GuardedRequest } from './crashGuard.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { sendError, sendNotRun } from './errorResponses.js'
@@ -254,12 +255,6 @@
   return true
 }
 
-/** Gives the retry back that is reserved for a return. */
-function releaseReturn (state: RequestState): void {
-  state.reservedReturn?.release()
-  state.reservedReturn = undefined
-}
-
 /** Reserves one more send to a backend server that was given up for a silence. */
 async function reserveReturn (context: GatewayContext, state: RequestState, backendIds: readonly string[]): Promise<RetryReservation> {
   if (hasCallerLeft(state)) return { kind: 'refused', reason: 'the caller has left' }
