--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -86,10 +86,10 @@
   /** Tells all instances that the draws of a peer are recorded again. */
   confirmRecoveryOf (instanceId: string): void
   /**
-   * Notes that the lease of this instance's last process was read. An outdated one was written before a restore that this
-   * process did not see.
+   * Notes that the lease of this instance's last process was read. `hasMissedRestore`: it lacks draws from before a restore that
+   * this process did not see.
    */
-  noteLease (isOutdated: boolean): void
+  noteLease (hasMissedRestore: boolean): void
   readonly follower: TableFollower
   /** Removes this instance from the list of instances. */
   deregister (): Promise<void>
@@ -250,10 +250,10 @@
     startRegistration()
   }
 
-  function noteLease (isOutdated: boolean): void {
+  function noteLease (hasMissedRestore: boolean): void {
     // The store may have been away, and restored, since this process started.
     if (!hasReadLease) drawFrom = steadyNow() + RECOVERY_WAIT_MS
-    if (isOutdated) awaitRecovery()
+    if (hasMissedRestore) awaitRecovery()
     else if (!hasReadLease && era.restoredAt === undefined) recordingState = 'recorded'
     hasReadLease = true
     unsettled = undefined
--- a/packages/gateway/src/tasks/tokenAccounts.ts
+++ b/packages/gateway/src/tasks/tokenAccounts.ts
@@ -63,8 +63,8 @@
   readonly lossesSince: (era: number | undefined) => number
   /** Called when this instance has recorded again what it had drawn before a restore; it may be unknown what its last process drew. */
   readonly onRecovered: (isComplete: boolean) => void
-  /** Called when the lease of this instance's last process was read; an outdated one was written before a restore that this process did not see. */
-  readonly onLeaseRead: (isOutdated: boolean) => void
+  /** Called when the lease of this instance's last process was read; `hasMissedRestore` when it lacks draws from before a restore. */
+  readonly onLeaseRead: (hasMissedRestore: boolean) => void
   /** Called with the instance's totals whenever they have changed; `isFinal` when the process will not change them any more. */
   readonly onTotals: (totals: LeaseTotals) => void
 }
