--- a/packages/gateway/src/__tests__/fleetTask.test.ts
+++ b/packages/gateway/src/__tests__/fleetTask.test.ts
@@ -133,6 +133,27 @@
     expect(memory.getRow({ table: 'fleet', part: '', key: 'instance/instance0' })?.split(' ').slice(3, 5)).toEqual(['1', 'recorded'])
   })
 
+  // Guards against tokens that are withheld after a restore since an instance that had left long before records nothing.
+  test('an instance that recorded its draws after one restore and left is not waited for after the next', async () => {
+    const memory = createMemoryRowStore()
+    const [stays, leaves] = [startInstance(memory, 'stays'), startInstance(memory, 'leaves')]
+    await jest.advanceTimersByTimeAsync(2000)
+    memory.restore(memory.takeCopy())
+    await jest.advanceTimersByTimeAsync(1000)
+    for (const { fleet } of [stays, leaves]) fleet.confirmRecovery(true)
+    await jest.advanceTimersByTimeAsync(4000)
+    leaves.fleet.follower.stop()
+    memory.removeRow({ table: 'fleet', part: '', key: 'instance/leaves' })
+    await jest.advanceTimersByTimeAsync(4000)
+    expect(stays.fleet.lossesSince(1)).toBe(0)
+    memory.restore(memory.takeCopy())
+    await jest.advanceTimersByTimeAsync(1000)
+    expect(stays.fleet.lossesSince(2)).toBe(1)
+    stays.fleet.confirmRecovery(true)
+    await jest.advanceTimersByTimeAsync(4000)
+    expect(stays.fleet.lossesSince(2)).toBe(0)
+  })
+
   test('an instance that registered after the copy registers again, and one that stopped after it is forgotten', async () => {
     const memory = createMemoryRowStore()
     const first = startInstance(memory, 'first')
@@ -198,4 +219,48 @@
     await jest.advanceTimersByTimeAsync(2000)
     expect(learned).toEqual(['poison'])
   })
+
+  // Guards against an instance that starts after the restore and lets a request crash further backend servers, as the only writer of its reports has ended.
+  test('crash reports of an instance that was killed are written again by those that know them', async () => {
+    const memory = createMemoryRowStore()
+    const reporter = startInstance(memory, 'reporter')
+    const known: string[] = []
+    startInstance(memory, 'other', 'b', (fingerprint) => known.push(fingerprint))
+    await jest.advanceTimersByTimeAsync(2000)
+    const copy = memory.takeCopy()
+    for (let crash = 0; crash < 3; crash++) reporter.fleet.reportCrash('poison', { parts: [], backendProcess: `server/${crash}`, sentAt: 10 * crash, crashedAt: 10 * crash + 5 })
+    await jest.advanceTimersByTimeAsync(2000)
+    expect(known).toHaveLength(3)
+    reporter.fleet.follower.stop()
+    memory.restore(copy)
+    await jest.advanceTimersByTimeAsync(6000)
+    const learned: string[] = []
+    startInstance(memory, 'reporter', 'a', (fingerprint) => learned.push(fingerprint))
+    await jest.advanceTimersByTimeAsync(2000)
+    expect(learned).toHaveLength(3)
+  })
+
+  // Guards against a transaction that the store may refuse for ever, as it names a row twice.
+  test('reports that wait for the store when it is restored are written once', async () => {
+    let fault: StoreFault = { kind: 'none' }
+    const memory = createMemoryRowStore(() => fault)
+    const keys: string[][] = []
+    const reporter = startInstance(memory, 'reporter', 'a', () => {}, {
+      ...memory.store,
+      transact: async (transaction, deadline) => {
+        keys.push(transaction.writes.map(({ key }) => key))
+        return await memory.store.transact(transaction, deadline)
+      }
+    })
+    await jest.advanceTimersByTimeAsync(2000)
+    const copy = memory.takeCopy()
+    fault = { kind: 'refuse' }
+    reporter.fleet.reportCrash('poison', { parts: [], backendProcess: 'server/1', sentAt: 1, crashedAt: 2 })
+    await jest.advanceTimersByTimeAsync(700)
+    memory.restore(copy)
+    await jest.advanceTimersByTimeAsync(3000)
+    fault = { kind: 'none' }
+    await jest.advanceTimersByTimeAsync(3000)
+    expect(keys.filter((written) => new Set(written).size < written.length)).toEqual([])
+  })
 })
--- a/packages/gateway/src/decisions/leaseRow.ts
+++ b/packages/gateway/src/decisions/leaseRow.ts
@@ -1,11 +1,5 @@
 import * as v from 'valibot'
 
-/** Age of a copy from which the store is restored: a drill takes one that is some seconds old. */
-const MAX_COPY_AGE_MS = 30_000
-
-/** Use may have risen after the copy. Tokens that are withheld wrongly come back with a top-up; those spent twice don't. */
-const LATER_USE_FACTOR = 2
-
 /** Lease row of one instance: the tokens of each client account that its process holds. */
 const leaseRowSchema = v.object({
   /** ID of the process (incarnation) that wrote the row. */
@@ -19,9 +13,10 @@
   /**
    * By client account: tokens granted, the maximum use before `sealedUntil`, its growth afterwards in tokens per millisecond,
    * and the tokens that the instance has in the account's balance: those granted and those that its earlier processes did
-   * not leave to this one. A balance is the sum of the totals of all instances.
+   * not leave to this one. A balance is the sum of the totals of all instances. `unrecorded` tokens are still to be added to
+   * the total after a restore of the store.
    */
-  accounts: v.record(v.string(), v.object({ held: v.number(), limit: v.number(), opening: v.number(), total: v.optional(v.number()) }))
+  accounts: v.record(v.string(), v.object({ held: v.number(), limit: v.number(), opening: v.number(), total: v.optional(v.number()), unrecorded: v.optional(v.number()) }))
 })
 
 /** Lease row of one instance. */
@@ -42,6 +37,11 @@
   return new Map(Object.entries(row.accounts).map(([name, { held, total }]) => [name, total ?? held]))
 }
 
+/** Returns the tokens, by client account, that the balances lacked when the row was written. */
+export function unrecordedTokens (row: LeaseRow): ReadonlyMap<string, number> {
+  return new Map(Object.entries(row.accounts).flatMap(([name, { unrecorded = 0 }]) => unrecorded === 0 ? [] : [[name, unrecorded]]))
+}
+
 /** Returns the milliseconds since the end of the seal, 0 while it lasts. */
 export function elapsedSinceSeal (sealedUntil: number, storeTime: number): number {
   return Math.max(0, storeTime - sealedUntil)
@@ -59,12 +59,3 @@
   }
   return reclaimed
 }
-
-/**
- * Returns the tokens, by client account, that the process of a lease row from before a restore may have drawn and used after
- * the row was written: it used tokens at most at the announced rate, and those beyond its grant it had to draw.
- */
-export function estimateLaterDraws (row: LeaseRow, endedBy: number): ReadonlyMap<string, number> {
-  const elapsed = Math.min(MAX_COPY_AGE_MS, elapsedSinceSeal(row.sealedUntil, endedBy))
-  return new Map(Object.entries(row.accounts).map(([name, { held, limit, opening }]) => [name, Math.max(0, Math.ceil(limit + opening * LATER_USE_FACTOR * elapsed - held))]))
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,3 +1,4 @@
+import { handleArrivedEvents } from '@quinceshunt/caller-connections'
 import { steadyNow } from './clock.js'
 import { createMetrics } from '@quinceshunt/telemetry'
 import { randomUUID } from 'node:crypto'
@@ -21,6 +22,7 @@
 import { startFleetTask } from './tasks/fleetTask.js'
 import type { GatewayContext } from './tasks/gatewayContext.js'
 import { createLeaseWitness } from './tasks/leaseWitness.js'
+import { createOpenResponses } from './tasks/openResponses.js'
 import { createPeerListener, PEER_PATH, postToPeer } from './tasks/peerMessages.js'
 import { observeStoreTime } from './tasks/observeStoreTime.js'
 import { createSendingPermits } from './tasks/sendingPermits.js'
@@ -30,6 +32,8 @@
 
 /** New connections are accepted for this time after SIGTERM: the load balancer removes an instance after two failed checks. */
 const LISTEN_AFTER_STOP_MS = 2600
+/** Requests that come later than this after SIGTERM are refused, as they may not be finished when the process exits. */
+const TAKE_AFTER_STOP_MS = 3000
 /** The process exits this long before SIGKILL, whatever is still in progress. */
 const FORCED_EXIT_MARGIN_MS = 150
 /** Requests are abandoned and tokens returned this long before SIGKILL; callers have no claim to the last sixth of the stop time. */
@@ -74,6 +78,7 @@
     reportAnswer: (part) => fleet.reportAnswer(part)
   })
   let stopping = false
+  let refusesFrom = Infinity
 
   const fleet = startFleetTask({
     store,
@@ -117,6 +122,7 @@
     isStoreUnreachable: () => backends.follower.isStoreUnreachable,
     era,
     mayDraw: () => fleet.mayDraw,
+    lossesSince: fleet.lossesSince,
     onRecovered: fleet.confirmRecovery,
     onLeaseRead: fleet.noteLease,
     onTotals: (totals) => witness.tell(totals)
@@ -130,6 +136,7 @@
     spansParts: settings.storeSpansParts,
     witnesses: () => fleet.homes(`lease/${settings.instanceId}`).filter((home) => home.instanceId !== settings.instanceId),
     hasRecovered: fleet.hasRecovered,
+    onRestated: fleet.confirmRecoveryOf,
     learnPredecessor: tokens.learnPredecessor
   })
   const permits = createSendingPermits({
@@ -145,7 +152,15 @@
   const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow })
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
   const confirmedConfiguration = createConfirmedConfiguration({ current: () => configuration.current, mayBeOutdated: fleet.mayBeOutdated })
-  const backends = startBackendTask({ platform, log, era, drainMilliseconds: settings.drainMilliseconds, onRemoved: (state) => connections.closeIdle(state.entry.address) })
+  const backends = startBackendTask({
+    platform,
+    log,
+    era,
+    drainMilliseconds: settings.drainMilliseconds,
+    onRemoved: (state) => connections.closeIdle(state.entry.address),
+    onRestarted: (predecessor, backendProcess) => acceptance.restart(predecessor, backendProcess, steadyNow())
+  })
+  const acceptance = createBackendAcceptance(backends.processes)
   const context: GatewayContext = {
     settings,
     wire: platform.wire,
@@ -154,7 +169,7 @@
     eventLoopDelay: startEventLoopDelay(metrics, log),
     configuration: confirmedConfiguration,
     backends,
-    acceptance: createBackendAcceptance(backends.processes),
+    acceptance,
     connections,
     tokens,
     fleet,
@@ -163,7 +178,9 @@
     permits,
     choices: new WeakMap(),
     responseBuffer: createByteBudget(RESPONSE_BUFFER_BYTES),
-    isStopping: () => stopping
+    openResponses: createOpenResponses(),
+    isStopping: () => stopping,
+    takesRequests: () => steadyNow() < refusesFrom
   }
   const callers = createCallersListener(context)
 
@@ -208,6 +225,7 @@
   function stop (): void {
     if (stopping) return
     stopping = true
+    refusesFrom = steadyNow() + TAKE_AFTER_STOP_MS
     const killedAt = steadyNow() + settings.stopSeconds * 1000
     log.event('stopping', { active: callers.activeRequests, killedAt })
     stopGracefully({ context, callers, killedAt })
@@ -247,9 +265,12 @@
   const listenUntil = steadyNow() + LISTEN_AFTER_STOP_MS
   while (steadyNow() < killedAt - TOKEN_RETURN_MARGIN_MS) {
     if (steadyNow() >= listenUntil) {
-      if (callers.server.listening) await acceptQueuedConnections(callers)
-      callers.server.close()
-      callers.server.closeIdleConnections()
+      if (callers.server.listening) {
+        await acceptQueuedConnections(callers)
+        callers.stopListening()
+      }
+      await handleArrivedEvents()
+      callers.closeIdleConnections()
       const hasOpenConnections = callers.openConnections > 0 && steadyNow() < listenUntil + FIRST_REQUEST_WAIT_MS
       if (callers.activeRequests === 0 && !hasOpenConnections) {
         // A request that comes while the tokens are returned would be cut off by the exit.
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -1,4 +1,5 @@
 import { steadyNow } from '../clock.js'
+import { handleArrivedEvents } from '@quinceshunt/caller-connections'
 import { assertNever } from '@quinceshunt/effects'
 import type { IncomingMessage } from 'node:http'
 import { backendProcessOf, failureWeight, markPartsCached, recordObservation, silenceMilliseconds, type BackendObservation, type PendingAttempt } from '../decisions/backendState.js'
@@ -7,9 +8,10 @@
 import { isRetryable, type AttemptOutcome, type RetryReservation } from '../decisions/requestPlan.js'
 import type { ResponseFields } from '../ports.js'
 import { recordAcceptance } from './availableBackends.js'
+import { bufferResponse, closingHeaders, mediaTypeOf, withoutContentLength } from './forwardedResponse.js'
 import type { GatewayContext } from './gatewayContext.js'
-import { connectionHeaders } from './errorResponses.js'
 import { recordUse } from './recordUse.js'
+import { releaseReturn } from './releaseReturn.js'
 import type { RequestState } from './requestTask.js'
 
 /** Normal time to the first byte, in addition to the prefill. */
@@ -45,12 +47,6 @@
 
 const STATUS = { ok: 200, lastOk: 299, serverError: 500 } as const
 
-/** A buffered response that has not been forwarded yet. */
-export interface BufferedResponse {
-  readonly status: number
-  deliver (): void
-}
-
 /** An attempt at a silent backend server that goes on until its retry elsewhere is answered. */
 export interface AttemptSetAside {
   /** True once the backend server has sent bytes again. */
@@ -216,7 +212,6 @@
     endAbandonedStream(now)
     if (!isRepeatable || state.attempts >= state.route.maximumAttempts || setAside !== undefined || isReserving) return
     if (now - lastProgressAt < stallTimeout(now) || now < reserveRetryAt) return
-    recordSilence()
     reserveRetryAt = now + RESERVE_AGAIN_MS
     continueElsewhere(now).catch((error: unknown) => context.log.warning('retryFailed', { request: state.fields.attemptId, reason: String(error) }))
   }
@@ -232,6 +227,13 @@
   async function continueElsewhere (stalledAt: number): Promise<void> {
     const progressAt = lastProgressAt
     isReserving = true
+    // After a pause of this process, answers that had arrived are read only now.
+    await handleArrivedEvents()
+    if (settled || lastProgressAt !== progressAt) {
+      isReserving = false
+      return
+    }
+    recordSilence()
     const reservation = await reserveRetry().finally(() => { isReserving = false })
     const silentMilliseconds = stalledAt - progressAt
     switch (reservation.kind) {
@@ -240,8 +242,10 @@
         hasLoggedRefusal = true
         return
       case 'reserved':
-        if (settled || lastProgressAt !== progressAt) return
-        return setAttemptAside(silentMilliseconds, reservation.backendId)
+        if (settled) return
+        if (lastProgressAt === progressAt) setAttemptAside(silentMilliseconds, reservation.backendId)
+        else releaseReturn(state)
+        return
       default: assertNever(reservation)
     }
   }
@@ -307,7 +311,7 @@
     }
     if (isStreamed && !state.headersSent) {
       const responseHeaders = wire.buildResponseHeaders(incoming.rawHeaders)
-      response.writeHead(status, withoutContentLength(responseHeaders, context))
+      response.writeHead(status, [...withoutContentLength(responseHeaders), ...closingHeaders(context, response)])
       state.headersSent = true
       recordUse(context, state, state.fields.prompt?.inputTokens ?? 0)
       state.streamHead = { status, mediaType }
@@ -355,6 +359,7 @@
     }
     if (complete.bytes.length === 0) return
     state.deliveredEvents += complete.events
+    state.hasUnidentifiedEvents ||= complete.hasUnidentified
     if (complete.lastEventId !== '') state.lastEventId = complete.lastEventId
     if (!response.write(complete.bytes)) {
       exchange.pause()
@@ -380,7 +385,7 @@
       return settle({ kind: 'notRun', reason: `the backend server rejected it with status ${status}` })
     }
     state.mayHaveRun = true
-    const buffered = bufferResponse(head.incoming)
+    const buffered = bufferResponse(context, state, head.incoming, Buffer.concat(bodyChunks))
     if (fields.impliesNotRun || (status >= STATUS.serverError && !fields.isSigned)) {
       recordBackendObservation({ kind: 'errorResponse' })
       return settle({ kind: 'broken', reason: `status ${status} is unsigned or wrongly implies that the request was not run`, headersSent: state.headersSent })
@@ -406,25 +411,10 @@
   function recordSoundAnswer (): void {
     if (isAnswerSound || answeredAt === undefined) return
     isAnswerSound = true
+    releaseReturn(state)
     context.crashGuard.recordAnswer(state.guarded, answeredAt)
   }
 
-  function bufferResponse (incoming: IncomingMessage): BufferedResponse {
-    const body = Buffer.concat(bodyChunks)
-    const status = incoming.statusCode ?? 0
-    const responseHeaders = withoutContentLength(wire.buildResponseHeaders(incoming.rawHeaders), context)
-    const hasNoBody = callerRequest.method === 'HEAD' || status === 204 || status === 304
-    return {
-      status,
-      deliver: () => {
-        if (response.headersSent || response.destroyed) return
-        state.firstByteAt = steadyNow()
-        response.writeHead(status, hasNoBody ? responseHeaders : [...responseHeaders, 'Content-Length', String(body.length)])
-        response.end(hasNoBody ? undefined : body)
-      }
-    }
-  }
-
   function onBroken (sent: boolean, reason: string): void {
     context.log.decision('attemptBroken', {
       request: state.fields.attemptId,
@@ -450,18 +440,3 @@
     settle({ kind: 'broken', reason, headersSent: state.headersSent })
   }
 }
-
-/** Returns the media type without its parameters, in lower case; empty when the response has none. */
-function mediaTypeOf (incoming: IncomingMessage): string {
-  return (incoming.headers['content-type'] ?? '').split(';', 1)[0]?.trim().toLowerCase() ?? ''
-}
-
-/** Removes Content-Length, which is recomputed for the forwarded body, and adds the connection headers. */
-function withoutContentLength (headers: readonly string[], context: GatewayContext): string[] {
-  const result: string[] = []
-  for (let index = 0; index < headers.length; index += 2) {
-    if (headers[index]?.toLowerCase() !== 'content-length') result.push(headers[index] ?? '', headers[index + 1] ?? '')
-  }
-  for (const [name, value] of Object.entries(connectionHeaders(context))) result.push(name, value)
-  return result
-}
--- a/packages/router/src/callersListener.ts
+++ b/packages/router/src/callersListener.ts
@@ -1,7 +1,8 @@
 import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createSecureServer } from 'node:https'
+import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { createCallerWatch, createConnectionErrors, type CallerPresence } from '@quinceshunt/caller-connections'
+import { createCallerWatch, createConnectionErrors, keepConnectionsWithUnreadRequests, type CallerPresence } from '@quinceshunt/caller-connections'
 import { extractTraceContext, failSpan, SpanKind, startSpan, contextWithSpan, type Span, type TraceContext } from '@quinceshunt/telemetry'
 import { formatCallerError, sendCallerError, type CallerError } from './callerError.js'
 import { serveChat } from './chatRequest.js'
@@ -49,13 +50,20 @@
   let activeRequests = 0
   let lastRequestAt = 0
   let keepAliveDisabled = false
+  const newestResponses = new WeakMap<Socket, ServerResponse>()
   const callerOf = createCallerWatch(services.clock.now)
   const connectionErrors = createConnectionErrors(respondToClientError)
 
   function handleRequest (request: IncomingMessage, response: ServerResponse): void {
     activeRequests += 1
     lastRequestAt = services.clock.now()
-    if (keepAliveDisabled) response.setHeader('connection', 'close')
+    const earlier = newestResponses.get(request.socket)
+    newestResponses.set(request.socket, response)
+    if (keepAliveDisabled) {
+      response.setHeader('connection', 'close')
+      // Closing the connection after an earlier response would cut off this request.
+      if (earlier?.headersSent === false) earlier.setHeader('connection', 'keep-alive')
+    }
     connectionErrors.track(request, response)
     const caller = callerOf(request.socket)
     const finish = (): void => {
@@ -71,6 +79,7 @@
   const options = { maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: Math.min(HEADERS_TIMEOUT_MS, services.settings.requestDeadlineMilliseconds), requestTimeout: services.settings.requestDeadlineMilliseconds, keepAliveTimeout: 30_000 }
   const tls = listenerTls(services.settings.callersTls, false)
   const server = tls === undefined ? createServer(options, handleRequest) : createSecureServer({ ...options, ...tls }, handleRequest) as unknown as Server
+  keepConnectionsWithUnreadRequests(server)
   server.on('clientError', connectionErrors.handle)
   return {
     server,
--- a/packages/router/src/engineAttempt.ts
+++ b/packages/router/src/engineAttempt.ts
@@ -72,7 +72,8 @@
       body: resumed ? Buffer.alloc(0) : attempt.body,
       deadline: exchange.deadline,
       signal: exchange.signal,
-      freshConnection: false
+      // A copy of the interrupted response carries the ID of the resumed one.
+      freshConnection: resumed
     })
     const result = response.kind === 'answering'
       ? await readResponse({ ...attempt, onAnswered: createAnswerRecorder(attempt, inFlight) }, command, attemptId, response)
@@ -133,7 +134,8 @@
   // The engine no longer has the stream, so it can't be resumed.
   if (command.resumeOffset !== undefined) return failedAttempt(attempt, { kind: 'brokenAfterBytes', bytesReceived: attempt.progress.contentTokens, resumable: false }, await cancelAttempt(attempt, command.slot, attemptId))
   if (status === 429 || status === 503) return failedAttempt(attempt, { kind: 'refusedBeforeRunning' }, undefined)
-  if (status >= 500) return failedAttempt(attempt, { kind: 'resetBeforeFirstByte' }, await cancelAttempt(attempt, command.slot, attemptId))
+  // Only an error that names the request's own fault tells that the chat was not run.
+  if (status < 400 || status >= 500) return failedAttempt(attempt, { kind: 'resetBeforeFirstByte' }, await cancelAttempt(attempt, command.slot, attemptId))
   const text = body.kind === 'whole' ? body.body.toString('utf8') : ''
   const message = parseJson(engineErrorSchema, text)?.error.message ?? `the engine rejected the request with status ${status}`
   return { kind: 'rejected', error: { status: status === 401 || status === 403 ? 502 : status, code: 'backend_rejected', message, run: 'no' }, charge: undefined }
@@ -221,7 +223,8 @@
     body: Buffer.alloc(0),
     deadline,
     signal: new AbortController().signal,
-    freshConnection: false
+    // A copy of the attempt's response carries the ID of the cancellation.
+    freshConnection: true
   })
   if (response.kind !== 'answering') return estimatedCharge(attempt)
   if (!response.isOwn) {
