Open part of the closed tokens at once after a restore that lost no draws

Callers of accounts in use were refused after a restore although all draws were known: the announcements since the copy are lost, and new ones count after 12 s. Each new era now opens its part of what the row closes, as it does for an account without a row; a later loss from a copy of before counts one part for each era in between.

The new test of drawCeilings fails without the change.

--- a/packages/gateway/src/__tests__/drawCeilings.test.ts
+++ b/packages/gateway/src/__tests__/drawCeilings.test.ts
@@ -38,6 +38,16 @@
     }))
   })
 
+  // Guards against accounts that wait for 12 s after a restore since announcements are lost, and against a later loss that doesn't count what was opened.
+  test('a restore without lost draws opens a part at once, which counts as drawn after a loss from a copy of before', () => {
+    const account = { era: 1, prepaid: PREPAID, granted: 500_000, losses: 0 }
+    const before = accountForDraws(undefined, account)
+    const after = accountForDraws(before, { ...account, era: 2 })
+    expect(closedTokens(after, 0)).toBeLessThan(closedTokens(before, 0) / 2)
+    const lost = accountForDraws(before, { ...account, era: 3, losses: 2 })
+    expect(account.granted + lost.withheld).toBeGreaterThanOrEqual(PREPAID - closedTokens(after, 0))
+  })
+
   // Guards against rows that grow with each draw.
   test('a row keeps no more announcements than fit into the age of a copy', () => {
     const draws = Array.from({ length: 200 }, () => ({ pause: 100, share: 0.02, rate: 0 }))
--- a/packages/gateway/src/decisions/drawCeilings.ts
+++ b/packages/gateway/src/decisions/drawCeilings.ts
@@ -62,9 +62,10 @@
 export function accountForDraws (stored: DrawCeilings | undefined, { era, prepaid, granted, losses }: AccountedDraws): DrawCeilings {
   if (stored !== undefined && stored.era === era) return stored
   const ceilings = stored ?? { withheld: 0, steps: [{ closed: initiallyClosed(prepaid), from: 0 }] }
-  if (losses === 0) return { ...ceilings, era }
-  // Each era in between may have opened its part of what was left, and its row is lost as well.
   let untouched = Math.min(...ceilings.steps.map(({ closed }) => closed))
+  // The announcements since the copy are lost; an era opens its part without one, or accounts in use would wait for new ones.
+  if (losses === 0) return stored === undefined ? { ...ceilings, era } : { era, withheld: stored.withheld, steps: [{ closed: initiallyClosed(untouched), from: 0 }] }
+  // Each era in between may have opened its part of what was left, and its row is lost as well.
   for (let loss = 1; loss < losses && untouched > 0; loss++) untouched = initiallyClosed(untouched)
   const withheld = Math.max(ceilings.withheld, prepaid - untouched - granted)
   return { era, withheld, steps: [{ closed: initiallyClosed(prepaid - granted - withheld), from: 0 }] }
