--- a/packages/gateway/src/__tests__/restoredTokens.test.ts
+++ b/packages/gateway/src/__tests__/restoredTokens.test.ts
@@ -52,8 +52,8 @@
   }
 }
 
-function restart (testFleet: TestFleet, index: number): void {
-  testFleet.instances[index] = testFleet.fleet.start(NAMES[index] ?? '')
+function restart (testFleet: TestFleet, index: number, store?: RowStore): void {
+  testFleet.instances[index] = testFleet.fleet.start(NAMES[index] ?? '', store)
 }
 
 /** Kills all processes, restores the store from a copy and starts the instances again. */
@@ -106,6 +106,26 @@
     expect(testFleet.used).toBeGreaterThanOrEqual(PREPAID * 0.97)
   })
 
+  // Guards against corrections that are taken back: the lease row shows them, and so does the transaction that took effect.
+  test('tokens that were recorded again by a transaction whose reply was lost are not granted again', async () => {
+    const copy = testFleet.memory.takeCopy()
+    for (let round = 0; round < 5; round++) await use(testFleet, 0, 8000)
+    let faults = 1
+    testFleet.instances[0]?.kill()
+    restart(testFleet, 0, { ...testFleet.memory.store, transact: async (transaction, deadline) => await loseReplyOf(transaction, deadline) })
+    async function loseReplyOf (...call: Parameters<RowStore['transact']>): ReturnType<RowStore['transact']> {
+      const outcome = await testFleet.memory.store.transact(...call)
+      const isCorrection = isRestored && outcome.kind === 'applied' && call[0].writes.some(({ table }) => table === 'balances')
+      return isCorrection && faults-- > 0 ? { kind: 'unknown', reason: 'lost by the test' } : outcome
+    }
+    let isRestored = false
+    for (let round = 0; round < 3; round++) await use(testFleet, 0, 8000)
+    testFleet.memory.restore(copy)
+    isRestored = true
+    await useUp(testFleet)
+    expect(testFleet.used).toBeLessThanOrEqual(PREPAID)
+  })
+
   test('tokens that were returned after the copy can be used', async () => {
     for (let round = 0; round < 5; round++) await use(testFleet, 0, 8000)
     const copy = testFleet.memory.takeCopy()
