Do not take back a correction of a balance whose reply was lost

After a restore of the store an account could be overspent (148,000 of 100,000 tokens) when the reply to a transaction that recorded draws again was lost: the lease row shows that it took effect, the totals are compared with the row, and the transaction that is then applied subtracted its corrections a second time, so that the next write took them back.

Corrections of a transaction that is resolved from the row are left out when the totals were compared with it.

--- a/packages/gateway/src/tasks/leaseManager.ts
+++ b/packages/gateway/src/tasks/leaseManager.ts
@@ -3,7 +3,7 @@
 import { accountForDraws, announceCeiling, closedTokens, decodeDrawCeilings, MAX_COPY_AGE_MS, type DrawCeilings } from '../decisions/drawCeilings.js'
 import { limitGrowthRate, usageAllowance } from '../decisions/grantSizing.js'
 import { decodeLeaseRow, elapsedSinceSeal, reclaimableTokens, type LeaseRow } from '../decisions/leaseRow.js'
-import { createRecordedTotals } from '../decisions/recordedTotals.js'
+import { createRecordedTotals, type Adoption } from '../decisions/recordedTotals.js'
 import type { StoredRow } from '../ports.js'
 import type { BalanceTable, StoredLease } from './balanceTable.js'
 import type { DecisionLog } from './decisionLog.js'
@@ -160,8 +160,8 @@
     return { row, changes, corrections, reclaimed, ceilings }
   }
 
-  /** Applies a transaction that took effect to the ledgers. */
-  function applyTransaction (transaction: LeaseTransaction): void {
+  /** Applies a transaction that took effect to the ledgers. `isCompared`: the totals were already compared with the row that it wrote. */
+  function applyTransaction (transaction: LeaseTransaction, isCompared = false): void {
     for (const [name, change] of transaction.changes) {
       const state = stateOf(name)
       if (change > 0) {
@@ -177,7 +177,7 @@
       log.decision('tokensMoved', { account: name, tokens: change, granted: state.granted, prepaid: state.prepaid, free: state.ledger.free, sequence: transaction.row.sequence })
     }
     for (const [name, tokens] of transaction.corrections) {
-      recorded.addCorrection(name, tokens)
+      if (!isCompared) recorded.addCorrection(name, tokens)
       stateOf(name).granted += tokens
       log.event('balanceCorrected', { account: name, tokens, granted: stateOf(name).granted, prepaid: stateOf(name).prepaid, sequence: transaction.row.sequence })
     }
@@ -219,19 +219,19 @@
     if (stored?.version === storedLease?.version && stored?.key === storedLease?.key && unresolved.length > 0) return
     storedLease = stored
     const lease = row === undefined || stored === undefined ? undefined : parseLeaseRow(row)
-    takeOverTotals(lease, endedBy)
+    const isCompared = takeOverTotals(lease, endedBy) === 'restored'
     const earlier = unresolved
     unresolved = []
     for (const transaction of earlier) {
       const tookEffect = lease?.lifetime === incarnationId && lease.sequence === transaction.row.sequence
       log.event('leaseWriteResolved', { sequence: transaction.row.sequence, tookEffect })
-      if (tookEffect) applyTransaction(transaction)
+      if (tookEffect) applyTransaction(transaction, isCompared)
       else rollBack(transaction)
     }
   }
 
   /** Compares the lease row with what this process knows of the instance's tokens. */
-  function takeOverTotals (lease: LeaseRow | undefined, endedBy: number): void {
+  function takeOverTotals (lease: LeaseRow | undefined, endedBy: number): Adoption {
     const isOutdated = lease !== undefined && lease.era !== era.current
     const adoption = recorded.adopt(lease, { isOutdated: isOutdated || isRestored, isOwn: lease?.lifetime === incarnationId })
     if (adoption !== 'unchanged') log.event('leaseTakenOver', { adoption, from: lease?.lifetime, sequence: lease?.sequence, rowEra: lease?.era, era: era.current, unrecorded: describeUnrecorded() })
@@ -244,6 +244,7 @@
     const hasMissedRestore = adoption === 'outdatedPredecessor' || (adoption === 'predecessor' && recorded.isIncomplete)
     if (hasMissedRestore) isRestored = true
     options.onLeaseRead(hasMissedRestore)
+    return adoption
   }
 
   /** After a restore nothing is known of the rows; returns that were under way stay out of the ledgers, as they may be in the copy. */
