--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -233,6 +233,7 @@
         configuration.stop()
         backends.stop()
         await Promise.race([Promise.all([tokens.close(), fleet.deregister()]), pauseUntil(killedAt - FORCED_EXIT_MARGIN_MS)])
+        await finishRefusals(context, callers, killedAt)
       })
       .catch((error: unknown) => log.warning('stopFailed', { reason: String(error) }))
       .finally(() => {
@@ -272,16 +273,20 @@
       await handleArrivedEvents()
       callers.closeIdleConnections()
       const hasOpenConnections = callers.openConnections > 0 && steadyNow() < listenUntil + FIRST_REQUEST_WAIT_MS
-      if (callers.activeRequests === 0 && !hasOpenConnections) {
-        // A request that comes while the tokens are returned would be cut off by the exit.
-        callers.server.closeAllConnections()
-        return
-      }
+      if (callers.activeRequests === 0 && !hasOpenConnections) return
     }
     await pauseUntil(steadyNow() + STOP_CHECK_INTERVAL_MS)
   }
 }
 
+/** Waits until requests that came during the last steps are refused, and their callers have the responses. */
+async function finishRefusals (context: GatewayContext, callers: CallersListener, killedAt: number): Promise<void> {
+  await handleArrivedEvents()
+  while ((callers.activeRequests > 0 || context.openResponses.hasUnwritten) && steadyNow() < killedAt - FORCED_EXIT_MARGIN_MS) {
+    await pauseUntil(steadyNow() + STOP_CHECK_INTERVAL_MS)
+  }
+}
+
 /** Accepts the connections that wait in the system's queue, which closing the listener would reset: one in each pass of the event loop. */
 async function acceptQueuedConnections (callers: CallersListener): Promise<void> {
   for (let pass = 0; pass < MAX_QUEUED_CONNECTIONS; pass++) {
