--- a/packages/gateway/src/__tests__/backendTask.test.ts
+++ b/packages/gateway/src/__tests__/backendTask.test.ts
@@ -34,7 +34,7 @@
   return {
     memory,
     task,
-    write: (entry) => memory.putRow({ table: 'servers', part: '', key: entry.id }, JSON.stringify({ service: 'ledger', address: `${entry.id}:80`, failureDomain: 'north', slots: 4, state: 'ready', startedAt: 7, sequence: 1, coldUntil: 0, ...entry })),
+    write: (entry) => memory.putRow({ table: 'servers', part: '', key: entry.id }, JSON.stringify({ service: 'ledger', address: `${entry.id}:80`, failureDomain: 'north', version: 'v1', slots: 4, state: 'ready', startedAt: 7, sequence: 1, coldUntil: 0, ...entry })),
     usable: () => task.candidates('ledger', steadyNow()).map(({ entry }) => entry.id).sort()
   }
 }
--- a/packages/gateway/src/fleetConfiguration.ts
+++ b/packages/gateway/src/fleetConfiguration.ts
@@ -89,6 +89,8 @@
   readonly service: string
   readonly address: string
   readonly failureDomain: string
+  /** Version of its software; empty when it names none. */
+  readonly version: string
   readonly slots: number
   readonly state: 'ready' | 'draining'
   /** Unix milliseconds of its start; 0 when unknown. A change under the same ID means that it has restarted. */
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -87,6 +87,8 @@
   readonly prompt: PromptSize | undefined
   /** ID of the last event that the caller received, to resume a stream; empty for a new stream. */
   readonly lastEventId: string
+  /** ID of the caller's attempt that brought the stream's first event; empty for a new stream, or when not sent. */
+  readonly resumedAttemptId: string
 }
 
 /** Fields that the gateway adds to a forwarded request. */
--- a/packages/gateway/src/tasks/backendTask.ts
+++ b/packages/gateway/src/tasks/backendTask.ts
@@ -116,7 +116,7 @@
     removed.delete(entry.id)
     if (state === undefined) {
       states.set(entry.id, createBackendState(entry, now))
-      log.event('backendListed', { backend: entry.id, service: entry.service, address: entry.address, failureDomain: entry.failureDomain, state: entry.state })
+      log.event('backendListed', { backend: entry.id, service: entry.service, address: entry.address, failureDomain: entry.failureDomain, version: entry.version, state: entry.state })
       return
     }
     if (entry.state !== state.entry.state) log.event('backendStateChanged', { backend: entry.id, service: entry.service, state: entry.state })
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -71,6 +71,8 @@
   reservedReturn: ReservedRetry | undefined
   firstByteAt: number | undefined
   triedBackendIds: string[]
+  /** Software versions of these backend servers, in the same order. */
+  triedVersions: string[]
   /** Addresses to which it was sent; two listed backend servers can have the same one for a while after a restart. */
   readonly triedAddresses: Set<string>
 }
@@ -127,6 +129,7 @@
     reservedReturn: undefined,
     firstByteAt: undefined,
     triedBackendIds: [],
+    triedVersions: [],
     triedAddresses: new Set()
   }
   context.retryShares.recordRequest(service, admitted.receivedAt)
@@ -248,6 +251,7 @@
   if (hasCallerLeft(state)) return { kind: 'callerGone' }
   if (state.setAside?.hasGoneOn === true) return { kind: 'superseded' }
   state.triedBackendIds.push(backendId)
+  state.triedVersions.push(choice.state.entry.version)
   return await runAttempt(context, state, choice, async () => await reserveRetry(context, state))
 }
 
@@ -352,6 +356,9 @@
     status: response.statusCode,
     reason: 'reason' in result ? result.reason : undefined,
     backends: state.triedBackendIds.join(','),
+    versions: state.triedVersions.join(','),
+    resumedAfter: state.fields.lastEventId === '' ? undefined : state.fields.lastEventId,
+    resumedAttempt: state.fields.resumedAttemptId === '' ? undefined : state.fields.resumedAttemptId,
     sends: state.attempts,
     milliseconds: now - state.receivedAt,
     callerLeftMilliseconds: state.caller.leftAt === undefined ? undefined : state.caller.leftAt - state.receivedAt,
