--- a/packages/gateway/src/__tests__/backendTask.test.ts
+++ b/packages/gateway/src/__tests__/backendTask.test.ts
@@ -30,7 +30,7 @@
   const { store, era } = watchStoreEra(memory.store, log)
   const decodeBackendServer = (_id: string, value: string): BackendServerEntry => JSON.parse(value)
   const platform: GatewayPlatform = { store, wire: { ...unusedWire, decodeBackendServer }, tables: { configuration: { table: 'op', key: 'config' }, backendServers: { table: 'servers' } } }
-  const task = startBackendTask({ platform, log, era, drainMilliseconds: DRAIN_MS, onRemoved: () => {}, onRestarted: () => {} })
+  const task = startBackendTask({ platform, log, era, drainMilliseconds: DRAIN_MS, onListed: () => {}, onRemoved: () => {}, onRestarted: () => {} })
   return {
     memory,
     task,
--- a/packages/gateway/src/__tests__/fleetTask.test.ts
+++ b/packages/gateway/src/__tests__/fleetTask.test.ts
@@ -27,6 +27,8 @@
     onCrash,
     onAnswer: () => {},
     onLimit: () => {},
+    onMixedVersions: () => {},
+    onInstancesChanged: () => {},
     answerToReport: () => undefined,
     tellPeer: (peer, reports) => running.find((other) => other.instanceId === peer.instanceId && reachesPeers)?.fleet.receive(reports)
   })
--- a/packages/gateway/src/__tests__/sendingPermits.test.ts
+++ b/packages/gateway/src/__tests__/sendingPermits.test.ts
@@ -6,7 +6,6 @@
 import type { BackendState } from '../decisions/backendState.js'
 import { createSharedClock } from '../decisions/sharedClock.js'
 import type { Peer } from '../tasks/fleetTask.js'
-import type { TokenHandlers } from '../tasks/peerMessages.js'
 import { createSendingPermits, type SendingPermits } from '../tasks/sendingPermits.js'
 
 const LIMIT = 2
@@ -33,8 +32,6 @@
 beforeEach(() => { jest.useFakeTimers() })
 afterEach(() => { jest.useRealTimers() })
 
-const noTokens: TokenHandlers = { isClosing: false, lend: async () => ({ tokens: 0, isShort: false }), takeBack: () => {}, receiveUse: () => {} }
-
 /** Starts instances of which the first three are the homes of the backend server, in that order. `chooseFault` applies to messages of an instance. */
 function startFleet (count: number, chooseFault: (sender: number) => LinkFault = () => ({ kind: 'none' })): Fleet {
   let sender = 0
@@ -68,7 +65,7 @@
       }
     })
     instances[index] = { peer, backend, permits }
-    network.listen(peer, noTokens, permits)
+    network.listen(peer, { limits: permits })
   }
 
   peers.forEach((_, index) => start(index))
--- /dev/null
+++ b/packages/gateway/src/__tests__/streamVersions.test.ts
@@ -0,0 +1,299 @@
+import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals'
+import fc from 'fast-check'
+import { createLoanNetwork, type LinkFault } from '../__fixtures__/loanNetwork.js'
+import { createRecordingLog } from '../__fixtures__/recordingLog.js'
+import { steadyNow } from '../clock.js'
+import { accountHomes } from '../decisions/accountHomes.js'
+import { createSharedClock } from '../decisions/sharedClock.js'
+import { STREAM_LIFETIME_MS } from '../decisions/versionHistory.js'
+import type { Peer } from '../tasks/fleetTask.js'
+import { createStreamVersions, type StreamVersions } from '../tasks/streamVersions.js'
+
+const CALLER_TIMEOUT_MS = 15_000
+const INSTANCES = 6
+
+interface Instance {
+  peer: Peer
+  streams: StreamVersions
+  isRunning: boolean
+}
+
+interface Fleet {
+  readonly instances: Instance[]
+  /** Rows that tell all instances until when versions differ. */
+  readonly announced: ReadonlyMap<string, number>
+  /** Lists a backend server at all instances that run, or at some of them. */
+  list (id: string, version: string, at?: readonly number[]): void
+  remove (id: string, at?: readonly number[]): void
+  kill (index: number): void
+  restart (index: number): void
+  begin (index: number, attemptId: string, backendId: string): void
+}
+
+beforeEach(() => { jest.useFakeTimers() })
+afterEach(() => { jest.useRealTimers() })
+
+function startFleet (chooseFault: (sender: number) => LinkFault = () => ({ kind: 'none' })): Fleet {
+  let sender = 0
+  const network = createLoanNetwork(() => chooseFault(sender), steadyNow)
+  const announced = new Map<string, number>()
+  const listed = new Map<string, string>()
+  const instances: Instance[] = []
+  const running = (): readonly number[] => instances.flatMap(({ isRunning }, index) => isRunning ? [index] : [])
+
+  function start (index: number, starts: number): void {
+    const peer = { instanceId: `instance${index}`, address: `instance${index}:80`, failureDomain: `domain${index % 3}`, incarnationId: `instance${index}.${starts}` }
+    const clock = createSharedClock()
+    clock.observe(steadyNow(), steadyNow())
+    const streams = createStreamVersions({
+      instanceId: peer.instanceId,
+      clock,
+      log: createRecordingLog(),
+      homes: (attemptId) => accountHomes(attemptId, instances.map((instance) => instance.peer)),
+      isListCurrent: () => true,
+      announceMixed: (service, until) => {
+        announced.set(service, until)
+        for (const other of running()) instances[other]?.streams.learnMixed(service, until)
+      },
+      count: () => {},
+      post: async (...message) => {
+        sender = index
+        return await network.post(...message)
+      }
+    })
+    instances[index] = { peer, streams, isRunning: true }
+    network.listen(peer, { streams })
+    for (const [service, until] of announced) streams.learnMixed(service, until)
+    for (const [id, version] of listed) streams.noteListed({ id, service: 'model', version }, undefined)
+    for (const other of running()) if (other !== index) instances[other]?.streams.noteInstancesChanged()
+  }
+
+  for (let index = 0; index < INSTANCES; index++) start(index, 0)
+  return {
+    instances,
+    announced,
+    list: (id, version, at = running()) => {
+      const previous = listed.get(id)
+      listed.set(id, version)
+      for (const index of at) instances[index]?.streams.noteListed({ id, service: 'model', version }, previous === undefined ? undefined : { id, service: 'model', version: previous })
+    },
+    remove: (id, at = running()) => {
+      const version = listed.get(id)
+      listed.delete(id)
+      if (version !== undefined) for (const index of at) instances[index]?.streams.noteRemoved({ id, service: 'model', version })
+    },
+    kill: (index) => {
+      const instance = instances[index] as Instance
+      instance.isRunning = false
+      network.kill(instance.peer.address)
+    },
+    restart: (index) => {
+      const starts = Number(instances[index]?.peer.incarnationId.split('.')[1])
+      start(index, starts + 1)
+    },
+    begin: (index, attemptId, backendId) => {
+      instances[index]?.streams.begin({ attemptId, service: 'model', backendId, version: listed.get(backendId) ?? '', callerTimeoutAt: steadyNow() + CALLER_TIMEOUT_MS })
+    }
+  }
+}
+
+function homesOf (fleet: Fleet, attemptId: string): readonly number[] {
+  return accountHomes(attemptId, fleet.instances.map(({ peer }) => peer)).map(({ instanceId }) => Number(instanceId.slice('instance'.length)))
+}
+
+/** What an instance finds out; undefined when it does not know the version. */
+async function findVersion (fleet: Fleet, index: number, attemptId: string): Promise<string | undefined> {
+  const finding = fleet.instances[index]?.streams.find(attemptId, 'model')
+  await jest.advanceTimersByTimeAsync(200)
+  const start = await finding
+  return start?.kind === 'begun' ? start.version : undefined
+}
+
+describe('while backend servers of two versions are listed', () => {
+  let fleet: Fleet
+
+  beforeEach(async () => {
+    fleet = startFleet()
+    fleet.list('old', 'v1')
+    fleet.list('new', 'v2')
+    await jest.advanceTimersByTimeAsync(1000)
+  })
+
+  test('every instance finds the version of a stream after the one that served it was killed', async () => {
+    fleet.begin(0, 'stream', 'old')
+    await jest.advanceTimersByTimeAsync(10)
+    fleet.kill(0)
+    for (let index = 1; index < INSTANCES; index++) expect(await findVersion(fleet, index, 'stream')).toBe('v1')
+  })
+
+  // Guards against homes that forget a stream when all are restarted one after the other, as in a rollout of this program.
+  test('homes that were restarted are told again', async () => {
+    fleet.begin(0, 'stream', 'new')
+    await jest.advanceTimersByTimeAsync(10)
+    for (const home of homesOf(fleet, 'stream').filter((index) => index !== 0)) {
+      fleet.kill(home)
+      await jest.advanceTimersByTimeAsync(500)
+      fleet.restart(home)
+      await jest.advanceTimersByTimeAsync(500)
+    }
+    fleet.kill(0)
+    for (let index = 1; index < INSTANCES; index++) expect(await findVersion(fleet, index, 'stream')).toBe('v2')
+  })
+
+  test('a stream of which no process is left that knew it has an unknown version', async () => {
+    fleet.begin(0, 'stream', 'old')
+    await jest.advanceTimersByTimeAsync(10)
+    for (let index = 0; index < INSTANCES; index++) fleet.kill(index)
+    for (let index = 0; index < INSTANCES; index++) fleet.restart(index)
+    for (let index = 0; index < INSTANCES; index++) expect(await findVersion(fleet, index, 'stream')).toBeUndefined()
+    expect(await findVersion(fleet, 1, '')).toBeUndefined()
+  })
+
+  test('a stream that began right before its backend server was listed at another version is doubtful everywhere', async () => {
+    fleet.begin(0, 'late', 'old')
+    await jest.advanceTimersByTimeAsync(1000)
+    fleet.list('old', 'v3')
+    await jest.advanceTimersByTimeAsync(10)
+    fleet.begin(0, 'later', 'old')
+    await jest.advanceTimersByTimeAsync(10)
+    for (let index = 0; index < INSTANCES; index++) {
+      expect(await findVersion(fleet, index, 'late')).toBeUndefined()
+      expect(await findVersion(fleet, index, 'later')).toBe('v3')
+    }
+  })
+
+  test('a stream is forgotten some time after its caller has given up', async () => {
+    fleet.begin(0, 'stream', 'old')
+    await jest.advanceTimersByTimeAsync(CALLER_TIMEOUT_MS)
+    expect(await findVersion(fleet, 1, 'stream')).toBe('v1')
+    await jest.advanceTimersByTimeAsync(STREAM_LIFETIME_MS)
+    fleet.remove('new')
+    expect(await findVersion(fleet, 0, 'stream')).toBeUndefined()
+  })
+})
+
+describe('while all backend servers have one version', () => {
+  test('no message is sent, and streams go on there although all processes were killed', async () => {
+    let messages = 0
+    const fleet = startFleet(() => {
+      messages++
+      return { kind: 'none' }
+    })
+    fleet.list('a', 'v1')
+    fleet.list('b', 'v1')
+    fleet.begin(0, 'stream', 'a')
+    await jest.advanceTimersByTimeAsync(1000)
+    expect(messages).toBe(0)
+    for (let index = 0; index < INSTANCES; index++) fleet.kill(index)
+    for (let index = 0; index < INSTANCES; index++) fleet.restart(index)
+    expect(await findVersion(fleet, 1, 'stream')).toBe('v1')
+  })
+
+  // Guards against streams from before a release whose instance is killed after it.
+  test('streams that run are told to their homes once a second version is listed', async () => {
+    const fleet = startFleet()
+    fleet.list('old', 'v1')
+    fleet.begin(0, 'stream', 'old')
+    await jest.advanceTimersByTimeAsync(1000)
+    fleet.list('new', 'v2')
+    await jest.advanceTimersByTimeAsync(10)
+    fleet.kill(0)
+    for (let index = 1; index < INSTANCES; index++) expect(await findVersion(fleet, index, 'stream')).toBe('v1')
+  })
+
+  // Guards against processes that start when only the new version is left, and take it for that of all streams.
+  test('processes that start right after a release know that streams may have begun at the version before', async () => {
+    const fleet = startFleet()
+    fleet.list('old', 'v1')
+    fleet.begin(0, 'stream', 'old')
+    fleet.list('new', 'v2')
+    await jest.advanceTimersByTimeAsync(1000)
+    fleet.remove('old')
+    await jest.advanceTimersByTimeAsync(1000)
+    for (let index = 0; index < INSTANCES; index++) fleet.kill(index)
+    for (let index = 0; index < INSTANCES; index++) fleet.restart(index)
+    expect(await findVersion(fleet, 1, 'stream')).toBeUndefined()
+    await jest.advanceTimersByTimeAsync(STREAM_LIFETIME_MS)
+    expect(await findVersion(fleet, 1, 'another stream')).toBe('v2')
+  })
+})
+
+describe('under kills, restarts, releases and lost messages in any order', () => {
+  type Step =
+    | { readonly kind: 'begin', readonly instance: number, readonly backend: number }
+    | { readonly kind: 'find', readonly instance: number, readonly stream: number }
+    | { readonly kind: 'list', readonly backend: number, readonly version: string }
+    | { readonly kind: 'remove', readonly backend: number }
+    | { readonly kind: 'kill', readonly instance: number }
+    | { readonly kind: 'restart', readonly instance: number }
+    | { readonly kind: 'restartAll' }
+    | { readonly kind: 'wait', readonly milliseconds: number }
+
+  const instance = fc.nat(INSTANCES - 1)
+  const backend = fc.nat(3)
+  const step: fc.Arbitrary<Step> = fc.oneof(
+    { weight: 4, arbitrary: fc.record({ kind: fc.constant('begin' as const), instance, backend }) },
+    { weight: 4, arbitrary: fc.record({ kind: fc.constant('find' as const), instance, stream: fc.nat(20) }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant('list' as const), backend, version: fc.constantFrom('v1', 'v2', 'v3') }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant('remove' as const), backend }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant('kill' as const), instance }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant('restart' as const), instance }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant('restartAll' as const) }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant('wait' as const), milliseconds: fc.nat(5000) }) }
+  )
+
+  /** Plays the steps and returns the streams for which an instance found another version than theirs. */
+  async function play (steps: readonly Step[], lostMessages: readonly boolean[]): Promise<readonly string[]> {
+    let messages = 0
+    const fleet = startFleet(() => lostMessages[messages++ % lostMessages.length] === true ? { kind: 'requestLost' } : { kind: 'none' })
+    const versions = new Map<number, string>([[0, 'v1'], [1, 'v1']])
+    for (const [id, version] of versions) fleet.list(`backend${id}`, version)
+    const streams: string[] = []
+    const wrong: string[] = []
+    for (const current of steps) {
+      switch (current.kind) {
+        case 'begin': {
+          const version = versions.get(current.backend)
+          if (version === undefined || fleet.instances[current.instance]?.isRunning !== true) break
+          fleet.begin(current.instance, `stream${streams.length}`, `backend${current.backend}`)
+          streams.push(version)
+          break
+        }
+        case 'find': {
+          const expected = streams[current.stream]
+          if (expected === undefined || fleet.instances[current.instance]?.isRunning !== true) break
+          const found = await findVersion(fleet, current.instance, `stream${current.stream}`)
+          if (found !== undefined && found !== expected) wrong.push(`stream${current.stream} of ${expected}: ${found}`)
+          break
+        }
+        case 'list':
+          versions.set(current.backend, current.version)
+          fleet.list(`backend${current.backend}`, current.version)
+          break
+        case 'remove':
+          versions.delete(current.backend)
+          fleet.remove(`backend${current.backend}`)
+          break
+        case 'kill':
+          if (fleet.instances[current.instance]?.isRunning === true) fleet.kill(current.instance)
+          break
+        case 'restart':
+          if (fleet.instances[current.instance]?.isRunning === false) fleet.restart(current.instance)
+          break
+        case 'restartAll':
+          fleet.instances.forEach((_, index) => fleet.kill(index))
+          fleet.instances.forEach((_, index) => fleet.restart(index))
+          break
+        case 'wait':
+          await jest.advanceTimersByTimeAsync(current.milliseconds)
+      }
+    }
+    return wrong
+  }
+
+  test('no instance takes a stream for one of another version', async () => {
+    await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 10, maxLength: 60 }), fc.array(fc.boolean(), { minLength: 1, maxLength: 8 }), async (steps, lostMessages) => {
+      expect(await play(steps, lostMessages)).toEqual([])
+    }), { numRuns: 300, seed: 310 })
+  }, 60_000)
+})
--- a/packages/gateway/src/__tests__/tokenLoans.test.ts
+++ b/packages/gateway/src/__tests__/tokenLoans.test.ts
@@ -59,7 +59,7 @@
       isStoreUnreachable: () => fleet.isStoreDown,
       ...storeWithoutRestores()
     })
-    network.listen(peer, task)
+    network.listen(peer, { tokens: task })
     task.setPrepaid(ACCOUNT, prepaidTokens)
     return task
   }
--- /dev/null
+++ b/packages/gateway/src/decisions/streamOrigins.ts
@@ -0,0 +1,78 @@
+import { assertNever } from '@quinceshunt/effects'
+import type { BackendServerEntry, Route } from '../fleetConfiguration.js'
+import * as v from 'valibot'
+
+/** What an instance tells others of a stream that it began to pass on. Times are on the clock that all instances share. */
+export const streamOriginSchema = v.object({
+  /** The caller's attempt that brought the first event. */
+  attemptId: v.string(),
+  service: v.string(),
+  backendId: v.string(),
+  /** Software version of the backend server that wrote the first event. */
+  version: v.string(),
+  begunAt: v.number(),
+  /** The caller does not take the stream up again later. */
+  expiresAt: v.number()
+})
+
+/** Where a stream began. */
+export type StreamOrigin = v.InferOutput<typeof streamOriginSchema>
+
+/** Where a request's stream began, which decides at which backend servers it may go on. */
+export type StreamStart =
+  /** The caller has got nothing of it. */
+  | { readonly kind: 'notBegun' }
+  /** `at` by `steadyNow`; `backendId` is empty when only the version is known. */
+  | { readonly kind: 'begun', readonly service: string, readonly version: string, readonly backendId: string, readonly at: number }
+  /** It began at a version that can't be told. */
+  | { readonly kind: 'unknown' }
+
+/** Returns the service that began the stream if the route still leads there, or else `service`. */
+export function serviceOfStream (start: StreamStart, route: Route, service: string): string {
+  return start.kind === 'begun' && route.targets.some((target) => target.service === start.service) ? start.service : service
+}
+
+/** Returns true when a request may be sent to a backend server, as far as its stream's software version goes. */
+export function mayGoOnAt (start: StreamStart, entry: BackendServerEntry): boolean {
+  switch (start.kind) {
+    case 'notBegun': return true
+    case 'begun': return entry.version === start.version
+    case 'unknown': return false
+    default: return assertNever(start)
+  }
+}
+
+/** Origins of streams, by the attempt that brought the first event. */
+export interface StreamOrigins {
+  record (origin: StreamOrigin, now: number): void
+  find (attemptId: string, now: number): StreamOrigin | undefined
+  readonly size: number
+}
+
+/** The streams that were recorded first are forgotten first. */
+const MAX_ORIGINS = 20_000
+
+/** Creates an empty record. Times are on the shared clock. */
+export function createStreamOrigins (): StreamOrigins {
+  const origins = new Map<string, StreamOrigin>()
+
+  function forgetOld (now: number): void {
+    for (const [attemptId, { expiresAt }] of origins) {
+      if (expiresAt > now && origins.size <= MAX_ORIGINS) return
+      origins.delete(attemptId)
+    }
+  }
+
+  return {
+    record: (origin, now) => {
+      origins.delete(origin.attemptId)
+      origins.set(origin.attemptId, origin)
+      forgetOld(now)
+    },
+    find: (attemptId, now) => {
+      const origin = origins.get(attemptId)
+      return origin !== undefined && origin.expiresAt > now ? origin : undefined
+    },
+    get size () { return origins.size }
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import { createPeerListener, PEER_PATH, postToPeer } from './tasks/peerMessages.js'
 import { observeStoreTime } from './tasks/observeStoreTime.js'
 import { createSendingPermits } from './tasks/sendingPermits.js'
+import { createStreamVersions } from './tasks/streamVersions.js'
 import { createTokenLoans } from './tasks/tokenLoans.js'
 import { watchStoreEra } from './tasks/storeEra.js'
 import { startTokenTask } from './tasks/tokenTask.js'
@@ -40,6 +41,8 @@
 const TOKEN_RETURN_MARGIN_MS = 1000
 const STOP_CHECK_INTERVAL_MS = 50
 const MAX_QUEUED_CONNECTIONS = 511
+/** A list of backend servers that was read longer ago may lack versions that other instances know. */
+const MAX_LIST_AGE_MS = 3000
 /** An accepted connection has this long, from the end of listening, to send its first request. */
 const FIRST_REQUEST_WAIT_MS = 1000
 /** The settings file is also polled, as it may change without a signal. */
@@ -92,6 +95,8 @@
     onCrash: crashGuard.learnCrash,
     onAnswer: crashGuard.learnAnswer,
     onLimit: (backendProcess, known) => permits.learn(backendProcess, known),
+    onMixedVersions: (service, until) => streamVersions.learnMixed(service, until),
+    onInstancesChanged: () => streamVersions.noteInstancesChanged(),
     answerToReport: crashGuard.answerToReport,
     tellPeer: (peer, reports) => {
       postToPeer(peer.address, PEER_PATH.reports, { to: peer.incarnationId, reports }, REPORT_TIMEOUT_MS)
@@ -149,7 +154,16 @@
     announce: fleet.announceLimit,
     count: (outcome) => metrics.count('permits_total', { outcome })
   })
-  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow })
+  const streamVersions = createStreamVersions({
+    instanceId: settings.instanceId,
+    clock: sharedClock,
+    log,
+    homes: fleet.streamHomes,
+    isListCurrent: () => steadyNow() - backends.follower.lastResponseAt < MAX_LIST_AGE_MS,
+    announceMixed: fleet.announceMixedVersions,
+    count: (outcome) => metrics.count('stream_origins_total', { outcome })
+  })
+  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, streams: streamVersions, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow })
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
   const confirmedConfiguration = createConfirmedConfiguration({ current: () => configuration.current, mayBeOutdated: fleet.mayBeOutdated })
   const backends = startBackendTask({
@@ -157,7 +171,11 @@
     log,
     era,
     drainMilliseconds: settings.drainMilliseconds,
-    onRemoved: (state) => connections.closeIdle(state.entry.address),
+    onListed: streamVersions.noteListed,
+    onRemoved: ({ entry }) => {
+      streamVersions.noteRemoved(entry)
+      connections.closeIdle(entry.address)
+    },
     onRestarted: (predecessor, backendProcess) => acceptance.restart(predecessor, backendProcess, steadyNow())
   })
   const acceptance = createBackendAcceptance(backends.processes)
@@ -176,6 +194,7 @@
     retryShares: createRetryShares({ ratio: settings.retryRatio, slack: settings.retrySlack, windowMilliseconds: settings.retryWindowSeconds * 1000 }, () => fleet.instances),
     crashGuard,
     permits,
+    streamVersions,
     choices: new WeakMap(),
     responseBuffer: createByteBudget(RESPONSE_BUFFER_BYTES),
     openResponses: createOpenResponses(),
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -5,6 +5,7 @@
 import { backendProcessOf, failureWeight, markPartsCached, recordObservation, silenceMilliseconds, type BackendObservation, type PendingAttempt } from '../decisions/backendState.js'
 import { PREFILL_TOKENS_PER_MILLISECOND, type Choice } from '../decisions/backendChoice.js'
 import { checkContinuation, createEventSplitter } from '../decisions/eventSplitter.js'
+import { mayGoOnAt } from '../decisions/streamOrigins.js'
 import { isRetryable, type AttemptOutcome, type RetryReservation } from '../decisions/requestPlan.js'
 import type { ResponseFields } from '../ports.js'
 import { recordAcceptance } from './availableBackends.js'
@@ -13,6 +14,7 @@
 import { recordUse } from './recordUse.js'
 import { releaseReturn } from './releaseReturn.js'
 import type { RequestState } from './requestTask.js'
+import { recordStreamStart } from './streamStart.js'
 
 /** Normal time to the first byte, in addition to the prefill. */
 const EXPECTED_FIRST_BYTE_MS = { engine: 120, plain: 120 } as const
@@ -303,6 +305,10 @@
       abort({ kind: 'broken', reason: `status ${status} and media type '${mediaType}' to a resumed stream`, headersSent: true }, 'unusable response')
       return
     }
+    if (isStreamed && !mayGoOnAt(state.streamStart, backend.entry)) {
+      abort({ kind: 'broken', reason: `software version ${backend.entry.version} to a stream of another one`, headersSent: state.headersSent }, 'another software version')
+      return
+    }
     head = { incoming, isStreamed }
     if (isSuccess) {
       answeredAt = steadyNow()
@@ -310,6 +316,7 @@
       earlier?.giveUp()
     }
     if (isStreamed && !state.headersSent) {
+      recordStreamStart(context, state, backend, backendProcess)
       const responseHeaders = wire.buildResponseHeaders(incoming.rawHeaders)
       response.writeHead(status, [...withoutContentLength(responseHeaders), ...closingHeaders(context, response)])
       state.headersSent = true
--- a/packages/gateway/src/tasks/availableBackends.ts
+++ b/packages/gateway/src/tasks/availableBackends.ts
@@ -2,6 +2,7 @@
 import { steadyNow } from '../clock.js'
 import { returnAt, selectAccepting } from '../decisions/backendAcceptance.js'
 import type { BackendState } from '../decisions/backendState.js'
+import { mayGoOnAt, type StreamStart } from '../decisions/streamOrigins.js'
 import type { ResponseFields } from '../ports.js'
 import type { GatewayContext } from './gatewayContext.js'
 
@@ -17,19 +18,23 @@
 export interface SearchingRequest {
   readonly service: string
   readonly receivedAt: number
+  readonly streamStart: StreamStart
 }
 
-/** Finds the backend servers of a service that are listed, take the request and are not excluded by their IDs. */
-export function findAvailableBackends (context: GatewayContext, { service, receivedAt }: SearchingRequest, excluded: readonly string[]): AvailableBackends {
+/** Finds the backend servers of a service that are listed, take the request, have its stream's version and are not excluded by their IDs. */
+export function findAvailableBackends (context: GatewayContext, { service, receivedAt, streamStart }: SearchingRequest, excluded: readonly string[]): AvailableBackends {
   const now = steadyNow()
   const { acceptance, settings, fleet: { instances } } = context
-  const listed = context.backends.candidates(service, now)
+  const start = context.streamVersions.confirm(streamStart)
+  if (start.kind === 'unknown') return { kind: 'none', reason: 'the software version at which the stream began is not known', retryAt: now + NO_BACKEND_RETRY_MS }
+  const listed = context.backends.candidates(service, now).filter(({ entry }) => mayGoOnAt(start, entry))
   const candidates = listed.filter((candidate) => !excluded.includes(candidate.entry.id))
   const backends = selectAccepting(candidates, acceptance, { receivedAt, drainMilliseconds: settings.drainMilliseconds, instances }, now)
   if (backends.length > 0) return { kind: 'some', backends }
   const wantedAt = returnAt(listed, acceptance, instances, now, Math.random())
   if (wantedAt !== undefined) return { kind: 'none', reason: 'no backend server wants requests now', retryAt: wantedAt }
-  return { kind: 'none', reason: candidates.length === 0 ? 'no backend server' : 'all backend servers leave', retryAt: now + NO_BACKEND_RETRY_MS }
+  const wanted = start.kind === 'begun' ? ` of version ${start.version}` : ''
+  return { kind: 'none', reason: candidates.length === 0 ? `no backend server${wanted}` : `all backend servers${wanted} leave`, retryAt: now + NO_BACKEND_RETRY_MS }
 }
 
 /** A response that was attributed to its attempt. */
--- a/packages/gateway/src/tasks/backendTask.ts
+++ b/packages/gateway/src/tasks/backendTask.ts
@@ -41,6 +41,8 @@
   readonly drainMilliseconds: number
   /** Called when a backend server is removed; its state still tracks the pending attempts. */
   readonly onRemoved: (state: BackendState) => void
+  /** Called when an entry is listed or has changed; `previous` is the one before. */
+  readonly onListed: (entry: BackendServerEntry, previous: BackendServerEntry | undefined) => void
   /** Called when another process is listed under an ID. */
   readonly onRestarted: (predecessor: string, backendProcess: string) => void
 }
@@ -116,6 +118,7 @@
     removed.delete(entry.id)
     if (state === undefined) {
       states.set(entry.id, createBackendState(entry, now))
+      options.onListed(entry, undefined)
       log.event('backendListed', { backend: entry.id, service: entry.service, address: entry.address, failureDomain: entry.failureDomain, version: entry.version, state: entry.state })
       return
     }
@@ -126,7 +129,9 @@
       options.onRestarted(backendProcessOf(state.entry), backendProcessOf(entry))
     }
     if (entry.address !== state.entry.address) misdirected.delete(entry.id)
+    const previous = state.entry
     state.entry = entry
+    options.onListed(entry, previous)
   }
 
   function applySnapshot (rows: readonly StoredRow[], responseContext: ResponseContext): void {
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -11,7 +11,7 @@
 
 /** Table for messages between instances; its rows change rarely. */
 const TABLE = 'fleet'
-const PREFIX = { instance: 'instance/', crash: 'crash/', answer: 'answer/', limit: 'limit/', recovered: 'recovered/', unknownDraws: 'unknownDraws/' } as const
+const PREFIX = { instance: 'instance/', crash: 'crash/', answer: 'answer/', limit: 'limit/', versions: 'versions/', recovered: 'recovered/', unknownDraws: 'unknownDraws/' } as const
 /** Time that a long poll waits for a change. */
 const LONG_POLL_MS = 3000
 const WRITE_TIMEOUT_MS = 1000
@@ -60,6 +60,8 @@
   homes (account: string): readonly Peer[]
   /** Instances that issue permits for requests to a backend server, in order of preference; may include this instance. */
   permitHomes (backendId: string): readonly Peer[]
+  /** Instances that know at which software version a stream began; may include this instance. */
+  streamHomes (attemptId: string): readonly Peer[]
   /** The running process of an instance; undefined when it is not registered. */
   incarnationOf (instanceId: string): string | undefined
   /** Reports a crash to all instances. */
@@ -70,6 +72,8 @@
   receive (reports: readonly Report[]): void
   /** Tells all instances of the limit that a backend server names. */
   announceLimit (backendProcess: string, known: KnownLimit): void
+  /** Tells all instances until when, on the shared clock, streams of a service may have begun at several software versions. */
+  announceMixedVersions (service: string, until: number): void
   /** True when peers know, or may know, a newer configuration than the one that a restored store still holds. */
   mayBeOutdated (configurationVersion: number): boolean
   /** False for some time after a restore of the store, until all instances have recorded again what they had drawn. */
@@ -111,6 +115,9 @@
   readonly onCrash: (fingerprint: string, reportId: string, unanswered: ReportedRequest | undefined) => void
   readonly onAnswer: (part: string, answeredAt: number) => void
   readonly onLimit: (backendProcess: string, known: KnownLimit) => void
+  readonly onMixedVersions: (service: string, until: number) => void
+  /** Called when an instance has registered or left. */
+  readonly onInstancesChanged: () => void
   /** Tells a peer of reports that can't be written to the store. */
   readonly tellPeer: (peer: Peer, reports: readonly Report[]) => void
   /** Time of an answer to a part; undefined when no instance needs to know of it. */
@@ -190,6 +197,7 @@
       if (registeredEra !== '') earliestEra = Math.min(earliestEra ?? Infinity, Number(registeredEra))
       if (row.deleted) instances.delete(name)
       else instances.set(name, { instanceId: name, address, failureDomain, incarnationId })
+      options.onInstancesChanged()
       return
     }
     if (row.key.startsWith(PREFIX.recovered)) {
@@ -217,8 +225,10 @@
       if (known !== undefined) options.onLimit(row.key.slice(PREFIX.limit.length), known)
       return
     }
-    const answeredAt = Number(row.value)
-    if (row.key.startsWith(PREFIX.answer) && Number.isFinite(answeredAt)) options.onAnswer(row.key.slice(PREFIX.answer.length), answeredAt)
+    const at = Number(row.value)
+    if (!Number.isFinite(at)) return
+    if (row.key.startsWith(PREFIX.answer)) options.onAnswer(row.key.slice(PREFIX.answer.length), at)
+    if (row.key.startsWith(PREFIX.versions)) options.onMixedVersions(row.key.slice(PREFIX.versions.length), at)
   }
 
   const follower = followTable({
@@ -447,12 +457,15 @@
     }, Math.random() * MAX_ANSWER_REPORT_DELAY_MS)
   }
 
+  /** Adds a report of which only the newest counts. */
+  function replaceReport (key: string, value: string): void {
+    pendingReports = pendingReports.filter((report) => report.key !== key)
+    addReport(key, value)
+  }
+
   function announceLimit (backendProcess: string, known: KnownLimit): void {
     options.onLimit(backendProcess, known)
-    const key = `${PREFIX.limit}${backendProcess}`
-    // Only the newest limit of a backend server counts.
-    pendingReports = pendingReports.filter((report) => report.key !== key)
-    addReport(key, JSON.stringify(known))
+    replaceReport(`${PREFIX.limit}${backendProcess}`, JSON.stringify(known))
   }
 
   function homesOf (account: string): readonly Peer[] {
@@ -470,10 +483,13 @@
     get peers () { return peersOf() },
     homes: homesOf,
     permitHomes: (backendId) => homesOf(`${PREFIX.limit}${backendId}`),
+    // Not kept: each stream has homes of its own.
+    streamHomes: (attemptId) => accountHomes(attemptId, instances.values()),
     incarnationOf: (instanceId) => instances.get(instanceId)?.incarnationId,
     reportCrash,
     reportAnswer,
     announceLimit,
+    announceMixedVersions: (service, until) => replaceReport(`${PREFIX.versions}${service}`, String(until)),
     mayBeOutdated: (configurationVersion) => !hasReadPeers || peersOf().some(({ instanceId }) => !hasRegistered(instanceId) || (registrations.get(instanceId)?.configurationVersion ?? 0) > configurationVersion),
     get mayDraw () { return steadyNow() >= drawFrom || (hasReadPeers && instances.size > 0 && unsettledInstances().length === 0) },
     hasRecovered,
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -15,6 +15,7 @@
 import type { OpenResponses } from './openResponses.js'
 import type { RequestState } from './requestTask.js'
 import type { SendingPermits } from './sendingPermits.js'
+import type { StreamVersions } from './streamVersions.js'
 import type { TokenTask } from './tokenAccounts.js'
 
 /** Dependencies that all requests share. */
@@ -33,6 +34,7 @@
   readonly retryShares: RetryShares
   readonly crashGuard: CrashGuard
   readonly permits: SendingPermits
+  readonly streamVersions: StreamVersions
   /** The backend server last selected for each request. */
   readonly choices: WeakMap<RequestState, Choice>
   /** For responses that are buffered whole. */
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -2,6 +2,7 @@
 import * as v from 'valibot'
 import { reportedUseSchema, type ReportedUse } from '../decisions/knownUse.js'
 import type { KnownLimit, PermitReply, PermitRequest } from '../decisions/permitIssuer.js'
+import { streamOriginSchema, type StreamOrigin } from '../decisions/streamOrigins.js'
 import { toldTotalsSchema, type ToldLease } from '../decisions/toldLease.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { Report } from './fleetTask.js'
@@ -43,6 +44,8 @@
 ])
 const reportsSchema = v.object({ to: v.string(), reports: v.array(v.object({ key: v.string(), value: v.string() })) })
 const leaseNewsSchema = v.object({ to: v.string(), ...toldTotalsSchema.entries })
+const streamNewsSchema = v.object({ to: v.string(), origins: v.array(streamOriginSchema) })
+const streamQuerySchema = v.object({ to: v.string(), attemptId: v.string() })
 const limitNewsSchema = v.object({ to: v.string(), backendProcess: v.string(), known: knownLimitSchema })
 
 /** `partial` asks for what can be had, `whole` for all or nothing: parts of a request's tokens would lie idle. */
@@ -60,7 +63,7 @@
   | { readonly kind: 'failed', readonly mayHaveArrived: boolean, readonly reason: string }
 
 /** Paths of the messages between instances. */
-export const PEER_PATH = { loans: '/loans', returns: '/returns', permits: '/permits', limits: '/limits', reports: '/reports', leases: '/leases' } as const
+export const PEER_PATH = { loans: '/loans', returns: '/returns', permits: '/permits', limits: '/limits', reports: '/reports', leases: '/leases', streams: '/streams', streamQueries: '/streams/find' } as const
 
 /** Takes over a limit from JSON, which leaves out an undefined value. */
 function toKnownLimit ({ requestsPerSecond, seenAt }: v.InferOutput<typeof knownLimitSchema>): KnownLimit {
@@ -145,6 +148,12 @@
   readonly receive: (backendProcess: string, known: KnownLimit) => void
 }
 
+/** Handlers of messages about the software versions at which streams began. */
+export interface StreamHandlers {
+  readonly receive: (origins: readonly StreamOrigin[]) => void
+  readonly answer: (attemptId: string) => StreamOrigin | undefined
+}
+
 /** Handles reports that a peer could not write to the store. */
 export type ReportHandler = (reports: readonly Report[]) => void
 
@@ -157,6 +166,7 @@
   readonly incarnationId: string
   readonly tokens: TokenHandlers
   readonly limits: LimitHandlers
+  readonly streams: StreamHandlers
   readonly receiveReports: ReportHandler
   readonly receiveLease: LeaseNewsHandler
   readonly log: DecisionLog
@@ -167,7 +177,7 @@
  * Handles each message once: a repeated one gets the reply of the first, so that a sender may repeat it until it is
  * answered. Returns `otherIncarnation` for a message that this process does not handle, undefined for a malformed one.
  */
-export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, receiveReports, receiveLease, log, now }: PeerListenerOptions): (path: string, message: unknown) => Promise<unknown> | 'otherIncarnation' | undefined {
+export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, streams, receiveReports, receiveLease, log, now }: PeerListenerOptions): (path: string, message: unknown) => Promise<unknown> | 'otherIncarnation' | undefined {
   const replies = new Map<string, { readonly reply: Promise<unknown>, readonly forgetAt: number }>()
 
   function forgetOldReplies (): void {
@@ -240,6 +250,19 @@
         if (to !== incarnationId) return 'otherIncarnation'
         return Promise.resolve(receiveLease(told) ?? {})
       }
+      case PEER_PATH.streams: {
+        const news = v.safeParse(streamNewsSchema, message)
+        if (!news.success) return undefined
+        if (news.output.to !== incarnationId) return 'otherIncarnation'
+        streams.receive(news.output.origins)
+        return Promise.resolve({})
+      }
+      case PEER_PATH.streamQueries: {
+        const query = v.safeParse(streamQuerySchema, message)
+        if (!query.success) return undefined
+        if (query.output.to !== incarnationId) return 'otherIncarnation'
+        return Promise.resolve({ origin: streams.answer(query.output.attemptId) })
+      }
       default: return undefined
     }
   }
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -8,6 +8,7 @@
 import type { BackendState } from '../decisions/backendState.js'
 import { chooseTarget, type ConfigurationIndex } from '../decisions/configurationIndex.js'
 import { isRetryable, planRequest, type AttemptOutcome, type ChoiceOutcome, type PlanCommand, type PlanResult, type RetryReservation } from '../decisions/requestPlan.js'
+import { serviceOfStream, type StreamStart } from '../decisions/streamOrigins.js'
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
 import { findAvailableBackends } from './availableBackends.js'
@@ -18,6 +19,7 @@
 import type { GatewayContext } from './gatewayContext.js'
 import { sendError, sendNotRun } from './errorResponses.js'
 import { recordUse } from './recordUse.js'
+import { findStreamStart } from './streamStart.js'
 
 /** Retry time suggested to callers when backend servers reject requests. */
 const REJECTION_RETRY_MS = { engine: 400, plain: 150 } as const
@@ -48,6 +50,8 @@
   readonly service: string
   /** Unix milliseconds at which the caller's or the route's timeout passes, whichever is first. */
   readonly deadline: number
+  /** Unix milliseconds at which the caller gives its attempt up. */
+  readonly callerTimeoutAt: number
   /** From 0, the most urgent, to 9. */
   readonly priority: number
   attempts: number
@@ -60,6 +64,8 @@
   /** True once an event without an ID was delivered: no ID then tells where another run has to go on. */
   hasUnidentifiedEvents: boolean
   lastEventId: string
+  /** Where the stream began, in this or an earlier attempt of the caller. */
+  streamStart: StreamStart
   /** True once the response headers were sent to the caller. */
   headersSent: boolean
   /** The head of a stream that was sent to the caller; only a response of its kind continues the stream. */
@@ -108,13 +114,16 @@
 /** Serves one admitted request and settles its tokens. */
 export async function serveRequest (context: GatewayContext, admitted: AdmittedRequest): Promise<void> {
   const { route, fields } = admitted
-  const service = chooseTarget(route.targets, Math.random()) ?? ''
-  const timeoutMilliseconds = Math.min(route.timeoutMilliseconds, fields.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MS)
+  const chosenService = chooseTarget(route.targets, Math.random()) ?? ''
+  const streamStart = await findStreamStart(context, fields, route, chosenService)
+  const service = serviceOfStream(streamStart, route, chosenService)
+  const callerTimeoutMilliseconds = fields.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MS
   const state: RequestState = {
     ...admitted,
     guarded: guardedRequest(admitted),
     service,
-    deadline: admitted.receivedAt + timeoutMilliseconds,
+    deadline: admitted.receivedAt + Math.min(route.timeoutMilliseconds, callerTimeoutMilliseconds),
+    callerTimeoutAt: admitted.receivedAt + callerTimeoutMilliseconds,
     priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority),
     attempts: 0,
     mayHaveRun: false,
@@ -122,6 +131,7 @@
     recordedUse: 0,
     hasUnidentifiedEvents: false,
     lastEventId: fields.lastEventId,
+    streamStart,
     headersSent: false,
     streamHead: undefined,
     bufferedResponse: undefined,
--- /dev/null
+++ b/packages/gateway/src/tasks/streamVersions.ts
@@ -0,0 +1,291 @@
+import { steadyNow } from '../clock.js'
+import type { SharedClock } from '../decisions/sharedClock.js'
+import { createStreamOrigins, streamOriginSchema, type StreamOrigin, type StreamStart } from '../decisions/streamOrigins.js'
+import { createVersionHistory, STREAM_LIFETIME_MS, type VersionedEntry } from '../decisions/versionHistory.js'
+import type { DecisionLog } from './decisionLog.js'
+import type { Peer } from './fleetTask.js'
+import { PEER_PATH, postToPeer } from './peerMessages.js'
+import type { Post } from './tokenLoans.js'
+import * as v from 'valibot'
+
+const TELL_TIMEOUT_MS = 300
+/** A caller that takes a stream up waits for the replies. */
+const ASK_TIMEOUT_MS = 150
+/** Pause before homes that did not take a message are told again. */
+const TELL_AGAIN_MS = 250
+const ORIGINS_PER_MESSAGE = 50
+/** Streams whose homes are found in one pass of the event loop; finding them ranks all instances. */
+const ORIGINS_PER_PASS = 50
+/** Time after the caller's timeout for which its stream is remembered, as clocks and the ends of attempts differ. */
+const ORIGIN_MARGIN_MS = 5000
+/** The other instances are told that versions differ again once this part of the time has passed for which they were told. */
+const ANNOUNCE_AGAIN_AFTER = 0.25
+/** An instance waits a random part of this time before it announces what another one may announce meanwhile. */
+const MAX_ANNOUNCE_DELAY_MS = 200
+
+/** A stream of which the first bytes are about to be passed on. */
+export interface BegunStream {
+  readonly attemptId: string
+  readonly service: string
+  readonly backendId: string
+  readonly version: string
+  /** By `steadyNow`. */
+  readonly callerTimeoutAt: number
+}
+
+/**
+ * Knows at which software version streams began, so that they go on only there. While the backend servers of a service differ
+ * in their versions, each stream is told to its homes: instances that any other one finds by hash and that outlive this one.
+ */
+export interface StreamVersions {
+  /** Records a stream before its first event is passed on. */
+  begin (stream: BegunStream): void
+  /** Finds where a stream began that a caller takes up; one that nobody knows went to `service` at its only version, if it has one. */
+  find (attemptId: string, service: string): Promise<StreamStart>
+  /** Turns a start into `unknown` once its backend server may have been another process than the listed one. */
+  confirm (start: StreamStart): StreamStart
+  /** A backend server was listed; `previous` is its entry before. */
+  noteListed (entry: VersionedEntry, previous: VersionedEntry | undefined): void
+  noteRemoved (entry: VersionedEntry): void
+  /** Takes over that streams may have begun at several versions of a service until a time on the shared clock. */
+  learnMixed (service: string, until: number): void
+  /** An instance has registered or left. */
+  noteInstancesChanged (): void
+  /** Remembers streams that another instance serves. */
+  receive (origins: readonly StreamOrigin[]): void
+  /** Answers another instance. */
+  answer (attemptId: string): StreamOrigin | undefined
+}
+
+/** Dependencies of the task. */
+export interface StreamVersionsOptions {
+  readonly instanceId: string
+  readonly clock: SharedClock
+  readonly log: DecisionLog
+  /** Homes of a stream; may include this instance. */
+  readonly homes: (attemptId: string) => readonly Peer[]
+  /** False when the list of backend servers may lack versions that other instances know. */
+  readonly isListCurrent: () => boolean
+  /** Tells all instances, also those that start later, until when streams of a service may have begun at several versions. */
+  readonly announceMixed: (service: string, until: number) => void
+  readonly count: (outcome: string) => void
+  /** Delivers one message; replaced by tests. */
+  readonly post?: Post
+}
+
+const replySchema = v.object({ origin: v.optional(streamOriginSchema) })
+
+type HomeReply =
+  | { readonly kind: 'known', readonly origin: StreamOrigin }
+  /** The home has no record of the stream. */
+  | { readonly kind: 'unknown' }
+  /** The home did not reply. */
+  | { readonly kind: 'none' }
+
+/** Creates the record of one process. */
+export function createStreamVersions (options: StreamVersionsOptions): StreamVersions {
+  const { clock, log } = options
+  const post = options.post ?? postToPeer
+  const history = createVersionHistory()
+  const origins = createStreamOrigins()
+  /** Streams of this instance, with the processes that were told of each. */
+  const ownStreams = new Map<string, { readonly origin: StreamOrigin, readonly toldTo: Set<string> }>()
+  /** Own streams some of whose homes may not know them yet. */
+  const untold = new Set<string>()
+  /** End of the time, on the shared clock, for which other instances know that versions differ. */
+  const announcedUntil = new Map<string, number>()
+  const announcing = new Set<string>()
+  let isTellScheduled = false
+
+  function sharedNow (): number {
+    return clock.fromLocal(steadyNow()) ?? 0
+  }
+
+  function toLocal (sharedAt: number): number {
+    return steadyNow() + sharedAt - sharedNow()
+  }
+
+  function homesOf (attemptId: string): readonly Peer[] {
+    return options.homes(attemptId).filter((home) => home.instanceId !== options.instanceId)
+  }
+
+  function areVersionsMixed (service: string): boolean {
+    const now = steadyNow()
+    return history.mixedUntil(service, now) > now
+  }
+
+  function forgetExpired (): void {
+    const now = sharedNow()
+    for (const [attemptId, { origin }] of ownStreams) {
+      if (origin.expiresAt > now) continue
+      ownStreams.delete(attemptId)
+      untold.delete(attemptId)
+    }
+  }
+
+  function scheduleTelling (delayMilliseconds: number): void {
+    if (isTellScheduled) return
+    isTellScheduled = true
+    setTimeout(() => {
+      isTellScheduled = false
+      tellHomes().catch((error: unknown) => log.warning('streamsNotTold', { reason: String(error) }))
+    }, delayMilliseconds)
+  }
+
+  /** Groups the streams that are to be told by their homes. */
+  function takeUntold (): ReadonlyMap<string, { readonly home: Peer, readonly streams: readonly string[] }> {
+    const byHome = new Map<string, { readonly home: Peer, readonly streams: string[] }>()
+    for (const attemptId of [...untold].slice(0, ORIGINS_PER_PASS)) {
+      untold.delete(attemptId)
+      const own = ownStreams.get(attemptId)
+      if (own === undefined) continue
+      for (const home of homesOf(attemptId)) {
+        if (own.toldTo.has(home.incarnationId)) continue
+        const group = byHome.get(home.incarnationId) ?? { home, streams: [] }
+        group.streams.push(attemptId)
+        byHome.set(home.incarnationId, group)
+      }
+    }
+    return byHome
+  }
+
+  async function tellHome (home: Peer, streams: readonly string[]): Promise<void> {
+    for (let from = 0; from < streams.length; from += ORIGINS_PER_MESSAGE) {
+      const batch = streams.slice(from, from + ORIGINS_PER_MESSAGE)
+      const outcome = await post(home.address, PEER_PATH.streams, { to: home.incarnationId, origins: batch.flatMap((attemptId) => ownStreams.get(attemptId)?.origin ?? []) }, TELL_TIMEOUT_MS)
+      options.count(outcome.kind === 'answered' ? 'told' : 'notTold')
+      if (outcome.kind === 'answered') for (const attemptId of batch) ownStreams.get(attemptId)?.toldTo.add(home.incarnationId)
+      else for (const attemptId of batch) untold.add(attemptId)
+      if (outcome.kind === 'failed') log.decision('peerDidNotAnswer', { peer: home.address, path: PEER_PATH.streams, reason: outcome.reason })
+    }
+  }
+
+  async function tellHomes (): Promise<void> {
+    forgetExpired()
+    const byHome = takeUntold()
+    if (untold.size > 0) scheduleTelling(0)
+    await Promise.all([...byHome.values()].map(async ({ home, streams }) => await tellHome(home, streams)))
+    if (untold.size > 0) scheduleTelling(TELL_AGAIN_MS)
+  }
+
+  /** Tells all streams of the services whose versions differ, except to the processes that know them. */
+  function tellAllAgain (): void {
+    for (const [attemptId, { origin }] of ownStreams) if (areVersionsMixed(origin.service)) untold.add(attemptId)
+    if (untold.size > 0) scheduleTelling(0)
+  }
+
+  function announce (service: string): void {
+    if (announcing.has(service)) return
+    announcing.add(service)
+    setTimeout(() => {
+      announcing.delete(service)
+      const now = steadyNow()
+      const until = history.mixedUntil(service, now)
+      const known = announcedUntil.get(service) ?? -Infinity
+      const sharedUntil = clock.fromLocal(until)
+      if (until <= now || sharedUntil === undefined) return
+      if (sharedUntil - known > STREAM_LIFETIME_MS * ANNOUNCE_AGAIN_AFTER) {
+        announcedUntil.set(service, sharedUntil)
+        options.announceMixed(service, sharedUntil)
+      }
+    }, Math.random() * MAX_ANNOUNCE_DELAY_MS)
+  }
+
+  /** Called for each stream and each change of the list, so that the announcement is renewed as long as it matters. */
+  function announceIfMixed (service: string): void {
+    const now = steadyNow()
+    const until = clock.fromLocal(history.mixedUntil(service, now))
+    if (until !== undefined && until - (announcedUntil.get(service) ?? -Infinity) > STREAM_LIFETIME_MS * ANNOUNCE_AGAIN_AFTER) announce(service)
+  }
+
+  function begin ({ attemptId, service, backendId, version, callerTimeoutAt }: BegunStream): void {
+    const now = sharedNow()
+    const expiresAt = now + Math.min(STREAM_LIFETIME_MS, callerTimeoutAt - steadyNow() + ORIGIN_MARGIN_MS)
+    const origin = { attemptId, service, backendId, version, begunAt: now, expiresAt }
+    origins.record(origin, now)
+    ownStreams.set(attemptId, { origin, toldTo: new Set() })
+    if (!areVersionsMixed(service)) return
+    announceIfMixed(service)
+    untold.add(attemptId)
+    scheduleTelling(0)
+  }
+
+  function toStart (origin: StreamOrigin): StreamStart {
+    return confirm({ kind: 'begun', service: origin.service, version: origin.version, backendId: origin.backendId, at: toLocal(origin.begunAt) })
+  }
+
+  function confirm (start: StreamStart): StreamStart {
+    return start.kind === 'begun' && history.isDoubtful(start.backendId, start.at) ? { kind: 'unknown' } : start
+  }
+
+  async function askHome (home: Peer, attemptId: string): Promise<HomeReply> {
+    const outcome = await post(home.address, PEER_PATH.streamQueries, { to: home.incarnationId, attemptId }, ASK_TIMEOUT_MS)
+    if (outcome.kind === 'failed') log.decision('peerDidNotAnswer', { peer: home.address, path: PEER_PATH.streamQueries, reason: outcome.reason })
+    if (outcome.kind !== 'answered') return { kind: 'none' }
+    const reply = v.safeParse(replySchema, outcome.reply)
+    if (!reply.success) return { kind: 'none' }
+    return reply.output.origin === undefined ? { kind: 'unknown' } : { kind: 'known', origin: reply.output.origin }
+  }
+
+  /** Resolves with the first reply that knows the stream, or once all homes have replied or can't. */
+  function askHomes (attemptId: string): Promise<HomeReply> {
+    const homes = attemptId === '' ? [] : homesOf(attemptId)
+    return new Promise((resolve) => {
+      let pending = homes.length
+      let combined: HomeReply = { kind: 'none' }
+      const settle = (reply: HomeReply): void => {
+        pending--
+        if (reply.kind !== 'none') combined = reply
+        if (reply.kind === 'known' || pending === 0) resolve(combined)
+      }
+      if (pending === 0) resolve(combined)
+      for (const home of homes) {
+        askHome(home, attemptId).then(settle, (error: unknown) => {
+          log.warning('streamQueryFailed', { reason: String(error) })
+          settle({ kind: 'none' })
+        })
+      }
+    })
+  }
+
+  async function find (attemptId: string, service: string): Promise<StreamStart> {
+    const own = origins.find(attemptId, sharedNow())
+    if (own !== undefined) {
+      options.count('ownRecord')
+      return toStart(own)
+    }
+    const reply = await askHomes(attemptId)
+    if (reply.kind === 'known') {
+      options.count('homeRecord')
+      origins.record(reply.origin, sharedNow())
+      return toStart(reply.origin)
+    }
+    // An instance that is cut off from the store and from all homes may have missed a new version.
+    const version = reply.kind === 'unknown' || options.isListCurrent() ? history.onlyVersion(service, steadyNow()) : undefined
+    options.count(version === undefined ? 'unknown' : 'onlyVersion')
+    return version === undefined ? { kind: 'unknown' } : { kind: 'begun', service, version, backendId: '', at: steadyNow() }
+  }
+
+  return {
+    begin,
+    find,
+    confirm,
+    noteListed: (entry, previous) => {
+      const wasMixed = areVersionsMixed(entry.service)
+      if (previous === undefined) history.add(entry)
+      else history.replace(previous, entry, steadyNow())
+      announceIfMixed(entry.service)
+      if (!wasMixed && areVersionsMixed(entry.service)) tellAllAgain()
+    },
+    noteRemoved: (entry) => history.remove(entry, steadyNow()),
+    learnMixed: (service, until) => {
+      announcedUntil.set(service, Math.max(announcedUntil.get(service) ?? -Infinity, until))
+      const wasMixed = areVersionsMixed(service)
+      history.learnMixed(service, toLocal(until))
+      if (!wasMixed && areVersionsMixed(service)) tellAllAgain()
+    },
+    noteInstancesChanged: tellAllAgain,
+    receive: (received) => { for (const origin of received) origins.record(origin, sharedNow()) },
+    answer: (attemptId) => origins.find(attemptId, sharedNow())
+  }
+}
