Play releases of several software versions in the soak

Backend servers are replaced at other versions while streams break and their callers take them up at the next gateway.

--- a/soak/src/__tests__/soak.test.ts
+++ b/soak/src/__tests__/soak.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from '@jest/globals'
 import { checkGuarantees, completeBody, type CallerRecord, type Observations } from '../checkGuarantees.js'
 import { recordStalls, stalledMilliseconds } from '../eventLoopStalls.js'
-import { planFaults, planFaultsAndLimits, planFaultsAndRestores, planSilences } from '../faultPlan.js'
+import { planFaults, planFaultsAndLimits, planFaultsAndRestores, planReleases, planSilences } from '../faultPlan.js'
 import { runSoak } from '../soakRun.js'
 
 /**
@@ -15,6 +15,8 @@
 const SEEDS_WITH_SILENCES = [30_000] as const
 /** Both overspent the budget when grants made after the copy were lost; in the first the store is restored twice, in the second an instance is killed after the copy. */
 const SEEDS_WITH_RESTORES = [31_002, 31_009] as const
+/** Without the choice by version, tens of streams hold events of two versions; in this seed a gateway is killed and one is paused. */
+const SEEDS_WITH_RELEASES = [40_000] as const
 const EVENTS_PER_STREAM = 3
 
 function createRecord (overrides: Partial<CallerRecord> = {}): CallerRecord {
@@ -99,6 +101,15 @@
     for (const place of ['gateway', 'backend'] as const) expect(findViolations([told, ...records], { runs, namedLimits: [limit], disruptions: [{ place, index: 0, from: 2500, to: 3000 }] })).toEqual([])
   })
 
+  test('more than two streams with events of two software versions are detected, over all of their callers\' tries', () => {
+    const event = (attempt: string, id: number, version: string): string => `id: ${id}\ndata: ${attempt} token ${id} from ${version}\n\n`
+    const begun = Array.from({ length: 3 }, (_, index) => createRecord({ kind: 'stream', attempt: `s${index}`, complete: false, leftAt: 150, body: event(`s${index}`, 1, 'v1') }))
+    const resumed = (version: string): readonly CallerRecord[] => begun.map(({ attempt }) => createRecord({ kind: 'stream', attempt: `${attempt}-1`, resumes: { attempt, after: 1 }, body: event(`${attempt}-1`, 2, version) + event(`${attempt}-1`, 3, version) }))
+    expect(findViolations([...begun, ...resumed('v1')])).toEqual([])
+    expect(findViolations([...begun, ...resumed('v1.2')])).toEqual(['versions'])
+    expect(findViolations([...begun, ...resumed('v1.2').slice(1)])).toEqual([])
+  })
+
   test('a fleet that does not recover is detected', () => {
     expect(findViolations(Array.from({ length: 20 }, () => createRecord({ sentAt: 9000, status: 504 })))).toEqual(['recovery'])
   })
@@ -158,6 +169,12 @@
     expect(report.statuses['200']).toBeGreaterThan(0)
   }, 40_000)
 
+  test.each(SEEDS_WITH_RELEASES)('seed %d with releases of several software versions violates no guarantee', async (seed) => {
+    const report = await runSoak(planReleases(seed))
+    expect(report.broken).toEqual([])
+    expect(report.statuses['200']).toBeGreaterThan(0)
+  }, 40_000)
+
   test.each(SEEDS_WITH_RESTORES)('seed %d with a store that is restored from a copy violates no guarantee', async (seed) => {
     const report = await runSoak(planFaultsAndRestores(seed))
     expect(report.broken).toEqual([])
--- a/soak/src/checkGuarantees.ts
+++ b/soak/src/checkGuarantees.ts
@@ -9,6 +9,8 @@
   readonly kind: RequestKind
   readonly sentAt: number
   readonly gateway: number
+  /** The earlier attempt whose stream it takes up, and the last event that the caller has got of it. */
+  readonly resumes?: { readonly attempt: string, readonly after: number }
   /** Number of restarts of the gateway before the attempt was sent. */
   readonly generation: number
   /** Configuration version whose route `/vN/` was requested. */
@@ -84,7 +86,7 @@
 /** A guarantee that did not hold. */
 export interface GuaranteeViolation {
   /** Name of the guarantee. */
-  readonly promise: 'budget' | 'once' | 'refusal' | 'whole' | 'plannedStop' | 'interrupted' | 'configuration' | 'recovery' | 'departure' | 'limit'
+  readonly promise: 'budget' | 'once' | 'refusal' | 'whole' | 'plannedStop' | 'interrupted' | 'configuration' | 'recovery' | 'departure' | 'limit' | 'versions'
   readonly detail: string
 }
 
@@ -107,10 +109,20 @@
 const LIMIT_NOTICE_MS = 500
 const LIMIT_WINDOW_MS = 4000
 
-/** Expected body of a complete response. */
-export function completeBody (kind: RequestKind, attempt: string, events: number): string {
+/** Streams that may hold events of two software versions. */
+const MAX_MIXED_STREAMS = 2
+
+/** Expected body of a complete response; a stream that is taken up begins after the event `after`. */
+export function completeBody (kind: RequestKind, attempt: string, events: number, after = 0): string {
   if (kind !== 'stream') return `answer to ${attempt}`
-  return Array.from({ length: events }, (_, index) => `id: ${index + 1}\ndata: ${attempt} token ${index + 1}\n\n`).join('')
+  return Array.from({ length: events - after }, (_, index) => `id: ${after + index + 1}\ndata: ${attempt} token ${after + index + 1}\n\n`).join('')
+}
+
+const EVENT_VERSION_PATTERN = / from (\S+)$/gm
+
+/** Software versions named by the events of a body. */
+export function versionsOf (body: string): readonly string[] {
+  return [...body.matchAll(EVENT_VERSION_PATTERN)].map(([, version]) => version ?? '')
 }
 
 function * checkBudget (observations: Observations): Generator<GuaranteeViolation> {
@@ -134,7 +146,7 @@
 function * checkResponses (observations: Observations): Generator<GuaranteeViolation> {
   for (const record of observations.callers) {
     if (record.status !== 200 || !record.complete) continue
-    if (record.body !== completeBody(record.kind, record.attempt, observations.eventsPerStream)) yield { promise: 'whole', detail: `${record.attempt} got ${JSON.stringify(record.body.slice(0, 120))}` }
+    if (record.body.replace(EVENT_VERSION_PATTERN, '') !== completeBody(record.kind, record.attempt, observations.eventsPerStream, record.resumes?.after)) yield { promise: 'whole', detail: `${record.attempt} got ${JSON.stringify(record.body.slice(0, 120))}` }
   }
 }
 
@@ -220,6 +232,19 @@
   return allowed.reduce((sum, requests) => sum + requests, 0)
 }
 
+function * checkVersions ({ callers }: Observations): Generator<GuaranteeViolation> {
+  const versionsByStream = new Map<string, Set<string>>()
+  for (const { attempt, resumes, body, status } of callers) {
+    if (status !== 200) continue
+    const stream = resumes?.attempt ?? attempt
+    const versions = versionsByStream.get(stream) ?? new Set()
+    for (const version of versionsOf(body)) versions.add(version)
+    versionsByStream.set(stream, versions)
+  }
+  const mixed = [...versionsByStream].filter(([, versions]) => versions.size > 1)
+  if (mixed.length > MAX_MIXED_STREAMS) yield { promise: 'versions', detail: mixed.map(([stream, versions]) => `${stream}: ${[...versions].join(' and ')}`).join(', ') }
+}
+
 function * checkRecovery (observations: Observations): Generator<GuaranteeViolation> {
   const lastFault = Math.max(0, ...observations.faultWindows.map(({ to }) => to))
   const sentAfterRecovery = observations.callers.filter((record) => record.kind !== 'stream' && record.sentAt > lastFault + RECOVERY_TIME_MS)
@@ -239,4 +264,5 @@
   yield * checkRecovery(observations)
   yield * checkDepartures(observations)
   yield * checkNamedLimits(observations)
+  yield * checkVersions(observations)
 }
--- a/soak/src/faultPlan.ts
+++ b/soak/src/faultPlan.ts
@@ -28,6 +28,11 @@
   | { readonly kind: 'restore', readonly at: number, readonly age: number, readonly awayFor: number, readonly rewriteAfter: number }
   /** A backend server in need names a request limit in its responses. */
   | { readonly kind: 'namedLimit', readonly at: number, readonly backend: number, readonly lasts: number, readonly requestsPerSecond: number }
+  /**
+   * The process of a backend server is replaced by one of another ID and software version. From the first release on, streams break
+   * now and then, and their callers take them up at another gateway.
+   */
+  | { readonly kind: 'release', readonly at: number, readonly backend: number, readonly version: string }
   /** A sound backend server sends nothing for a while and then goes on; this excuses no interrupted response. */
   | { readonly kind: 'backendSilence', readonly at: number, readonly backend: number, readonly lasts: number }
 
@@ -99,6 +104,19 @@
   return [...planFaultsAndLimits(seed), ...restores].sort((left, right) => left.at - right.at)
 }
 
+const release = fastCheck.record({
+  kind: fastCheck.constant('release' as const),
+  at: fastCheck.integer({ min: 0, max: FAULT_PHASE_END_MS }),
+  backend,
+  version: fastCheck.constantFrom('v1', 'v1.1', 'v1.2')
+})
+
+/** Generates the faults of a seed like `planFaults`, and releases of several software versions beside them. */
+export function planReleases (seed: number): readonly PlannedFault[] {
+  const [releases = []] = fastCheck.sample(fastCheck.array(release, { minLength: 3, maxLength: 8, size: 'max' }), { seed, numRuns: 1 })
+  return [{ kind: 'release' as const, at: 0, backend: 0, version: 'v1.1' }, ...planFaults(seed), ...releases].sort((left, right) => left.at - right.at)
+}
+
 /** Generates the faults of a seed in chronological order; the same seed gives the same plan. */
 export function planFaults (seed: number): readonly PlannedFault[] {
   const [plan = []] = fastCheck.sample(fastCheck.array(plannedFault, { minLength: 2, maxLength: 9, size: 'max' }), { seed, numRuns: 1 })
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -1,6 +1,6 @@
-import { CALLER_DEADLINE_MS, limitHeaders, sendRequest, signedHeaders, startBackendStandIn, startGatewayProcess, startStoreStandIn, versionedConfiguration, wireBackendWithSlots, type BackendStandIn, type GatewayProcess, type StoreStandIn } from '@quinceshunt/platform-adapter/fixtures'
-import { Agent } from 'node:http'
-import { checkGuarantees, completeBody, type BackendRun, type CallerRecord, type Disruption, type FaultWindow, type GuaranteeViolation, type NamedLimitPeriod, type RequestKind } from './checkGuarantees.js'
+import { CALLER_DEADLINE_MS, limitHeaders, resumptionHeaders, sendRequest, signedHeaders, startBackendStandIn, startGatewayProcess, startStoreStandIn, versionedConfiguration, wireBackendWithSlots, type BackendStandIn, type GatewayProcess, type StoreStandIn } from '@quinceshunt/platform-adapter/fixtures'
+import { Agent, type ServerResponse } from 'node:http'
+import { checkGuarantees, completeBody, versionsOf, type BackendRun, type CallerRecord, type Disruption, type FaultWindow, type GuaranteeViolation, type NamedLimitPeriod, type RequestKind } from './checkGuarantees.js'
 import { BACKEND_COUNT, GATEWAY_COUNT, SOAK_DURATION_MS, type PlannedFault } from './faultPlan.js'
 import { recordStalls } from './eventLoopStalls.js'
 import { startFaultyLink, type FaultyLink } from './faultyLink.js'
@@ -24,6 +24,14 @@
 const MAX_PATIENCE_MS = 160
 const PROMPT_TOKENS = 100
 const TOKENS_PER_EVENT = 5
+/** In runs with releases, so that streams go on to the end. */
+const AMPLE_PREPAID_TOKENS = 10_000_000
+/** One stream in this many breaks after a few events once a backend server was released. */
+const BREAK_INTERVAL = 3
+const EVENTS_BEFORE_BREAK = 3
+/** Times that a caller takes a stream up. */
+const MAX_RESUMPTIONS = 3
+const FIRST_VERSION = 'v1'
 /** Less than the load requests, so that every soak covers refusals and the use of the last tokens. */
 const PREPAID_TOKENS = 30_000
 /** Delay of a store write that is applied after its caller has timed out. */
@@ -46,6 +54,13 @@
   state: 'up' | 'down' | 'paused'
 }
 
+/** The process of a backend server. */
+interface BackendProcess {
+  id: string
+  version: string
+  readonly responses: Set<ServerResponse>
+}
+
 const sleep = async (milliseconds: number): Promise<void> => { await new Promise((resolve) => setTimeout(resolve, milliseconds)) }
 
 /** Calls `write` once the backend server is not silent. */
@@ -55,8 +70,27 @@
   else write()
 }
 
-function installBackendHandler (backend: BackendStandIn, index: number, runs: BackendRun[], currentLimit: () => number | undefined, silentUntil: () => number): void {
-  backend.handler = (received, response) => {
+/** What a backend server's handler needs to know of the run. */
+interface BackendSurroundings {
+  readonly index: number
+  readonly backendProcess: BackendProcess
+  readonly runs: BackendRun[]
+  readonly currentLimit: () => number | undefined
+  readonly silentUntil: () => number
+  /** Streams name the version that wrote each event, and some break. */
+  readonly hasReleases: boolean
+}
+
+function installBackendHandler (backend: BackendStandIn, { index, backendProcess, runs, currentLimit, silentUntil, hasReleases }: BackendSurroundings): void {
+  backend.handler = (received, response, incoming) => {
+    if (received.expectedBackendId !== backendProcess.id) {
+      response.writeHead(421, { ...signedHeaders(received) })
+      response.end()
+      return
+    }
+    backendProcess.responses.add(response)
+    response.on('close', () => backendProcess.responses.delete(response))
+    const { version } = backendProcess
     const attempt = received.attemptId
     const limit = currentLimit()
     if (limit !== undefined) response.setHeaders(new Map(Object.entries(limitHeaders(String(limit)))))
@@ -69,11 +103,13 @@
       return
     }
     let event = received.resumedAfter
+    const breaksAfter = hasReleases && runs.length % BREAK_INTERVAL === 0 ? event + EVENTS_BEFORE_BREAK : undefined
     response.writeHead(200, { ...signedHeaders(received), 'content-type': 'text/event-stream' })
     const timer = setInterval(() => {
       if (Date.now() < silentUntil()) return
       event++
-      response.write(`id: ${event}\ndata: ${attempt} token ${event}\n\n`)
+      response.write(`id: ${event}\ndata: ${attempt} token ${event}${hasReleases ? ` from ${version}` : ''}\n\n`)
+      if (event === breaksAfter) incoming.socket.resetAndDestroy()
       if (event < EVENTS_PER_STREAM) return
       clearInterval(timer)
       response.end()
@@ -85,10 +121,11 @@
 /** Sends one request over a keep-alive connection and completes its record. */
 async function sendRecordedRequest (agent: Agent, address: string, record: CallerRecord): Promise<void> {
   const path = record.routeVersion === undefined ? REQUEST_PATHS[record.kind] : `/v${record.routeVersion}/`
+  const headers = record.resumes === undefined ? {} : resumptionHeaders(record.resumes.attempt, record.resumes.after)
   const prompt = record.kind === 'stream' ? { prompt: { promptTokens: PROMPT_TOKENS, outputTokens: EVENTS_PER_STREAM * TOKENS_PER_EVENT } } : {}
   const onAbort = (): void => { if (record.leavesAt !== undefined) record.leftAt = Date.now() }
   try {
-    const { status, body, complete, namesLimit } = await sendRequest(address, path, { agent, method: record.kind === 'once' ? 'POST' : 'GET', attemptId: record.attempt, abortAfterMilliseconds: record.leavesAt === undefined ? CALLER_DEADLINE_MS + CALLER_ABORT_MARGIN_MS : Math.max(0, record.leavesAt - Date.now()), onAbort, ...prompt })
+    const { status, body, complete, namesLimit } = await sendRequest(address, path, { agent, method: record.kind === 'once' ? 'POST' : 'GET', attemptId: record.attempt, abortAfterMilliseconds: record.leavesAt === undefined ? CALLER_DEADLINE_MS + CALLER_ABORT_MARGIN_MS : Math.max(0, record.leavesAt - Date.now()), onAbort, headers, ...prompt })
     Object.assign(record, { status, body, complete, namesLimit })
   } catch {
     // The record keeps status 0: no response headers arrived, and the checks treat the outcome as unknown.
@@ -105,16 +142,34 @@
   const faultWindows: FaultWindow[] = []
   const namedLimits: NamedLimitPeriod[] = []
   const disruptions: Disruption[] = []
+  const hasReleases = plan.some(({ kind }) => kind === 'release')
+  const prepaidTokens = hasReleases ? AMPLE_PREPAID_TOKENS : PREPAID_TOKENS
   const limits = new Map<number, number>()
   const silences = new Map<number, number>()
   const backends = await Promise.all(Array.from({ length: BACKEND_COUNT }, async () => await startBackendStandIn()))
   const backendLinks = await Promise.all(backends.map(async ({ address }) => await startFaultyLink(address)))
   const storeLinks = await Promise.all(Array.from({ length: GATEWAY_COUNT }, async () => await startFaultyLink(store.address)))
   let version = 1
-  store.putConfiguration(versionedConfiguration(version, PREPAID_TOKENS))
-  for (const [index, backend] of backends.entries()) {
-    installBackendHandler(backend, index, runs, () => limits.get(index), () => silences.get(index) ?? 0)
-    store.putBackend(`backend${index}`, wireBackendWithSlots(PLAIN_BACKENDS.includes(index) ? 'ledger' : 'model', backendLinks[index]?.address ?? '', BACKEND_SLOTS))
+  store.putConfiguration(versionedConfiguration(version, prepaidTokens))
+  const backendProcesses = backends.map((backend, index) => {
+    const backendProcess: BackendProcess = { id: `backend${index}`, version: FIRST_VERSION, responses: new Set() }
+    installBackendHandler(backend, { index, backendProcess, runs, currentLimit: () => limits.get(index), silentUntil: () => silences.get(index) ?? 0, hasReleases })
+    listBackend(index, backendProcess)
+    return backendProcess
+  })
+
+  function listBackend (index: number, { id, version: software }: BackendProcess): void {
+    store.putBackend(id, { ...wireBackendWithSlots(PLAIN_BACKENDS.includes(index) ? 'ledger' : 'model', backendLinks[index]?.address ?? '', BACKEND_SLOTS), version: software })
+  }
+
+  /** The new process listens at once, so that it is reached under the ID of the one before until the list is read. */
+  function releaseBackend (index: number, software: string, sequence: number): void {
+    const backendProcess = backendProcesses[index]
+    if (backendProcess === undefined) return
+    store.remove('servers', backendProcess.id)
+    Object.assign(backendProcess, { id: `backend${index}-${sequence}`, version: software })
+    for (const response of backendProcess.responses) response.destroy()
+    listBackend(index, backendProcess)
   }
 
   async function startGateway (index: number, overrides: Record<string, unknown>): Promise<GatewayProcess> {
@@ -222,7 +277,10 @@
         return
       case 'configuration':
         version++
-        store.putConfiguration(versionedConfiguration(version, PREPAID_TOKENS))
+        store.putConfiguration(versionedConfiguration(version, prepaidTokens))
+        return
+      case 'release':
+        releaseBackend(fault.backend, fault.version, plan.indexOf(fault))
         return
       case 'namedLimit': return await nameLimit(fault)
       case 'backendSilence':
@@ -239,21 +297,37 @@
   const agents = gateways.map(() => new Agent({ keepAlive: true, maxSockets: 200 }))
   const pendingRequests: Promise<void>[] = []
   let sentCount = 0
+
+  /** Sends a request, and takes its stream up at the next gateway as long as it breaks. */
+  async function sendAndResume (record: CallerRecord, resumptions: number): Promise<void> {
+    const gateway = gateways[record.gateway]
+    const agent = agents[record.gateway]
+    if (gateway === undefined || agent === undefined) return
+    callers.push(record)
+    await sendRecordedRequest(agent, gateway.process.callersAddress, record)
+    const events = record.status === 200 ? versionsOf(record.body).length : 0
+    const after = (record.resumes?.after ?? 0) + events
+    if (!hasReleases || record.kind !== 'stream' || record.complete || record.leavesAt !== undefined || after === 0 || resumptions === MAX_RESUMPTIONS) return
+    const attempt = record.resumes?.attempt ?? record.attempt
+    const next = (record.gateway + 1) % GATEWAY_COUNT
+    await sendAndResume({ ...record, attempt: `${attempt}-${resumptions + 1}`, sentAt: Date.now(), gateway: next, generation: gateways[next]?.generation ?? 0, resumes: { attempt, after }, namesLimit: false, status: 0, body: '' }, resumptions + 1)
+  }
+
   const loadTimer = setInterval(() => {
     const index = sentCount % GATEWAY_COUNT
     const gateway = gateways[index]
-    const agent = agents[index]
-    if (gateway === undefined || agent === undefined) return
+    if (gateway === undefined) return
     const kind = REQUEST_KINDS[sentCount % REQUEST_KINDS.length] ?? 'once'
     const isVersioned = sentCount % 16 === 2
     const isDeparture = sentCount % DEPARTURE_INTERVAL === 4
     const leavesAt = isDeparture ? Date.now() + (sentCount * 37) % MAX_PATIENCE_MS : undefined
     const record: CallerRecord = { attempt: `attempt-${sentCount}`, kind: isVersioned ? 'repeatable' : kind, sentAt: Date.now(), gateway: index, generation: gateway.generation, routeVersion: isVersioned ? version : undefined, leavesAt, leftAt: undefined, answeredAt: 0, namesLimit: false, status: 0, body: '', complete: false }
     sentCount++
-    callers.push(record)
-    pendingRequests.push(sendRecordedRequest(agent, gateway.process.callersAddress, record))
+    pendingRequests.push(sendAndResume(record, 0))
   }, REQUEST_INTERVAL_MS)
 
+  // Backend servers that are released, or break off a stream, interrupt responses at any time.
+  if (hasReleases) recordFaultWindow(SOAK_DURATION_MS, true)
   const faults = plan.map(applyFault)
   await sleep(SOAK_DURATION_MS)
   clearInterval(loadTimer)
@@ -266,6 +340,6 @@
 
   const statuses: Record<string, number> = {}
   for (const { status } of callers) statuses[status] = (statuses[status] ?? 0) + 1
-  const broken = [...checkGuarantees({ callers, runs, prepaidTokens: PREPAID_TOKENS, promptTokens: PROMPT_TOKENS, tokensPerEvent: TOKENS_PER_EVENT, eventsPerStream: EVENTS_PER_STREAM, plannedStops, faultWindows, namedLimits, plainBackends: PLAIN_BACKENDS, disruptions, callerDeadlineMilliseconds: CALLER_DEADLINE_MS, stalls: stallRecorder.stalls })]
+  const broken = [...checkGuarantees({ callers, runs, prepaidTokens, promptTokens: PROMPT_TOKENS, tokensPerEvent: TOKENS_PER_EVENT, eventsPerStream: EVENTS_PER_STREAM, plannedStops, faultWindows, namedLimits, plainBackends: PLAIN_BACKENDS, disruptions, callerDeadlineMilliseconds: CALLER_DEADLINE_MS, stalls: stallRecorder.stalls })]
   return { requests: callers.length, statuses, stalledMilliseconds: stallRecorder.stalls.reduce((sum, { from, to }) => sum + to - from, 0), broken }
 }
