Log when an instance reaches no backend server of a service

Backend servers of which a connection fails, or that are silent while nothing is heard of any of their service, are probed; serviceCutOff and serviceReached say when none is reached and when one is again. Nothing is decided by it yet. A backend server that wants no requests, or names a limit, is not probed.

--- /dev/null
+++ b/packages/gateway/src/__tests__/backendReach.test.ts
@@ -0,0 +1,159 @@
+import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals'
+import { createTestBackend } from '../__fixtures__/backends.js'
+import { createRecordingLog, type RecordingLog } from '../__fixtures__/recordingLog.js'
+import { steadyNow } from '../clock.js'
+import { areAllLost, isLost } from '../decisions/backendReach.js'
+import type { BackendState } from '../decisions/backendState.js'
+import { startBackendReach, type BackendReach } from '../tasks/backendReach.js'
+
+const PROBE_DELAY_MS = 100
+
+let log: RecordingLog
+let backends: readonly BackendState[]
+let probes: string[]
+/** IDs of the backend servers that answer probes. */
+let reachable: Set<string>
+let wantsRequests: boolean
+let reach: BackendReach
+
+beforeEach(() => {
+  jest.useFakeTimers()
+  log = createRecordingLog()
+  backends = ['a', 'b', 'c'].map((id) => createTestBackend(id, { service: 'ledger', address: id }))
+  for (const backend of backends) backend.lastByteAt = steadyNow()
+  probes = []
+  wantsRequests = true
+  reachable = new Set(['a', 'b', 'c'])
+  reach = startBackendReach({
+    backendsByService: () => new Map([['ledger', backends]]),
+    findService: () => ({ name: 'ledger', maximumConnections: 1, engine: undefined, healthPath: '/healthz' }),
+    mayProbe: () => wantsRequests,
+    log,
+    count: () => {},
+    probe: async (address) => {
+      probes.push(address)
+      await new Promise((resolve) => setTimeout(resolve, PROBE_DELAY_MS))
+      return reachable.has(address) ? { kind: 'reached' } : { kind: 'lost', reason: 'no response in time' }
+    }
+  })
+})
+afterEach(() => {
+  reach.stop()
+  jest.useRealTimers()
+})
+
+function send (backend: BackendState | undefined): void {
+  backend?.pending.add({ sentAt: steadyNow(), prefillTokens: 0, answered: false })
+}
+
+/** Bytes come from a backend server. */
+function receive (backend: BackendState | undefined): void {
+  if (backend === undefined) return
+  backend.lastByteAt = steadyNow()
+  reach.noteBytes(backend)
+}
+
+function events (): readonly string[] {
+  return log.lines.map(({ name }) => name).filter((name) => name.startsWith('service'))
+}
+
+describe('an instance that loses its backend servers', () => {
+  // Guards against an instance that learns server by server, at the cost of a request each, that it is cut off.
+  test('knows within two seconds that it reaches none, from one unanswered request', async () => {
+    reachable = new Set()
+    send(backends[0])
+    await jest.advanceTimersByTimeAsync(1000)
+    expect(areAllLost(backends)).toBe(true)
+    expect(events()).toEqual(['serviceCutOff'])
+  })
+
+  test('knows it at once from a refused connection and the probes that follow', async () => {
+    reachable = new Set()
+    await jest.advanceTimersByTimeAsync(500)
+    reach.noteUnreachable(backends[0] as BackendState)
+    expect(probes).toEqual(['b', 'c'])
+    await jest.advanceTimersByTimeAsync(PROBE_DELAY_MS)
+    expect(areAllLost(backends)).toBe(true)
+  })
+
+  test('reaches them again at the first answer to a probe', async () => {
+    reachable = new Set()
+    send(backends[0])
+    await jest.advanceTimersByTimeAsync(5000)
+    reachable = new Set(['b'])
+    await jest.advanceTimersByTimeAsync(600)
+    expect(backends.map(isLost)).toEqual([true, false, true])
+    expect(events()).toEqual(['serviceCutOff', 'serviceReached'])
+  })
+
+  test('probes each of them at most three times a second while it is cut off', async () => {
+    reachable = new Set()
+    send(backends[0])
+    await jest.advanceTimersByTimeAsync(2000)
+    probes.length = 0
+    await jest.advanceTimersByTimeAsync(10_000)
+    expect(probes.length).toBeLessThanOrEqual(90)
+    expect(probes.length).toBeGreaterThanOrEqual(60)
+  })
+})
+
+describe('a sound backend server', () => {
+  test('is not probed while it wants no requests', async () => {
+    wantsRequests = false
+    send(backends[0])
+    await jest.advanceTimersByTimeAsync(5000)
+    expect(probes).toEqual([])
+  })
+
+  // Guards against a silence of a second or so, or a slow request, that is taken for a partition.
+  test('is not lost while it is silent and answers a probe, which it gets once', async () => {
+    send(backends[0])
+    await jest.advanceTimersByTimeAsync(5000)
+    expect(probes).toEqual(['a'])
+    expect(backends.some(isLost)).toBe(false)
+  })
+
+  test('is not probed while others of its service are heard', async () => {
+    send(backends[0])
+    for (let step = 0; step < 20; step++) {
+      receive(backends[1])
+      await jest.advanceTimersByTimeAsync(200)
+    }
+    expect(probes).toEqual([])
+  })
+
+  test('is not lost when bytes come while its probe fails', async () => {
+    reachable = new Set()
+    send(backends[0])
+    await jest.advanceTimersByTimeAsync(550)
+    expect(probes).toEqual(['a'])
+    receive(backends[0])
+    await jest.advanceTimersByTimeAsync(PROBE_DELAY_MS)
+    expect(isLost(backends[0] as BackendState)).toBe(false)
+  })
+
+  test('is not taken for lost with a crashed one beside it', async () => {
+    reachable = new Set(['b', 'c'])
+    await jest.advanceTimersByTimeAsync(500)
+    reach.noteUnreachable(backends[0] as BackendState)
+    await jest.advanceTimersByTimeAsync(10_000)
+    expect(probes).toEqual(['b', 'c'])
+    expect(backends.map(isLost)).toEqual([true, false, false])
+    expect(events()).toEqual([])
+  })
+})
+
+// Guards against a paused process that takes its own pause for a silence of all backend servers.
+test('a check that comes late lets bytes be read first', async () => {
+  const running = performance.now.bind(performance)
+  let pausedMilliseconds = 0
+  const clock = jest.spyOn(performance, 'now').mockImplementation(() => running() + pausedMilliseconds)
+  send(backends[0])
+  await jest.advanceTimersByTimeAsync(150)
+  pausedMilliseconds = 3000
+  await jest.advanceTimersByTimeAsync(100)
+  receive(backends[0])
+  await jest.advanceTimersByTimeAsync(300)
+  expect(probes).toEqual([])
+  clock.mockRestore()
+})
--- /dev/null
+++ b/packages/gateway/src/decisions/backendReach.ts
@@ -0,0 +1,61 @@
+import { silenceMilliseconds, type BackendState } from './backendState.js'
+
+/**
+ * Tells which backend servers this instance can't reach.
+ *
+ * Pattern: an instance is partitioned from all backend servers for seconds while the store, its callers and the other instances
+ * reach it. New connections hang or are reset, requests on kept ones get no answer. One silent backend server is no evidence: it
+ * may go on after a second or so.
+ */
+
+/** Time without a byte from any backend server of a service after which a silent one is probed. Prefill keeps engines silent for longer. */
+const SILENCE_BEFORE_PROBE_MS = { engine: 800, plain: 400 } as const
+/** Pause between two probes of a backend server. */
+const PROBE_INTERVAL_MS = 400
+/** One that sent a byte this short a time ago is not probed when another one of its service is lost. */
+const RECENT_BYTE_MS = 300
+
+/** Returns true when a backend server has sent nothing since this instance last failed to reach it. */
+export function isLost (state: BackendState): boolean {
+  return state.lostSince !== undefined
+}
+
+/** Returns true when none of the backend servers can be reached; false without any. */
+export function areAllLost (states: readonly BackendState[]): boolean {
+  return states.length > 0 && states.every(isLost)
+}
+
+/** Records that a backend server could not be reached; false when that was known. */
+export function recordLoss (state: BackendState, now: number): boolean {
+  if (state.lostSince !== undefined) return false
+  state.lostSince = now
+  return true
+}
+
+/** Records that a backend server has sent a byte; false when it was not lost. */
+export function recordContact (state: BackendState): boolean {
+  if (state.lostSince === undefined) return false
+  state.lostSince = undefined
+  return true
+}
+
+/** Returns true for a backend server with an unanswered request that was not probed since it was sent. */
+function isSilent (state: BackendState, kind: keyof typeof SILENCE_BEFORE_PROBE_MS, newestByteAt: number, now: number): boolean {
+  const silence = silenceMilliseconds(state, now)
+  return Math.min(silence, now - newestByteAt) > SILENCE_BEFORE_PROBE_MS[kind] && state.lastProbeAt < now - silence
+}
+
+/**
+ * Selects the backend servers of one service to probe: silent ones while nothing is heard of any, those of which nothing was heard
+ * lately once another one is lost, and lost ones while all are. A single lost one is found again by the requests that it gets later.
+ */
+export function selectProbes (states: readonly BackendState[], kind: keyof typeof SILENCE_BEFORE_PROBE_MS, now: number): readonly BackendState[] {
+  const hasLost = states.some(isLost)
+  const allLost = areAllLost(states)
+  const newestByteAt = Math.max(...states.map(({ lastByteAt }) => lastByteAt))
+  return states.filter((state) => {
+    if (now - state.lastProbeAt < PROBE_INTERVAL_MS) return false
+    if (isLost(state)) return allLost
+    return (hasLost && now - state.lastByteAt > RECENT_BYTE_MS && state.lastProbeAt <= state.lastByteAt) || isSilent(state, kind, newestByteAt, now)
+  })
+}
--- a/packages/gateway/src/decisions/backendState.ts
+++ b/packages/gateway/src/decisions/backendState.ts
@@ -56,6 +56,9 @@
   /** Unix milliseconds until which it gets requests only when no other backend server can. */
   avoidedUntil: number
   avoidanceMilliseconds: number
+  /** When this instance last failed to reach it, if it has sent no byte since. */
+  lostSince: number | undefined
+  lastProbeAt: number
   failures: { weight: number, at: number }
   delay: { milliseconds: number, at: number }
   limit: KnownLimit
@@ -79,6 +82,8 @@
     lastByteAt: now,
     avoidedUntil: 0,
     avoidanceMilliseconds: 0,
+    lostSince: undefined,
+    lastProbeAt: 0,
     failures: { weight: 0, at: now },
     delay: { milliseconds: 0, at: now },
     limit: noKnownLimit,
@@ -176,4 +181,6 @@
   state.unreportedDemand.clear()
   state.avoidedUntil = 0
   state.avoidanceMilliseconds = 0
+  state.lostSince = undefined
+  state.lastProbeAt = 0
 }
--- a/packages/gateway/src/fleetConfiguration.ts
+++ b/packages/gateway/src/fleetConfiguration.ts
@@ -51,6 +51,8 @@
   /** Maximum connections that one backend server accepts from all instances together. */
   readonly maximumConnections: number
   readonly engine: EngineBatching | undefined
+  /** Path at which a backend server says whether it is healthy; empty when it has none. */
+  readonly healthPath: string
 }
 
 /** A client account with its API keys and prepaid budget. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import { readFileSync, watchFile } from 'node:fs'
 import { createServer, type Server } from 'node:http'
 import { createBackendAcceptance } from './decisions/backendAcceptance.js'
+import { backendProcessOf } from './decisions/backendState.js'
 import { createByteBudget } from './decisions/byteBudget.js'
 import { createRetryShares } from './decisions/retryShares.js'
 import { createSharedClock } from './decisions/sharedClock.js'
@@ -12,6 +13,7 @@
 import type { GatewayPlatform } from './ports.js'
 import { parseGatewaySettings, SETTINGS_EXIT_CODE, type GatewaySettings } from './settings.js'
 import { createBackendConnections } from './tasks/backendConnections.js'
+import { startBackendReach } from './tasks/backendReach.js'
 import { startBackendTask } from './tasks/backendTask.js'
 import { createCallersListener, type CallersListener } from './tasks/callersListener.js'
 import { createConfirmedConfiguration } from './tasks/confirmedConfiguration.js'
@@ -179,6 +181,13 @@
     onRestarted: (predecessor, backendProcess) => acceptance.restart(predecessor, backendProcess, steadyNow())
   })
   const acceptance = createBackendAcceptance(backends.processes)
+  const reach = startBackendReach({
+    backendsByService: backends.byService,
+    findService: (name) => configuration.current?.service(name),
+    mayProbe: ({ entry, limit }) => limit.requestsPerSecond === undefined && acceptance.acceptanceOf(backendProcessOf(entry), steadyNow()).kind === 'accepting',
+    log,
+    count: (outcome) => metrics.count('backend_probes_total', { outcome })
+  })
   const context: GatewayContext = {
     settings,
     wire: platform.wire,
@@ -187,6 +196,7 @@
     eventLoopDelay: startEventLoopDelay(metrics, log),
     configuration: confirmedConfiguration,
     backends,
+    reach,
     acceptance,
     connections,
     tokens,
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -201,6 +201,7 @@
 
   function recordBackendObservation (observation: BackendObservation): void {
     recordObservation(backend, observation, steadyNow())
+    if (observation.kind === 'unreachable') context.reach.noteUnreachable(backend)
     if (observation.kind === 'silent' || observation.kind === 'unreachable') {
       connections.closeIdle(backend.entry.address)
       context.log.decision('backendAvoided', { backend: backend.entry.id, because: observation.kind, until: backend.avoidedUntil, request: state.fields.attemptId })
@@ -263,6 +264,7 @@
   function recordBytes (isProgress: boolean): void {
     const now = steadyNow()
     backend.lastByteAt = now
+    context.reach.noteBytes(backend)
     lastBytesAt = now
     if (isProgress) lastProgressAt = now
     if (pending.answered) return
--- a/packages/gateway/src/tasks/backendTask.ts
+++ b/packages/gateway/src/tasks/backendTask.ts
@@ -23,6 +23,8 @@
 export interface BackendTask {
   /** Backend servers of a service that may get requests now. */
   candidates (service: string, now: number): readonly BackendState[]
+  /** Backend servers that may get requests, by service. */
+  byService (): ReadonlyMap<string, readonly BackendState[]>
   find (id: string): BackendState | undefined
   /** The processes of all backend servers that are listed now, as named by `backendProcessOf`. */
   processes (): ReadonlySet<string>
@@ -155,6 +157,10 @@
     for (const row of [...doubtful.values()]) applyRow(row, now)
   }
 
+  function mayGetRequests ({ entry }: BackendState): boolean {
+    return entry.state === 'ready' && !misdirected.has(entry.id)
+  }
+
   /** An entry that was written again since the last response is found by the next one. */
   function removeOverdue (): void {
     for (const [id, at] of removalDueAt) if (at <= follower.lastResponseAt) remove(id, 'entry did not return')
@@ -178,7 +184,17 @@
       if (doubtful.size > 0) applyDoubtful(now)
       const found: BackendState[] = []
       for (const state of states.values()) {
-        if (state.entry.service === service && state.entry.state === 'ready' && !misdirected.has(state.entry.id)) found.push(state)
+        if (state.entry.service === service && mayGetRequests(state)) found.push(state)
+      }
+      return found
+    },
+    byService: () => {
+      const found = new Map<string, BackendState[]>()
+      for (const state of states.values()) {
+        if (!mayGetRequests(state)) continue
+        const known = found.get(state.entry.service)
+        if (known === undefined) found.set(state.entry.service, [state])
+        else known.push(state)
       }
       return found
     },
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -7,6 +7,7 @@
 import type { WireFormat } from '../ports.js'
 import type { GatewaySettings } from '../settings.js'
 import type { BackendConnections } from './backendConnections.js'
+import type { BackendReach } from './backendReach.js'
 import type { BackendTask } from './backendTask.js'
 import type { CrashGuard } from './crashGuard.js'
 import type { DecisionLog } from './decisionLog.js'
@@ -27,6 +28,7 @@
   readonly eventLoopDelay: EventLoopDelay
   readonly configuration: () => ConfigurationIndex | undefined
   readonly backends: BackendTask
+  readonly reach: BackendReach
   readonly acceptance: BackendAcceptance
   readonly connections: BackendConnections
   readonly tokens: TokenTask
