Relay requests of an instance that reaches no backend server to a peer

Nothing told such an instance that it was cut off, and a request had no way but its own connections: streams ended after four connections of 400 ms each with 503, plain requests at their time limit.

Backend servers to which a connection or a probe fails are lost until they send a byte; where all that may serve a request are lost, a peer serves it like one of its own callers, and this instance forwards the answer. The peer declines before anything is sent when it can't, and relays no further.

Ruled out as the way: a tunnel through a peer, readiness alone (docs/decisions.md).

--- a/packages/gateway/src/decisions/backendReach.ts
+++ b/packages/gateway/src/decisions/backendReach.ts
@@ -1,4 +1,4 @@
-import { silenceMilliseconds, type BackendState } from './backendState.js'
+import type { BackendState } from './backendState.js'
 
 /**
  * Tells which backend servers this instance can't reach.
@@ -39,10 +39,12 @@
   return true
 }
 
-/** Returns true for a backend server with an unanswered request that was not probed since it was sent. */
+/** Returns true for a backend server that has requests in progress and is silent, and was not probed since its last byte. */
 function isSilent (state: BackendState, kind: keyof typeof SILENCE_BEFORE_PROBE_MS, newestByteAt: number, now: number): boolean {
-  const silence = silenceMilliseconds(state, now)
-  return Math.min(silence, now - newestByteAt) > SILENCE_BEFORE_PROBE_MS[kind] && state.lastProbeAt < now - silence
+  let oldestSentAt = Infinity
+  for (const { sentAt } of state.pending) oldestSentAt = Math.min(oldestSentAt, sentAt)
+  const silentSince = Math.max(oldestSentAt, state.lastByteAt)
+  return now - Math.max(silentSince, newestByteAt) > SILENCE_BEFORE_PROBE_MS[kind] && state.lastProbeAt < silentSince
 }
 
 /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import { createOpenResponses } from './tasks/openResponses.js'
 import { createPeerListener, PEER_PATH, postToPeer } from './tasks/peerMessages.js'
 import { observeStoreTime } from './tasks/observeStoreTime.js'
+import { createRelayPeers } from './tasks/relayPeers.js'
 import { createSendingPermits } from './tasks/sendingPermits.js'
 import { createStreamVersions } from './tasks/streamVersions.js'
 import { createTokenLoans } from './tasks/tokenLoans.js'
@@ -165,7 +166,7 @@
     announceMixed: fleet.announceMixedVersions,
     count: (outcome) => metrics.count('stream_origins_total', { outcome })
   })
-  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, streams: streamVersions, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow })
+  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, streams: streamVersions, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow }, (incoming, response) => callers.handleRelayed(incoming, response))
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
   const confirmedConfiguration = createConfirmedConfiguration({ current: () => configuration.current, mayBeOutdated: fleet.mayBeOutdated })
   const backends = startBackendTask({
@@ -190,6 +191,7 @@
   })
   const context: GatewayContext = {
     settings,
+    incarnationId,
     wire: platform.wire,
     log,
     metrics,
@@ -205,7 +207,8 @@
     crashGuard,
     permits,
     streamVersions,
-    choices: new WeakMap(),
+    relayPeers: createRelayPeers({ peers: () => fleet.peers, failureDomain: settings.failureDomain }),
+    destinations: new WeakMap(),
     responseBuffer: createByteBudget(RESPONSE_BUFFER_BYTES),
     openResponses: createOpenResponses(),
     isStopping: () => stopping,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -103,6 +103,16 @@
   readonly lastEventId: string
 }
 
+/** Fields that the gateway sets in a request that it relays to another instance. */
+export interface RelayedFields {
+  /** Unix milliseconds at which the request times out. */
+  readonly deadline: number
+  /** Empty for a new stream. */
+  readonly lastEventId: string
+  /** ID of the caller's attempt that brought the stream's first event; empty for a new stream. */
+  readonly resumedAttemptId: string
+}
+
 /** Load that a backend server reported with a response. */
 export interface ReportedLoad {
   readonly running: number
@@ -152,6 +162,8 @@
   decodeRequestHeaders (headers: IncomingHttpHeaders): CallerFields
   /** Returns the headers for the backend server: the caller's without hop-by-hop headers and those that only the gateway sets. */
   buildRequestHeaders (rawHeaders: readonly string[], fields: ForwardedFields, now: number): Record<string, string | string[]>
+  /** Returns the headers for another instance that serves the request in place of this one: the caller's without hop-by-hop headers. */
+  buildRelayHeaders (rawHeaders: readonly string[], fields: RelayedFields, now: number): Record<string, string | string[]>
   decodeResponseHeaders (status: number, headers: IncomingHttpHeaders): ResponseFields
   /** Returns the headers for the caller: the backend server's without hop-by-hop headers. */
   buildResponseHeaders (rawHeaders: readonly string[]): string[]
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -213,7 +213,7 @@
     // While the caller reads slowly, the exchange is paused and can't show progress.
     if (response.writableNeedDrain) lastProgressAt = now
     endAbandonedStream(now)
-    if (!isRepeatable || state.attempts >= state.route.maximumAttempts || setAside !== undefined || isReserving) return
+    if (!isRepeatable || state.attempts >= state.maximumAttempts || setAside !== undefined || isReserving) return
     if (now - lastProgressAt < stallTimeout(now) || now < reserveRetryAt) return
     reserveRetryAt = now + RESERVE_AGAIN_MS
     continueElsewhere(now).catch((error: unknown) => context.log.warning('retryFailed', { request: state.fields.attemptId, reason: String(error) }))
@@ -280,6 +280,7 @@
   }
 
   function onConnected (): void {
+    state.reachedBackends++
     if (earlier !== undefined) earlierTimer = setTimeout(earlier.giveUp, SET_ASIDE_MS)
   }
 
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -4,6 +4,8 @@
 import { Server as NetServer } from 'node:net'
 import type { GatewayContext } from './gatewayContext.js'
 import { sendError, sendNotRun } from './errorResponses.js'
+import { admitRelay, declineRelay, removeEnvelope } from './relayReception.js'
+import type { RelayEnvelope } from '../decisions/relayEnvelope.js'
 import { serveRequest } from './requestTask.js'
 
 const DEFAULT_MAX_BODY_BYTES = 4_194_304
@@ -29,6 +31,8 @@
   stopListening (): void
   /** Closes the connections that have no request or response in progress. */
   closeIdleConnections (): void
+  /** Serves a request that another instance relays. */
+  handleRelayed (incoming: IncomingMessage, response: ServerResponse): void
 }
 
 /** Creates the server without binding it. */
@@ -42,7 +46,7 @@
     socket.end(`HTTP/1.1 ${statusLineOf(error)}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
   })
 
-  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 15_000, noDelay: true, connectionsCheckingInterval: 1000 }, (incoming, response) => {
+  function handle (incoming: IncomingMessage, response: ServerResponse, relay: RelayEnvelope | undefined): void {
     // The caller sends a request again that crosses the end of its connection; passed on, it would run without an answer.
     if (!context.openResponses.add(response)) return
     activeRequests++
@@ -59,11 +63,13 @@
       release()
       stopWatchingCaller()
     })
-    handleRequest(context, incoming, response, caller).catch((error: unknown) => {
+    handleRequest(context, { incoming, response, caller, relay }).catch((error: unknown) => {
       context.log.warning('requestFailed', { request: context.wire.decodeRequestHeaders(incoming.headers).attemptId, reason: error instanceof Error ? `${error.message} ${error.stack ?? ''}` : String(error) })
       sendError(context, response, { status: 500, code: 'internal_error', message: 'the response could not be processed', run: 'unknown' })
     })
-  })
+  }
+
+  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 15_000, noDelay: true, connectionsCheckingInterval: 1000 }, (incoming, response) => handle(incoming, response, undefined))
   keepConnectionsWithUnreadRequests(server)
   server.on('connection', (socket) => {
     lastConnectionAt = steadyNow()
@@ -85,6 +91,17 @@
     // The method of the HTTP server also closes the connections that Node takes as idle.
     stopListening: () => { NetServer.prototype.close.call(server) },
     closeIdleConnections,
+    handleRelayed: (incoming, response) => {
+      const admission = admitRelay(context, incoming)
+      if (admission.kind === 'taken') {
+        removeEnvelope(incoming)
+        handle(incoming, response, admission.envelope)
+        return
+      }
+      incoming.resume()
+      context.log.decision('relayDeclined', { request: context.wire.decodeRequestHeaders(incoming.headers).attemptId, reason: admission.reason })
+      declineRelay(context, response, admission.reason)
+    },
     get activeRequests () { return activeRequests },
     get openConnections () { return openConnections },
     get acceptedConnections () { return acceptedConnections },
@@ -92,7 +109,16 @@
   }
 }
 
-async function handleRequest (context: GatewayContext, incoming: IncomingMessage, response: ServerResponse, caller: CallerPresence): Promise<void> {
+/** A request and the connection on which it came. */
+interface ReceivedRequest {
+  readonly incoming: IncomingMessage
+  readonly response: ServerResponse
+  readonly caller: CallerPresence
+  /** Of a request that another instance relays. */
+  readonly relay: RelayEnvelope | undefined
+}
+
+async function handleRequest (context: GatewayContext, { incoming, response, caller, relay }: ReceivedRequest): Promise<void> {
   const receivedAt = steadyNow()
   const index = context.configuration()
   if (index === undefined) {
@@ -125,7 +151,7 @@
         sendNotRun(context, response, 'the instance stops', steadyNow() + STOPPING_RETRY_MS)
         return
       }
-      await serveRequest(context, { incoming, response, caller, fields, route: admission.route, account: admission.account, configuration: index, body: body.bytes, receivedAt })
+      await serveRequest(context, { incoming, response, caller, relay, fields, route: admission.route, account: admission.account, configuration: index, body: body.bytes, receivedAt })
   }
 }
 
--- /dev/null
+++ b/packages/gateway/src/tasks/destinations.ts
@@ -0,0 +1,47 @@
+import { areAllLost } from '../decisions/backendReach.js'
+import type { Choice } from '../decisions/backendChoice.js'
+import type { BackendState } from '../decisions/backendState.js'
+import { findAvailableBackends } from './availableBackends.js'
+import type { Peer } from './fleetTask.js'
+import type { GatewayContext } from './gatewayContext.js'
+import type { RequestState } from './requestTask.js'
+
+/** Where a request is sent next. */
+export type Destination =
+  | { readonly kind: 'backend', readonly choice: Choice }
+  /** Another instance serves it, as this one reaches no backend server that can. */
+  | { readonly kind: 'peer', readonly peer: Peer }
+
+/** Prefix of the IDs by which a plan names peers, beside those of backend servers. */
+const PEER_PREFIX = 'peer/'
+/** Backend servers to which a request could not connect before it is relayed: kept connections to the others may live on. */
+const FAILED_CONNECTIONS_BEFORE_RELAY = 2
+const MAX_LOAD_AGE_MS = 2000
+
+/** ID of a destination in a plan. */
+export function destinationIdOf (destination: Destination): string {
+  return destination.kind === 'backend' ? destination.choice.state.entry.id : `${PEER_PREFIX}${destination.peer.instanceId}`
+}
+
+/** Instances to which a request was relayed, among the IDs that a plan excludes. */
+export function excludedPeers (excluded: readonly string[]): readonly string[] {
+  return excluded.flatMap((id) => id.startsWith(PEER_PREFIX) ? [id.slice(PEER_PREFIX.length)] : [])
+}
+
+/**
+ * Returns true when a request has to be served by a peer: no backend server that may serve it can be reached from here. A request
+ * that a peer relayed is relayed no further.
+ */
+export function mustRelay (context: GatewayContext, state: RequestState, now: number): boolean {
+  if (state.relay !== undefined || context.fleet.peers.length === 0) return false
+  if (state.isRelayed) return true
+  const available = findAvailableBackends(context, state, [])
+  if (available.kind === 'none') return false
+  if (areAllLost(available.backends)) return true
+  return state.failedConnections >= FAILED_CONNECTIONS_BEFORE_RELAY && !available.backends.some((backend) => isFull(backend, now))
+}
+
+/** A full backend server resets connections, which is no partition; its peers fare no better. */
+function isFull ({ reportedLoad }: BackendState, now: number): boolean {
+  return reportedLoad !== undefined && now - reportedLoad.receivedAt < MAX_LOAD_AGE_MS && (reportedLoad.waiting > 0 || reportedLoad.running >= reportedLoad.slots)
+}
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -1,7 +1,6 @@
 import type { Metrics } from '@quinceshunt/telemetry'
 import type { BackendAcceptance } from '../decisions/backendAcceptance.js'
 import type { ByteBudget } from '../decisions/byteBudget.js'
-import type { Choice } from '../decisions/backendChoice.js'
 import type { ConfigurationIndex } from '../decisions/configurationIndex.js'
 import type { RetryShares } from '../decisions/retryShares.js'
 import type { WireFormat } from '../ports.js'
@@ -14,6 +13,8 @@
 import type { EventLoopDelay } from './eventLoopDelay.js'
 import type { FleetTask } from './fleetTask.js'
 import type { OpenResponses } from './openResponses.js'
+import type { Destination } from './destinations.js'
+import type { RelayPeers } from './relayPeers.js'
 import type { RequestState } from './requestTask.js'
 import type { SendingPermits } from './sendingPermits.js'
 import type { StreamVersions } from './streamVersions.js'
@@ -22,6 +23,8 @@
 /** Dependencies that all requests share. */
 export interface GatewayContext {
   readonly settings: GatewaySettings
+  /** Unique ID of this run of the process. */
+  readonly incarnationId: string
   readonly wire: WireFormat
   readonly log: DecisionLog
   readonly metrics: Metrics
@@ -37,8 +40,9 @@
   readonly crashGuard: CrashGuard
   readonly permits: SendingPermits
   readonly streamVersions: StreamVersions
-  /** The backend server last selected for each request. */
-  readonly choices: WeakMap<RequestState, Choice>
+  readonly relayPeers: RelayPeers
+  /** The backend server, or the peer, last selected for each request. */
+  readonly destinations: WeakMap<RequestState, Destination>
   /** For responses that are buffered whole. */
   readonly responseBuffer: ByteBudget
   readonly openResponses: OpenResponses
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -1,13 +1,16 @@
-import { Agent, createServer, request, type Server } from 'node:http'
+import { Agent, createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import * as v from 'valibot'
 import { reportedUseSchema, type ReportedUse } from '../decisions/knownUse.js'
 import type { KnownLimit, PermitReply, PermitRequest } from '../decisions/permitIssuer.js'
+import { RELAY_HEADER } from '../decisions/relayEnvelope.js'
 import { streamOriginSchema, type StreamOrigin } from '../decisions/streamOrigins.js'
 import { toldTotalsSchema, type ToldLease } from '../decisions/toldLease.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { Report } from './fleetTask.js'
 
 const MAX_MESSAGE_BYTES = 65_536
+/** That of the callers' listener, and an envelope beside. */
+const MAX_HEADER_BYTES = 36_864
 /** Replies are remembered for longer than a sender repeats its message. */
 const REPLY_MEMORY_MS = 60_000
 const STATUS = { ok: 200, badRequest: 400, otherIncarnation: 409 } as const
@@ -173,6 +176,9 @@
   readonly now: () => number
 }
 
+/** Handles a request that another instance relays to this one. */
+export type RelayHandler = (incoming: IncomingMessage, response: ServerResponse) => void
+
 /**
  * Handles each message once: a repeated one gets the reply of the first, so that a sender may repeat it until it is
  * answered. Returns `otherIncarnation` for a message that this process does not handle, undefined for a malformed one.
@@ -269,10 +275,11 @@
 }
 
 /** Creates the server for messages from peers, without binding it. */
-export function createPeerListener (options: PeerListenerOptions): Server {
+export function createPeerListener (options: PeerListenerOptions, handleRelayed: RelayHandler): Server {
   const { log } = options
   const handleMessage = createPeerMessageHandler(options)
-  return createServer((incoming, response) => {
+  return createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true }, (incoming, response) => {
+    if (incoming.headers[RELAY_HEADER] !== undefined) return handleRelayed(incoming, response)
     let text = ''
     incoming.setEncoding('utf8')
     incoming.on('data', (chunk: string) => {
--- /dev/null
+++ b/packages/gateway/src/tasks/relayAttempt.ts
@@ -0,0 +1,193 @@
+import { assertNever } from '@quinceshunt/effects'
+import type { IncomingMessage } from 'node:http'
+import { steadyNow } from '../clock.js'
+import { createEventSplitter } from '../decisions/eventSplitter.js'
+import { encodeRelayEnvelope, RELAY_DECLINED_HEADER, RELAY_ELSEWHERE_HEADER, RELAY_HEADER } from '../decisions/relayEnvelope.js'
+import { isRetryable, type AttemptOutcome } from '../decisions/requestPlan.js'
+import type { Peer } from './fleetTask.js'
+import { bufferResponse, closingHeaders, mediaTypeOf, withoutContentLength } from './forwardedResponse.js'
+import type { GatewayContext } from './gatewayContext.js'
+import type { RequestState } from './requestTask.js'
+
+/** The peer answers at the deadline itself; it is given this much longer. */
+const DEADLINE_MARGIN_MS = 100
+/** Time without a head, or without a byte of a stream, after which a peer is taken for paused or cut off; longer than a backend server may be silent. */
+const PEER_SILENCE_MS = 2500
+const SILENCE_CHECK_MS = 100
+/** The attempt that was set aside ends this long after the request was relayed. */
+const SET_ASIDE_MS = 250
+/** A peer buffers no larger response. */
+const MAX_RESPONSE_BYTES = 4_194_304
+const STATUS = { ok: 200, lastOk: 299, unavailable: 503 } as const
+
+/**
+ * Has a peer serve a request that this instance can't send to a backend server itself, and forwards its response. The peer
+ * reserves the tokens, chooses, retries and counts like for a caller of its own; it relays the request no further.
+ */
+export function runRelayAttempt (context: GatewayContext, state: RequestState, peer: Peer): Promise<AttemptOutcome> {
+  return new Promise((resolve) => startRelayAttempt(context, state, peer, resolve))
+}
+
+function startRelayAttempt (context: GatewayContext, state: RequestState, peer: Peer, resolve: (outcome: AttemptOutcome) => void): void {
+  const { wire, connections } = context
+  const { response, incoming: callerRequest, route, service } = state
+  const isStream = route.deliverySemantics.kind === 'resumableStream' || route.deliverySemantics.kind === 'onceStream'
+  const sentAt = steadyNow()
+  const relay = context.relayPeers.begin(peer, service)
+  const splitter = createEventSplitter()
+  const bodyChunks: Buffer[] = []
+  const earlier = state.setAside
+  let bodyBytes = 0
+  let lastBytesAt = sentAt
+  let head: { readonly incoming: IncomingMessage, readonly isStreamed: boolean } | undefined
+  let declinedReason: string | undefined
+  let abortOutcome: AttemptOutcome | undefined
+  let earlierTimer: NodeJS.Timeout | undefined
+  let settled = false
+
+  state.attempts++
+  const exchange = connections.start({
+    address: peer.address,
+    method: callerRequest.method ?? 'GET',
+    path: callerRequest.url ?? '/',
+    headers: { ...wire.buildRelayHeaders(callerRequest.rawHeaders, relayedFields(state), sentAt), [RELAY_HEADER]: envelopeHeader(context, state, peer) },
+    body: state.body,
+    needsNewConnection: false
+  }, { onConnected, onHead, onData, onEnd, onBroken })
+  const deadlineTimer = setTimeout(() => abort({ kind: 'timedOut', headersSent: state.headersSent }, 'out of time'), Math.max(1, state.deadline + DEADLINE_MARGIN_MS - sentAt))
+  const silenceTimer = isRetryable(route.deliverySemantics) ? setInterval(checkSilence, SILENCE_CHECK_MS) : undefined
+  const stopWatchingCaller = state.caller.onLeft(handleCallerLeft)
+  if (earlier !== undefined) earlier.onGoneOn = () => abort({ kind: 'superseded' }, 'the attempt before it has gone on')
+  context.log.decision('requestRelayed', { request: state.fields.attemptId, peer: peer.instanceId, service, resumedAfter: state.lastEventId, attempts: state.attempts })
+
+  function settle (outcome: AttemptOutcome): void {
+    if (settled) return
+    settled = true
+    clearTimeout(deadlineTimer)
+    clearInterval(silenceTimer)
+    clearTimeout(earlierTimer)
+    stopWatchingCaller()
+    relay.end()
+    context.metrics.count('relays_total', { outcome: outcome.kind })
+    resolve(outcome)
+  }
+
+  function abort (outcome: AttemptOutcome, reason: string): void {
+    abortOutcome ??= outcome
+    exchange.abort(reason)
+  }
+
+  function handleCallerLeft (): void {
+    // A request that runs at most once is not aborted, as that could leave it half executed.
+    if (route.deliverySemantics.kind === 'once') settle({ kind: 'callerGone' })
+    else abort({ kind: 'callerGone' }, 'the caller disconnected')
+  }
+
+  function checkSilence (): void {
+    const now = steadyNow()
+    if (response.writableNeedDrain) lastBytesAt = now
+    if (now - lastBytesAt < PEER_SILENCE_MS || (head !== undefined && !head.isStreamed)) return
+    relay.learn({ kind: 'unanswered' })
+    abort({ kind: 'broken', reason: `peer silent for ${now - lastBytesAt} ms`, headersSent: state.headersSent }, 'silent peer')
+  }
+
+  function onConnected (): void {
+    if (earlier !== undefined) earlierTimer = setTimeout(earlier.giveUp, SET_ASIDE_MS)
+  }
+
+  function onHead (incoming: IncomingMessage): void {
+    lastBytesAt = steadyNow()
+    const status = incoming.statusCode ?? 0
+    const declined = incoming.headers[RELAY_DECLINED_HEADER]
+    if (declined !== undefined) {
+      declinedReason = String(declined)
+      relay.learn({ kind: 'declined', elsewhere: String(incoming.headers[RELAY_ELSEWHERE_HEADER] ?? '') })
+      return
+    }
+    const isSuccess = status >= STATUS.ok && status <= STATUS.lastOk
+    const isStreamed = isSuccess && isStream
+    if (state.headersSent && (!isStreamed || status !== state.streamHead?.status || mediaTypeOf(incoming) !== state.streamHead.mediaType)) {
+      const isRefused = status === STATUS.unavailable
+      abort(isRefused ? { kind: 'notRun', reason: `${peer.instanceId} refused to go on` } : { kind: 'broken', reason: `status ${status} of ${peer.instanceId} to a resumed stream`, headersSent: true }, 'unusable response')
+      return
+    }
+    head = { incoming, isStreamed }
+    relay.learn({ kind: 'served' })
+    if (isSuccess) earlier?.giveUp()
+    if (!isStreamed || state.headersSent) return
+    response.writeHead(status, [...withoutContentLength(wire.buildResponseHeaders(incoming.rawHeaders)), ...closingHeaders(context, response)])
+    state.headersSent = true
+    state.streamHead = { status, mediaType: mediaTypeOf(incoming) }
+    state.firstByteAt = steadyNow()
+  }
+
+  function onData (chunk: Buffer): void {
+    lastBytesAt = steadyNow()
+    if (head === undefined) return
+    if (!head.isStreamed) {
+      bodyBytes += chunk.length
+      if (bodyBytes > MAX_RESPONSE_BYTES) abort({ kind: 'broken', reason: 'response too large', headersSent: state.headersSent }, 'response too large')
+      else bodyChunks.push(chunk)
+      return
+    }
+    const complete = splitter.push(chunk)
+    if (complete.bytes.length === 0) return
+    state.relayedEvents += complete.events
+    state.hasUnidentifiedEvents ||= complete.hasUnidentified
+    if (complete.lastEventId !== '') state.lastEventId = complete.lastEventId
+    if (response.write(complete.bytes)) return
+    exchange.pause()
+    response.once('drain', () => exchange.resume())
+  }
+
+  function onEnd (): void {
+    if (declinedReason !== undefined) return settle({ kind: 'notSent', reason: `${peer.instanceId} declined: ${declinedReason}` })
+    if (head === undefined) return settle({ kind: 'broken', reason: 'response without headers', headersSent: state.headersSent })
+    const status = head.incoming.statusCode ?? 0
+    if (head.isStreamed) {
+      if (splitter.bufferedBytes > 0) return onBroken(true, 'stream ended within an event')
+      response.end()
+    } else {
+      bufferResponse(context, state, head.incoming, Buffer.concat(bodyChunks)).deliver()
+    }
+    settle({ kind: 'delivered', status })
+  }
+
+  function onBroken (sent: boolean, reason: string): void {
+    if (abortOutcome !== undefined) return settle(abortOutcome)
+    if (declinedReason === undefined) relay.learn({ kind: 'unanswered' })
+    context.log.decision('relayBroken', { request: state.fields.attemptId, peer: peer.instanceId, reason, sent, milliseconds: steadyNow() - sentAt, events: state.relayedEvents })
+    settle(sent && declinedReason === undefined ? { kind: 'broken', reason: `${peer.instanceId}: ${reason}`, headersSent: state.headersSent } : { kind: 'notSent', reason })
+  }
+}
+
+function relayedFields (state: RequestState): { readonly deadline: number, readonly lastEventId: string, readonly resumedAttemptId: string } {
+  const isTakenUp = state.fields.lastEventId !== ''
+  return {
+    deadline: state.deadline,
+    lastEventId: state.lastEventId,
+    resumedAttemptId: state.lastEventId === '' ? '' : isTakenUp ? state.fields.resumedAttemptId : state.fields.attemptId
+  }
+}
+
+function envelopeHeader (context: GatewayContext, state: RequestState, peer: Peer): string {
+  return encodeRelayEnvelope({
+    from: context.settings.instanceId,
+    to: peer.incarnationId,
+    configurationVersion: state.configuration.configuration.version,
+    attemptsLeft: Math.max(1, state.maximumAttempts - state.reachedBackends),
+    isRepeat: state.reachedBackends > 0,
+    origin: originOf(context, state)
+  })
+}
+
+/** Tells the peer where the stream began, so that it need not ask. */
+function originOf (context: GatewayContext, state: RequestState): ReturnType<GatewayContext['streamVersions']['answer']> {
+  const { resumedAttemptId } = relayedFields(state)
+  switch (state.streamStart.kind) {
+    case 'notBegun':
+    case 'unknown': return undefined
+    case 'begun': return context.streamVersions.answer(resumedAttemptId)
+    default: return assertNever(state.streamStart)
+  }
+}
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -5,20 +5,25 @@
 import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { chooseBackend, type Choice } from '../decisions/backendChoice.js'
+import { areAllLost } from '../decisions/backendReach.js'
 import type { BackendState } from '../decisions/backendState.js'
 import { chooseTarget, type ConfigurationIndex } from '../decisions/configurationIndex.js'
 import { isRetryable, planRequest, type AttemptOutcome, type ChoiceOutcome, type PlanCommand, type PlanResult, type RetryReservation } from '../decisions/requestPlan.js'
 import { serviceOfStream, type StreamStart } from '../decisions/streamOrigins.js'
+import type { RelayEnvelope } from '../decisions/relayEnvelope.js'
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
 import { findAvailableBackends } from './availableBackends.js'
 import { runAttempt, type AttemptSetAside } from './attempt.js'
+import { destinationIdOf, excludedPeers, mustRelay, type Destination } from './destinations.js'
 import { releaseReturn } from './releaseReturn.js'
 import type { GuardedRequest } from './crashGuard.js'
 import type { BufferedResponse } from './forwardedResponse.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { sendError, sendNotRun } from './errorResponses.js'
 import { recordUse } from './recordUse.js'
+import { runRelayAttempt } from './relayAttempt.js'
+import { declineRelay } from './relayReception.js'
 import { findStreamStart } from './streamStart.js'
 
 /** Retry time suggested to callers when backend servers reject requests. */
@@ -34,6 +39,8 @@
   readonly incoming: IncomingMessage
   readonly response: ServerResponse
   readonly caller: CallerPresence
+  /** Of a request that another instance relays. */
+  readonly relay: RelayEnvelope | undefined
   readonly fields: CallerFields
   readonly route: Route
   readonly account: ClientAccount | undefined
@@ -54,11 +61,22 @@
   readonly callerTimeoutAt: number
   /** From 0, the most urgent, to 9. */
   readonly priority: number
+  /** Backend servers to which it may be sent. */
+  readonly maximumAttempts: number
+  /** Sends, also those that found no connection. */
   attempts: number
+  /** Sends that a backend server may have received. */
+  reachedBackends: number
+  /** Backend servers to which no connection was established. */
+  failedConnections: number
+  /** True when it was relayed to a peer before tokens were reserved here, so that only peers may serve it. */
+  isRelayed: boolean
   /** True once a backend server may have started running it. */
   mayHaveRun: boolean
   /** Events delivered to the caller. */
   deliveredEvents: number
+  /** Events that a peer's answer delivered. */
+  relayedEvents: number
   /** Tokens that are already recorded as used. */
   recordedUse: number
   /** True once an event without an ID was delivered: no ID then tells where another run has to go on. */
@@ -125,9 +143,14 @@
     deadline: admitted.receivedAt + Math.min(route.timeoutMilliseconds, callerTimeoutMilliseconds),
     callerTimeoutAt: admitted.receivedAt + callerTimeoutMilliseconds,
     priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority),
+    maximumAttempts: Math.min(route.maximumAttempts, admitted.relay?.attemptsLeft ?? Infinity),
     attempts: 0,
+    reachedBackends: 0,
+    failedConnections: 0,
+    isRelayed: false,
     mayHaveRun: false,
     deliveredEvents: 0,
+    relayedEvents: 0,
     recordedUse: 0,
     hasUnidentifiedEvents: false,
     lastEventId: fields.lastEventId,
@@ -142,21 +165,24 @@
     triedVersions: [],
     triedAddresses: new Set()
   }
-  context.retryShares.recordRequest(service, admitted.receivedAt)
+  if (admitted.relay?.isRepeat !== true) context.retryShares.recordRequest(service, admitted.receivedAt)
   const refusal = findRefusal(context, state)
   if (refusal !== undefined) {
     finishRequest(context, state, refusal, { reserved: 0, used: 0 })
     return
   }
+  if (declineIfCutOff(context, state)) return
+  state.isRelayed = mustRelay(context, state, steadyNow())
   const stopWatchingCaller = state.caller.onLeft(() => recordCallerLeft(context, state))
   const reserved = maximumTokens(state)
   let isReserved = false
   const result = await runDecision(
-    planRequest({ deliverySemantics: route.deliverySemantics, maximumAttempts: route.maximumAttempts, retryAt: () => retryAt(context, state) }),
+    planRequest({ deliverySemantics: route.deliverySemantics, maximumAttempts: state.maximumAttempts, retryAt: () => retryAt(context, state) }),
     async (command: PlanCommand) => {
       switch (command.kind) {
         case 'reserveTokens': {
-          if (reserved === 0 || state.account === undefined) return { kind: 'reserved' }
+          // The peer that serves it reserves them.
+          if (reserved === 0 || state.account === undefined || state.isRelayed) return { kind: 'reserved' }
           const outcome = await context.tokens.reserve(state.account.name, reserved, state.deadline)
           isReserved = outcome.kind === 'reserved'
           return outcome
@@ -166,7 +192,7 @@
           await handleArrivedEvents()
           return !hasCallerLeft(state)
         case 'chooseBackend': return await chooseNextBackend(context, state, command.excluded)
-        case 'sendAttempt': return await attemptBackend(context, state, command.backendId)
+        case 'sendAttempt': return await attemptDestination(context, state, command.backendId)
         case 'continueAttempt': {
           const continued = state.setAside?.resume()
           if (continued !== undefined) releaseReturn(state)
@@ -174,7 +200,7 @@
         }
         case 'consumeRetry':
           if (hasCallerLeft(state) || state.hasUnidentifiedEvents || (state.mayHaveRun && !context.crashGuard.mayRetry(state.guarded))) return false
-          return findUntriedBackends(context, state).length > 0 && tryConsumeRetry(context, state)
+          return hasUntriedDestination(context, state, () => true) && tryConsumeRetry(context, state)
         case 'reserveReturn': return await reserveReturn(context, state, command.backendIds)
         default: return assertNever(command)
       }
@@ -197,6 +223,19 @@
   return available.kind === 'none' ? { kind: 'notRun', reason: available.reason, retryAt: available.retryAt } : undefined
 }
 
+/** Refuses a relayed request that this instance can't send to a backend server either. */
+function declineIfCutOff (context: GatewayContext, state: RequestState): boolean {
+  if (state.relay === undefined || !isCutOff(context, state)) return false
+  declineRelay(context, state.response, 'cut off from all backend servers too', context.relayPeers.knownGood(state.service))
+  return true
+}
+
+/** True when this instance reaches no backend server that may serve the request. */
+function isCutOff (context: GatewayContext, state: RequestState): boolean {
+  const available = findAvailableBackends(context, state, [])
+  return available.kind === 'some' && areAllLost(available.backends)
+}
+
 function hasCallerLeft (state: RequestState): boolean {
   return state.caller.leftAt !== undefined
 }
@@ -216,6 +255,7 @@
   const denied = new Set<string>()
   for (;;) {
     const now = steadyNow()
+    if (mustRelay(context, state, now)) return chooseRelayPeer(context, state, excluded)
     const available = findAvailableBackends(context, state, excluded)
     if (available.kind === 'none') return available
     const candidates = available.backends.filter(({ entry }) => among?.includes(entry.id) !== false)
@@ -235,34 +275,54 @@
     const needsPermit = choice.state.limit.requestsPerSecond !== undefined
     const isPermitted = !needsPermit || ((await permits.acquire(choice.state, priority)).kind === 'granted' && isAvailable(context, state, choice, excluded))
     if (isPermitted) {
-      context.choices.set(state, choice)
-      return { kind: 'chosen', backendId: choice.state.entry.id }
+      const destination: Destination = { kind: 'backend', choice }
+      context.destinations.set(state, destination)
+      return { kind: 'chosen', backendId: destinationIdOf(destination) }
     }
     denied.add(choice.state.entry.id)
   }
 }
 
+function chooseRelayPeer (context: GatewayContext, state: RequestState, excluded: readonly string[]): ChoiceOutcome {
+  const peer = context.relayPeers.choose(state.service, excludedPeers(excluded))
+  if (peer === undefined) return { kind: 'none', reason: 'cut off from all backend servers, and no other instance takes the request', retryAt: context.relayPeers.retryAt(state.service) }
+  const destination: Destination = { kind: 'peer', peer }
+  context.destinations.set(state, destination)
+  return { kind: 'chosen', backendId: destinationIdOf(destination) }
+}
+
 /** False when the backend server has said meanwhile that it takes no requests. */
 function isAvailable (context: GatewayContext, state: RequestState, choice: Choice, excluded: readonly string[]): boolean {
   const available = findAvailableBackends(context, state, excluded)
   return available.kind === 'some' && available.backends.includes(choice.state)
 }
 
-/** Finds the backend servers that take a retry of the request, so that the retry budget is kept for requests that have one. */
-function findUntriedBackends (context: GatewayContext, state: RequestState): readonly BackendState[] {
+/** True when a backend server that is usable, or a peer, takes a retry of the request: the retry budget is kept for requests that have one. */
+function hasUntriedDestination (context: GatewayContext, state: RequestState, isUsable: (backend: BackendState) => boolean): boolean {
+  if (mustRelay(context, state, steadyNow())) return context.relayPeers.hasChoice(state.service, excludedPeers(state.triedBackendIds))
   const available = findAvailableBackends(context, state, state.triedBackendIds)
-  return available.kind === 'some' ? available.backends : []
+  return available.kind === 'some' && available.backends.some(isUsable)
 }
 
-async function attemptBackend (context: GatewayContext, state: RequestState, backendId: string): Promise<AttemptOutcome> {
-  const choice: Choice | undefined = context.choices.get(state)
-  if (choice === undefined || choice.state.entry.id !== backendId) return { kind: 'notSent', reason: 'backend server no longer listed' }
+async function attemptDestination (context: GatewayContext, state: RequestState, destinationId: string): Promise<AttemptOutcome> {
+  const destination = context.destinations.get(state)
+  if (destination === undefined || destinationIdOf(destination) !== destinationId) return { kind: 'notSent', reason: 'backend server no longer listed' }
   // The caller may have left while a permit was asked for.
   if (hasCallerLeft(state)) return { kind: 'callerGone' }
   if (state.setAside?.hasGoneOn === true) return { kind: 'superseded' }
-  state.triedBackendIds.push(backendId)
-  state.triedVersions.push(choice.state.entry.version)
-  return await runAttempt(context, state, choice, async () => await reserveRetry(context, state))
+  state.triedBackendIds.push(destinationId)
+  switch (destination.kind) {
+    case 'backend': {
+      state.triedVersions.push(destination.choice.state.entry.version)
+      const outcome = await runAttempt(context, state, destination.choice, async () => await reserveRetry(context, state))
+      if (outcome.kind === 'notSent') state.failedConnections++
+      return outcome
+    }
+    case 'peer':
+      state.triedVersions.push('')
+      return await runRelayAttempt(context, state, destination.peer)
+    default: return assertNever(destination)
+  }
 }
 
 /** Reserves a retry at a backend server that was not tried. What is certain to refuse it is asked before the retry budget. */
@@ -272,7 +332,7 @@
   if (hasCallerLeft(state)) return { kind: 'refused', reason: 'the caller has left' }
   if (state.hasUnidentifiedEvents) return { kind: 'refused', reason: 'events without an ID were delivered' }
   if (!context.crashGuard.mayRetry(state.guarded)) return { kind: 'refused', reason: 'the request may crash backend servers' }
-  if (!findUntriedBackends(context, state).some(isUsable)) return { kind: 'refused', reason: 'no other backend server' }
+  if (!hasUntriedDestination(context, state, isUsable)) return { kind: 'refused', reason: 'no other backend server' }
   if (!tryAcquireWithReturn(context, state)) return { kind: 'refused', reason: 'the retry budget is used up' }
   const choice = await chooseNextBackend(context, state, state.triedBackendIds)
   if (choice.kind === 'chosen') return { kind: 'reserved', backendId: choice.backendId }
@@ -339,7 +399,8 @@
       state.bufferedResponse?.deliver()
       break
     case 'notRun':
-      sendNotRun(context, response, result.reason, result.retryAt)
+      // Another instance may reach the backend servers that this one lost meanwhile.
+      if (!declineIfCutOff(context, state)) sendNotRun(context, response, result.reason, result.retryAt)
       break
     case 'exhausted':
       sendError(context, response, { status: 402, code: 'budget_exhausted', message: 'the remaining prepaid balance does not cover the maximum tokens of this request', run: 'no' })
@@ -374,6 +435,8 @@
     callerLeftMilliseconds: state.caller.leftAt === undefined ? undefined : state.caller.leftAt - state.receivedAt,
     firstByteMilliseconds: state.firstByteAt === undefined ? undefined : state.firstByteAt - state.receivedAt,
     events: state.deliveredEvents,
+    relayedEvents: state.relayedEvents === 0 ? undefined : state.relayedEvents,
+    relayedBy: state.relay?.from,
     reservedTokens: tokens.reserved,
     usedTokens: tokens.used,
     configuration: context.configuration()?.configuration.version,
