--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 import { parseGatewaySettings, SETTINGS_EXIT_CODE, type GatewaySettings } from './settings.js'
 import { createBackendConnections } from './tasks/backendConnections.js'
 import { startBackendReach } from './tasks/backendReach.js'
+import { createBackendRooms } from './tasks/backendRooms.js'
 import { startBackendTask } from './tasks/backendTask.js'
 import { createCallersListener, type CallersListener } from './tasks/callersListener.js'
 import { createConfirmedConfiguration } from './tasks/confirmedConfiguration.js'
@@ -206,6 +207,7 @@
     retryShares: createRetryShares({ ratio: settings.retryRatio, slack: settings.retrySlack, windowMilliseconds: settings.retryWindowSeconds * 1000 }, () => fleet.instances),
     crashGuard,
     permits,
+    rooms: createBackendRooms({ clock: sharedClock, log }),
     streamVersions,
     relayPeers: createRelayPeers({ peers: () => fleet.peers, failureDomain: settings.failureDomain }),
     destinations: new WeakMap(),
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -128,6 +128,14 @@
   /** It names a limit that is no number from 0 up. */
   | { readonly kind: 'unreadable', readonly value: string }
 
+/** Whether a backend server falls over when it has to turn many requests away, as its response says. */
+export type NamedBrittleness =
+  | { readonly kind: 'none' }
+  /** It falls over when it turns more requests away in a second. */
+  | { readonly kind: 'named', readonly rejectionsPerSecond: number }
+  /** It names a number that is none from 0 up. */
+  | { readonly kind: 'unreadable', readonly value: string }
+
 /** Time for which a backend server that turns a request away wants nothing from this instance. */
 export type RequestedPause =
   | { readonly kind: 'none' }
@@ -150,6 +158,7 @@
   readonly impliesNotRun: boolean
   readonly load: ReportedLoad | undefined
   readonly limit: NamedLimit
+  readonly brittleness: NamedBrittleness
   readonly pause: RequestedPause
   /** True when the backend server says that it is about to end. */
   readonly isLeaving: boolean
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -296,6 +296,7 @@
       return
     }
     recordLimit(fields)
+    context.rooms.observe(backend, fields, state.fields.attemptId)
     recordAcceptance(context, { backend, backendProcess, fields, requestId: state.fields.attemptId })
     const isSuccess = status >= STATUS.ok && status <= STATUS.lastOk
     if (isSuccess && (!fields.isSigned || fields.isContentEncoded)) {
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -7,6 +7,7 @@
 import type { GatewaySettings } from '../settings.js'
 import type { BackendConnections } from './backendConnections.js'
 import type { BackendReach } from './backendReach.js'
+import type { BackendRooms } from './backendRooms.js'
 import type { BackendTask } from './backendTask.js'
 import type { CrashGuard } from './crashGuard.js'
 import type { DecisionLog } from './decisionLog.js'
@@ -39,6 +40,7 @@
   readonly retryShares: RetryShares
   readonly crashGuard: CrashGuard
   readonly permits: SendingPermits
+  readonly rooms: BackendRooms
   readonly streamVersions: StreamVersions
   readonly relayPeers: RelayPeers
   /** The backend server, or the peer, last selected for each request. */
