Share the room at brittle backend servers over all instances

While a service is brittle, each send needs room. One instance, on which all agree, counts what all have in progress and grants no more than the slots, and one more that waits where rejections are allowed; a backend server that failed gets requests bit by bit. Who gets no room is refused at once and told when to come back.

--- a/packages/gateway/src/__fixtures__/restorableFleet.ts
+++ b/packages/gateway/src/__fixtures__/restorableFleet.ts
@@ -44,7 +44,7 @@
     let isKilled = false
     const { store: watched, era } = watchStoreEra(store, log)
     const fleet: FleetTask = startFleetTask({
-      store: watched, era, log, instanceId, incarnationId, configurationVersion: () => 1, peerAddress: address, failureDomain: instanceId, onCrash: () => {}, onAnswer: () => {}, onLimit: () => {}, onMixedVersions: () => {}, onInstancesChanged: () => {}, answerToReport: () => undefined, tellPeer: () => {}
+      store: watched, era, log, instanceId, incarnationId, configurationVersion: () => 1, peerAddress: address, failureDomain: instanceId, onCrash: () => {}, onAnswer: () => {}, onLimit: () => {}, onBrittleness: () => {}, onMixedVersions: () => {}, onInstancesChanged: () => {}, answerToReport: () => undefined, tellPeer: () => {}
     })
     const others = (key: string): readonly Peer[] => fleet.homes(key).filter((home) => home.instanceId !== instanceId)
     const tokens: TokenTask = startTokenTask({
@@ -78,7 +78,7 @@
       learnPredecessor: tokens.learnPredecessor,
       post: async (peerAddress, path, message) => isKilled ? { kind: 'failed', mayHaveArrived: false, reason: 'killed' } : await post(peerAddress, path, message)
     })
-    handlers.set(address, createPeerMessageHandler({ incarnationId, tokens, limits: { issue: () => { throw new Error('no limits') }, receive: () => {} }, streams: { receive: () => {}, answer: () => undefined }, receiveReports: () => {}, receiveLease: witness.receive, log, now: steadyNow }))
+    handlers.set(address, createPeerMessageHandler({ incarnationId, tokens, limits: { issue: () => { throw new Error('no limits') }, receive: () => {} }, rooms: { issue: () => ({ kind: 'noted' }) }, streams: { receive: () => {}, answer: () => undefined }, receiveReports: () => {}, receiveLease: witness.receive, log, now: steadyNow }))
     tokens.setPrepaid(account, prepaidTokens)
     return {
       tokens,
--- a/packages/gateway/src/__tests__/fleetTask.test.ts
+++ b/packages/gateway/src/__tests__/fleetTask.test.ts
@@ -27,6 +27,7 @@
     onCrash,
     onAnswer: () => {},
     onLimit: () => {},
+    onBrittleness: () => {},
     onMixedVersions: () => {},
     onInstancesChanged: () => {},
     answerToReport: () => undefined,
--- a/packages/gateway/src/decisions/backendChoice.ts
+++ b/packages/gateway/src/decisions/backendChoice.ts
@@ -67,18 +67,26 @@
 
 /** Selects the cheapest candidate, or undefined when there is none. `tieBreak`, in [0, 1), decides among equal costs. */
 export function chooseBackend (candidates: readonly BackendState[], request: ChoiceRequest, now: number, tieBreak: number): Choice | undefined {
+  let best: Choice | undefined
+  for (const choice of estimateChoices(candidates, request, now, tieBreak)) if (best === undefined || choice.cost < best.cost) best = choice
+  return best
+}
+
+/** Orders the candidates by cost, the cheapest first. */
+export function rankBackends (candidates: readonly BackendState[], request: ChoiceRequest, now: number, tieBreak: number): readonly Choice[] {
+  return [...estimateChoices(candidates, request, now, tieBreak)].sort((left, right) => left.cost - right.cost)
+}
+
+function * estimateChoices (candidates: readonly BackendState[], request: ChoiceRequest, now: number, tieBreak: number): Generator<Choice> {
   const affinityKey = request.prompt === undefined ? undefined : affinityPart(request.prompt)
   const affinityBackend = affinityKey === undefined ? undefined : findAffinityBackend(candidates, affinityKey, now)
   const start = Math.floor(tieBreak * candidates.length)
-  let best: Choice | undefined
   for (let index = 0; index < candidates.length; index++) {
     const state = candidates[(start + index) % candidates.length]
     if (state === undefined) continue
     const prefillTokens = request.prompt === undefined ? 0 : expectedPrefill(state, request.prompt, state === affinityBackend, now)
-    const cost = estimateCost(state, request, prefillTokens, now)
-    if (best === undefined || cost < best.cost) best = { state, prefillTokens, cost }
+    yield { state, prefillTokens, cost: estimateCost(state, request, prefillTokens, now) }
   }
-  return best
 }
 
 function findAffinityBackend (candidates: readonly BackendState[], affinityKey: string, now: number): BackendState | undefined {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -99,6 +99,7 @@
     onCrash: crashGuard.learnCrash,
     onAnswer: crashGuard.learnAnswer,
     onLimit: (backendProcess, known) => permits.learn(backendProcess, known),
+    onBrittleness: (service, known) => rooms.learn(service, known),
     onMixedVersions: (service, until) => streamVersions.learnMixed(service, until),
     onInstancesChanged: () => streamVersions.noteInstancesChanged(),
     answerToReport: crashGuard.answerToReport,
@@ -158,6 +159,16 @@
     announce: fleet.announceLimit,
     count: (outcome) => metrics.count('permits_total', { outcome })
   })
+  const rooms = createBackendRooms({
+    instanceId: settings.instanceId,
+    clock: sharedClock,
+    log,
+    instances: () => fleet.instances,
+    homes: fleet.roomHomes,
+    backends: (service) => backends.candidates(service, steadyNow()),
+    announce: fleet.announceBrittleness,
+    count: (outcome) => metrics.count('rooms_total', { outcome })
+  })
   const streamVersions = createStreamVersions({
     instanceId: settings.instanceId,
     clock: sharedClock,
@@ -167,7 +178,7 @@
     announceMixed: fleet.announceMixedVersions,
     count: (outcome) => metrics.count('stream_origins_total', { outcome })
   })
-  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, streams: streamVersions, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow }, (incoming, response) => callers.handleRelayed(incoming, response))
+  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, rooms, streams: streamVersions, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow }, (incoming, response) => callers.handleRelayed(incoming, response))
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
   const confirmedConfiguration = createConfirmedConfiguration({ current: () => configuration.current, mayBeOutdated: fleet.mayBeOutdated })
   const backends = startBackendTask({
@@ -207,7 +218,7 @@
     retryShares: createRetryShares({ ratio: settings.retryRatio, slack: settings.retrySlack, windowMilliseconds: settings.retryWindowSeconds * 1000 }, () => fleet.instances),
     crashGuard,
     permits,
-    rooms: createBackendRooms({ clock: sharedClock, log }),
+    rooms,
     streamVersions,
     relayPeers: createRelayPeers({ peers: () => fleet.peers, failureDomain: settings.failureDomain }),
     destinations: new WeakMap(),
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -128,6 +128,11 @@
   const stallTimer = isRepeatable || isStream ? setInterval(checkStall, STALL_CHECK_INTERVAL_MS) : undefined
   const stopWatchingCaller = state.caller.onLeft(handleCallerDisconnect)
 
+  /** Ends the request's part in the load of the backend server. */
+  function endAtBackend (how: 'answered' | 'failed' | 'full'): void {
+    if (backend.pending.delete(pending)) context.rooms.noteEnded(backend, how)
+  }
+
   function settle (outcome: AttemptOutcome): void {
     if (settled) return
     settled = true
@@ -136,10 +141,16 @@
     clearTimeout(earlierTimer)
     context.responseBuffer.release(sharedBytes)
     stopWatchingCaller()
-    backend.pending.delete(pending)
+    // A request that its caller has left, and that runs at most once, goes on there.
+    const goesOn = outcome.kind === 'callerGone' && abortOutcome === undefined
+    if (!goesOn) endAtBackend(outcome.kind === 'notRun' ? 'full' : isFailureOfBackend(outcome) ? 'failed' : 'answered')
     resolveOutcome(outcome)
   }
 
+  function isFailureOfBackend (outcome: AttemptOutcome): boolean {
+    return abortOutcome === undefined && (outcome.kind === 'notSent' || outcome.kind === 'broken')
+  }
+
   /** Leaves the request to its retry, until that fails or this backend server goes on. */
   function setAttemptAside (silentMilliseconds: number, nextBackendId: string): void {
     const reason = `silent for ${silentMilliseconds} ms`
@@ -379,6 +390,7 @@
   }
 
   function onEnd (): void {
+    if (settled) return endAtBackend('answered')
     if (head === undefined) return settle({ kind: 'broken', reason: 'response without headers', headersSent: state.headersSent })
     const status = head.incoming.statusCode ?? 0
     if (head.isStreamed) {
@@ -427,6 +439,7 @@
   }
 
   function onBroken (sent: boolean, reason: string): void {
+    if (settled) endAtBackend('failed')
     context.log.decision('attemptBroken', {
       request: state.fields.attemptId,
       backend: backend.entry.id,
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -1,17 +1,18 @@
 import { steadyNow } from '../clock.js'
 import { accountHomes } from '../decisions/accountHomes.js'
-import { decodeUnansweredRequest, encodeUnansweredRequest, type ReportedRequest } from '../decisions/crashReport.js'
+import { encodeUnansweredRequest, type ReportedRequest } from '../decisions/crashReport.js'
 import type { KnownLimit } from '../decisions/permitIssuer.js'
 import { createRecentReports } from '../decisions/recentReports.js'
 import type { RowStore, StoredRow } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
-import { parseJson, parseKnownLimit } from './peerMessages.js'
+import type { KnownBrittleness } from './backendRooms.js'
+import { dispatchReport, REPORT_PREFIX, type Report, type ReportHandlers } from './fleetReports.js'
 import type { StoreEra } from './storeEra.js'
 import { followTable, type TableFollower } from './tableFollower.js'
 
 /** Table for messages between instances; its rows change rarely. */
 const TABLE = 'fleet'
-const PREFIX = { instance: 'instance/', crash: 'crash/', answer: 'answer/', limit: 'limit/', versions: 'versions/', recovered: 'recovered/', unknownDraws: 'unknownDraws/' } as const
+const PREFIX = { instance: 'instance/', recovered: 'recovered/', unknownDraws: 'unknownDraws/' } as const
 /** Time that a long poll waits for a change. */
 const LONG_POLL_MS = 3000
 const WRITE_TIMEOUT_MS = 1000
@@ -38,9 +39,6 @@
 /** After a restore, processes that run have written their reports again within this time. */
 const MISSING_REPORTS_DELAY_MS = 1500
 
-/** A row that tells other instances of a crash, an answer or a limit. */
-export type Report = Pick<StoredRow, 'key' | 'value'>
-
 /** Another instance. */
 export interface Peer {
   readonly instanceId: string
@@ -72,6 +70,10 @@
   receive (reports: readonly Report[]): void
   /** Tells all instances of the limit that a backend server names. */
   announceLimit (backendProcess: string, known: KnownLimit): void
+  /** Instances that issue room at a service's brittle backend servers, in order of preference; may include this instance. */
+  roomHomes (service: string): readonly Peer[]
+  /** Tells all instances whether the backend servers of a service are brittle. */
+  announceBrittleness (service: string, known: KnownBrittleness): void
   /** Tells all instances until when, on the shared clock, streams of a service may have begun at several software versions. */
   announceMixedVersions (service: string, until: number): void
   /** True when peers know, or may know, a newer configuration than the one that a restored store still holds. */
@@ -100,7 +102,7 @@
 }
 
 /** Dependencies of the task. */
-export interface FleetTaskOptions {
+export interface FleetTaskOptions extends ReportHandlers {
   readonly store: RowStore
   readonly era: StoreEra
   readonly log: DecisionLog
@@ -112,10 +114,6 @@
   /** Address at which peers reach this instance. */
   readonly peerAddress: string
   readonly failureDomain: string
-  readonly onCrash: (fingerprint: string, reportId: string, unanswered: ReportedRequest | undefined) => void
-  readonly onAnswer: (part: string, answeredAt: number) => void
-  readonly onLimit: (backendProcess: string, known: KnownLimit) => void
-  readonly onMixedVersions: (service: string, until: number) => void
   /** Called when an instance has registered or left. */
   readonly onInstancesChanged: () => void
   /** Tells a peer of reports that can't be written to the store. */
@@ -214,21 +212,8 @@
   }
 
   function applyReport (row: Report): void {
-    if (!row.key.startsWith(PREFIX.limit)) recentReports.add({ key: row.key, value: row.value }, steadyNow())
-    if (row.key.startsWith(PREFIX.crash)) {
-      const [fingerprint = ''] = row.key.slice(PREFIX.crash.length).split('/')
-      options.onCrash(fingerprint, row.key, decodeUnansweredRequest(row.value))
-      return
-    }
-    if (row.key.startsWith(PREFIX.limit)) {
-      const known = parseKnownLimit(parseJson(row.value))
-      if (known !== undefined) options.onLimit(row.key.slice(PREFIX.limit.length), known)
-      return
-    }
-    const at = Number(row.value)
-    if (!Number.isFinite(at)) return
-    if (row.key.startsWith(PREFIX.answer)) options.onAnswer(row.key.slice(PREFIX.answer.length), at)
-    if (row.key.startsWith(PREFIX.versions)) options.onMixedVersions(row.key.slice(PREFIX.versions.length), at)
+    if (!row.key.startsWith(REPORT_PREFIX.limit)) recentReports.add({ key: row.key, value: row.value }, steadyNow())
+    dispatchReport(row, options)
   }
 
   const follower = followTable({
@@ -440,7 +425,7 @@
 
   function reportCrash (fingerprint: string, unanswered: ReportedRequest): void {
     reportSequence++
-    const key = `${PREFIX.crash}${fingerprint}/${options.incarnationId}/${reportSequence}`
+    const key = `${REPORT_PREFIX.crash}${fingerprint}/${options.incarnationId}/${reportSequence}`
     options.onCrash(fingerprint, key, unanswered)
     addReport(key, encodeUnansweredRequest(unanswered))
   }
@@ -453,7 +438,7 @@
       const answeredAt = options.answerToReport(part)
       if (answeredAt === undefined) return
       options.onAnswer(part, answeredAt)
-      addReport(`${PREFIX.answer}${part}`, String(answeredAt))
+      addReport(`${REPORT_PREFIX.answer}${part}`, String(answeredAt))
     }, Math.random() * MAX_ANSWER_REPORT_DELAY_MS)
   }
 
@@ -465,7 +450,7 @@
 
   function announceLimit (backendProcess: string, known: KnownLimit): void {
     options.onLimit(backendProcess, known)
-    replaceReport(`${PREFIX.limit}${backendProcess}`, JSON.stringify(known))
+    replaceReport(`${REPORT_PREFIX.limit}${backendProcess}`, JSON.stringify(known))
   }
 
   function homesOf (account: string): readonly Peer[] {
@@ -482,14 +467,16 @@
     get instances () { return Math.max(1, instances.size) },
     get peers () { return peersOf() },
     homes: homesOf,
-    permitHomes: (backendId) => homesOf(`${PREFIX.limit}${backendId}`),
+    permitHomes: (backendId) => homesOf(`${REPORT_PREFIX.limit}${backendId}`),
     // Not kept: each stream has homes of its own.
     streamHomes: (attemptId) => accountHomes(attemptId, instances.values()),
     incarnationOf: (instanceId) => instances.get(instanceId)?.incarnationId,
     reportCrash,
     reportAnswer,
     announceLimit,
-    announceMixedVersions: (service, until) => replaceReport(`${PREFIX.versions}${service}`, String(until)),
+    roomHomes: (service) => homesOf(`${REPORT_PREFIX.brittle}${service}`),
+    announceBrittleness: (service, known) => replaceReport(`${REPORT_PREFIX.brittle}${service}`, JSON.stringify(known)),
+    announceMixedVersions: (service, until) => replaceReport(`${REPORT_PREFIX.versions}${service}`, String(until)),
     mayBeOutdated: (configurationVersion) => !hasReadPeers || peersOf().some(({ instanceId }) => !hasRegistered(instanceId) || (registrations.get(instanceId)?.configurationVersion ?? 0) > configurationVersion),
     get mayDraw () { return steadyNow() >= drawFrom || (hasReadPeers && instances.size > 0 && unsettledInstances().length === 0) },
     hasRecovered,
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -3,10 +3,12 @@
 import { reportedUseSchema, type ReportedUse } from '../decisions/knownUse.js'
 import type { KnownLimit, PermitReply, PermitRequest } from '../decisions/permitIssuer.js'
 import { RELAY_HEADER } from '../decisions/relayEnvelope.js'
+import type { RoomReply, RoomRequest } from '../decisions/roomIssuer.js'
 import { streamOriginSchema, type StreamOrigin } from '../decisions/streamOrigins.js'
 import { toldTotalsSchema, type ToldLease } from '../decisions/toldLease.js'
+import type { KnownBrittleness } from './backendRooms.js'
 import type { DecisionLog } from './decisionLog.js'
-import type { Report } from './fleetTask.js'
+import type { Report } from './fleetReports.js'
 
 const MAX_MESSAGE_BYTES = 65_536
 /** That of the callers' listener, and an envelope beside. */
@@ -18,11 +20,11 @@
 /** Reuses connections, as most requests need tokens from a home. */
 const peerAgent = new Agent({ keepAlive: true, maxFreeSockets: 4, timeout: 10_000 })
 
-const tokenCount = v.pipe(v.number(), v.integer(), v.minValue(1))
+const positiveCount = v.pipe(v.number(), v.integer(), v.minValue(1))
 /** Fields of each message: `id` names it across repeats, `to` is the incarnation that it is meant for. */
 const envelope = { id: v.string(), to: v.string() }
-const loanRequestSchema = v.object({ ...envelope, account: v.string(), tokens: tokenCount, kind: v.picklist(['whole', 'partial']), use: v.optional(reportedUseSchema) })
-const returnSchema = v.object({ ...envelope, accounts: v.record(v.string(), tokenCount), use: v.optional(v.record(v.string(), reportedUseSchema)) })
+const loanRequestSchema = v.object({ ...envelope, account: v.string(), tokens: positiveCount, kind: v.picklist(['whole', 'partial']), use: v.optional(reportedUseSchema) })
+const returnSchema = v.object({ ...envelope, accounts: v.record(v.string(), positiveCount), use: v.optional(v.record(v.string(), reportedUseSchema)) })
 const loanReplySchema = v.object({
   tokens: v.pipe(v.number(), v.integer(), v.minValue(0)),
   /** True when the account's remaining tokens don't cover the request, as far as the home knows. */
@@ -32,6 +34,7 @@
 })
 
 const knownLimitSchema = v.object({ requestsPerSecond: v.optional(v.pipe(v.number(), v.minValue(0))), seenAt: v.number() })
+const knownBrittlenessSchema = v.object({ rejectionsPerSecond: v.optional(v.pipe(v.number(), v.minValue(0))), seenAt: v.number() })
 const permitRequestSchema = v.object({
   to: v.string(),
   backendProcess: v.string(),
@@ -45,6 +48,22 @@
   v.object({ kind: v.literal('unlimited'), known: knownLimitSchema }),
   v.object({ kind: v.literal('denied'), known: knownLimitSchema, askAgainAt: v.number(), retryAt: v.number(), share: v.number() })
 ])
+const roomRequestSchema = v.object({
+  to: v.string(),
+  service: v.string(),
+  instanceId: v.string(),
+  sequence: v.number(),
+  openRequests: v.array(v.number()),
+  inProgress: v.record(v.string(), positiveCount),
+  failed: v.array(v.string()),
+  full: v.array(v.string()),
+  wanted: v.array(v.object({ backendProcess: v.string(), slots: v.pipe(v.number(), v.minValue(1)) }))
+})
+const roomReplySchema = v.variant('kind', [
+  v.object({ kind: v.literal('granted'), backendProcess: v.string() }),
+  v.object({ kind: v.literal('denied'), askAgainAt: v.number(), retryAt: v.number() }),
+  v.object({ kind: v.literal('noted') })
+])
 const reportsSchema = v.object({ to: v.string(), reports: v.array(v.object({ key: v.string(), value: v.string() })) })
 const leaseNewsSchema = v.object({ to: v.string(), ...toldTotalsSchema.entries })
 const streamNewsSchema = v.object({ to: v.string(), origins: v.array(streamOriginSchema) })
@@ -66,7 +85,7 @@
   | { readonly kind: 'failed', readonly mayHaveArrived: boolean, readonly reason: string }
 
 /** Paths of the messages between instances. */
-export const PEER_PATH = { loans: '/loans', returns: '/returns', permits: '/permits', limits: '/limits', reports: '/reports', leases: '/leases', streams: '/streams', streamQueries: '/streams/find' } as const
+export const PEER_PATH = { loans: '/loans', returns: '/returns', permits: '/permits', limits: '/limits', reports: '/reports', leases: '/leases', rooms: '/rooms', streams: '/streams', streamQueries: '/streams/find' } as const
 
 /** Takes over a limit from JSON, which leaves out an undefined value. */
 function toKnownLimit ({ requestsPerSecond, seenAt }: v.InferOutput<typeof knownLimitSchema>): KnownLimit {
@@ -79,12 +98,24 @@
   return parsed.success ? { ...parsed.output, known: toKnownLimit(parsed.output.known) } : undefined
 }
 
+/** Parses the reply to a request for room; undefined when it is malformed. */
+export function parseRoomReply (reply: unknown): RoomReply | undefined {
+  const parsed = v.safeParse(roomReplySchema, reply)
+  return parsed.success ? parsed.output : undefined
+}
+
 /** Parses a limit; undefined when it is malformed. */
 export function parseKnownLimit (value: unknown): KnownLimit | undefined {
   const parsed = v.safeParse(knownLimitSchema, value)
   return parsed.success ? toKnownLimit(parsed.output) : undefined
 }
 
+/** Parses what is known of a service's brittleness; undefined when it is malformed. */
+export function parseKnownBrittleness (value: unknown): KnownBrittleness | undefined {
+  const parsed = v.safeParse(knownBrittlenessSchema, value)
+  return parsed.success ? { rejectionsPerSecond: parsed.output.rejectionsPerSecond, seenAt: parsed.output.seenAt } : undefined
+}
+
 /** Parses the reply to a request for tokens; undefined when it is malformed. */
 export function parseLoanReply (reply: unknown): LoanReply | undefined {
   const parsed = v.safeParse(loanReplySchema, reply)
@@ -151,6 +182,11 @@
   readonly receive: (backendProcess: string, known: KnownLimit) => void
 }
 
+/** Handlers of messages about room at brittle backend servers. */
+export interface RoomHandlers {
+  readonly issue: (request: RoomRequest) => RoomReply
+}
+
 /** Handlers of messages about the software versions at which streams began. */
 export interface StreamHandlers {
   readonly receive: (origins: readonly StreamOrigin[]) => void
@@ -169,6 +205,7 @@
   readonly incarnationId: string
   readonly tokens: TokenHandlers
   readonly limits: LimitHandlers
+  readonly rooms: RoomHandlers
   readonly streams: StreamHandlers
   readonly receiveReports: ReportHandler
   readonly receiveLease: LeaseNewsHandler
@@ -183,7 +220,7 @@
  * Handles each message once: a repeated one gets the reply of the first, so that a sender may repeat it until it is
  * answered. Returns `otherIncarnation` for a message that this process does not handle, undefined for a malformed one.
  */
-export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, streams, receiveReports, receiveLease, log, now }: PeerListenerOptions): (path: string, message: unknown) => Promise<unknown> | 'otherIncarnation' | undefined {
+export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, rooms, streams, receiveReports, receiveLease, log, now }: PeerListenerOptions): (path: string, message: unknown) => Promise<unknown> | 'otherIncarnation' | undefined {
   const replies = new Map<string, { readonly reply: Promise<unknown>, readonly forgetAt: number }>()
 
   function forgetOldReplies (): void {
@@ -235,6 +272,14 @@
         if (to !== incarnationId || tokenHandlers.isClosing) return 'otherIncarnation'
         return Promise.resolve(limits.issue({ ...permitRequest, known: toKnownLimit(permitRequest.known) }))
       }
+      // A repeated request for room is another one, like one for a permit.
+      case PEER_PATH.rooms: {
+        const asked = v.safeParse(roomRequestSchema, message)
+        if (!asked.success) return undefined
+        const { to, ...roomRequest } = asked.output
+        if (to !== incarnationId || tokenHandlers.isClosing) return 'otherIncarnation'
+        return Promise.resolve(rooms.issue(roomRequest))
+      }
       case PEER_PATH.limits: {
         const news = v.safeParse(limitNewsSchema, message)
         if (!news.success) return undefined
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -4,7 +4,7 @@
 import type { ReservedRetry } from '@quinceshunt/requests'
 import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { chooseBackend, type Choice } from '../decisions/backendChoice.js'
+import { chooseBackend, rankBackends, type Choice } from '../decisions/backendChoice.js'
 import { areAllLost } from '../decisions/backendReach.js'
 import type { BackendState } from '../decisions/backendState.js'
 import { chooseTarget, type ConfigurationIndex } from '../decisions/configurationIndex.js'
@@ -15,6 +15,7 @@
 import type { CallerFields } from '../ports.js'
 import { findAvailableBackends } from './availableBackends.js'
 import { runAttempt, type AttemptSetAside } from './attempt.js'
+import type { GrantedRoom } from './backendRooms.js'
 import { destinationIdOf, excludedPeers, mustRelay, type Destination } from './destinations.js'
 import { releaseReturn } from './releaseReturn.js'
 import type { GuardedRequest } from './crashGuard.js'
@@ -31,6 +32,8 @@
 /** For callers that send no timeout. */
 const DEFAULT_CALLER_TIMEOUT_MS = 60_000
 
+/** Why a request for a service of brittle backend servers is refused. */
+const NO_ROOM = 'all backend servers are full, and fall over when they turn requests away'
 /** The least urgent priority. */
 const MAX_PRIORITY = 9
 
@@ -93,6 +96,8 @@
   setAside: AttemptSetAside | undefined
   /** With which it may return to a backend server that was given up for a silence; held until a retry has answered. */
   reservedReturn: ReservedRetry | undefined
+  /** Room that was granted for the next send to a brittle backend server. */
+  room: GrantedRoom | undefined
   firstByteAt: number | undefined
   triedBackendIds: string[]
   /** Software versions of these backend servers, in the same order. */
@@ -160,6 +165,7 @@
     bufferedResponse: undefined,
     setAside: undefined,
     reservedReturn: undefined,
+    room: undefined,
     firstByteAt: undefined,
     triedBackendIds: [],
     triedVersions: [],
@@ -209,6 +215,7 @@
   stopWatchingCaller()
   state.setAside?.giveUp()
   releaseReturn(state)
+  releaseRoom(state)
   const used = usedTokens(state)
   if (isReserved && state.account !== undefined) context.tokens.settle(state.account.name, reserved, used)
   recordUse(context, state, used)
@@ -220,7 +227,9 @@
   const quarantine = context.crashGuard.findQuarantine(state.guarded)
   if (quarantine !== undefined) return { kind: 'notRun', reason: quarantine.reason, retryAt: quarantine.until }
   const available = findAvailableBackends(context, state, [])
-  return available.kind === 'none' ? { kind: 'notRun', reason: available.reason, retryAt: available.retryAt } : undefined
+  if (available.kind === 'none') return { kind: 'notRun', reason: available.reason, retryAt: available.retryAt }
+  const deniedUntil = context.rooms.deniedUntil(state.service, steadyNow())
+  return deniedUntil === undefined ? undefined : { kind: 'notRun', reason: NO_ROOM, retryAt: deniedUntil }
 }
 
 /** Refuses a relayed request that this instance can't send to a backend server either. */
@@ -262,27 +271,51 @@
     if (candidates.length === 0) return { kind: 'none', reason: 'no backend server to return to', retryAt: retryAt(context, state) }
     const areAllLimited = candidates.every(({ limit }) => limit.requestsPerSecond !== undefined)
     if (areAllLimited && denied.size === 0 && state.attempts === 0) permits.recordDemand(candidates, priority)
-    const choice = chooseBackend(candidates.filter((candidate) => !denied.has(candidate.entry.id) && !permits.isDenied(candidate, priority, now)), {
-      prompt: state.fields.prompt,
-      isRetryable: isRetryable(state.route.deliverySemantics),
-      failureDomain: context.settings.failureDomain
-    }, now, Math.random())
+    const usable = candidates.filter((candidate) => !denied.has(candidate.entry.id) && !permits.isDenied(candidate, priority, now))
+    const found = await chooseWithRoom(context, state, usable, now)
+    if (found.kind === 'noRoom') return { kind: 'none', reason: NO_ROOM, retryAt: found.retryAt }
+    const { choice } = found
     if (choice === undefined) {
       return areAllLimited
         ? { kind: 'none', reason: 'all backend servers are at the request limits that they name', retryAt: permits.retryAt(candidates, priority, now) }
         : { kind: 'none', reason: 'no permit for a backend server', retryAt: retryAt(context, state) }
     }
     const needsPermit = choice.state.limit.requestsPerSecond !== undefined
-    const isPermitted = !needsPermit || ((await permits.acquire(choice.state, priority)).kind === 'granted' && isAvailable(context, state, choice, excluded))
-    if (isPermitted) {
+    const isPermitted = !needsPermit || (await permits.acquire(choice.state, priority)).kind === 'granted'
+    const hasWaited = needsPermit || state.room !== undefined
+    if (isPermitted && (!hasWaited || isAvailable(context, state, choice, excluded))) {
       const destination: Destination = { kind: 'backend', choice }
       context.destinations.set(state, destination)
       return { kind: 'chosen', backendId: destinationIdOf(destination) }
     }
+    releaseRoom(state)
     denied.add(choice.state.entry.id)
   }
 }
 
+type ChoiceWithRoom =
+  /** `choice` is undefined without a candidate. */
+  | { readonly kind: 'found', readonly choice: Choice | undefined }
+  /** All candidates are brittle and full; `retryAt` by `steadyNow`. */
+  | { readonly kind: 'noRoom', readonly retryAt: number }
+
+/** Chooses the best candidate, or the best that has room where they are brittle. */
+async function chooseWithRoom (context: GatewayContext, state: RequestState, candidates: readonly BackendState[], now: number): Promise<ChoiceWithRoom> {
+  const request = { prompt: state.fields.prompt, isRetryable: isRetryable(state.route.deliverySemantics), failureDomain: context.settings.failureDomain }
+  if (candidates.length === 0 || !context.rooms.isNeeded(state.service)) return { kind: 'found', choice: chooseBackend(candidates, request, now, Math.random()) }
+  const ranked = rankBackends(candidates, request, now, Math.random())
+  releaseRoom(state)
+  const outcome = await context.rooms.acquire(state.service, ranked.map((choice) => choice.state))
+  if (outcome.kind === 'denied') return { kind: 'noRoom', retryAt: outcome.retryAt }
+  state.room = outcome.room
+  return { kind: 'found', choice: ranked.find((choice) => choice.state === outcome.backend) }
+}
+
+function releaseRoom (state: RequestState): void {
+  state.room?.release()
+  state.room = undefined
+}
+
 function chooseRelayPeer (context: GatewayContext, state: RequestState, excluded: readonly string[]): ChoiceOutcome {
   const peer = context.relayPeers.choose(state.service, excludedPeers(excluded))
   if (peer === undefined) return { kind: 'none', reason: 'cut off from all backend servers, and no other instance takes the request', retryAt: context.relayPeers.retryAt(state.service) }
@@ -314,7 +347,10 @@
   switch (destination.kind) {
     case 'backend': {
       state.triedVersions.push(destination.choice.state.entry.version)
-      const outcome = await runAttempt(context, state, destination.choice, async () => await reserveRetry(context, state))
+      const attempt = runAttempt(context, state, destination.choice, async () => await reserveRetry(context, state))
+      // From now on the request is among those in progress there.
+      releaseRoom(state)
+      const outcome = await attempt
       if (outcome.kind === 'notSent') state.failedConnections++
       return outcome
     }
--- a/packages/gateway/src/tasks/sendingPermits.ts
+++ b/packages/gateway/src/tasks/sendingPermits.ts
@@ -5,12 +5,10 @@
 import type { NamedLimit } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { Peer } from './fleetTask.js'
-import { parsePermitReply, PEER_PATH, postToPeer, type DeliveryOutcome } from './peerMessages.js'
+import { createHomeCalls } from './homeCalls.js'
+import { parsePermitReply, PEER_PATH } from './peerMessages.js'
+import type { Post } from './tokenLoans.js'
 
-/** A caller waits for the reply; a home that takes longer is slow or cut off. */
-const REPLY_TIMEOUT_MS = 120
-/** A home that did not reply is not asked for this time. */
-const AVOIDANCE_MS = 5000
 /** The first home issues the whole limit. */
 const FIRST_HOME_POWER: IssuingPower = { fraction: 1, burst: 2 }
 /** While some instances reach only the first home and others only the second, both together issue one and a half times the limit. */
@@ -58,17 +56,16 @@
   readonly announce: (backendProcess: string, known: KnownLimit) => void
   readonly count: (outcome: string) => void
   /** Delivers one message; replaced by tests. */
-  readonly post?: (address: string, path: string, message: unknown, timeoutMilliseconds: number) => Promise<DeliveryOutcome>
+  readonly post?: Post
 }
 
 /** Creates the permits of one process. */
 export function createSendingPermits (options: SendingPermitsOptions): SendingPermits {
   const { instanceId, clock, log } = options
-  const post = options.post ?? postToPeer
+  const calls = createHomeCalls(log, options.post)
   const issuer = createPermitIssuer(options.announce)
   /** Issues this instance's even share while it reaches no home. */
   const ownIssuer = createPermitIssuer(() => {})
-  const avoidedUntil = new Map<string, number>()
 
   function sharedNow (): number {
     return clock.fromLocal(steadyNow()) ?? 0
@@ -86,26 +83,10 @@
     return issuer.ask(request, powerOf(backendIdOf(request.backendProcess)), sharedNow())
   }
 
-  async function postToHome (home: Peer, path: string, message: object): Promise<unknown> {
-    const outcome = await post(home.address, path, { to: home.incarnationId, ...message }, REPLY_TIMEOUT_MS)
-    if (outcome.kind === 'answered') return outcome.reply
-    if (outcome.kind === 'failed') {
-      avoidedUntil.set(home.incarnationId, steadyNow() + AVOIDANCE_MS)
-      log.decision('peerDidNotAnswer', { peer: home.address, path, reason: outcome.reason })
-    }
-    return undefined
-  }
-
-  /** Homes that are not known to be out of reach, in order of preference. */
-  function reachableHomes (backendId: string): readonly Peer[] {
-    const now = steadyNow()
-    return options.homes(backendId).filter((home) => (avoidedUntil.get(home.incarnationId) ?? 0) <= now)
-  }
-
   async function ask (backendId: string, request: PermitRequest): Promise<PermitReply> {
-    for (const home of reachableHomes(backendId)) {
+    for (const home of calls.reachable(options.homes(backendId))) {
       if (home.instanceId === instanceId) return issue(request)
-      const reply = parsePermitReply(await postToHome(home, PEER_PATH.permits, { ...request }))
+      const reply = parsePermitReply(await calls.post(home, PEER_PATH.permits, { ...request }))
       if (reply !== undefined) return reply
     }
     const now = sharedNow()
@@ -169,9 +150,9 @@
   }
 
   async function tellHome (backendId: string, backendProcess: string, known: KnownLimit): Promise<void> {
-    for (const home of reachableHomes(backendId)) {
+    for (const home of calls.reachable(options.homes(backendId))) {
       if (home.instanceId === instanceId) return issuer.learn(backendProcess, known, sharedNow())
-      if (await postToHome(home, PEER_PATH.limits, { backendProcess, known }) !== undefined) return
+      if (await calls.post(home, PEER_PATH.limits, { backendProcess, known }) !== undefined) return
     }
   }
 
