--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -93,7 +93,17 @@
     return agent
   }
 
+  /** A request that Node does not open, such as one with a header that can't be written, is one that was not sent. */
   function start (exchange: ExchangeRequest, listener: ExchangeListener): Exchange {
+    try {
+      return open(exchange, listener)
+    } catch (error) {
+      queueMicrotask(() => listener.onBroken(false, (error as Error).message))
+      return { abort: () => {}, pause: () => {}, resume: () => {}, reusedConnection: false }
+    }
+  }
+
+  function open (exchange: ExchangeRequest, listener: ExchangeListener): Exchange {
     const [host = '', port = ''] = exchange.address.split(':')
     let connected = false
     let finished = false
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -123,7 +123,16 @@
 }
 
 /** Posts a message once. */
-export function postToPeer (address: string, path: string, message: unknown, timeoutMilliseconds: number): Promise<DeliveryOutcome> {
+export async function postToPeer (address: string, path: string, message: unknown, timeoutMilliseconds: number): Promise<DeliveryOutcome> {
+  try {
+    return await post(address, path, message, timeoutMilliseconds)
+  } catch (error) {
+    // Node opens no connection to an address that is none.
+    return { kind: 'failed', mayHaveArrived: false, reason: (error as Error).message }
+  }
+}
+
+function post (address: string, path: string, message: unknown, timeoutMilliseconds: number): Promise<DeliveryOutcome> {
   const [host = '', port = ''] = address.split(':')
   const body = JSON.stringify(message)
   return new Promise((resolve) => {
