Prefer a peer to failing connections only while one takes requests

A request to which two backend servers accepted no connection had to be relayed: with all peers down it was refused although other backend servers were reached (seen in oddEntries.test, where a peer had ended). A peer is only preferred then, and required where all backend servers are lost. An instance that declines counts no longer as a connection that failed.

The choice of where a request goes moves out of requestTask into chooseDestination.

--- a/packages/gateway/src/__tests__/requestPlan.test.ts
+++ b/packages/gateway/src/__tests__/requestPlan.test.ts
@@ -65,6 +65,14 @@
     expect(runPlan({ deliverySemantics: { kind: 'once' }, maximumAttempts: 1, outcomes: [notSent, delivered] })).toEqual({ result: delivered, sentTo: ['first', 'second'] })
   })
 
+  test('an instance that declines a relayed request counts neither as an attempt nor as a connection that failed', () => {
+    const notTaken: AttemptOutcome = { kind: 'notTaken', reason: 'declined' }
+    const backends = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h']
+    const setting = { deliverySemantics: { kind: 'once' }, maximumAttempts: 1, backends } as const
+    expect(runPlan({ ...setting, outcomes: [notSent, notSent, notTaken, notTaken, notTaken, notSent, delivered] }).result).toEqual(delivered)
+    expect(runPlan({ ...setting, outcomes: [notTaken, notTaken, notTaken, notTaken] })).toMatchObject({ result: { kind: 'notRun', reason: 'declined' }, sentTo: ['a', 'b', 'c', 'd'] })
+  })
+
   test('an error response of the backend server is forwarded', () => {
     expect(runPlan({ deliverySemantics: { kind: 'once' }, outcomes: [{ kind: 'errorResponse', status: 500, isBackendFailing: true }] }).result.kind).toBe('passFailure')
   })
--- a/packages/gateway/src/decisions/requestPlan.ts
+++ b/packages/gateway/src/decisions/requestPlan.ts
@@ -7,6 +7,8 @@
   | { readonly kind: 'delivered', readonly status: number }
   /** No byte of the request reached the backend server. */
   | { readonly kind: 'notSent', readonly reason: string }
+  /** The instance that was to serve the request in place of this one has not taken it, or was not reached. */
+  | { readonly kind: 'notTaken', readonly reason: string }
   /** The backend server reports that it has not run the request. */
   | { readonly kind: 'notRun', readonly reason: string }
   /**
@@ -84,6 +86,9 @@
 /** Failed connections that don't count as attempts; with one more the request is rejected. */
 const MAX_CONNECT_FAILURES = 3
 
+/** Instances that may decline a relayed request; with one more it is rejected. */
+const MAX_DECLINES = 3
+
 /** Returns true when a request that may have run may be sent again. */
 export function isRetryable (deliverySemantics: DeliverySemantics): boolean {
   switch (deliverySemantics.kind) {
@@ -99,6 +104,7 @@
 function isWithoutAnswer (outcome: AttemptOutcome): boolean {
   switch (outcome.kind) {
     case 'notSent':
+    case 'notTaken':
     case 'notRun':
     case 'broken':
     case 'superseded': return true
@@ -120,6 +126,7 @@
   const excluded: string[] = []
   let attempts = 0
   let connectFailures = 0
+  let declines = 0
   let mayHaveRun = false
   let headersSent = false
   let hasBufferedFailure = false
@@ -158,7 +165,7 @@
       // The attempt that was set aside was counted then; the retry counts in its place.
       mayHaveRun ||= outcome.kind === 'broken' || outcome.kind === 'superseded'
       hasBufferedFailure ||= outcome.kind === 'errorResponse'
-      if (outcome.kind === 'notSent') attempts--
+      if (outcome.kind === 'notSent' || outcome.kind === 'notTaken') attempts--
       sentTo = setAsideId ?? sentTo
       outcome = continued
     } else if (setAsideId !== undefined) {
@@ -176,6 +183,11 @@
         // Only a request that has returned is sent without an attempt left; another backend server would be one too many.
         if (attempts >= input.maximumAttempts) reservedBackendId = sentTo
         continue
+      case 'notTaken':
+        declines++
+        lastReason = outcome.reason
+        if (declines > MAX_DECLINES) return failureResult(input.retryAt())
+        continue
       case 'notRun':
         lastReason = outcome.reason
         break
--- /dev/null
+++ b/packages/gateway/src/tasks/chooseDestination.ts
@@ -0,0 +1,109 @@
+import { steadyNow } from '../clock.js'
+import { chooseBackend, rankBackends, type Choice } from '../decisions/backendChoice.js'
+import type { BackendState } from '../decisions/backendState.js'
+import { isRetryable, type ChoiceOutcome } from '../decisions/requestPlan.js'
+import { findAvailableBackends } from './availableBackends.js'
+import { destinationIdOf, excludedPeers, relayNeed, type Destination } from './destinations.js'
+import type { GatewayContext } from './gatewayContext.js'
+import type { RequestState } from './requestTask.js'
+
+/** Retry time suggested to callers when backend servers reject requests. */
+const REJECTION_RETRY_MS = { engine: 400, plain: 150 } as const
+/** Why a request for a service of brittle backend servers is refused. */
+export const NO_ROOM = 'all backend servers are full, and fall over when they turn requests away'
+
+/**
+ * Chooses where a request is sent next: to a backend server that is not excluded, or to a peer where none can be reached from here.
+ * `among`, if given, limits the backend servers to these IDs.
+ */
+export async function chooseDestination (context: GatewayContext, state: RequestState, excluded: readonly string[], among?: readonly string[]): Promise<ChoiceOutcome> {
+  const quarantine = context.crashGuard.findQuarantine(state.guarded)
+  if (quarantine !== undefined) return { kind: 'quarantined', reason: quarantine.reason, retryAt: quarantine.until }
+  const { permits } = context
+  const { priority } = state
+  const denied = new Set<string>()
+  for (;;) {
+    const now = steadyNow()
+    const need = relayNeed(context, state, now)
+    if (need === 'required' || (need === 'preferred' && context.relayPeers.hasChoice(state.service, excludedPeers(excluded)))) return chooseRelayPeer(context, state, excluded)
+    const available = findAvailableBackends(context, state, excluded)
+    if (available.kind === 'none') return available
+    const candidates = available.backends.filter(({ entry }) => among?.includes(entry.id) !== false)
+    if (candidates.length === 0) return { kind: 'none', reason: 'no backend server to return to', retryAt: suggestedRetryAt(context, state) }
+    const areAllLimited = candidates.every(({ limit }) => limit.requestsPerSecond !== undefined)
+    if (areAllLimited && denied.size === 0 && state.attempts === 0) permits.recordDemand(candidates, priority)
+    const usable = candidates.filter((candidate) => !denied.has(candidate.entry.id) && !permits.isDenied(candidate, priority, now))
+    const found = await chooseWithRoom(context, state, usable, now)
+    if (found.kind === 'noRoom') return { kind: 'none', reason: NO_ROOM, retryAt: found.retryAt }
+    const { choice } = found
+    if (choice === undefined) {
+      return areAllLimited
+        ? { kind: 'none', reason: 'all backend servers are at the request limits that they name', retryAt: permits.retryAt(candidates, priority, now) }
+        : { kind: 'none', reason: 'no permit for a backend server', retryAt: suggestedRetryAt(context, state) }
+    }
+    const needsPermit = choice.state.limit.requestsPerSecond !== undefined
+    const isPermitted = !needsPermit || (await permits.acquire(choice.state, priority)).kind === 'granted'
+    const hasWaited = needsPermit || state.room !== undefined
+    if (isPermitted && (!hasWaited || isAvailable(context, state, choice, excluded))) {
+      const destination: Destination = { kind: 'backend', choice }
+      context.destinations.set(state, destination)
+      return { kind: 'chosen', backendId: destinationIdOf(destination) }
+    }
+    releaseRoom(state)
+    denied.add(choice.state.entry.id)
+  }
+}
+
+type ChoiceWithRoom =
+  /** `choice` is undefined without a candidate. */
+  | { readonly kind: 'found', readonly choice: Choice | undefined }
+  /** All candidates are brittle and full; `retryAt` by `steadyNow`. */
+  | { readonly kind: 'noRoom', readonly retryAt: number }
+
+/** Chooses the best candidate, or the best that has room where they are brittle. */
+async function chooseWithRoom (context: GatewayContext, state: RequestState, candidates: readonly BackendState[], now: number): Promise<ChoiceWithRoom> {
+  const request = { prompt: state.fields.prompt, isRetryable: isRetryable(state.route.deliverySemantics), failureDomain: context.settings.failureDomain }
+  if (candidates.length === 0 || !context.rooms.isNeeded(state.service)) return { kind: 'found', choice: chooseBackend(candidates, request, now, Math.random()) }
+  const ranked = rankBackends(candidates, request, now, Math.random())
+  releaseRoom(state)
+  const outcome = await context.rooms.acquire(state.service, ranked.map((choice) => choice.state))
+  if (outcome.kind === 'denied') return { kind: 'noRoom', retryAt: outcome.retryAt }
+  state.room = outcome.room
+  return { kind: 'found', choice: ranked.find((choice) => choice.state === outcome.backend) }
+}
+
+/** Gives back the room that was granted for a send. */
+export function releaseRoom (state: RequestState): void {
+  state.room?.release()
+  state.room = undefined
+}
+
+function chooseRelayPeer (context: GatewayContext, state: RequestState, excluded: readonly string[]): ChoiceOutcome {
+  const peer = context.relayPeers.choose(state.service, excludedPeers(excluded))
+  if (peer === undefined) return { kind: 'none', reason: 'cut off from all backend servers, and no other instance takes the request', retryAt: context.relayPeers.retryAt(state.service) }
+  const destination: Destination = { kind: 'peer', peer }
+  context.destinations.set(state, destination)
+  return { kind: 'chosen', backendId: destinationIdOf(destination) }
+}
+
+/** False when the backend server has said meanwhile that it takes no requests. */
+function isAvailable (context: GatewayContext, state: RequestState, choice: Choice, excluded: readonly string[]): boolean {
+  const available = findAvailableBackends(context, state, excluded)
+  return available.kind === 'some' && available.backends.includes(choice.state)
+}
+
+/** True when a backend server that is usable, or a peer, takes a retry of the request: the retry budget is kept for requests that have one. */
+export function hasUntriedDestination (context: GatewayContext, state: RequestState, isUsable: (backend: BackendState) => boolean): boolean {
+  const need = relayNeed(context, state, steadyNow())
+  const hasPeer = need !== 'none' && context.relayPeers.hasChoice(state.service, excludedPeers(state.triedBackendIds))
+  if (need === 'required' || hasPeer) return hasPeer
+  const available = findAvailableBackends(context, state, state.triedBackendIds)
+  return available.kind === 'some' && available.backends.some(isUsable)
+}
+
+/** When a caller may return whose request was rejected, by `steadyNow`. */
+export function suggestedRetryAt (context: GatewayContext, state: RequestState): number {
+  const available = findAvailableBackends(context, state, [])
+  if (available.kind === 'none') return available.retryAt
+  return steadyNow() + (state.fields.prompt === undefined ? REJECTION_RETRY_MS.plain : REJECTION_RETRY_MS.engine)
+}
--- a/packages/gateway/src/tasks/destinations.ts
+++ b/packages/gateway/src/tasks/destinations.ts
@@ -28,17 +28,22 @@
   return excluded.flatMap((id) => id.startsWith(PEER_PREFIX) ? [id.slice(PEER_PREFIX.length)] : [])
 }
 
-/**
- * Returns true when a request has to be served by a peer: no backend server that may serve it can be reached from here. A request
- * that a peer relayed is relayed no further.
- */
-export function mustRelay (context: GatewayContext, state: RequestState, now: number): boolean {
-  if (state.relay !== undefined || context.fleet.peers.length === 0) return false
-  if (state.isRelayed) return true
+/** Whether a peer serves a request in place of this instance. */
+export type RelayNeed =
+  | 'none'
+  /** A peer is the better choice, if one takes requests: several backend servers accepted no connection. */
+  | 'preferred'
+  /** No backend server that may serve the request can be reached from here. */
+  | 'required'
+
+/** Returns whether a request is to be relayed. One that a peer has relayed is relayed no further. */
+export function relayNeed (context: GatewayContext, state: RequestState, now: number): RelayNeed {
+  if (state.relay !== undefined || context.fleet.peers.length === 0) return 'none'
+  if (state.isRelayed) return 'required'
   const available = findAvailableBackends(context, state, [])
-  if (available.kind === 'none') return false
-  if (areAllLost(available.backends)) return true
-  return state.failedConnections >= FAILED_CONNECTIONS_BEFORE_RELAY && !available.backends.some((backend) => isFull(backend, now))
+  if (available.kind === 'none') return 'none'
+  if (areAllLost(available.backends)) return 'required'
+  return state.failedConnections >= FAILED_CONNECTIONS_BEFORE_RELAY && !available.backends.some((backend) => isFull(backend, now)) ? 'preferred' : 'none'
 }
 
 /** A full backend server resets connections, which is no partition; its peers fare no better. */
--- a/packages/gateway/src/tasks/relayAttempt.ts
+++ b/packages/gateway/src/tasks/relayAttempt.ts
@@ -141,7 +141,7 @@
   }
 
   function onEnd (): void {
-    if (declinedReason !== undefined) return settle({ kind: 'notSent', reason: `${peer.instanceId} declined: ${declinedReason}` })
+    if (declinedReason !== undefined) return settle({ kind: 'notTaken', reason: `${peer.instanceId} declined: ${declinedReason}` })
     if (head === undefined) return settle({ kind: 'broken', reason: 'response without headers', headersSent: state.headersSent })
     const status = head.incoming.statusCode ?? 0
     if (head.isStreamed) {
@@ -157,7 +157,7 @@
     if (abortOutcome !== undefined) return settle(abortOutcome)
     if (declinedReason === undefined) relay.learn({ kind: 'unanswered' })
     context.log.decision('relayBroken', { request: state.fields.attemptId, peer: peer.instanceId, reason, sent, milliseconds: steadyNow() - sentAt, events: state.relayedEvents })
-    settle(sent && declinedReason === undefined ? { kind: 'broken', reason: `${peer.instanceId}: ${reason}`, headersSent: state.headersSent } : { kind: 'notSent', reason })
+    settle(sent && declinedReason === undefined ? { kind: 'broken', reason: `${peer.instanceId}: ${reason}`, headersSent: state.headersSent } : { kind: 'notTaken', reason: `${peer.instanceId}: ${reason}` })
   }
 }
 
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -4,11 +4,10 @@
 import type { ReservedRetry } from '@quinceshunt/requests'
 import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { chooseBackend, rankBackends, type Choice } from '../decisions/backendChoice.js'
 import { areAllLost } from '../decisions/backendReach.js'
 import type { BackendState } from '../decisions/backendState.js'
 import { chooseTarget, type ConfigurationIndex } from '../decisions/configurationIndex.js'
-import { isRetryable, planRequest, type AttemptOutcome, type ChoiceOutcome, type PlanCommand, type PlanResult, type RetryReservation } from '../decisions/requestPlan.js'
+import { planRequest, type AttemptOutcome, type PlanCommand, type PlanResult, type RetryReservation } from '../decisions/requestPlan.js'
 import { serviceOfStream, type StreamStart } from '../decisions/streamOrigins.js'
 import type { RelayEnvelope } from '../decisions/relayEnvelope.js'
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
@@ -16,7 +15,8 @@
 import { findAvailableBackends } from './availableBackends.js'
 import { runAttempt, type AttemptSetAside } from './attempt.js'
 import type { GrantedRoom } from './backendRooms.js'
-import { destinationIdOf, excludedPeers, mustRelay, type Destination } from './destinations.js'
+import { chooseDestination, hasUntriedDestination, NO_ROOM, releaseRoom, suggestedRetryAt } from './chooseDestination.js'
+import { destinationIdOf, relayNeed } from './destinations.js'
 import { releaseReturn } from './releaseReturn.js'
 import type { GuardedRequest } from './crashGuard.js'
 import type { BufferedResponse } from './forwardedResponse.js'
@@ -27,13 +27,9 @@
 import { declineRelay } from './relayReception.js'
 import { findStreamStart } from './streamStart.js'
 
-/** Retry time suggested to callers when backend servers reject requests. */
-const REJECTION_RETRY_MS = { engine: 400, plain: 150 } as const
 /** For callers that send no timeout. */
 const DEFAULT_CALLER_TIMEOUT_MS = 60_000
 
-/** Why a request for a service of brittle backend servers is refused. */
-const NO_ROOM = 'all backend servers are full, and fall over when they turn requests away'
 /** The least urgent priority. */
 const MAX_PRIORITY = 9
 
@@ -178,12 +174,12 @@
     return
   }
   if (declineIfCutOff(context, state)) return
-  state.isRelayed = mustRelay(context, state, steadyNow())
+  state.isRelayed = relayNeed(context, state, steadyNow()) === 'required'
   const stopWatchingCaller = state.caller.onLeft(() => recordCallerLeft(context, state))
   const reserved = maximumTokens(state)
   let isReserved = false
   const result = await runDecision(
-    planRequest({ deliverySemantics: route.deliverySemantics, maximumAttempts: state.maximumAttempts, retryAt: () => retryAt(context, state) }),
+    planRequest({ deliverySemantics: route.deliverySemantics, maximumAttempts: state.maximumAttempts, retryAt: () => suggestedRetryAt(context, state) }),
     async (command: PlanCommand) => {
       switch (command.kind) {
         case 'reserveTokens': {
@@ -197,7 +193,7 @@
           // A process that is behind with its work may have read the request long after the caller left.
           await handleArrivedEvents()
           return !hasCallerLeft(state)
-        case 'chooseBackend': return await chooseNextBackend(context, state, command.excluded)
+        case 'chooseBackend': return await chooseDestination(context, state, command.excluded)
         case 'sendAttempt': return await attemptDestination(context, state, command.backendId)
         case 'continueAttempt': {
           const continued = state.setAside?.resume()
@@ -249,94 +245,6 @@
   return state.caller.leftAt !== undefined
 }
 
-function retryAt (context: GatewayContext, state: RequestState): number {
-  const available = findAvailableBackends(context, state, [])
-  if (available.kind === 'none') return available.retryAt
-  return steadyNow() + (state.fields.prompt === undefined ? REJECTION_RETRY_MS.plain : REJECTION_RETRY_MS.engine)
-}
-
-/** Chooses among the backend servers that are not excluded; `among`, if given, limits them to these IDs. */
-async function chooseNextBackend (context: GatewayContext, state: RequestState, excluded: readonly string[], among?: readonly string[]): Promise<ChoiceOutcome> {
-  const quarantine = context.crashGuard.findQuarantine(state.guarded)
-  if (quarantine !== undefined) return { kind: 'quarantined', reason: quarantine.reason, retryAt: quarantine.until }
-  const { permits } = context
-  const { priority } = state
-  const denied = new Set<string>()
-  for (;;) {
-    const now = steadyNow()
-    if (mustRelay(context, state, now)) return chooseRelayPeer(context, state, excluded)
-    const available = findAvailableBackends(context, state, excluded)
-    if (available.kind === 'none') return available
-    const candidates = available.backends.filter(({ entry }) => among?.includes(entry.id) !== false)
-    if (candidates.length === 0) return { kind: 'none', reason: 'no backend server to return to', retryAt: retryAt(context, state) }
-    const areAllLimited = candidates.every(({ limit }) => limit.requestsPerSecond !== undefined)
-    if (areAllLimited && denied.size === 0 && state.attempts === 0) permits.recordDemand(candidates, priority)
-    const usable = candidates.filter((candidate) => !denied.has(candidate.entry.id) && !permits.isDenied(candidate, priority, now))
-    const found = await chooseWithRoom(context, state, usable, now)
-    if (found.kind === 'noRoom') return { kind: 'none', reason: NO_ROOM, retryAt: found.retryAt }
-    const { choice } = found
-    if (choice === undefined) {
-      return areAllLimited
-        ? { kind: 'none', reason: 'all backend servers are at the request limits that they name', retryAt: permits.retryAt(candidates, priority, now) }
-        : { kind: 'none', reason: 'no permit for a backend server', retryAt: retryAt(context, state) }
-    }
-    const needsPermit = choice.state.limit.requestsPerSecond !== undefined
-    const isPermitted = !needsPermit || (await permits.acquire(choice.state, priority)).kind === 'granted'
-    const hasWaited = needsPermit || state.room !== undefined
-    if (isPermitted && (!hasWaited || isAvailable(context, state, choice, excluded))) {
-      const destination: Destination = { kind: 'backend', choice }
-      context.destinations.set(state, destination)
-      return { kind: 'chosen', backendId: destinationIdOf(destination) }
-    }
-    releaseRoom(state)
-    denied.add(choice.state.entry.id)
-  }
-}
-
-type ChoiceWithRoom =
-  /** `choice` is undefined without a candidate. */
-  | { readonly kind: 'found', readonly choice: Choice | undefined }
-  /** All candidates are brittle and full; `retryAt` by `steadyNow`. */
-  | { readonly kind: 'noRoom', readonly retryAt: number }
-
-/** Chooses the best candidate, or the best that has room where they are brittle. */
-async function chooseWithRoom (context: GatewayContext, state: RequestState, candidates: readonly BackendState[], now: number): Promise<ChoiceWithRoom> {
-  const request = { prompt: state.fields.prompt, isRetryable: isRetryable(state.route.deliverySemantics), failureDomain: context.settings.failureDomain }
-  if (candidates.length === 0 || !context.rooms.isNeeded(state.service)) return { kind: 'found', choice: chooseBackend(candidates, request, now, Math.random()) }
-  const ranked = rankBackends(candidates, request, now, Math.random())
-  releaseRoom(state)
-  const outcome = await context.rooms.acquire(state.service, ranked.map((choice) => choice.state))
-  if (outcome.kind === 'denied') return { kind: 'noRoom', retryAt: outcome.retryAt }
-  state.room = outcome.room
-  return { kind: 'found', choice: ranked.find((choice) => choice.state === outcome.backend) }
-}
-
-function releaseRoom (state: RequestState): void {
-  state.room?.release()
-  state.room = undefined
-}
-
-function chooseRelayPeer (context: GatewayContext, state: RequestState, excluded: readonly string[]): ChoiceOutcome {
-  const peer = context.relayPeers.choose(state.service, excludedPeers(excluded))
-  if (peer === undefined) return { kind: 'none', reason: 'cut off from all backend servers, and no other instance takes the request', retryAt: context.relayPeers.retryAt(state.service) }
-  const destination: Destination = { kind: 'peer', peer }
-  context.destinations.set(state, destination)
-  return { kind: 'chosen', backendId: destinationIdOf(destination) }
-}
-
-/** False when the backend server has said meanwhile that it takes no requests. */
-function isAvailable (context: GatewayContext, state: RequestState, choice: Choice, excluded: readonly string[]): boolean {
-  const available = findAvailableBackends(context, state, excluded)
-  return available.kind === 'some' && available.backends.includes(choice.state)
-}
-
-/** True when a backend server that is usable, or a peer, takes a retry of the request: the retry budget is kept for requests that have one. */
-function hasUntriedDestination (context: GatewayContext, state: RequestState, isUsable: (backend: BackendState) => boolean): boolean {
-  if (mustRelay(context, state, steadyNow())) return context.relayPeers.hasChoice(state.service, excludedPeers(state.triedBackendIds))
-  const available = findAvailableBackends(context, state, state.triedBackendIds)
-  return available.kind === 'some' && available.backends.some(isUsable)
-}
-
 async function attemptDestination (context: GatewayContext, state: RequestState, destinationId: string): Promise<AttemptOutcome> {
   const destination = context.destinations.get(state)
   if (destination === undefined || destinationIdOf(destination) !== destinationId) return { kind: 'notSent', reason: 'backend server no longer listed' }
@@ -370,7 +278,7 @@
   if (!context.crashGuard.mayRetry(state.guarded)) return { kind: 'refused', reason: 'the request may crash backend servers' }
   if (!hasUntriedDestination(context, state, isUsable)) return { kind: 'refused', reason: 'no other backend server' }
   if (!tryAcquireWithReturn(context, state)) return { kind: 'refused', reason: 'the retry budget is used up' }
-  const choice = await chooseNextBackend(context, state, state.triedBackendIds)
+  const choice = await chooseDestination(context, state, state.triedBackendIds)
   if (choice.kind === 'chosen') return { kind: 'reserved', backendId: choice.backendId }
   releaseReturn(state)
   return { kind: 'refused', reason: choice.reason }
@@ -396,7 +304,7 @@
   if (hasCallerLeft(state)) return { kind: 'refused', reason: 'the caller has left' }
   if (state.hasUnidentifiedEvents) return { kind: 'refused', reason: 'events without an ID were delivered' }
   if (!context.crashGuard.mayRetry(state.guarded)) return { kind: 'refused', reason: 'the request may crash backend servers' }
-  const choice = await chooseNextBackend(context, state, [], backendIds)
+  const choice = await chooseDestination(context, state, [], backendIds)
   if (choice.kind !== 'chosen') return { kind: 'refused', reason: choice.reason }
   if (!tryConsumeRetry(context, state)) return { kind: 'refused', reason: 'the retry budget is used up' }
   context.log.decision('attemptReturned', { request: state.fields.attemptId, backend: choice.backendId, headersSent: state.headersSent })
