Take requests in a planned stop only if they can end before it

With a grace of 4 s or less, requests that run once were passed on late in a planned stop and cut off without an answer when the process exited: the times until which requests are taken, and at which the rest is abandoned, were fixed and fit 8 s only.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import { createByteBudget } from './decisions/byteBudget.js'
 import { createRetryShares } from './decisions/retryShares.js'
 import { createSharedClock } from './decisions/sharedClock.js'
+import { mayTake, planStop, type StopPlan } from './decisions/stopPlan.js'
 import type { FleetConfiguration } from './fleetConfiguration.js'
 import type { GatewayPlatform } from './ports.js'
 import { parseGatewaySettings, SETTINGS_EXIT_CODE, type GatewaySettings } from './settings.js'
@@ -37,12 +38,8 @@
 
 /** New connections are accepted for this time after SIGTERM: the load balancer removes an instance after two failed checks. */
 const LISTEN_AFTER_STOP_MS = 2600
-/** Requests that come later than this after SIGTERM are refused, as they may not be finished when the process exits. */
-const TAKE_AFTER_STOP_MS = 3000
 /** The process exits this long before SIGKILL, whatever is still in progress. */
 const FORCED_EXIT_MARGIN_MS = 150
-/** Requests are abandoned and tokens returned this long before SIGKILL; callers have no claim to the last sixth of the stop time. */
-const TOKEN_RETURN_MARGIN_MS = 1000
 const STOP_CHECK_INTERVAL_MS = 50
 const MAX_QUEUED_CONNECTIONS = 511
 /** A list of backend servers that was read longer ago may lack versions that other instances know. */
@@ -84,8 +81,7 @@
     reportCrash: (fingerprint, unanswered) => fleet.reportCrash(fingerprint, unanswered),
     reportAnswer: (part) => fleet.reportAnswer(part)
   })
-  let stopping = false
-  let refusesFrom = Infinity
+  let stopPlan: StopPlan | undefined
 
   const fleet = startFleetTask({
     store,
@@ -224,8 +220,8 @@
     destinations: new WeakMap(),
     responseBuffer: createByteBudget(RESPONSE_BUFFER_BYTES),
     openResponses: createOpenResponses(),
-    isStopping: () => stopping,
-    takesRequests: () => steadyNow() < refusesFrom
+    isStopping: () => stopPlan !== undefined,
+    mayTakeRequest: (deadline) => stopPlan === undefined || mayTake(stopPlan, deadline, steadyNow())
   }
   const callers = createCallersListener(context)
 
@@ -237,7 +233,7 @@
   }
 
   function notReadyReason (): string {
-    if (stopping) return 'stopping'
+    if (stopPlan !== undefined) return 'stopping'
     if (configuration.current === undefined) return 'no configuration'
     if (confirmedConfiguration() === undefined) return 'the configuration may be outdated'
     if (backends.follower.lastResponseAt === 0) return 'no list of backend servers'
@@ -268,12 +264,12 @@
   log.event('started', { callers: settings.callersAddress, startMilliseconds: Math.round(performance.now()) })
 
   function stop (): void {
-    if (stopping) return
-    stopping = true
-    refusesFrom = steadyNow() + TAKE_AFTER_STOP_MS
-    const killedAt = steadyNow() + settings.stopSeconds * 1000
+    if (stopPlan !== undefined) return
+    const plan = planStop(steadyNow(), settings.stopSeconds * 1000)
+    const { killedAt } = plan
+    stopPlan = plan
     log.event('stopping', { active: callers.activeRequests, killedAt })
-    stopGracefully({ context, callers, killedAt })
+    stopGracefully(callers, plan)
       .then(async () => {
         configuration.stop()
         backends.stop()
@@ -306,10 +302,9 @@
   }
 }
 
-async function stopGracefully (stopOptions: { readonly context: GatewayContext, readonly callers: CallersListener, readonly killedAt: number }): Promise<void> {
-  const { callers, killedAt } = stopOptions
+async function stopGracefully (callers: CallersListener, { abandonedAt }: StopPlan): Promise<void> {
   const listenUntil = steadyNow() + LISTEN_AFTER_STOP_MS
-  while (steadyNow() < killedAt - TOKEN_RETURN_MARGIN_MS) {
+  while (steadyNow() < abandonedAt) {
     if (steadyNow() >= listenUntil) {
       if (callers.server.listening) {
         await acceptQueuedConnections(callers)
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -147,7 +147,7 @@
       response.destroy()
       return
     case 'received':
-      if (!context.takesRequests()) {
+      if (!context.mayTakeRequest(receivedAt + Math.min(admission.route.timeoutMilliseconds, fields.timeoutMilliseconds ?? Infinity))) {
         sendNotRun(context, response, 'the instance stops', steadyNow() + STOPPING_RETRY_MS)
         return
       }
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -49,6 +49,6 @@
   readonly responseBuffer: ByteBudget
   readonly openResponses: OpenResponses
   readonly isStopping: () => boolean
-  /** False once a request that comes now may still run when the process exits. */
-  readonly takesRequests: () => boolean
+  /** False when a request that has come whole could still run when the process exits; `deadline` by `steadyNow`. */
+  readonly mayTakeRequest: (deadline: number) => boolean
 }
