Play partitions and brittle backend servers in the soak

Gateways are cut off from all backend servers beside the other faults; plain backend servers of one slot say that they are brittle and get half as much again as they serve.

--- a/soak/src/__tests__/soak.test.ts
+++ b/soak/src/__tests__/soak.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from '@jest/globals'
 import { checkGuarantees, completeBody, type CallerRecord, type Observations } from '../checkGuarantees.js'
 import { recordStalls, stalledMilliseconds } from '../eventLoopStalls.js'
-import { planFaults, planFaultsAndLimits, planFaultsAndRestores, planReleases, planSilences } from '../faultPlan.js'
+import { planFaults, planFaultsAndLimits, planBrittleness, planFaultsAndRestores, planPartitions, planReleases, planSilences } from '../faultPlan.js'
 import { runSoak } from '../soakRun.js'
 
 /**
@@ -17,6 +17,10 @@
 const SEEDS_WITH_RESTORES = [31_002, 31_009] as const
 /** Without the choice by version, tens of streams hold events of two versions; in this seed a gateway is killed and one is paused. */
 const SEEDS_WITH_RELEASES = [40_000] as const
+/** Without relays, the cut-off gateways serve none of their first tries; two of three are cut off. */
+const SEEDS_WITH_PARTITIONS = [50_002] as const
+/** Without shares of room, the backend servers fall over five times. */
+const SEEDS_WITH_BRITTLENESS = [60_000] as const
 const EVENTS_PER_STREAM = 3
 
 function createRecord (overrides: Partial<CallerRecord> = {}): CallerRecord {
@@ -25,7 +29,7 @@
 }
 
 function findViolations (callers: readonly CallerRecord[], overrides: Partial<Observations> = {}): readonly string[] {
-  const observations: Observations = { callers, runs: [], prepaidTokens: 1000, promptTokens: 100, tokensPerEvent: 5, eventsPerStream: EVENTS_PER_STREAM, plannedStops: [], faultWindows: [], namedLimits: [], plainBackends: [0], disruptions: [], callerDeadlineMilliseconds: 3000, stalls: [], ...overrides }
+  const observations: Observations = { callers, runs: [], prepaidTokens: 1000, promptTokens: 100, tokensPerEvent: 5, eventsPerStream: EVENTS_PER_STREAM, plannedStops: [], faultWindows: [], namedLimits: [], partitions: [], falls: [], plainBackends: [0], disruptions: [], callerDeadlineMilliseconds: 3000, stalls: [], ...overrides }
   return [...checkGuarantees(observations)].map(({ promise }) => promise)
 }
 
@@ -110,6 +114,25 @@
     expect(findViolations([...begun, ...resumed('v1.2').slice(1)])).toEqual([])
   })
 
+  test('cut-off gateways that serve far less than the others are detected, but for those that were disrupted', () => {
+    const partitions = [{ gateway: 0, from: 0, to: 20_000 }]
+    const at = (gateway: number, status: number, count: number): readonly CallerRecord[] => Array.from({ length: count }, (_, index) => createRecord({ gateway, status, sentAt: 4000 + index }))
+    expect(findViolations([...at(0, 504, 12), ...at(1, 200, 12)], { partitions })).toEqual(['partition'])
+    expect(findViolations([...at(0, 504, 10), ...at(1, 200, 12)], { partitions })).toEqual([])
+    expect(findViolations([...at(0, 504, 12), ...at(0, 200, 24), ...at(1, 200, 12)], { partitions })).toEqual([])
+    expect(findViolations([...at(0, 504, 12), ...at(1, 200, 12)], { partitions, disruptions: [{ place: 'gateway', index: 0, from: 0, to: 2000 }] })).toEqual([])
+    expect(findViolations([...at(0, 504, 12), ...at(1, 200, 12)], { partitions: [{ gateway: 0, from: 1500, to: 20_000 }] })).toEqual([])
+  })
+
+  test('more falls than allowed are detected, but for those that disrupted gateways caused', () => {
+    const callers = Array.from({ length: 3 }, (_, index) => createRecord({ attempt: `attempt-${index}`, status: 503, gateway: index % 2 }))
+    const fall = { at: 5000, rejected: callers.map(({ attempt }) => attempt) }
+    expect(findViolations(callers, { falls: [fall, fall, fall] })).toEqual(['brittle'])
+    expect(findViolations(callers, { falls: [fall, fall] })).toEqual([])
+    expect(findViolations(callers, { falls: [fall, fall, fall], disruptions: [{ place: 'gateway', index: 0, from: 4000, to: 4500 }] })).toEqual([])
+    expect(findViolations(callers, { falls: [fall, fall, fall], disruptions: [{ place: 'gateway', index: 1, from: 4000, to: 4500 }] })).toEqual(['brittle'])
+  })
+
   test('a fleet that does not recover is detected', () => {
     expect(findViolations(Array.from({ length: 20 }, () => createRecord({ sentAt: 9000, status: 504 })))).toEqual(['recovery'])
   })
@@ -175,6 +198,18 @@
     expect(report.statuses['200']).toBeGreaterThan(0)
   }, 40_000)
 
+  test.each(SEEDS_WITH_PARTITIONS)('seed %d with gateways that are cut off from all backend servers violates no guarantee', async (seed) => {
+    const report = await runSoak(planPartitions(seed))
+    expect(report.broken).toEqual([])
+    expect(report.statuses['200']).toBeGreaterThan(0)
+  }, 40_000)
+
+  test.each(SEEDS_WITH_BRITTLENESS)('seed %d with brittle backend servers violates no guarantee', async (seed) => {
+    const report = await runSoak(planBrittleness(seed))
+    expect(report.broken).toEqual([])
+    expect(report.statuses['200']).toBeGreaterThan(0)
+  }, 40_000)
+
   test.each(SEEDS_WITH_RESTORES)('seed %d with a store that is restored from a copy violates no guarantee', async (seed) => {
     const report = await runSoak(planFaultsAndRestores(seed))
     expect(report.broken).toEqual([])
--- a/soak/src/checkGuarantees.ts
+++ b/soak/src/checkGuarantees.ts
@@ -1,3 +1,4 @@
+import type { Fall } from '@quinceshunt/platform-adapter/fixtures'
 import { stalledMilliseconds, type EventLoopStall } from './eventLoopStalls.js'
 
 /** Kinds of requests that callers send: at most once, idempotent, or a resumable stream. */
@@ -48,6 +49,10 @@
   /** Periods of injected faults; faults of a gateway process or a backend server's link may interrupt responses. */
   readonly faultWindows: readonly FaultWindow[]
   readonly namedLimits: readonly NamedLimitPeriod[]
+  /** Periods in which a gateway was cut off from all backend servers. */
+  readonly partitions: readonly Partition[]
+  /** Falls of brittle backend servers. */
+  readonly falls: readonly Fall[]
   /** Backend servers that serve the requests that are not streams. */
   readonly plainBackends: readonly number[]
   /** Periods in which a gateway process, or the link to a backend server, was disrupted. */
@@ -74,6 +79,13 @@
   readonly to: number
 }
 
+/** Period in which a gateway was cut off from all backend servers. */
+export interface Partition {
+  readonly gateway: number
+  readonly from: number
+  readonly to: number
+}
+
 /** Period of an injected fault and its aftermath. */
 export interface FaultWindow {
   readonly from: number
@@ -86,7 +98,7 @@
 /** A guarantee that did not hold. */
 export interface GuaranteeViolation {
   /** Name of the guarantee. */
-  readonly promise: 'budget' | 'once' | 'refusal' | 'whole' | 'plannedStop' | 'interrupted' | 'configuration' | 'recovery' | 'departure' | 'limit' | 'versions'
+  readonly promise: 'budget' | 'once' | 'refusal' | 'whole' | 'plannedStop' | 'interrupted' | 'configuration' | 'recovery' | 'departure' | 'limit' | 'versions' | 'partition' | 'brittle'
   readonly detail: string
 }
 
@@ -108,6 +120,10 @@
 /** An instance is bound by a limit from this long after it has passed on a response that names it. */
 const LIMIT_NOTICE_MS = 500
 const LIMIT_WINDOW_MS = 4000
+/** First tries at cut-off gateways must be served this often against those at the others, unless few fail. */
+const MIN_SHARE_OF_OTHERS = 2 / 3
+const FAILURES_ALLOWED = { count: 10, share: 1 / 50 } as const
+const MAX_FALLS = { count: 2, share: 1 / 10 } as const
 
 /** Streams that may hold events of two software versions. */
 const MAX_MIXED_STREAMS = 2
@@ -203,9 +219,13 @@
   }
 }
 
+/** True when a gateway, or the link to a backend server, was disrupted in the time before. */
+function isDisrupted ({ disruptions }: Observations, place: Disruption['place'], index: number, at: number): boolean {
+  return disruptions.some((disruption) => disruption.place === place && disruption.index === index && disruption.from <= at && at <= disruption.to + CONTACT_MS)
+}
+
 function * checkNamedLimits (observations: Observations): Generator<GuaranteeViolation> {
   const callers = new Map(observations.callers.map((record) => [record.attempt, record]))
-  const isDisrupted = (place: Disruption['place'], index: number, at: number): boolean => observations.disruptions.some((disruption) => disruption.place === place && disruption.index === index && disruption.from <= at && at <= disruption.to + CONTACT_MS)
   for (const { backend, requestsPerSecond, from, to } of observations.namedLimits) {
     const runs = observations.runs.filter((run) => run.backend === backend && run.at >= from && run.at <= to)
     const toldAt = new Map<number, number>()
@@ -215,7 +235,7 @@
     }
     const counted = runs.map((run) => ({ at: run.at, gateway: callers.get(run.attempt)?.gateway ?? -1 }))
       .filter(({ at, gateway }) => at >= from + CONTACT_MS && at > (toldAt.get(gateway) ?? Infinity) + LIMIT_NOTICE_MS)
-      .filter(({ at, gateway }) => !isDisrupted('gateway', gateway, at) && !isDisrupted('backend', backend, at))
+      .filter(({ at, gateway }) => !isDisrupted(observations, 'gateway', gateway, at) && !isDisrupted(observations, 'backend', backend, at))
       .map(({ at }) => at)
     const most = Math.max(0, ...counted.map((start) => counted.filter((at) => at >= start && at < start + LIMIT_WINDOW_MS).length))
     const allowed = Math.floor(requestsPerSecond * LIMIT_WINDOW_MS / 1000 * 1.5 + 5)
@@ -232,6 +252,30 @@
   return allowed.reduce((sum, requests) => sum + requests, 0)
 }
 
+function * checkPartitions (observations: Observations): Generator<GuaranteeViolation> {
+  const { callers, partitions } = observations
+  if (partitions.length === 0) return
+  const inTouch = callers.filter(({ gateway, sentAt, resumes, leavesAt }) => resumes === undefined && leavesAt === undefined && !isDisrupted(observations, 'gateway', gateway, sentAt))
+  const isServed = ({ status, complete }: CallerRecord): boolean => status === 200 && complete
+  const cutAt = (at: number): readonly Partition[] => partitions.filter(({ from, to }) => from + CONTACT_MS < at && at < to)
+  const counted = inTouch.filter(({ sentAt }) => cutAt(sentAt).length > 0)
+  const own = counted.filter(({ gateway, sentAt }) => cutAt(sentAt).some((partition) => partition.gateway === gateway))
+  const others = counted.filter(({ gateway, sentAt }) => !partitions.some(({ gateway: cut, from, to }) => cut === gateway && from <= sentAt && sentAt <= to + CONTACT_MS))
+  const failed = own.filter((record) => !isServed(record)).length
+  if (others.length === 0 || failed <= FAILURES_ALLOWED.count + own.length * FAILURES_ALLOWED.share) return
+  const share = (records: readonly CallerRecord[]): number => records.filter(isServed).length / records.length
+  if (share(own) < share(others) * MIN_SHARE_OF_OTHERS) yield { promise: 'partition', detail: `cut-off gateways served ${own.length - failed} of ${own.length} first tries, the others ${others.filter(isServed).length} of ${others.length}` }
+}
+
+/** A fall counts if most of the requests that were turned away came from gateways that were not disrupted. */
+function * checkFalls (observations: Observations): Generator<GuaranteeViolation> {
+  const gateways = new Map(observations.callers.map(({ attempt, gateway }) => [attempt, gateway]))
+  const isInTouch = (attempt: string, at: number): boolean => !isDisrupted(observations, 'gateway', gateways.get(attempt) ?? -1, at)
+  const counted = observations.falls.filter(({ at, rejected }) => rejected.filter((attempt) => isInTouch(attempt, at)).length > rejected.length / 2)
+  const allowed = MAX_FALLS.count + observations.plainBackends.length * MAX_FALLS.share
+  if (counted.length > allowed) yield { promise: 'brittle', detail: `${counted.length} falls of ${observations.plainBackends.length} brittle backend servers, allowed ${allowed}` }
+}
+
 function * checkVersions ({ callers }: Observations): Generator<GuaranteeViolation> {
   const versionsByStream = new Map<string, Set<string>>()
   for (const { attempt, resumes, body, status } of callers) {
@@ -265,4 +309,6 @@
   yield * checkDepartures(observations)
   yield * checkNamedLimits(observations)
   yield * checkVersions(observations)
+  yield * checkPartitions(observations)
+  yield * checkFalls(observations)
 }
--- a/soak/src/faultPlan.ts
+++ b/soak/src/faultPlan.ts
@@ -1,3 +1,4 @@
+import type { BackendCut } from '@quinceshunt/platform-adapter/fixtures'
 import fastCheck from 'fast-check'
 
 /** The load continues after the fault phase, so that recovery can be checked. */
@@ -33,6 +34,10 @@
    * now and then, and their callers take them up at another gateway.
    */
   | { readonly kind: 'release', readonly at: number, readonly backend: number, readonly version: string }
+  /** A gateway is cut off from all backend servers; the store, its callers and the other gateways reach it. */
+  | { readonly kind: 'partition', readonly at: number, readonly gateway: number, readonly lasts: number, readonly how: BackendCut }
+  /** The plain backend servers, which have one slot each, fall over when they turn more requests away in a second. */
+  | { readonly kind: 'brittle', readonly at: number, readonly rejectionsPerSecond: number }
   /** A sound backend server sends nothing for a while and then goes on; this excuses no interrupted response. */
   | { readonly kind: 'backendSilence', readonly at: number, readonly backend: number, readonly lasts: number }
 
@@ -117,6 +122,29 @@
   return [{ kind: 'release' as const, at: 0, backend: 0, version: 'v1.1' }, ...planFaults(seed), ...releases].sort((left, right) => left.at - right.at)
 }
 
+const partition = fastCheck.record({
+  kind: fastCheck.constant('partition' as const),
+  at: fastCheck.integer({ min: 300, max: 1500 }),
+  gateway,
+  lasts: fastCheck.integer({ min: 4500, max: FAULT_PHASE_END_MS - 1500 }),
+  how: fastCheck.constantFrom<BackendCut>('hang', 'reset', 'refuseNew', 'silent')
+})
+
+const brittle = fastCheck.record({ kind: fastCheck.constant('brittle' as const), at: fastCheck.integer({ min: 0, max: 1000 }), rejectionsPerSecond: fastCheck.integer({ min: 2, max: 4 }) })
+
+/** Generates gateways that are cut off from all backend servers, all but one at most, beside the faults of a seed like `planFaults`. */
+export function planPartitions (seed: number): readonly PlannedFault[] {
+  const [cut = []] = fastCheck.sample(fastCheck.uniqueArray(partition, { minLength: 1, maxLength: GATEWAY_COUNT - 1, selector: (fault) => fault.gateway }), { seed, numRuns: 1 })
+  return [...planFaults(seed).filter((fault) => fault.kind !== 'backendLink'), ...cut].sort((left, right) => left.at - right.at)
+}
+
+/** Generates brittle backend servers beside planned stops, reloads and new configurations, and at times a gateway that is cut off from them. */
+export function planBrittleness (seed: number): readonly PlannedFault[] {
+  const work = fastCheck.array(plannedWork, { minLength: 1, maxLength: 4 })
+  const [[brittleness, planned, cut] = [null, [], null]] = fastCheck.sample(fastCheck.tuple(brittle, work, fastCheck.option(partition)), { seed, numRuns: 1 })
+  return [...(brittleness === null ? [] : [brittleness]), ...planned, ...(cut === null ? [] : [cut])].sort((left, right) => left.at - right.at)
+}
+
 /** Generates the faults of a seed in chronological order; the same seed gives the same plan. */
 export function planFaults (seed: number): readonly PlannedFault[] {
   const [plan = []] = fastCheck.sample(fastCheck.array(plannedFault, { minLength: 2, maxLength: 9, size: 'max' }), { seed, numRuns: 1 })
--- a/soak/src/soakCommand.ts
+++ b/soak/src/soakCommand.ts
@@ -1,5 +1,5 @@
 import { defineCommand, runMain } from 'citty'
-import { planFaultsAndLimits, planFaultsAndRestores, planReleases, planSilences, type PlannedFault } from './faultPlan.js'
+import { planFaultsAndLimits, planFaultsAndRestores, planBrittleness, planPartitions, planReleases, planSilences, type PlannedFault } from './faultPlan.js'
 import { runSoak } from './soakRun.js'
 
 function writeLine (line: Record<string, unknown>): void {
@@ -23,6 +23,8 @@
     seeds: { type: 'string', default: '5', description: 'Number of seeds' },
     silences: { type: 'boolean', default: false, description: 'Sound backend servers fall silent beside planned work, in place of all other faults' },
     releases: { type: 'boolean', default: false, description: 'Backend servers are released at several software versions beside the faults, and their streams break' },
+    partitions: { type: 'boolean', default: false, description: 'Gateways are cut off from all backend servers beside the faults' },
+    brittle: { type: 'boolean', default: false, description: 'Backend servers are full and fall over when they turn requests away, beside planned work' },
     restores: { type: 'boolean', default: true, description: 'Restores the store from older copies; --no-restores plays the plans of earlier versions' },
     shrink: { type: 'boolean', default: false, description: 'Searches for a smaller set of faults that still fails' }
   },
@@ -32,7 +34,7 @@
     if (!Number.isInteger(first) || !Number.isInteger(count)) throw new Error(`--first is "${args.first ?? ''}" and --seeds is "${args.seeds}"; both must be whole numbers`)
     let failed = 0
     for (let seed = first; seed < first + count; seed++) {
-      const plan = args.releases ? planReleases(seed) : args.silences ? planSilences(seed) : args.restores ? planFaultsAndRestores(seed) : planFaultsAndLimits(seed)
+      const plan = args.brittle ? planBrittleness(seed) : args.partitions ? planPartitions(seed) : args.releases ? planReleases(seed) : args.silences ? planSilences(seed) : args.restores ? planFaultsAndRestores(seed) : planFaultsAndLimits(seed)
       const report = await runSoak(plan)
       writeLine({ seed, faults: plan.map(({ kind, at }) => `${kind}@${at}`).join(' '), ...report })
       if (report.broken.length === 0) continue
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -1,6 +1,6 @@
-import { CALLER_DEADLINE_MS, limitHeaders, resumptionHeaders, sendRequest, signedHeaders, startBackendStandIn, startGatewayProcess, startStoreStandIn, versionedConfiguration, wireBackendWithSlots, type BackendStandIn, type GatewayProcess, type StoreStandIn } from '@quinceshunt/platform-adapter/fixtures'
+import { CALLER_DEADLINE_MS, createBrittleBackend, limitHeaders, startBackendLinks, type BrittleBackend, resumptionHeaders, sendRequest, signedHeaders, startBackendStandIn, startGatewayProcess, startStoreStandIn, versionedConfiguration, wireBackendWithSlots, type BackendStandIn, type GatewayProcess, type StoreStandIn } from '@quinceshunt/platform-adapter/fixtures'
 import { Agent, type ServerResponse } from 'node:http'
-import { checkGuarantees, completeBody, versionsOf, type BackendRun, type CallerRecord, type Disruption, type FaultWindow, type GuaranteeViolation, type NamedLimitPeriod, type RequestKind } from './checkGuarantees.js'
+import { checkGuarantees, completeBody, versionsOf, type BackendRun, type CallerRecord, type Disruption, type FaultWindow, type GuaranteeViolation, type NamedLimitPeriod, type Partition, type RequestKind } from './checkGuarantees.js'
 import { BACKEND_COUNT, GATEWAY_COUNT, SOAK_DURATION_MS, type PlannedFault } from './faultPlan.js'
 import { recordStalls } from './eventLoopStalls.js'
 import { startFaultyLink, type FaultyLink } from './faultyLink.js'
@@ -13,6 +13,11 @@
 const EVENTS_PER_STREAM = 10
 /** Backend servers of the plain service; the others stream. */
 const PLAIN_BACKENDS: readonly number[] = [1, 3]
+/** Slots and work of a plain backend server that becomes brittle: all of them serve two thirds of the load. */
+const BRITTLE_SLOTS = 1
+const BRITTLE_WORK_MS = 80
+/** From this long after it says that it is brittle, a backend server falls over. */
+const BRITTLE_NOTICE_MS = 3000
 /** High enough that no request is refused for lack of a slot. */
 const BACKEND_SLOTS = 64
 /** Time after its stated deadline at which a caller closes its connection. */
@@ -61,6 +66,9 @@
   readonly responses: Set<ServerResponse>
 }
 
+/** Time for the gateways to read the configuration and the list. */
+const START_MS = 800
+
 const sleep = async (milliseconds: number): Promise<void> => { await new Promise((resolve) => setTimeout(resolve, milliseconds)) }
 
 /** Calls `write` once the backend server is not silent. */
@@ -79,9 +87,11 @@
   readonly silentUntil: () => number
   /** Streams name the version that wrote each event, and some break. */
   readonly hasReleases: boolean
+  /** Serves plain requests in place of a backend server that is never full. */
+  readonly brittle: BrittleBackend | undefined
 }
 
-function installBackendHandler (backend: BackendStandIn, { index, backendProcess, runs, currentLimit, silentUntil, hasReleases }: BackendSurroundings): void {
+function installBackendHandler (backend: BackendStandIn, { index, backendProcess, runs, currentLimit, silentUntil, hasReleases, brittle }: BackendSurroundings): void {
   backend.handler = (received, response, incoming) => {
     if (received.expectedBackendId !== backendProcess.id) {
       response.writeHead(421, { ...signedHeaders(received) })
@@ -94,6 +104,12 @@
     const attempt = received.attemptId
     const limit = currentLimit()
     if (limit !== undefined) response.setHeaders(new Map(Object.entries(limitHeaders(String(limit)))))
+    if (brittle !== undefined) {
+      const refused = brittle.rejections
+      brittle.handler(received, response, incoming)
+      if (brittle.rejections === refused) runs.push({ attempt, at: Date.now(), backend: index })
+      return
+    }
     runs.push({ attempt, at: Date.now(), backend: index })
     if (!received.url.startsWith('/chat/')) {
       setTimeout(() => writeAfterSilence(silentUntil, () => {
@@ -143,23 +159,37 @@
   const namedLimits: NamedLimitPeriod[] = []
   const disruptions: Disruption[] = []
   const hasReleases = plan.some(({ kind }) => kind === 'release')
-  const prepaidTokens = hasReleases ? AMPLE_PREPAID_TOKENS : PREPAID_TOKENS
+  const partitions: Partition[] = []
+  const hasPartitions = plan.some(({ kind }) => kind === 'partition')
+  const brittleness = plan.find((fault) => fault.kind === 'brittle')
+  const prepaidTokens = hasReleases || hasPartitions ? AMPLE_PREPAID_TOKENS : PREPAID_TOKENS
   const limits = new Map<number, number>()
   const silences = new Map<number, number>()
   const backends = await Promise.all(Array.from({ length: BACKEND_COUNT }, async () => await startBackendStandIn()))
   const backendLinks = await Promise.all(backends.map(async ({ address }) => await startFaultyLink(address)))
-  const storeLinks = await Promise.all(Array.from({ length: GATEWAY_COUNT }, async () => await startFaultyLink(store.address)))
+  const linkAddresses = backendLinks.map(({ address }) => address)
+  const paths = await Promise.all(Array.from({ length: hasPartitions ? GATEWAY_COUNT : 0 }, async () => await startBackendLinks(linkAddresses)))
+  const storeLinks = await Promise.all(Array.from({ length: GATEWAY_COUNT }, async (_, index) => await startFaultyLink(await store.openAddress(paths[index]?.linkOf))))
   let version = 1
   store.putConfiguration(versionedConfiguration(version, prepaidTokens))
+  const brittleFrom = brittleness === undefined ? Infinity : Date.now() + START_MS + brittleness.at
+  const brittleBackends = backends.map((_, index) => brittleness === undefined || !PLAIN_BACKENDS.includes(index)
+    ? undefined
+    : createBrittleBackend({
+      slots: BRITTLE_SLOTS,
+      workMilliseconds: BRITTLE_WORK_MS,
+      brittleness: { rejectionsPerSecond: brittleness.rejectionsPerSecond, saidFrom: brittleFrom, from: brittleFrom + BRITTLE_NOTICE_MS, to: Infinity },
+      body: ({ attemptId }) => completeBody('once', attemptId, EVENTS_PER_STREAM)
+    }))
   const backendProcesses = backends.map((backend, index) => {
     const backendProcess: BackendProcess = { id: `backend${index}`, version: FIRST_VERSION, responses: new Set() }
-    installBackendHandler(backend, { index, backendProcess, runs, currentLimit: () => limits.get(index), silentUntil: () => silences.get(index) ?? 0, hasReleases })
+    installBackendHandler(backend, { index, brittle: brittleBackends[index], backendProcess, runs, currentLimit: () => limits.get(index), silentUntil: () => silences.get(index) ?? 0, hasReleases })
     listBackend(index, backendProcess)
     return backendProcess
   })
 
   function listBackend (index: number, { id, version: software }: BackendProcess): void {
-    store.putBackend(id, { ...wireBackendWithSlots(PLAIN_BACKENDS.includes(index) ? 'ledger' : 'model', backendLinks[index]?.address ?? '', BACKEND_SLOTS), version: software })
+    store.putBackend(id, { ...wireBackendWithSlots(PLAIN_BACKENDS.includes(index) ? 'ledger' : 'model', backendLinks[index]?.address ?? '', brittleBackends[index] === undefined ? BACKEND_SLOTS : BRITTLE_SLOTS), version: software })
   }
 
   /** The new process listens at once, so that it is reached under the ID of the one before until the list is read. */
@@ -177,7 +207,7 @@
   }
 
   const gateways = await Promise.all(Array.from({ length: GATEWAY_COUNT }, async (_, index): Promise<RunningGateway> => ({ process: await startGateway(index, {}), generation: 0, state: 'up' })))
-  await sleep(800)
+  await sleep(START_MS)
 
   async function restartAfterExit (gateway: RunningGateway, index: number, downFor: number): Promise<void> {
     const stoppedAt = Date.now()
@@ -248,6 +278,14 @@
     if (gateway.process === pausedProcess && gateway.state === 'paused') gateway.state = 'up'
   }
 
+  async function partitionGateway ({ gateway, lasts, how }: Extract<PlannedFault, { kind: 'partition' }>): Promise<void> {
+    recordFaultWindow(lasts, true, true)
+    partitions.push({ gateway, from: Date.now(), to: Date.now() + lasts })
+    await paths[gateway]?.cut(how)
+    await sleep(lasts)
+    await paths[gateway]?.heal()
+  }
+
   async function restoreStore ({ age, awayFor, rewriteAfter }: Extract<PlannedFault, { kind: 'restore' }>): Promise<void> {
     const copy = store.takeCopy()
     await sleep(age)
@@ -279,6 +317,11 @@
         version++
         store.putConfiguration(versionedConfiguration(version, prepaidTokens))
         return
+      case 'partition': return await partitionGateway(fault)
+      case 'brittle':
+        // The backend servers were set up with it; one that falls interrupts responses.
+        recordFaultWindow(SOAK_DURATION_MS, true)
+        return
       case 'release':
         releaseBackend(fault.backend, fault.version, plan.indexOf(fault))
         return
@@ -336,10 +379,10 @@
   stallRecorder.stop()
   for (const agent of agents) agent.destroy()
   await Promise.all(gateways.map(async ({ process }) => await process.dispose()))
-  await Promise.all([store, ...backends, ...backendLinks, ...storeLinks].map(async (resource) => await resource.close()))
+  await Promise.all([store, ...backends, ...backendLinks, ...paths, ...storeLinks].map(async (resource) => await resource.close()))
 
   const statuses: Record<string, number> = {}
   for (const { status } of callers) statuses[status] = (statuses[status] ?? 0) + 1
-  const broken = [...checkGuarantees({ callers, runs, prepaidTokens, promptTokens: PROMPT_TOKENS, tokensPerEvent: TOKENS_PER_EVENT, eventsPerStream: EVENTS_PER_STREAM, plannedStops, faultWindows, namedLimits, plainBackends: PLAIN_BACKENDS, disruptions, callerDeadlineMilliseconds: CALLER_DEADLINE_MS, stalls: stallRecorder.stalls })]
+  const broken = [...checkGuarantees({ callers, runs, prepaidTokens, promptTokens: PROMPT_TOKENS, tokensPerEvent: TOKENS_PER_EVENT, eventsPerStream: EVENTS_PER_STREAM, plannedStops, faultWindows, namedLimits, partitions, falls: brittleBackends.flatMap((brittle) => brittle?.falls ?? []), plainBackends: PLAIN_BACKENDS, disruptions, callerDeadlineMilliseconds: CALLER_DEADLINE_MS, stalls: stallRecorder.stalls })]
   return { requests: callers.length, statuses, stalledMilliseconds: stallRecorder.stalls.reduce((sum, { from, to }) => sum + to - from, 0), broken }
 }
