Let the homes of a stream say whether versions differ

Seen in review of: an instance that is cut off from the store asks the homes of a stream, and they have no record of it. It then took the only version that it knows for that of the stream, although it may have missed a new one: the caller's stream could go on at another version.

Cause: what the version history of one instance says was taken for what the fleet knows. The homes' answer said only whether they have the record.

Change: the query names the service, and a home answers also whether streams of it may have begun at several versions. The only version counts if no home that replied says so; without any reply, only if the own list is current, as before.

--- a/packages/gateway/src/__tests__/streamVersions.test.ts
+++ b/packages/gateway/src/__tests__/streamVersions.test.ts
@@ -22,6 +22,8 @@
   readonly instances: Instance[]
   /** Rows that tell all instances until when versions differ. */
   readonly announced: ReadonlyMap<string, number>
+  /** Instances that learn nothing from the store. */
+  readonly cutOffFromStore: Set<number>
   /** Lists a backend server at all instances that run, or at some of them. */
   list (id: string, version: string, at?: readonly number[]): void
   remove (id: string, at?: readonly number[]): void
@@ -38,8 +40,9 @@
   const network = createLoanNetwork(() => chooseFault(sender), steadyNow)
   const announced = new Map<string, number>()
   const listed = new Map<string, string>()
+  const cutOffFromStore = new Set<number>()
   const instances: Instance[] = []
-  const running = (): readonly number[] => instances.flatMap(({ isRunning }, index) => isRunning ? [index] : [])
+  const running = (): readonly number[] => instances.flatMap(({ isRunning }, index) => isRunning && !cutOffFromStore.has(index) ? [index] : [])
 
   function start (index: number, starts: number): void {
     const peer = { instanceId: `instance${index}`, address: `instance${index}:80`, failureDomain: `domain${index % 3}`, incarnationId: `instance${index}.${starts}` }
@@ -72,6 +75,7 @@
   return {
     instances,
     announced,
+    cutOffFromStore,
     list: (id, version, at = running()) => {
       const previous = listed.get(id)
       listed.set(id, version)
@@ -201,6 +205,16 @@
     for (let index = 1; index < INSTANCES; index++) expect(await findVersion(fleet, index, 'stream')).toBe('v1')
   })
 
+  // Guards against an instance that does not know of a release and takes its only version for that of all streams.
+  test('an instance that is cut off from the store is told by the homes that versions differ', async () => {
+    const fleet = startFleet()
+    fleet.list('old', 'v1')
+    fleet.cutOffFromStore.add(5)
+    fleet.list('new', 'v2')
+    await jest.advanceTimersByTimeAsync(1000)
+    expect(await findVersion(fleet, 5, 'a stream that nobody knows')).toBeUndefined()
+  })
+
   // Guards against processes that start when only the new version is left, and take it for that of all streams.
   test('processes that start right after a release know that streams may have begun at the version before', async () => {
     const fleet = startFleet()
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -8,6 +8,7 @@
 import { toldTotalsSchema, type ToldLease } from '../decisions/toldLease.js'
 import type { KnownBrittleness } from './backendRooms.js'
 import type { DecisionLog } from './decisionLog.js'
+import type { StreamAnswer } from './streamVersions.js'
 import type { Report } from './fleetReports.js'
 
 const MAX_MESSAGE_BYTES = 65_536
@@ -67,7 +68,7 @@
 const reportsSchema = v.object({ to: v.string(), reports: v.array(v.object({ key: v.string(), value: v.string() })) })
 const leaseNewsSchema = v.object({ to: v.string(), ...toldTotalsSchema.entries })
 const streamNewsSchema = v.object({ to: v.string(), origins: v.array(streamOriginSchema) })
-const streamQuerySchema = v.object({ to: v.string(), attemptId: v.string() })
+const streamQuerySchema = v.object({ to: v.string(), attemptId: v.string(), service: v.string() })
 const limitNewsSchema = v.object({ to: v.string(), backendProcess: v.string(), known: knownLimitSchema })
 
 /** `partial` asks for what can be had, `whole` for all or nothing: parts of a request's tokens would lie idle. */
@@ -199,7 +200,7 @@
 /** Handlers of messages about the software versions at which streams began. */
 export interface StreamHandlers {
   readonly receive: (origins: readonly StreamOrigin[]) => void
-  readonly answer: (attemptId: string) => StreamOrigin | undefined
+  readonly answer: (attemptId: string, service: string) => StreamAnswer
 }
 
 /** Handles reports that a peer could not write to the store. */
@@ -321,7 +322,7 @@
         const query = v.safeParse(streamQuerySchema, message)
         if (!query.success) return undefined
         if (query.output.to !== incarnationId) return 'otherIncarnation'
-        return Promise.resolve({ origin: streams.answer(query.output.attemptId) })
+        return Promise.resolve(streams.answer(query.output.attemptId, query.output.service))
       }
       default: return undefined
     }
--- a/packages/gateway/src/tasks/relayAttempt.ts
+++ b/packages/gateway/src/tasks/relayAttempt.ts
@@ -3,6 +3,7 @@
 import { steadyNow } from '../clock.js'
 import { createEventSplitter } from '../decisions/eventSplitter.js'
 import { encodeRelayEnvelope, RELAY_DECLINED_HEADER, RELAY_ELSEWHERE_HEADER, RELAY_HEADER } from '../decisions/relayEnvelope.js'
+import type { StreamOrigin } from '../decisions/streamOrigins.js'
 import { isRetryable, type AttemptOutcome } from '../decisions/requestPlan.js'
 import type { Peer } from './fleetTask.js'
 import { bufferResponse, closingHeaders, mediaTypeOf, withoutContentLength } from './forwardedResponse.js'
@@ -182,12 +183,12 @@
 }
 
 /** Tells the peer where the stream began, so that it need not ask. */
-function originOf (context: GatewayContext, state: RequestState): ReturnType<GatewayContext['streamVersions']['answer']> {
+function originOf (context: GatewayContext, state: RequestState): StreamOrigin | undefined {
   const { resumedAttemptId } = relayedFields(state)
   switch (state.streamStart.kind) {
     case 'notBegun':
     case 'unknown': return undefined
-    case 'begun': return context.streamVersions.answer(resumedAttemptId)
+    case 'begun': return context.streamVersions.originOf(resumedAttemptId)
     default: return assertNever(state.streamStart)
   }
 }
--- a/packages/gateway/src/tasks/streamVersions.ts
+++ b/packages/gateway/src/tasks/streamVersions.ts
@@ -53,8 +53,10 @@
   noteInstancesChanged (): void
   /** Remembers streams that another instance serves. */
   receive (origins: readonly StreamOrigin[]): void
-  /** Answers another instance. */
-  answer (attemptId: string): StreamOrigin | undefined
+  /** Where a stream began, if this instance knows. */
+  originOf (attemptId: string): StreamOrigin | undefined
+  /** Answers another instance that asks for a stream of a service. */
+  answer (attemptId: string, service: string): StreamAnswer
 }
 
 /** Dependencies of the task. */
@@ -73,15 +75,29 @@
   readonly post?: Post
 }
 
-const replySchema = v.object({ origin: v.optional(streamOriginSchema) })
+const answerSchema = v.object({
+  origin: v.optional(streamOriginSchema),
+  /** True when streams of the service may have begun at several versions, as far as the home knows. */
+  areVersionsMixed: v.boolean()
+})
+
+/** Answer of a home. */
+export type StreamAnswer = v.InferOutput<typeof answerSchema>
 
 type HomeReply =
   | { readonly kind: 'known', readonly origin: StreamOrigin }
   /** The home has no record of the stream. */
-  | { readonly kind: 'unknown' }
+  | { readonly kind: 'unknown', readonly areVersionsMixed: boolean }
   /** The home did not reply. */
   | { readonly kind: 'none' }
 
+/** What two homes know together. */
+function combineReplies (left: HomeReply, right: HomeReply): HomeReply {
+  if (left.kind === 'known' || right.kind === 'none') return left
+  if (right.kind === 'known' || left.kind === 'none') return right
+  return { kind: 'unknown', areVersionsMixed: left.areVersionsMixed || right.areVersionsMixed }
+}
+
 /** Creates the record of one process. */
 export function createStreamVersions (options: StreamVersionsOptions): StreamVersions {
   const { clock, log } = options
@@ -218,29 +234,30 @@
     return start.kind === 'begun' && history.isDoubtful(start.backendId, start.at) ? { kind: 'unknown' } : start
   }
 
-  async function askHome (home: Peer, attemptId: string): Promise<HomeReply> {
-    const outcome = await post(home.address, PEER_PATH.streamQueries, { to: home.incarnationId, attemptId }, ASK_TIMEOUT_MS)
+  async function askHome (home: Peer, attemptId: string, service: string): Promise<HomeReply> {
+    const outcome = await post(home.address, PEER_PATH.streamQueries, { to: home.incarnationId, attemptId, service }, ASK_TIMEOUT_MS)
     if (outcome.kind === 'failed') log.decision('peerDidNotAnswer', { peer: home.address, path: PEER_PATH.streamQueries, reason: outcome.reason })
     if (outcome.kind !== 'answered') return { kind: 'none' }
-    const reply = v.safeParse(replySchema, outcome.reply)
+    const reply = v.safeParse(answerSchema, outcome.reply)
     if (!reply.success) return { kind: 'none' }
-    return reply.output.origin === undefined ? { kind: 'unknown' } : { kind: 'known', origin: reply.output.origin }
+    const { origin, areVersionsMixed: isMixed } = reply.output
+    return origin === undefined ? { kind: 'unknown', areVersionsMixed: isMixed } : { kind: 'known', origin }
   }
 
   /** Resolves with the first reply that knows the stream, or once all homes have replied or can't. */
-  function askHomes (attemptId: string): Promise<HomeReply> {
+  function askHomes (attemptId: string, service: string): Promise<HomeReply> {
     const homes = attemptId === '' ? [] : homesOf(attemptId)
     return new Promise((resolve) => {
       let pending = homes.length
       let combined: HomeReply = { kind: 'none' }
       const settle = (reply: HomeReply): void => {
         pending--
-        if (reply.kind !== 'none') combined = reply
+        combined = combineReplies(combined, reply)
         if (reply.kind === 'known' || pending === 0) resolve(combined)
       }
       if (pending === 0) resolve(combined)
       for (const home of homes) {
-        askHome(home, attemptId).then(settle, (error: unknown) => {
+        askHome(home, attemptId, service).then(settle, (error: unknown) => {
           log.warning('streamQueryFailed', { reason: String(error) })
           settle({ kind: 'none' })
         })
@@ -254,14 +271,15 @@
       options.count('ownRecord')
       return toStart(own)
     }
-    const reply = await askHomes(attemptId)
+    const reply = await askHomes(attemptId, service)
     if (reply.kind === 'known') {
       options.count('homeRecord')
       origins.record(reply.origin, sharedNow())
       return toStart(reply.origin)
     }
-    // An instance that is cut off from the store and from all homes may have missed a new version.
-    const version = reply.kind === 'unknown' || options.isListCurrent() ? history.onlyVersion(service, steadyNow()) : undefined
+    // An instance that is cut off from the store may have missed a new version, which the homes know.
+    const mayTellVersion = reply.kind === 'unknown' ? !reply.areVersionsMixed : options.isListCurrent()
+    const version = mayTellVersion ? history.onlyVersion(service, steadyNow()) : undefined
     options.count(version === undefined ? 'unknown' : 'onlyVersion')
     return version === undefined ? { kind: 'unknown' } : { kind: 'begun', service, version, backendId: '', at: steadyNow() }
   }
@@ -286,6 +304,7 @@
     },
     noteInstancesChanged: tellAllAgain,
     receive: (received) => { for (const origin of received) origins.record(origin, sharedNow()) },
-    answer: (attemptId) => origins.find(attemptId, sharedNow())
+    originOf: (attemptId) => origins.find(attemptId, sharedNow()),
+    answer: (attemptId, service) => ({ origin: origins.find(attemptId, sharedNow()), areVersionsMixed: areVersionsMixed(service) })
   }
 }
