Count what brittle backend servers report in what may be sent to them

Cause: the issuer of room counted what instances have in progress against the slots that the entry names, and knew nothing of what the backend servers themselves report.

Change: an instance passes the newest reports on with its requests for room. While a report of the last second shows any that wait, no more is granted than the backend server runs; where it may turn away fewer than two a second, one slot is left free.

--- a/packages/gateway/src/__tests__/backendRooms.test.ts
+++ b/packages/gateway/src/__tests__/backendRooms.test.ts
@@ -13,7 +13,7 @@
 const SERVICE = 'model'
 
 function ask (changes: Partial<RoomRequest> = {}): RoomRequest {
-  return { service: SERVICE, instanceId: 'a', sequence: 1, openRequests: [], inProgress: {}, failed: [], full: [], wanted: [{ backendProcess: 's1', slots: SLOTS }], ...changes }
+  return { service: SERVICE, instanceId: 'a', sequence: 1, openRequests: [], inProgress: {}, failed: [], full: [], loads: {}, wanted: [{ backendProcess: 's1', slots: SLOTS }], ...changes }
 }
 
 describe('the issuer of room', () => {
@@ -63,6 +63,20 @@
     expect(replies).toEqual(['granted', 'granted', 'granted', 'denied'])
   })
 
+  // Guards against an engine that has slots left but no memory, and turns away what it is sent for its slots.
+  test('issues no more than a backend server runs while it lets requests wait', () => {
+    const issuer = createStartedIssuer()
+    issuer.handle(ask({ sequence: 2, loads: { s1: { running: 2, waiting: 1, at: started } }, wanted: [] }), power, started)
+    const grants = (now: number): number => [1, 2, 3, 4].filter((index) => issuer.handle(ask({ sequence: now + index, openRequests: [1, 2, 3].filter((open) => open < index).map((open) => now + open) }), power, now).kind === 'granted').length
+    expect([grants(started), grants(started + 1500)]).toEqual([2, 4])
+  })
+
+  test('leaves a slot free where hardly a request may be turned away', () => {
+    const issuer = createStartedIssuer()
+    const replies = [3, 4, 5, 6].map((sequence) => issuer.handle(ask({ sequence, openRequests: [3, 4, 5].filter((open) => open < sequence) }), { ...power, waiting: -1 }, started).kind)
+    expect(replies).toEqual(['granted', 'granted', 'granted', 'denied'])
+  })
+
   // Guards against a new issuer that hands all slots out again while others use them.
   test('leaves the share of instances alone of which it has not heard since it started', () => {
     const issuer = createRoomIssuer()
--- a/packages/gateway/src/decisions/roomIssuer.ts
+++ b/packages/gateway/src/decisions/roomIssuer.ts
@@ -21,10 +21,20 @@
   readonly failed: readonly string[]
   /** Processes that have turned a request away since the message before. */
   readonly full: readonly string[]
+  /** What backend servers have reported since the message before. */
+  readonly loads: Readonly<Record<string, RoomLoad>>
   /** Backend servers that may serve the request, the best one first; empty for a mere message. */
   readonly wanted: readonly WantedRoom[]
 }
 
+/** Load that a backend server reported. */
+export interface RoomLoad {
+  readonly running: number
+  readonly waiting: number
+  /** When the report arrived, on the shared clock. */
+  readonly at: number
+}
+
 /** A backend server that may serve a request. */
 export interface WantedRoom {
   readonly backendProcess: string
@@ -44,7 +54,10 @@
   /** Part of the slots that it may issue. */
   readonly fraction: number
   readonly instances: number
-  /** Requests that may wait at a backend server beside those in its slots, so that no slot is idle until the next one comes. */
+  /**
+   * Requests that may wait at a backend server beside those in its slots, so that no slot is idle until the next one comes; below 0,
+   * slots that are left free because hardly a request may be turned away.
+   */
   readonly waiting: number
 }
 
@@ -63,6 +76,8 @@
 /** For this time one slot less is issued for each request that a backend server turned away: others use it too. */
 const FULL_MEMORY_MS = 3000
 const GRANT_AVERAGE_MS = 2000
+/** A report counts for this time. */
+const LOAD_MEMORY_MS = 1000
 /** Denied requests for room a second of all instances together, if these spread evenly, at least and for each grant. */
 const MIN_DENIALS_PER_SECOND = 20
 const DENIALS_PER_GRANT = 4
@@ -83,6 +98,7 @@
   readonly failedAt: Map<string, number>
   /** Times at which each backend server turned a request away. */
   readonly fullAt: Map<string, readonly number[]>
+  readonly loads: Map<string, RoomLoad>
   grantsPerSecond: number
   grantedAt: number
   deniedSinceGrant: number
@@ -95,7 +111,7 @@
   function roomsOf (service: string, now: number): ServiceRooms {
     const known = services.get(service)
     if (known !== undefined) return known
-    const rooms = { startedAt: now, askers: new Map(), failedAt: new Map(), fullAt: new Map(), grantsPerSecond: 0, grantedAt: now, deniedSinceGrant: 0 }
+    const rooms = { startedAt: now, askers: new Map(), failedAt: new Map(), fullAt: new Map(), loads: new Map(), grantsPerSecond: 0, grantedAt: now, deniedSinceGrant: 0 }
     services.set(service, rooms)
     return rooms
   }
@@ -111,6 +127,7 @@
       for (const sequence of asker.grants.keys()) if (!request.openRequests.includes(sequence)) asker.grants.delete(sequence)
     }
     for (const failed of request.failed) rooms.failedAt.set(failed, now)
+    for (const [backendProcess, load] of Object.entries(request.loads)) if (load.at > (rooms.loads.get(backendProcess)?.at ?? -Infinity)) rooms.loads.set(backendProcess, load)
     for (const full of request.full) rooms.fullAt.set(full, [...recentTimes(rooms.fullAt.get(full), now), now])
     for (const [instanceId, { heardAt }] of rooms.askers) if (heardAt < now - ASKER_EXPIRY_MS) rooms.askers.delete(instanceId)
     return asker
@@ -134,8 +151,14 @@
   function capacity (rooms: ServiceRooms, { backendProcess, slots }: WantedRoom, { fraction, waiting }: RoomIssuingPower, now: number): number {
     const sinceFailure = now - (rooms.failedAt.get(backendProcess) ?? -Infinity) - PAUSE_AFTER_FAILURE_MS
     if (sinceFailure < 0) return 0
-    const ramped = Math.min(slots, 1 + slots * sinceFailure / RAMP_AFTER_FAILURE_MS)
-    return Math.floor(ramped * fraction) + (ramped < slots ? 0 : waiting) - recentTimes(rooms.fullAt.get(backendProcess), now).length
+    const usable = usableSlots(rooms.loads.get(backendProcess), slots, now)
+    const ramped = Math.min(usable, 1 + slots * sinceFailure / RAMP_AFTER_FAILURE_MS)
+    return Math.max(1, Math.floor(ramped * fraction) + (ramped < usable ? Math.min(0, waiting) : waiting)) - recentTimes(rooms.fullAt.get(backendProcess), now).length
+  }
+
+  /** An engine without memory left lets requests wait although it has free slots. */
+  function usableSlots (load: RoomLoad | undefined, slots: number, now: number): number {
+    return load === undefined || load.waiting === 0 || now - load.at > LOAD_MEMORY_MS ? slots : Math.min(slots, load.running)
   }
 
   function averageGrants (rooms: ServiceRooms, now: number): number {
--- a/packages/gateway/src/tasks/backendRooms.ts
+++ b/packages/gateway/src/tasks/backendRooms.ts
@@ -1,6 +1,6 @@
 import { steadyNow } from '../clock.js'
 import { backendProcessOf, type BackendState } from '../decisions/backendState.js'
-import { createRoomIssuer, type RoomIssuingPower, type RoomReply, type RoomRequest } from '../decisions/roomIssuer.js'
+import { createRoomIssuer, type RoomIssuingPower, type RoomLoad, type RoomReply, type RoomRequest } from '../decisions/roomIssuer.js'
 import type { SharedClock } from '../decisions/sharedClock.js'
 import type { ResponseFields } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
@@ -15,7 +15,7 @@
 const OTHER_HOME_FRACTION = 0.25
 /**
  * One request is let wait at each backend server that may turn this many away in a second: one that takes none turns it away, and
- * gets one less for some seconds.
+ * gets one less for some seconds. Of one that may turn away fewer, a slot is left free: a new connection may hold one.
  */
 const MIN_REJECTIONS_TO_TRY_WAITING = 2
 /** Backend servers that are named in a request for room. */
@@ -94,6 +94,8 @@
   readonly granted: Map<string, number>
   readonly failed: Set<string>
   readonly full: Set<string>
+  /** Reports that arrived before this time, by `steadyNow`, were told. */
+  loadsToldUntil: number
   askAgainAt: number
   retryAt: number
   isScheduled: boolean
@@ -120,7 +122,7 @@
   function reportOf (service: string): ServiceReport {
     const known = reports.get(service)
     if (known !== undefined) return known
-    const report = { sequence: 0, openRequests: new Set<number>(), granted: new Map<string, number>(), failed: new Set<string>(), full: new Set<string>(), askAgainAt: 0, retryAt: 0, isScheduled: false }
+    const report = { sequence: 0, openRequests: new Set<number>(), granted: new Map<string, number>(), failed: new Set<string>(), full: new Set<string>(), loadsToldUntil: 0, askAgainAt: 0, retryAt: 0, isScheduled: false }
     reports.set(service, report)
     return report
   }
@@ -132,6 +134,17 @@
     return counts
   }
 
+  function takeLoads (service: string): Record<string, RoomLoad> {
+    const report = reportOf(service)
+    const loads: Record<string, RoomLoad> = {}
+    for (const { entry, reportedLoad } of options.backends(service)) {
+      if (reportedLoad === undefined || reportedLoad.receivedAt < report.loadsToldUntil) continue
+      loads[backendProcessOf(entry)] = { running: reportedLoad.running, waiting: reportedLoad.waiting, at: clock.fromLocal(reportedLoad.receivedAt) ?? 0 }
+    }
+    report.loadsToldUntil = steadyNow()
+    return loads
+  }
+
   function takeMessage (service: string, wanted: readonly BackendState[]): RoomRequest {
     const report = reportOf(service)
     const message: RoomRequest = {
@@ -142,6 +155,7 @@
       inProgress: inProgress(service),
       failed: [...report.failed],
       full: [...report.full],
+      loads: takeLoads(service),
       wanted: wanted.slice(0, MAX_WANTED).map(({ entry }) => ({ backendProcess: backendProcessOf(entry), slots: entry.slots }))
     }
     report.failed.clear()
@@ -151,8 +165,9 @@
 
   function powerOf (service: string): RoomIssuingPower {
     const isFirst = options.homes(service)[0]?.instanceId === instanceId
-    const mayTryWaiting = isFirst && (brittleness.get(service)?.rejectionsPerSecond ?? 0) >= MIN_REJECTIONS_TO_TRY_WAITING
-    return { fraction: isFirst ? FIRST_HOME_FRACTION : OTHER_HOME_FRACTION, instances: options.instances(), waiting: mayTryWaiting ? 1 : 0 }
+    const mayBeTurnedAway = (brittleness.get(service)?.rejectionsPerSecond ?? 0) >= MIN_REJECTIONS_TO_TRY_WAITING
+    const waiting = mayBeTurnedAway ? (isFirst ? 1 : 0) : -1
+    return { fraction: isFirst ? FIRST_HOME_FRACTION : OTHER_HOME_FRACTION, instances: options.instances(), waiting }
   }
 
   function issue (request: RoomRequest): RoomReply {
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -58,6 +58,7 @@
   inProgress: v.record(v.string(), positiveCount),
   failed: v.array(v.string()),
   full: v.array(v.string()),
+  loads: v.record(v.string(), v.object({ running: v.number(), waiting: v.number(), at: v.number() })),
   wanted: v.array(v.object({ backendProcess: v.string(), slots: v.pipe(v.number(), v.minValue(1)) }))
 })
 const roomReplySchema = v.variant('kind', [
