Let a stopping instance take what others relay to it while it can serve it

Cause: a stopping instance declined all relayed requests, by a rule of its own beside stopPlan, which decides for its callers.

--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -148,7 +148,8 @@
       return
     case 'received':
       if (!context.mayTakeRequest(receivedAt + Math.min(admission.route.timeoutMilliseconds, fields.timeoutMilliseconds ?? Infinity))) {
-        sendNotRun(context, response, 'the instance stops', steadyNow() + STOPPING_RETRY_MS)
+        if (relay === undefined) sendNotRun(context, response, 'the instance stops', steadyNow() + STOPPING_RETRY_MS)
+        else declineRelay(context, response, 'the instance stops')
         return
       }
       await serveRequest(context, { incoming, response, caller, relay, fields, route: admission.route, account: admission.account, configuration: index, body: body.bytes, receivedAt })
--- a/packages/gateway/src/tasks/relayReception.ts
+++ b/packages/gateway/src/tasks/relayReception.ts
@@ -15,7 +15,6 @@
   const envelope = decodeRelayEnvelope(String(incoming.headers[RELAY_HEADER]))
   if (envelope === undefined) return { kind: 'declined', reason: 'unreadable envelope' }
   if (envelope.to !== context.incarnationId) return { kind: 'declined', reason: 'another process' }
-  if (context.isStopping()) return { kind: 'declined', reason: 'the instance stops' }
   const version = context.configuration()?.configuration.version
   if (version === undefined || version < envelope.configurationVersion) return { kind: 'declined', reason: 'older configuration' }
   if (context.eventLoopDelay.milliseconds > MAX_EVENT_LOOP_DELAY_MS) return { kind: 'declined', reason: 'the instance is behind with its work' }
