Do not take connections that end together for crashes

Cause: each connection that ends with a request in progress was evidence of a crash of its backend server. Connections to several backend servers that end at the same moment show the instance's own network, or a loss of power of all of them.

Change: of connections to two backend servers that end within 50 ms of each other the later ones are no evidence. Crashes that requests cause follow one another by a detection and a retry, which a second test keeps as evidence.

--- a/packages/gateway/src/__tests__/backendReach.test.ts
+++ b/packages/gateway/src/__tests__/backendReach.test.ts
@@ -97,6 +97,25 @@
   })
 })
 
+describe('a connection that ends with a request in progress', () => {
+  const breakAt = (index: number): boolean => reach.explainsBreak(backends[index] as BackendState)
+
+  // Guards against prompt parts that are held back in the whole fleet because one instance's connections were reset together.
+  test('is no evidence of a crash beside that of another backend server', () => {
+    expect([breakAt(0), breakAt(0), breakAt(1), breakAt(2)]).toEqual([false, false, true, true])
+  })
+
+  // Guards against a request that crashes one backend server after the other and is not recognized.
+  test('is evidence when backend servers follow one another', async () => {
+    const explained: boolean[] = []
+    for (const index of [0, 1, 2]) {
+      explained.push(breakAt(index))
+      await jest.advanceTimersByTimeAsync(100)
+    }
+    expect(explained).toEqual([false, false, false])
+  })
+})
+
 describe('a sound backend server', () => {
   test('is not probed while it wants no requests', async () => {
     wantsRequests = false
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -460,7 +460,7 @@
     }
     state.mayHaveRun = true
     recordBackendObservation({ kind: 'broken' })
-    context.crashGuard.recordBroken(state.guarded, { backendProcess: backendProcessOf(backend.entry), sentAt, isAnswerSound })
+    if (!context.reach.explainsBreak(backend)) context.crashGuard.recordBroken(state.guarded, { backendProcess: backendProcessOf(backend.entry), sentAt, isAnswerSound })
     settle({ kind: 'broken', reason, headersSent: state.headersSent })
   }
 }
--- a/packages/gateway/src/tasks/backendReach.ts
+++ b/packages/gateway/src/tasks/backendReach.ts
@@ -9,6 +9,8 @@
 /** A check that comes later than this after the one before lets bytes be read first that arrived while the process was paused. */
 const MAX_CHECK_DELAY_MS = 300
 const PROBE_TIMEOUT_MS = 400
+/** Connections to several backend servers that end within this time have a common cause. */
+const COMMON_BREAK_MS = 50
 
 /** Which backend servers this instance reaches, from its requests and from probes. */
 export interface BackendReach {
@@ -16,6 +18,11 @@
   noteUnreachable (backend: BackendState): void
   /** A backend server has sent bytes. */
   noteBytes (backend: BackendState): void
+  /**
+   * A connection with a request in progress has ended. Returns true when this instance's own network explains it, so that it is no
+   * evidence of a crash: connections to several backend servers have ended together.
+   */
+  explainsBreak (backend: BackendState): boolean
   stop (): void
 }
 
@@ -38,6 +45,7 @@
   const probe = options.probe ?? probeBackend
   const cutOffSince = new Map<string, number>()
   let checkedAt = steadyNow()
+  let lastBreak: { readonly backend: string, readonly at: number } | undefined
 
   function noteUnreachable (backend: BackendState): void {
     if (!recordLoss(backend, steadyNow())) return
@@ -92,5 +100,12 @@
     for (const service of cutOffSince.keys()) if (!services.has(service)) check(service, [])
   }, CHECK_INTERVAL_MS)
 
-  return { noteUnreachable, noteBytes, stop: () => clearInterval(timer) }
+  function explainsBreak ({ entry: { id } }: BackendState): boolean {
+    const now = steadyNow()
+    const isCommon = lastBreak !== undefined && lastBreak.backend !== id && now - lastBreak.at <= COMMON_BREAK_MS
+    lastBreak = { backend: id, at: now }
+    return isCommon
+  }
+
+  return { noteUnreachable, noteBytes, explainsBreak, stop: () => clearInterval(timer) }
 }
