Let requests wait for backend servers that may only be silent when no peer takes them

Seen in review of the relays: sound backend servers may fall silent together for a second. An instance without a peer, or whose peers see the same, then refused its callers at once, also those whose requests would have been served a second later.

Cause: all backend servers of a service lost meant that this instance is cut off, at once.

Change: without a peer that takes requests, they count as gone only after a second and a half, which is longer than sound ones are silent. With one, requests are relayed at once, as before.

--- a/packages/gateway/src/__tests__/backendReach.test.ts
+++ b/packages/gateway/src/__tests__/backendReach.test.ts
@@ -2,7 +2,7 @@
 import { createTestBackend } from '../__fixtures__/backends.js'
 import { createRecordingLog, type RecordingLog } from '../__fixtures__/recordingLog.js'
 import { steadyNow } from '../clock.js'
-import { areAllLost, isLost, isReachable } from '../decisions/backendReach.js'
+import { areAllLost, areAllLostForGood, isLost, isReachable } from '../decisions/backendReach.js'
 import type { BackendState } from '../decisions/backendState.js'
 import { startBackendReach, type BackendReach } from '../tasks/backendReach.js'
 
@@ -121,6 +121,20 @@
   })
 })
 
+describe('all backend servers that are lost together', () => {
+  // Guards against requests that are refused while sound backend servers are silent for a second.
+  test('may only be silent until sound ones would have gone on', async () => {
+    reachable.clear()
+    for (const backend of backends) reach.noteUnreachable(backend)
+    await jest.advanceTimersByTimeAsync(1400)
+    expect(areAllLostForGood(backends, steadyNow())).toBe(false)
+    await jest.advanceTimersByTimeAsync(200)
+    expect(areAllLostForGood(backends, steadyNow())).toBe(true)
+    receive(backends[0] as BackendState)
+    expect(areAllLostForGood(backends, steadyNow())).toBe(false)
+  })
+})
+
 describe('a connection that ends with a request in progress', () => {
   const breakAt = (index: number): boolean => reach.explainsBreak(backends[index] as BackendState)
 
--- a/packages/gateway/src/decisions/backendReach.ts
+++ b/packages/gateway/src/decisions/backendReach.ts
@@ -12,6 +12,8 @@
 const SILENCE_BEFORE_PROBE_MS = { engine: 800, plain: 400 } as const
 /** Pause between two probes of a backend server. */
 const PROBE_INTERVAL_MS = 400
+/** A sound backend server may answer nothing, not even a probe, for about this time and then go on. */
+const SOUND_SILENCE_MS = 1500
 /** After a new connection has failed, others are not tried for this time at first, and for twice as long after the next one. */
 const REFUSAL_MS = { first: 500, most: 4000 } as const
 /** One that sent a byte this short a time ago is not probed when another one of its service is lost. */
@@ -32,6 +34,11 @@
   return states.length > 0 && states.every(isLost)
 }
 
+/** Returns true when all backend servers have been lost for longer than sound ones may be silent; false without any. */
+export function areAllLostForGood (states: readonly BackendState[], now: number): boolean {
+  return states.length > 0 && states.every(({ lostSince }) => lostSince !== undefined && now - lostSince > SOUND_SILENCE_MS)
+}
+
 /** Records that a backend server could not be reached by a new connection; false when that was known. */
 export function recordLoss (state: BackendState, now: number): boolean {
   if (state.lostSince !== undefined) return false
--- a/packages/gateway/src/tasks/destinations.ts
+++ b/packages/gateway/src/tasks/destinations.ts
@@ -1,4 +1,4 @@
-import { isReachable } from '../decisions/backendReach.js'
+import { areAllLostForGood, isReachable } from '../decisions/backendReach.js'
 import type { Choice } from '../decisions/backendChoice.js'
 import type { BackendState } from '../decisions/backendState.js'
 import { findAvailableBackends } from './availableBackends.js'
@@ -42,7 +42,11 @@
   if (state.isRelayed) return 'required'
   const available = findAvailableBackends(context, state, [])
   if (available.kind === 'none') return 'none'
-  if (reachableBackends(context, available.backends, now).length === 0) return 'required'
+  // While all may only be silent and no peer does better, a request is better off waiting there.
+  if (reachableBackends(context, available.backends, now).length === 0) {
+    const doesPeerTakeRequests = context.relayPeers.hasChoice(state.service, excludedPeers(state.triedBackendIds))
+    return doesPeerTakeRequests || areAllLostForGood(available.backends, now) ? 'required' : 'none'
+  }
   return state.failedConnections >= FAILED_CONNECTIONS_BEFORE_RELAY && !available.backends.some((backend) => isFull(backend, now)) ? 'preferred' : 'none'
 }
 
