Let what an instance tells the issuer of room go on above its earlier messages

Cause: the sequence of an instance's messages began at 0 with each process and each period, and the issuer takes a lower sequence than it has heard for a message that was overtaken. It kept what the instance had told before, and each grant to it for good.

Change: the sequence begins at the time on the shared clock.

Evidence: two new tests of the model in backendRooms.test.

--- a/packages/gateway/src/__tests__/backendRooms.test.ts
+++ b/packages/gateway/src/__tests__/backendRooms.test.ts
@@ -227,6 +227,29 @@
     expect(servedShare(8000)).toBeGreaterThan(0.4)
   })
 
+  // Guards against an issuer that takes what a new process tells for what the old one told before.
+  test('an instance that is killed and starts again within a second leaves all slots to use', async () => {
+    await sendFor(3000, 2)
+    network.kill('instance4:80')
+    start(INSTANCES - 1, 1)
+    for (const server of servers) server.served = 0
+    await sendFor(4000, 2)
+    expect(mostRejectionsInASecond()).toBeLessThanOrEqual(REJECTIONS_PER_SECOND)
+    expect(servedShare(4000)).toBeGreaterThan(0.85)
+  })
+
+  // Guards against an issuer that takes what is told in the second period for what was told in the first one.
+  test('a second period of brittleness is like the first', async () => {
+    await sendFor(3000, 2)
+    for (const { rooms } of instances) rooms.learn(SERVICE, { rejectionsPerSecond: undefined, seenAt: steadyNow() })
+    await jest.advanceTimersByTimeAsync(500)
+    for (const { rooms } of instances) rooms.learn(SERVICE, { rejectionsPerSecond: REJECTIONS_PER_SECOND, seenAt: steadyNow() })
+    for (const server of servers) server.served = 0
+    await sendFor(4000, 2)
+    expect(mostRejectionsInASecond()).toBeLessThanOrEqual(REJECTIONS_PER_SECOND)
+    expect(servedShare(4000)).toBeGreaterThan(0.85)
+  })
+
   test('an instance that reaches no home keeps to its even share', async () => {
     for (const home of [0, 1, 2]) network.kill(`instance${home}:80`)
     const cutOff = instances[4] as Instance
--- a/packages/gateway/src/decisions/roomIssuer.ts
+++ b/packages/gateway/src/decisions/roomIssuer.ts
@@ -11,7 +11,7 @@
 export interface RoomRequest {
   readonly service: string
   readonly instanceId: string
-  /** Rises with each message of the instance. */
+  /** Rises with each message of the instance, also from one of its processes to the next. */
   readonly sequence: number
   /** Sequences of requests for room that have no reply yet. */
   readonly openRequests: readonly number[]
--- a/packages/gateway/src/tasks/backendRooms.ts
+++ b/packages/gateway/src/tasks/backendRooms.ts
@@ -122,7 +122,8 @@
   function reportOf (service: string): ServiceReport {
     const known = reports.get(service)
     if (known !== undefined) return known
-    const report = { sequence: 0, openRequests: new Set<number>(), granted: new Map<string, number>(), failed: new Set<string>(), full: new Set<string>(), loadsToldUntil: 0, askAgainAt: 0, retryAt: 0, isScheduled: false }
+    // A new process, or a new period of brittleness, goes on above what the issuer has heard before.
+    const report = { sequence: Math.floor(sharedNow()), openRequests: new Set<number>(), granted: new Map<string, number>(), failed: new Set<string>(), full: new Set<string>(), loadsToldUntil: 0, askAgainAt: 0, retryAt: 0, isScheduled: false }
     reports.set(service, report)
     return report
   }
