Ask for room at more than the eight best brittle backend servers

Seen in review of the rooms: a request named the eight backend servers that its instance likes best to the issuer. Where these had no room and a ninth one had, the caller was refused, although a free slot was there.

Cause: a bound on the size of a message that decided who is served; the deployments of the tests have four backend servers.

Evidence: the new test of backendRooms.test ('finds room at the one of twenty …') failed before; it and brittleBackends pass (21 tests).

--- a/packages/gateway/src/__tests__/backendRooms.test.ts
+++ b/packages/gateway/src/__tests__/backendRooms.test.ts
@@ -3,7 +3,7 @@
 import { createLoanNetwork, type LinkFault, type LoanNetwork } from '../__fixtures__/loanNetwork.js'
 import { createRecordingLog } from '../__fixtures__/recordingLog.js'
 import { steadyNow } from '../clock.js'
-import type { BackendState, PendingAttempt } from '../decisions/backendState.js'
+import { backendProcessOf, type BackendState, type PendingAttempt } from '../decisions/backendState.js'
 import { createRoomIssuer, type RoomIssuingPower, type RoomRequest } from '../decisions/roomIssuer.js'
 import { createSharedClock } from '../decisions/sharedClock.js'
 import { createBackendRooms, type BackendRooms } from '../tasks/backendRooms.js'
@@ -250,6 +250,17 @@
     expect(servedShare(4000)).toBeGreaterThan(0.85)
   })
 
+  // Guards against requests that are refused because only the backend servers that an instance likes best are asked for.
+  test('finds room at the one of twenty backend servers that has some', async () => {
+    const [home, asker] = instances as [Instance, Instance]
+    const all = Array.from({ length: 20 }, (_, server) => createTestBackend(`many${server}`, { slots: 1 }))
+    await jest.advanceTimersByTimeAsync(1000)
+    home.rooms.issue(ask({ instanceId: 'other', sequence: 1, inProgress: Object.fromEntries(all.slice(0, -1).map(({ entry }) => [backendProcessOf(entry), 2])) }))
+    const outcome = asker.rooms.acquire(SERVICE, all)
+    await jest.advanceTimersByTimeAsync(100)
+    expect((await outcome).kind).toBe('granted')
+  })
+
   test('an instance that reaches no home keeps to its even share', async () => {
     for (const home of [0, 1, 2]) network.kill(`instance${home}:80`)
     const cutOff = instances[4] as Instance
--- a/packages/gateway/src/tasks/backendRooms.ts
+++ b/packages/gateway/src/tasks/backendRooms.ts
@@ -18,8 +18,8 @@
  * gets one less for some seconds. Of one that may turn away fewer, a slot is left free: a new connection may hold one.
  */
 const MIN_REJECTIONS_TO_TRY_WAITING = 2
-/** Backend servers that are named in a request for room. */
-const MAX_WANTED = 8
+/** Backend servers that are named in a request for room, about 60 bytes each; those of lower rank may have room when these have none. */
+const MAX_WANTED = 32
 /** Ended requests are told together, after this time at most. */
 const REPORT_DELAY_MS = 5
 /** Requests that run for long are told again at this interval, so that the issuer does not take them for ended. */
