Judge connections that end together alike, as evidence of a crash or not

When backend servers of a failure domain lose power together, only the first few requests counted, and the blame for the crash fell on their parts.

Change: connections that end within 30 ms are judged together. They are no evidence only if several backend servers' ended and no other one that had a request in progress is left, so that the instance's own network explains it; otherwise all of them are. The retry waits for the verdict; without another backend server in use there is nothing to wait for.

--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -444,16 +444,8 @@
 
   function onBroken (sent: boolean, reason: string): void {
     if (settled) endAtBackend('failed')
-    context.log.decision('attemptBroken', {
-      request: state.fields.attemptId,
-      backend: backend.entry.id,
-      reason,
-      sent,
-      isAborted: abortOutcome !== undefined,
-      milliseconds: steadyNow() - sentAt,
-      answeredMilliseconds: answeredAt === undefined ? undefined : answeredAt - sentAt,
-      events: eventsOfAttempt
-    })
+    const milliseconds = { milliseconds: steadyNow() - sentAt, answeredMilliseconds: answeredAt === undefined ? undefined : answeredAt - sentAt }
+    context.log.decision('attemptBroken', { request: state.fields.attemptId, backend: backend.entry.id, reason, sent, isAborted: abortOutcome !== undefined, ...milliseconds, events: eventsOfAttempt })
     if (abortOutcome !== undefined) {
       state.mayHaveRun ||= sent
       return settle(abortOutcome)
@@ -466,7 +458,11 @@
     recordBackendObservation({ kind: 'broken' })
     // A new connection that ends without a byte may be one that was refused, although the request may have run.
     if (!pending.answered && !exchange.reusedConnection) context.reach.noteRefused(backend)
-    if (!context.reach.explainsBreak(backend)) context.crashGuard.recordBroken(state.guarded, { backendProcess: backendProcessOf(backend.entry), sentAt, isAnswerSound })
-    settle({ kind: 'broken', reason, headersSent: state.headersSent })
+    const broken = { backendProcess: backendProcessOf(backend.entry), sentAt, brokenAt: steadyNow(), isAnswerSound }
+    // The retry waits for the verdict, as a request that crashes backend servers may not be sent again.
+    context.reach.judgeBreak(backend, (isOwnNetwork) => {
+      if (!isOwnNetwork) context.crashGuard.recordBroken(state.guarded, broken)
+      settle({ kind: 'broken', reason, headersSent: state.headersSent })
+    })
   }
 }
--- a/packages/gateway/src/tasks/backendReach.ts
+++ b/packages/gateway/src/tasks/backendReach.ts
@@ -9,8 +9,8 @@
 /** A check that comes later than this after the one before lets bytes be read first that arrived while the process was paused. */
 const MAX_CHECK_DELAY_MS = 300
 const PROBE_TIMEOUT_MS = 400
-/** Connections to several backend servers that end within this time have a common cause. */
-const COMMON_BREAK_MS = 50
+/** Connections that end within this time are judged together. */
+const COMMON_BREAK_MS = 30
 
 /** Which backend servers this instance reaches, from its requests and from probes. */
 export interface BackendReach {
@@ -23,10 +23,10 @@
   /** A backend server has sent bytes. */
   noteBytes (backend: BackendState): void
   /**
-   * A connection with a request in progress has ended. Returns true when this instance's own network explains it, so that it is no
-   * evidence of a crash: connections to several backend servers have ended together.
+   * A connection with a request in progress has ended. Tells within a moment whether this instance's own network explains it, so that
+   * it is no evidence of a crash: those to several backend servers have ended together, and none that had a request in progress is left.
    */
-  explainsBreak (backend: BackendState): boolean
+  judgeBreak (backend: BackendState, onJudged: (isOwnNetwork: boolean) => void): void
   stop (): void
 }
 
@@ -49,7 +49,8 @@
   const probe = options.probe ?? probeBackend
   const cutOffSince = new Map<string, number>()
   let checkedAt = steadyNow()
-  let lastBreak: { readonly backend: string, readonly at: number } | undefined
+  /** Connections that have ended and are not judged yet. */
+  let breaks: { readonly backends: Set<string>, readonly listeners: ((isOwnNetwork: boolean) => void)[] } | undefined
 
   function noteUnreachable (backend: BackendState): void {
     recordRefusal(backend, steadyNow())
@@ -109,12 +110,28 @@
     for (const service of cutOffSince.keys()) if (!services.has(service)) check(service, [])
   }, CHECK_INTERVAL_MS)
 
-  function explainsBreak ({ entry: { id } }: BackendState): boolean {
-    const now = steadyNow()
-    const isCommon = lastBreak !== undefined && lastBreak.backend !== id && now - lastBreak.at <= COMMON_BREAK_MS
-    lastBreak = { backend: id, at: now }
-    return isCommon
+  /** True when a backend server but the given ones has a request in progress that was sent before. */
+  function isAnotherInUse (except: ReadonlySet<string>, sentBefore: number): boolean {
+    return [...options.backendsByService().values()].flat().some(({ entry, pending }) => !except.has(entry.id) && [...pending].some(({ sentAt }) => sentAt < sentBefore))
+  }
+
+  /** All of these connections are judged alike: a crash that only some of its requests tell of puts the blame on them. */
+  function judgeBreak ({ entry: { id } }: BackendState, onJudged: (isOwnNetwork: boolean) => void): void {
+    const since = steadyNow()
+    if (breaks === undefined) {
+      const backends = new Set([id])
+      const listeners: ((isOwnNetwork: boolean) => void)[] = []
+      if (!isAnotherInUse(backends, since)) return onJudged(false)
+      breaks = { backends, listeners }
+      setTimeout(() => {
+        breaks = undefined
+        const isOwnNetwork = backends.size > 1 && !isAnotherInUse(backends, since)
+        for (const listener of listeners) listener(isOwnNetwork)
+      }, COMMON_BREAK_MS)
+    }
+    breaks.backends.add(id)
+    breaks.listeners.push(onJudged)
   }
 
-  return { noteUnreachable, noteRefused: (backend) => recordRefusal(backend, steadyNow()), noteAccepted: recordAcceptedConnection, noteBytes, explainsBreak, stop: () => clearInterval(timer) }
+  return { noteUnreachable, noteRefused: (backend) => recordRefusal(backend, steadyNow()), noteAccepted: recordAcceptedConnection, noteBytes, judgeBreak, stop: () => clearInterval(timer) }
 }
--- a/packages/gateway/src/tasks/crashGuard.ts
+++ b/packages/gateway/src/tasks/crashGuard.ts
@@ -17,6 +17,8 @@
   readonly backendProcess: string
   /** By `steadyNow`. */
   readonly sentAt: number
+  /** By `steadyNow`. */
+  readonly brokenAt: number
   /** True when the answer had gone on after its start, so that the prompt's shared parts are sound. */
   readonly isAnswerSound: boolean
 }
@@ -102,9 +104,9 @@
       return { reason: `${subject} crashed several backend servers`, until: now + group.heldBackUntil - sharedNow }
     },
     mayRetry: (request) => !parts.hasSuspects || !parts.isSuspect(partsOf(request), clock.fromLocal(steadyNow()) ?? 0),
-    recordBroken: (request, { backendProcess, sentAt, isAnswerSound }) => {
+    recordBroken: (request, { backendProcess, sentAt, brokenAt, isAnswerSound }) => {
       const sharedSentAt = clock.fromLocal(sentAt)
-      const crashedAt = clock.fromLocal(steadyNow())
+      const crashedAt = clock.fromLocal(brokenAt)
       if (sharedSentAt === undefined || crashedAt === undefined) return
       options.reportCrash(request.fingerprint(), { parts: isAnswerSound ? [] : [...request.sharedParts], backendProcess, sentAt: sharedSentAt, crashedAt })
     },
