--- /dev/null
+++ b/packages/memory-limits/src/index.ts
@@ -0,0 +1,1 @@
+export { createSharedLimit, type Holding, type SharedLimit } from './sharedLimit.js'
