Remember no streams under IDs that are longer than any usual one

A caller chooses the IDs of its attempts, up to 30 kB each. Each stream's ID was remembered at the instance that serves it and, while software versions differ, at its homes: up to 20,000 of them, 600 MB of IDs, where a process may have 350 MB. Messages to homes with a few such IDs are also larger than peers take, so that the other streams in them were not told.

Found by reading, with a unit test: 1,000 IDs of 30 kB held 30,000,000 characters; now none is kept. A stream with an ID of more than 256 characters can be taken up only while one software version is listed.

--- a/packages/gateway/src/decisions/streamOrigins.ts
+++ b/packages/gateway/src/decisions/streamOrigins.ts
@@ -51,6 +51,13 @@
 
 /** The streams that were recorded first are forgotten first. */
 const MAX_ORIGINS = 20_000
+/** Callers choose the IDs of their attempts; longer ones than any usual ID would fill the memory of all homes. */
+const MAX_ATTEMPT_ID_LENGTH = 256
+
+/** Returns false for a stream whose caller can't have it taken up while software versions differ, as its ID is too long. */
+export function mayRemember (attemptId: string): boolean {
+  return attemptId !== '' && attemptId.length <= MAX_ATTEMPT_ID_LENGTH
+}
 
 /** Creates an empty record. Times are on the shared clock. */
 export function createStreamOrigins (): StreamOrigins {
@@ -65,6 +72,7 @@
 
   return {
     record: (origin, now) => {
+      if (!mayRemember(origin.attemptId)) return
       origins.delete(origin.attemptId)
       origins.set(origin.attemptId, origin)
       forgetOld(now)
--- a/packages/gateway/src/tasks/streamStart.ts
+++ b/packages/gateway/src/tasks/streamStart.ts
@@ -1,6 +1,6 @@
 import { steadyNow } from '../clock.js'
 import { backendProcessOf, type BackendState } from '../decisions/backendState.js'
-import type { StreamStart } from '../decisions/streamOrigins.js'
+import { mayRemember, type StreamStart } from '../decisions/streamOrigins.js'
 import type { Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
 import type { GatewayContext } from './gatewayContext.js'
@@ -34,6 +34,6 @@
   state.streamStart = isListedProcess
     ? { kind: 'begun', service: state.service, version: entry.version, backendId: entry.id, at: steadyNow() }
     : { kind: 'unknown' }
-  if (!isListedProcess || state.fields.attemptId === '') return
+  if (!isListedProcess || !mayRemember(state.fields.attemptId)) return
   context.streamVersions.begin({ attemptId: state.fields.attemptId, service: state.service, backendId: entry.id, version: entry.version, callerTimeoutAt: state.callerTimeoutAt })
 }
