Keep no bytes of an answer whose request has ended for its caller

Callers got 502 with run unknown for sound answers of more than 64 KiB, of any service, some time after others had left.

Cause: a request that runs once goes on at its backend server when its caller leaves. The attempt gave its part of the response buffer back when the caller left, and the bytes that came later were taken from it and never given back, so that the buffer of 12 MiB was used up for good. They were also kept until the answer ended.

Change: after that, bytes are counted for the size limit of the response and not kept.

Test: 200 callers leave after 50 ms, the answers of 200 kB come after 150 ms. Without the change 20 of 20 answers of 200 kB that followed got 502, 10 of them of another service; with it all are delivered.

--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -349,6 +349,7 @@
   function bufferBody (chunk: Buffer): boolean {
     bodyBytes += chunk.length
     if (bodyBytes > MAX_BUFFERED_RESPONSE_BYTES) return false
+    if (settled) return true
     if (bodyBytes > UNSHARED_RESPONSE_BYTES) {
       if (!context.responseBuffer.take(chunk.length)) return false
       sharedBytes += chunk.length
