Limit what one backend server's answers take of the buffer for responses

Callers of other services got 502 with run unknown for sound answers longer than 64 KiB while one backend server flooded.

Cause: all buffered responses took their bytes beyond 64 KiB from one budget of 12 MiB, first come first served. A backend server whose bodies don't end took all of it, and every other response that needed a part failed after its request had run.

Change: a limit that the backend servers share (24 MiB, the holder is the process of the backend server). One alone still has the 12 MiB of before, and leaves as much to the others.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,5 @@
 import { handleArrivedEvents } from '@quinceshunt/caller-connections'
+import { createSharedLimit } from '@quinceshunt/memory-limits'
 import { steadyNow } from './clock.js'
 import { createMetrics } from '@quinceshunt/telemetry'
 import { randomUUID } from 'node:crypto'
@@ -6,7 +7,6 @@
 import { createServer, type Server } from 'node:http'
 import { createBackendAcceptance } from './decisions/backendAcceptance.js'
 import { backendProcessOf } from './decisions/backendState.js'
-import { createByteBudget } from './decisions/byteBudget.js'
 import { createRetryShares } from './decisions/retryShares.js'
 import { createSharedClock } from './decisions/sharedClock.js'
 import { mayTake, planStop, type StopPlan } from './decisions/stopPlan.js'
@@ -50,8 +50,8 @@
 const SETTINGS_CHECK_INTERVAL_MS = 1500
 /** Timeout of reports to a peer while the store is away; they are not repeated, as they also wait for the store. */
 const REPORT_TIMEOUT_MS = 500
-/** A twentieth of the memory of a small instance. */
-const RESPONSE_BUFFER_BYTES = 12_582_912
+/** One backend server alone may have half of it: three answers of the largest size, and 4% of the memory of a small instance. */
+const BUFFERED_RESPONSE_BYTES = 25_165_824
 
 /** Options of a gateway process. */
 export interface GatewayOptions {
@@ -218,7 +218,7 @@
     streamVersions,
     relayPeers: createRelayPeers({ peers: () => fleet.peers, failureDomain: settings.failureDomain }),
     destinations: new WeakMap(),
-    responseBuffer: createByteBudget(RESPONSE_BUFFER_BYTES),
+    bufferedResponses: createSharedLimit(BUFFERED_RESPONSE_BYTES),
     openResponses: createOpenResponses(),
     isStopping: () => stopPlan !== undefined,
     mayTakeRequest: (deadline) => stopPlan === undefined || mayTake(stopPlan, deadline, steadyNow())
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -9,6 +9,7 @@
 import { isRetryable, type AttemptOutcome, type RetryReservation } from '../decisions/requestPlan.js'
 import type { ResponseFields } from '../ports.js'
 import { recordAcceptance } from './availableBackends.js'
+import { createBufferedBody } from './bufferedBody.js'
 import { bufferResponse, closingHeaders, mediaTypeOf, withoutContentLength } from './forwardedResponse.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { recordUse } from './recordUse.js'
@@ -29,10 +30,6 @@
 const MIN_STREAM_SILENCE_MS = 1500
 /** A retry that was refused is asked for again after this time. */
 const RESERVE_AGAIN_MS = 250
-/** Responses that are not streamed are buffered whole; larger ones fail. */
-const MAX_BUFFERED_RESPONSE_BYTES = 4_194_304
-/** Bytes that each response may buffer, also when others have taken all of the shared buffer. */
-const UNSHARED_RESPONSE_BYTES = 65_536
 /** Callers abandon a stream after a gap of the longest of these: a time, and multiples of the latency target and the event gap target. */
 const ABANDONED_STREAM = { milliseconds: 2000, latencyTargets: 4, eventGapTargets: 8 } as const
 /** The last event reaches the caller later than this process, so that its gap ends later too. */
@@ -84,9 +81,7 @@
   const pending: PendingAttempt = { sentAt, prefillTokens: choice.prefillTokens, answered: false }
   const resumedAfter = state.lastEventId
   const splitter = createEventSplitter()
-  const bodyChunks: Buffer[] = []
-  let bodyBytes = 0
-  let sharedBytes = 0
+  const body = createBufferedBody(context.bufferedResponses, backendProcess)
   let eventsOfAttempt = 0
   let mayBeUnrelated = state.headersSent
   let head: { readonly incoming: IncomingMessage, readonly isStreamed: boolean } | undefined
@@ -141,7 +136,7 @@
     clearTimeout(deadlineTimer)
     clearInterval(stallTimer)
     clearTimeout(earlierTimer)
-    context.responseBuffer.release(sharedBytes)
+    body.release()
     stopWatchingCaller()
     // A request that its caller has left, and that runs at most once, goes on there.
     const goesOn = outcome.kind === 'callerGone' && abortOutcome === undefined
@@ -345,24 +340,11 @@
     }
   }
 
-  /** Buffers a part of a response that is not streamed; false when it is too large. */
-  function bufferBody (chunk: Buffer): boolean {
-    bodyBytes += chunk.length
-    if (bodyBytes > MAX_BUFFERED_RESPONSE_BYTES) return false
-    if (settled) return true
-    if (bodyBytes > UNSHARED_RESPONSE_BYTES) {
-      if (!context.responseBuffer.take(chunk.length)) return false
-      sharedBytes += chunk.length
-    }
-    bodyChunks.push(chunk)
-    return true
-  }
-
   function onData (chunk: Buffer): void {
     if (head === undefined) return recordBytes(false)
     if (!head.isStreamed) {
       recordBytes(true)
-      if (!bufferBody(chunk)) abort({ kind: 'broken', reason: `response too large: more than ${bodyBytes - chunk.length} bytes`, headersSent: state.headersSent }, 'response too large')
+      if (!body.add(chunk)) abort({ kind: 'broken', reason: `response too large: more than ${body.bytes - chunk.length} bytes`, headersSent: state.headersSent }, 'response too large')
       return
     }
     endSetAside()
@@ -413,7 +395,7 @@
       return settle({ kind: 'notRun', reason: `the backend server rejected it with status ${status}` })
     }
     state.mayHaveRun = true
-    const buffered = bufferResponse(context, state, head.incoming, Buffer.concat(bodyChunks))
+    const buffered = bufferResponse(context, state, head.incoming, body.concat())
     if (fields.impliesNotRun || (status >= STATUS.serverError && !fields.isSigned)) {
       recordBackendObservation({ kind: 'errorResponse' })
       return settle({ kind: 'broken', reason: `status ${status} is unsigned or wrongly implies that the request was not run`, headersSent: state.headersSent })
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -1,6 +1,6 @@
+import type { SharedLimit } from '@quinceshunt/memory-limits'
 import type { Metrics } from '@quinceshunt/telemetry'
 import type { BackendAcceptance } from '../decisions/backendAcceptance.js'
-import type { ByteBudget } from '../decisions/byteBudget.js'
 import type { ConfigurationIndex } from '../decisions/configurationIndex.js'
 import type { RetryShares } from '../decisions/retryShares.js'
 import type { WireFormat } from '../ports.js'
@@ -45,8 +45,8 @@
   readonly relayPeers: RelayPeers
   /** The backend server, or the peer, last selected for each request. */
   readonly destinations: WeakMap<RequestState, Destination>
-  /** For responses that are buffered whole. */
-  readonly responseBuffer: ByteBudget
+  /** Bytes of responses that are buffered until they are whole, by the process that sends them. */
+  readonly bufferedResponses: SharedLimit
   readonly openResponses: OpenResponses
   readonly isStopping: () => boolean
   /** False when a request that has come whole could still run when the process exits; `deadline` by `steadyNow`. */
