Take no request from a connection that was refused as late

What callers saw: a request whose head was not whole within header_timeout_ms got 408, which promises that it does not run. When the rest of it arrived after all, it was passed on to a backend server, and its answer could not be sent, as the connection had ended. A caller that repeats the request after 408 has it run twice. Behind a running request the late one was answered, followed by a stray 408 that ended the connection under the caller's next request. A configuration that lowers header_timeout_ms makes heads late that were in time when they began.

Cause: Node reports a late head by `clientError` and goes on parsing, and the connection is still read until the caller has closed its side. Parse errors don't have this effect, as the parser stays in its error state.

Change: a connection with an error is read on without parsing.

--- a/packages/caller-connections/src/connectionErrors.ts
+++ b/packages/caller-connections/src/connectionErrors.ts
@@ -1,11 +1,15 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
+import { discardFurtherBytes } from './discardFurtherBytes.js'
 
 /** Keeps the responses in progress on a connection when bytes arrive on it that are no request. */
 export interface ConnectionErrors {
   /** To be called for each request. */
   track (request: IncomingMessage, response: ServerResponse): void
-  /** Handles a `clientError` event; returns false when the connection has already had one. */
+  /**
+   * Handles a `clientError` event; returns false when the connection has already had one. Nothing further is read as a request:
+   * Node goes on parsing after a timeout, so that the rest of a refused request would complete it.
+   */
   handle (error: NodeJS.ErrnoException, socket: Duplex): boolean
 }
 
@@ -34,7 +38,10 @@
       const isFirst = !errorsOf.has(socket)
       if (isFirst) errorsOf.set(socket, error)
       if (error.code === 'ECONNRESET' || !socket.writable) socket.destroy()
-      else if (isFirst) refuseAfterResponses(error, socket)
+      else if (isFirst) {
+        discardFurtherBytes(socket)
+        refuseAfterResponses(error, socket)
+      }
       return isFirst
     }
   }
--- a/packages/caller-connections/src/pipelineLimit.ts
+++ b/packages/caller-connections/src/pipelineLimit.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { discardFurtherBytes } from './discardFurtherBytes.js'
 
 /** How a request is handled. */
 export type PipelineAdmission =
@@ -48,11 +49,3 @@
     }
   }
 }
-
-/** Reads on without parsing, so that the end of the connection is still noticed. */
-function discardFurtherBytes (socket: Socket): void {
-  if (socket.destroyed) return
-  socket.removeAllListeners('data')
-  socket.on('data', () => {})
-  socket.resume()
-}
