Count what peers answer to relayed requests in the limit for buffered responses

A peer in trouble could let a gateway outgrow its memory, so that the requests of all its callers ended.

Cause: relayed answers were buffered up to 4 MiB each, in no limit that they share.

Change: relayed answers use the same buffer and limit as those of backend servers; the holder is the peer's instance.

Test: a peer answers 150 relayed requests with bodies without end, paced at 1 MB/s.

--- a/packages/gateway/src/tasks/relayAttempt.ts
+++ b/packages/gateway/src/tasks/relayAttempt.ts
@@ -5,6 +5,7 @@
 import { encodeRelayEnvelope, RELAY_DECLINED_HEADER, RELAY_ELSEWHERE_HEADER, RELAY_HEADER } from '../decisions/relayEnvelope.js'
 import type { StreamOrigin } from '../decisions/streamOrigins.js'
 import { isRetryable, type AttemptOutcome } from '../decisions/requestPlan.js'
+import { createBufferedBody } from './bufferedBody.js'
 import type { Peer } from './fleetTask.js'
 import { bufferResponse, closingHeaders, mediaTypeOf, withoutContentLength } from './forwardedResponse.js'
 import type { GatewayContext } from './gatewayContext.js'
@@ -17,8 +18,6 @@
 const SILENCE_CHECK_MS = 100
 /** The attempt that was set aside ends this long after the request was relayed. */
 const SET_ASIDE_MS = 250
-/** A peer buffers no larger response. */
-const MAX_RESPONSE_BYTES = 4_194_304
 const STATUS = { ok: 200, lastOk: 299, unavailable: 503 } as const
 
 /**
@@ -36,9 +35,8 @@
   const sentAt = steadyNow()
   const relay = context.relayPeers.begin(peer, service)
   const splitter = createEventSplitter()
-  const bodyChunks: Buffer[] = []
+  const body = createBufferedBody(context.bufferedResponses, `peer ${peer.instanceId}`)
   const earlier = state.setAside
-  let bodyBytes = 0
   let lastBytesAt = sentAt
   let head: { readonly incoming: IncomingMessage, readonly isStreamed: boolean } | undefined
   let declinedReason: string | undefined
@@ -68,6 +66,7 @@
     clearInterval(silenceTimer)
     clearTimeout(earlierTimer)
     stopWatchingCaller()
+    body.release()
     relay.end()
     context.metrics.count('relays_total', { outcome: outcome.kind })
     resolve(outcome)
@@ -126,9 +125,7 @@
     lastBytesAt = steadyNow()
     if (head === undefined) return
     if (!head.isStreamed) {
-      bodyBytes += chunk.length
-      if (bodyBytes > MAX_RESPONSE_BYTES) abort({ kind: 'broken', reason: 'response too large', headersSent: state.headersSent }, 'response too large')
-      else bodyChunks.push(chunk)
+      if (!body.add(chunk)) abort({ kind: 'broken', reason: `response too large: more than ${body.bytes - chunk.length} bytes`, headersSent: state.headersSent }, 'response too large')
       return
     }
     const complete = splitter.push(chunk)
@@ -149,7 +146,7 @@
       if (splitter.bufferedBytes > 0) return onBroken(true, 'stream ended within an event')
       response.end()
     } else {
-      bufferResponse(context, state, head.incoming, Buffer.concat(bodyChunks)).deliver()
+      bufferResponse(context, state, head.incoming, body.concat()).deliver()
     }
     settle({ kind: 'delivered', status })
   }
