Deliver a whole answer that is followed by bytes of no request

Cause: Node's client reports the parse error of the surplus bytes on the request synchronously, when the parser has completed the response but its end is not emitted yet, and the exchange failed at once. A copy makes Node close the connection without an error.

Change: an error after a response that has come whole by its own length or last chunk does not break the exchange; its end follows, and Node has closed the connection. A response that is ended by its connection is still broken by any error, and an exchange whose response closes without its end is broken too, so that none is left open.

--- a/packages/gateway/src/__tests__/backendConnections.test.ts
+++ b/packages/gateway/src/__tests__/backendConnections.test.ts
@@ -109,6 +109,79 @@
   })
 })
 
+const withLength = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole'
+const inChunks = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n'
+
+describe.each([['a length', withLength], ['chunks', inChunks]])('bytes after a whole response with %s', (_framing, whole) => {
+  const surplus: readonly (readonly [string, string])[] = [
+    ['bytes that are no response', 'x'.repeat(100)],
+    ['many bytes that are no response', '\0'.repeat(1_000_000)],
+    ['a copy of it', whole],
+    ['two copies of it', whole + whole]
+  ]
+  const halfHead = ['half a head', 'HTTP/1.1 200 OK\r\nContent-'] as const
+  const LATER_MS = 5
+
+  // Guards against a whole answer that is taken for a broken one because of bytes that belong to no request.
+  test.each(surplus)('%s, in the same packet, leave it whole and close the connection', async (_name, bytes) => {
+    const outcome = await exchangeWith((socket) => { socket.write(whole + bytes) })
+    expect(outcome).toEqual({ kind: 'complete', body: 'whole' })
+    await expectClosed()
+  })
+
+  test.each([...surplus, halfHead])('%s, a few milliseconds later, leave it whole and close the connection', async (_name, bytes) => {
+    const outcome = await exchangeWith((socket) => {
+      socket.write(whole)
+      setTimeout(() => socket.write(bytes), LATER_MS)
+    })
+    expect(outcome).toEqual({ kind: 'complete', body: 'whole' })
+    await expectClosed()
+  })
+
+  // Guards against an exchange that waits for its end, or a pause that loses the part which has come.
+  test('leave it whole when it was paused meanwhile', async () => {
+    server = await startRawServer((socket) => { socket.write(`${whole}surplus`) })
+    const pool = connections = createBackendConnections()
+    const { address } = server
+    const outcome = await new Promise<ExchangeOutcome>((resolve) => {
+      let body = ''
+      const exchange = pool.start({ address, method: 'GET', path: '/', headers: { host: 'example' }, body: Buffer.alloc(0), needsNewConnection: false }, {
+        onHead: () => {
+          exchange.pause()
+          setTimeout(() => exchange.resume(), 50)
+        },
+        onData: (chunk) => { body += chunk.toString() },
+        onEnd: () => resolve({ kind: 'complete', body }),
+        onBroken: (sent, reason) => resolve({ kind: 'broken', sent, reason })
+      })
+    })
+    expect(outcome).toEqual({ kind: 'complete', body: 'whole' })
+    await expectClosed()
+  })
+
+  /** The next request uses another connection, and its response is not mixed up with the surplus bytes. */
+  async function expectClosed (): Promise<void> {
+    await new Promise((resolve) => setTimeout(resolve, 60))
+    expect(connections?.hasIdle(server?.address ?? '')).toBe(false)
+    await exchangeOnce(connections!, server!.address)
+    expect(server?.connections).toBe(2)
+  }
+})
+
+// Guards against an answer that is not whole and taken for whole because of bytes that are no response.
+test.each([
+  ['shorter than its length', 'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart', ''],
+  ['without its last chunk', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n', 'surplus'],
+  ['with half of its last chunk', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n', 'surplus'],
+  ['without a length', 'HTTP/1.1 200 OK\r\n\r\npart', 'more']
+])('a response %s is broken when its connection is reset after further bytes', async (_name, response, bytes) => {
+  const outcome = await exchangeWith((socket) => {
+    socket.write(response + bytes)
+    setTimeout(() => socket.resetAndDestroy(), 20)
+  })
+  expect(outcome.kind).toBe('broken')
+})
+
 // Guards against work for callers that left while the connection was being established, which takes long in a process that is paused or behind.
 test('a request whose caller left before the connection was established is not sent', async () => {
   let receivedBytes = 0
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -1,4 +1,4 @@
-import { detectReset, handleArrivedEvents } from '@quinceshunt/caller-connections'
+import { detectReset, handleArrivedEvents, isDelimitedByClose } from '@quinceshunt/caller-connections'
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 
@@ -165,7 +165,11 @@
     outgoing.on('information', () => {
       if (++interimResponses > MAX_INTERIM_RESPONSES) fail('interim responses without end')
     })
-    outgoing.on('error', (error) => fail(error.message))
+    outgoing.on('error', (error) => {
+      // Bytes after a whole response belong to no request. Node closes the connection, and the end of the response follows.
+      if (incoming?.complete === true && !isDelimitedByClose(incoming)) return
+      fail(error.message)
+    })
     // Node closes a connection on which the protocol is switched, without any other event.
     outgoing.on('close', () => { if (incoming === undefined) fail('connection closed without a response') })
     outgoing.on('response', (response) => {
@@ -179,7 +183,7 @@
         else if (resetDetection !== undefined) resetDetection.then((isReset) => isReset ? fail('response ended with a connection reset') : complete())
         else complete()
       })
-      response.on('close', () => { if (!response.complete) fail('incomplete response') })
+      response.on('close', () => { if (!response.complete || !response.readableEnded) fail('incomplete response') })
       processResponse(() => listener.onHead(response))
     })
     return {
