Limit what the responses of the store take in memory

What callers saw: a gateway whose store sends a response without end exceeds its memory, is killed, and all requests on it end without an answer.

Cause: the store's client kept all bytes of a response until its end, for every call, and let a response go on for ever as long as its bytes came within 900 ms of each other. A table was read page by page as long as the store named further pages.

Bytes are copied into one buffer, as chunks of one byte took many times their size.

--- /dev/null
+++ b/packages/memory-limits/src/__tests__/byteCollector.test.ts
@@ -0,0 +1,46 @@
+import { describe, expect, test } from '@jest/globals'
+import { createByteCollector } from '../byteCollector.js'
+import { createSharedLimit } from '../sharedLimit.js'
+
+describe('a message that is collected', () => {
+  test('has all bytes of its chunks, in order', () => {
+    const collector = createByteCollector(createSharedLimit(100_000).open('a'), 20_000)
+    const chunks = Array.from({ length: 200 }, (_, index) => Buffer.alloc(index % 90, index))
+    for (const chunk of chunks) expect(collector.tryAppend(chunk)).toBe(true)
+    expect(collector.bytes().equals(Buffer.concat(chunks))).toBe(true)
+  })
+
+  test('ends at its own maximum, and takes exactly that much', () => {
+    const limit = createSharedLimit(100_000)
+    const collector = createByteCollector(limit.open('a'), 3000)
+    expect(collector.tryAppend(Buffer.alloc(2999))).toBe(true)
+    expect(collector.tryAppend(Buffer.alloc(2))).toBe(false)
+    expect(collector.tryAppend(Buffer.alloc(1))).toBe(true)
+    expect(collector.bytes()).toHaveLength(3000)
+    expect(limit.heldBytes).toBe(3000)
+  })
+
+  // Guards against a message whose bytes are held without being counted.
+  test('ends when its holder has no bytes left, and counts what it allocates', () => {
+    const limit = createSharedLimit(10_000)
+    const [first, second] = [limit.open('a'), limit.open('a')]
+    expect(createByteCollector(first, 9000).tryAppend(Buffer.alloc(4000))).toBe(true)
+    const collector = createByteCollector(second, 9000)
+    expect(collector.tryAppend(Buffer.alloc(1001))).toBe(false)
+    expect(collector.tryAppend(Buffer.alloc(10))).toBe(true)
+    expect(limit.heldBytes).toBe(first.bytes + second.bytes)
+    first.release()
+    expect(collector.tryAppend(Buffer.alloc(1001))).toBe(true)
+  })
+
+  // Guards against a message of tiny chunks that takes many times its bytes.
+  test('takes its bytes once, whatever the size of its chunks', () => {
+    const limit = createSharedLimit(4_000_000)
+    const collector = createByteCollector(limit.open('a'), 1_000_000)
+    const before = process.memoryUsage().rss
+    for (let index = 0; index < 1_000_000; index++) collector.tryAppend(Buffer.from([index % 250]))
+    expect(collector.bytes()).toHaveLength(1_000_000)
+    expect(limit.heldBytes).toBe(1_000_000)
+    expect(process.memoryUsage().rss - before).toBeLessThan(100_000_000)
+  })
+})
