Play floods of callers and backend servers in the soak

Nothing in the soak showed that one client account or one backend server can exhaust a gateway's memory, or cost other callers their answers. The floods come from a child process, so that they do not delay the sound callers. The gateways of all runs start with the memory options of deploy/system.toml.

Checked: no process exceeds 350 MB (VmHWM) or exits by itself; at a flooded gateway that no other fault disrupts, every request of a sound caller is answered, and nine tenths are served, counted for all requests and for those with answers of 200 kB; answers are what the backend server wrote, without surplus bytes.

The new test (seed 70002) fails on this code, as there is no fix in it yet: the gateway exits by itself, out of heap memory, with a peak of 232 MB, and answers none of 54 requests of sound callers during pipelined requests.

--- a/soak/src/__tests__/soak.test.ts
+++ b/soak/src/__tests__/soak.test.ts
@@ -1,8 +1,11 @@
 import { describe, expect, test } from '@jest/globals'
+import { spawn } from 'node:child_process'
 import { checkGuarantees, completeBody, type CallerRecord, type Observations } from '../checkGuarantees.js'
 import { recordStalls, stalledMilliseconds } from '../eventLoopStalls.js'
 import { planFaults, planFaultsAndLimits, planBrittleness, planFaultsAndRestores, planPartitions, planReleases, planSilences } from '../faultPlan.js'
+import { planFloods } from '../planFloods.js'
 import { runSoak } from '../soakRun.js'
+import { watchGateways } from '../watchGateways.js'
 
 /**
  * With the gateway's safeguards removed, the first seed finds an overspent budget and an interrupted planned stop, the second
@@ -25,6 +28,11 @@
 const SEEDS_WITH_PARTITIONS = [50_002, 50_103, 50_201] as const
 /** Without shares of room, the backend servers fall over five times. In the second, a gateway that was stopping declined all that one that is cut off relayed. */
 const SEEDS_WITH_BRITTLENESS = [60_000, 60_126] as const
+/**
+ * Guards against gateways that run out of memory, or leave other callers without an answer, while one client account or one backend
+ * server floods them. Without limits, the gateway exits by itself during pipelined requests.
+ */
+const SEEDS_WITH_FLOODS = [70_002] as const
 const EVENTS_PER_STREAM = 3
 
 function createRecord (overrides: Partial<CallerRecord> = {}): CallerRecord {
@@ -33,7 +41,7 @@
 }
 
 function findViolations (callers: readonly CallerRecord[], overrides: Partial<Observations> = {}): readonly string[] {
-  const observations: Observations = { callers, runs: [], prepaidTokens: 1000, promptTokens: 100, tokensPerEvent: 5, eventsPerStream: EVENTS_PER_STREAM, plannedStops: [], faultWindows: [], namedLimits: [], partitions: [], falls: [], plainBackends: [0], disruptions: [], callerDeadlineMilliseconds: 3000, stalls: [], ...overrides }
+  const observations: Observations = { callers, runs: [], prepaidTokens: 1000, promptTokens: 100, tokensPerEvent: 5, eventsPerStream: EVENTS_PER_STREAM, plannedStops: [], faultWindows: [], namedLimits: [], partitions: [], falls: [], plainBackends: [0], disruptions: [], callerDeadlineMilliseconds: 3000, stalls: [], processes: [], floods: [], ...overrides }
   return [...checkGuarantees(observations)].map(({ promise }) => promise)
 }
 
@@ -137,6 +145,40 @@
     expect(findViolations(callers, { falls: [fall, fall, fall], disruptions: [{ place: 'gateway', index: 1, from: 4000, to: 4500 }] })).toEqual(['brittle'])
   })
 
+  // Guards against a soak that misses a gateway that is killed for its memory, or one that crashes.
+  test('a process with too much memory and one that exits by itself are detected', () => {
+    const process = { gateway: 0, generation: 1, peakMegabytes: 350 }
+    expect(findViolations([], { processes: [process] })).toEqual([])
+    expect(findViolations([], { processes: [{ ...process, peakMegabytes: 351 }] })).toEqual(['memory'])
+    for (const unexpectedExit of [0, 1, null]) expect(findViolations([], { processes: [{ ...process, unexpectedExit }] })).toEqual(['exit'])
+  })
+
+  // Guards against a soak that overlooks sound callers who are not served during a flood, or blames it for other faults.
+  test('sound callers that are not served or not answered during a flood are detected unless another fault explains it', () => {
+    const floods = [{ how: 'pacedBody' as const, gateway: 0, from: 50, to: 500, statuses: {}, alteredAnswers: [] }]
+    const at = (status: number, count: number, overrides: Partial<CallerRecord> = {}): readonly CallerRecord[] => Array.from({ length: count }, () => createRecord({ status, ...overrides }))
+    expect(findViolations([...at(200, 18), ...at(502, 3)], { floods })).toEqual(['served'])
+    expect(findViolations([...at(200, 18), ...at(502, 2)], { floods })).toEqual([])
+    expect(findViolations([...at(200, 9), ...at(0, 1)], { floods })).toEqual(['unanswered'])
+    const long = (status: number, count: number): readonly CallerRecord[] => at(status, count, { kind: 'long', body: completeBody('long', 'attempt-1', EVENTS_PER_STREAM) })
+    expect(findViolations([...at(200, 50), ...long(200, 8), ...long(502, 2)], { floods })).toEqual(['served'])
+    expect(findViolations([...at(200, 50), ...long(200, 9), ...long(502, 1)], { floods })).toEqual([])
+    expect(findViolations([...at(200, 18), ...at(502, 2), ...at(0, 3, { leavesAt: 150, leftAt: 150 })], { floods })).toEqual([])
+    expect(findViolations([...at(200, 18), ...at(502, 3), ...at(0, 1)].map((record) => ({ ...record, sentAt: 501, answeredAt: 600 })), { floods })).toEqual([])
+    expect(findViolations([...at(200, 18), ...at(502, 3, { gateway: 1 }), ...at(0, 1, { gateway: 1 })], { floods })).toEqual([])
+    for (const disruption of [{ from: 200, to: 210 }, { from: 0, to: 10 }]) expect(findViolations([...at(200, 18), ...at(502, 3), ...at(0, 1)], { floods, disruptions: [{ place: 'gateway', index: 0, ...disruption }] })).toEqual([])
+    for (const disruption of [{ index: 1, from: 100, to: 200 }, { index: 0, from: 201, to: 300 }]) expect(findViolations([...at(200, 18), ...at(502, 3)], { floods, disruptions: [{ place: 'gateway', ...disruption }] })).toEqual(['served'])
+  })
+
+  // Guards against surplus bytes that reach a caller as part of a long answer, or of that of a flooding backend server.
+  test('altered answers are detected', () => {
+    expect(findViolations([createRecord({ kind: 'long' })])).toEqual([])
+    expect(findViolations([createRecord({ kind: 'long', body: `${completeBody('long', 'attempt-1', EVENTS_PER_STREAM)}x` })])).toEqual(['whole'])
+    const flood = { how: 'surplusCopies' as const, gateway: 0, from: 50, to: 500, statuses: { 200: 1 } }
+    expect(findViolations([], { floods: [{ ...flood, alteredAnswers: [] }] })).toEqual([])
+    expect(findViolations([], { floods: [{ ...flood, alteredAnswers: ['flood-1'] }] })).toEqual(['whole'])
+  })
+
   test('a fleet that does not recover is detected', () => {
     expect(findViolations(Array.from({ length: 20 }, () => createRecord({ sentAt: 9000, status: 504 })))).toEqual(['recovery'])
   })
@@ -168,12 +210,31 @@
   expect(stalledMilliseconds(recorder.stalls, from, to)).toBeLessThanOrEqual(to - from)
 })
 
+// Guards against a soak that reads no memory, or takes an exit that it caused for one of the process.
+test('the peak memory and the unexpected exits of processes are observed', async () => {
+  const watch = watchGateways()
+  const processes = Array.from({ length: 2 }, () => {
+    const child = spawn(process.execPath, ['--eval', "globalThis.kept = Buffer.alloc(200_000_000, 'x'); setInterval(() => {}, 1000)"])
+    const exited = new Promise<number | null>((resolve) => child.on('exit', resolve))
+    return { processId: child.pid ?? 0, exited, end: () => { child.kill('SIGKILL') } }
+  })
+  processes.forEach((watched, index) => watch.watch(index, watched))
+  while (watch.observations.some(({ peakMegabytes }) => peakMegabytes < 200)) await new Promise((resolve) => setTimeout(resolve, 20))
+  if (processes[0] !== undefined) watch.expectExit(processes[0])
+  for (const { end } of processes) end()
+  await Promise.all(processes.map(async ({ exited }) => await exited))
+  watch.stop()
+  expect(watch.observations.map((observation) => 'unexpectedExit' in observation)).toEqual([false, true])
+}, 10_000)
+
 describe('planFaults', () => {
   test('the same seed gives the same plan in chronological order', () => {
     expect(planFaults(7)).toEqual(planFaults(7))
     expect(planFaults(7)).not.toEqual(planFaults(8))
     const times = planFaults(7).map(({ at }) => at)
     expect(times).toEqual([...times].sort((left, right) => left - right))
+    expect(planFloods(7)).toEqual(planFloods(7))
+    expect(planFloods(7)).not.toEqual(planFloods(8))
   })
 })
 
@@ -214,6 +275,12 @@
     expect(report.statuses['200']).toBeGreaterThan(0)
   }, 40_000)
 
+  test.each(SEEDS_WITH_FLOODS)('seed %d with floods of one client account or backend server violates no guarantee', async (seed) => {
+    const report = await runSoak(planFloods(seed))
+    expect(report.broken).toEqual([])
+    expect(report.statuses['200']).toBeGreaterThan(0)
+  }, 40_000)
+
   test.each(SEEDS_WITH_RESTORES)('seed %d with a store that is restored from a copy violates no guarantee', async (seed) => {
     const report = await runSoak(planFaultsAndRestores(seed))
     expect(report.broken).toEqual([])
--- a/soak/src/checkGuarantees.ts
+++ b/soak/src/checkGuarantees.ts
@@ -1,8 +1,11 @@
 import type { Fall } from '@quinceshunt/platform-adapter/fixtures'
+import { checkFloods, type PlayedFlood } from './checkFloods.js'
 import { stalledMilliseconds, type EventLoopStall } from './eventLoopStalls.js'
+import { LONG_ANSWER_BYTES } from './flood.js'
+import type { ProcessObservation } from './watchGateways.js'
 
-/** Kinds of requests that callers send: at most once, idempotent, or a resumable stream. */
-export type RequestKind = 'once' | 'repeatable' | 'stream'
+/** Kinds of requests that callers send: at most once, idempotent, idempotent with a long answer, or a resumable stream. */
+export type RequestKind = 'once' | 'repeatable' | 'long' | 'stream'
 
 /** A caller's record of one attempt; times are Unix milliseconds. */
 export interface CallerRecord {
@@ -61,6 +64,8 @@
   readonly callerDeadlineMilliseconds: number
   /** Stalls of the process that holds the callers, the links and the backend servers. */
   readonly stalls: readonly EventLoopStall[]
+  readonly processes: readonly ProcessObservation[]
+  readonly floods: readonly PlayedFlood[]
 }
 
 /** Period in which a backend server names a request limit. */
@@ -98,7 +103,7 @@
 /** A guarantee that did not hold. */
 export interface GuaranteeViolation {
   /** Name of the guarantee. */
-  readonly promise: 'budget' | 'once' | 'refusal' | 'whole' | 'plannedStop' | 'interrupted' | 'configuration' | 'recovery' | 'departure' | 'limit' | 'versions' | 'partition' | 'brittle'
+  readonly promise: 'budget' | 'once' | 'refusal' | 'whole' | 'plannedStop' | 'interrupted' | 'configuration' | 'recovery' | 'departure' | 'limit' | 'versions' | 'partition' | 'brittle' | 'memory' | 'exit' | 'unanswered' | 'served'
   readonly detail: string
 }
 
@@ -130,6 +135,7 @@
 
 /** Expected body of a complete response; a stream that is taken up begins after the event `after`. */
 export function completeBody (kind: RequestKind, attempt: string, events: number, after = 0): string {
+  if (kind === 'long') return `answer to ${attempt} `.padEnd(LONG_ANSWER_BYTES, 'x')
   if (kind !== 'stream') return `answer to ${attempt}`
   return Array.from({ length: events - after }, (_, index) => `id: ${after + index + 1}\ndata: ${attempt} token ${after + index + 1}\n\n`).join('')
 }
@@ -311,4 +317,5 @@
   yield * checkVersions(observations)
   yield * checkPartitions(observations)
   yield * checkFalls(observations)
+  yield * checkFloods(observations)
 }
--- a/soak/src/faultPlan.ts
+++ b/soak/src/faultPlan.ts
@@ -1,5 +1,6 @@
 import type { BackendCut } from '@quinceshunt/platform-adapter/fixtures'
 import fastCheck from 'fast-check'
+import type { Flood } from './flood.js'
 
 /** The load continues after the fault phase, so that recovery can be checked. */
 export const SOAK_DURATION_MS = 9000
@@ -13,6 +14,7 @@
 
 /** One fault of a plan; `at` is in milliseconds since the start of the load, `lasts` and `downFor` are durations in milliseconds. */
 export type PlannedFault =
+  | Flood
   | { readonly kind: 'kill', readonly at: number, readonly gateway: number, readonly downFor: number }
   | { readonly kind: 'stop', readonly at: number, readonly gateway: number, readonly downFor: number }
   | { readonly kind: 'pause', readonly at: number, readonly gateway: number, readonly lasts: number }
@@ -41,10 +43,10 @@
   /** A sound backend server sends nothing for a while and then goes on; this excuses no interrupted response. */
   | { readonly kind: 'backendSilence', readonly at: number, readonly backend: number, readonly lasts: number }
 
-const at = fastCheck.integer({ min: 300, max: FAULT_PHASE_END_MS - 1500 })
+export const at = fastCheck.integer({ min: 300, max: FAULT_PHASE_END_MS - 1500 })
 const lasts = fastCheck.integer({ min: 200, max: 4000 })
-const downFor = fastCheck.integer({ min: 50, max: 1500 })
-const gateway = fastCheck.integer({ min: 0, max: GATEWAY_COUNT - 1 })
+export const downFor = fastCheck.integer({ min: 50, max: 1500 })
+export const gateway = fastCheck.integer({ min: 0, max: GATEWAY_COUNT - 1 })
 const backend = fastCheck.integer({ min: 0, max: BACKEND_COUNT - 1 })
 const linkFault = fastCheck.constantFrom<LinkFault>('delay', 'reset', 'silence', 'cutTowardsServer', 'cutTowardsClient')
 
@@ -76,7 +78,7 @@
   lasts: fastCheck.integer({ min: 500, max: 1400 })
 })
 
-const plannedWork: fastCheck.Arbitrary<PlannedFault> = fastCheck.oneof(
+export const plannedWork: fastCheck.Arbitrary<PlannedFault> = fastCheck.oneof(
   fastCheck.record({ kind: fastCheck.constant('stop' as const), at, gateway, downFor }),
   fastCheck.record({ kind: fastCheck.constant('reload' as const), at, gateway }),
   fastCheck.record({ kind: fastCheck.constant('configuration' as const), at })
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -1,13 +1,21 @@
 import { CALLER_DEADLINE_MS, createBrittleBackend, limitHeaders, startBackendLinks, type BrittleBackend, resumptionHeaders, sendRequest, signedHeaders, startBackendStandIn, startGatewayProcess, startStoreStandIn, versionedConfiguration, wireBackendWithSlots, type BackendStandIn, type GatewayProcess, type StoreStandIn } from '@quinceshunt/platform-adapter/fixtures'
 import { Agent, type ServerResponse } from 'node:http'
+import type { PlayedFlood } from './checkFloods.js'
 import { checkGuarantees, completeBody, versionsOf, type BackendRun, type CallerRecord, type Disruption, type FaultWindow, type GuaranteeViolation, type NamedLimitPeriod, type Partition, type RequestKind } from './checkGuarantees.js'
 import { BACKEND_COUNT, GATEWAY_COUNT, SOAK_DURATION_MS, type PlannedFault } from './faultPlan.js'
 import { recordStalls } from './eventLoopStalls.js'
+import { FLOOD_SLOTS, withFloodRoutes, type Flood } from './flood.js'
 import { startFaultyLink, type FaultyLink } from './faultyLink.js'
+import { startFloods } from './startFloods.js'
+import { watchGateways } from './watchGateways.js'
 
 const REQUEST_INTERVAL_MS = 12
 const REQUEST_KINDS: readonly RequestKind[] = ['stream', 'once', 'repeatable', 'stream', 'stream', 'repeatable', 'once', 'stream']
-const REQUEST_PATHS: Readonly<Record<RequestKind, string>> = { stream: '/chat/', once: '/deposit/', repeatable: '/status/' }
+/** In runs with floods. */
+const REQUEST_KINDS_WITH_LONG: readonly RequestKind[] = ['stream', 'once', 'long', 'repeatable']
+const REQUEST_PATHS: Readonly<Record<RequestKind, string>> = { stream: '/chat/', once: '/deposit/', repeatable: '/status/', long: '/report/' }
+/** As in deploy/system.toml. */
+const GATEWAY_NODE_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=2'] as const
 /** Time after which a backend server responds to a request that is not a stream. */
 const RESPONSE_DELAY_MS = 40
 const EVENTS_PER_STREAM = 10
@@ -50,6 +58,9 @@
   readonly statuses: Readonly<Record<string, number>>
   /** Time in which the soak's own process was stalled; the more, the less the soak can show. */
   readonly stalledMilliseconds: number
+  /** Highest resident memory of a gateway process. */
+  readonly peakMegabytes: number
+  readonly floods: readonly PlayedFlood[]
   readonly broken: readonly GuaranteeViolation[]
 }
 
@@ -114,7 +125,7 @@
     if (!received.url.startsWith('/chat/')) {
       setTimeout(() => writeAfterSilence(silentUntil, () => {
         response.writeHead(200, signedHeaders(received))
-        response.end(completeBody('once', attempt, EVENTS_PER_STREAM))
+        response.end(completeBody(received.url.startsWith(REQUEST_PATHS.long) ? 'long' : 'once', attempt, EVENTS_PER_STREAM))
       }), RESPONSE_DELAY_MS)
       return
     }
@@ -162,7 +173,9 @@
   const partitions: Partition[] = []
   const hasPartitions = plan.some(({ kind }) => kind === 'partition')
   const brittleness = plan.find((fault) => fault.kind === 'brittle')
-  const prepaidTokens = hasReleases || hasPartitions ? AMPLE_PREPAID_TOKENS : PREPAID_TOKENS
+  const hasFloods = plan.some(({ kind }) => kind === 'callerFlood' || kind === 'backendFlood')
+  const playedFloods: PlayedFlood[] = []
+  const prepaidTokens = hasReleases || hasPartitions || hasFloods ? AMPLE_PREPAID_TOKENS : PREPAID_TOKENS
   const limits = new Map<number, number>()
   const silences = new Map<number, number>()
   const backends = await Promise.all(Array.from({ length: BACKEND_COUNT }, async () => await startBackendStandIn()))
@@ -171,7 +184,11 @@
   const paths = await Promise.all(Array.from({ length: hasPartitions ? GATEWAY_COUNT : 0 }, async () => await startBackendLinks(linkAddresses)))
   const storeLinks = await Promise.all(Array.from({ length: GATEWAY_COUNT }, async (_, index) => await startFaultyLink(await store.openAddress(paths[index]?.linkOf))))
   let version = 1
-  store.putConfiguration(versionedConfiguration(version, prepaidTokens))
+  const putConfiguration = (): void => store.putConfiguration((hasFloods ? withFloodRoutes : (plain: Record<string, unknown>) => plain)(versionedConfiguration(version, prepaidTokens)))
+  putConfiguration()
+  const floods = hasFloods ? await startFloods() : undefined
+  for (const [service, address] of Object.entries(floods?.addresses ?? {})) store.putBackend(service, wireBackendWithSlots(service, address, FLOOD_SLOTS))
+  const gatewayWatch = watchGateways()
   const brittleFrom = brittleness === undefined ? Infinity : Date.now() + START_MS + brittleness.at
   const brittleBackends = backends.map((_, index) => brittleness === undefined || !PLAIN_BACKENDS.includes(index)
     ? undefined
@@ -203,7 +220,9 @@
   }
 
   async function startGateway (index: number, overrides: Record<string, unknown>): Promise<GatewayProcess> {
-    return await startGatewayProcess(storeLinks[index]?.address ?? '', { instanceId: `edge-${index}`, ...overrides })
+    const started = await startGatewayProcess(storeLinks[index]?.address ?? '', { instanceId: `edge-${index}`, ...overrides }, GATEWAY_NODE_OPTIONS)
+    gatewayWatch.watch(index, started)
+    return started
   }
 
   const gateways = await Promise.all(Array.from({ length: GATEWAY_COUNT }, async (_, index): Promise<RunningGateway> => ({ process: await startGateway(index, {}), generation: 0, state: 'up' })))
@@ -211,6 +230,7 @@
 
   async function restartAfterExit (gateway: RunningGateway, index: number, downFor: number): Promise<void> {
     const stoppedAt = Date.now()
+    gatewayWatch.expectExit(gateway.process)
     const { callersAddress, readinessAddress, metricsAddress, peerAddress } = gateway.process
     await gateway.process.exited
     await gateway.process.dispose()
@@ -286,6 +306,12 @@
     await paths[gateway]?.heal()
   }
 
+  async function playFlood (flood: Flood): Promise<void> {
+    const from = Date.now()
+    const outcome = await floods?.play(flood, gateways[flood.gateway]?.process.callersAddress ?? '')
+    if (outcome !== undefined) playedFloods.push({ how: flood.how, gateway: flood.gateway, from, to: from + flood.lasts, ...outcome })
+  }
+
   async function restoreStore ({ age, awayFor, rewriteAfter }: Extract<PlannedFault, { kind: 'restore' }>): Promise<void> {
     const copy = store.takeCopy()
     await sleep(age)
@@ -315,8 +341,10 @@
         return
       case 'configuration':
         version++
-        store.putConfiguration(versionedConfiguration(version, prepaidTokens))
+        putConfiguration()
         return
+      case 'callerFlood':
+      case 'backendFlood': return await playFlood(fault)
       case 'partition': return await partitionGateway(fault)
       case 'brittle':
         // The backend servers were set up with it; one that falls interrupts responses.
@@ -360,7 +388,8 @@
     const index = sentCount % GATEWAY_COUNT
     const gateway = gateways[index]
     if (gateway === undefined) return
-    const kind = REQUEST_KINDS[sentCount % REQUEST_KINDS.length] ?? 'once'
+    const kinds = hasFloods ? REQUEST_KINDS_WITH_LONG : REQUEST_KINDS
+    const kind = kinds[sentCount % kinds.length] ?? 'once'
     const isVersioned = sentCount % 16 === 2
     const isDeparture = sentCount % DEPARTURE_INTERVAL === 4
     const leavesAt = isDeparture ? Date.now() + (sentCount * 37) % MAX_PATIENCE_MS : undefined
@@ -377,12 +406,13 @@
   await Promise.all([...faults, ...pendingRequests])
   await sleep(LATE_WRITE_DELAY_MS)
   stallRecorder.stop()
+  gatewayWatch.stop()
   for (const agent of agents) agent.destroy()
   await Promise.all(gateways.map(async ({ process }) => await process.dispose()))
-  await Promise.all([store, ...backends, ...backendLinks, ...paths, ...storeLinks].map(async (resource) => await resource.close()))
+  await Promise.all([store, ...(floods === undefined ? [] : [floods]), ...backends, ...backendLinks, ...paths, ...storeLinks].map(async (resource) => await resource.close()))
 
   const statuses: Record<string, number> = {}
   for (const { status } of callers) statuses[status] = (statuses[status] ?? 0) + 1
-  const broken = [...checkGuarantees({ callers, runs, prepaidTokens, promptTokens: PROMPT_TOKENS, tokensPerEvent: TOKENS_PER_EVENT, eventsPerStream: EVENTS_PER_STREAM, plannedStops, faultWindows, namedLimits, partitions, falls: brittleBackends.flatMap((brittle) => brittle?.falls ?? []), plainBackends: PLAIN_BACKENDS, disruptions, callerDeadlineMilliseconds: CALLER_DEADLINE_MS, stalls: stallRecorder.stalls })]
-  return { requests: callers.length, statuses, stalledMilliseconds: stallRecorder.stalls.reduce((sum, { from, to }) => sum + to - from, 0), broken }
+  const broken = [...checkGuarantees({ callers, runs, prepaidTokens, promptTokens: PROMPT_TOKENS, tokensPerEvent: TOKENS_PER_EVENT, eventsPerStream: EVENTS_PER_STREAM, plannedStops, faultWindows, namedLimits, partitions, falls: brittleBackends.flatMap((brittle) => brittle?.falls ?? []), plainBackends: PLAIN_BACKENDS, disruptions, callerDeadlineMilliseconds: CALLER_DEADLINE_MS, stalls: stallRecorder.stalls, processes: gatewayWatch.observations, floods: playedFloods })]
+  return { requests: callers.length, statuses, stalledMilliseconds: stallRecorder.stalls.reduce((sum, { from, to }) => sum + to - from, 0), peakMegabytes: Math.max(...gatewayWatch.observations.map(({ peakMegabytes }) => peakMegabytes)), floods: playedFloods, broken }
 }
