Limit what messages of peers and their replies take in memory

What callers saw: a process whose peer port is flooded exceeds its memory of 350 MB, is killed, and all requests on it end without an answer.

Cause: each message was limited to 65,536 characters, but not how many of them are in progress, waiting on one connection, or how long they may take to arrive; replies were remembered for a minute whatever their number and the length of their IDs. In the other direction, replies and interim responses of a peer had a limit of their own only.

Change: the listener has a module of its own. Replies of peers have 8 MiB, shared between the peers. A refused message gets 503 or its connection is closed. For its sender it may have been handled, so that it is repeated under its ID or its tokens are given up; only 409 says that a message was not handled. Relayed requests go to the callers' listener as before.

--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -1,8 +1,8 @@
-import { Agent, createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createByteCollector, createSharedLimit, type Holding } from '@quinceshunt/memory-limits'
+import { Agent, request } from 'node:http'
 import * as v from 'valibot'
 import { reportedUseSchema, type ReportedUse } from '../decisions/knownUse.js'
 import type { KnownLimit, PermitReply, PermitRequest } from '../decisions/permitIssuer.js'
-import { RELAY_HEADER } from '../decisions/relayEnvelope.js'
 import type { RoomReply, RoomRequest } from '../decisions/roomIssuer.js'
 import { streamOriginSchema, type StreamOrigin } from '../decisions/streamOrigins.js'
 import { toldTotalsSchema, type ToldLease } from '../decisions/toldLease.js'
@@ -11,19 +11,27 @@
 import type { StreamAnswer } from './streamVersions.js'
 import type { Report } from './fleetReports.js'
 
-const MAX_MESSAGE_BYTES = 65_536
-/** That of the callers' listener, and an envelope beside. */
-const MAX_HEADER_BYTES = 36_864
+export const MAX_MESSAGE_BYTES = 65_536
+/** Of the replies in progress of all peers, each of which may send as much as it leaves to the others. */
+const MAX_REPLIES_BYTES = 8_388_608
+/** Peers send none; Node bounds each one but not their number. */
+const MAX_INTERIM_RESPONSES = 8
 /** Replies are remembered for longer than a sender repeats its message. */
 const REPLY_MEMORY_MS = 60_000
-const STATUS = { ok: 200, badRequest: 400, otherIncarnation: 409 } as const
+/** About 600 bytes each. One address alone may have half of them: 2,500 messages a second. */
+const MAX_REMEMBERED_REPLIES = 300_000
+/** Remembered with each reply; an ID is that of a process and a number. */
+const MAX_ID_LENGTH = 512
+/** Only `otherIncarnation` says that the message was not handled. */
+export const PEER_STATUS = { ok: 200, badRequest: 400, otherIncarnation: 409, overloaded: 503 } as const
 
 /** Reuses connections, as most requests need tokens from a home. */
 const peerAgent = new Agent({ keepAlive: true, maxFreeSockets: 4, timeout: 10_000 })
+const repliesLimit = createSharedLimit(MAX_REPLIES_BYTES)
 
 const positiveCount = v.pipe(v.number(), v.integer(), v.minValue(1))
 /** Fields of each message: `id` names it across repeats, `to` is the incarnation that it is meant for. */
-const envelope = { id: v.string(), to: v.string() }
+const envelope = { id: v.pipe(v.string(), v.maxLength(MAX_ID_LENGTH)), to: v.string() }
 const loanRequestSchema = v.object({ ...envelope, account: v.string(), tokens: positiveCount, kind: v.picklist(['whole', 'partial']), use: v.optional(reportedUseSchema) })
 const returnSchema = v.object({ ...envelope, accounts: v.record(v.string(), positiveCount), use: v.optional(v.record(v.string(), reportedUseSchema)) })
 const loanReplySchema = v.object({
@@ -139,10 +147,12 @@
   const body = JSON.stringify(message)
   return new Promise((resolve) => {
     let mayHaveArrived = false
+    const holding = repliesLimit.open(address)
     const outgoing = request({ host, port: Number(port), method: 'POST', path, agent: peerAgent, headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) } })
     const timer = setTimeout(() => outgoing.destroy(new Error('no response in time')), timeoutMilliseconds)
     const finish = (outcome: DeliveryOutcome): void => {
       clearTimeout(timer)
+      holding.release()
       resolve(outcome)
     }
     const fail = (reason: string): void => finish({ kind: 'failed', mayHaveArrived, reason })
@@ -151,18 +161,20 @@
       else mayHaveArrived = true
     })
     outgoing.on('error', (error) => fail(error.message))
+    let interimResponses = 0
+    outgoing.on('information', () => {
+      if (++interimResponses > MAX_INTERIM_RESPONSES) outgoing.destroy(new Error('too many interim responses'))
+    })
     outgoing.on('response', (incoming) => {
-      let text = ''
-      incoming.setEncoding('utf8')
-      incoming.on('data', (chunk: string) => {
-        text += chunk
-        if (text.length > MAX_MESSAGE_BYTES) outgoing.destroy(new Error('reply too large'))
+      const collector = createByteCollector(holding, MAX_MESSAGE_BYTES)
+      incoming.on('data', (chunk: Buffer) => {
+        if (!collector.tryAppend(chunk)) outgoing.destroy(new Error('reply too large'))
       })
       incoming.on('error', (error) => fail(error.message))
       incoming.on('end', () => {
-        if (incoming.statusCode === STATUS.otherIncarnation) return finish({ kind: 'otherIncarnation' })
-        if (incoming.statusCode !== STATUS.ok) return fail(`status ${incoming.statusCode ?? 0}`)
-        finish({ kind: 'answered', reply: parseJson(text) })
+        if (incoming.statusCode === PEER_STATUS.otherIncarnation) return finish({ kind: 'otherIncarnation' })
+        if (incoming.statusCode !== PEER_STATUS.ok) return fail(`status ${incoming.statusCode ?? 0}`)
+        finish({ kind: 'answered', reply: parseJson(collector.bytes().toString()) })
       })
     })
     outgoing.end(body)
@@ -224,41 +236,51 @@
   readonly now: () => number
 }
 
-/** Handles a request that another instance relays to this one. */
-export type RelayHandler = (incoming: IncomingMessage, response: ServerResponse) => void
+/**
+ * Result of a message: its reply, `otherIncarnation` for one that this process does not handle, `overloaded` for one whose reply
+ * can't be remembered, undefined for a malformed one.
+ */
+export type MessageResult = Promise<unknown> | 'otherIncarnation' | 'overloaded' | undefined
+
+/** Handles a message; `sender` is the address that it came from. */
+export type PeerMessageHandler = (path: string, message: unknown, sender?: string) => MessageResult
 
 /**
  * Handles each message once: a repeated one gets the reply of the first, so that a sender may repeat it until it is
- * answered. Returns `otherIncarnation` for a message that this process does not handle, undefined for a malformed one.
+ * answered.
  */
-export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, rooms, streams, receiveReports, receiveLease, log, now }: PeerListenerOptions): (path: string, message: unknown) => Promise<unknown> | 'otherIncarnation' | undefined {
-  const replies = new Map<string, { readonly reply: Promise<unknown>, readonly forgetAt: number }>()
+export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, rooms, streams, receiveReports, receiveLease, log, now }: PeerListenerOptions): PeerMessageHandler {
+  const replies = new Map<string, { readonly reply: Promise<unknown>, readonly forgetAt: number, readonly holding: Holding }>()
+  const rememberedReplies = createSharedLimit(MAX_REMEMBERED_REPLIES)
 
   function forgetOldReplies (): void {
-    for (const [id, { forgetAt }] of replies) {
+    for (const [id, { forgetAt, holding }] of replies) {
       if (forgetAt > now()) return
       replies.delete(id)
+      holding.release()
     }
   }
 
-  function handleOnce ({ id, to }: { readonly id: string, readonly to: string }, handle: () => Promise<unknown>): Promise<unknown> | 'otherIncarnation' {
+  function handleOnce ({ id, to }: { readonly id: string, readonly to: string }, sender: string, handle: () => Promise<unknown>): MessageResult {
     if (to !== incarnationId) return 'otherIncarnation'
     forgetOldReplies()
     const known = replies.get(id)
     if (known !== undefined) return known.reply
     if (tokenHandlers.isClosing) return 'otherIncarnation'
+    const holding = rememberedReplies.open(sender)
+    if (!holding.tryAdd(1)) return 'overloaded'
     const reply = handle()
-    replies.set(id, { reply, forgetAt: now() + REPLY_MEMORY_MS })
+    replies.set(id, { reply, forgetAt: now() + REPLY_MEMORY_MS, holding })
     return reply
   }
 
-  return (path, message) => {
+  return (path, message, sender = '') => {
     switch (path) {
       case PEER_PATH.loans: {
         const loan = v.safeParse(loanRequestSchema, message)
         if (!loan.success) return undefined
         const { account, tokens, kind, use } = loan.output
-        return handleOnce(loan.output, async () => {
+        return handleOnce(loan.output, sender, async () => {
           if (use !== undefined) tokenHandlers.receiveUse(account, use)
           const reply = await tokenHandlers.lend(account, tokens, kind)
           log.decision('tokensLent', { account, asked: tokens, tokens: reply.tokens, isShort: reply.isShort })
@@ -269,7 +291,7 @@
         const returned = v.safeParse(returnSchema, message)
         if (!returned.success) return undefined
         const { accounts, use = {} } = returned.output
-        return handleOnce(returned.output, async () => {
+        return handleOnce(returned.output, sender, async () => {
           for (const [account, reported] of Object.entries(use)) tokenHandlers.receiveUse(account, reported)
           for (const [account, tokens] of Object.entries(accounts)) tokenHandlers.takeBack(account, tokens)
           return {}
@@ -329,34 +351,3 @@
     }
   }
 }
-
-/** Creates the server for messages from peers, without binding it. */
-export function createPeerListener (options: PeerListenerOptions, handleRelayed: RelayHandler): Server {
-  const { log } = options
-  const handleMessage = createPeerMessageHandler(options)
-  return createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true }, (incoming, response) => {
-    if (incoming.headers[RELAY_HEADER] !== undefined) return handleRelayed(incoming, response)
-    let text = ''
-    incoming.setEncoding('utf8')
-    incoming.on('data', (chunk: string) => {
-      text += chunk
-      if (text.length > MAX_MESSAGE_BYTES) incoming.destroy()
-    })
-    incoming.on('error', (error) => log.decision('peerRequestBroken', { reason: error.message }))
-    incoming.on('end', () => {
-      const reply = handleMessage(incoming.url ?? '', parseJson(text))
-      if (reply === undefined || reply === 'otherIncarnation') {
-        response.writeHead(reply === undefined ? STATUS.badRequest : STATUS.otherIncarnation)
-        response.end()
-        return
-      }
-      reply.then((value) => {
-        response.writeHead(STATUS.ok, { 'content-type': 'application/json' })
-        response.end(JSON.stringify(value))
-      }, (error: unknown) => {
-        log.warning('peerMessageFailed', { path: incoming.url, reason: String(error) })
-        response.destroy()
-      })
-    })
-  })
-}
