End a connection with the answer to the last of 32 unanswered requests

Callers saw their requests end without an answer, as another caller's connections filled the gateway's memory: four connections that send requests without waiting made it reach its heap limit of 160 MB within seconds when they read no answers (process ended), and when they read them, a request of another account waited 5,206 ms and got 504.

Cause: Node reads on while requests wait for their answers, and each one was begun.

Change: createPipelineLimit is used for callers' and relayed requests. The answer to the last request says Connection: close, whether it is streamed, buffered, an error or a declined relay. What comes behind it is neither counted nor logged for each request; its caller sends it again.

Before: "by callers that read / do not read the answers", "beyond the limit ..." (both) of callerFloods failed on. "end when their caller leaves" passed before too.

--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -1,4 +1,4 @@
-import { createCallerWatch, createConnectionErrors, keepConnectionsWithUnreadRequests, type CallerPresence } from '@quinceshunt/caller-connections'
+import { createCallerWatch, createConnectionErrors, createPipelineLimit, keepConnectionsWithUnreadRequests, type CallerPresence } from '@quinceshunt/caller-connections'
 import { steadyNow } from '../clock.js'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Server as NetServer } from 'node:net'
@@ -9,6 +9,8 @@
 import { serveRequest } from './requestTask.js'
 
 const DEFAULT_MAX_BODY_BYTES = 4_194_304
+/** Unanswered requests of one connection; sound callers wait for each answer or send a few requests ahead. */
+const MAX_UNANSWERED_REQUESTS = 32
 /** Limit of the HTTP parser. */
 const MAX_HEADER_BYTES = 32_768
 /** Retry time suggested to callers while no configuration is loaded. */
@@ -42,13 +44,20 @@
   let acceptedConnections = 0
   let lastConnectionAt = 0
   const callerOf = createCallerWatch(steadyNow)
+  const pipelineLimit = createPipelineLimit(MAX_UNANSWERED_REQUESTS)
   const connectionErrors = createConnectionErrors((error, socket) => {
     socket.end(`HTTP/1.1 ${statusLineOf(error)}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
   })
 
   function handle (incoming: IncomingMessage, response: ServerResponse, relay: RelayEnvelope | undefined): void {
     // The caller sends a request again that crosses the end of its connection; passed on, it would run without an answer.
-    if (!context.openResponses.add(response)) return
+    const pipelined = pipelineLimit.admit(incoming, response)
+    if (pipelined.kind === 'ignored' || !context.openResponses.add(response)) return
+    if (pipelined.kind === 'last') {
+      context.openResponses.endConnection(response)
+      context.metrics.count('pipelines_ended_total')
+      context.log.decision('pipelineEnded', { request: context.wire.decodeRequestHeaders(incoming.headers).attemptId, unanswered: MAX_UNANSWERED_REQUESTS })
+    }
     activeRequests++
     let isCounted = true
     const release = (): void => {
--- a/packages/gateway/src/tasks/errorResponses.ts
+++ b/packages/gateway/src/tasks/errorResponses.ts
@@ -30,7 +30,8 @@
   sendError(context, response, { status: 503, code: 'not_run', message: `the request was not run: ${reason}`, run: 'no' }, { 'retry-after': seconds.toFixed(2) })
 }
 
-/** While the process stops, the last response of a connection closes it, so that callers connect to another instance. */
+/** The last response of a connection closes it. While the process stops, that is the newest one, so that callers connect to another instance. */
 export function connectionHeaders (context: GatewayContext, response: ServerResponse): Record<string, string> {
-  return context.isStopping() && context.openResponses.tryEndConnection(response) ? { connection: 'close' } : {}
+  const isLast = context.openResponses.isLast(response) || (context.isStopping() && context.openResponses.tryEndConnection(response))
+  return isLast ? { connection: 'close' } : {}
 }
--- a/packages/gateway/src/tasks/openResponses.ts
+++ b/packages/gateway/src/tasks/openResponses.ts
@@ -5,6 +5,12 @@
 export interface OpenResponses {
   /** Adds a response until it is closed; false when an earlier one ends the connection, so that this one can't be sent. */
   add (response: ServerResponse): boolean
+  /** Calls the listener once the response, or its connection, is closed: a response behind others is never closed itself. */
+  onClosed (response: ServerResponse, listener: () => void): void
+  /** Ends the connection with this response, the newest on it, and takes no more. */
+  endConnection (response: ServerResponse): void
+  /** Whether the connection ends with this response. */
+  isLast (response: ServerResponse): boolean
   /** Returns whether the connection may end with this response, and if so takes no more on it. False when other requests have arrived. */
   tryEndConnection (response: ServerResponse): boolean
   /** True while bytes of an ended response wait for its caller. */
@@ -12,8 +18,8 @@
 }
 
 interface CallerConnection {
-  readonly responses: Set<ServerResponse>
-  isEnding: boolean
+  readonly responses: Map<ServerResponse, (() => void)[]>
+  lastResponse: ServerResponse | undefined
 }
 
 /** Creates an empty set. */
@@ -23,29 +29,45 @@
   function connectionOf (socket: Socket): CallerConnection {
     const known = connections.get(socket)
     if (known !== undefined) return known
-    const connection = { responses: new Set<ServerResponse>(), isEnding: false }
+    const connection: CallerConnection = { responses: new Map<ServerResponse, (() => void)[]>(), lastResponse: undefined }
     connections.set(socket, connection)
-    socket.once('close', () => connections.delete(socket))
+    socket.once('close', () => {
+      connections.delete(socket)
+      for (const response of [...connection.responses.keys()]) remove(connection, response)
+    })
     return connection
   }
 
+  function remove (connection: CallerConnection, response: ServerResponse): void {
+    const listeners = connection.responses.get(response) ?? []
+    connection.responses.delete(response)
+    for (const listener of listeners) listener()
+  }
+
   return {
     add: (response) => {
       const connection = connectionOf(response.req.socket)
-      if (connection.isEnding) return false
-      connection.responses.add(response)
-      response.once('close', () => connection.responses.delete(response))
+      if (connection.lastResponse !== undefined) return false
+      connection.responses.set(response, [])
+      response.once('close', () => remove(connection, response))
       return true
     },
+    onClosed: (response, listener) => {
+      const listeners = connections.get(response.req.socket)?.responses.get(response)
+      if (listeners === undefined) listener()
+      else listeners.push(listener)
+    },
+    endConnection: (response) => { connectionOf(response.req.socket).lastResponse = response },
+    isLast: (response) => connections.get(response.req.socket)?.lastResponse === response,
     tryEndConnection: (response) => {
       const connection = connections.get(response.req.socket)
       if (connection === undefined) return true
-      if ([...connection.responses].at(-1) !== response) return false
-      connection.isEnding = true
+      if ([...connection.responses.keys()].at(-1) !== response) return false
+      connection.lastResponse = response
       return true
     },
     get hasUnwritten () {
-      return [...connections.values()].some(({ responses }) => [...responses].some((response) => response.writableEnded))
+      return [...connections.values()].some(({ responses }) => [...responses.keys()].some((response) => response.writableEnded))
     }
   }
 }
--- a/packages/gateway/src/tasks/relayReception.ts
+++ b/packages/gateway/src/tasks/relayReception.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { decodeRelayEnvelope, RELAY_DECLINED_HEADER, RELAY_ELSEWHERE_HEADER, RELAY_HEADER, type RelayEnvelope } from '../decisions/relayEnvelope.js'
+import { connectionHeaders } from './errorResponses.js'
 import type { GatewayContext } from './gatewayContext.js'
 
 /** A process that is this late with its work takes no requests of other instances. */
@@ -28,7 +29,7 @@
     response.destroy()
     return
   }
-  response.writeHead(503, { [RELAY_DECLINED_HEADER]: reason, ...(elsewhere === '' ? {} : { [RELAY_ELSEWHERE_HEADER]: elsewhere }), 'content-length': '0' })
+  response.writeHead(503, { [RELAY_DECLINED_HEADER]: reason, ...(elsewhere === '' ? {} : { [RELAY_ELSEWHERE_HEADER]: elsewhere }), 'content-length': '0', ...connectionHeaders(context, response) })
   response.end()
 }
 
