Refuse a request whose body does not arrive within its time limit

Callers that sent only a part of a body kept their request, and what had come of it, in the gateway for as long as their connection lasted (Node's limit is five minutes), and got no answer. Behind an answer in progress, a late body was passed on and ended with 504 after its time.

Cause: the time limit was only set for what follows the body.

Change: a body has to arrive within the time limit of its route or caller, whichever is shorter, counted from the head; otherwise 408 body_timeout with run "no", which callers send again, and the connection ends. A relayed one is declined. After 408 and 413 nothing further on the connection is served: a request that was sent behind the rest of a late or too large body could run without an answer.

Before, on: "are refused with 408 once ..." and "... beside a planned stop" timed out, "that come late, behind an answer in progress" saw 200, 504 and 200 in place of 200 and 408. They pass now; "are reported as broken when their connection ends" passed before too.

--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -1,14 +1,15 @@
 import { createCallerWatch, createConnectionErrors, createPipelineLimit, keepConnectionsWithUnreadRequests, type CallerPresence } from '@quinceshunt/caller-connections'
+import { assertNever } from '@quinceshunt/effects'
 import { steadyNow } from '../clock.js'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Server as NetServer } from 'node:net'
 import type { GatewayContext } from './gatewayContext.js'
-import { sendError, sendNotRun } from './errorResponses.js'
+import { sendError, sendErrorAndClose, sendNotRun } from './errorResponses.js'
+import { receiveBody } from './receiveBody.js'
 import { admitRelay, declineRelay, removeEnvelope } from './relayReception.js'
 import type { RelayEnvelope } from '../decisions/relayEnvelope.js'
-import { serveRequest } from './requestTask.js'
+import { DEFAULT_CALLER_TIMEOUT_MS, serveRequest } from './requestTask.js'
 
-const DEFAULT_MAX_BODY_BYTES = 4_194_304
 /** Unanswered requests of one connection; sound callers wait for each answer or send a few requests ahead. */
 const MAX_UNANSWERED_REQUESTS = 32
 /** Limit of the HTTP parser. */
@@ -146,10 +147,17 @@
     else sendError(context, response, { status: 401, code: 'unknown_key', message: 'the key does not belong to any client account', run: 'no' })
     return
   }
-  const body = await receiveBody(incoming, limit)
+  const callerTimeoutAt = receivedAt + (fields.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MS)
+  const deadline = Math.min(receivedAt + admission.route.timeoutMilliseconds, callerTimeoutAt)
+  const body = await receiveBody(incoming, { maximumBytes: limit, deadline })
   switch (body.kind) {
     case 'tooLarge':
-      sendError(context, response, { status: 413, code: 'body_too_large', message: `the body is larger than ${limit} bytes`, run: 'no' }, { connection: 'close' })
+      sendErrorAndClose(context, response, { status: 413, code: 'body_too_large', message: `the body is larger than ${limit} bytes`, run: 'no' })
+      return
+    case 'tooLate':
+      context.log.decision('requestNotAdmitted', { request: fields.attemptId, reason: 'the body did not arrive within the time limit', path, configuration: index.configuration.version })
+      if (relay !== undefined) declineRelay(context, response, 'the body did not arrive within the time limit')
+      else sendErrorAndClose(context, response, { status: 408, code: 'body_timeout', message: 'the body did not arrive within the time limit of the request', run: 'no' })
       return
     case 'broken':
       context.log.decision('requestBroken', { request: fields.attemptId, reason: 'the caller disconnected while sending the body' })
@@ -162,6 +170,8 @@
         return
       }
       await serveRequest(context, { incoming, response, caller, relay, fields, route: admission.route, account: admission.account, configuration: index, body: body.bytes, receivedAt })
+      return
+    default: assertNever(body)
   }
 }
 
@@ -173,23 +183,3 @@
     default: return '400 Bad Request'
   }
 }
-
-type ReceivedBody =
-  | { readonly kind: 'received', readonly bytes: Buffer }
-  | { readonly kind: 'tooLarge' }
-  | { readonly kind: 'broken' }
-
-function receiveBody (incoming: IncomingMessage, limit = DEFAULT_MAX_BODY_BYTES): Promise<ReceivedBody> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = []
-    let bytes = 0
-    incoming.on('data', (chunk: Buffer) => {
-      bytes += chunk.length
-      if (bytes <= limit) chunks.push(chunk)
-      else resolve({ kind: 'tooLarge' })
-    })
-    incoming.on('end', () => resolve({ kind: 'received', bytes: Buffer.concat(chunks) }))
-    incoming.on('error', () => resolve({ kind: 'broken' }))
-    incoming.on('close', () => resolve({ kind: 'broken' }))
-  })
-}
--- a/packages/gateway/src/tasks/errorResponses.ts
+++ b/packages/gateway/src/tasks/errorResponses.ts
@@ -30,6 +30,12 @@
   sendError(context, response, { status: 503, code: 'not_run', message: `the request was not run: ${reason}`, run: 'no' }, { 'retry-after': seconds.toFixed(2) })
 }
 
+/** Refuses a request whose body has not come whole. The connection ends, as the rest of the body can't be told from a next request in time. */
+export function sendErrorAndClose (context: GatewayContext, response: ServerResponse, error: ErrorResponse): void {
+  if (!response.destroyed) context.openResponses.endConnection(response)
+  sendError(context, response, error)
+}
+
 /** The last response of a connection closes it. While the process stops, that is the newest one, so that callers connect to another instance. */
 export function connectionHeaders (context: GatewayContext, response: ServerResponse): Record<string, string> {
   const isLast = context.openResponses.isLast(response) || (context.isStopping() && context.openResponses.tryEndConnection(response))
--- /dev/null
+++ b/packages/gateway/src/tasks/receiveBody.ts
@@ -0,0 +1,44 @@
+import type { IncomingMessage } from 'node:http'
+import { steadyNow } from '../clock.js'
+
+/** Limits of a body. */
+export interface BodyLimits {
+  readonly maximumBytes: number
+  /** Time at which it must have arrived, by `steadyNow`. */
+  readonly deadline: number
+}
+
+/** A body, or why there is none. */
+export type ReceivedBody =
+  | { readonly kind: 'received', readonly bytes: Buffer }
+  | { readonly kind: 'tooLarge' }
+  | { readonly kind: 'tooLate' }
+  | { readonly kind: 'broken' }
+
+/** Receives the body of a request. What comes after a failure is read and dropped, as the caller may read its answer only then. */
+export function receiveBody (incoming: IncomingMessage, { maximumBytes, deadline }: BodyLimits): Promise<ReceivedBody> {
+  return new Promise((resolve) => {
+    let parts: Buffer[] = []
+    let bytes = 0
+    let isOver = false
+    const timer = setTimeout(() => finish({ kind: 'tooLate' }), Math.max(0, deadline - steadyNow()))
+
+    function finish (body: ReceivedBody): void {
+      if (isOver) return
+      isOver = true
+      parts = []
+      clearTimeout(timer)
+      resolve(body)
+    }
+
+    incoming.on('data', (part: Buffer) => {
+      if (isOver) return
+      bytes += part.length
+      if (bytes > maximumBytes) finish({ kind: 'tooLarge' })
+      else parts.push(part)
+    })
+    incoming.on('end', () => finish({ kind: 'received', bytes: Buffer.concat(parts) }))
+    incoming.on('error', () => finish({ kind: 'broken' }))
+    incoming.on('close', () => finish({ kind: 'broken' }))
+  })
+}
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -28,7 +28,7 @@
 import { findStreamStart } from './streamStart.js'
 
 /** For callers that send no timeout. */
-const DEFAULT_CALLER_TIMEOUT_MS = 60_000
+export const DEFAULT_CALLER_TIMEOUT_MS = 60_000
 
 /** The least urgent priority. */
 const MAX_PRIORITY = 9
