Limit what the router buffers of all responses together

A backend server in trouble could let a router outgrow its memory, so that the requests of all its callers ended.

Cause: each response was buffered up to 16 MiB, whatever others held at the same time.

Change: reading a body takes its bytes beyond 64 KiB from a limit that the backend servers share (64 MiB, the holder is the address). A response that finds no room is refused like one that is too large: 502 and run yes. Replies to orders, one at a time and up to 64 KiB each, stay outside.

Tests: eight responses of 1 MiB that don't end, in a limit of 4 MiB. The tests of readBody only name its arguments now.

--- a/packages/router/src/__fixtures__/attempts.ts
+++ b/packages/router/src/__fixtures__/attempts.ts
@@ -1,5 +1,6 @@
 import { create } from '@bufbuild/protobuf'
 import { systemClock } from '@quinceshunt/effects'
+import { createSharedLimit, type SharedLimit } from '@quinceshunt/memory-limits'
 import { SheetBackendServerSchema } from '@quinceshunt/schemas'
 import { createLogger, createMetrics, extractTraceContext, startSpan, SpanKind } from '@quinceshunt/telemetry'
 import { createServer, type AddressInfo, type Socket } from 'node:net'
@@ -11,6 +12,8 @@
 import { attemptServiceRequest, type ServiceResponse } from '../serviceAttempt.js'
 
 const DEADLINE_MS = 5000
+/** More than any response of these tests needs. */
+const RESPONSE_LIMIT_BYTES = 100_000_000
 export const CEILING_TOKENS = 1000
 
 /** A request as received by a raw backend server. */
@@ -67,11 +70,12 @@
   return backend
 }
 
-function buildServices (): RouterServices {
+function buildServices (bufferedResponses = createSharedLimit(RESPONSE_LIMIT_BYTES)): RouterServices {
   return {
     clock: systemClock,
     logger: createLogger({ name: 'test', instanceId: 'router', level: 'fatal' }),
     metrics: createMetrics(),
+    bufferedResponses,
     inFlight: { add: () => ({ remove: () => {}, markAnswered: () => {} }) },
     promptParts: { recordAnswer: () => {} },
     backends: { confirmCrash: async () => false },
@@ -108,11 +112,11 @@
 }
 
 /** Runs one attempt of a chat request and, when it is interrupted and `resumes`, a second one that resumes its stream. */
-export async function attemptChat (address: string, options: { readonly streamed?: boolean, readonly resumes?: boolean } = {}): Promise<{ readonly result: AttemptResult<EngineResponse>, readonly text: string }> {
+export async function attemptChat (address: string, options: { readonly streamed?: boolean, readonly resumes?: boolean, readonly bufferedResponses?: SharedLimit } = {}): Promise<{ readonly result: AttemptResult<EngineResponse>, readonly text: string }> {
   const { exchange, received } = buildExchange()
   const progress = { contentTokens: 0, started: false, usageEvent: undefined }
   const run = createEngineAttemptRunner({
-    services: buildServices(),
+    services: buildServices(options.bufferedResponses),
     exchange,
     requestId: newRequestName(),
     fingerprint: 'fingerprint',
@@ -131,9 +135,9 @@
 }
 
 /** Runs one attempt of a call of a service. */
-export async function attemptCall (address: string, idempotent: boolean): Promise<AttemptResult<ServiceResponse>> {
+export async function attemptCall (address: string, idempotent: boolean, bufferedResponses?: SharedLimit): Promise<AttemptResult<ServiceResponse>> {
   const { exchange } = buildExchange()
-  const request = { services: buildServices(), exchange, requestId: newRequestName(), fingerprint: 'fingerprint', idempotent, priceTokens: 5, method: 'POST', path: '/', body: Buffer.from('body'), signal: exchange.signal }
+  const request = { services: buildServices(bufferedResponses), exchange, requestId: newRequestName(), fingerprint: 'fingerprint', idempotent, priceTokens: 5, method: 'POST', path: '/', body: Buffer.from('body'), signal: exchange.signal }
   return await attemptServiceRequest(request, buildCommand(address), 1)
 }
 
--- a/packages/router/src/backendClient.ts
+++ b/packages/router/src/backendClient.ts
@@ -1,10 +1,13 @@
 import { detectReset, isDelimitedByClose } from '@quinceshunt/caller-connections'
+import type { Holding } from '@quinceshunt/memory-limits'
 import { matchResponse, REQUEST_ID_HEADER } from '@quinceshunt/requests'
 import { Agent, request as httpRequest, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
 
 /** A live backend server on the local network accepts a connection within milliseconds. */
 const CONNECT_TIMEOUT_MS = 1000
 const KEEP_ALIVE_DELAY_MS = 10_000
+/** Bytes that each response may buffer, also when others have taken all that may be held. */
+const UNSHARED_RESPONSE_BYTES = 65_536
 
 const sharedAgent = new Agent({ keepAlive: true, keepAliveMsecs: KEEP_ALIVE_DELAY_MS, maxFreeSockets: 64 })
 
@@ -104,12 +107,22 @@
 /** Result of reading a complete response body. */
 export type BodyOutcome =
   | { readonly kind: 'whole', readonly body: Buffer }
-  | { readonly kind: 'tooLarge' }
+  | { readonly kind: 'tooLarge', readonly reason: string }
   | { readonly kind: 'broken', readonly reason: string }
   | { readonly kind: 'deadline' }
 
+/** How a response body is read. */
+export interface BodyReading {
+  readonly limitBytes: number
+  /** Counts the bytes beyond the first ones until the body is read, and is released then; without one, they are limited by `limitBytes` only. */
+  readonly holding?: Holding
+  /** Unix milliseconds. */
+  readonly deadline: number
+  readonly signal?: AbortSignal
+}
+
 /** Reads a complete response body; never returns part of one when the connection breaks or the caller aborts. */
-export function readBody (message: IncomingMessage, limitBytes: number, deadline: number, signal?: AbortSignal): Promise<BodyOutcome> {
+export function readBody (message: IncomingMessage, { limitBytes, holding, deadline, signal }: BodyReading): Promise<BodyOutcome> {
   return new Promise((resolve) => {
     const resetDetection = detectReset(message)
     const chunks: Buffer[] = []
@@ -119,12 +132,16 @@
     function finish (outcome: BodyOutcome): void {
       clearTimeout(timer)
       signal?.removeEventListener('abort', abort)
+      holding?.release()
       if (outcome.kind !== 'whole') message.destroy()
       resolve(outcome)
     }
     message.on('data', (chunk: Buffer) => {
       size += chunk.length
-      if (size > limitBytes) return finish({ kind: 'tooLarge' })
+      if (size > limitBytes) return finish({ kind: 'tooLarge', reason: `the response is larger than ${limitBytes} bytes` })
+      if (holding !== undefined && size > UNSHARED_RESPONSE_BYTES && !holding.tryAdd(chunk.length)) {
+        return finish({ kind: 'tooLarge', reason: `the responses of the backend server are too large together, this one with ${size} bytes` })
+      }
       chunks.push(chunk)
     })
     message.on('end', () => {
--- a/packages/router/src/engineAttempt.ts
+++ b/packages/router/src/engineAttempt.ts
@@ -1,3 +1,4 @@
+import type { Holding } from '@quinceshunt/memory-limits'
 import { SpanKind, failSpan, startSpan, traceHeaders } from '@quinceshunt/telemetry'
 import type { AttemptOutcome } from '@quinceshunt/requests'
 import { z } from 'zod'
@@ -130,7 +131,7 @@
 
 async function readErrorResponse (attempt: EngineAttempt, command: AttemptCommand<EngineResponse>, attemptId: string, response: ReceivedResponse): Promise<AttemptResult<EngineResponse>> {
   const { status } = response
-  const body = await readBody(response.message, MAX_RESPONSE_BYTES, attempt.exchange.deadline)
+  const body = await readBody(response.message, { limitBytes: MAX_RESPONSE_BYTES, holding: openHolding(attempt, command.slot), deadline: attempt.exchange.deadline })
   // The engine no longer has the stream, so it can't be resumed.
   if (command.resumeOffset !== undefined) return failedAttempt(attempt, { kind: 'brokenAfterBytes', bytesReceived: attempt.progress.contentTokens, resumable: false }, await cancelAttempt(attempt, command.slot, attemptId))
   if (status === 429 || status === 503) return failedAttempt(attempt, { kind: 'refusedBeforeRunning' }, undefined)
@@ -180,12 +181,12 @@
 }
 
 async function readBufferedResponse (attempt: AnsweringAttempt, slot: Slot, attemptId: string, response: ReceivedResponse): Promise<AttemptResult<EngineResponse>> {
-  const body = await readBody(response.message, MAX_RESPONSE_BYTES, attempt.exchange.deadline, attempt.exchange.signal)
+  const body = await readBody(response.message, { limitBytes: MAX_RESPONSE_BYTES, holding: openHolding(attempt, slot), deadline: attempt.exchange.deadline, signal: attempt.exchange.signal })
   if (attempt.exchange.signal.aborted) return { kind: 'callerGone', charge: await cancelAttempt(attempt, slot, attemptId) }
   switch (body.kind) {
     case 'broken': return await classifyDisconnect(attempt, slot, attemptId, { kind: 'brokenAfterBytes', bytesReceived: 0, resumable: false })
     case 'deadline': return failedAttempt(attempt, { kind: 'timeout', bytesReceived: 0 }, await cancelAttempt(attempt, slot, attemptId))
-    case 'tooLarge': return { kind: 'rejected', error: { status: 502, code: 'answer_too_large', message: `the response is larger than ${MAX_RESPONSE_BYTES} bytes`, run: 'yes' }, charge: estimatedCharge(attempt) }
+    case 'tooLarge': return { kind: 'rejected', error: { status: 502, code: 'answer_too_large', message: body.reason, run: 'yes' }, charge: estimatedCharge(attempt) }
     case 'whole': break
   }
   const text = body.body.toString('utf8')
@@ -231,11 +232,15 @@
     response.message.destroy()
     return estimatedCharge(attempt)
   }
-  const body = await readBody(response.message, MAX_RESPONSE_BYTES, deadline)
+  const body = await readBody(response.message, { limitBytes: MAX_RESPONSE_BYTES, holding: openHolding(attempt, slot), deadline })
   const cancellation = body.kind === 'whole' && response.status === 200 ? parseJson(cancellationSchema, body.body.toString('utf8')) : undefined
   return chargeFromUsage(attempt, cancellation?.usage)
 }
 
+function openHolding ({ services }: EngineAttempt, { backendServer }: Slot): Holding {
+  return services.bufferedResponses.open(backendServer.address)
+}
+
 function failedAttempt (attempt: EngineAttempt, outcome: AttemptOutcome, charge: Charge | undefined): AttemptResult<EngineResponse> {
   const unitsSentToCaller = attempt.progress.started ? Math.max(1, attempt.progress.contentTokens) : 0
   return { kind: 'failed', outcome, unitsSentToCaller, charge }
--- a/packages/router/src/orderTask.ts
+++ b/packages/router/src/orderTask.ts
@@ -94,7 +94,7 @@
       freshConnection: true
     })
     if (response.kind !== 'answering') return undefined
-    const body = await readBody(response.message, MAX_RESPONSE_BYTES, deadline)
+    const body = await readBody(response.message, { limitBytes: MAX_RESPONSE_BYTES, deadline })
     return body.kind === 'whole' ? { status: response.status, text: body.body.toString('utf8') } : undefined
   }
 
--- a/packages/router/src/routerServices.ts
+++ b/packages/router/src/routerServices.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@quinceshunt/effects'
+import type { SharedLimit } from '@quinceshunt/memory-limits'
 import type { RouterSettings } from '@quinceshunt/schemas'
 import type { Logger, Metrics } from '@quinceshunt/telemetry'
 import type { RetryBudget } from '@quinceshunt/requests'
@@ -22,6 +23,8 @@
   readonly crashes: CrashReporter
   readonly inFlight: InFlightRegistry
   readonly retryBudget: RetryBudget
+  /** Bytes of responses that are buffered until they are whole, by the address of their backend server. */
+  readonly bufferedResponses: SharedLimit
   /** Whether to refuse requests because nothing was heard from the platform or any peer for `isolatedAfterMilliseconds`. */
   readonly isIsolated: () => boolean
 }
--- a/packages/router/src/routerTasks.ts
+++ b/packages/router/src/routerTasks.ts
@@ -1,4 +1,5 @@
 import { create } from '@bufbuild/protobuf'
+import { createSharedLimit } from '@quinceshunt/memory-limits'
 import { createRetryBudget } from '@quinceshunt/requests'
 import { IsolationPolicy, StatusResponseSchema, type GossipMessage, type RouterSettings, type StatusResponse } from '@quinceshunt/schemas'
 import { createBackendTask } from './backendTask.js'
@@ -16,6 +17,9 @@
 import type { RouterServices } from './routerServices.js'
 import type { TaskContext } from './taskContracts.js'
 
+/** One backend server alone may have half of it: two responses of the largest size. */
+const BUFFERED_RESPONSE_BYTES = 67_108_864
+
 /** All tasks of a router. */
 export interface RouterTasks {
   readonly services: RouterServices
@@ -59,6 +63,7 @@
     backends,
     inFlight,
     crashes: createCrashReporter({ backends, quarantine, promptParts, inFlight, clock }),
+    bufferedResponses: createSharedLimit(BUFFERED_RESPONSE_BYTES),
     retryBudget: createRetryBudget({ retriesPerRequest: settings.retryShare }),
     isIsolated: () => settings.whenIsolated === IsolationPolicy.REFUSE && isolation.isIsolated()
   }
--- a/packages/router/src/serviceAttempt.ts
+++ b/packages/router/src/serviceAttempt.ts
@@ -1,3 +1,4 @@
+import type { SheetBackendServer } from '@quinceshunt/schemas'
 import { SpanKind, failSpan, startSpan, traceHeaders } from '@quinceshunt/telemetry'
 import type { AttemptOutcome } from '@quinceshunt/requests'
 import { readBody, sendBackendRequest, type BackendRequest, type BackendResponse, type ReceivedResponse } from './backendClient.js'
@@ -56,7 +57,7 @@
       signal: attempt.signal,
       freshConnection: !attempt.idempotent
     })
-    const result = response.kind === 'answering' ? await readResponse(attempt, server.id, response) : await handleMissingResponse(attempt, server.id, response)
+    const result = response.kind === 'answering' ? await readResponse(attempt, server, response) : await handleMissingResponse(attempt, server.id, response)
     if (result.kind === 'failed') {
       failSpan(span, result.outcome.kind)
       services.logger.warn({ requestId: attempt.requestId, step: 'service request', peer: server.id, outcome: result.outcome.kind }, 'attempt failed')
@@ -89,7 +90,7 @@
   }
 }
 
-async function readResponse (attempt: ServiceAttempt, backendServer: string, response: ReceivedResponse): Promise<AttemptResult<ServiceResponse>> {
+async function readResponse (attempt: ServiceAttempt, server: SheetBackendServer, response: ReceivedResponse): Promise<AttemptResult<ServiceResponse>> {
   if (!response.isOwn) {
     response.message.destroy()
     attempt.services.metrics.count('answers_dropped_total', { reason: 'wrong_request_id' })
@@ -100,15 +101,15 @@
     response.message.destroy()
     return failedAttempt({ kind: 'brokenAfterBytes', bytesReceived: 1, resumable: false }, fixedCharge(attempt))
   }
-  const body = await readBody(response.message, MAX_RESPONSE_BYTES, attempt.exchange.deadline)
+  const body = await readBody(response.message, { limitBytes: MAX_RESPONSE_BYTES, holding: attempt.services.bufferedResponses.open(server.address), deadline: attempt.exchange.deadline })
   switch (body.kind) {
     case 'whole': {
       const answer = { status: response.status, contentType: response.headers['content-type'] ?? DEFAULT_CONTENT_TYPE, body: body.body }
       return { kind: 'answered', answer, charge: fixedCharge(attempt) }
     }
-    case 'broken': return await classifyDisconnect(attempt, backendServer, { kind: 'brokenAfterBytes', bytesReceived: 1, resumable: false })
+    case 'broken': return await classifyDisconnect(attempt, server.id, { kind: 'brokenAfterBytes', bytesReceived: 1, resumable: false })
     case 'deadline': return failedAttempt({ kind: 'timeout', bytesReceived: 1 }, fixedCharge(attempt))
-    case 'tooLarge': return { kind: 'rejected', error: { status: 502, code: 'answer_too_large', message: `the response is larger than ${MAX_RESPONSE_BYTES} bytes`, run: 'yes' }, charge: fixedCharge(attempt) }
+    case 'tooLarge': return { kind: 'rejected', error: { status: 502, code: 'answer_too_large', message: body.reason, run: 'yes' }, charge: fixedCharge(attempt) }
   }
 }
 
