Close the router's idle connections that receive bytes of no request

A backend server that sent surplus bytes after a whole response kept its connection in the router's pool, where the rest of them could meet the next request and break it.

Cause: an idle connection has no reader in Node's client, so that such bytes were dropped unnoticed. The surplus bytes themselves never broke a whole response here, as only errors of the response count once its head has come.

Tests: surplus bytes, or a copy, 5 ms after a whole response.

--- a/packages/router/src/__tests__/backendFloods.test.ts
+++ b/packages/router/src/__tests__/backendFloods.test.ts
@@ -1,10 +1,14 @@
 import { createSharedLimit } from '@quinceshunt/memory-limits'
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
+import type { Socket } from 'node:net'
 import { attemptCall, attemptChat, startRawBackend, type RawBackend } from '../__fixtures__/attempts.js'
 
 const LIMIT_BYTES = 4_194_304
 const PART = 'x'.repeat(1_048_576)
 const FLOODED = 8
+const ROUNDS = 10
+/** Bytes that were written are read after this time. */
+const READ_MS = 20
 
 let flooding: RawBackend
 let sound: RawBackend
@@ -44,4 +48,36 @@
     await Promise.all(started)
     expect(limit.heldBytes).toBe(0)
   }, 20_000)
+
+  const whole: readonly (readonly [string, (requestId: string) => string])[] = [
+    ['a length', (id) => `${head(id, `Content-Length: ${bodyOf(id, 'short').length}\r\n`)}${bodyOf(id, 'short')}`],
+    ['chunks', (id) => `${head(id, 'Transfer-Encoding: chunked\r\n')}${bodyOf(id, 'short').length.toString(16)}\r\n${bodyOf(id, 'short')}\r\n0\r\n\r\n`]
+  ]
+  const surplus: readonly (readonly [string, (answer: string) => string])[] = [['bytes that are no response', () => 'x'.repeat(500)], ['a copy', (answer) => answer]]
+  const cases = whole.flatMap(([framing, build]) => surplus.flatMap(([bytes, follow]) => [0, 5].map((milliseconds) => [framing, bytes, milliseconds, build, follow] as const)))
+
+  // Guards against a whole response that is taken for a broken one because of bytes that belong to no request.
+  test.each(cases)('framed by %s and followed by %s after %d ms are whole, and their connection is closed', async (_framing, _bytes, milliseconds, build, follow) => {
+    let written = (): void => {}
+    const connections = new Set<Socket>()
+    sound.respond = (socket, { requestId }) => {
+      // The surplus bytes must not wait for the acknowledgement of the answer.
+      socket.setNoDelay(true)
+      connections.add(socket)
+      const answer = build(requestId)
+      if (milliseconds === 0) socket.write(answer + follow(answer), () => written())
+      else {
+        socket.write(answer)
+        setTimeout(() => socket.write(follow(answer), () => written()), milliseconds)
+      }
+    }
+    for (let round = 0; round < ROUNDS; round++) {
+      const surplusWritten = new Promise<void>((resolve) => { written = resolve })
+      expect((await attempt(sound.address, createSharedLimit(LIMIT_BYTES))).kind).toBe('answered')
+      await surplusWritten
+      // Bytes that come once the connection is in use again are another case (`repeatedResponses.test.ts`).
+      await new Promise((resolve) => setTimeout(resolve, READ_MS))
+    }
+    expect(connections.size).toBe(ROUNDS)
+  })
 })
--- a/packages/router/src/backendClient.ts
+++ b/packages/router/src/backendClient.ts
@@ -2,6 +2,7 @@
 import type { Holding } from '@quinceshunt/memory-limits'
 import { matchResponse, REQUEST_ID_HEADER } from '@quinceshunt/requests'
 import { Agent, request as httpRequest, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
 
 /** A live backend server on the local network accepts a connection within milliseconds. */
 const CONNECT_TIMEOUT_MS = 1000
@@ -9,7 +10,26 @@
 /** Bytes that each response may buffer, also when others have taken all that may be held. */
 const UNSHARED_RESPONSE_BYTES = 65_536
 
-const sharedAgent = new Agent({ keepAlive: true, keepAliveMsecs: KEEP_ALIVE_DELAY_MS, maxFreeSockets: 64 })
+/** Pools idle connections and closes those that receive bytes, which belong to no request. */
+class BackendAgent extends Agent {
+  override keepSocketAlive (socket: Socket): boolean {
+    // Its type tells of no result.
+    if ((super.keepSocketAlive(socket) as unknown) === false) return false
+    socket.on('data', destroyIdle)
+    return true
+  }
+
+  override reuseSocket (socket: Socket, outgoing: ClientRequest): void {
+    socket.removeListener('data', destroyIdle)
+    super.reuseSocket(socket, outgoing)
+  }
+}
+
+function destroyIdle (this: Socket): void {
+  this.destroy()
+}
+
+const sharedAgent = new BackendAgent({ keepAlive: true, keepAliveMsecs: KEEP_ALIVE_DELAY_MS, maxFreeSockets: 64 })
 
 /** A request to a backend server. */
 export interface BackendRequest {
