--- a/soak/src/callerFloods.ts
+++ b/soak/src/callerFloods.ts
@@ -10,7 +10,8 @@
 const REQUESTS_PER_WRITE = 50
 /** Bounds the requests that a connection pipelines. */
 const MAX_PIPELINED_WRITES = 400
-const LONG_ANSWERS_PER_CONNECTION = 8
+/** More than the system buffers for a connection whose caller does not read. */
+const LONG_ANSWERS_PER_CONNECTION = 30
 const STATED_BODY_BYTES = 1_000_000
 const SENT_BODY = Buffer.alloc(900_000, 'x')
 
