Count incomplete events in the limit for buffered responses

Change: the bytes of an incomplete event beyond 64 KiB are counted for the backend server's process, or the peer, that sends them, and given back with each event and at the end of the attempt. A stream that finds no room ends like one with bytes without end between events. A stream that a peer relays ends so too; it waited for its deadline before.

Tests: incomplete events of 240 KiB of 40 streams in a limit of 4 MiB: without the holding none of them is ended, with it more than half.

--- a/packages/gateway/src/__tests__/decisions.test.ts
+++ b/packages/gateway/src/__tests__/decisions.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, test } from '@jest/globals'
+import { createSharedLimit } from '@quinceshunt/memory-limits'
 import fc from 'fast-check'
 import { chooseTarget, indexConfiguration } from '../decisions/configurationIndex.js'
 import { createTokenLedger } from '../decisions/tokenLedger.js'
@@ -96,6 +97,25 @@
     expect(splitter.bufferedBytes).toBeLessThan(300_000)
   })
 
+  // Guards against incomplete events of many streams that fill the memory, as each of them is kept.
+  test('incomplete events of one sender have at most half of the limit together, and whole ones leave it', () => {
+    const MIB = 1_048_576
+    const limit = createSharedLimit(4 * MIB)
+    const splitters = Array.from({ length: 40 }, () => createEventSplitter(() => limit.open('flooding')))
+    for (const splitter of splitters) for (let part = 0; part < 15; part++) splitter.push(Buffer.alloc(16_384, 'x'))
+    const refused = splitters.filter(({ isOverflowing }) => isOverflowing)
+    expect(refused.length).toBeGreaterThan(20)
+    expect(refused.length).toBeLessThan(40)
+    expect(limit.bytesOf('flooding')).toBeLessThanOrEqual(2 * MIB)
+    const sound = createEventSplitter(() => limit.open('sound'))
+    sound.push(Buffer.from(`id: 1\ndata: ${'x'.repeat(200_000)}`))
+    expect(limit.bytesOf('sound')).toBeGreaterThan(0)
+    expect(sound.push(Buffer.from('\n\n'))).toMatchObject({ events: 1 })
+    expect(limit.bytesOf('sound')).toBe(0)
+    for (const splitter of splitters) splitter.release()
+    expect(limit.heldBytes).toBe(0)
+  })
+
   test('an incomplete event is buffered', () => {
     const splitter = createEventSplitter()
     expect(splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'))).toMatchObject({ events: 1, lastEventId: '1' })
--- a/packages/gateway/src/decisions/eventSplitter.ts
+++ b/packages/gateway/src/decisions/eventSplitter.ts
@@ -1,3 +1,5 @@
+import type { Holding } from '@quinceshunt/memory-limits'
+
 /** Complete events of a stream. */
 export interface CompleteEvents {
   readonly bytes: Buffer
@@ -14,12 +16,16 @@
   push (chunk: Buffer): CompleteEvents
   /** Bytes of the incomplete last event. */
   readonly bufferedBytes: number
-  /** True once more bytes have come without an event than any event has; further bytes are not kept. */
+  /** True once more bytes have come without an event than any event has, or the sender has too much of the limit; further bytes are not kept. */
   readonly isOverflowing: boolean
+  /** Gives the bytes of the incomplete event back to the limit. */
+  release (): void
 }
 
 /** Bytes between two events, such as comments or an event that does not end. */
 const MAX_BYTES_WITHOUT_EVENT = 262_144
+/** Bytes of an incomplete event that each stream may keep, also when others have taken all of the shared limit. */
+const UNSHARED_EVENT_BYTES = 65_536
 
 const BLANK_LINES = ['\n\n', '\n\r\n'] as const
 /** Bytes of a blank line that may lie in the chunk before. */
@@ -57,12 +63,18 @@
   return DATA_PATTERN.test(event) && event.search(ID_PATTERN) === -1
 }
 
-/** Creates a splitter with an empty buffer. */
-export function createEventSplitter (): EventSplitter {
+/** Creates a splitter with an empty buffer. All but the first bytes of an incomplete event are counted in a holding of their own. */
+export function createEventSplitter (openHolding?: () => Holding): EventSplitter {
+  let holding = openHolding?.()
+  let isRefused = false
   let chunks: Buffer[] = []
   let bufferedBytes = 0
   let bytesWithoutEvent = 0
 
+  function isOverflowing (): boolean {
+    return isRefused || bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT
+  }
+
   /** Returns the index after the last blank line, or 0 when there is none. */
   function endOfEvents (bytes: Buffer): number {
     return Math.max(...BLANK_LINES.map((blankLine) => {
@@ -73,6 +85,10 @@
 
   function keep (bytes: Buffer): void {
     if (bytes.length === 0) return
+    if (holding !== undefined && bufferedBytes + bytes.length > UNSHARED_EVENT_BYTES && !holding.tryAdd(bytes.length)) {
+      isRefused = true
+      return
+    }
     chunks.push(bytes)
     bufferedBytes += bytes.length
   }
@@ -85,7 +101,7 @@
   return {
     push: (chunk) => {
       const none = { bytes: Buffer.alloc(0), events: 0, lastEventId: '', hasUnidentified: false }
-      if (bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT) return none
+      if (isOverflowing()) return none
       bytesWithoutEvent += chunk.length
       // Only the new bytes are searched, so that an event in many chunks costs no more than one in a single chunk.
       const before = chunks.length === 0 ? none.bytes : overlap()
@@ -97,6 +113,8 @@
       const complete = chunks.length === 0 ? chunk.subarray(0, end) : Buffer.concat([...chunks, chunk.subarray(0, end)])
       chunks = []
       bufferedBytes = 0
+      holding?.release()
+      holding = openHolding?.()
       keep(chunk.subarray(end))
       const text = complete.toString('latin1')
       const ids = [...text.matchAll(ID_PATTERN)]
@@ -104,6 +122,7 @@
       return { bytes: complete, events: ids.length, lastEventId: ids.at(-1)?.[1] ?? '', hasUnidentified: text.split(BLANK_LINE_PATTERN).some(isUnidentified) }
     },
     get bufferedBytes () { return bufferedBytes },
-    get isOverflowing () { return bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT }
+    get isOverflowing () { return isOverflowing() },
+    release: () => holding?.release()
   }
 }
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -80,7 +80,7 @@
   const earlier = state.setAside
   const pending: PendingAttempt = { sentAt, prefillTokens: choice.prefillTokens, answered: false }
   const resumedAfter = state.lastEventId
-  const splitter = createEventSplitter()
+  const splitter = createEventSplitter(() => context.bufferedResponses.open(backendProcess))
   const body = createBufferedBody(context.bufferedResponses, backendProcess)
   let eventsOfAttempt = 0
   let mayBeUnrelated = state.headersSent
@@ -137,6 +137,7 @@
     clearInterval(stallTimer)
     clearTimeout(earlierTimer)
     body.release()
+    splitter.release()
     stopWatchingCaller()
     // A request that its caller has left, and that runs at most once, goes on there.
     const goesOn = outcome.kind === 'callerGone' && abortOutcome === undefined
--- a/packages/gateway/src/tasks/relayAttempt.ts
+++ b/packages/gateway/src/tasks/relayAttempt.ts
@@ -33,9 +33,10 @@
   const { response, incoming: callerRequest, route, service } = state
   const isStream = route.deliverySemantics.kind === 'resumableStream' || route.deliverySemantics.kind === 'onceStream'
   const sentAt = steadyNow()
+  const holder = `peer ${peer.instanceId}`
   const relay = context.relayPeers.begin(peer, service)
-  const splitter = createEventSplitter()
-  const body = createBufferedBody(context.bufferedResponses, `peer ${peer.instanceId}`)
+  const splitter = createEventSplitter(() => context.bufferedResponses.open(holder))
+  const body = createBufferedBody(context.bufferedResponses, holder)
   const earlier = state.setAside
   let lastBytesAt = sentAt
   let head: { readonly incoming: IncomingMessage, readonly isStreamed: boolean } | undefined
@@ -67,6 +68,7 @@
     clearTimeout(earlierTimer)
     stopWatchingCaller()
     body.release()
+    splitter.release()
     relay.end()
     context.metrics.count('relays_total', { outcome: outcome.kind })
     resolve(outcome)
@@ -129,6 +131,10 @@
       return
     }
     const complete = splitter.push(chunk)
+    if (splitter.isOverflowing) {
+      abort({ kind: 'broken', reason: 'bytes without end between events', headersSent: true }, 'unusable response')
+      return
+    }
     if (complete.bytes.length === 0) return
     state.relayedEvents += complete.events
     state.hasUnidentifiedEvents ||= complete.hasUnidentified
