Count what callers' requests hold in memory, for each client account

A gateway that exceeds its memory is killed, and all requests on it end without an answer. 400 connections with 900 kB each of unfinished bodies took it to 447 MB, 100 unread answers of 4.1 MB to 504 MB (limit: 350 MB).

Cause: bodies were limited one by one, and an answer was no longer counted once its attempt had ended, however long its caller took to read it.

Change: callersMemory counts each request from its head until its response is closed and no backend server works on it: 64 KiB for its objects and first bytes (57 kB measured for each of 900 requests in progress), and what its body and its buffered answer have beyond that. All together get 64 MiB, and no client account (or route, for requests without one) more than it leaves to the others. A request that doesn't fit is refused before it is sent, with 503 and Retry-After, or declined when it is relayed; the rest of its body is read and dropped. An answer that doesn't fit is dropped with 502 and run "unknown". Unread answers whose callers' time limits are over give way to requests of their account.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,6 +20,7 @@
 import { createCallersListener, type CallersListener } from './tasks/callersListener.js'
 import { createConfirmedConfiguration } from './tasks/confirmedConfiguration.js'
 import { startConfigurationTask } from './tasks/configurationTask.js'
+import { createCallersMemory } from './tasks/callersMemory.js'
 import { createCrashGuard } from './tasks/crashGuard.js'
 import { createDecisionLog, type DecisionLog } from './tasks/decisionLog.js'
 import { startEventLoopDelay } from './tasks/eventLoopDelay.js'
@@ -219,6 +220,7 @@
     relayPeers: createRelayPeers({ peers: () => fleet.peers, failureDomain: settings.failureDomain }),
     destinations: new WeakMap(),
     responseBuffer: createByteBudget(RESPONSE_BUFFER_BYTES),
+    callersMemory: createCallersMemory(steadyNow),
     openResponses: createOpenResponses(),
     isStopping: () => stopPlan !== undefined,
     mayTakeRequest: (deadline) => stopPlan === undefined || mayTake(stopPlan, deadline, steadyNow())
@@ -250,6 +252,7 @@
     request.resume()
     metrics.gauge('configuration_version', configuration.current?.configuration.version ?? 0)
     metrics.gauge('active_requests', callers.activeRequests)
+    metrics.gauge('caller_memory_bytes', context.callersMemory.heldBytes)
     metrics.text().then((text) => response.end(text), (error: unknown) => {
       log.warning('metricsFailed', { reason: String(error) })
       response.destroy()
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -113,6 +113,7 @@
   }, sentAt)
   backend.pending.add(pending)
   backend.attempts++
+  const releaseMemory = state.memory.keep()
   state.attempts++
   if (state.fields.prompt !== undefined) markPartsCached(backend, state.fields.prompt.parts, sentAt + context.settings.promptReuseWindowSeconds * 1000)
 
@@ -132,6 +133,7 @@
 
   /** Ends the request's part in the load of the backend server. */
   function endAtBackend (how: 'answered' | 'failed' | 'full'): void {
+    releaseMemory()
     if (backend.pending.delete(pending)) context.rooms.noteEnded(backend, how)
   }
 
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -5,6 +5,7 @@
 import { Server as NetServer } from 'node:net'
 import type { GatewayContext } from './gatewayContext.js'
 import { sendError, sendErrorAndClose, sendNotRun } from './errorResponses.js'
+import { refuseRequest } from './memoryRefusals.js'
 import { receiveBody } from './receiveBody.js'
 import { admitRelay, declineRelay, removeEnvelope } from './relayReception.js'
 import type { RelayEnvelope } from '../decisions/relayEnvelope.js'
@@ -148,30 +149,51 @@
     return
   }
   const callerTimeoutAt = receivedAt + (fields.timeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MS)
-  const deadline = Math.min(receivedAt + admission.route.timeoutMilliseconds, callerTimeoutAt)
-  const body = await receiveBody(incoming, { maximumBytes: limit, deadline })
-  switch (body.kind) {
-    case 'tooLarge':
-      sendErrorAndClose(context, response, { status: 413, code: 'body_too_large', message: `the body is larger than ${limit} bytes`, run: 'no' })
-      return
-    case 'tooLate':
-      context.log.decision('requestNotAdmitted', { request: fields.attemptId, reason: 'the body did not arrive within the time limit', path, configuration: index.configuration.version })
-      if (relay !== undefined) declineRelay(context, response, 'the body did not arrive within the time limit')
-      else sendErrorAndClose(context, response, { status: 408, code: 'body_timeout', message: 'the body did not arrive within the time limit of the request', run: 'no' })
-      return
-    case 'broken':
-      context.log.decision('requestBroken', { request: fields.attemptId, reason: 'the caller disconnected while sending the body' })
-      response.destroy()
-      return
-    case 'received':
-      if (!context.mayTakeRequest(receivedAt + Math.min(admission.route.timeoutMilliseconds, fields.timeoutMilliseconds ?? Infinity))) {
-        if (relay === undefined) sendNotRun(context, response, 'the instance stops', steadyNow() + STOPPING_RETRY_MS)
-        else declineRelay(context, response, 'the instance stops')
+  const memory = context.callersMemory.open({
+    holder: admission.account === undefined ? `route ${admission.route.name}` : `account ${admission.account.name}`,
+    callerTimeoutAt,
+    isUnread: () => response.writableEnded && !response.writableFinished,
+    end: () => incoming.socket.destroy()
+  })
+  const refused = { response, relay, requestId: fields.attemptId, account: admission.account?.name, route: admission.route.name }
+  if (memory === undefined) {
+    incoming.resume()
+    refuseRequest(context, refused, 'request')
+    return
+  }
+  context.openResponses.onClosed(response, memory.keep())
+  const release = memory.keep()
+  try {
+    const deadline = Math.min(receivedAt + admission.route.timeoutMilliseconds, callerTimeoutAt)
+    const body = await receiveBody(incoming, { maximumBytes: limit, deadline, memory })
+    switch (body.kind) {
+      case 'tooLarge':
+        sendErrorAndClose(context, response, { status: 413, code: 'body_too_large', message: `the body is larger than ${limit} bytes`, run: 'no' })
         return
-      }
-      await serveRequest(context, { incoming, response, caller, relay, fields, route: admission.route, account: admission.account, configuration: index, body: body.bytes, receivedAt })
-      return
-    default: assertNever(body)
+      case 'tooLate':
+        context.log.decision('requestNotAdmitted', { request: fields.attemptId, reason: 'the body did not arrive within the time limit', path, configuration: index.configuration.version })
+        if (relay !== undefined) declineRelay(context, response, 'the body did not arrive within the time limit')
+        else sendErrorAndClose(context, response, { status: 408, code: 'body_timeout', message: 'the body did not arrive within the time limit of the request', run: 'no' })
+        return
+      case 'noMemory':
+        refuseRequest(context, refused, 'body')
+        return
+      case 'broken':
+        context.log.decision('requestBroken', { request: fields.attemptId, reason: 'the caller disconnected while sending the body' })
+        response.destroy()
+        return
+      case 'received':
+        if (!context.mayTakeRequest(receivedAt + Math.min(admission.route.timeoutMilliseconds, fields.timeoutMilliseconds ?? Infinity))) {
+          if (relay === undefined) sendNotRun(context, response, 'the instance stops', steadyNow() + STOPPING_RETRY_MS)
+          else declineRelay(context, response, 'the instance stops')
+          return
+        }
+        await serveRequest(context, { incoming, response, caller, relay, fields, route: admission.route, account: admission.account, configuration: index, body: body.bytes, memory, receivedAt })
+        return
+      default: assertNever(body)
+    }
+  } finally {
+    release()
   }
 }
 
--- a/packages/gateway/src/tasks/forwardedResponse.ts
+++ b/packages/gateway/src/tasks/forwardedResponse.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { steadyNow } from '../clock.js'
 import { connectionHeaders } from './errorResponses.js'
+import { refuseAnswer } from './memoryRefusals.js'
 import type { GatewayContext } from './gatewayContext.js'
 import type { RequestState } from './requestTask.js'
 
@@ -15,14 +16,21 @@
   const { response } = state
   const status = incoming.statusCode ?? 0
   const responseHeaders = withoutContentLength(context.wire.buildResponseHeaders(incoming.rawHeaders))
+  // Counted for the caller from now on, as the attempt ends; what doesn't fit is dropped at once.
+  const bytes = body.length
+  const held = state.memory.tryAddAnswer(body.length) ? body : undefined
   const hasNoBody = state.incoming.method === 'HEAD' || status === 204 || status === 304
   return {
     status,
     deliver: () => {
       if (response.headersSent || response.destroyed) return
+      if (held === undefined) {
+        refuseAnswer(context, state, bytes)
+        return
+      }
       state.firstByteAt = steadyNow()
-      response.writeHead(status, [...responseHeaders, ...(hasNoBody ? [] : ['Content-Length', String(body.length)]), ...closingHeaders(context, response)])
-      response.end(hasNoBody ? undefined : body)
+      response.writeHead(status, [...responseHeaders, ...(hasNoBody ? [] : ['Content-Length', String(held.length)]), ...closingHeaders(context, response)])
+      response.end(hasNoBody ? undefined : held)
     }
   }
 }
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -9,6 +9,7 @@
 import type { BackendReach } from './backendReach.js'
 import type { BackendRooms } from './backendRooms.js'
 import type { BackendTask } from './backendTask.js'
+import type { CallersMemory } from './callersMemory.js'
 import type { CrashGuard } from './crashGuard.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { EventLoopDelay } from './eventLoopDelay.js'
@@ -47,6 +48,8 @@
   readonly destinations: WeakMap<RequestState, Destination>
   /** For responses that are buffered whole. */
   readonly responseBuffer: ByteBudget
+  /** For the requests of callers, and those that other instances relay. */
+  readonly callersMemory: CallersMemory
   readonly openResponses: OpenResponses
   readonly isStopping: () => boolean
   /** False when a request that has come whole could still run when the process exits; `deadline` by `steadyNow`. */
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -18,6 +18,7 @@
 import { chooseDestination, hasUntriedDestination, NO_ROOM, releaseRoom, suggestedRetryAt } from './chooseDestination.js'
 import { destinationIdOf, relayNeed } from './destinations.js'
 import { releaseReturn } from './releaseReturn.js'
+import type { RequestMemory } from './callersMemory.js'
 import type { GuardedRequest } from './crashGuard.js'
 import type { BufferedResponse } from './forwardedResponse.js'
 import type { GatewayContext } from './gatewayContext.js'
@@ -46,6 +47,8 @@
   /** The configuration that admitted it. */
   readonly configuration: ConfigurationIndex
   readonly body: Buffer
+  /** Counts what it holds until its response is closed and nothing works on it. */
+  readonly memory: RequestMemory
   /** Unix milliseconds at which its headers were read. */
   readonly receivedAt: number
 }
