End a planned stop although nobody reads the log

What was seen: with standard output that nobody reads, a gateway still ran 10 s after SIGTERM, where 8 s are allowed. All requests had been answered by then, but the blocked process neither closed nor refused anything until SIGKILL.

Cause: the last lines were written by flushSync, which waits for the reader in a blocking call. process.exit also waits for a write that is in progress.

Change: the last lines are written in the background for at most a second, or until shortly before SIGKILL. If the reader has not taken them by then, the process ends itself by SIGKILL, the only end that waits for no write; its exit code is 0 in all other cases, as before.

--- a/packages/gateway/src/__fixtures__/recordingLog.ts
+++ b/packages/gateway/src/__fixtures__/recordingLog.ts
@@ -9,5 +9,5 @@
 export function createRecordingLog (): RecordingLog {
   const lines: { name: string, fields: LogFields }[] = []
   const record = (name: string, fields: LogFields): void => { lines.push({ name, fields }) }
-  return { lines, event: record, decision: record, warning: record, flush: () => {} }
+  return { lines, event: record, decision: record, warning: record, flush: async () => true }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,6 +40,10 @@
 const LISTEN_AFTER_STOP_MS = 2600
 /** The process exits this long before SIGKILL, whatever is still in progress. */
 const FORCED_EXIT_MARGIN_MS = 150
+/** Leaves 100 ms for the last lines of a process that was busy up to its forced exit. */
+const FORCED_FLUSH_MARGIN_MS = 50
+/** A reader of the log that is alive takes the last lines within this time. */
+const LAST_LINES_MS = 1000
 const STOP_CHECK_INTERVAL_MS = 50
 const MAX_QUEUED_CONNECTIONS = 511
 /** A list of backend servers that was read longer ago may lack versions that other instances know. */
@@ -277,11 +281,13 @@
         await finishRefusals(context, callers, killedAt)
       })
       .catch((error: unknown) => log.warning('stopFailed', { reason: String(error) }))
-      .finally(() => {
+      .then(async () => {
         log.event('stopped', { active: callers.activeRequests })
-        log.flush()
-        process.exit(0)
+        const isWritten = await log.flush(Math.min(steadyNow() + LAST_LINES_MS, killedAt - FORCED_FLUSH_MARGIN_MS))
+        if (isWritten) process.exit(0)
+        process.kill(process.pid, 'SIGKILL')
       })
+      .catch(() => process.exit(1))
   }
 
   process.on('SIGTERM', stop)
--- a/packages/gateway/src/tasks/decisionLog.ts
+++ b/packages/gateway/src/tasks/decisionLog.ts
@@ -1,4 +1,5 @@
 import { destination, pino } from 'pino'
+import { steadyNow } from '../clock.js'
 
 /** Per event name; further lines are counted, and their count is logged. */
 const MAX_LINES_PER_SECOND = 40
@@ -19,7 +20,11 @@
   /** Rate-limited; dropped lines are counted by `name`. */
   decision (name: string, fields: LogFields): void
   warning (name: string, fields: LogFields): void
-  flush (): void
+  /**
+   * Writes the buffered lines; resolves with false when the reader of standard output has not taken them by the deadline. `process.exit`
+   * then waits for that reader too.
+   */
+  flush (deadline: number): Promise<boolean>
 }
 
 /** Options of a log. */
@@ -72,6 +77,20 @@
     event: (name, fields) => logger.info({ event: name, ...fields }),
     decision: (name, fields) => { if (admitLine(name)) logger.info({ event: name, ...fields }) },
     warning: (name, fields) => { if (admitLine(name)) logger.warn({ event: name, ...fields }) },
-    flush: () => sink?.flushSync()
+    flush: async (deadline) => {
+      if (sink === undefined) return true
+      // The first flush ends with a write that was in progress, the second one writes the lines after it.
+      const written = flushOnce(sink).then(async () => await flushOnce(sink)).then(() => true)
+      return await Promise.race([written, pauseUntil(deadline).then(() => false)])
+    }
   }
 }
+
+/** Settles also when standard output is closed; there is nobody for the lines then. */
+function flushOnce (sink: ReturnType<typeof destination>): Promise<void> {
+  return new Promise((resolve) => sink.flush(() => resolve()))
+}
+
+function pauseUntil (at: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, Math.max(0, at - steadyNow())))
+}
