Limit connections and unread responses of the readiness and metrics ports

What callers saw: a load balancer's check waits for seconds while other clients flood the readiness port, so that it takes the instance for stopped.

Cause: the two servers answered any number of pipelined requests, kept metrics for readers that take nothing, and had Node's default times for a request that does not end.

Change: the servers have a module of their own.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
 import { createMetrics } from '@quinceshunt/telemetry'
 import { randomUUID } from 'node:crypto'
 import { readFileSync, watchFile } from 'node:fs'
-import { createServer, type Server } from 'node:http'
+import type { Server } from 'node:http'
 import { createBackendAcceptance } from './decisions/backendAcceptance.js'
 import { backendProcessOf } from './decisions/backendState.js'
 import { createByteBudget } from './decisions/byteBudget.js'
@@ -27,6 +27,7 @@
 import type { GatewayContext } from './tasks/gatewayContext.js'
 import { createLeaseWitness } from './tasks/leaseWitness.js'
 import { createOpenResponses } from './tasks/openResponses.js'
+import { createMetricsServer, createReadinessServer, type OperationsSource } from './tasks/operationsServers.js'
 import { createPeerListener } from './tasks/peerListener.js'
 import { PEER_PATH, postToPeer } from './tasks/peerMessages.js'
 import { observeStoreTime } from './tasks/observeStoreTime.js'
@@ -241,25 +242,19 @@
     return ''
   }
 
-  const readiness = createServer((request, response) => {
-    request.resume()
-    const reason = notReadyReason()
-    response.writeHead(reason === '' ? 200 : 503, { 'content-type': 'text/plain' })
-    response.end(reason === '' ? 'ready\n' : `not ready: ${reason}\n`)
-  })
-  const operations = createServer((request, response) => {
-    request.resume()
-    metrics.gauge('configuration_version', configuration.current?.configuration.version ?? 0)
-    metrics.gauge('active_requests', callers.activeRequests)
-    metrics.text().then((text) => response.end(text), (error: unknown) => {
-      log.warning('metricsFailed', { reason: String(error) })
-      response.destroy()
-    })
-  })
+  const operationsSource: OperationsSource = {
+    notReadyReason,
+    metricsText: () => {
+      metrics.gauge('configuration_version', configuration.current?.configuration.version ?? 0)
+      metrics.gauge('active_requests', callers.activeRequests)
+      return metrics.text()
+    },
+    log
+  }
   await Promise.all([
     listen(callers.server, settings.callersAddress),
-    listen(readiness, settings.readinessAddress),
-    listen(operations, settings.metricsAddress),
+    listen(createReadinessServer(operationsSource), settings.readinessAddress),
+    listen(createMetricsServer(operationsSource), settings.metricsAddress),
     listen(peerListener, settings.peerAddress)
   ])
   log.event('started', { callers: settings.callersAddress, startMilliseconds: Math.round(performance.now()) })
