Let connections linger that end while their callers still send

Callers that send requests without waiting lost answers to requests that had run, and some got no refusal.

Cause: Node destroys the connection after its last response. Bytes that the caller sends then make the system reset it, and the reset discards answers that wait in the send buffer or that the caller has not read yet. Besides, a request whose body can't be read was in progress, with its body, as long as its caller kept the refused connection.

Change: after the last response only the sending side is ended; what arrives is discarded until the caller closes, for 5 s at most (RFC 9112, section 9.6). It is used at the limit of unanswered requests, after 408 and 413, and after bytes that are no request.

--- a/packages/caller-connections/src/connectionErrors.ts
+++ b/packages/caller-connections/src/connectionErrors.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
 import { discardFurtherBytes } from './discardFurtherBytes.js'
+import { linger } from './lingeringClose.js'
 
 /** Keeps the responses in progress on a connection when bytes arrive on it that are no request. */
 export interface ConnectionErrors {
@@ -20,7 +21,9 @@
 
   function refuseAfterResponses (error: NodeJS.ErrnoException, socket: Duplex): void {
     const requests = [...requestsOf.get(socket) ?? []]
-    if (!requests.some((request) => request.complete) && socket.writable) refuse(error, socket)
+    if (requests.some((request) => request.complete) || !socket.writable) return
+    refuse(error, socket)
+    linger(socket)
   }
 
   return {
--- a/packages/caller-connections/src/index.ts
+++ b/packages/caller-connections/src/index.ts
@@ -2,5 +2,6 @@
 export { handleArrivedEvents } from './arrivedEvents.js'
 export { createConnectionErrors, type ConnectionErrors } from './connectionErrors.js'
 export { detectReset, isDelimitedByClose } from './detectReset.js'
+export { lingerAfterLastResponse } from './lingeringClose.js'
 export { createPipelineLimit, type PipelineAdmission, type PipelineLimit } from './pipelineLimit.js'
 export { keepConnectionsWithUnreadRequests } from './idleConnections.js'
--- a/packages/caller-connections/src/pipelineLimit.ts
+++ b/packages/caller-connections/src/pipelineLimit.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { discardFurtherBytes } from './discardFurtherBytes.js'
+import { lingerAfterLastResponse } from './lingeringClose.js'
 
 /** How a request is handled. */
 export type PipelineAdmission =
@@ -42,6 +43,7 @@
       response.once('finish', () => { pipeline.unanswered-- })
       if (pipeline.unanswered < maximumUnanswered) return { kind: 'served' }
       pipeline.hasEnded = true
+      lingerAfterLastResponse(socket)
       const discard = (): void => discardFurtherBytes(socket)
       if (request.complete) setImmediate(discard)
       else request.once('close', discard)
--- a/packages/gateway/src/tasks/openResponses.ts
+++ b/packages/gateway/src/tasks/openResponses.ts
@@ -1,3 +1,4 @@
+import { lingerAfterLastResponse } from '@quinceshunt/caller-connections'
 import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 
@@ -57,7 +58,10 @@
       if (listeners === undefined) listener()
       else listeners.push(listener)
     },
-    endConnection: (response) => { connectionOf(response.req.socket).lastResponse = response },
+    endConnection: (response) => {
+      connectionOf(response.req.socket).lastResponse = response
+      lingerAfterLastResponse(response.req.socket)
+    },
     isLast: (response) => connections.get(response.req.socket)?.lastResponse === response,
     tryEndConnection: (response) => {
       const connection = connections.get(response.req.socket)
