Limit the pipelined requests of a connection to the router

Cause: Node begins the requests of a connection while those before them wait, without bound.

Change: a connection with 32 unanswered requests ends with the response to the last one; those behind it are not begun.

--- a/packages/router/src/__tests__/callersListener.test.ts
+++ b/packages/router/src/__tests__/callersListener.test.ts
@@ -56,3 +56,12 @@
   const received = await converse(request.repeat(3), (listener) => listener.disableKeepAlive())
   expect(received.match(/model_not_found/g)).toHaveLength(3)
 })
+
+// Guards against a caller that fills the process's memory with requests, without waiting for responses.
+test('a connection has no more than 32 requests unanswered, and ends after their answers', async () => {
+  const body = JSON.stringify({ model: 'none', messages: [{ role: 'user', content: 'hello' }] })
+  const request = `POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer key\r\nContent-Length: ${body.length}\r\n\r\n${body}`
+  const received = await Promise.race([converse(request.repeat(500)), new Promise<string>((resolve) => setTimeout(resolve, 3000, 'the connection stayed open'))])
+  expect(received.match(/model_not_found/g)).toHaveLength(32)
+  expect(received.match(/connection: close/gi)).toHaveLength(1)
+})
--- a/packages/router/src/callersListener.ts
+++ b/packages/router/src/callersListener.ts
@@ -2,7 +2,7 @@
 import { createServer as createSecureServer } from 'node:https'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { createCallerWatch, createConnectionErrors, keepConnectionsWithUnreadRequests, type CallerPresence } from '@quinceshunt/caller-connections'
+import { createCallerWatch, createConnectionErrors, createPipelineLimit, keepConnectionsWithUnreadRequests, type CallerPresence } from '@quinceshunt/caller-connections'
 import { extractTraceContext, failSpan, SpanKind, startSpan, contextWithSpan, type Span, type TraceContext } from '@quinceshunt/telemetry'
 import { formatCallerError, sendCallerError, type CallerError } from './callerError.js'
 import { serveChat } from './chatRequest.js'
@@ -15,6 +15,8 @@
 const MAX_HEADER_BYTES = 16_384
 /** Disconnects clients that send their headers too slowly, so that they can't hold sockets. */
 const HEADERS_TIMEOUT_MS = 10_000
+/** Requests without a response on one connection; more than sound callers send ahead, and few enough for many connections. */
+const MAX_UNANSWERED_REQUESTS = 32
 const BEARER_PATTERN = /^Bearer\s+(\S+)$/i
 const IDEMPOTENCY_KEY_PATTERN = /^[\x21-\x7e]{1,255}$/
 
@@ -53,8 +55,12 @@
   const newestResponses = new WeakMap<Socket, ServerResponse>()
   const callerOf = createCallerWatch(services.clock.now)
   const connectionErrors = createConnectionErrors(respondToClientError)
+  const pipelines = createPipelineLimit(MAX_UNANSWERED_REQUESTS)
 
   function handleRequest (request: IncomingMessage, response: ServerResponse): void {
+    const admission = pipelines.admit(request, response)
+    if (admission.kind === 'ignored') return
+    if (admission.kind === 'last') response.setHeader('connection', 'close')
     activeRequests += 1
     lastRequestAt = services.clock.now()
     const earlier = newestResponses.get(request.socket)
