Limit the time of requests that run once after their callers left

Callers saw: after 600 requests that run once, which their callers left at a silent backend server, 10 of 10 requests of the same account to another, sound service got 503 for good.

Cause: when its caller leaves, an attempt of a request that runs once is settled, which cleared its deadline timer, while its exchange goes on. At a silent or trickling backend server the exchange, its connection, its body, its part in the load and the memory counted for it stayed. A relayed request did the same, and its memory was not counted once its caller had left.

Change: an exchange whose caller has left is aborted 500 ms after the deadline that its receiver was told. An attempt ends its load and memory then also when its break was still being judged as the caller left. A relay keeps its memory and its part in the load of the peer until its exchange ends. An exchange that is aborted after its caller left no longer counts as failed by the backend server, like one that is aborted at its deadline.

A request that is answered after its caller left still runs to its end, before and now. The change of the relay has no test yet.

--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -10,6 +10,7 @@
 import type { ResponseFields } from '../ports.js'
 import { recordAcceptance } from './availableBackends.js'
 import { createBufferedBody } from './bufferedBody.js'
+import { limitDepartedExchange } from './departedExchange.js'
 import { bufferResponse, closingHeaders, mediaTypeOf, withoutContentLength } from './forwardedResponse.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { recordUse } from './recordUse.js'
@@ -98,6 +99,7 @@
   let hasRecordedSilence = false
   let hasLoggedRefusal = false
   let abortOutcome: AttemptOutcome | undefined
+  let endDepartedLimit = (): void => {}
 
   const headers = wire.buildRequestHeaders(callerRequest.rawHeaders, {
     account: state.account?.name ?? '',
@@ -128,6 +130,7 @@
 
   /** Ends the request's part in the load of the backend server. */
   function endAtBackend (how: 'answered' | 'failed' | 'full'): void {
+    endDepartedLimit()
     releaseMemory()
     if (backend.pending.delete(pending)) context.rooms.noteEnded(backend, how)
   }
@@ -143,10 +146,17 @@
     stopWatchingCaller()
     // A request that its caller has left, and that runs at most once, goes on there.
     const goesOn = outcome.kind === 'callerGone' && abortOutcome === undefined
-    if (!goesOn) endAtBackend(outcome.kind === 'notRun' ? 'full' : isFailureOfBackend(outcome) ? 'failed' : 'answered')
+    if (goesOn) endDepartedLimit = limitDepartedExchange(state.deadline, endDeparted)
+    else endAtBackend(outcome.kind === 'notRun' ? 'full' : isFailureOfBackend(outcome) ? 'failed' : 'answered')
     resolveOutcome(outcome)
   }
 
+  function endDeparted (): void {
+    abort({ kind: 'timedOut', headersSent: state.headersSent }, 'out of time after the caller left')
+    // An exchange that broke before its caller left, and whose break was still being judged, reports no second end.
+    endAtBackend('answered')
+  }
+
   function isFailureOfBackend (outcome: AttemptOutcome): boolean {
     return abortOutcome === undefined && (outcome.kind === 'notSent' || outcome.kind === 'broken')
   }
@@ -429,7 +439,7 @@
   }
 
   function onBroken (sent: boolean, reason: string): void {
-    if (settled) endAtBackend('failed')
+    if (settled) endAtBackend(abortOutcome === undefined ? 'failed' : 'answered')
     const milliseconds = { milliseconds: steadyNow() - sentAt, answeredMilliseconds: answeredAt === undefined ? undefined : answeredAt - sentAt }
     context.log.decision('attemptBroken', { request: state.fields.attemptId, backend: backend.entry.id, reason, sent, isAborted: abortOutcome !== undefined, ...milliseconds, events: eventsOfAttempt })
     if (abortOutcome !== undefined) {
--- a/packages/gateway/src/tasks/relayAttempt.ts
+++ b/packages/gateway/src/tasks/relayAttempt.ts
@@ -6,6 +6,7 @@
 import type { StreamOrigin } from '../decisions/streamOrigins.js'
 import { isRetryable, type AttemptOutcome } from '../decisions/requestPlan.js'
 import { createBufferedBody } from './bufferedBody.js'
+import { limitDepartedExchange } from './departedExchange.js'
 import type { Peer } from './fleetTask.js'
 import { bufferResponse, closingHeaders, mediaTypeOf, withoutContentLength } from './forwardedResponse.js'
 import type { GatewayContext } from './gatewayContext.js'
@@ -44,8 +45,11 @@
   let abortOutcome: AttemptOutcome | undefined
   let earlierTimer: NodeJS.Timeout | undefined
   let settled = false
+  let hasEnded = false
+  let endDepartedLimit = (): void => {}
 
   state.attempts++
+  const releaseMemory = state.memory.keep()
   const exchange = connections.start({
     address: peer.address,
     method: callerRequest.method ?? 'GET',
@@ -60,6 +64,15 @@
   if (earlier !== undefined) earlier.onGoneOn = () => abort({ kind: 'superseded' }, 'the attempt before it has gone on')
   context.log.decision('requestRelayed', { request: state.fields.attemptId, peer: peer.instanceId, service, resumedAfter: state.lastEventId, attempts: state.attempts })
 
+  /** Ends the request's part in the load of the peer. */
+  function endAtPeer (): void {
+    if (hasEnded) return
+    hasEnded = true
+    endDepartedLimit()
+    releaseMemory()
+    relay.end()
+  }
+
   function settle (outcome: AttemptOutcome): void {
     if (settled) return
     settled = true
@@ -69,7 +82,10 @@
     stopWatchingCaller()
     body.release()
     splitter.release()
-    relay.end()
+    // A request that its caller has left, and that runs at most once, goes on there.
+    const goesOn = outcome.kind === 'callerGone' && abortOutcome === undefined
+    if (goesOn) endDepartedLimit = limitDepartedExchange(state.deadline, () => abort({ kind: 'timedOut', headersSent: state.headersSent }, 'out of time after the caller left'))
+    else endAtPeer()
     context.metrics.count('relays_total', { outcome: outcome.kind })
     resolve(outcome)
   }
@@ -145,6 +161,7 @@
   }
 
   function onEnd (): void {
+    if (settled) return endAtPeer()
     if (declinedReason !== undefined) return settle({ kind: 'notTaken', reason: `${peer.instanceId} declined: ${declinedReason}` })
     if (head === undefined) return settle({ kind: 'broken', reason: 'response without headers', headersSent: state.headersSent })
     const status = head.incoming.statusCode ?? 0
@@ -158,6 +175,7 @@
   }
 
   function onBroken (sent: boolean, reason: string): void {
+    if (settled) endAtPeer()
     if (abortOutcome !== undefined) return settle(abortOutcome)
     // After its head a response also breaks because the peer gives the request up; a peer that is gone fails the next request at once.
     if (declinedReason === undefined && head === undefined) relay.learn({ kind: 'unanswered' })
