Limit the messages of peers by connection instead of by address

Peers behind one address with another process (or behind address translation) had their messages refused with 503 while that process held unfinished messages: with 200 connections of 64 kB, 58 of 60 short messages were refused.

The limits on the bytes of messages and on remembered replies counted all connections of an address as one holder. The holder is now the connection, so that a new one finds some bytes and replies whatever the others hold; the totals stay as they were.

Tests first, on the code without the change: 0 of 60 messages answered beside 200 connections of 64 kB; a message on a new connection refused with 503 after a flood on another one. Both pass now, and so do the tests of floods on the process (146 MB at most). 'counts nothing' fails without the release on close, as before.

--- a/packages/gateway/src/tasks/peerListener.ts
+++ b/packages/gateway/src/tasks/peerListener.ts
@@ -6,7 +6,7 @@
 
 /** That of the callers' listener, and an envelope beside. */
 const MAX_HEADER_BYTES = 36_864
-/** Of all messages without a reply. One address alone may have 128 of the largest ones, or 8,000 usual ones. */
+/** Of all messages without a reply: 250 of the largest ones, or 16,000 usual ones. */
 const MAX_MESSAGES_BYTES = 16_777_216
 /** Peers wait for the reply to a message before they send another one on its connection. */
 const MAX_UNANSWERED_MESSAGES = 8
@@ -23,12 +23,12 @@
   const { log } = options
   const handleMessage = createPeerMessageHandler(options)
   const pipelines = createPipelineLimit(MAX_UNANSWERED_MESSAGES)
-  /** The holders are addresses, as a process outside the fleet may send messages too. */
+  /** The holders are connections: peers and a process outside the fleet may have the same address. */
   const messagesLimit = createSharedLimit(MAX_MESSAGES_BYTES)
 
   function receiveMessage (incoming: IncomingMessage, response: ServerResponse): void {
     const { socket } = incoming
-    const sender = socket.remoteAddress ?? ''
+    const sender = `${socket.remoteAddress ?? ''}:${socket.remotePort ?? ''}`
     const holding = messagesLimit.open(sender)
     const collector = createByteCollector(holding, MAX_MESSAGE_BYTES)
     const timer = setTimeout(() => incoming.destroy(new Error('the message did not arrive in time')), MAX_ARRIVAL_MS)
@@ -54,14 +54,14 @@
     incoming.on('data', (chunk: Buffer) => {
       if (isRefused || collector.tryAppend(chunk)) return
       if (collector.bytes().length + chunk.length > MAX_MESSAGE_BYTES) incoming.destroy(new Error(`the message is larger than ${MAX_MESSAGE_BYTES} bytes`))
-      else refuse('the messages of this sender take too much memory')
+      else refuse('the messages without a reply take too much memory')
     })
     incoming.on('error', (error) => log.decision('peerRequestBroken', { reason: error.message }))
     incoming.on('end', () => {
       clearTimeout(timer)
       if (isRefused) return
       const reply = handleMessage(incoming.url ?? '', parseJson(collector.bytes().toString()), sender)
-      if (reply === 'overloaded') return refuse('too many messages of this sender within a minute')
+      if (reply === 'overloaded') return refuse('too many messages within a minute')
       if (reply === undefined || reply === 'otherIncarnation') {
         response.writeHead(reply === undefined ? PEER_STATUS.badRequest : PEER_STATUS.otherIncarnation)
         response.end()
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -18,7 +18,7 @@
 const MAX_INTERIM_RESPONSES = 8
 /** Replies are remembered for longer than a sender repeats its message. */
 const REPLY_MEMORY_MS = 60_000
-/** About 600 bytes each. One address alone may have half of them: 2,500 messages a second. */
+/** About 600 bytes each. One connection alone may have half of them: 2,500 messages a second. */
 const MAX_REMEMBERED_REPLIES = 300_000
 /** Remembered with each reply; an ID is that of a process and a number. */
 const MAX_ID_LENGTH = 512
@@ -234,6 +234,8 @@
   readonly receiveLease: LeaseNewsHandler
   readonly log: DecisionLog
   readonly now: () => number
+  /** Lowered by tests. */
+  readonly maxRememberedReplies?: number
 }
 
 /**
@@ -242,16 +244,16 @@
  */
 export type MessageResult = Promise<unknown> | 'otherIncarnation' | 'overloaded' | undefined
 
-/** Handles a message; `sender` is the address that it came from. */
+/** Handles a message; `sender` is the connection that it came on, as peers may share an address with a process outside the fleet. */
 export type PeerMessageHandler = (path: string, message: unknown, sender?: string) => MessageResult
 
 /**
  * Handles each message once: a repeated one gets the reply of the first, so that a sender may repeat it until it is
  * answered.
  */
-export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, rooms, streams, receiveReports, receiveLease, log, now }: PeerListenerOptions): PeerMessageHandler {
+export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, rooms, streams, receiveReports, receiveLease, log, now, maxRememberedReplies = MAX_REMEMBERED_REPLIES }: PeerListenerOptions): PeerMessageHandler {
   const replies = new Map<string, { readonly reply: Promise<unknown>, readonly forgetAt: number, readonly holding: Holding }>()
-  const rememberedReplies = createSharedLimit(MAX_REMEMBERED_REPLIES)
+  const rememberedReplies = createSharedLimit(maxRememberedReplies)
 
   function forgetOldReplies (): void {
     for (const [id, { forgetAt, holding }] of replies) {
