Collect responses to the router in one buffer each

A backend server that answered a router in chunks of one byte took several hundred bytes of memory for each byte that was counted: readBody kept an array of chunks. It now copies into a byte collector, with the first 64 KiB outside the shared limit as before, and gives the buffer up once the outcome is known.

--- a/packages/router/src/__tests__/backendClient.test.ts
+++ b/packages/router/src/__tests__/backendClient.test.ts
@@ -77,4 +77,21 @@
     const large = await open(await startServer((_request, response) => { response.end('x'.repeat(LIMIT_BYTES + 1)) }))
     expect((await readBody(large.message, { limitBytes: LIMIT_BYTES, deadline: Date.now() + LONG_TIMEOUT_MS })).kind).toBe('tooLarge')
   })
+
+  // Guards against chunks that are kept one by one, each of which takes over 300 bytes for one that is counted.
+  test('takes the bytes of a response once, whatever the size of its chunks', async () => {
+    const CHUNKS = 1_000_000
+    const CHUNKS_A_PACKET = 10_000
+    const packet = Buffer.from('1\r\nx\r\n'.repeat(CHUNKS_A_PACKET))
+    const { message } = await open(await startServer(({ socket }, response) => {
+      response.flushHeaders()
+      for (let chunks = 0; chunks < CHUNKS; chunks += CHUNKS_A_PACKET) socket.write(packet)
+      socket.write('0\r\n\r\n')
+    }))
+    const before = process.memoryUsage().rss
+    const received = await readBody(message, { limitBytes: 2 * CHUNKS, deadline: Date.now() + 15_000 })
+    const grown = process.memoryUsage().rss - before
+    expect(received.kind === 'whole' && received.body.equals(Buffer.alloc(CHUNKS, 'x'))).toBe(true)
+    expect(grown).toBeLessThan(150_000_000)
+  }, 20_000)
 })
--- a/packages/router/src/backendClient.ts
+++ b/packages/router/src/backendClient.ts
@@ -1,5 +1,5 @@
 import { detectReset, isDelimitedByClose } from '@quinceshunt/caller-connections'
-import type { Holding } from '@quinceshunt/memory-limits'
+import { createByteCollector, type ByteCollector, type Holding } from '@quinceshunt/memory-limits'
 import { matchResponse, REQUEST_ID_HEADER } from '@quinceshunt/requests'
 import { Agent, request as httpRequest, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
@@ -145,29 +145,32 @@
 export function readBody (message: IncomingMessage, { limitBytes, holding, deadline, signal }: BodyReading): Promise<BodyOutcome> {
   return new Promise((resolve) => {
     const resetDetection = detectReset(message)
-    const chunks: Buffer[] = []
-    let size = 0
+    // Cleared at the end, as the listeners would keep its bytes until the message is closed.
+    let collector: ByteCollector | undefined = createByteCollector(holding, limitBytes, UNSHARED_RESPONSE_BYTES)
     const timer = setTimeout(() => finish({ kind: 'deadline' }), Math.max(0, deadline - Date.now()))
     const abort = (): void => finish({ kind: 'broken', reason: 'the caller closed the connection' })
     function finish (outcome: BodyOutcome): void {
       clearTimeout(timer)
       signal?.removeEventListener('abort', abort)
+      collector = undefined
       holding?.release()
       if (outcome.kind !== 'whole') message.destroy()
       resolve(outcome)
     }
     message.on('data', (chunk: Buffer) => {
-      size += chunk.length
-      if (size > limitBytes) return finish({ kind: 'tooLarge', reason: `the response is larger than ${limitBytes} bytes` })
-      if (holding !== undefined && size > UNSHARED_RESPONSE_BYTES && !holding.tryAdd(chunk.length)) {
-        return finish({ kind: 'tooLarge', reason: `the responses of the backend server are too large together, this one with ${size} bytes` })
-      }
-      chunks.push(chunk)
+      if (collector === undefined || collector.tryAppend(chunk)) return
+      const size = collector.length + chunk.length
+      finish({
+        kind: 'tooLarge',
+        reason: size > limitBytes ? `the response is larger than ${limitBytes} bytes` : `the responses of the backend server are too large together, this one with ${size} bytes`
+      })
     })
     message.on('end', () => {
+      if (collector === undefined) return
+      const whole = { kind: 'whole', body: collector.bytes() } as const
       if (!message.complete) finish({ kind: 'broken', reason: 'the response was incomplete' })
-      else if (resetDetection === undefined) finish({ kind: 'whole', body: Buffer.concat(chunks) })
-      else resetDetection.then((isReset) => finish(isReset ? { kind: 'broken', reason: 'the response ended with a connection reset' } : { kind: 'whole', body: Buffer.concat(chunks) }))
+      else if (resetDetection === undefined) finish(whole)
+      else resetDetection.then((isReset) => finish(isReset ? { kind: 'broken', reason: 'the response ended with a connection reset' } : whole))
     })
     message.on('error', (error) => finish({ kind: 'broken', reason: error.message }))
     message.on('close', () => { if (!message.complete) finish({ kind: 'broken', reason: 'the connection closed before the response was complete' }) })
