Send a message about tokens to the next home when a home refuses it

A home that was overloaded answered 503. The sender took that for a message which may have been handled, repeated it to the same home for 40 s and gave up: tokens that were to be given back were lost, and those of a loan counted as in transit meanwhile.

A listener answers 503 only for a copy of a message that it has not handled and won't handle: a message whose ID it knows gets the remembered reply first. The sender now reads it so and goes to the next home, unless an earlier copy went without a reply. That one may have been handled, or may still arrive, so the message is then repeated to the same home as before.

Now each home gets one message, and the tokens stay with the borrower when all refuse. A lost reply followed by refusals still goes to the same home only.

--- a/packages/gateway/src/__fixtures__/loanNetwork.ts
+++ b/packages/gateway/src/__fixtures__/loanNetwork.ts
@@ -10,6 +10,10 @@
   | { readonly kind: 'replyLost' }
   /** The message arrives twice. */
   | { readonly kind: 'duplicate' }
+  /** The receiver is overloaded and refuses the message without handling it. */
+  | { readonly kind: 'refused' }
+  /** The message arrives after its sender stopped waiting. */
+  | { readonly kind: 'requestLate', readonly milliseconds: number }
   /** The reply takes this long. */
   | { readonly kind: 'slow', readonly milliseconds: number }
 
@@ -52,13 +56,20 @@
       await pause(timeoutMilliseconds)
       return { kind: 'failed', mayHaveArrived: true, reason: 'no response in time' }
     }
+    const refusal: DeliveryOutcome = { kind: 'failed', mayHaveArrived: false, reason: 'status 503' }
     if (fault.kind === 'requestLost') return await late()
+    if (fault.kind === 'refused') return refusal
     // Messages are bytes on a connection, so the receiver gets a copy.
     const deliver = async (): Promise<DeliveryOutcome> => {
       const reply = target.handle(path, JSON.parse(JSON.stringify(message)))
       if (reply === 'otherIncarnation') return { kind: 'otherIncarnation' }
+      if (reply === 'overloaded') return refusal
       return { kind: 'answered', reply: await reply }
     }
+    if (fault.kind === 'requestLate') {
+      setTimeout(() => { deliver().catch(() => {}) }, timeoutMilliseconds + fault.milliseconds)
+      return await late()
+    }
     const answered = deliver()
     if (fault.kind === 'duplicate') await deliver()
     if (fault.kind === 'replyLost') return await late()
--- a/packages/gateway/src/__tests__/tokenLoans.test.ts
+++ b/packages/gateway/src/__tests__/tokenLoans.test.ts
@@ -104,6 +104,8 @@
   { weight: 1, arbitrary: fastCheck.constant<LinkFault>({ kind: 'requestLost' }) },
   { weight: 2, arbitrary: fastCheck.constant<LinkFault>({ kind: 'replyLost' }) },
   { weight: 1, arbitrary: fastCheck.constant<LinkFault>({ kind: 'duplicate' }) },
+  { weight: 1, arbitrary: fastCheck.constant<LinkFault>({ kind: 'refused' }) },
+  { weight: 1, arbitrary: fastCheck.integer({ min: 20, max: 3000 }).map<LinkFault>((milliseconds) => ({ kind: 'requestLate', milliseconds })) },
   { weight: 2, arbitrary: fastCheck.integer({ min: 20, max: 3000 }).map<LinkFault>((milliseconds) => ({ kind: 'slow', milliseconds })) }
 )
 
--- a/packages/gateway/src/tasks/peerListener.ts
+++ b/packages/gateway/src/tasks/peerListener.ts
@@ -43,7 +43,7 @@
     socket.once('close', release)
     response.once('finish', release)
 
-    /** The sender can't tell whether the message was handled, and repeats it under its ID. */
+    /** Must not follow the handling of this copy: the sender goes to another home, unless an earlier copy may have been handled. */
     function refuse (reason: string): void {
       isRefused = true
       log.decision('peerMessageRefused', { path: incoming.url?.slice(0, 100), sender, reason })
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -22,7 +22,7 @@
 const MAX_REMEMBERED_REPLIES = 300_000
 /** Remembered with each reply; an ID is that of a process and a number. */
 const MAX_ID_LENGTH = 512
-/** Only `otherIncarnation` says that the message was not handled. */
+/** `otherIncarnation` says that no copy of the message will be handled, `overloaded` that this copy was not. */
 export const PEER_STATUS = { ok: 200, badRequest: 400, otherIncarnation: 409, overloaded: 503 } as const
 
 /** Reuses connections, as most requests need tokens from a home. */
@@ -91,7 +91,7 @@
   | { readonly kind: 'answered', readonly reply: unknown }
   /** Another process runs at that address, or this one is about to exit; it did not handle the message. */
   | { readonly kind: 'otherIncarnation' }
-  /** `mayHaveArrived` is false when no connection was established. */
+  /** `mayHaveArrived` is false when no connection was established, and when the receiver refused this copy without handling it. */
   | { readonly kind: 'failed', readonly mayHaveArrived: boolean, readonly reason: string }
 
 /** Paths of the messages between instances. */
@@ -173,6 +173,7 @@
       incoming.on('error', (error) => fail(error.message))
       incoming.on('end', () => {
         if (incoming.statusCode === PEER_STATUS.otherIncarnation) return finish({ kind: 'otherIncarnation' })
+        if (incoming.statusCode === PEER_STATUS.overloaded) mayHaveArrived = false
         if (incoming.statusCode !== PEER_STATUS.ok) return fail(`status ${incoming.statusCode ?? 0}`)
         finish({ kind: 'answered', reply: parseJson(collector.bytes().toString()) })
       })
--- a/packages/gateway/src/tasks/tokenLoans.ts
+++ b/packages/gateway/src/tasks/tokenLoans.ts
@@ -80,7 +80,8 @@
       avoidedUntil.set(home.incarnationId, steadyNow() + AVOIDANCE_MS)
       mayHaveArrived ||= outcome.mayHaveArrived
       log.decision('peerDidNotAnswer', { peer: home.address, path, reason: outcome.reason })
-      // A message that certainly did not arrive is better sent to another home.
+      // A message that was certainly not handled is better sent to another home. A refusal says so of its own copy only: an
+      // earlier one whose reply is missing may have been handled, or may still arrive.
       if (!mayHaveArrived || options.currentIncarnation(home.instanceId) !== home.incarnationId || steadyNow() >= giveUpAt) return { reply: undefined, mayHaveArrived }
       await pause(REPEAT_PAUSE_MS)
       timeout = Math.min(MAX_TRY_TIMEOUT_MS, timeout * 2)
