Limit the callers' bodies that the router holds, shared between client accounts

What callers saw: found by reading, not reported. One account with many unfinished bodies could fill the process's memory, and so fail the requests of all accounts on it.

A body that doesn't fit is refused before anything is reserved or sent: 503, body_memory_exhausted, run "no", Retry-After; the rest of it is dropped and its bytes are given back at once.

The services of callersListener.test.ts get the new limit; its tests are unchanged.

--- a/packages/router/src/__tests__/callersListener.test.ts
+++ b/packages/router/src/__tests__/callersListener.test.ts
@@ -1,3 +1,4 @@
+import { createSharedLimit } from '@quinceshunt/memory-limits'
 import { afterEach, expect, test } from '@jest/globals'
 import { connect, type AddressInfo } from 'node:net'
 import { createCallersListener, type CallersListener } from '../callersListener.js'
@@ -16,7 +17,8 @@
     logger: { info: () => {}, warn: () => {}, error: () => {} },
     metrics: { count: () => {}, record: () => {} },
     configuration: { current: () => ({ models: new Map(), authenticate: () => caller }) },
-    isIsolated: () => false
+    isIsolated: () => false,
+    callerBodies: createSharedLimit(1_048_576)
   }
   return services as unknown as RouterServices
 }
--- a/packages/router/src/callerError.ts
+++ b/packages/router/src/callerError.ts
@@ -8,6 +8,7 @@
   | 'invalid_json'
   | 'invalid_request'
   | 'body_too_large'
+  | 'body_memory_exhausted'
   | 'headers_too_large'
   | 'malformed_request'
   | 'request_timeout'
--- a/packages/router/src/callersListener.ts
+++ b/packages/router/src/callersListener.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { createCallerWatch, createConnectionErrors, createPipelineLimit, keepConnectionsWithUnreadRequests, type CallerPresence } from '@quinceshunt/caller-connections'
+import type { Holding } from '@quinceshunt/memory-limits'
 import { extractTraceContext, failSpan, SpanKind, startSpan, contextWithSpan, type Span, type TraceContext } from '@quinceshunt/telemetry'
 import { formatCallerError, sendCallerError, type CallerError } from './callerError.js'
 import { serveChat } from './chatRequest.js'
@@ -24,6 +25,8 @@
 export interface CallerExchange {
   readonly request: IncomingMessage
   readonly response: ServerResponse
+  /** The bytes of the request's body; released once the exchange has ended and no attempt needs the body. */
+  readonly bodyHolding: Holding
   readonly requestId: string
   readonly caller: Caller
   readonly view: ConfigurationView
@@ -117,20 +120,30 @@
   const span = startSpan('caller request', SpanKind.SERVER, parent, { 'http.request.method': request.method ?? '', 'url.path': path })
   const receivedAt = services.clock.now()
   const abortController = new AbortController()
+  let bodyHolding: Holding | undefined
+  let isServed = false
+  let hasEnded = callerPresence.leftAt !== undefined
+  const releaseBody = (): void => {
+    if (isServed && hasEnded) bodyHolding?.release()
+  }
   const end = (): void => {
+    hasEnded = true
     stopWatchingCaller()
     response.removeListener('close', end)
     if (!response.writableFinished) abortController.abort()
     span.end()
+    releaseBody()
   }
   const stopWatchingCaller = callerPresence.onLeft(end)
   response.once('close', end)
   try {
     const admission = authenticateRequest(services, request)
     if (admission.kind === 'refused') return rejectRequest(services, response, admission.error, requestId, span)
+    bodyHolding = services.callerBodies.open(admission.caller.account.id)
     const exchange: CallerExchange = {
       request,
       response,
+      bodyHolding,
       requestId,
       caller: admission.caller,
       view: admission.view,
@@ -147,6 +160,9 @@
     // The request may have been sent to a backend server before the error.
     rejectRequest(services, response, { status: 500, code: 'internal_error', message: 'internal router error; see the router log', run: 'unknown' }, requestId, span)
     if (!response.writableEnded) response.destroy()
+  } finally {
+    isServed = true
+    releaseBody()
   }
 }
 
--- a/packages/router/src/receiveBody.ts
+++ b/packages/router/src/receiveBody.ts
@@ -17,10 +17,13 @@
   return { kind: 'refused', error: { ...error, run: 'no' } }
 }
 
-/** Reads a caller's request body within `bodyLimitBytes` and the request deadline; `callerGone` if a close followed it. */
+/** Bodies of an account that arrive at a usual pace have been received and answered by then. */
+const BODY_MEMORY_RETRY_DELAY_MS = 2000
+
+/** Reads a caller's request body within `bodyLimitBytes`, its account's share of the memory and the request deadline; `callerGone` if a close followed it. */
 export async function receiveBody (services: RouterServices, exchange: CallerExchange): Promise<ReceiveBodyOutcome> {
   const { bodyLimitBytes } = services.settings
-  const received = await readCallerBody(exchange.request, bodyLimitBytes, exchange.deadline)
+  const received = await readCallerBody(exchange.request, { limitBytes: bodyLimitBytes, holding: exchange.bodyHolding, deadline: exchange.deadline })
   switch (received.kind) {
     case 'whole':
       // A process that is behind with its work may have read the request long after the caller left.
@@ -28,6 +31,7 @@
       return exchange.signal.aborted ? { kind: 'callerGone' } : received
     case 'gone': return { kind: 'callerGone' }
     case 'tooLarge': return rejectBeforeRun({ status: 413, code: 'body_too_large', message: `the body is larger than ${bodyLimitBytes} bytes` })
+    case 'memoryExhausted': return rejectBeforeRun({ status: 503, code: 'body_memory_exhausted', message: `the bodies of client account ${JSON.stringify(exchange.caller.account.id)} in progress take all memory that it may have; send fewer at a time`, retryAt: services.clock.now() + BODY_MEMORY_RETRY_DELAY_MS })
     case 'tooSlow': return rejectBeforeRun({ status: 408, code: 'request_timeout', message: 'the body did not arrive before the deadline' })
   }
 }
--- a/packages/router/src/routerServices.ts
+++ b/packages/router/src/routerServices.ts
@@ -25,6 +25,8 @@
   readonly retryBudget: RetryBudget
   /** Bytes of responses that are buffered until they are whole, by the address of their backend server. */
   readonly bufferedResponses: SharedLimit
+  /** Bytes of callers' bodies, by the ID of their client account. */
+  readonly callerBodies: SharedLimit
   /** Whether to refuse requests because nothing was heard from the platform or any peer for `isolatedAfterMilliseconds`. */
   readonly isIsolated: () => boolean
 }
--- a/packages/router/src/routerTasks.ts
+++ b/packages/router/src/routerTasks.ts
@@ -19,6 +19,10 @@
 
 /** One backend server alone may have half of it: two responses of the largest size. */
 const BUFFERED_RESPONSE_BYTES = 67_108_864
+/** One client account alone may have half of it: eight bodies of the default limit. */
+const CALLER_BODY_BYTES = 67_108_864
+/** An account alone may have half, so that a single body of the largest size fits whatever `bodyLimitBytes` is. */
+const MIN_LARGEST_BODIES = 2
 
 /** All tasks of a router. */
 export interface RouterTasks {
@@ -64,6 +68,7 @@
     inFlight,
     crashes: createCrashReporter({ backends, quarantine, promptParts, inFlight, clock }),
     bufferedResponses: createSharedLimit(BUFFERED_RESPONSE_BYTES),
+    callerBodies: createSharedLimit(Math.max(CALLER_BODY_BYTES, MIN_LARGEST_BODIES * settings.bodyLimitBytes)),
     retryBudget: createRetryBudget({ retriesPerRequest: settings.retryShare }),
     isIsolated: () => settings.whenIsolated === IsolationPolicy.REFUSE && isolation.isIsolated()
   }
