Read a table again when its changes are too many for one response

A follower of a table whose changes exceeded 12.6 MB or took longer than 10 s was refused each time and asked from the same version for good, unless it prefers full reads. The protocol limits the pages of /rows-get, not those of /rows-feed: 160 changed rows of 65 kB are a legal response. The instance then no longer learns of changes in that table.

The outcome stays 'unavailable': the store counts as lost until the next response, and a store that sends without end is asked again after the usual pause.

--- a/packages/gateway/src/__tests__/tableFollower.test.ts
+++ b/packages/gateway/src/__tests__/tableFollower.test.ts
@@ -82,4 +82,14 @@
     await jest.advanceTimersByTimeAsync(1000)
     expect(calls).toEqual(['read', 'follow 3', 'read', 'follow 4'])
   })
+
+  // Guards against a follower that asks for the same changes for good, as they are too many for one response.
+  test('a large table is reread when its changes are too many for one response', async () => {
+    const { store, calls } = createScriptedStore([createReadOutcome(3), { kind: 'unavailable', reason: 'the response is too large', mustReread: true }, { kind: 'unavailable', reason: 'no response in time' }, createReadOutcome(9)])
+    startFollower(store, false)
+    await jest.advanceTimersByTimeAsync(1000)
+    expect(calls).toEqual(['read', 'follow 3', 'read', 'read', 'follow 9'])
+    expect(seen).toEqual(['3', '9'])
+    expect(follower?.isStoreUnreachable).toBe(false)
+  })
 })
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -48,7 +48,8 @@
   | { readonly kind: 'rows', readonly rows: readonly StoredRow[], readonly version: number, readonly storeTime: number }
   /** The store no longer has the changes after the requested version. */
   | { readonly kind: 'historyGone' }
-  | { readonly kind: 'unavailable', readonly reason: string }
+  /** `mustReread` is true when the changes are too many for one response, so that asking for them again would fail as well. */
+  | { readonly kind: 'unavailable', readonly reason: string, readonly mustReread?: boolean }
 )
 
 /** The platform's store of versioned rows. Calls never reject; failures are outcomes. Deadlines, by `steadyNow`, apply to the first byte of a response. */
--- a/packages/gateway/src/tasks/tableFollower.ts
+++ b/packages/gateway/src/tasks/tableFollower.ts
@@ -48,7 +48,7 @@
 
 /**
  * Starts following a table: reads all of its rows, then its changes. The table is reread when the store has dropped the
- * history; with `prefersFullRead` also after an outage and when the follower lags behind, as the current rows take less
+ * history or the changes are too many for one response; with `prefersFullRead` also after an outage and when the follower lags behind, as the current rows take less
  * time on a slow link than all missed changes.
  */
 export function followTable (options: TableFollowerOptions): TableFollower {
@@ -88,7 +88,7 @@
       case 'unavailable':
         if (unreachableSince === undefined) options.log.event('storeLost', { table: options.table, reason: outcome.reason, lastAnswerAt: lastResponseAt })
         unreachableSince ??= now
-        if (options.prefersFullRead) version = undefined
+        if (options.prefersFullRead || outcome.mustReread === true) version = undefined
         return RETRY_PAUSE_MS
     }
   }
