--- a/packages/caller-connections/src/lingeringClose.ts
+++ b/packages/caller-connections/src/lingeringClose.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net'
 import { discardFurtherBytes } from './discardFurtherBytes.js'
 
-/** Time from the end of what is written until the caller has closed its side; its last response is long read by then. */
+/** Time, after all has been written, until the connection is closed although its caller still sends. */
 const MAX_LINGER_MS = 5000
 
 /**
--- a/soak/src/backendFloods.ts
+++ b/soak/src/backendFloods.ts
@@ -1,4 +1,4 @@
-import { CALLER_DEADLINE_MS, rawResponse, sendRequest, startRawBackend, writeWithoutEnd, type RawBackend } from '@quinceshunt/platform-adapter/fixtures'
+import { CALLER_DEADLINE_MS, rawResponse, rawResponseStart, sendRequest, startRawBackend, writeWithoutEnd, type RawBackend } from '@quinceshunt/platform-adapter/fixtures'
 import type { Socket } from 'node:net'
 import { BACKEND_FLOODS, FLOOD_ACCOUNT, FLOOD_SERVICES, LONG_ANSWER_BYTES, type BackendFloodKind, type FloodOutcome, type FloodService } from './flood.js'
 
@@ -10,7 +10,6 @@
 const REPLACEMENT_PAUSE_MS = 250
 const PROMPT = { promptTokens: 100, outputTokens: 1000 } as const
 
-const headOf = (attempt: string): string => `HTTP/1.1 200 OK\r\nQuinceshunt-Attempt-Id: ${attempt}\r\nQuinceshunt-Replica-Signature: receipt\r\n`
 const chunk = (text: string): string => `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`
 
 /** The long or short answer of a backend server that adds surplus bytes. */
@@ -21,19 +20,19 @@
 function writeFlood (socket: Socket, how: BackendFloodKind, attempt: string): void {
   switch (how) {
     case 'pacedBody': {
-      socket.write(`${headOf(attempt)}\r\n`)
+      socket.write(`${rawResponseStart(attempt)}\r\n`)
       const timer = setInterval(() => { if (!socket.writableNeedDrain) socket.write(PACED_CHUNK) }, PACE_INTERVAL_MS)
       socket.on('close', () => clearInterval(timer))
       return
     }
     case 'endlessBody':
-      socket.write(`${headOf(attempt)}Transfer-Encoding: chunked\r\n\r\n`)
+      socket.write(`${rawResponseStart(attempt)}Transfer-Encoding: chunked\r\n\r\n`)
       return writeWithoutEnd(socket, chunk('x'.repeat(16_000)))
     case 'endlessHead':
-      socket.write(headOf(attempt))
+      socket.write(rawResponseStart(attempt))
       return writeWithoutEnd(socket, `X-Filler: ${'x'.repeat(1000)}\r\n`)
     case 'endlessEvents':
-      socket.write(`${headOf(attempt)}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n${chunk('id: 1\ndata: a\n\nid: 2\ndata: ')}`)
+      socket.write(`${rawResponseStart(attempt)}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n${chunk('id: 1\ndata: a\n\nid: 2\ndata: ')}`)
       return writeWithoutEnd(socket, chunk('x'.repeat(16_000)))
     case 'surplusGarbage':
       socket.write(rawResponse(attempt, wholeAnswer(attempt)))
--- a/soak/src/callerFloods.ts
+++ b/soak/src/callerFloods.ts
@@ -1,3 +1,4 @@
+import { rawRequestHead } from '@quinceshunt/platform-adapter/fixtures'
 import { connect, type Socket } from 'node:net'
 import { FLOOD_ACCOUNT, FLOOD_SERVICES, type CallerFloodKind } from './flood.js'
 
@@ -18,7 +19,7 @@
 let attemptCount = 0
 
 function requestHead (method: string, path: string, headers = ''): string {
-  return `${method} ${FLOOD_SERVICES.crowd}${path} HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Token ${FLOOD_ACCOUNT.apiKey}\r\nQuinceshunt-Attempt-Id: crowd-${++attemptCount}\r\n${headers}\r\n`
+  return rawRequestHead(method, `${FLOOD_SERVICES.crowd}${path}`, { attemptId: `crowd-${++attemptCount}`, apiKey: FLOOD_ACCOUNT.apiKey, headers })
 }
 
 /** Writes requests as fast as the connection takes them. */
