--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,70 +1,98 @@
 import { writeFileSync } from 'node:fs'
+import { createServer } from 'node:http'
+import { startBackendLinks } from '../../platform/lib/__fixtures__/index.js'
 import { pause, SMALL_DEPLOYMENT, startMachines } from '../tools/fleet.mjs'
-import { configuration, listing, route, startStore } from '../tools/platform.mjs'
-import { startReplica } from '../tools/replica.mjs'
-import { createRecord, createTraffic, worstRetryWindow } from '../tools/traffic.mjs'
+import { configuration, listing, route, signature, startStore } from '../tools/platform.mjs'
+import { createRecord, createTraffic } from '../tools/traffic.mjs'
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0'
-const MACHINES = 6
-const SLOTS = 6
-const QUEUE = 3
-const WORK_MS = 450
-const REQUESTS_PER_SECOND = 30
-const BEFORE_MS = 11_000
-const RUN_MS = 32_000
-/** As in the sites' `roll_term` with `gap_s` = 1.0. */
-const GAP_MS = 1000
-const GRACE_MS = 8000
+const ZONES = ['pichincha-a', 'pichincha-a', 'pichincha-b', 'pichincha-b', 'pichincha-b', 'pichincha-c']
+const CUT_ZONE = 'pichincha-b'
+const CUT_MS = 9000
+const CONTACT_MS = 3000
+/** Long work, within the route's objective and time limit. */
+const WORK_MS = 3000
+const OBJECTIVE_MS = 4000
+const DEADLINE_MS = 8000
+const REQUESTS_PER_SECOND = 12
+const SLOTS = 64
+
+const { note, text } = createRecord()
+const isCutOff = (index) => ZONES[index] === CUT_ZONE
+const runs = new Map()
+const finished = new Set()
+
+async function startReplica (index) {
+  const id = `i-${index + 1}`
+  let running = 0
+  const server = createServer((incoming, response) => {
+    incoming.resume()
+    if (incoming.url === '/healthz') {
+      response.writeHead(200, { 'Quinceshunt-Replica-Id': id })
+      response.end()
+      return
+    }
+    const attempt = incoming.headers['quinceshunt-attempt-id']
+    runs.set(attempt, (runs.get(attempt) ?? new Set()).add(id))
+    note(`run ${attempt} ${id}`)
+    running++
+    const timer = setTimeout(() => {
+      finished.add(attempt)
+      response.writeHead(200, { ...signature(attempt), 'Quinceshunt-Replica-Load': `${running},0,${SLOTS}` })
+      response.end('done')
+    }, WORK_MS)
+    response.on('close', () => {
+      running--
+      clearTimeout(timer)
+      if (!response.writableFinished) note(`dropped ${attempt} ${id}`)
+    })
+  })
+  await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve))
+  return { id, address: `127.0.0.1:${server.address().port}`, server }
+}
 
-const { note, text, startedAt } = createRecord()
-const arrivals = []
 const store = await startStore()
-const zones = SMALL_DEPLOYMENT.zones
-const replicas = await Promise.all(zones.map((_, index) => startReplica({
-  id: `i-${index + 1}`,
-  slots: SLOTS,
-  queue: QUEUE,
-  workMilliseconds: WORK_MS,
-  onArrival: ({ id }, attempt) => {
-    arrivals.push({ at: Date.now(), attempt })
-    note(`arrival ${attempt} ${id}`)
-  },
-  onRejected: ({ id }, attempt) => note(`rejected ${attempt} ${id}`)
-})))
+const replicas = await Promise.all(SMALL_DEPLOYMENT.zones.map((_, index) => startReplica(index)))
+const links = await Promise.all(ZONES.map((_, index) => isCutOff(index) ? startBackendLinks(replicas.map(({ address }) => address)) : undefined))
+const storeAddresses = await Promise.all(links.map((link) => store.openAddress(link?.linkOf)))
 store.putConfiguration(configuration(7, {
-  routes: [route('r-lookup', '/puxa403/', 'wuno96b', { route_type: 'idempotent', max_attempts: 2, timeout_ms: 1500 })],
-  services: [{ name: 'wuno96b', health_path: '/healthz', max_conns: 96, protocol: 'h1', tls: false }]
+  routes: [route('r-report', '/puxa403/', 'wuno96b', { route_type: 'idempotent', max_attempts: 2, timeout_ms: DEADLINE_MS, slo_ms: OBJECTIVE_MS })],
+  services: [{ name: 'wuno96b', health_path: '/healthz', max_conns: 360, protocol: 'h1', tls: false }]
 }))
-replicas.forEach(({ id, address }, index) => store.putBackend(id, listing('wuno96b', address, zones[index], { slots: SLOTS })))
-const fleet = await startMachines(MACHINES, () => store.address, { log: note })
+replicas.forEach(({ id, address }, index) => store.putBackend(id, listing('wuno96b', address, SMALL_DEPLOYMENT.zones[index], { slots: SLOTS })))
+const fleet = await startMachines(ZONES.length, (index) => storeAddresses[index], { log: note, zones: ZONES })
 await pause(3000)
+const cutNames = new Set(fleet.machines.filter((_, index) => isCutOff(index)).map(({ name }) => name))
 
-async function restart (machine) {
-  machine.signal('SIGTERM')
-  const timer = setTimeout(() => machine.signal('SIGKILL'), GRACE_MS)
-  await machine.exited
-  clearTimeout(timer)
-  machine.start()
-}
-
-const traffic = createTraffic({ machines: fleet.candidates, path: '/puxa403/2f', deadlineMilliseconds: 1500, note })
+const traffic = createTraffic({ machines: fleet.candidates, path: '/puxa403/2f', deadlineMilliseconds: DEADLINE_MS, note })
 traffic.setRate(REQUESTS_PER_SECOND)
-const trafficAt = Date.now()
-await pause(BEFORE_MS)
-if (HAS_TROUBLE) {
-  for (const machine of fleet.machines) {
-    restart(machine)
-    await pause(GAP_MS)
-  }
-}
-await pause(Math.max(0, RUN_MS - (Date.now() - trafficAt)))
+await pause(5000)
+const cutAt = Date.now()
+note(HAS_TROUBLE ? `${[...cutNames].join(' ')} are cut off from all replicas` : 'nothing is cut')
+if (HAS_TROUBLE) await Promise.all(links.map((link) => link?.cut('hang')))
+await pause(CUT_MS)
+const healedAt = Date.now()
+if (HAS_TROUBLE) await Promise.all(links.map((link) => link?.heal()))
+note('the cut has healed')
+await pause(3000)
 await traffic.stop()
-const { retry_ratio: ratio, retry_slack: slack, retry_window_s: seconds } = SMALL_DEPLOYMENT.bounds
-const worst = worstRetryWindow({ sent: traffic.sent, arrivals, windowMilliseconds: seconds * 1000, ratio, slack })
-const summary = `sent ${traffic.sent.length}, arrivals ${arrivals.length}, answers ${JSON.stringify(traffic.statuses)}, worst window ends at ${worst.end - startedAt} ms: ${worst.repeats} repeats, ${worst.allowed} allowed for ${worst.requests} requests`
+
+/** First tries from `contact_ms` after the cut began to its end; no client of this script sends a second one. */
+const judged = traffic.sent.filter(({ at }) => at >= cutAt + CONTACT_MS && at < healedAt)
+const there = judged.filter(({ machine }) => cutNames.has(machine))
+const elsewhere = judged.filter(({ machine }) => !cutNames.has(machine))
+const served = (tries) => tries.filter(({ id }) => traffic.answers.get(id) === 200).length
+const failedThere = there.length - served(there)
+const shareThere = served(there) / there.length
+const shareElsewhere = served(elsewhere) / elsewhere.length
+const isBroken = shareThere < shareElsewhere * 2 / 3 && failedThere > 10 + judged.length / 50
+const repeated = there.filter(({ id }) => (runs.get(id)?.size ?? 0) > 1).length
+const unanswered = there.filter(({ id }) => runs.has(id) && traffic.answers.get(id) !== 200).length
+const summary = `during the cut: ${served(there)} of ${there.length} first tries served at the machines that are cut off, ${served(elsewhere)} of ${elsewhere.length} at the others; there ${repeated} ran at two replicas, ${unanswered} ran and got no answer of a replica; all answers ${JSON.stringify(traffic.statuses)}`
 writeFileSync(new URL('record.txt', import.meta.url), text(summary))
 await fleet.close()
 await store.close()
-for (const replica of replicas) replica.close()
+await Promise.all(links.map((link) => link?.close()))
+for (const { server } of replicas) server.closeAllConnections()
 console.log(summary)
-process.exit((traffic.statuses[200] ?? 0) < 500 ? 2 : worst.excess > 0 ? 1 : 0)
+process.exit(shareElsewhere < 0.5 ? 2 : isBroken ? 1 : 0)
