--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -6,23 +6,22 @@
 import { createRecord } from '../tools/traffic.mjs'
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0'
-const MACHINES = 6
 /** Two software versions serve side by side, with no order to the system. */
 const VERSIONS = ['v1', 'v1', 'v2', 'v2']
 /** Streams as long as those of `doorstep-ask`; at the beginning of each round as many users come at once to each machine. */
-const USERS = 16
+const USERS = 8
 const EVENTS = 73
 const EVENT_INTERVAL_MS = 60
 const DEADLINE_MS = 15_000
 /** After which an engine closes an idle channel, as its Keep-Alive header states. */
 const IDLE_MS = 2000
 /** All machines of one zone are cut off from all replicas for some seconds; then the others are killed at the same moment. */
-const ZONES = ['pichincha-a', 'pichincha-a', 'pichincha-b', 'pichincha-b', 'pichincha-b', 'pichincha-c']
+const ZONES = ['pichincha-a', 'pichincha-a', 'pichincha-b', 'pichincha-b', 'pichincha-b', 'pichincha-b', 'pichincha-b', 'pichincha-c', 'pichincha-c']
 const CUT_ZONE = 'pichincha-b'
-const ROUNDS = 5
+const ROUNDS = 4
 const CUT_MS = 2500
 const KILLED_AFTER_MS = 800
-const ROUND_MS = 14_000
+const ROUND_MS = 20_000
 
 const { note, text } = createRecord()
 const zones = SMALL_DEPLOYMENT.zones
@@ -76,7 +75,7 @@
   services: [{ name: 'huvo11a', health_path: '/healthz', max_conns: 360, protocol: 'h1', tls: false, engine: { slots: 64, kv_capacity: 456830, stride: 4, models: [{ name: 'm' }] } }]
 }))
 engines.forEach(({ id, address, version }, index) => store.putBackend(id, listing('huvo11a', address, zones[index % 3], { slots: 64, version })))
-const fleet = await startMachines(MACHINES, (index) => storeAddresses[index], { log: note, zones: ZONES })
+const fleet = await startMachines(ZONES.length, (index) => storeAddresses[index], { log: note, zones: ZONES })
 await pause(3000)
 const cutMachines = fleet.machines.filter((_, index) => isCutOff(index))
 const otherMachines = fleet.machines.filter((_, index) => !isCutOff(index))
@@ -127,7 +126,6 @@
 const mixed = answers.filter(({ isMixed }) => isMixed)
 const whole = answers.filter(({ isWhole }) => isWhole)
 const summary = `streams ${answers.length}, whole ${whole.length}, with events of two software versions ${mixed.length}`
-if (process.env.DEBUG) writeFileSync('/work/w/lines.txt', cutMachines.flatMap(({ name, lines }) => lines.map((line) => `${name} ${line}`)).join('\n'))
 writeFileSync(new URL('record.txt', import.meta.url), text(summary))
 await fleet.close()
 await store.close()
--- a/review/tools/traffic.mjs
+++ b/review/tools/traffic.mjs
@@ -1,10 +1,11 @@
 import { sendRequest } from './fleet.mjs'
 import { attemptId, clientHeaders } from './platform.mjs'
 
-/** Clients that send requests at a steady rate, each on a new channel to a machine in rotation. They don't retry. */
+/** Clients that send requests at a steady rate, each on a new channel to a machine in rotation. They don't retry. `path` may be a function of the request's number. */
 export function createTraffic ({ machines, path, deadlineMilliseconds, note }) {
   const sent = []
   const statuses = {}
+  const answers = new Map()
   const pending = new Set()
   let perSecond = 0
   let since = Date.now()
@@ -15,8 +16,9 @@
     const machine = candidates[Math.floor(Math.random() * candidates.length)]
     const id = attemptId()
     sent.push({ at: Date.now(), id, machine: machine.name })
-    const answered = sendRequest(machine.frontend, path, { headers: clientHeaders(id, deadlineMilliseconds), timeoutMilliseconds: deadlineMilliseconds }).then(({ status, error }) => {
+    const answered = sendRequest(machine.frontend, typeof path === 'function' ? path(sent.length) : path, { headers: clientHeaders(id, deadlineMilliseconds), timeoutMilliseconds: deadlineMilliseconds }).then(({ status, error }) => {
       statuses[status] = (statuses[status] ?? 0) + 1
+      answers.set(id, status)
       note(`answer ${id} ${machine.name} ${status} ${error}`)
     })
     pending.add(answered)
@@ -35,6 +37,8 @@
   return {
     sent,
     statuses,
+    /** Status of each answered request. */
+    answers,
     setRate: (rate) => {
       perSecond = rate
       since = Date.now()
