Relayed streams go on only at the software version that began them

Cause: the instance that relays a stream forwarded a peer's events without recording where the stream began. streamStart stayed 'notBegun', which admits every version, so that a retry, a return or a second peer could go on anywhere.

Change: the peer reports the start in the head of its response, to origins that ask for it. The origin takes it over before the first byte, tells the stream's homes, and breaks off a peer that goes on at another version. A peer of the landing before reports nothing; the homes are asked then, before anything else is sent.

--- a/packages/gateway/src/decisions/relayEnvelope.ts
+++ b/packages/gateway/src/decisions/relayEnvelope.ts
@@ -13,6 +13,8 @@
   attemptsLeft: v.pipe(v.number(), v.integer(), v.minValue(1)),
   /** True when the request was sent to a backend server before. */
   isRepeat: v.boolean(),
+  /** True when the peer is to report where its stream began; instances of an earlier version would pass the report on to the caller. */
+  wantsStreamReport: v.optional(v.boolean()),
   /** Where its stream began, if that is known. */
   origin: v.optional(streamOriginSchema)
 })
--- a/packages/gateway/src/decisions/streamOrigins.ts
+++ b/packages/gateway/src/decisions/streamOrigins.ts
@@ -34,9 +34,14 @@
 
 /** Returns true when a request may be sent to a backend server, as far as its stream's software version goes. */
 export function mayGoOnAt (start: StreamStart, entry: BackendServerEntry): boolean {
+  return mayGoOnAtVersion(start, entry.version)
+}
+
+/** Returns true when events of a software version may follow those that the caller has got. */
+export function mayGoOnAtVersion (start: StreamStart, version: string): boolean {
   switch (start.kind) {
     case 'notBegun': return true
-    case 'begun': return entry.version === start.version
+    case 'begun': return version === start.version
     case 'unknown': return false
     default: return assertNever(start)
   }
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -16,7 +16,7 @@
 import { recordUse } from './recordUse.js'
 import { releaseReturn } from './releaseReturn.js'
 import type { RequestState } from './requestTask.js'
-import { recordStreamStart } from './streamStart.js'
+import { recordStreamStart, streamReportHeaders } from './streamStart.js'
 
 /** Normal time to the first byte, in addition to the prefill. */
 const EXPECTED_FIRST_BYTE_MS = { engine: 120, plain: 120 } as const
@@ -345,7 +345,7 @@
     if (isStreamed && !state.headersSent) {
       recordStreamStart(context, state, backend, backendProcess)
       const responseHeaders = wire.buildResponseHeaders(incoming.rawHeaders)
-      response.writeHead(status, [...withoutContentLength(responseHeaders), ...closingHeaders(context, response)])
+      response.writeHead(status, [...withoutContentLength(responseHeaders), ...streamReportHeaders(context, state), ...closingHeaders(context, response)])
       state.headersSent = true
       recordUse(context, state, state.fields.prompt?.inputTokens ?? 0)
       state.streamHead = { status, mediaType }
--- a/packages/gateway/src/tasks/relayAttempt.ts
+++ b/packages/gateway/src/tasks/relayAttempt.ts
@@ -4,6 +4,7 @@
 import { createEventSplitter } from '../decisions/eventSplitter.js'
 import { encodeRelayEnvelope, RELAY_DECLINED_HEADER, RELAY_ELSEWHERE_HEADER, RELAY_HEADER } from '../decisions/relayEnvelope.js'
 import type { StreamOrigin } from '../decisions/streamOrigins.js'
+import { withoutStreamReport } from '../decisions/streamReport.js'
 import { isRetryable, type AttemptOutcome } from '../decisions/requestPlan.js'
 import { createBufferedBody } from './bufferedBody.js'
 import { limitDepartedExchange } from './departedExchange.js'
@@ -11,6 +12,7 @@
 import { bufferResponse, closingHeaders, mediaTypeOf, withoutContentLength } from './forwardedResponse.js'
 import type { GatewayContext } from './gatewayContext.js'
 import type { RequestState } from './requestTask.js'
+import { adoptStreamReport } from './streamStart.js'
 
 /** The peer answers at the deadline itself; it is given this much longer. */
 const DEADLINE_MARGIN_MS = 100
@@ -129,11 +131,15 @@
       abort(isRefused ? { kind: 'notRun', reason: `${peer.instanceId} refused to go on` } : { kind: 'broken', reason: `status ${status} of ${peer.instanceId} to a resumed stream`, headersSent: true }, 'unusable response')
       return
     }
+    if (isStreamed && !adoptStreamReport(context, state, incoming)) {
+      abort({ kind: 'broken', reason: `${peer.instanceId} goes on at another software version`, headersSent: state.headersSent }, 'another software version')
+      return
+    }
     head = { incoming, isStreamed }
     relay.learn({ kind: 'served' })
     if (isSuccess) earlier?.giveUp()
     if (!isStreamed || state.headersSent) return
-    response.writeHead(status, [...withoutContentLength(wire.buildResponseHeaders(incoming.rawHeaders)), ...closingHeaders(context, response)])
+    response.writeHead(status, [...withoutContentLength(wire.buildResponseHeaders(withoutStreamReport(incoming.rawHeaders))), ...closingHeaders(context, response)])
     state.headersSent = true
     state.streamHead = { status, mediaType: mediaTypeOf(incoming) }
     state.firstByteAt = steadyNow()
@@ -200,6 +206,7 @@
     configurationVersion: state.configuration.configuration.version,
     attemptsLeft: Math.max(1, state.maximumAttempts - state.reachedBackends),
     isRepeat: state.reachedBackends > 0,
+    wantsStreamReport: true,
     origin: originOf(context, state)
   })
 }
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -26,7 +26,7 @@
 import { recordUse } from './recordUse.js'
 import { runRelayAttempt } from './relayAttempt.js'
 import { declineRelay } from './relayReception.js'
-import { findStreamStart } from './streamStart.js'
+import { findStreamStart, findUnreportedStart } from './streamStart.js'
 
 /** For callers that send no timeout. */
 export const DEFAULT_CALLER_TIMEOUT_MS = 60_000
@@ -265,9 +265,12 @@
       if (outcome.kind === 'notSent') state.failedConnections++
       return outcome
     }
-    case 'peer':
+    case 'peer': {
       state.triedVersions.push('')
-      return await runRelayAttempt(context, state, destination.peer)
+      const outcome = await runRelayAttempt(context, state, destination.peer)
+      if (outcome.kind === 'broken') await findUnreportedStart(context, state)
+      return outcome
+    }
     default: return assertNever(destination)
   }
 }
--- a/packages/gateway/src/tasks/streamVersions.ts
+++ b/packages/gateway/src/tasks/streamVersions.ts
@@ -1,6 +1,7 @@
 import { steadyNow } from '../clock.js'
 import type { SharedClock } from '../decisions/sharedClock.js'
-import { createStreamOrigins, streamOriginSchema, type StreamOrigin, type StreamStart } from '../decisions/streamOrigins.js'
+import { createStreamOrigins, mayRemember, streamOriginSchema, type StreamOrigin, type StreamStart } from '../decisions/streamOrigins.js'
+import type { StreamReport } from '../decisions/streamReport.js'
 import { createVersionHistory, STREAM_LIFETIME_MS, type VersionedEntry } from '../decisions/versionHistory.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { Peer } from './fleetTask.js'
@@ -40,6 +41,10 @@
 export interface StreamVersions {
   /** Records a stream before its first event is passed on. */
   begin (stream: BegunStream): void
+  /** What a peer is told of a stream that this instance serves in its place. */
+  report (start: StreamStart): StreamReport
+  /** Takes over what a peer reports of a stream that is passed on to the caller, and remembers it like one of this instance. */
+  adopt (report: StreamReport, stream: Pick<BegunStream, 'attemptId' | 'callerTimeoutAt'>): StreamStart
   /** Finds where a stream began that a caller takes up; one that nobody knows went to `service` at its only version, if it has one. */
   find (attemptId: string, service: string): Promise<StreamStart>
   /** Turns a start into `unknown` once its backend server may have been another process than the listed one. */
@@ -214,10 +219,14 @@
     if (until !== undefined && until - (announcedUntil.get(service) ?? -Infinity) > STREAM_LIFETIME_MS * ANNOUNCE_AGAIN_AFTER) announce(service)
   }
 
-  function begin ({ attemptId, service, backendId, version, callerTimeoutAt }: BegunStream): void {
+  function begin (stream: BegunStream): void {
+    remember(stream, sharedNow())
+  }
+
+  function remember ({ attemptId, service, backendId, version, callerTimeoutAt }: BegunStream, begunAt: number): void {
     const now = sharedNow()
     const expiresAt = now + Math.min(STREAM_LIFETIME_MS, callerTimeoutAt - steadyNow() + ORIGIN_MARGIN_MS)
-    const origin = { attemptId, service, backendId, version, begunAt: now, expiresAt }
+    const origin = { attemptId, service, backendId, version, begunAt, expiresAt }
     origins.record(origin, now)
     ownStreams.set(attemptId, { origin, toldTo: new Set() })
     if (!areVersionsMixed(service)) return
@@ -230,6 +239,19 @@
     return confirm({ kind: 'begun', service: origin.service, version: origin.version, backendId: origin.backendId, at: toLocal(origin.begunAt) })
   }
 
+  function report (start: StreamStart): StreamReport {
+    if (start.kind !== 'begun') return { kind: 'unknown' }
+    const { service, version, backendId, at } = start
+    return { kind: 'begun', service, version, backendId, begunAt: clock.fromLocal(at) ?? 0 }
+  }
+
+  function adopt (reported: StreamReport, { attemptId, callerTimeoutAt }: Pick<BegunStream, 'attemptId' | 'callerTimeoutAt'>): StreamStart {
+    if (reported.kind === 'unknown') return { kind: 'unknown' }
+    const { service, version, backendId, begunAt } = reported
+    if (mayRemember(attemptId)) remember({ attemptId, service, backendId, version, callerTimeoutAt }, begunAt)
+    return confirm({ kind: 'begun', service, version, backendId, at: toLocal(begunAt) })
+  }
+
   function confirm (start: StreamStart): StreamStart {
     return start.kind === 'begun' && history.isDoubtful(start.backendId, start.at) ? { kind: 'unknown' } : start
   }
@@ -286,6 +308,8 @@
 
   return {
     begin,
+    report,
+    adopt,
     find,
     confirm,
     noteListed: (entry, previous) => {
