Keep the retry budget over changes of the number of instances and restarts

Cause: retryShares.ts replaced a service's token bucket by a full one whenever the number of instances changed, which each restart does twice, and each process started with a full one. Debts and reserved retries of the replaced bucket were charged to nobody.

Change: a bucket lives as long as its process, and a change of the number changes its limits only. It starts empty, and without its overdraft for one window. An instance counts itself while it is not on the list, and registers again when it was removed from it, which a late removal by the process before does.

--- a/packages/gateway/src/__tests__/fleetTask.test.ts
+++ b/packages/gateway/src/__tests__/fleetTask.test.ts
@@ -82,6 +82,30 @@
   })
 })
 
+describe('an instance whose predecessor is removed from the list late', () => {
+  // Guards against a running instance that is off the list for its life: the others divide the fleet's limits without it.
+  test('registers again, and counts itself meanwhile', async () => {
+    const memory = createMemoryRowStore()
+    const [late, other] = ['late', 'other'].map((instanceId) => startInstance(memory, instanceId))
+    await jest.advanceTimersByTimeAsync(2000)
+    memory.removeRow({ table: 'fleet', part: '', key: 'instance/late' })
+    expect(late?.fleet.instances).toBe(2)
+    await jest.advanceTimersByTimeAsync(2000)
+    expect([late, other].map((instance) => instance?.fleet.instances)).toEqual([2, 2])
+    expect(other?.fleet.incarnationOf('late')).toBe('late.1')
+  })
+
+  test('stays off the list when it has left', async () => {
+    const memory = createMemoryRowStore()
+    const [leaving, other] = ['leaving', 'other'].map((instanceId) => startInstance(memory, instanceId))
+    await jest.advanceTimersByTimeAsync(2000)
+    await leaving?.fleet.deregister()
+    memory.removeRow({ table: 'fleet', part: '', key: 'instance/leaving' })
+    await jest.advanceTimersByTimeAsync(5000)
+    expect(other?.fleet.incarnationOf('leaving')).toBeUndefined()
+  })
+})
+
 describe('crash reports', () => {
   // Guards against instances that never learn of crashes during a fault of the store, and let a request crash further backend servers after it.
   test.each<StoreFault['kind']>(['refuse', 'drop'])('reports whose write failed (%s) reach other instances once the store is back', async (kind) => {
--- a/packages/gateway/src/decisions/retryShares.ts
+++ b/packages/gateway/src/decisions/retryShares.ts
@@ -1,4 +1,4 @@
-import { createRetryBudget, type ReservedRetry, type RetryBudget } from '@quinceshunt/requests'
+import { createRetryBudget, type ReservedRetry, type RetryBudget, type RetryBudgetLimits } from '@quinceshunt/requests'
 
 /** Fraction of the fleet's budget that the shares add up to, so that all instances together stay below it. */
 const BUDGET_UTILIZATION = 0.6
@@ -25,28 +25,41 @@
 /**
  * Splits each service's retry budget evenly over the instances. A share's token bucket refills in one window, so at most
  * twice its capacity and its overdraft are used within any window; the utilizations keep that within the fleet's slack.
+ *
+ * A share starts empty at `startedAt`, and without its overdraft for one window: the process before may have used both. It is kept
+ * when the number of instances changes, as each instance that leaves and returns changes it twice.
  */
-export function createRetryShares (limits: RetryLimits, instances: () => number): RetryShares {
-  const shares = new Map<string, { readonly instances: number, readonly budget: RetryBudget }>()
+export function createRetryShares (limits: RetryLimits, instances: () => number, startedAt: number): RetryShares {
+  const shares = new Map<string, { readonly budget: RetryBudget, limitsKey: string }>()
+  const overdraftFrom = startedAt + limits.windowMilliseconds
 
-  function budgetFor (service: string): RetryBudget {
-    const count = instances()
-    const found = shares.get(service)
-    if (found !== undefined && found.instances === count) return found.budget
+  function shareLimits (count: number, hasOverdraft: boolean): RetryBudgetLimits {
     const capacity = Math.max(1, limits.slack * BUDGET_UTILIZATION / 2 / count)
-    const budget = createRetryBudget({
-      retriesPerRequest: limits.ratio * BUDGET_UTILIZATION,
+    return {
       capacity,
-      overdraft: Math.max(1, limits.slack * RETURN_UTILIZATION / count),
+      overdraft: hasOverdraft ? Math.max(1, limits.slack * RETURN_UTILIZATION / count) : 0,
       idleRetriesPerSecond: capacity / (limits.windowMilliseconds / 1000)
-    })
-    shares.set(service, { instances: count, budget })
-    return budget
+    }
+  }
+
+  function budgetFor (service: string, now: number): RetryBudget {
+    const count = instances()
+    const hasOverdraft = now >= overdraftFrom
+    const limitsKey = `${count} ${hasOverdraft}`
+    const found = shares.get(service)
+    if (found === undefined) {
+      const budget = createRetryBudget({ retriesPerRequest: limits.ratio * BUDGET_UTILIZATION, emptyAt: startedAt, ...shareLimits(count, hasOverdraft) })
+      shares.set(service, { budget, limitsKey })
+      return budget
+    }
+    if (found.limitsKey !== limitsKey) found.budget.changeLimits(shareLimits(count, hasOverdraft), now)
+    found.limitsKey = limitsKey
+    return found.budget
   }
 
   return {
-    recordRequest: (service, now) => budgetFor(service).recordRequest(now),
-    tryAcquireRetry: (service, now) => budgetFor(service).tryAcquireRetry(now),
-    tryAcquireWithReturn: (service, now) => budgetFor(service).tryAcquireWithReserve(now)
+    recordRequest: (service, now) => budgetFor(service, now).recordRequest(now),
+    tryAcquireRetry: (service, now) => budgetFor(service, now).tryAcquireRetry(now),
+    tryAcquireWithReturn: (service, now) => budgetFor(service, now).tryAcquireWithReserve(now)
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -218,7 +218,7 @@
     connections,
     tokens,
     fleet,
-    retryShares: createRetryShares({ ratio: settings.retryRatio, slack: settings.retrySlack, windowMilliseconds: settings.retryWindowSeconds * 1000 }, () => fleet.instances),
+    retryShares: createRetryShares({ ratio: settings.retryRatio, slack: settings.retrySlack, windowMilliseconds: settings.retryWindowSeconds * 1000 }, () => fleet.instances, steadyNow()),
     crashGuard,
     permits,
     rooms,
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -50,7 +50,7 @@
 
 /** Membership of the fleet and messages between instances, through the store. */
 export interface FleetTask {
-  /** Number of registered instances, at least 1. */
+  /** Number of registered instances; this one counts also while it is not registered. */
   readonly instances: number
   /** The other registered instances. */
   readonly peers: readonly Peer[]
@@ -195,6 +195,8 @@
       if (registeredEra !== '') earliestEra = Math.min(earliestEra ?? Infinity, Number(registeredEra))
       if (row.deleted) instances.delete(name)
       else instances.set(name, { instanceId: name, address, failureDomain, incarnationId })
+      // The removal of the process before may be performed late.
+      if (row.deleted && name === options.instanceId && registeredState !== undefined) startRegistration()
       options.onInstancesChanged()
       return
     }
@@ -464,7 +466,7 @@
   era.onRestored(handleRestore)
   startRegistration()
   return {
-    get instances () { return Math.max(1, instances.size) },
+    get instances () { return instances.size + (instances.has(options.instanceId) ? 0 : 1) },
     get peers () { return peersOf() },
     homes: homesOf,
     permitHomes: (backendId) => homesOf(`${REPORT_PREFIX.limit}${backendId}`),
--- a/packages/requests/src/retryBudget.ts
+++ b/packages/requests/src/retryBudget.ts
@@ -12,6 +12,18 @@
   tryAcquireRetry (now: number): boolean
   /** Consumes one retry and reserves another, for the case that it fails; undefined unless both are available. */
   tryAcquireWithReserve (now: number): ReservedRetry | undefined
+  /** Replaces the limits from `now` on. Accumulated, reserved and overdrawn retries stay; those beyond a lower capacity are lost. */
+  changeLimits (limits: RetryBudgetLimits, now: number): void
+}
+
+/** Limits of a budget that may change while it is used. */
+export interface RetryBudgetLimits {
+  /** Maximum number of accumulated retries. */
+  readonly capacity?: number
+  /** Retries per second allowed without requests. */
+  readonly idleRetriesPerSecond?: number
+  /** Retries beyond the accumulated ones that only reserved retries may consume; they are paid back before the next retry. */
+  readonly overdraft?: number
 }
 
 /** A retry that is kept for one request. Only the first call of either method has an effect. */
@@ -20,15 +32,19 @@
   release (): void
 }
 
-export interface RetryBudgetOptions {
+export interface RetryBudgetOptions extends RetryBudgetLimits {
   /** Retries that each request adds, from 0 to 1. */
   readonly retriesPerRequest: number
-  /** Maximum number of accumulated retries. */
-  readonly capacity?: number
-  /** Retries per second allowed without requests. */
-  readonly idleRetriesPerSecond?: number
-  /** Retries beyond the accumulated ones that only reserved retries may consume; they are paid back before the next retry. */
-  readonly overdraft?: number
+  /** When it was empty, in Unix milliseconds. Without a time it starts full, which a process that may have been restarted must not. */
+  readonly emptyAt?: number
+}
+
+function withDefaults (limits: RetryBudgetLimits): { readonly capacity: number, readonly idleRate: number, readonly overdraft: number } {
+  return {
+    capacity: limits.capacity ?? DEFAULT_RETRY_CAPACITY,
+    idleRate: limits.idleRetriesPerSecond ?? DEFAULT_IDLE_RETRIES_PER_SECOND,
+    overdraft: limits.overdraft ?? 0
+  }
 }
 
 /**
@@ -37,12 +53,10 @@
  * capacity + overdraft + retriesPerRequest x requests + idleRetriesPerSecond x seconds.
  */
 export function createRetryBudget (options: RetryBudgetOptions): RetryBudget {
-  const capacity = options.capacity ?? DEFAULT_RETRY_CAPACITY
-  const idleRate = options.idleRetriesPerSecond ?? DEFAULT_IDLE_RETRIES_PER_SECOND
-  const overdraft = options.overdraft ?? 0
-  let tokens = capacity
+  let { capacity, idleRate, overdraft } = withDefaults(options)
+  let tokens = options.emptyAt === undefined ? capacity : 0
   let reserved = 0
-  let refilledAt: number | undefined
+  let refilledAt = options.emptyAt
 
   function addTokens (amount: number): void {
     tokens = Math.min(capacity, tokens + amount)
@@ -80,6 +94,11 @@
       addTokens(options.retriesPerRequest)
     },
     tryAcquireRetry: (now) => tryAcquire(now, 0),
-    tryAcquireWithReserve: (now) => tryAcquire(now, 1) ? createReservedRetry() : undefined
+    tryAcquireWithReserve: (now) => tryAcquire(now, 1) ? createReservedRetry() : undefined,
+    changeLimits: (limits, now) => {
+      refill(now)
+      ;({ capacity, idleRate, overdraft } = withDefaults(limits))
+      addTokens(0)
+    }
   }
 }
