Wait for a peer that lives while its backend server works on a relayed request

Cause: a peer that sent no head for 2.5 s was taken for lost. A sound one sends nothing until its backend server has answered, and was then kept out for 1.5 s.

Change: a peer that has sent no byte for a second is asked, with an empty list of reports, to which the landing before replies too. Any reply shows that its process lives; three questions without one, or the reply of another process, end the wait.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import { createLeaseWitness } from './tasks/leaseWitness.js'
 import { createOpenResponses } from './tasks/openResponses.js'
 import { createMetricsServer, createReadinessServer, type OperationsSource } from './tasks/operationsServers.js'
+import { createPeerLife } from './tasks/peerLife.js'
 import { createPeerListener } from './tasks/peerListener.js'
 import { PEER_PATH, postToPeer } from './tasks/peerMessages.js'
 import { observeStoreTime } from './tasks/observeStoreTime.js'
@@ -224,6 +225,7 @@
     rooms,
     streamVersions,
     relayPeers: createRelayPeers({ peers: () => fleet.peers, failureDomain: settings.failureDomain }),
+    peerLife: createPeerLife({ log, peers: () => fleet.peers }),
     destinations: new WeakMap(),
     bufferedResponses: createSharedLimit(BUFFERED_RESPONSE_BYTES),
     callersMemory: createCallersMemory(steadyNow),
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -16,6 +16,7 @@
 import type { FleetTask } from './fleetTask.js'
 import type { OpenResponses } from './openResponses.js'
 import type { Destination } from './destinations.js'
+import type { PeerLife } from './peerLife.js'
 import type { RelayPeers } from './relayPeers.js'
 import type { RequestState } from './requestTask.js'
 import type { SendingPermits } from './sendingPermits.js'
@@ -44,6 +45,7 @@
   readonly rooms: BackendRooms
   readonly streamVersions: StreamVersions
   readonly relayPeers: RelayPeers
+  readonly peerLife: PeerLife
   /** The backend server, or the peer, last selected for each request. */
   readonly destinations: WeakMap<RequestState, Destination>
   /** Bytes of responses that are buffered until they are whole, by the process that sends them. */
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -91,8 +91,11 @@
   | { readonly kind: 'answered', readonly reply: unknown }
   /** Another process runs at that address, or this one is about to exit; it did not handle the message. */
   | { readonly kind: 'otherIncarnation' }
-  /** `mayHaveArrived` is false when no connection was established, and when the receiver refused this copy without handling it. */
-  | { readonly kind: 'failed', readonly mayHaveArrived: boolean, readonly reason: string }
+  /**
+   * `mayHaveArrived` is false when no connection was established, and when the receiver refused this copy without handling it.
+   * `hasReplied` tells that a process of whatever version replied, with an error.
+   */
+  | { readonly kind: 'failed', readonly mayHaveArrived: boolean, readonly reason: string, readonly hasReplied?: true }
 
 /** Paths of the messages between instances. */
 export const PEER_PATH = { loans: '/loans', returns: '/returns', permits: '/permits', limits: '/limits', reports: '/reports', leases: '/leases', rooms: '/rooms', streams: '/streams', streamQueries: '/streams/find' } as const
@@ -174,7 +177,7 @@
       incoming.on('end', () => {
         if (incoming.statusCode === PEER_STATUS.otherIncarnation) return finish({ kind: 'otherIncarnation' })
         if (incoming.statusCode === PEER_STATUS.overloaded) mayHaveArrived = false
-        if (incoming.statusCode !== PEER_STATUS.ok) return fail(`status ${incoming.statusCode ?? 0}`)
+        if (incoming.statusCode !== PEER_STATUS.ok) return finish({ kind: 'failed', mayHaveArrived, reason: `status ${incoming.statusCode ?? 0}`, hasReplied: true })
         finish({ kind: 'answered', reply: parseJson(collector.bytes().toString()) })
       })
     })
--- a/packages/gateway/src/tasks/relayAttempt.ts
+++ b/packages/gateway/src/tasks/relayAttempt.ts
@@ -16,8 +16,6 @@
 
 /** The peer answers at the deadline itself; it is given this much longer. */
 const DEADLINE_MARGIN_MS = 100
-/** Time without a head, or without a byte of a stream, after which a peer is taken for paused or cut off; longer than a backend server may be silent. */
-const PEER_SILENCE_MS = 2500
 const SILENCE_CHECK_MS = 100
 /** The attempt that was set aside ends this long after the request was relayed. */
 const SET_ASIDE_MS = 250
@@ -104,19 +102,25 @@
   }
 
   function checkSilence (): void {
-    const now = steadyNow()
-    if (response.writableNeedDrain) lastBytesAt = now
-    if (now - lastBytesAt < PEER_SILENCE_MS || (head !== undefined && !head.isStreamed)) return
+    if (response.writableNeedDrain) lastBytesAt = steadyNow()
+    if (head !== undefined && !head.isStreamed) return
+    const loss = context.peerLife.lossOf(peer, lastBytesAt)
+    if (loss === undefined) return
     relay.learn({ kind: 'unanswered' })
-    abort({ kind: 'broken', reason: `peer silent for ${now - lastBytesAt} ms`, headersSent: state.headersSent }, 'silent peer')
+    abort({ kind: 'broken', reason: loss, headersSent: state.headersSent }, loss)
   }
 
   function onConnected (): void {
     if (earlier !== undefined) earlierTimer = setTimeout(earlier.giveUp, SET_ASIDE_MS)
   }
 
-  function onHead (incoming: IncomingMessage): void {
+  function recordBytes (): void {
     lastBytesAt = steadyNow()
+    context.peerLife.noteBytes(peer)
+  }
+
+  function onHead (incoming: IncomingMessage): void {
+    recordBytes()
     const status = incoming.statusCode ?? 0
     const declined = incoming.headers[RELAY_DECLINED_HEADER]
     if (declined !== undefined) {
@@ -146,7 +150,7 @@
   }
 
   function onData (chunk: Buffer): void {
-    lastBytesAt = steadyNow()
+    recordBytes()
     if (head === undefined) return
     if (!head.isStreamed) {
       if (!body.add(chunk)) abort({ kind: 'broken', reason: `response too large: more than ${body.bytes - chunk.length} bytes`, headersSent: state.headersSent }, 'response too large')
