Hand out the attempts of a relayed request one by one

Cause: each relay handed out all attempts anew, as only the instance's own sends were counted. Each relayed request was also counted in the retry budgets of both instances.

Change: a relay hands out one attempt. The peer asks the origin for each further one, which counts it and pays for it from its own budget, so that what was handed out is known also when the peer is gone. A peer of the landing before gets one attempt; an origin of that landing is served as before. Requests that run at most once by the origin's configuration are granted nothing.

--- a/packages/gateway/src/__fixtures__/loanNetwork.ts
+++ b/packages/gateway/src/__fixtures__/loanNetwork.ts
@@ -1,4 +1,4 @@
-import { createPeerMessageHandler, type DeliveryOutcome, type LimitHandlers, type RoomHandlers, type StreamHandlers, type TokenHandlers } from '../tasks/peerMessages.js'
+import { createPeerMessageHandler, type DeliveryOutcome, type LimitHandlers, type RetryHandlers, type RoomHandlers, type StreamHandlers, type TokenHandlers } from '../tasks/peerMessages.js'
 import type { Peer } from '../tasks/fleetTask.js'
 import type { Post } from '../tasks/tokenLoans.js'
 import { createRecordingLog } from './recordingLog.js'
@@ -21,7 +21,7 @@
 export interface LoanNetwork {
   readonly post: Post
   /** Starts or replaces the process at an address. */
-  listen (peer: Peer, handlers: { readonly tokens?: TokenHandlers, readonly limits?: LimitHandlers, readonly rooms?: RoomHandlers, readonly streams?: StreamHandlers }): void
+  listen (peer: Peer, handlers: { readonly tokens?: TokenHandlers, readonly limits?: LimitHandlers, readonly rooms?: RoomHandlers, readonly streams?: StreamHandlers, readonly retries?: RetryHandlers }): void
   /** The process at the address ends; messages to it are lost. */
   kill (address: string): void
   readonly currentIncarnation: (instanceId: string) => string | undefined
@@ -36,6 +36,9 @@
 }
 /** For tests without brittle backend servers. */
 const noRooms: RoomHandlers = { issue: () => { throw new Error('no message about room is expected') } }
+/** For tests without relayed requests. */
+const noRetries: RetryHandlers = { answer: () => { throw new Error('no message about retries is expected') } }
+
 /** For tests without streams. */
 const noStreams: StreamHandlers = {
   receive: () => { throw new Error('no message about streams is expected') },
@@ -79,8 +82,8 @@
 
   return {
     post,
-    listen: (peer, { tokens = noTokens, limits = noLimits, rooms = noRooms, streams = noStreams }) => {
-      processes.set(peer.address, { peer, handle: createPeerMessageHandler({ incarnationId: peer.incarnationId, tokens, limits, rooms, streams, receiveReports: () => {}, receiveLease: () => undefined, log: createRecordingLog(), now }) })
+    listen: (peer, { tokens = noTokens, limits = noLimits, rooms = noRooms, streams = noStreams, retries = noRetries }) => {
+      processes.set(peer.address, { peer, handle: createPeerMessageHandler({ incarnationId: peer.incarnationId, tokens, limits, rooms, streams, retries, receiveReports: () => {}, receiveLease: () => undefined, log: createRecordingLog(), now }) })
     },
     kill: (address) => { processes.delete(address) },
     currentIncarnation: (instanceId) => [...processes.values()].find(({ peer }) => peer.instanceId === instanceId)?.peer.incarnationId
--- a/packages/gateway/src/__fixtures__/restorableFleet.ts
+++ b/packages/gateway/src/__fixtures__/restorableFleet.ts
@@ -78,7 +78,7 @@
       learnPredecessor: tokens.learnPredecessor,
       post: async (peerAddress, path, message) => isKilled ? { kind: 'failed', mayHaveArrived: false, reason: 'killed' } : await post(peerAddress, path, message)
     })
-    handlers.set(address, createPeerMessageHandler({ incarnationId, tokens, limits: { issue: () => { throw new Error('no limits') }, receive: () => {} }, rooms: { issue: () => ({ kind: 'noted' }) }, streams: { receive: () => {}, answer: () => ({ areVersionsMixed: false }) }, receiveReports: () => {}, receiveLease: witness.receive, log, now: steadyNow }))
+    handlers.set(address, createPeerMessageHandler({ incarnationId, tokens, limits: { issue: () => { throw new Error('no limits') }, receive: () => {} }, rooms: { issue: () => ({ kind: 'noted' }) }, streams: { receive: () => {}, answer: () => ({ areVersionsMixed: false }) }, retries: { answer: () => ({ isGranted: false }) }, receiveReports: () => {}, receiveLease: witness.receive, log, now: steadyNow }))
     tokens.setPrepaid(account, prepaidTokens)
     return {
       tokens,
--- a/packages/gateway/src/__tests__/peerListener.test.ts
+++ b/packages/gateway/src/__tests__/peerListener.test.ts
@@ -70,6 +70,7 @@
       limits: { issue: () => { throw new Error('no message about limits is expected') }, receive: () => {} },
       rooms: { issue: () => ({ kind: 'noted' }) },
       streams: { receive: () => {}, answer: () => ({ areVersionsMixed: false }) },
+      retries: { answer: () => ({ isGranted: false }) },
       receiveReports: () => {},
       receiveLease: () => undefined,
       log: createRecordingLog(),
@@ -134,7 +135,7 @@
     }
     await new Promise((resolve) => setTimeout(resolve, 500))
     finishLoans()
-    expect(await postToPeer(address, PEER_PATH.loans, large, 1000)).toEqual({ kind: 'failed', mayHaveArrived: false, reason: 'status 503' })
+    expect(await postToPeer(address, PEER_PATH.loans, large, 1000)).toEqual({ kind: 'failed', mayHaveArrived: false, reason: 'status 503', hasReplied: true })
     expect(lent).toEqual([])
     for (const socket of sockets) socket.destroy()
     await new Promise((resolve) => setTimeout(resolve, 100))
--- a/packages/gateway/src/decisions/relayEnvelope.ts
+++ b/packages/gateway/src/decisions/relayEnvelope.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot'
+import { furtherAttemptsSchema } from './relayedRetries.js'
 import { streamOriginSchema } from './streamOrigins.js'
 
 /** What an instance tells a peer beside a request that the peer is to serve in its place. */
@@ -9,10 +10,12 @@
   to: v.string(),
   /** The peer must know this version of the configuration, by which the request was admitted. */
   configurationVersion: v.number(),
-  /** Backend servers to which the peer may send the request. */
+  /** Backend servers to which the peer may send the request without asking. */
   attemptsLeft: v.pipe(v.number(), v.integer(), v.minValue(1)),
-  /** True when the request was sent to a backend server before. */
+  /** True when the request is counted in the retry budget of another instance already. */
   isRepeat: v.boolean(),
+  /** Retries that the peer may ask for; instances of an earlier version hand all attempts out at once. */
+  furtherAttempts: v.optional(furtherAttemptsSchema),
   /** True when the peer is to report where its stream began; instances of an earlier version would pass the report on to the caller. */
   wantsStreamReport: v.optional(v.boolean()),
   /** Where its stream began, if that is known. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,6 +33,7 @@
 import { createPeerListener } from './tasks/peerListener.js'
 import { PEER_PATH, postToPeer } from './tasks/peerMessages.js'
 import { observeStoreTime } from './tasks/observeStoreTime.js'
+import { createRelayedRetries } from './tasks/relayedRetries.js'
 import { createRelayPeers } from './tasks/relayPeers.js'
 import { createSendingPermits } from './tasks/sendingPermits.js'
 import { createStreamVersions } from './tasks/streamVersions.js'
@@ -182,7 +183,8 @@
     announceMixed: fleet.announceMixedVersions,
     count: (outcome) => metrics.count('stream_origins_total', { outcome })
   })
-  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, rooms, streams: streamVersions, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow }, (incoming, response) => callers.handleRelayed(incoming, response))
+  const relayedRetries = createRelayedRetries({ log, peers: () => fleet.peers, count: (outcome) => metrics.count('relayed_retries_total', { outcome }) })
+  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, rooms, streams: streamVersions, retries: relayedRetries, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow }, (incoming, response) => callers.handleRelayed(incoming, response))
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
   const confirmedConfiguration = createConfirmedConfiguration({ current: () => configuration.current, mayBeOutdated: fleet.mayBeOutdated })
   const backends = startBackendTask({
@@ -225,6 +227,7 @@
     rooms,
     streamVersions,
     relayPeers: createRelayPeers({ peers: () => fleet.peers, failureDomain: settings.failureDomain }),
+    relayedRetries,
     peerLife: createPeerLife({ log, peers: () => fleet.peers }),
     destinations: new WeakMap(),
     bufferedResponses: createSharedLimit(BUFFERED_RESPONSE_BYTES),
--- a/packages/gateway/src/tasks/chooseDestination.ts
+++ b/packages/gateway/src/tasks/chooseDestination.ts
@@ -1,6 +1,7 @@
 import { steadyNow } from '../clock.js'
 import { chooseBackend, rankBackends, type Choice } from '../decisions/backendChoice.js'
 import type { BackendState } from '../decisions/backendState.js'
+import { hasAttemptLeft } from '../decisions/relayedRetries.js'
 import { isRetryable, type ChoiceOutcome } from '../decisions/requestPlan.js'
 import { findAvailableBackends } from './availableBackends.js'
 import { destinationIdOf, excludedPeers, reachableBackends, relayNeed, type Destination } from './destinations.js'
@@ -25,7 +26,7 @@
   for (;;) {
     const now = steadyNow()
     const need = relayNeed(context, state, now)
-    if (need === 'required' || (need === 'preferred' && context.relayPeers.hasChoice(state.service, excludedPeers(excluded)))) return chooseRelayPeer(context, state, excluded)
+    if (need === 'required' || (need === 'preferred' && hasAttemptLeft(state) && context.relayPeers.hasChoice(state.service, excludedPeers(excluded)))) return chooseRelayPeer(context, state, excluded)
     const available = findAvailableBackends(context, state, excluded)
     if (available.kind === 'none') return available
     const reachable = reachableBackends(context, available.backends, now)
@@ -82,6 +83,7 @@
 }
 
 function chooseRelayPeer (context: GatewayContext, state: RequestState, excluded: readonly string[]): ChoiceOutcome {
+  if (!hasAttemptLeft(state)) return { kind: 'none', reason: 'cut off from all backend servers, and no attempt is left for another instance', retryAt: context.relayPeers.retryAt(state.service) }
   const peer = context.relayPeers.choose(state.service, excludedPeers(excluded))
   if (peer === undefined) return { kind: 'none', reason: 'cut off from all backend servers, and no other instance takes the request', retryAt: context.relayPeers.retryAt(state.service) }
   const destination: Destination = { kind: 'peer', peer }
@@ -98,7 +100,7 @@
 /** True when a backend server that is usable, or a peer, takes a retry of the request: the retry budget is kept for requests that have one. */
 export function hasUntriedDestination (context: GatewayContext, state: RequestState, isUsable: (backend: BackendState) => boolean): boolean {
   const need = relayNeed(context, state, steadyNow())
-  const hasPeer = need !== 'none' && context.relayPeers.hasChoice(state.service, excludedPeers(state.triedBackendIds))
+  const hasPeer = need !== 'none' && hasAttemptLeft(state) && context.relayPeers.hasChoice(state.service, excludedPeers(state.triedBackendIds))
   if (need === 'required' || hasPeer) return hasPeer
   const available = findAvailableBackends(context, state, state.triedBackendIds)
   return available.kind === 'some' && available.backends.some(isUsable)
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -18,6 +18,7 @@
 import type { Destination } from './destinations.js'
 import type { PeerLife } from './peerLife.js'
 import type { RelayPeers } from './relayPeers.js'
+import type { RelayedRetries } from './relayedRetries.js'
 import type { RequestState } from './requestTask.js'
 import type { SendingPermits } from './sendingPermits.js'
 import type { StreamVersions } from './streamVersions.js'
@@ -45,6 +46,7 @@
   readonly rooms: BackendRooms
   readonly streamVersions: StreamVersions
   readonly relayPeers: RelayPeers
+  readonly relayedRetries: RelayedRetries
   readonly peerLife: PeerLife
   /** The backend server, or the peer, last selected for each request. */
   readonly destinations: WeakMap<RequestState, Destination>
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -3,11 +3,13 @@
 import * as v from 'valibot'
 import { reportedUseSchema, type ReportedUse } from '../decisions/knownUse.js'
 import type { KnownLimit, PermitReply, PermitRequest } from '../decisions/permitIssuer.js'
+import { retryKindSchema, type RetryKind } from '../decisions/relayedRetries.js'
 import type { RoomReply, RoomRequest } from '../decisions/roomIssuer.js'
 import { streamOriginSchema, type StreamOrigin } from '../decisions/streamOrigins.js'
 import { toldTotalsSchema, type ToldLease } from '../decisions/toldLease.js'
 import type { KnownBrittleness } from './backendRooms.js'
 import type { DecisionLog } from './decisionLog.js'
+import type { RetryReply } from './relayedRetries.js'
 import type { StreamAnswer } from './streamVersions.js'
 import type { Report } from './fleetReports.js'
 
@@ -76,6 +78,7 @@
 ])
 const reportsSchema = v.object({ to: v.string(), reports: v.array(v.object({ key: v.string(), value: v.string() })) })
 const leaseNewsSchema = v.object({ to: v.string(), ...toldTotalsSchema.entries })
+const retryRequestSchema = v.object({ to: v.string(), relayId: v.string(), kind: retryKindSchema })
 const streamNewsSchema = v.object({ to: v.string(), origins: v.array(streamOriginSchema) })
 const streamQuerySchema = v.object({ to: v.string(), attemptId: v.string(), service: v.string() })
 const limitNewsSchema = v.object({ to: v.string(), backendProcess: v.string(), known: knownLimitSchema })
@@ -98,7 +101,7 @@
   | { readonly kind: 'failed', readonly mayHaveArrived: boolean, readonly reason: string, readonly hasReplied?: true }
 
 /** Paths of the messages between instances. */
-export const PEER_PATH = { loans: '/loans', returns: '/returns', permits: '/permits', limits: '/limits', reports: '/reports', leases: '/leases', rooms: '/rooms', streams: '/streams', streamQueries: '/streams/find' } as const
+export const PEER_PATH = { loans: '/loans', returns: '/returns', permits: '/permits', limits: '/limits', reports: '/reports', leases: '/leases', rooms: '/rooms', streams: '/streams', streamQueries: '/streams/find', retries: '/retries' } as const
 
 /** Takes over a limit from JSON, which leaves out an undefined value. */
 function toKnownLimit ({ requestsPerSecond, seenAt }: v.InferOutput<typeof knownLimitSchema>): KnownLimit {
@@ -220,6 +223,11 @@
   readonly answer: (attemptId: string, service: string) => StreamAnswer
 }
 
+/** Handlers of messages about requests that this instance relays. */
+export interface RetryHandlers {
+  readonly answer: (relayId: string, kind: RetryKind) => RetryReply
+}
+
 /** Handles reports that a peer could not write to the store. */
 export type ReportHandler = (reports: readonly Report[]) => void
 
@@ -234,6 +242,7 @@
   readonly limits: LimitHandlers
   readonly rooms: RoomHandlers
   readonly streams: StreamHandlers
+  readonly retries: RetryHandlers
   readonly receiveReports: ReportHandler
   readonly receiveLease: LeaseNewsHandler
   readonly log: DecisionLog
@@ -255,7 +264,7 @@
  * Handles each message once: a repeated one gets the reply of the first, so that a sender may repeat it until it is
  * answered.
  */
-export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, rooms, streams, receiveReports, receiveLease, log, now, maxRememberedReplies = MAX_REMEMBERED_REPLIES }: PeerListenerOptions): PeerMessageHandler {
+export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, rooms, streams, retries, receiveReports, receiveLease, log, now, maxRememberedReplies = MAX_REMEMBERED_REPLIES }: PeerListenerOptions): PeerMessageHandler {
   const replies = new Map<string, { readonly reply: Promise<unknown>, readonly forgetAt: number, readonly holding: Holding }>()
   const rememberedReplies = createSharedLimit(maxRememberedReplies)
 
@@ -353,6 +362,13 @@
         if (query.output.to !== incarnationId) return 'otherIncarnation'
         return Promise.resolve(streams.answer(query.output.attemptId, query.output.service))
       }
+      // A repeated request for a retry is a request for another one, like one for a permit.
+      case PEER_PATH.retries: {
+        const asked = v.safeParse(retryRequestSchema, message)
+        if (!asked.success) return undefined
+        if (asked.output.to !== incarnationId) return 'otherIncarnation'
+        return Promise.resolve(retries.answer(asked.output.relayId, asked.output.kind))
+      }
       default: return undefined
     }
   }
--- a/packages/gateway/src/tasks/relayAttempt.ts
+++ b/packages/gateway/src/tasks/relayAttempt.ts
@@ -4,6 +4,7 @@
 import { createEventSplitter } from '../decisions/eventSplitter.js'
 import { encodeRelayEnvelope, RELAY_DECLINED_HEADER, RELAY_ELSEWHERE_HEADER, RELAY_HEADER } from '../decisions/relayEnvelope.js'
 import type { StreamOrigin } from '../decisions/streamOrigins.js'
+import { createHandedOutAttempts } from '../decisions/relayedRetries.js'
 import { withoutStreamReport } from '../decisions/streamReport.js'
 import { isRetryable, type AttemptOutcome } from '../decisions/requestPlan.js'
 import { createBufferedBody } from './bufferedBody.js'
@@ -36,6 +37,8 @@
   const sentAt = steadyNow()
   const holder = `peer ${peer.instanceId}`
   const relay = context.relayPeers.begin(peer, service)
+  const attempts = createHandedOutAttempts(state)
+  const retries = context.relayedRetries.open((kind) => mayGrant() && attempts.grant(kind, () => context.retryShares.tryAcquireRetry(service, steadyNow())))
   const splitter = createEventSplitter(() => context.bufferedResponses.open(holder))
   const body = createBufferedBody(context.bufferedResponses, holder)
   const earlier = state.setAside
@@ -54,7 +57,7 @@
     address: peer.address,
     method: callerRequest.method ?? 'GET',
     path: callerRequest.url ?? '/',
-    headers: { ...wire.buildRelayHeaders(callerRequest.rawHeaders, relayedFields(state), sentAt), [RELAY_HEADER]: envelopeHeader(context, state, peer) },
+    headers: { ...wire.buildRelayHeaders(callerRequest.rawHeaders, relayedFields(state), sentAt), [RELAY_HEADER]: envelopeHeader(context, state, peer, retries.relayId) },
     body: state.body,
     needsNewConnection: false
   }, { onConnected, onHead, onData, onEnd, onBroken })
@@ -79,6 +82,8 @@
     clearTimeout(deadlineTimer)
     clearInterval(silenceTimer)
     clearTimeout(earlierTimer)
+    retries.close()
+    if (outcome.kind === 'notTaken') attempts.takeBack()
     stopWatchingCaller()
     body.release()
     splitter.release()
@@ -110,7 +115,13 @@
     abort({ kind: 'broken', reason: loss, headersSent: state.headersSent }, loss)
   }
 
+  /** A request that may not be repeated here is not sent again, whatever a newer configuration of the peer says, nor one that its caller has left. */
+  function mayGrant (): boolean {
+    return isRetryable(route.deliverySemantics) && abortOutcome === undefined && state.caller.leftAt === undefined && !state.hasUnidentifiedEvents
+  }
+
   function onConnected (): void {
+    attempts.handOut()
     if (earlier !== undefined) earlierTimer = setTimeout(earlier.giveUp, SET_ASIDE_MS)
   }
 
@@ -203,13 +214,14 @@
   }
 }
 
-function envelopeHeader (context: GatewayContext, state: RequestState, peer: Peer): string {
+function envelopeHeader (context: GatewayContext, state: RequestState, peer: Peer, relayId: string): string {
   return encodeRelayEnvelope({
     from: context.settings.instanceId,
     to: peer.incarnationId,
     configurationVersion: state.configuration.configuration.version,
-    attemptsLeft: Math.max(1, state.maximumAttempts - state.reachedBackends),
-    isRepeat: state.reachedBackends > 0,
+    attemptsLeft: 1,
+    isRepeat: true,
+    furtherAttempts: { incarnationId: context.incarnationId, relayId, attempts: isRetryable(state.route.deliverySemantics) ? Math.max(0, state.maximumAttempts - state.reachedBackends - 1) : 0 },
     wantsStreamReport: true,
     origin: originOf(context, state)
   })
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -8,6 +8,7 @@
 import type { BackendState } from '../decisions/backendState.js'
 import { chooseTarget, type ConfigurationIndex } from '../decisions/configurationIndex.js'
 import { planRequest, type AttemptOutcome, type PlanCommand, type PlanResult, type RetryReservation } from '../decisions/requestPlan.js'
+import { hasAttemptLeft, type RetryKind } from '../decisions/relayedRetries.js'
 import { serviceOfStream, type StreamStart } from '../decisions/streamOrigins.js'
 import type { RelayEnvelope } from '../decisions/relayEnvelope.js'
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
@@ -67,7 +68,7 @@
   readonly maximumAttempts: number
   /** Sends, also those that found no connection. */
   attempts: number
-  /** Sends that a backend server may have received. */
+  /** Sends that a backend server may have received, and attempts that were handed out to peers. */
   reachedBackends: number
   /** Backend servers to which no connection was established. */
   failedConnections: number
@@ -147,7 +148,7 @@
     deadline: admitted.receivedAt + Math.min(route.timeoutMilliseconds, callerTimeoutMilliseconds),
     callerTimeoutAt: admitted.receivedAt + callerTimeoutMilliseconds,
     priority: Math.min(MAX_PRIORITY, admitted.account?.priority ?? route.priority),
-    maximumAttempts: Math.min(route.maximumAttempts, admitted.relay?.attemptsLeft ?? Infinity),
+    maximumAttempts: Math.min(route.maximumAttempts, attemptsOf(admitted.relay)),
     attempts: 0,
     reachedBackends: 0,
     failedConnections: 0,
@@ -170,7 +171,7 @@
     triedVersions: [],
     triedAddresses: new Set()
   }
-  if (admitted.relay?.isRepeat !== true) context.retryShares.recordRequest(service, admitted.receivedAt)
+  if (!isCountedElsewhere(admitted.relay)) context.retryShares.recordRequest(service, admitted.receivedAt)
   const refusal = findRefusal(context, state)
   if (refusal !== undefined) {
     finishRequest(context, state, refusal, { reserved: 0, used: 0 })
@@ -205,7 +206,7 @@
         }
         case 'consumeRetry':
           if (hasCallerLeft(state) || state.hasUnidentifiedEvents || (state.mayHaveRun && !context.crashGuard.mayRetry(state.guarded))) return false
-          return hasUntriedDestination(context, state, () => true) && tryConsumeRetry(context, state)
+          return hasAttemptLeft(state) && hasUntriedDestination(context, state, () => true) && await acquireRetry(context, state, 'attempt')
         case 'reserveReturn': return await reserveReturn(context, state, command.backendIds)
         default: return assertNever(command)
       }
@@ -282,23 +283,35 @@
   if (hasCallerLeft(state)) return { kind: 'refused', reason: 'the caller has left' }
   if (state.hasUnidentifiedEvents) return { kind: 'refused', reason: 'events without an ID were delivered' }
   if (!context.crashGuard.mayRetry(state.guarded)) return { kind: 'refused', reason: 'the request may crash backend servers' }
+  if (!hasAttemptLeft(state)) return { kind: 'refused', reason: 'no attempt is left' }
   if (!hasUntriedDestination(context, state, isUsable)) return { kind: 'refused', reason: 'no other backend server' }
-  if (!tryAcquireWithReturn(context, state)) return { kind: 'refused', reason: 'the retry budget is used up' }
+  if (!await acquireRetryWithReturn(context, state)) return { kind: 'refused', reason: 'the retry budget is used up' }
   const choice = await chooseDestination(context, state, state.triedBackendIds)
   if (choice.kind === 'chosen') return { kind: 'reserved', backendId: choice.backendId }
   releaseReturn(state)
   return { kind: 'refused', reason: choice.reason }
 }
 
-/** A request that has a return reserved already needs no second one. */
-function tryAcquireWithReturn (context: GatewayContext, state: RequestState): boolean {
+/** Whether another instance pays for the retries of a request from its retry budget. */
+function isCountedElsewhere (relay: RelayEnvelope | undefined): boolean {
+  return relay !== undefined && (relay.furtherAttempts !== undefined || relay.isRepeat)
+}
+
+function attemptsOf (relay: RelayEnvelope | undefined): number {
+  return relay === undefined ? Infinity : relay.attemptsLeft + (relay.furtherAttempts?.attempts ?? 0)
+}
+
+/** A request that has a return reserved already needs no second one. That of a relayed request is asked for when it is needed. */
+async function acquireRetryWithReturn (context: GatewayContext, state: RequestState): Promise<boolean> {
+  if (state.relay?.furtherAttempts !== undefined) return await context.relayedRetries.ask(state.relay, 'attempt')
   if (state.reservedReturn !== undefined) return context.retryShares.tryAcquireRetry(state.service, steadyNow())
   state.reservedReturn = context.retryShares.tryAcquireWithReturn(state.service, steadyNow())
   return state.reservedReturn !== undefined
 }
 
-/** Consumes the retry that is reserved for a return, or else one of the budget. */
-function tryConsumeRetry (context: GatewayContext, state: RequestState): boolean {
+/** Consumes the retry that is reserved for a return, or else one of the budget: that of the instance that relayed the request, if any. */
+async function acquireRetry (context: GatewayContext, state: RequestState, kind: RetryKind): Promise<boolean> {
+  if (state.relay?.furtherAttempts !== undefined) return await context.relayedRetries.ask(state.relay, kind)
   if (state.reservedReturn === undefined) return context.retryShares.tryAcquireRetry(state.service, steadyNow())
   state.reservedReturn.consume()
   state.reservedReturn = undefined
@@ -312,7 +325,7 @@
   if (!context.crashGuard.mayRetry(state.guarded)) return { kind: 'refused', reason: 'the request may crash backend servers' }
   const choice = await chooseDestination(context, state, [], backendIds)
   if (choice.kind !== 'chosen') return { kind: 'refused', reason: choice.reason }
-  if (!tryConsumeRetry(context, state)) return { kind: 'refused', reason: 'the retry budget is used up' }
+  if (!await acquireRetry(context, state, 'return')) return { kind: 'refused', reason: 'the retry budget is used up' }
   context.log.decision('attemptReturned', { request: state.fields.attemptId, backend: choice.backendId, headersSent: state.headersSent })
   return { kind: 'reserved', backendId: choice.backendId }
 }
@@ -349,8 +362,8 @@
       state.bufferedResponse?.deliver()
       break
     case 'notRun':
-      // Another instance may reach the backend servers that this one lost meanwhile.
-      if (!declineIfCutOff(context, state)) sendNotRun(context, response, result.reason, result.retryAt)
+      // Another instance may reach the backend servers that this one lost meanwhile. What reached one counts as an attempt.
+      if (state.reachedBackends > 0 || !declineIfCutOff(context, state)) sendNotRun(context, response, result.reason, result.retryAt)
       break
     case 'exhausted':
       sendError(context, response, { status: 402, code: 'budget_exhausted', message: 'the remaining prepaid balance does not cover the maximum tokens of this request', run: 'no' })
