Measure how long callers' connections wait until they are accepted

No log or metric could tell a process that accepts nothing from a sound one: the readiness listener has a queue of its own. Each second the gateway connects to its own callers' address; that connection waits in the queue of the callers. Lines about delays now tell the passes of the event loop, events, processor time, collector pauses, heap and sockets.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 import type { FleetConfiguration } from './fleetConfiguration.js'
 import type { GatewayPlatform } from './ports.js'
 import { parseGatewaySettings, SETTINGS_EXIT_CODE, type GatewaySettings } from './settings.js'
+import { startAcceptDelay } from './tasks/acceptDelay.js'
 import { createBackendConnections } from './tasks/backendConnections.js'
 import { startBackendReach } from './tasks/backendReach.js'
 import { createBackendRooms } from './tasks/backendRooms.js'
@@ -33,6 +34,7 @@
 import { createPeerListener } from './tasks/peerListener.js'
 import { PEER_PATH, postToPeer } from './tasks/peerMessages.js'
 import { observeStoreTime } from './tasks/observeStoreTime.js'
+import { startProcessUsage } from './tasks/processUsage.js'
 import { createRelayedRetries } from './tasks/relayedRetries.js'
 import { createRelayPeers } from './tasks/relayPeers.js'
 import { createSendingPermits } from './tasks/sendingPermits.js'
@@ -207,13 +209,16 @@
     log,
     count: (outcome) => metrics.count('backend_probes_total', { outcome })
   })
+  const usage = startProcessUsage()
+  const acceptDelay = startAcceptDelay({ callersAddress: settings.callersAddress, usage, metrics, log })
   const context: GatewayContext = {
     settings,
     incarnationId,
     wire: platform.wire,
     log,
     metrics,
-    eventLoopDelay: startEventLoopDelay(metrics, log),
+    eventLoopDelay: startEventLoopDelay(metrics, log, usage),
+    acceptDelay,
     configuration: confirmedConfiguration,
     backends,
     reach,
@@ -258,6 +263,9 @@
     metricsText: () => {
       metrics.gauge('configuration_version', configuration.current?.configuration.version ?? 0)
       metrics.gauge('active_requests', callers.activeRequests)
+      metrics.gauge('open_connections', callers.openConnections)
+      metrics.gauge('accepted_connections', callers.acceptedConnections)
+      metrics.gauge('accept_delay_now_milliseconds', acceptDelay.milliseconds)
       metrics.gauge('caller_memory_bytes', context.callersMemory.heldBytes)
       return metrics.text()
     },
@@ -276,6 +284,7 @@
     const plan = planStop(steadyNow(), settings.stopSeconds * 1000)
     const { killedAt } = plan
     stopPlan = plan
+    acceptDelay.stop()
     log.event('stopping', { active: callers.activeRequests, killedAt })
     stopGracefully(callers, plan)
       .then(async () => {
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -83,6 +83,7 @@
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 15_000, noDelay: true, connectionsCheckingInterval: 1000 }, (incoming, response) => handle(incoming, response, undefined))
   keepConnectionsWithUnreadRequests(server)
   server.on('connection', (socket) => {
+    if (context.acceptDelay.claim(socket)) return
     lastConnectionAt = steadyNow()
     openConnections++
     acceptedConnections++
--- a/packages/gateway/src/tasks/eventLoopDelay.ts
+++ b/packages/gateway/src/tasks/eventLoopDelay.ts
@@ -1,6 +1,7 @@
 import type { Metrics } from '@quinceshunt/telemetry'
 import { steadyNow } from '../clock.js'
 import type { DecisionLog } from './decisionLog.js'
+import type { ProcessUsage } from './processUsage.js'
 
 const SAMPLE_INTERVAL_MS = 500
 /** Half the time within which a backend server must be free of a departed caller's work. */
@@ -13,7 +14,7 @@
 }
 
 /** Starts to sample the delay, to record it as the metric `event_loop_delay`, and to log long ones. */
-export function startEventLoopDelay (metrics: Metrics, log: DecisionLog): EventLoopDelay {
+export function startEventLoopDelay (metrics: Metrics, log: DecisionLog, usage: ProcessUsage): EventLoopDelay {
   let dueAt = steadyNow() + SAMPLE_INTERVAL_MS
   let milliseconds = 0
   const timer = setInterval(() => {
@@ -21,7 +22,7 @@
     milliseconds = Math.max(0, Math.round(now - dueAt))
     dueAt = now + SAMPLE_INTERVAL_MS
     metrics.record('event_loop_delay', milliseconds)
-    if (milliseconds >= REPORTED_DELAY_MS) log.decision('processBehind', { milliseconds })
+    if (milliseconds >= REPORTED_DELAY_MS) log.decision('processBehind', { milliseconds, ...usage.sample() })
   }, SAMPLE_INTERVAL_MS)
   timer.unref()
   return { get milliseconds () { return milliseconds } }
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -5,6 +5,7 @@
 import type { RetryShares } from '../decisions/retryShares.js'
 import type { WireFormat } from '../ports.js'
 import type { GatewaySettings } from '../settings.js'
+import type { AcceptDelay } from './acceptDelay.js'
 import type { BackendConnections } from './backendConnections.js'
 import type { BackendReach } from './backendReach.js'
 import type { BackendRooms } from './backendRooms.js'
@@ -33,6 +34,7 @@
   readonly log: DecisionLog
   readonly metrics: Metrics
   readonly eventLoopDelay: EventLoopDelay
+  readonly acceptDelay: AcceptDelay
   readonly configuration: () => ConfigurationIndex | undefined
   readonly backends: BackendTask
   readonly reach: BackendReach
