Start requests in turns between which connections are accepted

Libuv accepts one connection of a listener in a pass of the event loop and handles the events of all open connections in the same pass. Short of processor time, an instance made 25 to 41 passes a second; each caller waited in the listener's queue for longer than it waits for an answer, so that each accepted connection was one that its caller had given up, and was served like any other. The readiness listener's queue is empty, so that checks were answered.

Received requests now wait for a turn. Few are started in a pass, passes that accept connections come first, requests of callers that left are dropped, and those that waited for half a second, or a third of the time left, are refused as not run. The wait is moved from the listener's queue, of which the process knows nothing, to its own. An instance whose own connection waits for more than a second says that it is not ready.

--- /dev/null
+++ b/packages/caller-connections/src/__tests__/requestIntake.test.ts
@@ -0,0 +1,118 @@
+import { describe, expect, test } from '@jest/globals'
+import type { CallerPresence } from '../callerPresence.js'
+import { createRequestIntake, type RequestIntake } from '../requestIntake.js'
+
+const LIMIT_MS = 500
+
+/** A caller that can leave. */
+interface FakeCaller extends CallerPresence {
+  leave (): void
+}
+
+function createCaller (): FakeCaller {
+  const listeners = new Set<() => void>()
+  let leftAt: number | undefined
+  return {
+    get leftAt () { return leftAt },
+    onLeft: (listener) => {
+      listeners.add(listener)
+      return () => { listeners.delete(listener) }
+    },
+    leave: () => {
+      leftAt = 1
+      for (const listener of [...listeners]) listener()
+    }
+  }
+}
+
+async function endPass (): Promise<void> {
+  await new Promise((resolve) => setImmediate(resolve))
+}
+
+async function endPasses (count: number): Promise<void> {
+  for (let index = 0; index < count; index++) await endPass()
+}
+
+/** Records the turns of requests in the order in which they end. */
+function enterAll (intake: RequestIntake, callers: readonly FakeCaller[], expiresAt: number): string[] {
+  const ended: string[] = []
+  callers.forEach((caller, index) => {
+    intake.waitForTurn(caller, expiresAt).then(({ kind }) => ended.push(`${index} ${kind}`), () => {})
+  })
+  return ended
+}
+
+describe('turns of received requests', () => {
+  test('one request is started in a pass of the event loop, in the order of arrival', async () => {
+    const intake = createRequestIntake(() => 0)
+    const ended = enterAll(intake, [createCaller(), createCaller(), createCaller()], LIMIT_MS)
+    await endPasses(3)
+    const before = ended.length
+    await endPass()
+    expect(ended.length).toBe(before + 1)
+    await endPasses(3)
+    expect(ended).toEqual(['0 started', '1 started', '2 started'])
+    expect(intake.waiting).toBe(0)
+  })
+
+  // Guards against work for callers whose close arrived right behind their request.
+  test('a request whose caller leaves before its turn is not started', async () => {
+    const intake = createRequestIntake(() => 0)
+    const callers = [createCaller(), createCaller()]
+    const ended = enterAll(intake, callers, LIMIT_MS)
+    await endPass()
+    callers[0]?.leave()
+    await endPasses(5)
+    expect(ended).toEqual(['0 callerLeft', '1 started'])
+  })
+
+  // Guards against requests that get almost none of the processor beside events that take long.
+  test('a pass that takes long starts several requests', async () => {
+    let now = 0
+    const intake = createRequestIntake(() => now)
+    const ended = enterAll(intake, Array.from({ length: 10 }, createCaller), LIMIT_MS)
+    while (ended.length === 0) await endPass()
+    const before = ended.length
+    now += 55
+    await endPass()
+    expect(ended.length - before).toBe(5)
+  })
+
+  test('requests that have waited for too long are refused, but for the one that can be started', async () => {
+    let now = 0
+    const intake = createRequestIntake(() => now)
+    const ended = enterAll(intake, Array.from({ length: 60 }, createCaller), LIMIT_MS)
+    while (ended.length === 0) await endPass()
+    now = LIMIT_MS
+    await endPasses(2)
+    expect(ended.slice(0, 2)).toEqual(['0 started', '1 started'])
+    expect(ended.slice(-2)).toEqual(['58 tooLate', '59 tooLate'])
+  })
+
+  // Guards against refusals of sound requests, all at once, after a pause of the process.
+  test('after a pause of the process, requests that came in it are read before they are refused', async () => {
+    let now = 0
+    const intake = createRequestIntake(() => now)
+    const callers = [createCaller()]
+    const ended = enterAll(intake, callers, LIMIT_MS)
+    now = 10 * LIMIT_MS
+    setImmediate(() => callers[0]?.leave())
+    await endPasses(4)
+    expect(ended).toEqual(['0 callerLeft'])
+  })
+
+  // Guards against callers in the listener's queue who leave while requests on open connections are started.
+  test('passes that accept connections come first, but not for ever', async () => {
+    const intake = createRequestIntake(() => 0)
+    const ended = enterAll(intake, [createCaller(), createCaller()], LIMIT_MS)
+    const startedIn: number[] = []
+    for (let pass = 1; pass <= 15; pass++) {
+      intake.noteConnection()
+      const before = ended.length
+      await endPass()
+      if (ended.length > before) startedIn.push(pass)
+    }
+    expect(ended).toEqual(['0 started', '1 started'])
+    expect((startedIn[1] ?? 0) - (startedIn[0] ?? 0)).toBe(5)
+  })
+})
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,4 @@
-import { handleArrivedEvents } from '@quinceshunt/caller-connections'
+import { createRequestIntake, handleArrivedEvents } from '@quinceshunt/caller-connections'
 import { createSharedLimit } from '@quinceshunt/memory-limits'
 import { steadyNow } from './clock.js'
 import { createMetrics } from '@quinceshunt/telemetry'
@@ -61,6 +61,8 @@
 const SETTINGS_CHECK_INTERVAL_MS = 1500
 /** Timeout of reports to a peer while the store is away; they are not repeated, as they also wait for the store. */
 const REPORT_TIMEOUT_MS = 500
+/** Callers expect a connection within this time. */
+const MAX_ACCEPT_DELAY_MS = 1000
 /** One backend server alone may have half of it: three answers of the largest size, and 4% of the memory of a small instance. */
 const BUFFERED_RESPONSE_BYTES = 25_165_824
 
@@ -219,6 +221,7 @@
     metrics,
     eventLoopDelay: startEventLoopDelay(metrics, log, usage),
     acceptDelay,
+    intake: createRequestIntake(steadyNow),
     configuration: confirmedConfiguration,
     backends,
     reach,
@@ -242,6 +245,7 @@
     mayTakeRequest: (deadline) => stopPlan === undefined || mayTake(stopPlan, deadline, steadyNow())
   }
   const callers = createCallersListener(context)
+  peerListener.on('connection', () => context.intake.noteConnection())
 
   function applyConfiguration (before: FleetConfiguration | undefined, after: FleetConfiguration): void {
     callers.server.keepAliveTimeout = after.limits.idleTimeoutMilliseconds
@@ -255,6 +259,7 @@
     if (configuration.current === undefined) return 'no configuration'
     if (confirmedConfiguration() === undefined) return 'the configuration may be outdated'
     if (backends.follower.lastResponseAt === 0) return 'no list of backend servers'
+    if (acceptDelay.milliseconds > MAX_ACCEPT_DELAY_MS) return `new connections wait for ${acceptDelay.milliseconds} ms`
     return ''
   }
 
@@ -265,6 +270,7 @@
       metrics.gauge('active_requests', callers.activeRequests)
       metrics.gauge('open_connections', callers.openConnections)
       metrics.gauge('accepted_connections', callers.acceptedConnections)
+      metrics.gauge('waiting_requests', context.intake.waiting)
       metrics.gauge('accept_delay_now_milliseconds', acceptDelay.milliseconds)
       metrics.gauge('caller_memory_bytes', context.callersMemory.heldBytes)
       return metrics.text()
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -5,7 +5,7 @@
 import { Server as NetServer } from 'node:net'
 import type { GatewayContext } from './gatewayContext.js'
 import { sendError, sendErrorAndClose, sendNotRun } from './errorResponses.js'
-import { refuseRequest } from './memoryRefusals.js'
+import { refuseRequest, type RefusedRequest } from './memoryRefusals.js'
 import { receiveBody } from './receiveBody.js'
 import { admitRelay, declineRelay, removeEnvelope } from './relayReception.js'
 import type { RelayEnvelope } from '../decisions/relayEnvelope.js'
@@ -21,6 +21,13 @@
 /** Callers connect to another instance at once. */
 const STOPPING_RETRY_MS = 50
 
+/** Callers on open connections come back at once: refused after 250 ms, 400 of them took more processor time than when served. */
+const MAX_INTAKE_WAIT_MS = 500
+/** Part of a caller's remaining time for which its request may wait, so that another instance can still serve it. */
+const MAX_INTAKE_SHARE = 1 / 3
+/** Another instance may start it at once. */
+const LATE_RETRY_MS = 100
+
 /** HTTP server for callers. */
 export interface CallersListener {
   readonly server: Server
@@ -83,6 +90,7 @@
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 15_000, noDelay: true, connectionsCheckingInterval: 1000 }, (incoming, response) => handle(incoming, response, undefined))
   keepConnectionsWithUnreadRequests(server)
   server.on('connection', (socket) => {
+    context.intake.noteConnection()
     if (context.acceptDelay.claim(socket)) return
     lastConnectionAt = steadyNow()
     openConnections++
@@ -183,7 +191,18 @@
         context.log.decision('requestBroken', { request: fields.attemptId, reason: 'the caller disconnected while sending the body' })
         response.destroy()
         return
-      case 'received':
+      case 'received': {
+        const enteredAt = steadyNow()
+        const turn = await context.intake.waitForTurn(caller, enteredAt + Math.min(MAX_INTAKE_WAIT_MS, (deadline - enteredAt) * MAX_INTAKE_SHARE))
+        context.metrics.record('intake_wait', steadyNow() - enteredAt)
+        if (turn.kind === 'callerLeft') {
+          context.metrics.count('callers_left_total', { phase: 'unread' })
+          return
+        }
+        if (turn.kind === 'tooLate') {
+          refuseLate(context, refused)
+          return
+        }
         if (!context.mayTakeRequest(receivedAt + Math.min(admission.route.timeoutMilliseconds, fields.timeoutMilliseconds ?? Infinity))) {
           if (relay === undefined) sendNotRun(context, response, 'the instance stops', steadyNow() + STOPPING_RETRY_MS)
           else declineRelay(context, response, 'the instance stops')
@@ -191,6 +210,7 @@
         }
         await serveRequest(context, { incoming, response, caller, relay, fields, route: admission.route, account: admission.account, configuration: index, body: body.bytes, memory, receivedAt })
         return
+      }
       default: assertNever(body)
     }
   } finally {
@@ -198,6 +218,15 @@
   }
 }
 
+/** Refuses a request that the process was too busy to start. */
+function refuseLate (context: GatewayContext, { response, relay, requestId, account, route }: RefusedRequest): void {
+  const reason = 'the instance has too much to do'
+  context.metrics.count('late_refusals_total')
+  context.log.decision('requestTooLate', { request: requestId, account, route, waiting: context.intake.waiting, connections: context.acceptDelay.milliseconds })
+  if (relay === undefined) sendNotRun(context, response, reason, steadyNow() + LATE_RETRY_MS)
+  else declineRelay(context, response, reason)
+}
+
 /** Callers send a request again after 408 and give it up after 400 and 431. */
 function statusLineOf (error: NodeJS.ErrnoException): string {
   switch (error.code) {
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -1,3 +1,4 @@
+import type { RequestIntake } from '@quinceshunt/caller-connections'
 import type { SharedLimit } from '@quinceshunt/memory-limits'
 import type { Metrics } from '@quinceshunt/telemetry'
 import type { BackendAcceptance } from '../decisions/backendAcceptance.js'
@@ -35,6 +36,8 @@
   readonly metrics: Metrics
   readonly eventLoopDelay: EventLoopDelay
   readonly acceptDelay: AcceptDelay
+  /** For the requests of callers, and those that other instances relay. */
+  readonly intake: RequestIntake
   readonly configuration: () => ConfigurationIndex | undefined
   readonly backends: BackendTask
   readonly reach: BackendReach
