--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -195,13 +195,15 @@
         const enteredAt = steadyNow()
         const turn = await context.intake.waitForTurn(caller, enteredAt + Math.min(MAX_INTAKE_WAIT_MS, (deadline - enteredAt) * MAX_INTAKE_SHARE))
         context.metrics.record('intake_wait', steadyNow() - enteredAt)
-        if (turn.kind === 'callerLeft') {
-          context.metrics.count('callers_left_total', { phase: 'unread' })
-          return
-        }
-        if (turn.kind === 'tooLate') {
-          refuseLate(context, refused)
-          return
+        switch (turn.kind) {
+          case 'callerLeft':
+            context.metrics.count('callers_left_total', { phase: 'unread' })
+            return
+          case 'tooLate':
+            refuseLate(context, refused)
+            return
+          case 'started': break
+          default: assertNever(turn)
         }
         if (!context.mayTakeRequest(receivedAt + Math.min(admission.route.timeoutMilliseconds, fields.timeoutMilliseconds ?? Infinity))) {
           if (relay === undefined) sendNotRun(context, response, 'the instance stops', steadyNow() + STOPPING_RETRY_MS)
--- a/packages/router/src/callersListener.ts
+++ b/packages/router/src/callersListener.ts
@@ -2,7 +2,8 @@
 import { createServer as createSecureServer } from 'node:https'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { createCallerWatch, createConnectionErrors, createPipelineLimit, keepConnectionsWithUnreadRequests, type CallerPresence } from '@quinceshunt/caller-connections'
+import { createCallerWatch, createConnectionErrors, createPipelineLimit, createRequestIntake, keepConnectionsWithUnreadRequests, type CallerPresence, type RequestIntake } from '@quinceshunt/caller-connections'
+import { assertNever } from '@quinceshunt/effects'
 import type { Holding } from '@quinceshunt/memory-limits'
 import { extractTraceContext, failSpan, SpanKind, startSpan, contextWithSpan, type Span, type TraceContext } from '@quinceshunt/telemetry'
 import { formatCallerError, sendCallerError, type CallerError } from './callerError.js'
@@ -18,6 +19,10 @@
 const HEADERS_TIMEOUT_MS = 10_000
 /** Requests without a response on one connection; more than sound callers send ahead, and few enough for many connections. */
 const MAX_UNANSWERED_REQUESTS = 32
+/** Time for which a received request waits for its turn, as in the gateway. */
+const MAX_INTAKE_WAIT_MS = 500
+/** Another instance may start the request at once. */
+const LATE_RETRY_DELAY_MS = 100
 const BEARER_PATTERN = /^Bearer\s+(\S+)$/i
 const IDEMPOTENCY_KEY_PATTERN = /^[\x21-\x7e]{1,255}$/
 
@@ -59,6 +64,7 @@
   const callerOf = createCallerWatch(services.clock.now)
   const connectionErrors = createConnectionErrors(respondToClientError)
   const pipelines = createPipelineLimit(MAX_UNANSWERED_REQUESTS)
+  const intake = createRequestIntake(services.clock.now)
 
   function handleRequest (request: IncomingMessage, response: ServerResponse): void {
     const admission = pipelines.admit(request, response)
@@ -82,13 +88,14 @@
     }
     const stopWatchingCaller = caller.onLeft(finish)
     response.once('close', finish)
-    serveExchange(services, request, response, caller)
+    serveExchange(services, intake, request, response, caller)
   }
 
   const options = { maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: Math.min(HEADERS_TIMEOUT_MS, services.settings.requestDeadlineMilliseconds), requestTimeout: services.settings.requestDeadlineMilliseconds, keepAliveTimeout: 30_000 }
   const tls = listenerTls(services.settings.callersTls, false)
   const server = tls === undefined ? createServer(options, handleRequest) : createSecureServer({ ...options, ...tls }, handleRequest) as unknown as Server
   keepConnectionsWithUnreadRequests(server)
+  server.on('connection', () => intake.noteConnection())
   server.on('clientError', connectionErrors.handle)
   return {
     server,
@@ -113,7 +120,7 @@
   }
 }
 
-async function serveExchange (services: RouterServices, request: IncomingMessage, response: ServerResponse, callerPresence: CallerPresence): Promise<void> {
+async function serveExchange (services: RouterServices, intake: RequestIntake, request: IncomingMessage, response: ServerResponse, callerPresence: CallerPresence): Promise<void> {
   const requestId = newRequestId()
   const parent = extractTraceContext(request.headers)
   const path = (request.url ?? '/').split('?')[0]!
@@ -139,6 +146,13 @@
   try {
     const admission = authenticateRequest(services, request)
     if (admission.kind === 'refused') return rejectRequest(services, response, admission.error, requestId, span)
+    const turn = await intake.waitForTurn(callerPresence, services.clock.now() + MAX_INTAKE_WAIT_MS)
+    switch (turn.kind) {
+      case 'callerLeft': return
+      case 'tooLate': return rejectRequest(services, response, { status: 503, code: 'overloaded', message: 'this instance has too much to do', run: 'no', retryAt: services.clock.now() + LATE_RETRY_DELAY_MS }, requestId, span)
+      case 'started': break
+      default: return assertNever(turn)
+    }
     bodyHolding = services.callerBodies.open(admission.caller.account.id)
     const exchange: CallerExchange = {
       request,
