--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -197,7 +197,8 @@
         context.metrics.record('intake_wait', steadyNow() - enteredAt)
         switch (turn.kind) {
           case 'callerLeft':
-            context.metrics.count('callers_left_total', { phase: 'unread' })
+            context.metrics.count('callers_left_total', { phase: 'queued' })
+            context.log.decision('callerLeft', { request: fields.attemptId, route: admission.route.name, phase: 'queued', milliseconds: steadyNow() - receivedAt, connections: context.acceptDelay.milliseconds })
             return
           case 'tooLate':
             refuseLate(context, refused)
