--- a/packages/caller-connections/src/requestIntake.ts
+++ b/packages/caller-connections/src/requestIntake.ts
@@ -4,7 +4,6 @@
 const PASSES_BEFORE_START = 2
 /** Consecutive passes that only accept connections; then a request is started, so that accepted callers get on. */
 const MAX_ACCEPTING_PASSES = 4
-
 /** In a pass that takes long for other events, one request is started for each of these, so that requests get their part of the time. */
 const START_INTERVAL_MS = 10
 
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -198,7 +198,8 @@
         switch (turn.kind) {
           case 'callerLeft':
             context.metrics.count('callers_left_total', { phase: 'queued' })
-            context.log.decision('callerLeft', { request: fields.attemptId, route: admission.route.name, phase: 'queued', milliseconds: steadyNow() - receivedAt, connections: context.acceptDelay.milliseconds })
+            context.log.decision('callerLeft', { request: fields.attemptId, route: admission.route.name, phase: 'queued', milliseconds: steadyNow() - receivedAt, acceptDelayMilliseconds: context.acceptDelay.milliseconds })
+            response.destroy()
             return
           case 'tooLate':
             refuseLate(context, refused)
@@ -225,7 +226,7 @@
 function refuseLate (context: GatewayContext, { response, relay, requestId, account, route }: RefusedRequest): void {
   const reason = 'the instance has too much to do'
   context.metrics.count('late_refusals_total')
-  context.log.decision('requestTooLate', { request: requestId, account, route, waiting: context.intake.waiting, connections: context.acceptDelay.milliseconds })
+  context.log.decision('requestTooLate', { request: requestId, account, route, waiting: context.intake.waiting, acceptDelayMilliseconds: context.acceptDelay.milliseconds })
   if (relay === undefined) sendNotRun(context, response, reason, steadyNow() + LATE_RETRY_MS)
   else declineRelay(context, response, reason)
 }
