--- a/packages/caller-connections/src/__tests__/requestIntake.test.ts
+++ b/packages/caller-connections/src/__tests__/requestIntake.test.ts
@@ -37,14 +37,14 @@
 function enterAll (intake: RequestIntake, callers: readonly FakeCaller[], expiresAt: number): string[] {
   const ended: string[] = []
   callers.forEach((caller, index) => {
-    intake.waitForTurn(caller, expiresAt).then(({ kind }) => ended.push(`${index} ${kind}`), () => {})
+    intake.waitForTurn({ caller, holder: 'school', expiresAt }).then(({ kind }) => ended.push(`${index} ${kind}`), () => {})
   })
   return ended
 }
 
 describe('turns of received requests', () => {
   test('one request is started in a pass of the event loop, in the order of arrival', async () => {
-    const intake = createRequestIntake(() => 0)
+    const intake = createRequestIntake({ now: () => 0, processorTime: () => 0 })
     const ended = enterAll(intake, [createCaller(), createCaller(), createCaller()], LIMIT_MS)
     await endPasses(3)
     const before = ended.length
@@ -57,7 +57,7 @@
 
   // Guards against work for callers whose close arrived right behind their request.
   test('a request whose caller leaves before its turn is not started', async () => {
-    const intake = createRequestIntake(() => 0)
+    const intake = createRequestIntake({ now: () => 0, processorTime: () => 0 })
     const callers = [createCaller(), createCaller()]
     const ended = enterAll(intake, callers, LIMIT_MS)
     await endPass()
@@ -68,19 +68,20 @@
 
   // Guards against requests that get almost none of the processor beside events that take long.
   test('a pass that takes long starts several requests', async () => {
-    let now = 0
-    const intake = createRequestIntake(() => now)
+    let busy = 0
+    const intake = createRequestIntake({ now: () => 0, processorTime: () => busy })
     const ended = enterAll(intake, Array.from({ length: 10 }, createCaller), LIMIT_MS)
     while (ended.length === 0) await endPass()
     const before = ended.length
-    now += 55
+    busy += 17
     await endPass()
     expect(ended.length - before).toBe(5)
   })
 
   test('requests that have waited for too long are refused, but for the one that can be started', async () => {
     let now = 0
-    const intake = createRequestIntake(() => now)
+    const busy = 0
+    const intake = createRequestIntake({ now: () => now, processorTime: () => busy })
     const ended = enterAll(intake, Array.from({ length: 60 }, createCaller), LIMIT_MS)
     while (ended.length === 0) await endPass()
     now = LIMIT_MS
@@ -92,7 +93,8 @@
   // Guards against refusals of sound requests, all at once, after a pause of the process.
   test('after a pause of the process, requests that came in it are read before they are refused', async () => {
     let now = 0
-    const intake = createRequestIntake(() => now)
+    const busy = 0
+    const intake = createRequestIntake({ now: () => now, processorTime: () => busy })
     const callers = [createCaller()]
     const ended = enterAll(intake, callers, LIMIT_MS)
     now = 10 * LIMIT_MS
@@ -101,9 +103,22 @@
     expect(ended).toEqual(['0 callerLeft'])
   })
 
+  // Guards against a burst of one client account or route in which requests of the others wait until they are refused.
+  test('holders take turns', async () => {
+    const intake = createRequestIntake({ now: () => 0, processorTime: () => 0 })
+    const started: string[] = []
+    const enter = (holder: string): void => {
+      intake.waitForTurn({ caller: createCaller(), holder, expiresAt: LIMIT_MS }).then(() => started.push(holder), () => {})
+    }
+    for (let index = 0; index < 20; index++) enter('busy')
+    for (let index = 0; index < 3; index++) enter('other')
+    await endPasses(10)
+    expect(started.slice(0, 6)).toEqual(['busy', 'other', 'busy', 'other', 'busy', 'other'])
+  })
+
   // Guards against callers in the listener's queue who leave while requests on open connections are started.
   test('passes that accept connections come first, but not for ever', async () => {
-    const intake = createRequestIntake(() => 0)
+    const intake = createRequestIntake({ now: () => 0, processorTime: () => 0 })
     const ended = enterAll(intake, [createCaller(), createCaller()], LIMIT_MS)
     const startedIn: number[] = []
     for (let pass = 1; pass <= 15; pass++) {
--- a/packages/caller-connections/src/requestIntake.ts
+++ b/packages/caller-connections/src/requestIntake.ts
@@ -4,8 +4,8 @@
 const PASSES_BEFORE_START = 2
 /** Consecutive passes that only accept connections; then a request is started, so that accepted callers get on. */
 const MAX_ACCEPTING_PASSES = 4
-/** In a pass that takes long for other events, one request is started for each of these, so that requests get their part of the time. */
-const START_INTERVAL_MS = 10
+/** Processor time of a pass for which one request is started, so that requests get their part of it beside other events. */
+const PROCESSOR_TIME_PER_START_MS = 3
 
 /** How the wait of a request ended. */
 export type Turn =
@@ -19,14 +19,23 @@
 export interface RequestIntake {
   /** Requests that wait for their turn. */
   readonly waiting: number
-  /** Resolves in the request's turn, once its caller has left, or after `expiresAt`, by the clock of the intake. */
-  waitForTurn (caller: CallerPresence, expiresAt: number): Promise<Turn>
+  /**
+   * Resolves in the request's turn, once its caller has left, or after `expiresAt`, by the clock of the intake. Requests of one
+   * `holder` are started in the order of arrival, and holders take turns.
+   */
+  waitForTurn (request: { readonly caller: CallerPresence, readonly holder: string, readonly expiresAt: number }): Promise<Turn>
   /** To be called for each connection that a listener of the process accepts. */
   noteConnection (): void
 }
 
+/** Clocks of an intake, milliseconds. */
+export interface IntakeClocks {
+  readonly now: () => number
+  /** Processor time that the process has used. */
+  readonly processorTime: () => number
+}
+
 interface WaitingRequest {
-  readonly caller: CallerPresence
   readonly expiresAt: number
   /** Pass in which it came. */
   readonly pass: number
@@ -34,19 +43,20 @@
 }
 
 /**
- * Creates an intake that starts few requests in each pass of the event loop, in the order of arrival. Libuv accepts one connection of a
+ * Creates an intake that starts few requests in each pass of the event loop. Libuv accepts one connection of a
  * listener in a pass, so that callers on open connections, whose requests are all read in a pass, would otherwise keep callers with
  * new connections waiting until these have left. Connections are accepted first, as nothing is known of callers in the
  * listener's queue.
  */
-export function createRequestIntake (now: () => number): RequestIntake {
-  /** In order of arrival. */
-  const requests = new Set<WaitingRequest>()
+export function createRequestIntake ({ now, processorTime }: IntakeClocks): RequestIntake {
+  /** Requests of each holder, in order of arrival; holders in the order of their turns. */
+  const holders = new Map<string, Set<WaitingRequest>>()
+  let waiting = 0
   let pass = 0
   let hasAccepted = false
   let acceptingPasses = 0
-  /** End of the last pass with waiting requests. */
-  let lastPassAt = now()
+  /** Processor time at the end of the last pass with waiting requests. */
+  let processorTimeBefore = 0
   let isScheduled = false
 
   function schedule (): void {
@@ -58,26 +68,44 @@
   function endPass (): void {
     isScheduled = false
     pass++
+    const processorTimeNow = processorTime()
     if (hasAccepted && acceptingPasses < MAX_ACCEPTING_PASSES) acceptingPasses++
-    else startRequests()
+    else startRequests(Math.max(1, Math.floor((processorTimeNow - processorTimeBefore) / PROCESSOR_TIME_PER_START_MS)))
     hasAccepted = false
+    processorTimeBefore = processorTimeNow
     endExpired()
-    lastPassAt = now()
-    if (requests.size > 0) schedule()
+    if (waiting > 0) schedule()
   }
 
   function endExpired (): void {
     const at = now()
-    for (const request of requests) if (request.caller.leftAt === undefined && request.expiresAt <= at && isReadable(request)) request.end({ kind: 'tooLate' })
+    for (const requests of holders.values()) {
+      for (const request of requests) {
+        if (request.expiresAt > at || !isReadable(request)) break
+        request.end({ kind: 'tooLate' })
+      }
+    }
   }
 
-  function startRequests (): void {
-    let remaining = Math.max(1, Math.floor((now() - lastPassAt) / START_INTERVAL_MS))
-    for (const request of requests) {
-      if (remaining-- === 0 || !isReadable(request)) return
+  function startRequests (count: number): void {
+    for (let started = 0; started < count; started++) {
+      const next = findNext()
+      if (next === undefined) return
       acceptingPasses = 0
-      request.end({ kind: 'started' })
+      next.end({ kind: 'started' })
+    }
+  }
+
+  /** Returns the first request of the holder whose turn it is, and puts that holder behind the others. */
+  function findNext (): WaitingRequest | undefined {
+    for (const [holder, requests] of holders) {
+      const [first] = requests
+      if (first === undefined || !isReadable(first)) continue
+      holders.delete(holder)
+      holders.set(holder, requests)
+      return first
     }
+    return undefined
   }
 
   /** True once a close of the connection that came with the request would have been read. */
@@ -85,27 +113,44 @@
     return pass - request.pass >= PASSES_BEFORE_START
   }
 
+  function add (holder: string, request: WaitingRequest): void {
+    if (waiting++ === 0) processorTimeBefore = processorTime()
+    const requests = holders.get(holder) ?? new Set()
+    holders.set(holder, requests.add(request))
+    schedule()
+  }
+
+  function remove (holder: string, request: WaitingRequest): void {
+    waiting--
+    const requests = holders.get(holder)
+    requests?.delete(request)
+    if (requests?.size === 0) holders.delete(holder)
+  }
+
   return {
-    get waiting () { return requests.size },
-    waitForTurn: async (caller, expiresAt) => {
+    get waiting () { return waiting },
+    waitForTurn: async ({ caller, holder, expiresAt }) => {
       if (caller.leftAt !== undefined) return { kind: 'callerLeft' }
       return await new Promise((resolve) => {
         const request: WaitingRequest = {
-          caller,
           expiresAt,
           pass,
           end: (turn) => {
-            requests.delete(request)
+            remove(holder, request)
             stopWatchingCaller()
             resolve(turn)
           }
         }
         const stopWatchingCaller = caller.onLeft(() => request.end({ kind: 'callerLeft' }))
-        if (requests.size === 0) lastPassAt = now()
-        requests.add(request)
-        schedule()
+        add(holder, request)
       })
     },
     noteConnection: () => { hasAccepted = true }
   }
 }
+
+/** Processor time of this process in milliseconds. */
+export function processorTime (): number {
+  const { user, system } = process.cpuUsage()
+  return (user + system) / 1000
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,4 @@
-import { createRequestIntake, handleArrivedEvents } from '@quinceshunt/caller-connections'
+import { createRequestIntake, handleArrivedEvents, processorTime } from '@quinceshunt/caller-connections'
 import { createSharedLimit } from '@quinceshunt/memory-limits'
 import { steadyNow } from './clock.js'
 import { createMetrics } from '@quinceshunt/telemetry'
@@ -221,7 +221,7 @@
     metrics,
     eventLoopDelay: startEventLoopDelay(metrics, log, usage),
     acceptDelay,
-    intake: createRequestIntake(steadyNow),
+    intake: createRequestIntake({ now: steadyNow, processorTime }),
     configuration: confirmedConfiguration,
     backends,
     reach,
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -193,7 +193,12 @@
         return
       case 'received': {
         const enteredAt = steadyNow()
-        const turn = await context.intake.waitForTurn(caller, enteredAt + Math.min(MAX_INTAKE_WAIT_MS, (deadline - enteredAt) * MAX_INTAKE_SHARE))
+        const turn = await context.intake.waitForTurn({
+          caller,
+          // So that neither a busy client account nor a busy route delays the others.
+          holder: `${admission.account?.name ?? ''} ${admission.route.name}`,
+          expiresAt: enteredAt + Math.min(MAX_INTAKE_WAIT_MS, (deadline - enteredAt) * MAX_INTAKE_SHARE)
+        })
         context.metrics.record('intake_wait', steadyNow() - enteredAt)
         switch (turn.kind) {
           case 'callerLeft':
--- a/packages/gateway/src/tasks/processUsage.ts
+++ b/packages/gateway/src/tasks/processUsage.ts
@@ -1,3 +1,4 @@
+import { processorTime } from '@quinceshunt/caller-connections'
 import { performance, PerformanceObserver } from 'node:perf_hooks'
 import { getHeapStatistics } from 'node:v8'
 import { steadyNow } from '../clock.js'
@@ -60,6 +61,5 @@
 
 function readTotals (): UsageTotals {
   const { loopCount, events } = performance.nodeTiming.uvMetricsInfo
-  const { user, system } = process.cpuUsage()
-  return { at: steadyNow(), passes: loopCount, events, processorMilliseconds: (user + system) / 1000 }
+  return { at: steadyNow(), passes: loopCount, events, processorMilliseconds: processorTime() }
 }
--- a/packages/router/src/callersListener.ts
+++ b/packages/router/src/callersListener.ts
@@ -2,7 +2,7 @@
 import { createServer as createSecureServer } from 'node:https'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { createCallerWatch, createConnectionErrors, createPipelineLimit, createRequestIntake, keepConnectionsWithUnreadRequests, type CallerPresence, type RequestIntake } from '@quinceshunt/caller-connections'
+import { createCallerWatch, createConnectionErrors, createPipelineLimit, createRequestIntake, keepConnectionsWithUnreadRequests, processorTime, type CallerPresence, type RequestIntake } from '@quinceshunt/caller-connections'
 import { assertNever } from '@quinceshunt/effects'
 import type { Holding } from '@quinceshunt/memory-limits'
 import { extractTraceContext, failSpan, SpanKind, startSpan, contextWithSpan, type Span, type TraceContext } from '@quinceshunt/telemetry'
@@ -64,7 +64,7 @@
   const callerOf = createCallerWatch(services.clock.now)
   const connectionErrors = createConnectionErrors(respondToClientError)
   const pipelines = createPipelineLimit(MAX_UNANSWERED_REQUESTS)
-  const intake = createRequestIntake(services.clock.now)
+  const intake = createRequestIntake({ now: services.clock.now, processorTime })
 
   function handleRequest (request: IncomingMessage, response: ServerResponse): void {
     const admission = pipelines.admit(request, response)
@@ -146,7 +146,7 @@
   try {
     const admission = authenticateRequest(services, request)
     if (admission.kind === 'refused') return rejectRequest(services, response, admission.error, requestId, span)
-    const turn = await intake.waitForTurn(callerPresence, services.clock.now() + MAX_INTAKE_WAIT_MS)
+    const turn = await intake.waitForTurn({ caller: callerPresence, holder: admission.caller.account.id, expiresAt: services.clock.now() + MAX_INTAKE_WAIT_MS })
     switch (turn.kind) {
       case 'callerLeft': return
       case 'tooLate': return rejectRequest(services, response, { status: 503, code: 'overloaded', message: 'this instance has too much to do', run: 'no', retryAt: services.clock.now() + LATE_RETRY_DELAY_MS }, requestId, span)
