--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -21,7 +21,7 @@
 /** Callers connect to another instance at once. */
 const STOPPING_RETRY_MS = 50
 
-/** Callers on open connections come back at once: refused after 250 ms, 400 of them took more processor time than when served. */
+/** Callers on open connections come back at once: refused after 250 ms, 400 of them had fewer requests served. */
 const MAX_INTAKE_WAIT_MS = 500
 /** Part of a caller's remaining time for which its request may wait, so that another instance can still serve it. */
 const MAX_INTAKE_SHARE = 1 / 3
