Refuse a burst of requests later than a queue that stands, and start requests in long passes

A pass that had accepted a connection started no request, up to four in a row, and passes took over a second there. partitionedInstances: 40 requests at once at a process that has just started were refused after a third of their 800 ms.

Only passes of up to 20 ms in all are for connections alone, refusals follow starts of the same pass, and a third of the time (half a second at most) is the limit of a queue that has stood for half a second; in a burst it is half of the time.

--- a/packages/caller-connections/src/requestIntake.ts
+++ b/packages/caller-connections/src/requestIntake.ts
@@ -4,9 +4,14 @@
 const PASSES_BEFORE_START = 2
 /** Consecutive passes that only accept connections; then a request is started, so that accepted callers get on. */
 const MAX_ACCEPTING_PASSES = 4
+/** Time after which a pass starts requests although it accepted a connection: some passes take as long as callers wait. */
+const MAX_ACCEPTING_MS = 20
 /** Processor time of a pass for which one request is started, so that requests get their part of it beside other events. */
 const PROCESSOR_TIME_PER_START_MS = 3
 
+/** A queue that was not empty for so long stands: it holds more than a burst. */
+const STANDING_QUEUE_MS = 500
+
 /** How the wait of a request ended. */
 export type Turn =
   | { readonly kind: 'started' }
@@ -20,14 +25,24 @@
   /** Requests that wait for their turn. */
   readonly waiting: number
   /**
-   * Resolves in the request's turn, once its caller has left, or after `expiresAt`, by the clock of the intake. Requests of one
+   * Resolves in the request's turn, once its caller has left, or when it is too late to start it. Requests of one
    * `holder` are started in the order of arrival, and holders take turns.
    */
-  waitForTurn (request: { readonly caller: CallerPresence, readonly holder: string, readonly expiresAt: number }): Promise<Turn>
+  waitForTurn (request: ReceivedRequest): Promise<Turn>
   /** To be called for each connection that a listener of the process accepts. */
   noteConnection (): void
 }
 
+/** A request to be started; times are those of the clock of the intake. */
+export interface ReceivedRequest {
+  readonly caller: CallerPresence
+  readonly holder: string
+  /** After this it is refused. */
+  readonly expiresAt: number
+  /** After this it is refused if the queue stands, so that what is started then has time left. */
+  readonly shedAt: number
+}
+
 /** Clocks of an intake, milliseconds. */
 export interface IntakeClocks {
   readonly now: () => number
@@ -37,6 +52,7 @@
 
 interface WaitingRequest {
   readonly expiresAt: number
+  readonly shedAt: number
   /** Pass in which it came. */
   readonly pass: number
   readonly end: (turn: Turn) => void
@@ -55,6 +71,10 @@
   let pass = 0
   let hasAccepted = false
   let acceptingPasses = 0
+  /** When a pass is to start requests at the latest. */
+  let startsDueAt = 0
+  /** When the queue stands if it was not empty before. */
+  let standsAt = 0
   /** Processor time at the end of the last pass with waiting requests. */
   let processorTimeBefore = 0
   let isScheduled = false
@@ -69,19 +89,24 @@
     isScheduled = false
     pass++
     const processorTimeNow = processorTime()
-    if (hasAccepted && acceptingPasses < MAX_ACCEPTING_PASSES) acceptingPasses++
-    else startRequests(Math.max(1, Math.floor((processorTimeNow - processorTimeBefore) / PROCESSOR_TIME_PER_START_MS)))
+    const at = now()
+    if (hasAccepted && acceptingPasses < MAX_ACCEPTING_PASSES && at < startsDueAt) acceptingPasses++
+    else {
+      startRequests(Math.max(1, Math.floor((processorTimeNow - processorTimeBefore) / PROCESSOR_TIME_PER_START_MS)))
+      endLate(at)
+      startsDueAt = at + MAX_ACCEPTING_MS
+    }
     hasAccepted = false
     processorTimeBefore = processorTimeNow
-    endExpired()
     if (waiting > 0) schedule()
   }
 
-  function endExpired (): void {
-    const at = now()
+  /** Ends what this pass has not started in time. */
+  function endLate (at: number): void {
+    const isStanding = at >= standsAt
     for (const requests of holders.values()) {
       for (const request of requests) {
-        if (request.expiresAt > at || !isReadable(request)) break
+        if (at < (isStanding ? Math.min(request.shedAt, request.expiresAt) : request.expiresAt) || !isReadable(request)) break
         request.end({ kind: 'tooLate' })
       }
     }
@@ -114,7 +139,11 @@
   }
 
   function add (holder: string, request: WaitingRequest): void {
-    if (waiting++ === 0) processorTimeBefore = processorTime()
+    if (waiting++ === 0) {
+      processorTimeBefore = processorTime()
+      startsDueAt = now() + MAX_ACCEPTING_MS
+      standsAt = now() + STANDING_QUEUE_MS
+    }
     const requests = holders.get(holder) ?? new Set()
     holders.set(holder, requests.add(request))
     schedule()
@@ -129,11 +158,12 @@
 
   return {
     get waiting () { return waiting },
-    waitForTurn: async ({ caller, holder, expiresAt }) => {
+    waitForTurn: async ({ caller, holder, expiresAt, shedAt }) => {
       if (caller.leftAt !== undefined) return { kind: 'callerLeft' }
       return await new Promise((resolve) => {
         const request: WaitingRequest = {
           expiresAt,
+          shedAt,
           pass,
           end: (turn) => {
             remove(holder, request)
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -22,9 +22,11 @@
 const STOPPING_RETRY_MS = 50
 
 /** Callers on open connections come back at once: refused after 250 ms, 400 of them had fewer requests served. */
-const MAX_INTAKE_WAIT_MS = 500
-/** Part of a caller's remaining time for which its request may wait, so that another instance can still serve it. */
-const MAX_INTAKE_SHARE = 1 / 3
+const MAX_STANDING_WAIT_MS = 500
+/** Part of a caller's remaining time for which its request waits in a queue that stands, so that another instance can still serve it. */
+const MAX_STANDING_SHARE = 1 / 3
+/** The same in a burst, whose end is near. */
+const MAX_BURST_SHARE = 1 / 2
 /** Another instance may start it at once. */
 const LATE_RETRY_MS = 100
 
@@ -197,7 +199,8 @@
           caller,
           // So that neither a busy client account nor a busy route delays the others.
           holder: `${admission.account?.name ?? ''} ${admission.route.name}`,
-          expiresAt: enteredAt + Math.min(MAX_INTAKE_WAIT_MS, (deadline - enteredAt) * MAX_INTAKE_SHARE)
+          expiresAt: enteredAt + (deadline - enteredAt) * MAX_BURST_SHARE,
+          shedAt: enteredAt + Math.min(MAX_STANDING_WAIT_MS, (deadline - enteredAt) * MAX_STANDING_SHARE)
         })
         context.metrics.record('intake_wait', steadyNow() - enteredAt)
         switch (turn.kind) {
--- a/packages/router/src/callersListener.ts
+++ b/packages/router/src/callersListener.ts
@@ -19,8 +19,9 @@
 const HEADERS_TIMEOUT_MS = 10_000
 /** Requests without a response on one connection; more than sound callers send ahead, and few enough for many connections. */
 const MAX_UNANSWERED_REQUESTS = 32
-/** Time for which a received request waits for its turn, as in the gateway. */
-const MAX_INTAKE_WAIT_MS = 500
+/** Time for which a received request waits for its turn in a queue that stands, and in a burst; as in the gateway. */
+const MAX_STANDING_WAIT_MS = 500
+const MAX_BURST_WAIT_MS = 1000
 /** Another instance may start the request at once. */
 const LATE_RETRY_DELAY_MS = 100
 const BEARER_PATTERN = /^Bearer\s+(\S+)$/i
@@ -146,7 +147,8 @@
   try {
     const admission = authenticateRequest(services, request)
     if (admission.kind === 'refused') return rejectRequest(services, response, admission.error, requestId, span)
-    const turn = await intake.waitForTurn({ caller: callerPresence, holder: admission.caller.account.id, expiresAt: services.clock.now() + MAX_INTAKE_WAIT_MS })
+    const enteredAt = services.clock.now()
+    const turn = await intake.waitForTurn({ caller: callerPresence, holder: admission.caller.account.id, expiresAt: enteredAt + MAX_BURST_WAIT_MS, shedAt: enteredAt + MAX_STANDING_WAIT_MS })
     switch (turn.kind) {
       case 'callerLeft': return
       case 'tooLate': return rejectRequest(services, response, { status: 503, code: 'overloaded', message: 'this instance has too much to do', run: 'no', retryAt: services.clock.now() + LATE_RETRY_DELAY_MS }, requestId, span)
