--- a/packages/caller-connections/src/requestIntake.ts
+++ b/packages/caller-connections/src/requestIntake.ts
@@ -4,8 +4,8 @@
 const PASSES_BEFORE_START = 2
 /** Consecutive passes that only accept connections; then a request is started, so that accepted callers get on. */
 const MAX_ACCEPTING_PASSES = 4
-/** Time after which a pass starts requests although it accepted a connection: some passes take as long as callers wait. */
-const MAX_ACCEPTING_MS = 20
+/** Time after which a pass starts requests although it accepted a connection, as passes may take as long as callers wait. */
+const MAX_ACCEPTING_MS = 100
 /** Processor time of a pass for which one request is started, so that requests get their part of it beside other events. */
 const PROCESSOR_TIME_PER_START_MS = 3
 
