Close connections unread that their callers have given up while these waited

Callers saw a ready instance that took none of their connections, for as long as they went on trying. After a slow-down, or at the start of traffic on the instance with the most callers, the listener's queue holds what callers left when they gave up, and they come again; each of these requests was read, parsed and queued, so that those who still waited were late too.

The process connects to its own listener (it did so each second to measure the delay), each 100 ms while connections wait. The system accepts in the order of arrival: what is accepted ahead of a probe has waited for as long as the probe. More than 16 connections ahead of one that has waited for half a second are closed before they are read, which lets any caller that still waits send its request elsewhere. A probe that did not get into a full queue is replaced, as the system repeats it only after seconds; a caller with the port of a probe on another address was taken for it.

--- a/packages/caller-connections/src/index.ts
+++ b/packages/caller-connections/src/index.ts
@@ -1,3 +1,4 @@
+export { startAcceptQueue, type AcceptQueue } from './acceptQueue.js'
 export { createCallerWatch, watchCaller, type CallerPresence } from './callerPresence.js'
 export { handleArrivedEvents } from './arrivedEvents.js'
 export { createConnectionErrors, type ConnectionErrors } from './connectionErrors.js'
--- a/packages/gateway/src/__tests__/acceptDelay.test.ts
+++ b/packages/gateway/src/__tests__/acceptDelay.test.ts
@@ -1,8 +1,9 @@
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
+import type { AcceptQueue } from '@quinceshunt/caller-connections'
 import { createMetrics } from '@quinceshunt/telemetry'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { createRecordingLog, type RecordingLog } from '../__fixtures__/recordingLog.js'
-import { startAcceptDelay, type AcceptDelay } from '../tasks/acceptDelay.js'
+import { startAcceptDelay } from '../tasks/acceptDelay.js'
 import { startProcessUsage } from '../tasks/processUsage.js'
 
 /** Longer than the interval of the checks. */
@@ -13,7 +14,7 @@
 
 let server: Server
 let log: RecordingLog
-let delay: AcceptDelay
+let delay: AcceptQueue
 let claimed: Socket[]
 let callers: Socket[]
 let acceptMilliseconds: number
@@ -25,8 +26,9 @@
   acceptMilliseconds = 0
   server = createServer((socket) => {
     keepBusy(acceptMilliseconds)
-    const owners = delay.claim(socket) ? claimed : callers
-    owners.push(socket)
+    const { kind } = delay.classify(socket)
+    if (kind === 'probe') claimed.push(socket)
+    else callers.push(socket)
   })
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   delay = startAcceptDelay({ callersAddress: addressOf(server), usage: startProcessUsage(), metrics: createMetrics(), log })
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -212,7 +212,7 @@
     count: (outcome) => metrics.count('backend_probes_total', { outcome })
   })
   const usage = startProcessUsage()
-  const acceptDelay = startAcceptDelay({ callersAddress: settings.callersAddress, usage, metrics, log })
+  const acceptQueue = startAcceptDelay({ callersAddress: settings.callersAddress, usage, metrics, log })
   const context: GatewayContext = {
     settings,
     incarnationId,
@@ -220,7 +220,7 @@
     log,
     metrics,
     eventLoopDelay: startEventLoopDelay(metrics, log, usage),
-    acceptDelay,
+    acceptQueue,
     intake: createRequestIntake({ now: steadyNow, processorTime }),
     configuration: confirmedConfiguration,
     backends,
@@ -259,7 +259,7 @@
     if (configuration.current === undefined) return 'no configuration'
     if (confirmedConfiguration() === undefined) return 'the configuration may be outdated'
     if (backends.follower.lastResponseAt === 0) return 'no list of backend servers'
-    if (acceptDelay.milliseconds > MAX_ACCEPT_DELAY_MS) return `new connections wait for ${acceptDelay.milliseconds} ms`
+    if (acceptQueue.milliseconds > MAX_ACCEPT_DELAY_MS) return `new connections wait for ${acceptQueue.milliseconds} ms`
     return ''
   }
 
@@ -270,8 +270,9 @@
       metrics.gauge('active_requests', callers.activeRequests)
       metrics.gauge('open_connections', callers.openConnections)
       metrics.gauge('accepted_connections', callers.acceptedConnections)
+      metrics.gauge('abandoned_connections', callers.abandonedConnections)
       metrics.gauge('waiting_requests', context.intake.waiting)
-      metrics.gauge('accept_delay_now_milliseconds', acceptDelay.milliseconds)
+      metrics.gauge('accept_delay_now_milliseconds', acceptQueue.milliseconds)
       metrics.gauge('caller_memory_bytes', context.callersMemory.heldBytes)
       return metrics.text()
     },
@@ -290,7 +291,7 @@
     const plan = planStop(steadyNow(), settings.stopSeconds * 1000)
     const { killedAt } = plan
     stopPlan = plan
-    acceptDelay.stop()
+    acceptQueue.stop()
     log.event('stopping', { active: callers.activeRequests, killedAt })
     stopGracefully(callers, plan)
       .then(async () => {
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -38,6 +38,8 @@
   readonly openConnections: number
   /** Connections accepted since the start. */
   readonly acceptedConnections: number
+  /** Connections closed unread since the start, as their callers had given them up. */
+  readonly abandonedConnections: number
   /** Unix milliseconds at which the last connection was accepted. */
   readonly lastConnectionAt: number
   /** Stops accepting connections; those that are open stay open. */
@@ -53,6 +55,7 @@
   let activeRequests = 0
   let openConnections = 0
   let acceptedConnections = 0
+  let abandonedConnections = 0
   let lastConnectionAt = 0
   const callerOf = createCallerWatch(steadyNow)
   const pipelineLimit = createPipelineLimit(MAX_UNANSWERED_REQUESTS)
@@ -93,11 +96,24 @@
   keepConnectionsWithUnreadRequests(server)
   server.on('connection', (socket) => {
     context.intake.noteConnection()
-    if (context.acceptDelay.claim(socket)) return
-    lastConnectionAt = steadyNow()
-    openConnections++
-    acceptedConnections++
-    socket.on('close', () => openConnections--)
+    const accepted = context.acceptQueue.classify(socket)
+    switch (accepted.kind) {
+      case 'probe':
+        socket.destroy()
+        return
+      case 'abandoned':
+        // A caller that still waits may send any request again elsewhere, as this connection is closed before it is read.
+        abandonedConnections++
+        socket.destroy()
+        return
+      case 'caller':
+        lastConnectionAt = steadyNow()
+        openConnections++
+        acceptedConnections++
+        socket.on('close', () => openConnections--)
+        return
+      default: assertNever(accepted)
+    }
   })
   server.on('clientError', (error, socket) => {
     if (connectionErrors.handle(error, socket)) context.log.decision('callerConnectionFailed', { reason: error.message })
@@ -127,6 +143,7 @@
     get activeRequests () { return activeRequests },
     get openConnections () { return openConnections },
     get acceptedConnections () { return acceptedConnections },
+    get abandonedConnections () { return abandonedConnections },
     get lastConnectionAt () { return lastConnectionAt }
   }
 }
@@ -206,7 +223,7 @@
         switch (turn.kind) {
           case 'callerLeft':
             context.metrics.count('callers_left_total', { phase: 'queued' })
-            context.log.decision('callerLeft', { request: fields.attemptId, route: admission.route.name, phase: 'queued', milliseconds: steadyNow() - receivedAt, acceptDelayMilliseconds: context.acceptDelay.milliseconds })
+            context.log.decision('callerLeft', { request: fields.attemptId, route: admission.route.name, phase: 'queued', milliseconds: steadyNow() - receivedAt, acceptDelayMilliseconds: context.acceptQueue.milliseconds })
             response.destroy()
             return
           case 'tooLate':
@@ -234,7 +251,7 @@
 function refuseLate (context: GatewayContext, { response, relay, requestId, account, route }: RefusedRequest): void {
   const reason = 'the instance has too much to do'
   context.metrics.count('late_refusals_total')
-  context.log.decision('requestTooLate', { request: requestId, account, route, waiting: context.intake.waiting, acceptDelayMilliseconds: context.acceptDelay.milliseconds })
+  context.log.decision('requestTooLate', { request: requestId, account, route, waiting: context.intake.waiting, acceptDelayMilliseconds: context.acceptQueue.milliseconds })
   if (relay === undefined) sendNotRun(context, response, reason, steadyNow() + LATE_RETRY_MS)
   else declineRelay(context, response, reason)
 }
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -1,4 +1,4 @@
-import type { RequestIntake } from '@quinceshunt/caller-connections'
+import type { AcceptQueue, RequestIntake } from '@quinceshunt/caller-connections'
 import type { SharedLimit } from '@quinceshunt/memory-limits'
 import type { Metrics } from '@quinceshunt/telemetry'
 import type { BackendAcceptance } from '../decisions/backendAcceptance.js'
@@ -6,7 +6,6 @@
 import type { RetryShares } from '../decisions/retryShares.js'
 import type { WireFormat } from '../ports.js'
 import type { GatewaySettings } from '../settings.js'
-import type { AcceptDelay } from './acceptDelay.js'
 import type { BackendConnections } from './backendConnections.js'
 import type { BackendReach } from './backendReach.js'
 import type { BackendRooms } from './backendRooms.js'
@@ -35,7 +34,7 @@
   readonly log: DecisionLog
   readonly metrics: Metrics
   readonly eventLoopDelay: EventLoopDelay
-  readonly acceptDelay: AcceptDelay
+  readonly acceptQueue: AcceptQueue
   /** For the requests of callers, and those that other instances relay. */
   readonly intake: RequestIntake
   readonly configuration: () => ConfigurationIndex | undefined
