--- a/packages/caller-connections/src/__tests__/acceptQueue.test.ts
+++ b/packages/caller-connections/src/__tests__/acceptQueue.test.ts
@@ -31,7 +31,7 @@
     sockets.push(socket)
   })
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-  queue = startAcceptQueue({ address: `127.0.0.1:${portOf()}`, now: () => performance.now(), onWait: () => {}, onError: () => {} })
+  queue = startAcceptQueue({ address: { host: '127.0.0.1', port: portOf() }, now: () => performance.now(), onWait: () => {}, onError: () => {} })
 })
 
 afterEach(async () => {
--- a/packages/caller-connections/src/acceptQueue.ts
+++ b/packages/caller-connections/src/acceptQueue.ts
@@ -31,8 +31,8 @@
 
 /** Dependencies of the probes. */
 export interface AcceptQueueOptions {
-  /** Address of the listener, HOST:PORT. */
-  readonly address: string
+  /** Of the listener. */
+  readonly address: { readonly host: string, readonly port: number }
   /** Milliseconds. */
   readonly now: () => number
   /** Called for each accepted probe, and at each interval for the first one in the queue. */
@@ -54,7 +54,6 @@
  * tells no ages; one that is accepted before a probe has waited for at least as long as that probe.
  */
 export function startAcceptQueue ({ address, now, onWait, onError }: AcceptQueueOptions): AcceptQueue {
-  const [host = '', port = ''] = address.split(':')
   /** In the order in which they were opened. */
   const probes = new Set<Probe>()
   let lastWait = 0
@@ -85,7 +84,7 @@
   }
 
   function openProbe (): void {
-    const socket = connect(Number(port), host)
+    const socket = connect(address.port, address.host)
     const opened: Probe = { socket, openedAt: now(), queuedAt: undefined, acceptedAhead: 0 }
     waitingSince ??= opened.openedAt
     probes.add(opened)
--- a/packages/gateway/src/tasks/acceptDelay.ts
+++ b/packages/gateway/src/tasks/acceptDelay.ts
@@ -34,8 +34,9 @@
     log.decision(isLong ? 'connectionsDelayed' : 'connectionsPrompt', { milliseconds, isWaiting, ...usage.sample() })
   }
 
+  const [host = '', port = ''] = callersAddress.split(':')
   return startAcceptQueue({
-    address: callersAddress,
+    address: { host, port: Number(port) },
     now: steadyNow,
     onWait: (milliseconds, isWaiting) => {
       if (!isWaiting) metrics.record('accept_delay', milliseconds)
--- a/packages/router/src/__tests__/callersListener.test.ts
+++ b/packages/router/src/__tests__/callersListener.test.ts
@@ -67,3 +67,36 @@
   expect(received.match(/model_not_found/g)).toHaveLength(32)
   expect(received.match(/connection: close/gi)).toHaveLength(1)
 })
+
+// Guards against work for callers that gave their connections up while these waited in a long queue.
+test('connections that waited for long to be accepted are closed unread, and later ones are served', async () => {
+  const ACCEPT_MS = 50
+  const QUEUED_CONNECTIONS = 80
+  let acceptMilliseconds = ACCEPT_MS
+  const listener = createCallersListener(servicesWithoutModels())
+  const { server } = listener
+  server.on('connection', () => {
+    const end = performance.now() + acceptMilliseconds
+    while (performance.now() < end);
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  closeServer = () => {
+    server.closeAllConnections()
+    server.close()
+  }
+  const { port } = server.address() as AddressInfo
+  const send = async (): Promise<string> => await new Promise((resolve) => {
+    const socket = connect(port, '127.0.0.1', () => socket.write('GET /v1/models HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer key\r\nConnection: close\r\n\r\n'))
+    let received = ''
+    socket.on('data', (bytes) => { received += bytes.toString() })
+    socket.on('error', () => {})
+    socket.on('close', () => resolve(received))
+  })
+  const received = await Promise.all(Array.from({ length: QUEUED_CONNECTIONS }, send))
+  const delay = listener.acceptDelayMilliseconds()
+  acceptMilliseconds = 0
+  expect(received.filter((text) => text === '').length).toBeGreaterThan(0)
+  expect(received.filter((text) => text.startsWith('HTTP/1.1')).length).toBeGreaterThan(0)
+  expect(delay).toBeGreaterThan(0)
+  expect(await send()).toContain('HTTP/1.1 200')
+}, 20_000)
--- a/packages/router/src/callersListener.ts
+++ b/packages/router/src/callersListener.ts
@@ -1,8 +1,8 @@
 import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createSecureServer } from 'node:https'
-import type { Socket } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { createCallerWatch, createConnectionErrors, createPipelineLimit, createRequestIntake, keepConnectionsWithUnreadRequests, processorTime, type CallerPresence, type RequestIntake } from '@quinceshunt/caller-connections'
+import { createCallerWatch, createConnectionErrors, createPipelineLimit, createRequestIntake, keepConnectionsWithUnreadRequests, processorTime, startAcceptQueue, type AcceptQueue, type CallerPresence, type RequestIntake } from '@quinceshunt/caller-connections'
 import { assertNever } from '@quinceshunt/effects'
 import type { Holding } from '@quinceshunt/memory-limits'
 import { extractTraceContext, failSpan, SpanKind, startSpan, contextWithSpan, type Span, type TraceContext } from '@quinceshunt/telemetry'
@@ -52,6 +52,8 @@
   activeRequests (): number
   /** Arrival time of the latest request, Unix milliseconds; 0 if there was none. */
   lastRequestAt (): number
+  /** How long new connections wait until they are accepted. */
+  acceptDelayMilliseconds (): number
   /** Adds `Connection: close` to the responses of all further requests. */
   disableKeepAlive (): void
 }
@@ -96,12 +98,31 @@
   const tls = listenerTls(services.settings.callersTls, false)
   const server = tls === undefined ? createServer(options, handleRequest) : createSecureServer({ ...options, ...tls }, handleRequest) as unknown as Server
   keepConnectionsWithUnreadRequests(server)
-  server.on('connection', () => intake.noteConnection())
+  let acceptQueue: AcceptQueue | undefined
+  server.on('listening', () => {
+    const { address: host, port } = server.address() as AddressInfo
+    acceptQueue = startAcceptQueue({ address: { host, port }, now: services.clock.now, onWait: () => {}, onError: () => {} })
+  })
+  server.on('close', () => acceptQueue?.stop())
+  server.on('connection', (socket) => {
+    intake.noteConnection()
+    const accepted = acceptQueue?.classify(socket)
+    switch (accepted?.kind) {
+      case 'probe':
+      case 'abandoned':
+        socket.destroy()
+        return
+      case 'caller':
+      case undefined: return
+      default: assertNever(accepted)
+    }
+  })
   server.on('clientError', connectionErrors.handle)
   return {
     server,
     activeRequests: () => activeRequests,
     lastRequestAt: () => lastRequestAt,
+    acceptDelayMilliseconds: () => acceptQueue?.milliseconds ?? 0,
     disableKeepAlive: () => { keepAliveDisabled = true }
   }
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -15,6 +15,8 @@
 /** Load balancers poll readiness about once per second and may send requests until they notice the shutdown. */
 const DRAIN_QUIET_PERIOD_MS = 2000
 const IDLE_POLL_INTERVAL_MS = 50
+/** Callers expect a connection within this time. */
+const MAX_ACCEPT_DELAY_MS = 1000
 
 /** Base URLs of a router's listeners. */
 export interface RouterAddresses {
@@ -45,7 +47,7 @@
   const tasks = createRouterTasks(context, settings, isolation)
   const callers = createCallersListener(tasks.services)
   let stopping = false
-  const notReadyReason = (): string => stopping ? 'stopping' : findNotReadyReason(tasks)
+  const notReadyReason = (): string => stopping ? 'stopping' : findNotReadyReason(tasks, callers)
   const operations = createOperationsListener({ notReadyReason, metrics })
   const peers = createPeerServer({
     budget: tasks.budgets,
@@ -112,8 +114,10 @@
   })
 }
 
-function findNotReadyReason ({ services, configuration }: RouterTasks): string {
+function findNotReadyReason ({ services, configuration }: RouterTasks, callers: CallersListener): string {
   if (services.isIsolated()) return 'isolated from the platform and all other instances'
+  const acceptDelay = callers.acceptDelayMilliseconds()
+  if (acceptDelay > MAX_ACCEPT_DELAY_MS) return `new connections wait for ${acceptDelay} ms`
   return configuration.current() === undefined ? 'no configuration yet' : ''
 }
 
