--- a/packages/caller-connections/src/requestIntake.ts
+++ b/packages/caller-connections/src/requestIntake.ts
@@ -9,8 +9,8 @@
 /** Processor time of a pass for which one request is started, so that requests get their part of it beside other events. */
 const PROCESSOR_TIME_PER_START_MS = 3
 
-/** A queue that was not empty for so long stands: it holds more than a burst. */
-const STANDING_QUEUE_MS = 500
+/** A queue that was not empty for so long stands: it holds more than a burst, of which some hundred requests take a second or two. */
+const STANDING_QUEUE_MS = 2000
 
 /** How the wait of a request ended. */
 export type Turn =
