--- a/packages/caller-connections/src/acceptQueue.ts
+++ b/packages/caller-connections/src/acceptQueue.ts
@@ -7,6 +7,8 @@
 const LONG_WAIT_MS = 100
 /** Probes that wait at once, as they take places in the queue. */
 const MAX_PROBES = 16
+/** Time after which a probe is replaced that did not get into the queue; a busy process hears late of one that did. */
+const MAX_CONNECT_MS = 500
 /** Callers with 1.5 s left give up a connection on which their request was not read by then; others wait for a second. */
 const CALLER_PATIENCE_MS = 500
 /** Connections accepted ahead of a probe from which the queue is long; fewer wait for long because a pass of the event loop does. */
@@ -74,10 +76,10 @@
     timer.unref()
   }
 
-  /** The system tries again only after seconds when the queue was full. */
+  /** Ends probes for which the queue was full, as the system tries again only after seconds. */
   function abandonUnqueued (): void {
     for (const unqueued of probes) {
-      if (unqueued.queuedAt !== undefined) continue
+      if (unqueued.queuedAt !== undefined || now() - unqueued.openedAt < MAX_CONNECT_MS) continue
       probes.delete(unqueued)
       unqueued.socket.destroy()
     }
