Types of shared load figures and the tally that feeds them

Instances hear from one engine every 10 to 20 seconds only, so that later changes combine what all of them see. Nothing is shared yet: `noFleetLoads` stands in the context.

--- a/packages/gateway/src/decisions/backendState.ts
+++ b/packages/gateway/src/decisions/backendState.ts
@@ -1,5 +1,6 @@
 import type { BackendServerEntry } from '../fleetConfiguration.js'
 import type { PromptPart, ReportedLoad } from '../ports.js'
+import { createBackendTally, takeTally, type BackendTally } from './backendTally.js'
 import { noKnownLimit, type KnownLimit } from './permitIssuer.js'
 
 const FAILURE_HALF_LIFE_MS = 4000
@@ -74,6 +75,8 @@
   readonly unreportedDemand: Map<number, number>
   /** Expected expiry, in Unix milliseconds, of each prompt part that this instance sent there, by part ID. */
   readonly cachedParts: Map<string, number>
+  /** For the load figures that instances share. */
+  readonly tally: BackendTally
 }
 
 /** Creates the state of a newly listed backend server. */
@@ -96,7 +99,8 @@
     denials: new Map(),
     lastDeniedAt: 0,
     unreportedDemand: new Map(),
-    cachedParts: new Map()
+    cachedParts: new Map(),
+    tally: createBackendTally()
   }
 }
 
@@ -179,6 +183,7 @@
 
 /** Resets the state that belongs to the process behind the entry, after a restart under the same ID. */
 export function resetProcessState (state: BackendState): void {
+  takeTally(state.tally)
   state.cachedParts.clear()
   state.reportedLoad = undefined
   state.limit = noKnownLimit
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import type { Server } from 'node:http'
 import { createBackendAcceptance } from './decisions/backendAcceptance.js'
 import { backendProcessOf } from './decisions/backendState.js'
+import { noFleetLoads } from './decisions/fleetLoads.js'
 import { createRetryShares } from './decisions/retryShares.js'
 import { createSharedClock } from './decisions/sharedClock.js'
 import { mayTake, planStop, type StopPlan } from './decisions/stopPlan.js'
@@ -235,6 +236,7 @@
     crashGuard,
     permits,
     rooms,
+    loads: noFleetLoads,
     streamVersions,
     relayPeers: createRelayPeers({ peers: () => fleet.peers, failureDomain: settings.failureDomain }),
     relayedRetries,
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -113,6 +113,7 @@
   }, sentAt)
   backend.pending.add(pending)
   backend.attempts++
+  backend.tally.sent++
   const releaseMemory = state.memory.keep()
   state.attempts++
   if (state.fields.prompt !== undefined) markPartsCached(backend, state.fields.prompt.parts, sentAt + context.settings.promptReuseWindowSeconds * 1000)
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -3,6 +3,7 @@
 import type { Metrics } from '@quinceshunt/telemetry'
 import type { BackendAcceptance } from '../decisions/backendAcceptance.js'
 import type { ConfigurationIndex } from '../decisions/configurationIndex.js'
+import type { FleetLoads } from '../decisions/fleetLoads.js'
 import type { RetryShares } from '../decisions/retryShares.js'
 import type { WireFormat } from '../ports.js'
 import type { GatewaySettings } from '../settings.js'
@@ -48,6 +49,7 @@
   readonly crashGuard: CrashGuard
   readonly permits: SendingPermits
   readonly rooms: BackendRooms
+  readonly loads: FleetLoads
   readonly streamVersions: StreamVersions
   readonly relayPeers: RelayPeers
   readonly relayedRetries: RelayedRetries
