Keep the latest answer to a suspected prompt part in the store

Instances write the answers to a part into one row. One that was cut off from the store wrote its answer from then once it was back, over newer ones.

A report of an answer now carries the latest known time when it is written, and an instance that reads an older answer than it knows, with a crash in between, writes the newer one again.

--- a/packages/gateway/src/__fixtures__/restorableFleet.ts
+++ b/packages/gateway/src/__fixtures__/restorableFleet.ts
@@ -44,7 +44,7 @@
     let isKilled = false
     const { store: watched, era } = watchStoreEra(store, log)
     const fleet: FleetTask = startFleetTask({
-      store: watched, era, log, instanceId, incarnationId, configurationVersion: () => 1, peerAddress: address, failureDomain: instanceId, onCrash: () => {}, onAnswer: () => {}, onLimit: () => {}, onBrittleness: () => {}, onMixedVersions: () => {}, onInstancesChanged: () => {}, answerToReport: () => undefined, tellPeer: () => {}
+      store: watched, era, log, instanceId, incarnationId, configurationVersion: () => 1, peerAddress: address, failureDomain: instanceId, onCrash: () => {}, onAnswer: () => {}, onLimit: () => {}, onBrittleness: () => {}, onMixedVersions: () => {}, onInstancesChanged: () => {}, answerToReport: () => undefined, latestAnswer: () => undefined, tellPeer: () => {}
     })
     const others = (key: string): readonly Peer[] => fleet.homes(key).filter((home) => home.instanceId !== instanceId)
     const tokens: TokenTask = startTokenTask({
--- a/packages/gateway/src/__tests__/fleetTask.test.ts
+++ b/packages/gateway/src/__tests__/fleetTask.test.ts
@@ -31,6 +31,7 @@
     onMixedVersions: () => {},
     onInstancesChanged: () => {},
     answerToReport: () => undefined,
+    latestAnswer: () => undefined,
     tellPeer: (peer, reports) => running.find((other) => other.instanceId === peer.instanceId && reachesPeers)?.fleet.receive(reports)
   })
   const instance = { instanceId, fleet }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -113,6 +113,7 @@
     onMixedVersions: (service, until) => streamVersions.learnMixed(service, until),
     onInstancesChanged: () => streamVersions.noteInstancesChanged(),
     answerToReport: crashGuard.answerToReport,
+    latestAnswer: crashGuard.latestAnswer,
     tellPeer: (peer, reports) => {
       postToPeer(peer.address, PEER_PATH.reports, { to: peer.incarnationId, reports }, REPORT_TIMEOUT_MS)
         .catch((error: unknown) => log.warning('peerNotTold', { peer: peer.instanceId, reason: String(error) }))
--- a/packages/gateway/src/tasks/crashGuard.ts
+++ b/packages/gateway/src/tasks/crashGuard.ts
@@ -2,6 +2,7 @@
 import { steadyNow } from '../clock.js'
 import type { ReportedRequest } from '../decisions/crashReport.js'
 import type { SharedClock } from '../decisions/sharedClock.js'
+import { createStoredAnswers } from '../decisions/storedAnswers.js'
 import type { DecisionLog } from './decisionLog.js'
 
 /** Properties of a request by which it is recognized when it crashes backend servers. */
@@ -43,8 +44,10 @@
   /** Takes over a report of this or another instance. */
   learnCrash (fingerprint: string, reportId: string, unanswered: ReportedRequest | undefined): void
   learnAnswer (part: string, answeredAt: number): void
-  /** Time of an answer that other instances should know of; undefined when they no longer suspect the part. */
+  /** Time of an answer that other instances should know of; undefined when they no longer suspect the part, and the store names a new answer. */
   answerToReport (part: string): number | undefined
+  /** Time of the latest known answer to a part. */
+  latestAnswer (part: string): number | undefined
 }
 
 /** Dependencies of the guard. */
@@ -69,6 +72,7 @@
 export function createCrashGuard (options: CrashGuardOptions): CrashGuard {
   const { log, clock } = options
   const parts = createCrashingParts(releaseDelay)
+  const storedAnswers = createStoredAnswers()
   /** Names of the groups of parts that are held back, as logged. */
   let loggedGroups: ReadonlySet<string> = new Set()
 
@@ -88,6 +92,10 @@
     return [...request.sharedParts, contentPart(request.fingerprint())]
   }
 
+  function isOutdatedInStore (part: string): boolean {
+    return storedAnswers.isOutdated(part, parts.answeredAt(part))
+  }
+
   function reportAnswers (soundParts: readonly string[]): void {
     for (const part of soundParts) options.reportAnswer(part)
   }
@@ -126,14 +134,18 @@
     learnCrash: (fingerprint, reportId, unanswered) => {
       if (unanswered === undefined) return
       const content = fingerprint === '' ? [] : [contentPart(fingerprint)]
+      for (const part of unanswered.parts) storedAnswers.recordCrash(part, unanswered.crashedAt)
       reportAnswers(parts.recordCrash({ ...unanswered, parts: [...unanswered.parts, ...content], id: reportId }))
       for (const part of content) log.decision('crashCounted', { fingerprint, crashes: parts.crashCount(part), report: reportId })
       log.decision('partsSuspected', { parts: unanswered.parts.map((part) => `${part}:${parts.crashCount(part)}`).join(','), backend: unanswered.backendProcess, sentAt: unanswered.sentAt, crashedAt: unanswered.crashedAt, report: reportId })
     },
     learnAnswer: (part, answeredAt) => {
       parts.recordAnswer([part], answeredAt, 'shared')
+      storedAnswers.recordStored(part, answeredAt)
+      if (isOutdatedInStore(part)) options.reportAnswer(part)
       if (loggedGroups.size > 0) logChanges('answered at another instance')
     },
-    answerToReport: (part) => parts.isWronglySuspected(part) ? parts.answeredAt(part) : undefined
+    answerToReport: (part) => parts.isWronglySuspected(part) || isOutdatedInStore(part) ? parts.answeredAt(part) : undefined,
+    latestAnswer: parts.answeredAt
   }
 }
--- a/packages/gateway/src/tasks/fleetReports.ts
+++ b/packages/gateway/src/tasks/fleetReports.ts
@@ -45,3 +45,10 @@
       if (Number.isFinite(Number(value))) handlers.onMixedVersions(subject, Number(value))
   }
 }
+
+/** Replaces the time in the report of an answer by that of the latest known one: the report may have waited for the store. */
+export function withLatestAnswer (report: Report, latestAnswer: (part: string) => number | undefined): Report {
+  if (!report.key.startsWith(REPORT_PREFIX.answer)) return report
+  const latest = latestAnswer(report.key.slice(REPORT_PREFIX.answer.length))
+  return latest === undefined || latest <= Number(report.value) ? report : { key: report.key, value: String(latest) }
+}
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -6,7 +6,7 @@
 import type { RowStore, StoredRow } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { KnownBrittleness } from './backendRooms.js'
-import { dispatchReport, REPORT_PREFIX, type Report, type ReportHandlers } from './fleetReports.js'
+import { dispatchReport, REPORT_PREFIX, withLatestAnswer, type Report, type ReportHandlers } from './fleetReports.js'
 import type { StoreEra } from './storeEra.js'
 import { followTable, type TableFollower } from './tableFollower.js'
 
@@ -120,6 +120,8 @@
   readonly tellPeer: (peer: Peer, reports: readonly Report[]) => void
   /** Time of an answer to a part; undefined when no instance needs to know of it. */
   readonly answerToReport: (part: string) => number | undefined
+  /** Time of the latest known answer to a part. */
+  readonly latestAnswer: (part: string) => number | undefined
 }
 
 /** Registers this instance and starts following the fleet table. */
@@ -390,7 +392,7 @@
     const batch = pendingReports.slice(0, REPORTS_PER_WRITE)
     pendingReports = pendingReports.slice(REPORTS_PER_WRITE)
     if (pendingReports.length > 0) scheduleReports(CRASH_REPORT_INTERVAL_MS)
-    const writes = batch.map((report) => ({ table: TABLE, part: '', ...report }))
+    const writes = batch.map((report) => ({ table: TABLE, part: '', ...withLatestAnswer(report, options.latestAnswer) }))
     store.transact({ expected: [], writes, removals: [] }, steadyNow() + WRITE_TIMEOUT_MS).then((outcome) => {
       if (outcome.kind === 'applied') return
       log.decision('crashReportsNotWritten', { count: batch.length, outcome: outcome.kind })
