Choose engines by the expected time to their first byte

An instance of a large fleet hears from an engine every ten seconds only and took the others for idle. Where load figures of all instances are known and its own are too few, a request goes to the engine with the lowest estimate among those that may have its prompt and a few drawn at random. Prefill rate, base time and duration are learned by service.

--- a/packages/gateway/src/decisions/backendChoice.ts
+++ b/packages/gateway/src/decisions/backendChoice.ts
@@ -13,8 +13,11 @@
 export const PREFILL_TOKENS_PER_MILLISECOND = 90
 /** Factor on the prefill time in the cost: prefill delays all requests of the engine. */
 const PREFILL_WEIGHT = 8
-/** Expected uncached share of a part at its affinity backend server, which may not have processed the part yet. */
-const AFFINITY_MISS_SHARE = 0.15
+/**
+ * Expected uncached share of a part at its affinity backend servers, by rank: the first may not have processed the part yet, the others
+ * have when the first had too much to do for a popular part.
+ */
+const AFFINITY_MISS_SHARES = [0.15, 0.4, 0.7] as const
 /** Per running request: every step slows with the batch size. */
 const ENGINE_RUNNING_COST_MS = 2
 /** Per queued request: about the prefill of a mean prompt. */
@@ -84,7 +87,7 @@
   for (let index = 0; index < candidates.length; index++) {
     const state = candidates[(start + index) % candidates.length]
     if (state === undefined) continue
-    const prefillTokens = request.prompt === undefined ? 0 : expectedPrefill(state, request.prompt, state === affinityBackend, now)
+    const prefillTokens = request.prompt === undefined ? 0 : expectedPrefill(state, request.prompt, state === affinityBackend ? 0 : -1, now)
     yield { state, prefillTokens, cost: estimateCost(state, request, prefillTokens, now) }
   }
 }
@@ -102,15 +105,31 @@
   return affinityBackend
 }
 
-/** Prompt tokens that are expected to miss the backend server's prefix cache. */
-export function expectedPrefill (state: BackendState, prompt: PromptSize, hasAffinity: boolean, now: number): number {
+/** The affinity backend servers of a prompt's shared parts in order of rank, on which all instances agree. */
+export function findAffinityBackends (candidates: readonly BackendState[], prompt: PromptSize, now: number): readonly BackendState[] {
+  const key = affinityPart(prompt)
+  if (key === undefined) return []
+  const usable = candidates.filter((state) => state.avoidedUntil <= now && now >= state.lastDeniedAt + NO_AFFINITY_AFTER_DENIAL_MS)
+  return usable
+    .map((state) => ({ state, weight: hashPair(key, state.entry.id) }))
+    .sort((left, right) => right.weight - left.weight)
+    .slice(0, AFFINITY_MISS_SHARES.length)
+    .map(({ state }) => state)
+}
+
+/**
+ * Prompt tokens that are expected to miss the backend server's prefix cache. `affinityRank` is 0 for its first affinity, -1 without any;
+ * `firstPartMissShare` is the uncached share of a first part that most prompts have.
+ */
+export function expectedPrefill (state: BackendState, prompt: PromptSize, affinityRank: number, now: number, firstPartMissShare = 1): number {
+  const missShare = AFFINITY_MISS_SHARES[affinityRank] ?? 1
   let tokens = 0
   let isPrefixCached = true
   prompt.parts.forEach((part, index) => {
     const isUnshared = index === prompt.parts.length - 1 && prompt.parts.length > 1
     isPrefixCached &&= (state.cachedParts.get(part.id) ?? 0) > now
     if (isPrefixCached) return
-    tokens += hasAffinity && !isUnshared ? part.tokens * AFFINITY_MISS_SHARE : part.tokens
+    tokens += isUnshared ? part.tokens : part.tokens * (index === 0 ? Math.min(missShare, firstPartMissShare) : missShare)
   })
   return tokens
 }
@@ -120,10 +139,13 @@
   const load = isEngine
     ? engineLoadCost(state, now) + prefillTokens * PREFILL_WEIGHT / PREFILL_TOKENS_PER_MILLISECOND
     : plainLoadCost(state, now)
-  const excessSilence = Math.max(0, silenceMilliseconds(state, now) - (isEngine ? EXPECTED_SILENCE_MS.engine : EXPECTED_SILENCE_MS.plain))
-  return load +
-    (state.entry.failureDomain === request.failureDomain ? 0 : OTHER_FAILURE_DOMAIN_COST_MS) +
-    failureWeight(state, now) * (request.isRetryable ? FAILURE_COST_MS.retryable : FAILURE_COST_MS.once) +
+  return load + (state.entry.failureDomain === request.failureDomain ? 0 : OTHER_FAILURE_DOMAIN_COST_MS) + penaltyOf(state, request, now)
+}
+
+/** What recent failures, silences and delays of a backend server cost, and its warm-up. */
+export function penaltyOf (state: BackendState, request: ChoiceRequest, now: number): number {
+  const excessSilence = Math.max(0, silenceMilliseconds(state, now) - (request.prompt === undefined ? EXPECTED_SILENCE_MS.plain : EXPECTED_SILENCE_MS.engine))
+  return failureWeight(state, now) * (request.isRetryable ? FAILURE_COST_MS.retryable : FAILURE_COST_MS.once) +
     excessDelay(state, now) +
     excessSilence * 2 +
     (state.entry.coldUntil > now ? WARM_UP_COST_MS : 0) +
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import { backendProcessOf } from './decisions/backendState.js'
 import { noFleetLoads } from './decisions/fleetLoads.js'
 import { createRetryShares } from './decisions/retryShares.js'
+import { createServiceTimings } from './decisions/serviceTiming.js'
 import { createSharedClock } from './decisions/sharedClock.js'
 import { mayTake, planStop, type StopPlan } from './decisions/stopPlan.js'
 import type { FleetConfiguration } from './fleetConfiguration.js'
@@ -238,6 +239,7 @@
     permits,
     rooms,
     loads: noFleetLoads,
+    timings: createServiceTimings(),
     streamVersions,
     relayPeers: createRelayPeers({ peers: () => fleet.peers, failureDomain: settings.failureDomain }),
     relayedRetries,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -119,6 +119,7 @@
   readonly running: number
   readonly waiting: number
   readonly slots: number
+  readonly workPercent?: number
 }
 
 /** Requests a second that a backend server takes from all instances together, as its response says. */
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -3,7 +3,7 @@
 import { assertNever } from '@quinceshunt/effects'
 import type { IncomingMessage } from 'node:http'
 import { backendProcessOf, failureWeight, markPartsCached, recordObservation, silenceMilliseconds, type BackendObservation, type PendingAttempt } from '../decisions/backendState.js'
-import { PREFILL_TOKENS_PER_MILLISECOND, type Choice } from '../decisions/backendChoice.js'
+import type { Choice } from '../decisions/backendChoice.js'
 import { createEventOrder } from '../decisions/eventOrder.js'
 import { createEventSplitter } from '../decisions/eventSplitter.js'
 import type { StreamPiece } from '../decisions/streamPieces.js'
@@ -16,14 +16,13 @@
 import { bufferResponse, closingHeaders, mediaTypeOf, withoutContentLength } from './forwardedResponse.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { hasAllTokens } from './hasAllTokens.js'
+import { recordFirstByteTime } from './firstByteTimes.js'
 import { judgeClose } from './judgeClose.js'
 import { recordUse } from './recordUse.js'
 import { releaseReturn } from './releaseReturn.js'
 import type { RequestState } from './requestTask.js'
 import { recordStreamStart, streamReportHeaders } from './streamStart.js'
 
-/** Normal time to the first byte, in addition to the prefill. */
-const EXPECTED_FIRST_BYTE_MS = { engine: 120, plain: 120 } as const
 /** Multiple of the latency target after which a retryable request without a response is sent to another backend server. */
 const STALL_TIMEOUT_FACTOR = { plain: 0.9, stream: 1.6 } as const
 /** Multiple of the event gap target after which a stalled resumable stream is resumed at another backend server. */
@@ -64,17 +63,15 @@
   giveUp (): void
 }
 
-type ReserveRetry = () => Promise<RetryReservation>
-
 /**
  * Sends a request to a backend server once and forwards a usable response to the caller. When the backend server is silent
  * and `reserveRetry` has reserved a retry at another one, the attempt is set aside: whichever goes on first ends the other.
  */
-export function runAttempt (context: GatewayContext, state: RequestState, choice: Choice, reserveRetry: ReserveRetry): Promise<AttemptOutcome> {
+export function runAttempt (context: GatewayContext, state: RequestState, choice: Choice, reserveRetry: () => Promise<RetryReservation>): Promise<AttemptOutcome> {
   return new Promise((resolve) => startAttempt(context, state, choice, reserveRetry, resolve))
 }
 
-function startAttempt (context: GatewayContext, state: RequestState, choice: Choice, reserveRetry: ReserveRetry, resolve: (outcome: AttemptOutcome) => void): void {
+function startAttempt (context: GatewayContext, state: RequestState, choice: Choice, reserveRetry: () => Promise<RetryReservation>, resolve: (outcome: AttemptOutcome) => void): void {
   const { wire, connections } = context
   const { response, incoming: callerRequest } = state
   const backend = choice.state
@@ -297,8 +294,7 @@
     if (pending.answered) return
     pending.answered = true
     if (!exchange.reusedConnection) context.reach.noteAccepted(backend)
-    const expectedMilliseconds = choice.prefillTokens / PREFILL_TOKENS_PER_MILLISECOND + (isStream ? EXPECTED_FIRST_BYTE_MS.engine : EXPECTED_FIRST_BYTE_MS.plain)
-    recordBackendObservation({ kind: 'answered', delayMilliseconds: now - sentAt, expectedMilliseconds })
+    recordBackendObservation({ kind: 'answered', delayMilliseconds: now - sentAt, expectedMilliseconds: recordFirstByteTime(context, state, choice, now - sentAt) })
   }
 
   /** Only a signed response shows that the backend server has stopped naming a limit. */
@@ -438,6 +434,7 @@
   }
 
   function recordSuccess (): void {
+    context.timings.of(state.service).recordDuration(steadyNow() - sentAt)
     context.crashGuard.recordResponse(state.guarded)
     recordSoundAnswer()
   }
--- a/packages/gateway/src/tasks/chooseDestination.ts
+++ b/packages/gateway/src/tasks/chooseDestination.ts
@@ -1,6 +1,7 @@
 import { steadyNow } from '../clock.js'
-import { chooseBackend, rankBackends, type Choice } from '../decisions/backendChoice.js'
+import { chooseBackend, rankBackends, type Choice, type ChoiceRequest } from '../decisions/backendChoice.js'
 import type { BackendState } from '../decisions/backendState.js'
+import { chooseByEstimate, knowsTooLittle, type EstimateInput } from '../decisions/estimatedChoice.js'
 import { hasAttemptLeft } from '../decisions/relayedRetries.js'
 import { isRetryable, type ChoiceOutcome } from '../decisions/requestPlan.js'
 import { findAvailableBackends } from './availableBackends.js'
@@ -67,7 +68,7 @@
 /** Chooses the best candidate, or the best that has room where they are brittle. */
 async function chooseWithRoom (context: GatewayContext, state: RequestState, candidates: readonly BackendState[], now: number): Promise<ChoiceWithRoom> {
   const request = { prompt: state.fields.prompt, isRetryable: isRetryable(state.route.deliverySemantics), failureDomain: context.settings.failureDomain }
-  if (candidates.length === 0 || !context.rooms.isNeeded(state.service)) return { kind: 'found', choice: chooseBackend(candidates, request, now, Math.random()) }
+  if (candidates.length === 0 || !context.rooms.isNeeded(state.service)) return { kind: 'found', choice: chooseFreely(context, state, candidates, request, now) }
   const ranked = rankBackends(candidates, request, now, Math.random())
   releaseRoom(state)
   const outcome = await context.rooms.acquire(state.service, ranked.map((choice) => choice.state))
@@ -76,6 +77,21 @@
   return { kind: 'found', choice: ranked.find((choice) => choice.state === outcome.backend) }
 }
 
+/** Chooses by the load figures that instances share where this one knows too little itself. */
+function chooseFreely (context: GatewayContext, state: RequestState, candidates: readonly BackendState[], request: ChoiceRequest, now: number): Choice | undefined {
+  const input: EstimateInput = {
+    request,
+    service: state.service,
+    latencyTargetMilliseconds: state.route.latencyTargetMilliseconds,
+    loads: context.loads,
+    timing: context.timings.of(state.service),
+    hasIdleConnection: context.connections.hasIdle,
+    random: Math.random,
+    now
+  }
+  return knowsTooLittle(candidates, input) ? chooseByEstimate(candidates, input) : chooseBackend(candidates, request, now, Math.random())
+}
+
 /** Gives back the room that was granted for a send. */
 export function releaseRoom (state: RequestState): void {
   state.room?.release()
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationIndex } from '../decisions/configurationIndex.js'
 import type { FleetLoads } from '../decisions/fleetLoads.js'
 import type { RetryShares } from '../decisions/retryShares.js'
+import type { ServiceTimings } from '../decisions/serviceTiming.js'
 import type { WireFormat } from '../ports.js'
 import type { GatewaySettings } from '../settings.js'
 import type { BackendConnections } from './backendConnections.js'
@@ -50,6 +51,7 @@
   readonly permits: SendingPermits
   readonly rooms: BackendRooms
   readonly loads: FleetLoads
+  readonly timings: ServiceTimings
   readonly streamVersions: StreamVersions
   readonly relayPeers: RelayPeers
   readonly relayedRetries: RelayedRetries
