Write the totals of accounts that an instance holds nothing of in a shorter form

A lease row keeps the total of each account that the instance has served, and outgrew a row of the store at about 1,000 accounts.

--- a/packages/gateway/src/__tests__/leaseRow.test.ts
+++ b/packages/gateway/src/__tests__/leaseRow.test.ts
@@ -17,3 +17,18 @@
 test('rows are written in the form that the landing before reads', () => {
   expect(JSON.parse(encodeLeaseRow(row))).toEqual(row)
 })
+
+// Guards against a row that loses an account's total, or hands out tokens again, when it is written in the shorter form.
+test('accounts without tokens for the next process are written in the shorter form and read alike', () => {
+  const mixed: LeaseRow = {
+    ...row,
+    accounts: {
+      ...row.accounts,
+      museum: { held: 0, limit: 0, opening: 0, total: 5000 },
+      vendor: { held: 0, limit: 0, opening: 0, total: 70, unrecorded: 30 }
+    }
+  }
+  const written = encodeLeaseRow(mixed)
+  expect(JSON.parse(written).spent).toEqual({ museum: 5000 })
+  expect(decodeLeaseRow(written)).toEqual(mixed)
+})
--- a/packages/gateway/src/decisions/leaseRow.ts
+++ b/packages/gateway/src/decisions/leaseRow.ts
@@ -25,8 +25,8 @@
 const storedLeaseRowSchema = v.object({
   ...leaseRowSchema.entries,
   /**
-   * Totals of further accounts, none of whose tokens is left to the next process: a shorter form for rows of many accounts. It is
-   * read but not written yet, as processes of versions up to 46ef0a1 don't read it and would take these totals for returned tokens.
+   * Totals of further accounts, none of whose tokens is left to the next process: a shorter form, as a row keeps the total of each account
+   * that the instance has served. Processes of versions up to 46ef0a1 don't read it and take these totals for returned tokens.
    */
   spent: v.optional(v.record(v.string(), v.number()))
 })
@@ -34,9 +34,17 @@
 /** Lease row of one instance. */
 export type LeaseRow = v.InferOutput<typeof leaseRowSchema>
 
-/** Encodes a lease row. A row keeps the total of each account that the instance has served, most of which it serves no more. */
+/** True when the process holds nothing of the account, so that only its total is of use. */
+function isSpent ({ held, limit, opening, unrecorded = 0 }: v.InferOutput<typeof accountLeaseSchema>): boolean {
+  return held === 0 && limit === 0 && opening === 0 && unrecorded === 0
+}
+
+/** Encodes a lease row. */
 export function encodeLeaseRow (row: LeaseRow): string {
-  return JSON.stringify(row)
+  const entries = Object.entries(row.accounts)
+  const spent = entries.filter(([, account]) => isSpent(account)).map(([name, { total = 0 }]) => [name, total] as const)
+  const accounts = entries.filter(([, account]) => !isSpent(account))
+  return JSON.stringify({ ...row, accounts: Object.fromEntries(accounts), ...(spent.length === 0 ? {} : { spent: Object.fromEntries(spent) }) })
 }
 
 /** Decodes a lease row. Throws a `SyntaxError` or `ValiError` when it is malformed. */
