Evacuation of failure domains

Operators' rows evacuate/ZONE of table op take the backend servers of a failure domain out of use. The check is made where candidates are selected, right before each send and for each health probe.

--- a/packages/gateway/src/__tests__/backendReach.test.ts
+++ b/packages/gateway/src/__tests__/backendReach.test.ts
@@ -14,6 +14,7 @@
 /** IDs of the backend servers that answer probes. */
 let reachable: Set<string>
 let wantsRequests: boolean
+let evacuated: Set<string>
 let reach: BackendReach
 
 beforeEach(() => {
@@ -23,11 +24,13 @@
   for (const backend of backends) backend.lastByteAt = steadyNow()
   probes = []
   wantsRequests = true
+  evacuated = new Set()
   reachable = new Set(['a', 'b', 'c'])
   reach = startBackendReach({
     backendsByService: () => new Map([['ledger', backends]]),
     findService: () => ({ name: 'ledger', maximumConnections: 1, engine: undefined, healthPath: '/healthz' }),
     mayProbe: () => wantsRequests,
+    isEvacuated: ({ entry }) => evacuated.has(entry.id),
     log,
     count: () => {},
     probe: async (address) => {
@@ -97,6 +100,21 @@
   })
 })
 
+describe('backend servers in an evacuated failure domain', () => {
+  // Guards against probes of an evacuated domain, and against an instance that never probes the others again, as it does not seem cut off.
+  test('are not probed and do not hide that all others are lost', async () => {
+    evacuated = new Set(['c'])
+    reachable = new Set()
+    send(backends[0])
+    await jest.advanceTimersByTimeAsync(2000)
+    expect(new Set(probes)).toEqual(new Set(['a', 'b']))
+    expect(events()).toEqual(['serviceCutOff'])
+    reachable = new Set(['b'])
+    await jest.advanceTimersByTimeAsync(600)
+    expect(events()).toEqual(['serviceCutOff', 'serviceReached'])
+  })
+})
+
 describe('a new connection that fails', () => {
   // Guards against requests that run once and are sent on connections that are refused, while kept ones live on.
   test('leaves only idle connections for a while, also when others bring bytes, and for longer the next time', async () => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import { createCrashGuard } from './tasks/crashGuard.js'
 import { createDecisionLog, type DecisionLog } from './tasks/decisionLog.js'
 import { startEventLoopDelay } from './tasks/eventLoopDelay.js'
+import { createEvacuations } from './tasks/evacuations.js'
 import { startFleetTask } from './tasks/fleetTask.js'
 import type { GatewayContext } from './tasks/gatewayContext.js'
 import { createLeaseWitness } from './tasks/leaseWitness.js'
@@ -190,7 +191,15 @@
   })
   const relayedRetries = createRelayedRetries({ log, peers: () => fleet.peers, count: (outcome) => metrics.count('relayed_retries_total', { outcome }) })
   const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, rooms, streams: streamVersions, retries: relayedRetries, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow }, (incoming, response) => callers.handleRelayed(incoming, response))
-  const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
+  const evacuations = createEvacuations({
+    log,
+    era,
+    wire: platform.wire,
+    keyPrefix: platform.tables.evacuations.keyPrefix,
+    listedBackends: () => backends.listed(),
+    lastResponseAt: () => configuration.follower.lastResponseAt
+  })
+  const configuration = startConfigurationTask({ platform, log, evacuations, onChange: applyConfiguration })
   const confirmedConfiguration = createConfirmedConfiguration({ current: () => configuration.current, mayBeOutdated: fleet.mayBeOutdated })
   const backends = startBackendTask({
     platform,
@@ -208,7 +217,8 @@
   const reach = startBackendReach({
     backendsByService: backends.byService,
     findService: (name) => configuration.current?.service(name),
-    mayProbe: ({ entry, limit }) => limit.requestsPerSecond === undefined && acceptance.acceptanceOf(backendProcessOf(entry), steadyNow()).kind === 'accepting',
+    mayProbe: ({ entry, limit }) => !evacuations.isEvacuated(entry.failureDomain) && limit.requestsPerSecond === undefined && acceptance.acceptanceOf(backendProcessOf(entry), steadyNow()).kind === 'accepting',
+    isEvacuated: ({ entry }) => evacuations.isEvacuated(entry.failureDomain),
     log,
     count: (outcome) => metrics.count('backend_probes_total', { outcome })
   })
@@ -226,6 +236,7 @@
     intake: createRequestIntake({ now: steadyNow, processorTime }),
     configuration: confirmedConfiguration,
     backends,
+    evacuations,
     reach,
     acceptance,
     connections,
@@ -262,6 +273,7 @@
     if (stopPlan !== undefined) return 'stopping'
     if (configuration.current === undefined) return 'no configuration'
     if (confirmedConfiguration() === undefined) return 'the configuration may be outdated'
+    if (!evacuations.hasBeenRead) return 'no list of evacuations'
     if (backends.follower.lastResponseAt === 0) return 'no list of backend servers'
     if (acceptQueue.milliseconds > MAX_ACCEPT_DELAY_MS) return `new connections wait for ${acceptQueue.milliseconds} ms`
     return ''
@@ -271,6 +283,7 @@
     notReadyReason,
     metricsText: () => {
       metrics.gauge('configuration_version', configuration.current?.configuration.version ?? 0)
+      metrics.gauge('evacuated_failure_domains', evacuations.evacuated.length)
       metrics.gauge('active_requests', callers.activeRequests)
       metrics.gauge('open_connections', callers.openConnections)
       metrics.gauge('accepted_connections', callers.acceptedConnections)
@@ -300,6 +313,7 @@
     stopGracefully(callers, plan)
       .then(async () => {
         configuration.stop()
+        evacuations.stop()
         backends.stop()
         await Promise.race([Promise.all([tokens.close(), fleet.deregister()]), pauseUntil(killedAt - FORCED_EXIT_MARGIN_MS)])
         await finishRefusals(context, callers, killedAt)
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -180,11 +180,15 @@
   decodeConfiguration (value: string): FleetConfiguration
   /** Throws when the entry is malformed. */
   decodeBackendServer (id: string, value: string, now: number): BackendServerEntry
+  /** Throws when the operators' row of an evacuation is malformed. */
+  decodeEvacuation (failureDomain: string, value: string): void
 }
 
 /** Tables that the platform maintains and the gateway only reads. */
 export interface PlatformTables {
   readonly configuration: { readonly table: string, readonly key: string }
+  /** The row of an evacuation has the failure domain's name behind the prefix. The table is that of the configuration. */
+  readonly evacuations: { readonly table: string, readonly keyPrefix: string }
   readonly backendServers: { readonly table: string }
 }
 
--- a/packages/gateway/src/tasks/availableBackends.ts
+++ b/packages/gateway/src/tasks/availableBackends.ts
@@ -8,11 +8,15 @@
 
 /** Retry time suggested to callers when no backend server is available. */
 const NO_BACKEND_RETRY_MS = 700
+/** The end of an evacuation isn't known. */
+const EVACUATED_RETRY_MS = 2000
+/** Evacuated failure domains that a reason names. */
+const MAX_NAMED_DOMAINS = 5
 
-/** Backend servers that a request may be sent to, or why there is none. `retryAt` by `steadyNow`. */
+/** Backend servers that a request may be sent to, or why there is none. `retryAt` by `steadyNow`. `isEvacuated`: all that could serve it are in evacuated failure domains. */
 export type AvailableBackends =
   | { readonly kind: 'some', readonly backends: readonly BackendState[] }
-  | { readonly kind: 'none', readonly reason: string, readonly retryAt: number }
+  | { readonly kind: 'none', readonly reason: string, readonly retryAt: number, readonly isEvacuated?: true }
 
 /** A request that looks for a backend server. */
 export interface SearchingRequest {
@@ -27,7 +31,9 @@
   const { acceptance, settings, fleet: { instances } } = context
   const start = context.streamVersions.confirm(streamStart)
   if (start.kind === 'unknown') return { kind: 'none', reason: 'the software version at which the stream began is not known', retryAt: now + NO_BACKEND_RETRY_MS }
-  const listed = context.backends.candidates(service, now).filter(({ entry }) => mayGoOnAt(start, entry))
+  const able = context.backends.candidates(service, now).filter(({ entry }) => mayGoOnAt(start, entry))
+  const listed = able.filter(({ entry }) => !context.evacuations.isEvacuated(entry.failureDomain))
+  if (listed.length === 0 && able.length > 0) return { kind: 'none', reason: evacuationReason(able), retryAt: now + EVACUATED_RETRY_MS, isEvacuated: true }
   const candidates = listed.filter((candidate) => !excluded.includes(candidate.entry.id))
   const backends = selectAccepting(candidates, acceptance, { receivedAt, drainMilliseconds: settings.drainMilliseconds, instances }, now)
   if (backends.length > 0) return { kind: 'some', backends }
@@ -37,6 +43,18 @@
   return { kind: 'none', reason: candidates.length === 0 ? `no backend server${wanted}` : `all backend servers${wanted} leave`, retryAt: now + NO_BACKEND_RETRY_MS }
 }
 
+/** Names the failure domains of backend servers that are all evacuated. */
+function evacuationReason (backends: readonly BackendState[]): string {
+  const domains = [...new Set(backends.map(({ entry }) => entry.failureDomain))].sort()
+  const further = domains.length > MAX_NAMED_DOMAINS ? ` and ${domains.length - MAX_NAMED_DOMAINS} more` : ''
+  return `all backend servers are in evacuated failure domains: ${domains.slice(0, MAX_NAMED_DOMAINS).join(', ')}${further}`
+}
+
+/** Counts a request that is rejected because all backend servers that could serve it are in evacuated failure domains. */
+export function countEvacuationRefusal (context: GatewayContext, service: string, available: AvailableBackends): void {
+  if (available.kind === 'none' && available.isEvacuated === true) context.metrics.count('evacuation_refusals_total', { service })
+}
+
 /** A response that was attributed to its attempt. */
 export interface AttributedResponse {
   readonly backend: BackendState
--- a/packages/gateway/src/tasks/backendReach.ts
+++ b/packages/gateway/src/tasks/backendReach.ts
@@ -37,6 +37,8 @@
   readonly findService: (name: string) => Service | undefined
   /** False for a backend server that wants no requests now. */
   readonly mayProbe: (backend: BackendState) => boolean
+  /** True for a backend server in an evacuated failure domain, which says nothing about whether the others are reached. */
+  readonly isEvacuated: (backend: BackendState) => boolean
   readonly log: DecisionLog
   readonly count: (outcome: ProbeOutcome['kind']) => void
   /** Probes one backend server; replaced by tests. */
@@ -79,7 +81,8 @@
     }
   }
 
-  function check (service: string, backends = options.backendsByService().get(service) ?? []): void {
+  function check (service: string, listed = options.backendsByService().get(service) ?? []): void {
+    const backends = listed.filter((backend) => !options.isEvacuated(backend))
     logCutOff(service, backends)
     const settings = options.findService(service)
     const now = steadyNow()
--- a/packages/gateway/src/tasks/backendTask.ts
+++ b/packages/gateway/src/tasks/backendTask.ts
@@ -26,6 +26,8 @@
   /** Backend servers that may get requests, by service. */
   byService (): ReadonlyMap<string, readonly BackendState[]>
   find (id: string): BackendState | undefined
+  /** All backend servers that are listed, also those that get no requests; undefined until the list was read. */
+  listed (): readonly BackendState[] | undefined
   /** The processes of all backend servers that are listed now, as named by `backendProcessOf`. */
   processes (): ReadonlySet<string>
   /** Excludes a backend server at whose address another process answers, until its entry changes. */
@@ -199,6 +201,7 @@
       return found
     },
     find: (id) => states.get(id),
+    listed: () => follower.lastResponseAt === 0 ? undefined : [...states.values()],
     processes: () => new Set([...states.values()].map(({ entry }) => backendProcessOf(entry))),
     markMisdirected: (id) => {
       misdirected.add(id)
--- a/packages/gateway/src/tasks/chooseDestination.ts
+++ b/packages/gateway/src/tasks/chooseDestination.ts
@@ -3,7 +3,7 @@
 import type { BackendState } from '../decisions/backendState.js'
 import { hasAttemptLeft } from '../decisions/relayedRetries.js'
 import { isRetryable, type ChoiceOutcome } from '../decisions/requestPlan.js'
-import { findAvailableBackends } from './availableBackends.js'
+import { countEvacuationRefusal, findAvailableBackends } from './availableBackends.js'
 import { destinationIdOf, excludedPeers, reachableBackends, relayNeed, type Destination } from './destinations.js'
 import type { GatewayContext } from './gatewayContext.js'
 import type { RequestState } from './requestTask.js'
@@ -28,7 +28,10 @@
     const need = relayNeed(context, state, now)
     if (need === 'required' || (need === 'preferred' && hasAttemptLeft(state) && context.relayPeers.hasChoice(state.service, excludedPeers(excluded)))) return chooseRelayPeer(context, state, excluded)
     const available = findAvailableBackends(context, state, excluded)
-    if (available.kind === 'none') return available
+    if (available.kind === 'none') {
+      countEvacuationRefusal(context, state.service, available)
+      return { kind: 'none', reason: available.reason, retryAt: available.retryAt }
+    }
     const reachable = reachableBackends(context, available.backends, now)
     const candidates = among === undefined
       ? (reachable.length > 0 ? reachable : available.backends)
--- a/packages/gateway/src/tasks/configurationTask.ts
+++ b/packages/gateway/src/tasks/configurationTask.ts
@@ -2,6 +2,7 @@
 import type { FleetConfiguration } from '../fleetConfiguration.js'
 import type { GatewayPlatform, StoredRow } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
+import type { Evacuations } from './evacuations.js'
 import { followTable, type TableFollower } from './tableFollower.js'
 
 /** Time that a long poll waits for a change; a dead connection is detected soon after it. */
@@ -19,6 +20,8 @@
 export interface ConfigurationTaskOptions {
   readonly platform: GatewayPlatform
   readonly log: DecisionLog
+  /** Gets the rows of the operators' table, before the configuration in them is in force. */
+  readonly evacuations: Pick<Evacuations, 'applySnapshot' | 'applyChanges'>
   readonly onChange: (before: FleetConfiguration | undefined, after: FleetConfiguration) => void
 }
 
@@ -51,8 +54,14 @@
     waitMilliseconds: LONG_POLL_MS,
     pauseMilliseconds: 0,
     prefersFullRead: true,
-    onSnapshot: applyRows,
-    onChanges: applyRows
+    onSnapshot: (rows) => {
+      options.evacuations.applySnapshot(rows)
+      applyRows(rows)
+    },
+    onChanges: (rows) => {
+      options.evacuations.applyChanges(rows)
+      applyRows(rows)
+    }
   })
   return { get current () { return current }, follower, stop: () => follower.stop() }
 }
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -14,6 +14,7 @@
 import type { CallersMemory } from './callersMemory.js'
 import type { CrashGuard } from './crashGuard.js'
 import type { DecisionLog } from './decisionLog.js'
+import type { Evacuations } from './evacuations.js'
 import type { FleetTask } from './fleetTask.js'
 import type { OpenResponses } from './openResponses.js'
 import type { Destination } from './destinations.js'
@@ -39,6 +40,7 @@
   readonly intake: RequestIntake
   readonly configuration: () => ConfigurationIndex | undefined
   readonly backends: BackendTask
+  readonly evacuations: Evacuations
   readonly reach: BackendReach
   readonly acceptance: BackendAcceptance
   readonly connections: BackendConnections
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -14,7 +14,7 @@
 import type { RelayEnvelope } from '../decisions/relayEnvelope.js'
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
-import { findAvailableBackends } from './availableBackends.js'
+import { countEvacuationRefusal, findAvailableBackends } from './availableBackends.js'
 import { runAttempt, type AttemptSetAside } from './attempt.js'
 import type { GrantedRoom } from './backendRooms.js'
 import { chooseDestination, hasUntriedDestination, NO_ROOM, releaseRoom, suggestedRetryAt } from './chooseDestination.js'
@@ -232,7 +232,10 @@
   const quarantine = context.crashGuard.findQuarantine(state.guarded)
   if (quarantine !== undefined) return { kind: 'notRun', reason: quarantine.reason, retryAt: quarantine.until }
   const available = findAvailableBackends(context, state, [])
-  if (available.kind === 'none') return { kind: 'notRun', reason: available.reason, retryAt: available.retryAt }
+  if (available.kind === 'none') {
+    countEvacuationRefusal(context, state.service, available)
+    return { kind: 'notRun', reason: available.reason, retryAt: available.retryAt }
+  }
   const deniedUntil = context.rooms.deniedUntil(state.service, steadyNow())
   return deniedUntil === undefined ? undefined : { kind: 'notRun', reason: NO_ROOM, retryAt: deniedUntil }
 }
@@ -260,9 +263,15 @@
   // The caller may have left while a permit was asked for.
   if (hasCallerLeft(state)) return { kind: 'callerGone' }
   if (state.setAside?.hasGoneOn === true) return { kind: 'superseded' }
-  state.triedBackendIds.push(destinationId)
   switch (destination.kind) {
     case 'backend': {
+      const { failureDomain } = destination.choice.state.entry
+      // The domain may have been evacuated while the request waited for a permit, room or tokens.
+      if (context.evacuations.isEvacuated(failureDomain)) {
+        releaseRoom(state)
+        return { kind: 'notSent', reason: `the failure domain ${failureDomain} is evacuated` }
+      }
+      state.triedBackendIds.push(destinationId)
       state.triedVersions.push(destination.choice.state.entry.version)
       const attempt = runAttempt(context, state, destination.choice, async () => await reserveRetry(context, state))
       // From now on the request is among those in progress there.
@@ -272,6 +281,7 @@
       return outcome
     }
     case 'peer': {
+      state.triedBackendIds.push(destinationId)
       state.triedVersions.push('')
       const outcome = await runRelayAttempt(context, state, destination.peer)
       if (outcome.kind === 'broken') await findUnreportedStart(context, state)
