Share load figures between instances

Instances report the requests, tokens, load reports and response times of each backend server's process to a home of their failure domain every second, and get the sums of all others. The setting shareLoads turns this on. Load reports have a fourth figure, how long work takes; unreadable ones are logged once.

--- a/packages/gateway/src/__tests__/backendChoice.test.ts
+++ b/packages/gateway/src/__tests__/backendChoice.test.ts
@@ -144,7 +144,7 @@
     const states = createBackends(2)
     const [first, second] = states
     if (first === undefined || second === undefined) throw new Error('no backend servers')
-    first.reportedLoad = { running: 8, waiting: 6, slots: 8, receivedAt: NOW, attemptsAtReceipt: 0 }
+    first.reportedLoad = { running: 8, waiting: 6, slots: 8, workPercent: 100, receivedAt: NOW, attemptsAtReceipt: 0 }
     expect(choosePlain(states)).toBe(second)
     first.reportedLoad = { ...first.reportedLoad, receivedAt: NOW - 10_000 }
     expect(choosePlain(states)).toBe(first)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,8 @@
 import { startFleetTask } from './tasks/fleetTask.js'
 import type { GatewayContext } from './tasks/gatewayContext.js'
 import { createLeaseWitness } from './tasks/leaseWitness.js'
+import { startLoadExchange } from './tasks/loadExchange.js'
+import { createLoadSource } from './tasks/loadSource.js'
 import { createOpenResponses } from './tasks/openResponses.js'
 import { createMetricsServer, createReadinessServer, type OperationsSource } from './tasks/operationsServers.js'
 import { createPeerLife } from './tasks/peerLife.js'
@@ -43,6 +45,7 @@
 import { createTokenLoans } from './tasks/tokenLoans.js'
 import { watchStoreEra } from './tasks/storeEra.js'
 import { startTokenTask } from './tasks/tokenTask.js'
+import { logUnreadableLoads } from './tasks/unreadableLoads.js'
 
 /** New connections are accepted for this time after SIGTERM: the load balancer removes an instance after two failed checks. */
 const LISTEN_AFTER_STOP_MS = 2600
@@ -189,7 +192,20 @@
     count: (outcome) => metrics.count('stream_origins_total', { outcome })
   })
   const relayedRetries = createRelayedRetries({ log, peers: () => fleet.peers, count: (outcome) => metrics.count('relayed_retries_total', { outcome }) })
-  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, rooms, streams: streamVersions, retries: relayedRetries, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow }, (incoming, response) => callers.handleRelayed(incoming, response))
+  const loads = settings.shareLoads
+    ? startLoadExchange({
+      instanceId: settings.instanceId,
+      incarnationId,
+      failureDomain: settings.failureDomain,
+      peers: () => fleet.peers,
+      source: createLoadSource(() => backends.byService()),
+      log,
+      count: (outcome) => metrics.count('load_messages_total', { outcome }),
+      gauge: metrics.gauge,
+      phase: Math.random()
+    })
+    : undefined
+  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, rooms, streams: streamVersions, retries: relayedRetries, receiveLoads: loads?.receive, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow }, (incoming, response) => callers.handleRelayed(incoming, response))
   const configuration = startConfigurationTask({ platform, log, onChange: applyConfiguration })
   const confirmedConfiguration = createConfirmedConfiguration({ current: () => configuration.current, mayBeOutdated: fleet.mayBeOutdated })
   const backends = startBackendTask({
@@ -218,7 +234,7 @@
   const context: GatewayContext = {
     settings,
     incarnationId,
-    wire: platform.wire,
+    wire: logUnreadableLoads(platform.wire, log),
     log,
     metrics,
     eventLoopDelay,
@@ -236,7 +252,7 @@
     crashGuard,
     permits,
     rooms,
-    loads: noFleetLoads,
+    loads: loads ?? noFleetLoads,
     streamVersions,
     relayPeers: createRelayPeers({ peers: () => fleet.peers, failureDomain: settings.failureDomain }),
     relayedRetries,
@@ -278,6 +294,7 @@
       metrics.gauge('waiting_requests', context.intake.waiting)
       metrics.gauge('accept_delay_now_milliseconds', acceptQueue.milliseconds)
       metrics.gauge('caller_memory_bytes', context.callersMemory.heldBytes)
+      loads?.updateGauges()
       return metrics.text()
     },
     log
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -119,6 +119,8 @@
   readonly running: number
   readonly waiting: number
   readonly slots: number
+  /** How long work takes there now, in percent of the usual time; 100 when it is not reported. */
+  readonly workPercent: number
 }
 
 /** Requests a second that a backend server takes from all instances together, as its response says. */
@@ -158,6 +160,8 @@
   /** True when callers take the status as the gateway's promise that the request has not run. */
   readonly impliesNotRun: boolean
   readonly load: ReportedLoad | undefined
+  /** A load report of which a part, or all, could not be read. */
+  readonly unreadableLoad?: string
   readonly limit: NamedLimit
   readonly brittleness: NamedBrittleness
   readonly pause: RequestedPause
