--- a/packages/gateway/src/decisions/loadBoard.ts
+++ b/packages/gateway/src/decisions/loadBoard.ts
@@ -12,8 +12,8 @@
 const FORGET_MS = 3000
 /** Sums are kept for this time. A figure may be 2,500 ms old, of which two intervals between messages take 2,000. */
 const DEFAULT_SUMS_MS = 50
-/** All instances of the domain have reported once after this time. */
-const COMPLETE_AFTER_MS = 1100
+/** Nearly all instances of the domain have reported once after this time; the first of them reports again after 1,000 ms. */
+const COMPLETE_AFTER_MS = 950
 /** Half-life of rates and ratios. */
 const RECENT_HALF_LIFE_MS = 2000
 const MAX_REPORT_AGE_MS = 10_000
--- a/packages/gateway/src/decisions/loadView.ts
+++ b/packages/gateway/src/decisions/loadView.ts
@@ -30,6 +30,8 @@
   readonly asOf: number | undefined
   /** Instances of which the last reply told. */
   readonly reporters: number
+  /** Requests in progress of all other instances, by service, in the last reply. */
+  readonly requestsByService: ReadonlyMap<string, { readonly requests: number }>
 }
 
 interface ServiceView {
@@ -126,6 +128,7 @@
       return unreadable
     },
     get asOf () { return figures?.asOf },
+    get requestsByService () { return figures?.services ?? new Map() },
     get reporters () { return figures?.reporters ?? 0 }
   }
 }
--- a/packages/gateway/src/tasks/loadExchange.ts
+++ b/packages/gateway/src/tasks/loadExchange.ts
@@ -49,7 +49,7 @@
   readonly source: LoadSource
   readonly log: DecisionLog
   readonly count: (outcome: string) => void
-  readonly gauge: (name: string, value: number) => void
+  readonly gauge: (name: string, value: number, labels?: Record<string, string>) => void
   /** Position, in [0, 1), of the reports of this instance within each second. */
   readonly phase: number
   /** Delivers one message; replaced by tests. */
@@ -273,6 +273,7 @@
     updateGauges: () => {
       options.gauge('load_figures_age_milliseconds', view.asOf === undefined ? -1 : Math.round(steadyNow() - view.asOf))
       options.gauge('load_reporting_instances', view.reporters)
+      for (const [service, { requests }] of view.requestsByService) options.gauge('load_other_requests', requests, { service })
     },
     stop: () => {
       clearTimeout(firstTimer)
