--- a/packages/gateway/src/decisions/loadBoard.ts
+++ b/packages/gateway/src/decisions/loadBoard.ts
@@ -62,8 +62,8 @@
 
 /** Merges figures at a home. */
 export interface LoadBoard {
-  /** True while instances report here. */
-  hasReporters (now: number): boolean
+  /** True while instances report here; `except` is not counted. */
+  hasReporters (now: number, except?: string): boolean
   report (report: InstanceReport, now: number): void
   /** Takes over sums of another home, in place of earlier ones. */
   learn (sums: HomeSums, failureDomain: string, now: number): void
@@ -184,9 +184,9 @@
   }
 
   return {
-    hasReporters: (now) => {
+    hasReporters: (now, except = '') => {
       forget(now)
-      return records.size > 0
+      return records.size > (records.has(except) ? 1 : 0)
     },
     report: ({ reporter, intervalMilliseconds, services }, now) => {
       forget(now)
--- a/packages/gateway/src/tasks/loadExchange.ts
+++ b/packages/gateway/src/tasks/loadExchange.ts
@@ -27,6 +27,8 @@
 const UNKNOWN_PATH_AVOIDANCE_MS = 30_000
 /** Figures that are older are logged as old. */
 const MAX_AGE_MS = 2500
+/** Observations that no home has taken for this time are dropped: they say little of the present. */
+const MAX_UNSENT_MS = 5000
 /** A load report is repeated for this time, as a home may have changed or a message may be lost. */
 const REPORT_AGE_MS = 2000
 
@@ -64,7 +66,7 @@
   const board = createLoadBoard()
   const view = createLoadView(source.ownLoad)
   const avoidedUntil = new Map<string, number>()
-  /** Of reports that no home has taken, by process. */
+  /** Of reports that no home, or only this instance's own board, has taken, by process. */
   let unsentTallies = new Map<string, BackendTally>()
   let lastReportAt = steadyNow()
   let homeId: string | undefined
@@ -86,6 +88,18 @@
     return loadHomes(domain, [self, ...options.peers()]).filter((home) => (avoidedUntil.get(home.incarnationId) ?? 0) <= now)
   }
 
+  /**
+   * Where to report, in order. An instance to which no other one reports is its own last resort: the homes before it may be out of
+   * its reach only, and another instance may exchange sums with them.
+   */
+  function candidates (): readonly Peer[] {
+    const homes = homesOf(failureDomain)
+    const isFirst = loadHomes(failureDomain, [self, ...options.peers()])[0] === self
+    const ordered = isFirst || board.hasReporters(steadyNow(), reporter) ? homes : [...homes.filter((home) => home !== self), self]
+    const tried = ordered.slice(0, MAX_ATTEMPTS)
+    return tried.includes(self) ? tried : [...tried, self]
+  }
+
   async function send (home: Peer, message: LoadMessage): Promise<unknown> {
     const outcome = await post(home.address, PEER_PATH.loads, { to: home.incarnationId, ...message }, REPLY_TIMEOUT_MS)
     switch (outcome.kind) {
@@ -166,40 +180,40 @@
     log.event(areOld ? 'loadFiguresOld' : 'loadFiguresFresh', { ageMilliseconds: Math.round(ageMilliseconds), home: homeId })
   }
 
-  /** Returns false when the reply is none. */
-  function takeReply (home: Peer, reply: unknown, listed: ReadonlyMap<string, string>): boolean {
+  function takeReply (home: Peer, reply: unknown, listed: ReadonlyMap<string, string>): 'taken' | 'alone' | 'noReply' {
     const parsed = parseOthers(reply)
     if (parsed === undefined) {
       if (reply !== undefined) noteUnreadable((JSON.stringify(reply) ?? '').slice(0, 100))
-      return false
+      return 'noReply'
     }
     noteHome(home)
     noteUnreadable(parsed.unreadable)
     const { others } = parsed
     const isAlone = others.reporters <= 1 && options.peers().length > 0
     // A home that has just begun, or that nobody else reaches, knows less than the figures that this instance has.
-    if (!others.isComplete || isAlone) {
-      count(isAlone ? 'alone' : 'incomplete')
-      return true
-    }
-    noteUnreadable(view.takeReply(others, listed, steadyNow()))
-    count('replied')
-    return true
+    if (isAlone) return 'alone'
+    if (others.isComplete) noteUnreadable(view.takeReply(others, listed, steadyNow()))
+    count(others.isComplete ? 'replied' : 'incomplete')
+    return 'taken'
   }
 
   async function report (): Promise<void> {
     const now = steadyNow()
+    if (now - lastReportAt > MAX_UNSENT_MS) {
+      unsentTallies = new Map()
+      lastReportAt = now - REPORT_INTERVAL_MS
+    }
     const { services, listed, tallies } = readSource(now)
     const message: LoadMessage = { kind: 'report', from: reporter, interval: Math.max(1, now - lastReportAt), services: services.map((service) => [...service]) }
-    for (const home of homesOf(failureDomain).slice(0, MAX_ATTEMPTS)) {
-      const reply = home === self || home.instanceId === instanceId ? handle({ to: incarnationId, ...message }) : await send(home, message)
-      if (!takeReply(home, reply, listed)) {
-        count('noReply')
-        continue
+    for (const home of candidates()) {
+      const reply = home === self ? handle({ to: incarnationId, ...message }) : await send(home, message)
+      const result = takeReply(home, reply, listed)
+      if (result === 'taken') {
+        unsentTallies = new Map()
+        lastReportAt = now
+        return
       }
-      unsentTallies = new Map()
-      lastReportAt = now
-      return
+      count(result)
     }
     unsentTallies = tallies
     count('noHome')
