--- a/packages/gateway/src/decisions/estimatedChoice.ts
+++ b/packages/gateway/src/decisions/estimatedChoice.ts
@@ -183,5 +183,5 @@
 
 function workFactor (report: OthersLoad['report'], now: number): number {
   if (report === undefined) return 1
-  return 1 + ((report.workPercent ?? 100) / 100 - 1) * 2 ** (-Math.max(0, now - report.receivedAt) / WORK_HALF_LIFE_MS)
+  return 1 + (report.workPercent / 100 - 1) * 2 ** (-Math.max(0, now - report.receivedAt) / WORK_HALF_LIFE_MS)
 }
