Configuration check before distribution: quinceshunt configuration check

Decodes a platform configuration document with the gateway's schema, reports all refused values, contradictions and differences from the document in force.

--- a/packages/cli/src/commandTree.ts
+++ b/packages/cli/src/commandTree.ts
@@ -8,6 +8,7 @@
 import { budgetTopUp } from './commands/budgetTopUp.js'
 import { claimResolve } from './commands/claimResolve.js'
 import { configCheck } from './commands/configCheck.js'
+import { configurationCheck } from './commands/configurationCheck.js'
 import { fleetStatus } from './commands/fleetStatus.js'
 import { keyIssue } from './commands/keyIssue.js'
 import { keyList } from './commands/keyList.js'
@@ -37,5 +38,6 @@
   claim: { description: 'Non-idempotent requests', operations: { resolve: claimResolve } },
   request: { description: 'Single requests', operations: { trace: requestTrace } },
   audit: { description: 'Changes that operators made', operations: { list: auditList } },
-  config: { description: 'Settings files', operations: { check: configCheck } }
+  config: { description: 'Settings files', operations: { check: configCheck } },
+  configuration: { description: 'Configuration documents of the platform', operations: { check: configurationCheck } }
 }
--- a/packages/cli/src/runQuinceshunt.ts
+++ b/packages/cli/src/runQuinceshunt.ts
@@ -39,6 +39,6 @@
 }
 
 function groupLines (name: string, group: CommandGroup): string[] {
-  const width = 18
+  const width = 19
   return Object.entries(group.operations).map(([operation, { description }]) => `  ${`${name} ${operation}`.padEnd(width)}  ${description}`)
 }
--- a/packages/gateway/src/fleetConfiguration.ts
+++ b/packages/gateway/src/fleetConfiguration.ts
@@ -43,6 +43,8 @@
   readonly slots: number
   /** Output tokens per event of a stream. */
   readonly tokensPerEvent: number
+  /** Tokens that fit into its memory; only the configuration check uses it. */
+  readonly memoryTokens?: number | undefined
 }
 
 /** A service: a group of interchangeable backend servers. */
