--- a/packages/gateway/src/decisions/configurationCheck.ts
+++ b/packages/gateway/src/decisions/configurationCheck.ts
@@ -27,6 +27,12 @@
   return `${host.toLowerCase()} ${pathPrefix}`
 }
 
+const HOST_FAULT_PATTERN = /[^\x21-\x7e]|\/|:\d+$/
+/** Clients send other characters in percent-encoding, which is compared as it is. */
+const PREFIX_FAULT_PATTERN = /[^\x21-\x7e]|#/
+/** White space ends a key in its header. Headers are read as Latin-1, so that characters beyond it never arrive. */
+const KEY_FAULT_PATTERN = /[^\x21-\xff]|[\x7f-\xa0]/
+
 const isTime = (milliseconds: number): boolean => milliseconds > 0 && milliseconds <= MAX_TIMER_MS
 const isPriority = (priority: number): boolean => Number.isInteger(priority) && priority >= 0 && priority <= MAX_PRIORITY
 
@@ -70,8 +76,8 @@
   const runsOnce = deliverySemantics.kind === 'once' || deliverySemantics.kind === 'onceStream'
 
   // The port of the Host header is not compared.
-  if (host === '' || /[\s/]|:\d+$/.test(host)) findings.push(createFinding({ kind: 'unmatchableHost', host }, at('host')))
-  if (!pathPrefix.startsWith('/') || /[\s#]/.test(pathPrefix)) findings.push(createFinding({ kind: 'unmatchablePrefix', prefix: pathPrefix }, at('pathPrefix')))
+  if (host === '' || HOST_FAULT_PATTERN.test(host)) findings.push(createFinding({ kind: 'unmatchableHost', host }, at('host')))
+  if (!pathPrefix.startsWith('/') || PREFIX_FAULT_PATTERN.test(pathPrefix)) findings.push(createFinding({ kind: 'unmatchablePrefix', prefix: pathPrefix }, at('pathPrefix')))
   else if (!pathPrefix.endsWith('/')) findings.push(createFinding({ kind: 'openPrefix', prefix: pathPrefix }, at('pathPrefix')))
 
   if (!isTime(timeout)) findings.push(createFinding({ kind: 'timeOutOfRange', milliseconds: timeout }, at('timeoutMilliseconds')))
@@ -128,7 +134,7 @@
   return accounts.flatMap(({ name, keys }, index) => keys.flatMap((key, position) => {
     const path = ['accounts', index, 'keys', position]
     // Requests without a key look up the empty key, so an account that holds it would be charged for them.
-    if (key === '' || /\s/.test(key)) return [createFinding({ kind: 'unusableKey', account: name }, path)]
+    if (key === '' || KEY_FAULT_PATTERN.test(key)) return [createFinding({ kind: 'unusableKey', account: name }, path)]
     const holder = holders.get(key)
     if (holder === undefined) holders.set(key, { account: index, position })
     if (holder === undefined || holder.account === index) return []
--- a/packages/gateway/src/decisions/configurationDifferences.ts
+++ b/packages/gateway/src/decisions/configurationDifferences.ts
@@ -107,9 +107,11 @@
 }
 
 function compareAccounts (before: FleetConfiguration, after: FleetConfiguration): ConfigurationFinding[] {
-  const oldAccounts = indexBy(before.accounts, ({ name }) => name)
-  return after.accounts.flatMap(({ name, prepaidTokens }, index) => {
-    const old = oldAccounts.get(name)?.entry
+  // Of several accounts with the same name, the gateway uses the budget of the last one.
+  const oldAccounts = new Map(before.accounts.map((account) => [account.name, account]))
+  const newAccounts = new Map(after.accounts.map((account, index) => [account.name, { account, index }]))
+  return [...newAccounts.values()].flatMap(({ account: { name, prepaidTokens }, index }) => {
+    const old = oldAccounts.get(name)
     if (old === undefined) return [createFinding({ kind: 'accountAdded', account: name }, ['accounts', index])]
     if (prepaidTokens === undefined || prepaidTokens >= (old.prepaidTokens ?? Infinity)) return []
     return [createFinding({ kind: 'prepaidLowered', account: name, before: old.prepaidTokens, after: prepaidTokens }, ['accounts', index, 'prepaidTokens'])]
--- a/packages/gateway/src/decisions/configurationFinding.ts
+++ b/packages/gateway/src/decisions/configurationFinding.ts
@@ -133,8 +133,8 @@
 function describe (detail: FindingDetail): string {
   switch (detail.kind) {
     case 'duplicateRoute': return `no request reaches this route: route ${quote(detail.first)} before it has the same host and prefix; remove one of them`
-    case 'unmatchableHost': return `no request has the host ${quote(detail.host)}; use a host name without port, slash or space`
-    case 'unmatchablePrefix': return `no path begins with ${quote(detail.prefix)}; use a prefix that begins and ends with a slash, without "#" or space`
+    case 'unmatchableHost': return `no request has the host ${quote(detail.host)}; use a host name in ASCII without port, slash or space`
+    case 'unmatchablePrefix': return `no path begins with ${quote(detail.prefix)}; use a prefix that begins and ends with a slash, without "#", space or characters that need percent-encoding`
     case 'openPrefix': return `${quote(detail.prefix)} also matches longer names, for example ${quote(`${detail.prefix}x`)}; end it with a slash`
     case 'noTarget': return `route ${quote(detail.route)} has no service; name one`
     case 'zeroWeight': return detail.isFallback
@@ -145,7 +145,7 @@
     case 'unusedService': return `no route leads to service ${quote(detail.service)}; add a route or remove the service`
     case 'duplicateAccount': return `client account ${quote(detail.account)} is already defined; remove one of the definitions`
     case 'accountWithoutKey': return `client account ${quote(detail.account)} has no key; add one or remove the account`
-    case 'unusableKey': return `no caller can send this key of client account ${quote(detail.account)}: it is empty or contains a space; replace it`
+    case 'unusableKey': return `no caller can send this key of client account ${quote(detail.account)}: it is empty or contains a space or a character that headers can't carry; replace it`
     case 'sharedKey': return `client account ${quote(detail.account)} has a key that client account ${quote(detail.otherAccount)} holds too; give each its own`
     case 'versionOutOfRange': return `version ${detail.version} can't be increased reliably; use a whole number up to ${Number.MAX_SAFE_INTEGER - 1}`
     case 'timeOutOfRange': return `${detail.milliseconds} ms is not usable; use a time above 0 and up to ${MAX_TIMER_MS} ms`
