--- a/packages/gateway/src/__tests__/configurationCheck.test.ts
+++ b/packages/gateway/src/__tests__/configurationCheck.test.ts
@@ -114,17 +114,33 @@
 
   // Guards against callers that lose a route or their key without an error.
   test('has an error whenever a request that was admitted no longer is', () => {
-    fc.assert(fc.property(configurationArbitrary, configurationArbitrary, (before, after) => {
-      const errors = compareConfigurations(before, { ...after, version: before.version + 1 }).filter(({ severity }) => severity === 'error')
+    const change = fc.oneof(
+      routeArbitrary.map((route) => (configuration: FleetConfiguration) => ({ ...configuration, routes: [...configuration.routes, route] })),
+      routeArbitrary.map((route) => (configuration: FleetConfiguration) => ({ ...configuration, routes: [route, ...configuration.routes] })),
+      fc.nat(3).map((index) => (configuration: FleetConfiguration) => ({ ...configuration, routes: configuration.routes.filter((_, position) => position !== index) })),
+      fc.nat(3).map((index) => (configuration: FleetConfiguration) => ({ ...configuration, routes: configuration.routes.map((route, position) => position === index ? { ...route, isPublic: !route.isPublic } : route) })),
+      accountArbitrary.map((account) => (configuration: FleetConfiguration) => ({ ...configuration, accounts: [...configuration.accounts, account] })),
+      fc.nat(2).map((index) => (configuration: FleetConfiguration) => ({ ...configuration, accounts: configuration.accounts.filter((_, position) => position !== index) }))
+    )
+    let losses = 0
+    let quietChanges = 0
+    fc.assert(fc.property(configurationArbitrary, fc.array(change, { minLength: 1, maxLength: 2 }), (before, changes) => {
+      const after = changes.reduce((configuration, apply) => apply(configuration), { ...before, version: before.version + 1 })
+      const errors = compareConfigurations(before, after).filter(({ severity }) => severity === 'error')
+      if (errors.length === 0) quietChanges += 1
       const [oldIndex, newIndex] = [indexConfiguration(before), indexConfiguration(after)]
       for (const host of ['desk.example', 'other.example']) {
-        for (const path of ['/', '/a/', '/a/b/', '/a/b/c']) {
+        for (const path of ['/', '/a', '/a/', '/ab', '/a/b/', '/a/b/c']) {
           for (const key of ['', 'key-1', 'key-2', 'key-3']) {
-            const wasAdmitted = oldIndex.admit(host, path, key).kind === 'allowed'
-            if (wasAdmitted && newIndex.admit(host, path, key).kind !== 'allowed') expect(errors.map(({ kind }) => kind)).not.toEqual([])
+            if (oldIndex.admit(host, path, key).kind !== 'allowed' || newIndex.admit(host, path, key).kind === 'allowed') continue
+            losses += 1
+            expect(errors).not.toEqual([])
           }
         }
       }
     }), { numRuns: 2000 })
+    // The property says nothing when no change loses callers, or when each change has an error anyway.
+    expect(losses).toBeGreaterThan(100)
+    expect(quietChanges).toBeGreaterThan(100)
   })
 })
--- a/packages/gateway/src/decisions/configurationCheck.ts
+++ b/packages/gateway/src/decisions/configurationCheck.ts
@@ -23,7 +23,7 @@
 }
 
 /** Identifies the requests that a route matches; hosts are compared without regard to case. */
-export function routeIdentity ({ host, pathPrefix }: Route): string {
+export function routeIdentity ({ host, pathPrefix }: Pick<Route, 'host' | 'pathPrefix'>): string {
   return `${host.toLowerCase()} ${pathPrefix}`
 }
 
--- a/packages/gateway/src/decisions/configurationDifferences.ts
+++ b/packages/gateway/src/decisions/configurationDifferences.ts
@@ -40,25 +40,29 @@
   return positions
 }
 
+/** Returns the route that matches requests for the given route's prefix: the one with the longest prefix of it. */
+function findMatch (routes: ReadonlyMap<string, Position<Route>>, route: Route): Route | undefined {
+  for (let length = route.pathPrefix.length; length >= 0; length -= 1) {
+    const match = routes.get(routeIdentity({ host: route.host, pathPrefix: route.pathPrefix.slice(0, length) }))
+    if (match !== undefined) return match.entry
+  }
+  return undefined
+}
+
 function compareRoutes (before: FleetConfiguration, after: FleetConfiguration): ConfigurationFinding[] {
   const [oldRoutes, newRoutes] = [indexBy(before.routes, routeIdentity), indexBy(after.routes, routeIdentity)]
   const removed = [...oldRoutes].filter(([identity]) => !newRoutes.has(identity))
-    .map(([, { entry, index }]) => createFinding({ kind: 'routeRemoved', route: entry.name }, ['routes', index], { document: 'inForce' }))
+    .map(([, { entry, index }]) => createFinding({ kind: 'routeRemoved', route: entry.name, nextRoute: findMatch(newRoutes, entry)?.name }, ['routes', index], { document: 'inForce' }))
+  // Without any client account, requests need no key.
+  const needsKey = (route: Route, { accounts }: FleetConfiguration): boolean => accounts.length > 0 && !route.isPublic
   const remaining = [...newRoutes].flatMap(([identity, { entry, index }]) => {
-    const old = oldRoutes.get(identity)
-    return old === undefined ? [createFinding({ kind: 'routeAdded', route: entry.name }, ['routes', index])] : compareRoute(old.entry, entry, index)
+    const same = oldRoutes.get(identity)?.entry
+    const previous = findMatch(oldRoutes, entry)
+    const findings = same === undefined ? [createFinding({ kind: 'routeAdded', route: entry.name, previousRoute: previous?.name }, ['routes', index])] : compareRoute(same, entry, index)
+    if (previous !== undefined && !needsKey(previous, before) && needsKey(entry, after)) findings.push(createFinding({ kind: 'keyRequired', route: entry.name, previousRoute: previous.name }, ['routes', index]))
+    return findings
   })
-  // Without any client account, requests to all routes need no key.
-  const neededKeys = before.accounts.length > 0
-  const needsKeys = after.accounts.length > 0
-  const closed = !needsKeys
-    ? []
-    : [...newRoutes].flatMap(([identity, { entry, index }]) => {
-        const old = oldRoutes.get(identity)?.entry
-        const wasOpen = old !== undefined && (old.isPublic || !neededKeys)
-        return wasOpen && !entry.isPublic ? [createFinding({ kind: 'keyRequired', route: entry.name }, ['routes', index, 'isPublic'])] : []
-      })
-  return [...removed, ...remaining, ...closed]
+  return [...removed, ...remaining]
 }
 
 function compareRoute (before: Route, after: Route, index: number): ConfigurationFinding[] {
--- a/packages/gateway/src/decisions/configurationFinding.ts
+++ b/packages/gateway/src/decisions/configurationFinding.ts
@@ -37,9 +37,9 @@
   | { readonly kind: 'prepaidTooSmall', readonly account: string, readonly tokens: number }
   | { readonly kind: 'engineMemoryBelowSlots', readonly memoryTokens: number, readonly slots: number }
   // Differences from the version in force.
-  | { readonly kind: 'routeRemoved', readonly route: string }
+  | { readonly kind: 'routeRemoved', readonly route: string, readonly nextRoute: string | undefined }
   | { readonly kind: 'keyRemoved', readonly account: string }
-  | { readonly kind: 'keyRequired', readonly route: string }
+  | { readonly kind: 'keyRequired', readonly route: string, readonly previousRoute: string }
   | { readonly kind: 'serviceMoved', readonly route: string, readonly before: readonly RouteTarget[], readonly after: readonly RouteTarget[] }
   | { readonly kind: 'deliveryChanged', readonly route: string, readonly before: DeliverySemantics, readonly after: DeliverySemantics }
   | { readonly kind: 'keyMoved', readonly before: string, readonly after: string }
@@ -47,7 +47,7 @@
   | { readonly kind: 'prepaidLowered', readonly account: string, readonly before: number | undefined, readonly after: number }
   | { readonly kind: 'bodyLimitLowered', readonly before: number, readonly after: number }
   | { readonly kind: 'versionNotIncreased', readonly before: number, readonly after: number }
-  | { readonly kind: 'routeAdded', readonly route: string }
+  | { readonly kind: 'routeAdded', readonly route: string, readonly previousRoute: string | undefined }
   | { readonly kind: 'serviceAdded', readonly service: string }
   | { readonly kind: 'accountAdded', readonly account: string }
   | { readonly kind: 'keyAdded', readonly account: string }
@@ -159,9 +159,9 @@
     case 'bodyLimitTooSmall': return `a body limit of ${detail.bytes} bytes refuses all bodies, and route ${quote(detail.route)} takes bodies; use a limit above 0`
     case 'prepaidTooSmall': return `${detail.tokens} prepaid tokens do not cover one request of one token of client account ${quote(detail.account)}; use at least 1`
     case 'engineMemoryBelowSlots': return `memory for ${detail.memoryTokens} tokens can't hold one token in each of ${detail.slots} slots; raise the memory or lower the slots`
-    case 'routeRemoved': return `route ${quote(detail.route)} is removed; its callers get 404 unless a shorter prefix matches`
+    case 'routeRemoved': return `route ${quote(detail.route)} is removed; its callers ${detail.nextRoute === undefined ? 'get 404' : `reach route ${quote(detail.nextRoute)}`}`
     case 'keyRemoved': return `a key of client account ${quote(detail.account)} is removed; its callers get 401 on routes that are not public`
-    case 'keyRequired': return `route ${quote(detail.route)} was public and now requires a key`
+    case 'keyRequired': return `route ${quote(detail.route)} requires a key, and its requests needed none on route ${quote(detail.previousRoute)} in force`
     case 'serviceMoved': return `route ${quote(detail.route)} moves from ${formatTargets(detail.before)} to ${formatTargets(detail.after)}`
     case 'deliveryChanged': return `requests of route ${quote(detail.route)} change from ${DELIVERY_NAMES[detail.before.kind]} to ${DELIVERY_NAMES[detail.after.kind]}`
     case 'keyMoved': return `a key moves from client account ${quote(detail.before)} to ${quote(detail.after)}, which is charged from then on`
@@ -169,7 +169,7 @@
     case 'prepaidLowered': return `prepaid tokens of client account ${quote(detail.account)} are lowered from ${detail.before ?? 'unlimited'} to ${detail.after}`
     case 'bodyLimitLowered': return `the body limit is lowered from ${detail.before} to ${detail.after} bytes`
     case 'versionNotIncreased': return `version ${detail.after} is not above version ${detail.before} in force, so instances ignore the document; use ${detail.before + 1} or more`
-    case 'routeAdded': return `route ${quote(detail.route)} is added`
+    case 'routeAdded': return `route ${quote(detail.route)} is added${detail.previousRoute === undefined ? '' : ` and takes requests of route ${quote(detail.previousRoute)}`}`
     case 'serviceAdded': return `service ${quote(detail.service)} is added`
     case 'accountAdded': return `client account ${quote(detail.account)} is added`
     case 'keyAdded': return `a key of client account ${quote(detail.account)} is added`
