--- a/packages/gateway/src/__tests__/estimatedChoice.test.ts
+++ b/packages/gateway/src/__tests__/estimatedChoice.test.ts
@@ -23,13 +23,14 @@
 
 interface Load {
   readonly prompt?: PromptSize | undefined
+  readonly hasIdleConnection?: (address: string) => boolean
   /** Figures of single backend servers; all others have the usual load. */
   readonly others?: ReadonlyMap<string, OthersLoad>
   readonly random?: () => number
   readonly target?: number
 }
 
-function createInput ({ prompt, others = new Map(), random = createSeededRandom(7), target = 257 }: Load): EstimateInput {
+function createInput ({ prompt, others = new Map(), random = createSeededRandom(7), target = 257, hasIdleConnection = () => true }: Load): EstimateInput {
   return {
     request: { prompt, isRetryable: true, failureDomain: 'north' },
     service: 'model',
@@ -39,7 +40,7 @@
       service: () => ({ requests: 8, unansweredTokens: 500, sentPerSecond: 235, rejectedPerSecond: 0, instances: INSTANCES, asOf: NOW })
     },
     timing: createServiceTiming(),
-    hasIdleConnection: () => true,
+    hasIdleConnection,
     random,
     now: NOW
   }
@@ -121,6 +122,18 @@
     expect(atSlow).toBeLessThan(1 / 6)
   })
 
+  // Guards against a new connection for nearly each short request, whose handshake takes longer than reading its few shared tokens.
+  test('a short request goes to an engine to which a connection is open, while others are compared too', () => {
+    const states = createEngines().map((state, index) => Object.assign(state, { entry: { ...state.entry, address: `127.0.0.1:${index}` } }))
+    const connected = new Set(states.slice(0, 10).map(({ entry }) => entry.address))
+    const counts = countChoices({ prompt: SHORT_PROMPT, hasIdleConnection: (address) => connected.has(address) }, states)
+    const atConnected = states.slice(0, 10).reduce((sum, { entry }) => sum + (counts.get(entry.id) ?? 0), 0)
+    expect(atConnected / 700).toBeGreaterThan(0.9)
+    const busy = new Map(states.slice(0, 10).map((state) => [backendProcessOf(state.entry), createLoad({ requests: 40 })]))
+    const whileBusy = countChoices({ prompt: SHORT_PROMPT, others: busy, hasIdleConnection: (address) => connected.has(address) }, states)
+    expect(states.slice(0, 10).reduce((sum, { entry }) => sum + (whileBusy.get(entry.id) ?? 0), 0) / 700).toBeLessThan(0.3)
+  })
+
   // Guards against engines of which nothing is known that are taken for idle.
   test('an engine without figures counts as one with the mean load', () => {
     const states = createEngines(2)
--- a/packages/gateway/src/decisions/estimatedChoice.ts
+++ b/packages/gateway/src/decisions/estimatedChoice.ts
@@ -87,12 +87,14 @@
   return choices.reduce<Choice | undefined>((best, choice) => best === undefined || choice.cost < best.cost ? choice : best, undefined)
 }
 
-/** Those that may have the prompt's parts, and some others. */
+/** Those that may have the prompt's parts, and some others. For small shared parts, open connections save more time than the parts. */
 function drawCompared (candidates: readonly BackendState[], affinity: readonly BackendState[], prompt: PromptSize, input: EstimateInput): readonly BackendState[] {
-  const shared = prompt.parts.slice(0, -1).at(-1)?.id ?? ''
+  const connected = draw(candidates.filter(({ entry }) => input.hasIdleConnection(entry.address)), COMPARED.connected, input.random)
+  const sharedTokens = prompt.parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0)
+  if (sharedTokens / input.timing.tokensPerMillisecond < NEW_CONNECTION_COST_MS && connected.length === COMPARED.connected) return [...connected, ...draw(candidates, 1, input.random)]
+  const shared = prompt.parts.at(-2)?.id ?? ''
   const cached = candidates.filter(({ cachedParts }) => (cachedParts.get(shared) ?? 0) > input.now)
-  const connected = candidates.filter(({ entry }) => input.hasIdleConnection(entry.address))
-  return [...new Set([...affinity, ...draw(cached, COMPARED.any, input.random), ...draw(connected, COMPARED.connected, input.random), ...draw(candidates, COMPARED.any, input.random)])]
+  return [...new Set([...affinity, ...draw(cached, COMPARED.any, input.random), ...connected, ...draw(candidates, COMPARED.any, input.random)])]
 }
 
 /** Draws up to `count` entries at random. */
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -7,8 +7,10 @@
 const CONNECT_TIMEOUT_MS = 400
 /** An idle connection is closed this long before the timeout that the backend server announced. */
 const IDLE_TIMEOUT_MARGIN_MS = 700
-/** Idle timeout when the backend server announces none or a longer one. */
+/** Idle timeout when the backend server announces none. */
 const DEFAULT_IDLE_TIMEOUT_MS = 8000
+/** One of many instances sends to one of many engines every 10 to 20 s. */
+const MAX_IDLE_TIMEOUT_MS = 20_000
 
 /** A connection on which nothing was read for this time has no bytes waiting in front of its end. */
 const QUIET_MS = 15
@@ -21,7 +23,7 @@
   override keepSocketAlive (socket: Socket): boolean {
     const response = (socket as Socket & { _httpMessage?: ClientRequest & { res?: IncomingMessage } })._httpMessage?.res
     const announcedSeconds = /timeout=(\d+)/.exec(String(response?.headers['keep-alive'] ?? ''))?.[1]
-    const idleTimeout = announcedSeconds === undefined ? DEFAULT_IDLE_TIMEOUT_MS : Math.min(DEFAULT_IDLE_TIMEOUT_MS, Number(announcedSeconds) * 1000 - IDLE_TIMEOUT_MARGIN_MS)
+    const idleTimeout = announcedSeconds === undefined ? DEFAULT_IDLE_TIMEOUT_MS : Math.min(MAX_IDLE_TIMEOUT_MS, Number(announcedSeconds) * 1000 - IDLE_TIMEOUT_MARGIN_MS)
     if (idleTimeout <= 0) return false
     socket.setKeepAlive(true, 1000)
     socket.setTimeout(idleTimeout)
