--- a/packages/gateway/src/decisions/loadBoard.ts
+++ b/packages/gateway/src/decisions/loadBoard.ts
@@ -11,7 +11,7 @@
 /** An instance that stopped, or reports elsewhere, is forgotten after this time. */
 const FORGET_MS = 3000
 /** Sums are kept for this time. A figure may be 2,500 ms old, of which two intervals between messages take 2,000. */
-const DEFAULT_SUMS_MS = 50
+const DEFAULT_SUMS_MS = 100
 /** Nearly all instances of the domain have reported once after this time; the first of them reports again after 1,000 ms. */
 const COMPLETE_AFTER_MS = 950
 /** Half-life of rates and ratios. */
@@ -199,7 +199,6 @@
       learned.set(sums.home, { sums, at: now })
       // An instance that has gone over to another home of this domain is counted there.
       if (sums.failureDomain === failureDomain) for (const [reporter, at] of sums.reporters) if (at > (records.get(reporter)?.at ?? Infinity)) records.delete(reporter)
-      snapshot = undefined
     },
     othersOf: (reporter, names, now) => {
       // A snapshot without the instance may hold its figures in the sums of another home.
--- a/packages/gateway/src/decisions/loadView.ts
+++ b/packages/gateway/src/decisions/loadView.ts
@@ -1,6 +1,6 @@
 import type { FleetLoads, OthersLoad } from './fleetLoads.js'
 import type { OthersSums } from './loadBoard.js'
-import { decodeRows, loadKeyOf, RATIO_UNITS, type LoadFigures } from './loadRows.js'
+import { createLoadKeys, decodeRows, RATIO_UNITS, type LoadFigures } from './loadRows.js'
 
 /**
  * An instance's view of the load that all others have at the backend servers.
@@ -56,6 +56,7 @@
 
 /** Creates a view without figures. */
 export function createLoadView (ownLoad: (service: string) => OwnLoad): LoadView {
+  const keys = createLoadKeys()
   let figures: Figures | undefined
 
   function current (now: number): Figures | undefined {
@@ -119,11 +120,12 @@
           ratioCount += row.ratioCount
         }
         for (const backendProcess of processes) {
-          const row = decoded.rows.get(loadKeyOf(backendProcess))
+          const row = decoded.rows.get(keys.of(backendProcess))
           if (row !== undefined) rows.set(backendProcess, row)
         }
         services.set(service.name, { ...service, processes: Math.max(1, processes.length), logRatio: ratioCount === 0 ? 0 : ratioSum / ratioCount })
       }
+      keys.keep(listed)
       figures = { receivedAt: now, asOf: now - reply.ageMilliseconds, services, rows, listed, reporters: reply.reporters }
       return unreadable
     },
--- a/packages/gateway/src/tasks/loadExchange.ts
+++ b/packages/gateway/src/tasks/loadExchange.ts
@@ -3,7 +3,7 @@
 import type { FleetLoads } from '../decisions/fleetLoads.js'
 import { createLoadBoard } from '../decisions/loadBoard.js'
 import { loadHomes } from '../decisions/loadHomes.js'
-import { encodeRow, loadKeyOf, RATIO_UNITS, type TimedReport } from '../decisions/loadRows.js'
+import { createLoadKeys, encodeRow, loadKeyOf, RATIO_UNITS, type TimedReport } from '../decisions/loadRows.js'
 import { createLoadView } from '../decisions/loadView.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { Peer } from './fleetTask.js'
@@ -64,6 +64,7 @@
   const reporter = loadKeyOf(instanceId)
   const self: Peer = { instanceId, incarnationId, failureDomain, address: '' }
   const board = createLoadBoard()
+  const keys = createLoadKeys()
   const view = createLoadView(source.ownLoad)
   const avoidedUntil = new Map<string, number>()
   /** Of reports that no home, or only this instance's own board, has taken, by process. */
@@ -129,7 +130,8 @@
         return encodeOthers(board.othersOf(parsed.report.reporter, parsed.report.services.map(({ name }) => name), now))
       case 'sums':
         board.learn(parsed.sums, failureDomain, now)
-        return encodeSums(instanceId, failureDomain, board.ownSums(now), now)
+        // Homes that choose each other send their sums each; one that this instance does not choose gets them with the reply.
+        return partners().some((partner) => partner.instanceId === parsed.sums.home) ? { kind: 'noted' } : encodeSums(instanceId, failureDomain, board.ownSums(now), now)
     }
   }
 
@@ -159,9 +161,10 @@
       const rows = rowsByService.get(service) ?? []
       rowsByService.set(service, rows)
       const figures = { requests, unansweredTokens, ratioSum: Math.round(logRatioSum * RATIO_UNITS), ratioCount: ratioCount * RATIO_UNITS, report: newReport(report, now), sent, answered, rejected }
-      const row = encodeRow(loadKeyOf(backendProcess), figures, now)
+      const row = encodeRow(keys.of(backendProcess), figures, now)
       if (row !== '') rows.push(row)
     }
+    keys.keep(listed)
     return { services: [...rowsByService].map(([service, rows]) => [service, rows.join(';')] as const), listed, tallies }
   }
 
@@ -228,19 +231,20 @@
     })
   }
 
-  async function exchangeWith (home: Peer): Promise<void> {
-    const now = steadyNow()
-    const reply = await send(home, encodeSums(instanceId, failureDomain, board.ownSums(now), now))
+  async function exchangeWith (home: Peer, message: LoadMessage): Promise<void> {
+    const reply = await send(home, message)
+    count(reply === undefined ? 'notExchanged' : 'exchanged')
     const parsed = parseSums(reply, steadyNow())
-    count(parsed === undefined ? 'notExchanged' : 'exchanged')
     if (parsed === undefined) return
     noteUnreadable(parsed.unreadable)
     board.learn(parsed.sums, failureDomain, steadyNow())
   }
 
   async function exchange (): Promise<void> {
-    if (!board.hasReporters(steadyNow())) return
-    await Promise.all(partners().map(exchangeWith))
+    const now = steadyNow()
+    if (!board.hasReporters(now)) return
+    const message = encodeSums(instanceId, failureDomain, board.ownSums(now), now)
+    await Promise.all(partners().map(async (home) => await exchangeWith(home, message)))
   }
 
   /** Ends of avoidance that have passed are forgotten, as each process has an ID of its own. */
--- a/packages/gateway/src/tasks/loadMessages.ts
+++ b/packages/gateway/src/tasks/loadMessages.ts
@@ -37,8 +37,8 @@
   | Omit<v.InferOutput<typeof reportSchema>, 'to'>
   | v.InferOutput<typeof sumsReplySchema>
 
-/** The reply to a report, or the sums of another home in reply to sums. */
-export type LoadReply = v.InferOutput<typeof othersSchema> | v.InferOutput<typeof sumsReplySchema>
+/** The reply to a report; the sums of another home in reply to sums, or none when it sends them itself. */
+export type LoadReply = v.InferOutput<typeof othersSchema> | v.InferOutput<typeof sumsReplySchema> | { readonly kind: 'noted' }
 
 /** A parsed message; `unreadable` is the first part that was left out. */
 export type ParsedMessage =
