--- a/packages/gateway/src/__tests__/loadBoard.test.ts
+++ b/packages/gateway/src/__tests__/loadBoard.test.ts
@@ -49,8 +49,8 @@
   test('are those of all other instances, in whatever order they report', () => {
     fc.assert(fc.property(reportsArbitrary, fc.func(fc.nat()), (reports, orderOf) => {
       const instances = reports.map((rows, index) => ({ name: `i${index}`, rows }))
-      const board = createLoadBoard(0)
-      const shuffled = createLoadBoard(0)
+      const board = createLoadBoard()
+      const shuffled = createLoadBoard()
       for (const { name, rows } of instances) board.report(reportOf(name, rows), NOW)
       for (const { name, rows } of [...instances].sort((left, right) => orderOf(left.name) - orderOf(right.name))) shuffled.report(reportOf(name, rows), NOW)
       for (const { name } of instances) {
@@ -70,10 +70,10 @@
     }), { numRuns: 200 })
   })
 
-  // Guards against kept sums from which the figures of a newer report are subtracted.
-  test('that are kept for a moment are never below zero', () => {
+  // Guards against sums from which other figures are subtracted than were added.
+  test('are never below zero, and zero once nobody has anything in progress', () => {
     fc.assert(fc.property(fc.array(fc.record({ instance: fc.nat(3), requests: fc.nat(9), after: fc.nat(40) }), { maxLength: 30 }), (steps) => {
-      const board = createLoadBoard(50)
+      const board = createLoadBoard()
       let now = NOW
       for (const { instance, requests, after } of steps) {
         now += after
@@ -82,12 +82,14 @@
         expect(sums?.requests).toBeGreaterThanOrEqual(0)
         expect(decodeRows(sums?.rows ?? '', now).unreadable).toBeUndefined()
       }
+      for (const instance of [0, 1, 2, 3]) board.report(reportOf(`i${instance}`, {}), now)
+      expect(board.ownSums(now).services).toMatchObject([{ requests: 0, rows: '', instances: 4 }])
     }), { numRuns: 200 })
   })
 
   // Guards against requests of an instance that has stopped, which would be avoided for ever.
   test('forget an instance that has not reported for 3 s', () => {
-    const board = createLoadBoard(0)
+    const board = createLoadBoard()
     board.report(reportOf('gone', { p: { requests: 7 } }), NOW)
     board.report(reportOf('a', {}), NOW + 2900)
     expect(othersAt(board, 'a', 'p', NOW + 2900).requests).toBe(7)
@@ -96,14 +98,14 @@
   })
 
   test('replace the requests of an earlier report and add up its responses, which count less with time', () => {
-    const board = createLoadBoard(0)
+    const board = createLoadBoard()
     board.report(reportOf('a', { p: { requests: 4, ratioSum: RATIO_UNITS, ratioCount: RATIO_UNITS } }), NOW)
     board.report(reportOf('a', { p: { requests: 1, ratioSum: RATIO_UNITS, ratioCount: RATIO_UNITS } }), NOW + 2000)
     expect(othersAt(board, 'b', 'p', NOW + 2000)).toMatchObject({ requests: 1, ratioSum: 1.5 * RATIO_UNITS, ratioCount: 1.5 * RATIO_UNITS })
   })
 
   test('tell how many requests are sent and rejected in a second, of all instances', () => {
-    const board = createLoadBoard(0)
+    const board = createLoadBoard()
     for (const second of [0, 1, 2]) for (const instance of ['a', 'b']) board.report(reportOf(instance, { p: { sent: 5, rejected: 1 }, q: { sent: 5 } }), NOW + second * 1000)
     const [sums] = board.othersOf(loadKeyOf('a'), [SERVICE], NOW + 2000).services
     expect(sums?.sentPerSecond).toBeCloseTo(20)
@@ -113,7 +115,7 @@
 
   // Guards against a home that has just begun and tells instances that nothing is in progress.
   test('are marked until the instances have had the time to report', () => {
-    const board = createLoadBoard(0)
+    const board = createLoadBoard()
     board.report(reportOf('a', {}), NOW)
     expect(board.othersOf(loadKeyOf('a'), [SERVICE], NOW).isComplete).toBe(false)
     expect(board.othersOf(loadKeyOf('a'), [SERVICE], NOW + 1000).isComplete).toBe(true)
@@ -121,7 +123,7 @@
 
   // Guards against a reply that is too large for a message, and against one without the processes that are busiest.
   test('of more processes than fit leave out idle ones first', () => {
-    const board = createLoadBoard(0)
+    const board = createLoadBoard()
     const report = { running: 32, waiting: 60, slots: 32, workPercent: 900, receivedAt: NOW - 1900 }
     const rows = Object.fromEntries(Array.from({ length: 3000 }, (_, index) => [`p${index}`, { requests: index < 500 ? 40 : 0, unansweredTokens: index < 500 ? 90_000 : 0, report }]))
     board.report(reportOf('a', rows), NOW)
@@ -135,7 +137,7 @@
 
 describe('the sums of several homes', () => {
   test('of other failure domains are added', () => {
-    const board = createLoadBoard(0)
+    const board = createLoadBoard()
     board.report(reportOf('a', { p: { requests: 1 } }), NOW)
     board.learn(sumsOf('home-south', 'south', { s1: 4, s2: 6 }), 'north', NOW)
     board.learn(sumsOf('home-west', 'west', { w1: 20 }), 'north', NOW)
@@ -144,7 +146,7 @@
   })
 
   test('are replaced by newer ones and forgotten after 3 s', () => {
-    const board = createLoadBoard(0)
+    const board = createLoadBoard()
     for (const at of [NOW, NOW + 1000]) {
       board.report(reportOf('a', {}), at)
       board.learn(sumsOf('home-south', 'south', { s1: at === NOW ? 4 : 5 }), 'north', at)
@@ -157,7 +159,7 @@
   // Guards against a domain whose instances are counted twice while two of its homes have heard of them.
   test('with an instance in common count once, and all of them once each instance is at one home', () => {
     fc.assert(fc.property(fc.uniqueArray(fc.nat(9), { minLength: 1 }), fc.uniqueArray(fc.nat(9), { minLength: 1 }), (atFirst, atSecond) => {
-      const board = createLoadBoard(0)
+      const board = createLoadBoard()
       board.report(reportOf('a', {}), NOW)
       const requestsAt = (instances: readonly number[]): Record<string, number> => Object.fromEntries(instances.map((instance) => [`s${instance}`, 1]))
       board.learn(sumsOf('first', 'south', requestsAt(atFirst)), 'north', NOW)
@@ -170,7 +172,7 @@
 
   // Guards against an instance that sees its own requests in the sums of the home at which it reported before.
   test('of the same domain leave out an instance that has gone over to this home', () => {
-    const board = createLoadBoard(0)
+    const board = createLoadBoard()
     board.learn(sumsOf('other', 'north', { a: 5, b: 3 }, NOW - 500), 'north', NOW)
     board.report(reportOf('a', { p: { requests: 6 } }), NOW)
     expect(othersAt(board, 'a', 'p').requests).toBe(0)
@@ -179,7 +181,7 @@
   })
 
   test('of the same domain take over an instance that has gone to another home', () => {
-    const board = createLoadBoard(0)
+    const board = createLoadBoard()
     for (const instance of ['a', 'b']) board.report(reportOf(instance, { p: { requests: 2 } }), NOW)
     board.learn(sumsOf('other', 'north', { a: 5 }, NOW + 200), 'north', NOW + 300)
     expect(othersAt(board, 'b', 'p', NOW + 300).requests).toBe(5)
--- a/packages/gateway/src/decisions/loadBoard.ts
+++ b/packages/gateway/src/decisions/loadBoard.ts
@@ -1,22 +1,19 @@
 import { RATIO_UNITS, type LoadFigures } from './loadRows.js'
-import { addRows, encodeServices, noFigures, totalOf, type ServiceSums, type ServiceTotal } from './loadSums.js'
+import { createLoadSums, MAX_REPORT_AGE_MS, noFigures, type ServicePart, type ServiceSums } from './loadSums.js'
 
 /**
- * Sums the load figures that instances report to a home.
+ * Merges the load figures that instances report to a home.
  *
  * Load: 130 instances of a failure domain that report every second and each get the sums of all others for up to 1,100 processes.
- * Sums and the text of their rows are kept for a moment and used for several replies; an instance's own figures are subtracted.
+ * An instance's own figures are subtracted from the sums, which are kept.
  */
 
 /** An instance that stopped, or reports elsewhere, is forgotten after this time. */
 const FORGET_MS = 3000
-/** Sums are kept for this time. A figure may be 2,500 ms old, of which two intervals between messages take 2,000. */
-const DEFAULT_SUMS_MS = 100
 /** Nearly all instances of the domain have reported once after this time; the first of them reports again after 1,000 ms. */
 const COMPLETE_AFTER_MS = 950
 /** Half-life of rates and ratios. */
 const RECENT_HALF_LIFE_MS = 2000
-const MAX_REPORT_AGE_MS = 10_000
 /** Counts below are forgotten, in `RATIO_UNITS`. */
 const MIN_RATIO_COUNT = RATIO_UNITS / 20
 
@@ -72,8 +69,8 @@
   ownSums (now: number): OwnSums
 }
 
-interface ServiceRecord {
-  readonly rows: ReadonlyMap<string, LoadFigures>
+/** What an instance adds to a service, with decayed counts for its rates. */
+interface ServiceRecord extends ServicePart {
   readonly sent: number
   readonly rejected: number
   readonly milliseconds: number
@@ -85,28 +82,6 @@
   readonly services: ReadonlyMap<string, ServiceRecord>
 }
 
-interface Snapshot {
-  readonly at: number
-  readonly records: ReadonlyMap<string, InstanceRecord>
-  readonly services: ReadonlyMap<string, ServiceTotal>
-  readonly reporters: number
-  readonly meanReportedAt: number
-}
-
-function sumRecords (records: Iterable<InstanceRecord>): Map<string, ServiceTotal> {
-  const services = new Map<string, ServiceTotal>()
-  for (const record of records) {
-    for (const [name, { rows, sent, rejected, milliseconds }] of record.services) {
-      const total = totalOf(services, name)
-      total.instances++
-      total.sentPerSecond += sent * 1000 / milliseconds
-      total.rejectedPerSecond += rejected * 1000 / milliseconds
-      addRows(total, rows)
-    }
-  }
-  return services
-}
-
 /** Merges a row with the previous one of the same instance, whose ratios count less with time. */
 function mergeRow (row: LoadFigures, previous: LoadFigures, factor: number, now: number): LoadFigures | undefined {
   const ratioCount = Math.round(previous.ratioCount * factor) + row.ratioCount
@@ -136,51 +111,86 @@
     const result = mergeRow(noFigures, row, factor, now)
     if (result !== undefined) merged.set(key, result)
   }
-  return { rows: merged, sent, rejected, milliseconds: Math.max(1, (previous?.milliseconds ?? 0) * factor + intervalMilliseconds) }
+  const milliseconds = Math.max(1, (previous?.milliseconds ?? 0) * factor + intervalMilliseconds)
+  return { rows: merged, instances: 1, sent, rejected, milliseconds, sentPerSecond: sent * 1000 / milliseconds, rejectedPerSecond: rejected * 1000 / milliseconds }
 }
 
-/** Creates a board without figures. `sumsMilliseconds` is the time for which sums are kept. */
-export function createLoadBoard (sumsMilliseconds = DEFAULT_SUMS_MS): LoadBoard {
+/** Creates a board without figures. */
+export function createLoadBoard (): LoadBoard {
   const records = new Map<string, InstanceRecord>()
   const learned = new Map<string, { readonly sums: HomeSums, readonly at: number }>()
+  /** Sums of other homes that are counted. */
+  let counted: readonly HomeSums[] = []
+  /** Of the instances that report here. */
+  const ownTotals = createLoadSums()
+  /** Of all instances. */
+  const allTotals = createLoadSums()
   let startedAt = 0
-  let snapshot: Snapshot | undefined
+
+  function replaceRecord (reporter: string, next: InstanceRecord | undefined): void {
+    const previous = records.get(reporter)
+    if (next === undefined) records.delete(reporter)
+    else records.set(reporter, next)
+    for (const service of new Set([...previous?.services.keys() ?? [], ...next?.services.keys() ?? []])) {
+      for (const totals of [ownTotals, allTotals]) totals.replace(service, reporter, previous?.services.get(service), next?.services.get(service))
+    }
+  }
 
   function forget (now: number): void {
-    for (const [reporter, { at }] of records) if (now - at > FORGET_MS) records.delete(reporter)
-    for (const [home, { at }] of learned) if (now - at > FORGET_MS) learned.delete(home)
+    let isChanged = false
+    for (const [reporter, { at }] of records) {
+      if (now - at <= FORGET_MS) continue
+      replaceRecord(reporter, undefined)
+      isChanged = true
+    }
+    for (const [home, { at }] of learned) {
+      if (now - at <= FORGET_MS) continue
+      learned.delete(home)
+      isChanged = true
+    }
+    if (isChanged) countOthers()
   }
 
   /** Sums of other homes, without those that have an instance in common with others or with this home. */
   function disjointSums (): readonly HomeSums[] {
-    const counted = new Set(records.keys())
+    const reportersCounted = new Set(records.keys())
     const ordered = [...learned.values()].sort((left, right) => right.sums.reporters.size - left.sums.reporters.size || right.at - left.at || (left.sums.home < right.sums.home ? -1 : 1))
     const disjoint: HomeSums[] = []
     for (const { sums } of ordered) {
       const reporters = [...sums.reporters.keys()]
-      if (reporters.some((reporter) => counted.has(reporter))) continue
-      for (const reporter of reporters) counted.add(reporter)
+      if (reporters.some((reporter) => reportersCounted.has(reporter))) continue
+      for (const reporter of reporters) reportersCounted.add(reporter)
       disjoint.push(sums)
     }
     return disjoint
   }
 
-  function takeSnapshot (now: number): Snapshot {
-    forget(now)
-    const services = sumRecords(records.values())
-    const times = [...records.values()].map(({ at }) => at)
-    for (const sums of disjointSums()) {
-      times.push(...sums.reporters.values())
-      for (const { name, instances, sentPerSecond, rejectedPerSecond, rows } of sums.services) {
-        const total = totalOf(services, name)
-        total.instances += instances
-        total.sentPerSecond += sentPerSecond
-        total.rejectedPerSecond += rejectedPerSecond
-        addRows(total, rows)
+  /** Adds the sums of other homes that count now, in place of those that did before. */
+  function countOthers (): void {
+    const next = disjointSums()
+    const homes = new Set([...counted, ...next].map(({ home }) => home))
+    for (const home of homes) {
+      const before = counted.find((sums) => sums.home === home)
+      const after = next.find((sums) => sums.home === home)
+      if (before === after) continue
+      const names = new Set([...before?.services ?? [], ...after?.services ?? []].map(({ name }) => name))
+      for (const name of names) allTotals.replace(name, home, before?.services.find((service) => service.name === name), after?.services.find((service) => service.name === name))
+    }
+    counted = next
+  }
+
+  /** Mean time of the reports. */
+  function meanReportedAt (now: number): number {
+    let sum = 0
+    let count = 0
+    const times = [records.values(), ...counted.map(({ reporters }) => reporters.values())]
+    for (const values of times) {
+      for (const value of values) {
+        sum += typeof value === 'number' ? value : value.at
+        count++
       }
     }
-    const meanReportedAt = times.length === 0 ? now : times.reduce((sum, at) => sum + at, 0) / times.length
-    return { at: now, records: new Map(records), services, reporters: times.length, meanReportedAt }
+    return count === 0 ? now : sum / count
   }
 
   return {
@@ -193,28 +203,28 @@
       if (records.size === 0) startedAt = now
       const previous = records.get(reporter)
       const factor = previous === undefined ? 0 : 2 ** (-Math.max(0, now - previous.at) / RECENT_HALF_LIFE_MS)
-      records.set(reporter, { at: now, services: new Map(services.map(({ name, rows }) => [name, mergeService(rows, intervalMilliseconds, previous?.services.get(name), factor, now)])) })
+      replaceRecord(reporter, { at: now, services: new Map(services.map(({ name, rows }) => [name, mergeService(rows, intervalMilliseconds, previous?.services.get(name), factor, now)])) })
+      if (previous === undefined) countOthers()
     },
     learn: (sums, failureDomain, now) => {
       learned.set(sums.home, { sums, at: now })
       // An instance that has gone over to another home of this domain is counted there.
-      if (sums.failureDomain === failureDomain) for (const [reporter, at] of sums.reporters) if (at > (records.get(reporter)?.at ?? Infinity)) records.delete(reporter)
+      if (sums.failureDomain === failureDomain) for (const [reporter, at] of sums.reporters) if (at > (records.get(reporter)?.at ?? Infinity)) replaceRecord(reporter, undefined)
+      countOthers()
     },
     othersOf: (reporter, names, now) => {
-      // A snapshot without the instance may hold its figures in the sums of another home.
-      if (snapshot === undefined || now < snapshot.at || now - snapshot.at >= sumsMilliseconds || !snapshot.records.has(reporter)) snapshot = takeSnapshot(now)
-      const current = snapshot
-      const own = current.records.get(reporter)
-      const services = names.flatMap((name) => {
-        const total = current.services.get(name)
-        return total === undefined ? [] : [{ name, total, own: own?.services.get(name)?.rows ?? new Map<string, LoadFigures>() }]
-      })
-      return { reporters: current.reporters, ageMilliseconds: now - current.meanReportedAt, isComplete: now - startedAt >= COMPLETE_AFTER_MS, services: encodeServices(services, now) }
+      forget(now)
+      const own = records.get(reporter)
+      return {
+        reporters: records.size + counted.reduce((sum, { reporters }) => sum + reporters.size, 0),
+        ageMilliseconds: now - meanReportedAt(now),
+        isComplete: now - startedAt >= COMPLETE_AFTER_MS,
+        services: allTotals.encode([...new Set(names)], reporter, (service) => own?.services.get(service), now)
+      }
     },
     ownSums: (now) => {
       forget(now)
-      const services = [...sumRecords(records.values())].map(([name, total]) => ({ name, total, own: new Map<string, LoadFigures>() }))
-      return { reporters: new Map([...records].map(([reporter, { at }]) => [reporter, at])), services: encodeServices(services, now) }
+      return { reporters: new Map([...records].map(([reporter, { at }]) => [reporter, at])), services: ownTotals.encode([...ownTotals.services], '', () => undefined, now) }
     }
   }
 }
--- a/packages/gateway/src/decisions/loadSums.ts
+++ b/packages/gateway/src/decisions/loadSums.ts
@@ -3,12 +3,19 @@
 /**
  * Sums of load figures over instances, and their text in messages.
  *
- * Load: up to 1,100 processes in each of 130 replies a second. The text of a row is kept with its sum; only the rows of which the
- * asking instance's figures are subtracted are encoded for each reply.
+ * Load: up to 1,100 processes in each of 130 replies a second. Sums change by the difference of two reports, and the text of a row is
+ * kept with its sum; only rows of which the asking instance's figures are subtracted are encoded for each reply. All summands are
+ * integers, so that sums are exact whatever the order of the changes.
  */
 
 /** Of the rows of a reply or of sums; leaves room for the rest of a message of 65,536 bytes. */
 const MAX_ROWS_LENGTH = 60_000
+/** The text of a row has the age of its load report. */
+const MAX_TEXT_AGE_MS = 200
+/** An older load report says nothing of the present. */
+export const MAX_REPORT_AGE_MS = 10_000
+/** Rates are summed in hundredths of a request per second. */
+const RATE_UNITS = 100
 
 /** Sums of one service; `requests` and `unansweredTokens` are those of all rows, also of rows that were left out. */
 export interface ServiceSums {
@@ -22,116 +29,184 @@
   readonly rows: string
 }
 
+/** What an instance, or a home for several instances, adds to the sums of one service. */
+export interface ServicePart {
+  readonly rows: ReadonlyMap<string, LoadFigures>
+  readonly instances: number
+  readonly sentPerSecond: number
+  readonly rejectedPerSecond: number
+}
+
+interface OriginReport {
+  readonly report: TimedReport
+  /** Instance or home that told it. */
+  readonly origin: string
+}
+
 interface RowSum {
   requests: number
   unansweredTokens: number
   ratioSum: number
   ratioCount: number
-  report: TimedReport | undefined
-  /** The newest one beside `report`, for the instance that received that one. */
-  secondReport: TimedReport | undefined
+  /** The newest one, and the newest one of another origin. */
+  newest: OriginReport | undefined
+  second: OriginReport | undefined
   text: string | undefined
+  textAt: number
 }
 
-/** Sums of one service. */
-export interface ServiceTotal {
+interface ServiceTotal {
   readonly rows: Map<string, RowSum>
   instances: number
-  sentPerSecond: number
-  rejectedPerSecond: number
+  sent: number
+  rejected: number
+  requests: number
+  unansweredTokens: number
+}
+
+/** Sums of several services. */
+export interface LoadSums {
+  /** Replaces what an origin has added to a service. */
+  replace (service: string, origin: string, previous: ServicePart | undefined, next: ServicePart | undefined): void
+  readonly services: Iterable<string>
+  /** Encodes the sums of a service, without the figures that `origin` has added, which are `own`; undefined when nobody uses it. */
+  encode (services: readonly string[], origin: string, own: (service: string) => ServicePart | undefined, now: number): readonly ServiceSums[]
 }
 
 /** Figures of a process at which an instance has nothing. */
 export const noFigures: LoadFigures = { requests: 0, unansweredTokens: 0, ratioSum: 0, ratioCount: 0, report: undefined, sent: 0, answered: 0, rejected: 0 }
+const noRows: ReadonlyMap<string, LoadFigures> = new Map()
+
+function isSame (left: LoadFigures, right: LoadFigures): boolean {
+  return left.requests === right.requests && left.unansweredTokens === right.unansweredTokens && left.ratioSum === right.ratioSum && left.ratioCount === right.ratioCount && left.report === right.report
+}
 
-function addReport (sum: RowSum, report: TimedReport | undefined): void {
-  if (report === undefined) return
-  if (sum.report === undefined || report.receivedAt > sum.report.receivedAt) {
-    sum.secondReport = sum.report
-    sum.report = report
-  } else if (sum.secondReport === undefined || report.receivedAt > sum.secondReport.receivedAt) {
-    sum.secondReport = report
+function removeReport (sum: RowSum, origin: string): void {
+  if (sum.second?.origin === origin) sum.second = undefined
+  if (sum.newest?.origin !== origin) return
+  sum.newest = sum.second
+  sum.second = undefined
+}
+
+function addReport (sum: RowSum, origin: string, report: TimedReport): void {
+  const added = { report, origin }
+  if (sum.newest === undefined || report.receivedAt > sum.newest.report.receivedAt) {
+    sum.second = sum.newest
+    sum.newest = added
+  } else if (sum.second === undefined || report.receivedAt > sum.second.report.receivedAt) {
+    sum.second = added
   }
 }
 
-/** Adds the rows of an instance, or of another home. */
-export function addRows (total: ServiceTotal, rows: ReadonlyMap<string, LoadFigures>): void {
-  for (const [key, { requests, unansweredTokens, ratioSum, ratioCount, report }] of rows) {
-    let sum = total.rows.get(key)
-    if (sum === undefined) {
-      sum = { requests: 0, unansweredTokens: 0, ratioSum: 0, ratioCount: 0, report: undefined, secondReport: undefined, text: undefined }
-      total.rows.set(key, sum)
-    }
-    sum.requests += requests
-    sum.unansweredTokens += unansweredTokens
-    sum.ratioSum += ratioSum
-    sum.ratioCount += ratioCount
-    addReport(sum, report)
+/** Replaces the figures of an origin at one process. */
+function replaceRow (total: ServiceTotal, key: string, origin: string, previous: LoadFigures, next: LoadFigures): void {
+  let sum = total.rows.get(key)
+  if (sum === undefined) {
+    sum = { requests: 0, unansweredTokens: 0, ratioSum: 0, ratioCount: 0, newest: undefined, second: undefined, text: undefined, textAt: 0 }
+    total.rows.set(key, sum)
   }
+  sum.text = undefined
+  sum.requests += next.requests - previous.requests
+  sum.unansweredTokens += next.unansweredTokens - previous.unansweredTokens
+  sum.ratioSum += next.ratioSum - previous.ratioSum
+  sum.ratioCount += next.ratioCount - previous.ratioCount
+  total.requests += next.requests - previous.requests
+  total.unansweredTokens += next.unansweredTokens - previous.unansweredTokens
+  if (previous.report !== undefined) removeReport(sum, origin)
+  if (next.report !== undefined) addReport(sum, origin, next.report)
 }
 
-/** Returns the sums of a service, which are created when missing. */
-export function totalOf (services: Map<string, ServiceTotal>, name: string): ServiceTotal {
-  const known = services.get(name)
-  if (known !== undefined) return known
-  const total = { rows: new Map(), instances: 0, sentPerSecond: 0, rejectedPerSecond: 0 }
-  services.set(name, total)
-  return total
+function encodeSum (key: string, sum: RowSum, own: LoadFigures, report: TimedReport | undefined, now: number): string {
+  return encodeRow(key, {
+    ...noFigures,
+    requests: sum.requests - own.requests,
+    unansweredTokens: sum.unansweredTokens - own.unansweredTokens,
+    ratioSum: sum.ratioSum - own.ratioSum,
+    ratioCount: sum.ratioCount - own.ratioCount,
+    report: report !== undefined && now - report.receivedAt <= MAX_REPORT_AGE_MS ? report : undefined
+  }, now)
 }
 
-interface EncodedRow {
-  readonly text: string
-  readonly requests: number
-  readonly unansweredTokens: number
+/** Returns the rows of a service, without empty ones, whose sums are forgotten. */
+function encodeRows (total: ServiceTotal, origin: string, ownRows: ReadonlyMap<string, LoadFigures>, now: number): string {
+  let text = ''
+  for (const [key, sum] of total.rows) {
+    if (sum.text === undefined || now - sum.textAt >= MAX_TEXT_AGE_MS) {
+      sum.text = encodeSum(key, sum, noFigures, sum.newest?.report, now)
+      sum.textAt = now
+      if (sum.text === '') total.rows.delete(key)
+    }
+    const own = ownRows.get(key)
+    const row = own === undefined ? sum.text : encodeSum(key, sum, own, sum.newest?.origin === origin ? sum.second?.report : sum.newest?.report, now)
+    if (row !== '') text += text === '' ? row : ';' + row
+  }
+  return text
 }
 
 /** Leaves out rows until the rest fits: those of idle processes first, then those with the fewest requests. */
-function fitRows (services: readonly (readonly EncodedRow[])[]): readonly string[] {
-  const length = services.reduce((sum, rows) => sum + rows.reduce((rowsSum, { text }) => rowsSum + text.length + 1, 0), 0)
-  if (length <= MAX_ROWS_LENGTH) return services.map((rows) => rows.map(({ text }) => text).join(';'))
-  const ordered = services.flat().sort((left, right) => right.requests - left.requests || right.unansweredTokens - left.unansweredTokens)
-  const kept = new Set<EncodedRow>()
+function fitRows (services: readonly ServiceSums[], requestsOf: (service: string, key: string) => number): readonly ServiceSums[] {
+  const rows = services.flatMap(({ name, rows }) => rows === '' ? [] : rows.split(';').map((text) => ({ name, text, requests: requestsOf(name, text.slice(0, 6)) })))
+  const ordered = [...rows].sort((left, right) => right.requests - left.requests)
+  const kept = new Set<unknown>()
   let left = MAX_ROWS_LENGTH
   for (const row of ordered) {
     left -= row.text.length + 1
     if (left < 0) break
     kept.add(row)
   }
-  return services.map((rows) => rows.filter((row) => kept.has(row)).map(({ text }) => text).join(';'))
+  return services.map((service) => ({ ...service, rows: rows.filter((row) => row.name === service.name && kept.has(row)).map(({ text }) => text).join(';') }))
 }
 
-/** Encodes sums; `own` are figures to subtract. */
-export function encodeServices (services: readonly { readonly name: string, readonly total: ServiceTotal, readonly own: ReadonlyMap<string, LoadFigures> }[], now: number): readonly ServiceSums[] {
-  const encoded = services.map(({ total, own }) => {
-    const rows: EncodedRow[] = []
-    for (const [key, sum] of total.rows) {
-      const subtracted = own.get(key)
-      if (subtracted === undefined) {
-        sum.text ??= encodeRow(key, { ...noFigures, requests: sum.requests, unansweredTokens: sum.unansweredTokens, ratioSum: sum.ratioSum, ratioCount: sum.ratioCount, report: sum.report }, now)
-        if (sum.text !== '') rows.push({ text: sum.text, requests: sum.requests, unansweredTokens: sum.unansweredTokens })
-        continue
-      }
-      const others = {
-        ...noFigures,
-        requests: sum.requests - subtracted.requests,
-        unansweredTokens: sum.unansweredTokens - subtracted.unansweredTokens,
-        ratioSum: sum.ratioSum - subtracted.ratioSum,
-        ratioCount: sum.ratioCount - subtracted.ratioCount,
-        report: subtracted.report !== undefined && sum.report === subtracted.report ? sum.secondReport : sum.report
+/** Creates sums of nothing. */
+export function createLoadSums (): LoadSums {
+  const totals = new Map<string, ServiceTotal>()
+
+  function totalOf (service: string): ServiceTotal {
+    const known = totals.get(service)
+    if (known !== undefined) return known
+    const total = { rows: new Map(), instances: 0, sent: 0, rejected: 0, requests: 0, unansweredTokens: 0 }
+    totals.set(service, total)
+    return total
+  }
+
+  return {
+    get services () { return totals.keys() },
+    replace: (service, origin, previous, next) => {
+      const total = totalOf(service)
+      const rate = (perSecond: number | undefined): number => Math.round((perSecond ?? 0) * RATE_UNITS)
+      total.instances += (next?.instances ?? 0) - (previous?.instances ?? 0)
+      total.sent += rate(next?.sentPerSecond) - rate(previous?.sentPerSecond)
+      total.rejected += rate(next?.rejectedPerSecond) - rate(previous?.rejectedPerSecond)
+      const previousRows = previous?.rows ?? noRows
+      const nextRows = next?.rows ?? noRows
+      for (const [key, row] of nextRows) {
+        const previousRow = previousRows.get(key) ?? noFigures
+        if (!isSame(previousRow, row)) replaceRow(total, key, origin, previousRow, row)
       }
-      const text = encodeRow(key, others, now)
-      if (text !== '') rows.push({ text, requests: others.requests, unansweredTokens: others.unansweredTokens })
+      for (const [key, row] of previousRows) if (!nextRows.has(key)) replaceRow(total, key, origin, row, noFigures)
+      if (total.instances === 0) totals.delete(service)
+    },
+    encode: (services, origin, own, now) => {
+      let length = 0
+      const encoded = services.flatMap((name) => {
+        const total = totals.get(name)
+        if (total === undefined) return []
+        const ownRows = own(name)?.rows ?? noRows
+        let { requests, unansweredTokens } = total
+        for (const row of ownRows.values()) {
+          requests -= row.requests
+          unansweredTokens -= row.unansweredTokens
+        }
+        const rows = encodeRows(total, origin, ownRows, now)
+        length += rows.length
+        return [{ name, instances: total.instances, sentPerSecond: total.sent / RATE_UNITS, rejectedPerSecond: total.rejected / RATE_UNITS, requests, unansweredTokens, rows }]
+      })
+      if (length <= MAX_ROWS_LENGTH) return encoded
+      return fitRows(encoded, (service, key) => {
+        const sum = totals.get(service)?.rows.get(key)
+        // Requests come before tokens, which are fewer than a million for each request.
+        return sum === undefined ? 0 : sum.requests * 1_000_000 + sum.unansweredTokens
+      })
     }
-    return rows
-  })
-  const texts = fitRows(encoded)
-  return services.map(({ name, total }, index) => ({
-    name,
-    instances: total.instances,
-    sentPerSecond: total.sentPerSecond,
-    rejectedPerSecond: total.rejectedPerSecond,
-    requests: encoded[index]?.reduce((sum, { requests }) => sum + requests, 0) ?? 0,
-    unansweredTokens: encoded[index]?.reduce((sum, { unansweredTokens }) => sum + unansweredTokens, 0) ?? 0,
-    rows: texts[index] ?? ''
-  }))
+  }
 }
