Limit of requests to cold backend servers

Services may name cold_start_s and cold_per_s. Sends to a backend server that is cold need permits of its home, up to a second after the cold period. An instance that reaches no home, or only homes of the previous release, sends its even share at its own time of a common interval. An invalid cold period leaves its entry or configuration valid and is logged.

--- a/packages/gateway/src/__tests__/sendingPermits.test.ts
+++ b/packages/gateway/src/__tests__/sendingPermits.test.ts
@@ -4,6 +4,7 @@
 import { createRecordingLog } from '../__fixtures__/recordingLog.js'
 import { steadyNow } from '../clock.js'
 import type { BackendState } from '../decisions/backendState.js'
+import type { ColdLimit } from '../decisions/coldLimit.js'
 import { createSharedClock } from '../decisions/sharedClock.js'
 import type { Peer } from '../tasks/fleetTask.js'
 import { createSendingPermits, type SendingPermits } from '../tasks/sendingPermits.js'
@@ -22,6 +23,8 @@
 interface Fleet {
   readonly instances: Instance[]
   readonly network: LoanNetwork
+  /** Ends of the cold period that instances learned from homes. */
+  readonly learnedUntil: readonly (number | undefined)[]
   /** Named by all responses from now on. */
   nameLimit (requestsPerSecond: number | undefined): void
   /** Plays ten requests a second at each instance, at random times; returns the number that was permitted, by instance. */
@@ -33,7 +36,7 @@
 afterEach(() => { jest.useRealTimers() })
 
 /** Starts instances of which the first three are the homes of the backend server, in that order. `chooseFault` applies to messages of an instance. */
-function startFleet (count: number, chooseFault: (sender: number) => LinkFault = () => ({ kind: 'none' })): Fleet {
+function startFleet (count: number, chooseFault: (sender: number) => LinkFault = () => ({ kind: 'none' }), coldLimit: (index: number) => ColdLimit | undefined = () => undefined, isPreviousRelease = false): Fleet {
   let sender = 0
   let randomState = 1
   const random = (): number => {
@@ -44,6 +47,7 @@
   const peers = Array.from({ length: count }, (_, index): Peer => ({ instanceId: `instance${index}`, address: `instance${index}:80`, failureDomain: 'north', incarnationId: `instance${index}.0` }))
   const instances: Instance[] = []
   let currentLimit: number | undefined
+  const learnedUntil: (number | undefined)[] = []
 
   function start (index: number): void {
     const peer = peers[index] as Peer
@@ -59,19 +63,24 @@
       findBackend: () => backend,
       announce: () => {},
       count: () => {},
+      coldLimit: () => coldLimit(index),
+      learnColdUntil: (_backend, until) => { learnedUntil[index] = until },
+      countCold: () => {},
+      position: () => index / count,
       post: async (...message) => {
         sender = index
         return await network.post(...message)
       }
     })
     instances[index] = { peer, backend, permits }
-    network.listen(peer, { limits: permits })
+    network.listen(peer, { limits: isPreviousRelease ? { ...permits, issue: ({ cold, ...request }) => permits.issue(request) } : permits })
   }
 
   peers.forEach((_, index) => start(index))
   return {
     instances,
     network,
+    learnedUntil,
     nameLimit: (requestsPerSecond) => {
       currentLimit = requestsPerSecond
       if (requestsPerSecond === undefined) return
@@ -181,3 +190,39 @@
     expect(Math.max(...retryTimes)).toBeLessThanOrEqual(now + 3000)
   })
 })
+
+describe('permits for a cold backend server', () => {
+  const coldLimit = (until: number) => (): ColdLimit => ({ requestsPerSecond: LIMIT, until })
+
+  // Guards against a cold backend server that gets the requests of all instances because it names no limit.
+  test('keep all instances together to the limit of the cold period', async () => {
+    const fleet = startFleet(6, undefined, coldLimit(steadyNow() + 60_000))
+    const sent = await fleet.sendFor(20_000)
+    expect(sum(sent)).toBeGreaterThanOrEqual(0.9 * LIMIT * 20)
+    expect(sum(sent)).toBeLessThanOrEqual(LIMIT * 20 + 3)
+  })
+
+  // Guards against homes of the previous release, whose `unlimited` would let all instances send at will.
+  test('are issued by each instance to itself when the homes do not know of cold periods', async () => {
+    const fleet = startFleet(6, undefined, coldLimit(steadyNow() + 60_000), true)
+    fleet.instances.splice(0, 3)
+    const sent = await fleet.sendFor(30_000)
+    expect(sum(sent)).toBeLessThanOrEqual(LIMIT / 6 * 3 * 30 + 3)
+    expect(sum(sent)).toBeGreaterThan(0)
+  })
+
+  test('are issued by each instance to itself when it reaches no home, its even share', async () => {
+    const fleet = startFleet(6, (sender) => sender === 5 ? { kind: 'requestLost' } : { kind: 'none' }, coldLimit(steadyNow() + 60_000))
+    const sent = await fleet.sendFor(30_000)
+    expect(sent[5]).toBeGreaterThanOrEqual(4)
+    expect(sent[5]).toBeLessThanOrEqual(LIMIT / 6 * 30 + 1)
+  })
+
+  // Guards against an end that grows with each exchange, so that the backend server stays cold for ever.
+  test('bring the latest end that a home knows to the instances that ask it', async () => {
+    const until = steadyNow() + 20_000
+    const fleet = startFleet(6, undefined, (index) => ({ requestsPerSecond: LIMIT, until: fleet.learnedUntil[index] ?? (index === 4 ? until : until - 5000) }))
+    await fleet.sendFor(10_000)
+    for (const learned of fleet.learnedUntil) expect(learned).toBe(until)
+  })
+})
--- a/packages/gateway/src/decisions/backendState.ts
+++ b/packages/gateway/src/decisions/backendState.ts
@@ -67,6 +67,10 @@
   failures: { weight: number, at: number }
   delay: { milliseconds: number, at: number }
   limit: KnownLimit
+  /** Latest known end of the process's cold period, by `steadyNow`; 0 when none is known. */
+  coldUntil: number
+  /** When the process was listed, by `steadyNow`. */
+  processListedAt: number
   /** Permits that were denied to this instance, by priority. */
   readonly denials: Map<number, PermitDenial>
   /** Unix milliseconds of the last denial. */
@@ -96,6 +100,8 @@
     failures: { weight: 0, at: now },
     delay: { milliseconds: 0, at: now },
     limit: noKnownLimit,
+    coldUntil: 0,
+    processListedAt: now,
     denials: new Map(),
     lastDeniedAt: 0,
     unreportedDemand: new Map(),
@@ -187,6 +193,7 @@
   state.cachedParts.clear()
   state.reportedLoad = undefined
   state.limit = noKnownLimit
+  state.coldUntil = 0
   state.denials.clear()
   state.lastDeniedAt = 0
   state.unreportedDemand.clear()
--- a/packages/gateway/src/decisions/permitIssuer.ts
+++ b/packages/gateway/src/decisions/permitIssuer.ts
@@ -1,5 +1,8 @@
+import { isInForce, smallerLimit, type ColdLimit } from './coldLimit.js'
+
 /**
- * Issues permits for requests to backend servers that name how many requests a second they take from all instances.
+ * Issues permits for requests to backend servers that name how many requests a second they take from all instances, and
+ * for those that are cold.
  *
  * Expected load: few requests a second to such a backend server, from six to some hundred instances with uneven demand. One
  * instance, on which all agree, issues all permits of a backend server, so that they go to those that have requests. Where
@@ -31,18 +34,22 @@
   readonly priority: number
   /** What the asking instance knows of the limit. */
   readonly known: KnownLimit
+  /** The limit of its cold period, as the asking instance knows it; its end on the shared clock. */
+  readonly cold?: ColdLimit | undefined
   /** Demand since the instance asked last, while no other backend server could serve it. */
   readonly demand: readonly PriorityDemand[]
 }
 
 /** Reply to a request for a permit. Times are on the shared clock. */
 export type PermitReply =
-  | { readonly kind: 'granted', readonly known: KnownLimit }
+  /** `coldUntil`: the latest end of the cold period that the issuer knows, which a home of the previous release does not tell. */
+  | { readonly kind: 'granted', readonly known: KnownLimit, readonly coldUntil?: number | undefined }
   /** No limit is in force. */
   | { readonly kind: 'unlimited', readonly known: KnownLimit }
   | {
     readonly kind: 'denied'
     readonly known: KnownLimit
+    readonly coldUntil?: number | undefined
     /** Until then the instance is denied permits of this and less urgent priorities. */
     readonly askAgainAt: number
     /** When a caller that is rejected for it may return. */
@@ -83,6 +90,8 @@
 const MAX_BACKEND_PROCESSES = 2000
 /** Changes of the value by less than this factor are left for the next reply. */
 const ANNOUNCED_CHANGE_FACTOR = 1.25
+/** No cold period is longer than a day, nor is its end. */
+const MAX_COLD_MS = 86_400_000
 
 interface Demand {
   readonly perSecond: number
@@ -91,6 +100,9 @@
 
 interface BackendPermits {
   known: KnownLimit
+  cold: ColdLimit | undefined
+  /** Limit in force when the last permit was asked for. */
+  rate: number | undefined
   announced: number | undefined
   /** Time at which the permits issued so far are used up (generic cell rate algorithm). */
   issuedUntil: number
@@ -118,7 +130,7 @@
   const backends = new Map<string, BackendPermits>()
 
   function permitsOf (backendProcess: string): BackendPermits {
-    const permits = backends.get(backendProcess) ?? { known: noKnownLimit, announced: undefined, issuedUntil: -Infinity, remainderIssuedUntil: new Map(), demand: new Map(), askers: new Map(), askedAgainUntil: -Infinity, deniedSinceGrant: 0 }
+    const permits = backends.get(backendProcess) ?? { known: noKnownLimit, cold: undefined, rate: undefined, announced: undefined, issuedUntil: -Infinity, remainderIssuedUntil: new Map(), demand: new Map(), askers: new Map(), askedAgainUntil: -Infinity, deniedSinceGrant: 0 }
     backends.delete(backendProcess)
     backends.set(backendProcess, permits)
     const oldest = backends.size > MAX_BACKEND_PROCESSES ? backends.keys().next().value : undefined
@@ -129,15 +141,27 @@
   function learn (backendProcess: string, known: KnownLimit, now: number): void {
     const permits = permitsOf(backendProcess)
     if (known.seenAt <= permits.known.seenAt) return
-    const before = permits.known.requestsPerSecond
     permits.known = known
-    // Permits that were issued take as long as they would have under the new limit.
-    if (before !== undefined && known.requestsPerSecond !== undefined) permits.issuedUntil = now + (permits.issuedUntil - now) * intervalOf(known.requestsPerSecond) / intervalOf(before)
+    updateRate(permits, now)
     if (!isNotable(permits.announced, known.requestsPerSecond)) return
     permits.announced = known.requestsPerSecond
     announce(backendProcess, known)
   }
 
+  /** Takes over the limit in force. Permits that were issued take as long as they would have under the new one. */
+  function updateRate (permits: BackendPermits, now: number): void {
+    if (permits.cold !== undefined && !isInForce(permits.cold, now)) permits.cold = undefined
+    const before = permits.rate
+    permits.rate = smallerLimit(permits.known.requestsPerSecond, permits.cold)
+    if (before !== undefined && permits.rate !== undefined && before !== permits.rate) permits.issuedUntil = now + (permits.issuedUntil - now) * intervalOf(permits.rate) / intervalOf(before)
+  }
+
+  /** Keeps the latest end of a cold period: instances learn of it at different times. */
+  function learnCold (permits: BackendPermits, cold: ColdLimit | undefined, now: number): void {
+    if (cold === undefined || !isInForce(cold, now) || !(cold.until <= now + MAX_COLD_MS)) return
+    permits.cold = { requestsPerSecond: cold.requestsPerSecond, until: Math.max(cold.until, permits.cold?.until ?? 0) }
+  }
+
   function recordDemand (permits: BackendPermits, demand: readonly PriorityDemand[], now: number): void {
     for (const { priority, requests } of demand) {
       permits.demand.set(priority, { perSecond: averageDemand(permits.demand.get(priority), now) + requests * 1000 / DEMAND_AVERAGE_MS, at: now })
@@ -178,10 +202,13 @@
   function ask (request: PermitRequest, power: IssuingPower, now: number): PermitReply {
     learn(request.backendProcess, request.known, now)
     const permits = permitsOf(request.backendProcess)
-    const { known } = permits
-    if (known.requestsPerSecond === undefined) return { kind: 'unlimited', known }
+    learnCold(permits, request.cold, now)
+    updateRate(permits, now)
+    const { known, rate } = permits
+    if (rate === undefined) return { kind: 'unlimited', known }
+    const told = permits.cold === undefined ? { known } : { known, coldUntil: permits.cold.until }
     recordDemand(permits, request.demand, now)
-    const requestsPerSecond = Math.max(MIN_REQUESTS_PER_SECOND, known.requestsPerSecond) * power.fraction
+    const requestsPerSecond = Math.max(MIN_REQUESTS_PER_SECOND, rate) * power.fraction
     recordAsker(permits, request.instanceId, requestsPerSecond, now)
     const share = requestsPerSecond / permits.askers.size
 
@@ -189,7 +216,7 @@
       permits.deniedSinceGrant++
       const askAgainAt = Math.max(freeAt, nextAskAt(permits, requestsPerSecond, now))
       const retryAt = Math.min(now + MAX_RETRY_MS, freeAt + permits.deniedSinceGrant * 1000 / requestsPerSecond)
-      return { kind: 'denied', known, askAgainAt, retryAt, share }
+      return { kind: 'denied', ...told, askAgainAt, retryAt, share }
     }
 
     const interval = 1000 / requestsPerSecond
@@ -202,7 +229,7 @@
     permits.issuedUntil = issuedUntil + interval
     permits.remainderIssuedUntil.set(request.priority, Math.max(now, remainderFreeAt) + 1000 / Math.max(remainder, MIN_FAIR_SHARE * MIN_REQUESTS_PER_SECOND))
     permits.deniedSinceGrant = 0
-    return { kind: 'granted', known }
+    return { kind: 'granted', ...told }
   }
 
   return { ask, learn }
--- a/packages/gateway/src/fleetConfiguration.ts
+++ b/packages/gateway/src/fleetConfiguration.ts
@@ -45,6 +45,20 @@
   readonly tokensPerEvent: number
 }
 
+/** How the backend servers of a service take requests after a start. */
+export type ColdStart =
+  /** `requestsPerSecond`: from all instances together; 0 without a limit. */
+  | { readonly kind: 'named', readonly milliseconds: number, readonly requestsPerSecond: number }
+  | { readonly kind: 'unreadable', readonly value: string }
+
+/** Time for which a backend server stays cold, as it says itself. */
+export type NamedCold =
+  | { readonly kind: 'none' }
+  /** From now on. */
+  | { readonly kind: 'named', readonly milliseconds: number }
+  /** It names a time that is no number from 0 to a day. */
+  | { readonly kind: 'unreadable', readonly value: string }
+
 /** A service: a group of interchangeable backend servers. */
 export interface Service {
   readonly name: string
@@ -53,6 +67,8 @@
   readonly engine: EngineBatching | undefined
   /** Path at which a backend server says whether it is healthy; empty when it has none. */
   readonly healthPath: string
+  /** Undefined when its backend servers take all requests at once after a start. */
+  readonly cold?: ColdStart | undefined
 }
 
 /** A client account with its API keys and prepaid budget. */
@@ -101,4 +117,6 @@
   readonly sequence: number | undefined
   /** Unix milliseconds at which its warm-up ends. */
   readonly coldUntil: number
+  /** The cold period that the entry names. */
+  readonly cold?: NamedCold
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import { createBackendAcceptance } from './decisions/backendAcceptance.js'
 import { backendProcessOf } from './decisions/backendState.js'
 import { noFleetLoads } from './decisions/fleetLoads.js'
+import { positionOf } from './decisions/ownShare.js'
 import { createRetryShares } from './decisions/retryShares.js'
 import { createSharedClock } from './decisions/sharedClock.js'
 import { mayTake, planStop, type StopPlan } from './decisions/stopPlan.js'
@@ -20,6 +21,7 @@
 import { createBackendRooms } from './tasks/backendRooms.js'
 import { startBackendTask } from './tasks/backendTask.js'
 import { createCallersListener, type CallersListener } from './tasks/callersListener.js'
+import { startColdBackends } from './tasks/coldBackends.js'
 import { createConfirmedConfiguration } from './tasks/confirmedConfiguration.js'
 import { startConfigurationTask } from './tasks/configurationTask.js'
 import { createCallersMemory } from './tasks/callersMemory.js'
@@ -160,6 +162,12 @@
     onRestated: fleet.confirmRecoveryOf,
     learnPredecessor: tokens.learnPredecessor
   })
+  const coldBackends = startColdBackends({
+    log,
+    findBackend: (id) => backends.find(id),
+    listedBackends: () => backends.listed(),
+    findService: (name) => configuration.current?.service(name)
+  })
   const permits = createSendingPermits({
     instanceId: settings.instanceId,
     clock: sharedClock,
@@ -168,7 +176,14 @@
     homes: fleet.permitHomes,
     findBackend: (id) => backends.find(id),
     announce: fleet.announceLimit,
-    count: (outcome) => metrics.count('permits_total', { outcome })
+    count: (outcome) => metrics.count('permits_total', { outcome }),
+    coldLimit: coldBackends.limitOf,
+    learnColdUntil: coldBackends.learnUntil,
+    countCold: (backend, outcome) => {
+      metrics.count('cold_permits_total', { outcome })
+      coldBackends.notePermit(backend, outcome === 'granted')
+    },
+    position: (backendId) => positionOf(settings.instanceId, [settings.instanceId, ...fleet.peers.map(({ instanceId }) => instanceId)], backendId)
   })
   const rooms = createBackendRooms({
     instanceId: settings.instanceId,
@@ -206,7 +221,10 @@
     log,
     era,
     drainMilliseconds: settings.drainMilliseconds,
-    onListed: streamVersions.noteListed,
+    onListed: (entry, previous) => {
+      streamVersions.noteListed(entry, previous)
+      coldBackends.noteListed(entry, previous)
+    },
     onRemoved: ({ entry }) => {
       streamVersions.noteRemoved(entry)
       connections.closeIdle(entry.address)
@@ -217,7 +235,11 @@
   const reach = startBackendReach({
     backendsByService: backends.byService,
     findService: (name) => configuration.current?.service(name),
-    mayProbe: ({ entry, limit }) => !evacuations.isEvacuated(entry.failureDomain) && limit.requestsPerSecond === undefined && acceptance.acceptanceOf(backendProcessOf(entry), steadyNow()).kind === 'accepting',
+    mayProbe: (backend) => !evacuations.isEvacuated(backend.entry.failureDomain) && permits.limitOf(backend, steadyNow()) === undefined && acceptance.acceptanceOf(backendProcessOf(backend.entry), steadyNow()).kind === 'accepting',
+    onProbeResponse: (backend, backendProcess, { status, headers }) => {
+      const { cold, isMisdirected } = platform.wire.decodeResponseHeaders(status, headers)
+      if (!isMisdirected) coldBackends.noteResponse(backend, backendProcess, cold)
+    },
     isEvacuated: ({ entry }) => evacuations.isEvacuated(entry.failureDomain),
     log,
     count: (outcome) => metrics.count('backend_probes_total', { outcome })
@@ -245,6 +267,7 @@
     fleet,
     retryShares: createRetryShares({ ratio: settings.retryRatio, slack: settings.retrySlack, windowMilliseconds: settings.retryWindowSeconds * 1000 }, () => fleet.instances, steadyNow()),
     crashGuard,
+    coldBackends,
     permits,
     rooms,
     loads: noFleetLoads,
@@ -263,6 +286,7 @@
   peerListener.on('connection', () => context.intake.noteConnection())
 
   function applyConfiguration (before: FleetConfiguration | undefined, after: FleetConfiguration): void {
+    coldBackends.noteConfiguration(after)
     callers.server.keepAliveTimeout = after.limits.idleTimeoutMilliseconds
     callers.server.headersTimeout = after.limits.headerTimeoutMilliseconds
     for (const account of after.accounts) tokens.setPrepaid(account.name, account.prepaidTokens)
@@ -314,6 +338,7 @@
       .then(async () => {
         configuration.stop()
         evacuations.stop()
+        coldBackends.stop()
         backends.stop()
         await Promise.race([Promise.all([tokens.close(), fleet.deregister()]), pauseUntil(killedAt - FORCED_EXIT_MARGIN_MS)])
         await finishRefusals(context, callers, killedAt)
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http'
-import type { BackendServerEntry, FleetConfiguration } from './fleetConfiguration.js'
+import type { BackendServerEntry, FleetConfiguration, NamedCold } from './fleetConfiguration.js'
 
 /** A stored row. `part` is its partition; version 0 means that the row does not exist. */
 export interface StoredRow {
@@ -161,6 +161,7 @@
   readonly limit: NamedLimit
   readonly brittleness: NamedBrittleness
   readonly pause: RequestedPause
+  readonly cold: NamedCold
   /** True when the backend server says that it is about to end. */
   readonly isLeaving: boolean
   /** True when a content encoding was applied, so that the body is not as the backend server produced it. */
--- a/packages/gateway/src/tasks/availableBackends.ts
+++ b/packages/gateway/src/tasks/availableBackends.ts
@@ -68,6 +68,7 @@
 export function recordAcceptance (context: GatewayContext, response: AttributedResponse): void {
   // Another process answers with 421.
   if (response.fields.isMisdirected) return
+  context.coldBackends.noteResponse(response.backend, response.backendProcess, response.fields.cold)
   recordPause(context, response)
   if (response.fields.isLeaving) recordLeaving(context, response)
 }
--- a/packages/gateway/src/tasks/backendReach.ts
+++ b/packages/gateway/src/tasks/backendReach.ts
@@ -1,6 +1,6 @@
 import { steadyNow } from '../clock.js'
 import { areAllLost, recordAcceptedConnection, recordContact, recordLoss, recordRefusal, selectProbes } from '../decisions/backendReach.js'
-import type { BackendState } from '../decisions/backendState.js'
+import { backendProcessOf, type BackendState } from '../decisions/backendState.js'
 import type { Service } from '../fleetConfiguration.js'
 import type { DecisionLog } from './decisionLog.js'
 import { probeBackend, type ProbeOutcome } from './probeBackend.js'
@@ -39,6 +39,8 @@
   readonly mayProbe: (backend: BackendState) => boolean
   /** True for a backend server in an evacuated failure domain, which says nothing about whether the others are reached. */
   readonly isEvacuated: (backend: BackendState) => boolean
+  /** Gets a response to a probe and the process that was listed when the probe was sent. */
+  readonly onProbeResponse?: (backend: BackendState, backendProcess: string, response: NonNullable<(ProbeOutcome & { kind: 'reached' })['response']>) => void
   readonly log: DecisionLog
   readonly count: (outcome: ProbeOutcome['kind']) => void
   /** Probes one backend server; replaced by tests. */
@@ -89,11 +91,13 @@
     for (const backend of selectProbes(backends, settings?.engine === undefined ? 'plain' : 'engine', now)) {
       if (!options.mayProbe(backend)) continue
       backend.lastProbeAt = now
+      const backendProcess = backendProcessOf(backend.entry)
       probe(backend.entry.address, settings?.healthPath ?? '', PROBE_TIMEOUT_MS).then((outcome) => {
         options.count(outcome.kind)
         if (outcome.kind === 'reached') {
           recordAcceptedConnection(backend)
           noteBytes(backend)
+          if (outcome.response !== undefined) options.onProbeResponse?.(backend, backendProcess, outcome.response)
           return
         }
         log.decision('backendProbeFailed', { backend: backend.entry.id, service, reason: outcome.reason, silentMilliseconds: steadyNow() - backend.lastByteAt })
--- a/packages/gateway/src/tasks/chooseDestination.ts
+++ b/packages/gateway/src/tasks/chooseDestination.ts
@@ -37,7 +37,7 @@
       ? (reachable.length > 0 ? reachable : available.backends)
       : available.backends.filter(({ entry }) => among.includes(entry.id))
     if (candidates.length === 0) return { kind: 'none', reason: 'no backend server to return to', retryAt: suggestedRetryAt(context, state) }
-    const areAllLimited = candidates.every(({ limit }) => limit.requestsPerSecond !== undefined)
+    const areAllLimited = candidates.every((candidate) => permits.limitOf(candidate, now) !== undefined)
     if (areAllLimited && denied.size === 0 && state.attempts === 0) permits.recordDemand(candidates, priority)
     const usable = candidates.filter((candidate) => !denied.has(candidate.entry.id) && !permits.isDenied(candidate, priority, now))
     const found = await chooseWithRoom(context, state, usable, now)
@@ -45,14 +45,14 @@
     const { choice } = found
     if (choice === undefined) {
       return areAllLimited
-        ? { kind: 'none', reason: 'all backend servers are at the request limits that they name', retryAt: permits.retryAt(candidates, priority, now) }
+        ? { kind: 'none', reason: limitedReason(context, candidates), retryAt: permits.retryAt(candidates, priority, now) }
         : { kind: 'none', reason: 'no permit for a backend server', retryAt: suggestedRetryAt(context, state) }
     }
-    const needsPermit = choice.state.limit.requestsPerSecond !== undefined
+    const needsPermit = permits.limitOf(choice.state, steadyNow()) !== undefined
     const isPermitted = !needsPermit || (await permits.acquire(choice.state, priority)).kind === 'granted'
     const hasWaited = needsPermit || state.room !== undefined
     if (isPermitted && (!hasWaited || isAvailable(context, state, choice, excluded))) {
-      const destination: Destination = { kind: 'backend', choice }
+      const destination: Destination = { kind: 'backend', choice, isPermitted: needsPermit }
       context.destinations.set(state, destination)
       return { kind: 'chosen', backendId: destinationIdOf(destination), isAvoided: choice.state.avoidedUntil > steadyNow() }
     }
@@ -61,6 +61,11 @@
   }
 }
 
+function limitedReason (context: GatewayContext, candidates: readonly BackendState[]): string {
+  const isAnyCold = candidates.some((candidate) => context.coldBackends.limitOf(candidate, steadyNow()) !== undefined)
+  return `all backend servers are ${isAnyCold ? 'cold or ' : ''}at the request limits that they name`
+}
+
 type ChoiceWithRoom =
   /** `choice` is undefined without a candidate. */
   | { readonly kind: 'found', readonly choice: Choice | undefined }
--- a/packages/gateway/src/tasks/destinations.ts
+++ b/packages/gateway/src/tasks/destinations.ts
@@ -8,7 +8,8 @@
 
 /** Where a request is sent next. */
 export type Destination =
-  | { readonly kind: 'backend', readonly choice: Choice }
+  /** `isPermitted`: a permit was granted for the send. */
+  | { readonly kind: 'backend', readonly choice: Choice, readonly isPermitted: boolean }
   /** Another instance serves it, as this one reaches no backend server that can. */
   | { readonly kind: 'peer', readonly peer: Peer }
 
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -12,6 +12,7 @@
 import type { BackendRooms } from './backendRooms.js'
 import type { BackendTask } from './backendTask.js'
 import type { CallersMemory } from './callersMemory.js'
+import type { ColdBackends } from './coldBackends.js'
 import type { CrashGuard } from './crashGuard.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { Evacuations } from './evacuations.js'
@@ -49,6 +50,7 @@
   readonly fleet: FleetTask
   readonly retryShares: RetryShares
   readonly crashGuard: CrashGuard
+  readonly coldBackends: ColdBackends
   readonly permits: SendingPermits
   readonly rooms: BackendRooms
   readonly loads: FleetLoads
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -52,12 +52,13 @@
   instanceId: v.string(),
   priority: v.number(),
   known: knownLimitSchema,
+  cold: v.optional(v.object({ requestsPerSecond: v.pipe(v.number(), v.minValue(0)), until: v.number() })),
   demand: v.array(v.object({ priority: v.number(), requests: v.number() }))
 })
 const permitReplySchema = v.variant('kind', [
-  v.object({ kind: v.literal('granted'), known: knownLimitSchema }),
+  v.object({ kind: v.literal('granted'), known: knownLimitSchema, coldUntil: v.optional(v.number()) }),
   v.object({ kind: v.literal('unlimited'), known: knownLimitSchema }),
-  v.object({ kind: v.literal('denied'), known: knownLimitSchema, askAgainAt: v.number(), retryAt: v.number(), share: v.number() })
+  v.object({ kind: v.literal('denied'), known: knownLimitSchema, coldUntil: v.optional(v.number()), askAgainAt: v.number(), retryAt: v.number(), share: v.number() })
 ])
 const roomRequestSchema = v.object({
   to: v.string(),
--- a/packages/gateway/src/tasks/probeBackend.ts
+++ b/packages/gateway/src/tasks/probeBackend.ts
@@ -1,9 +1,9 @@
-import { request } from 'node:http'
+import { request, type IncomingHttpHeaders } from 'node:http'
 
 /** Result of a probe. */
 export type ProbeOutcome =
   /** It has sent a response, whatever its status. */
-  | { readonly kind: 'reached' }
+  | { readonly kind: 'reached', readonly response?: { readonly status: number, readonly headers: IncomingHttpHeaders } }
   | { readonly kind: 'lost', readonly reason: string }
 
 /**
@@ -21,7 +21,7 @@
     }
     const timer = setTimeout(() => finish({ kind: 'lost', reason: 'no response in time' }), timeoutMilliseconds)
     outgoing.on('error', (error) => finish({ kind: 'lost', reason: error.message }))
-    outgoing.on('response', () => finish({ kind: 'reached' }))
+    outgoing.on('response', ({ statusCode = 0, headers }) => finish({ kind: 'reached', response: { status: statusCode, headers } }))
     outgoing.end()
   })
 }
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -271,6 +271,10 @@
         releaseRoom(state)
         return { kind: 'notSent', reason: `the failure domain ${failureDomain} is evacuated` }
       }
+      if (!destination.isPermitted && context.permits.limitOf(destination.choice.state, steadyNow()) !== undefined) {
+        releaseRoom(state)
+        return { kind: 'notSent', reason: 'the backend server has turned cold or limited meanwhile' }
+      }
       state.triedBackendIds.push(destinationId)
       state.triedVersions.push(destination.choice.state.entry.version)
       const attempt = runAttempt(context, state, destination.choice, async () => await reserveRetry(context, state))
--- a/packages/gateway/src/tasks/sendingPermits.ts
+++ b/packages/gateway/src/tasks/sendingPermits.ts
@@ -1,5 +1,8 @@
+import { assertNever } from '@quinceshunt/effects'
 import { steadyNow } from '../clock.js'
 import { backendProcessOf, type BackendState } from '../decisions/backendState.js'
+import { smallerLimit, type ColdLimit } from '../decisions/coldLimit.js'
+import { createOwnShareIssuer } from '../decisions/ownShare.js'
 import { createPermitIssuer, type IssuingPower, type KnownLimit, type PermitReply, type PermitRequest, type PriorityDemand } from '../decisions/permitIssuer.js'
 import type { SharedClock } from '../decisions/sharedClock.js'
 import type { NamedLimit } from '../ports.js'
@@ -16,14 +19,22 @@
 /** Retry time for an instance that is not registered yet. */
 const NOT_REGISTERED_RETRY_MS = 500
 const MAX_RETRY_MS = 3000
+/** A backend server that takes none still gets a trial request at times, as only its responses show when the limit ends. */
+/** A home may be reached again before this instance's next own permit. */
+const MAX_OWN_DENIAL_MS = 5000
+/** No cold period is longer. */
+const MAX_COLD_MS = 86_400_000
+const MIN_OWN_REQUESTS_PER_SECOND = 0.25
 
 /** Outcome of asking for a permit. */
 export type PermitOutcome =
   | { readonly kind: 'granted' }
   | { readonly kind: 'denied' }
 
-/** Permits for requests to backend servers that name a limit. */
+/** Permits for requests to backend servers that name a limit or are cold. */
 export interface SendingPermits {
+  /** Requests a second that the backend server takes from all instances together: the smaller of what it names and the limit of its cold period; undefined without both. */
+  limitOf (backend: BackendState, now: number): number | undefined
   /** True when a request of the priority is certain to be denied a permit now. */
   isDenied (backend: BackendState, priority: number, now: number): boolean
   /** Asks for a permit to send one request. */
@@ -55,6 +66,13 @@
   /** Tells all instances of a limit. */
   readonly announce: (backendProcess: string, known: KnownLimit) => void
   readonly count: (outcome: string) => void
+  /** The limit of a cold backend server, with its end by `steadyNow`. */
+  readonly coldLimit: (backend: BackendState, now: number) => ColdLimit | undefined
+  /** Takes over the end of a cold period, by `steadyNow`, that a home knows. */
+  readonly learnColdUntil: (backend: BackendState, until: number) => void
+  readonly countCold: (backend: BackendState, outcome: 'granted' | 'denied') => void
+  /** Place of this instance among all of them, in [0, 1), for one backend server. */
+  readonly position: (backendId: string) => number
   /** Delivers one message; replaced by tests. */
   readonly post?: Post
 }
@@ -66,6 +84,8 @@
   const issuer = createPermitIssuer(options.announce)
   /** Issues this instance's even share while it reaches no home. */
   const ownIssuer = createPermitIssuer(() => {})
+  /** The same for cold backend servers. */
+  const ownShare = createOwnShareIssuer()
 
   function sharedNow (): number {
     return clock.fromLocal(steadyNow()) ?? 0
@@ -84,17 +104,33 @@
   }
 
   async function ask (backendId: string, request: PermitRequest): Promise<PermitReply> {
+    const askedAt = sharedNow()
     for (const home of calls.reachable(options.homes(backendId))) {
       if (home.instanceId === instanceId) return issue(request)
       const reply = parsePermitReply(await calls.post(home, PEER_PATH.permits, { ...request }))
+      // A home of the previous release does not know of the cold period, so that others that ask it may send without limit.
+      if (reply !== undefined && request.cold !== undefined && (reply.kind === 'unlimited' || reply.coldUntil === undefined)) break
       if (reply !== undefined) return reply
     }
     const now = sharedNow()
     const isRegistered = options.homes(backendId).length > 0
     if (!isRegistered) return { kind: 'denied', known: request.known, askAgainAt: now + NOT_REGISTERED_RETRY_MS, retryAt: now + NOT_REGISTERED_RETRY_MS, share: 0 }
+    // Homes that don't reply take longer than an own permit is usable.
+    if (request.cold !== undefined) return askOwnShare(backendId, request, request.cold, askedAt)
     return ownIssuer.ask(request, { fraction: 1 / options.instances(), burst: 1 }, now)
   }
 
+  function askOwnShare (backendId: string, { backendProcess, known }: PermitRequest, cold: ColdLimit, now: number): PermitReply {
+    const instances = Math.max(1, options.instances())
+    const requestsPerSecond = smallerLimit(known.requestsPerSecond, cold) ?? cold.requestsPerSecond
+    const permit = ownShare.ask(backendProcess, { requestsPerSecond: Math.max(MIN_OWN_REQUESTS_PER_SECOND, requestsPerSecond), instances, position: options.position(backendId) }, now)
+    switch (permit.kind) {
+      case 'granted': return { kind: 'granted', known }
+      case 'denied': return { kind: 'denied', known, askAgainAt: Math.min(permit.freeAt, now + MAX_OWN_DENIAL_MS), retryAt: Math.min(permit.freeAt, now + MAX_RETRY_MS), share: requestsPerSecond / instances }
+      default: return assertNever(permit)
+    }
+  }
+
   function takeOver (backend: BackendState, known: KnownLimit, cause: Record<string, unknown>): boolean {
     const previous = backend.limit
     if (known.seenAt <= previous.seenAt) return false
@@ -114,9 +150,12 @@
 
   async function acquire (backend: BackendState, priority: number): Promise<PermitOutcome> {
     const backendProcess = backendProcessOf(backend.entry)
-    const reply = await ask(backend.entry.id, { backendProcess, instanceId, priority, known: backend.limit, demand: takeDemand(backend) })
+    const cold = sharedColdLimit(backend)
+    const reply = await ask(backend.entry.id, { backendProcess, instanceId, priority, known: backend.limit, cold, demand: takeDemand(backend) })
     options.count(reply.kind)
+    if (cold !== undefined) options.countCold(backend, reply.kind === 'denied' ? 'denied' : 'granted')
     if (backendProcessOf(backend.entry) === backendProcess) takeOver(backend, reply.known, { cause: 'reply of a home' })
+    if (reply.kind !== 'unlimited' && reply.coldUntil !== undefined && backendProcessOf(backend.entry) === backendProcess) learnColdUntil(backend, reply.coldUntil)
     switch (reply.kind) {
       case 'granted':
       case 'unlimited': return { kind: 'granted' }
@@ -130,8 +169,23 @@
     }
   }
 
+  /** The limit of the cold period, with its end on the shared clock. */
+  function sharedColdLimit (backend: BackendState): ColdLimit | undefined {
+    const limit = options.coldLimit(backend, steadyNow())
+    return limit === undefined ? undefined : { requestsPerSecond: limit.requestsPerSecond, until: sharedNow() + limit.until - steadyNow() }
+  }
+
+  function learnColdUntil (backend: BackendState, sharedUntil: number): void {
+    const remaining = sharedUntil - sharedNow()
+    if (remaining > 0 && remaining <= MAX_COLD_MS) options.learnColdUntil(backend, steadyNow() + remaining)
+  }
+
+  function limitOf (backend: BackendState, now: number): number | undefined {
+    return smallerLimit(backend.limit.requestsPerSecond, options.coldLimit(backend, now))
+  }
+
   function isDenied (backend: BackendState, priority: number, now: number): boolean {
-    if (backend.limit.requestsPerSecond === undefined) return false
+    if (limitOf(backend, now) === undefined) return false
     for (const [denied, { askAgainAt }] of backend.denials) if (denied <= priority && askAgainAt > now) return true
     return false
   }
@@ -175,6 +229,7 @@
   }
 
   return {
+    limitOf,
     isDenied,
     acquire,
     retryAt,
