Queue requests for room at services that reject some for lack of capacity

While a service rejects requests for lack of capacity, its requests ask the home of the service for room and may wait there in order of urgency, fairness between client accounts and age. Off unless queueForRoom is set.

Fair queuing between accounts moves out of DispatchOrder, so that the gateway can use it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -177,7 +177,10 @@
     homes: fleet.roomHomes,
     backends: (service) => backends.candidates(service, steadyNow()),
     announce: fleet.announceBrittleness,
-    count: (outcome) => metrics.count('rooms_total', { outcome })
+    count: (outcome) => metrics.count('rooms_total', { outcome }),
+    queueForRoom: settings.queueForRoom,
+    loads: () => context.loads,
+    metrics
   })
   const streamVersions = createStreamVersions({
     instanceId: settings.instanceId,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -37,6 +37,8 @@
   promptReuseWindowSeconds: positive,
   /** True when one transaction of the store may change rows of several partitions. */
   storeSpansParts: v.boolean(),
+  /** True when requests to a service whose backend servers reject some for lack of capacity queue for room. */
+  queueForRoom: v.optional(v.boolean(), false),
   /** Minimum level of log lines. */
   logLevel: v.optional(v.picklist(['trace', 'debug', 'info', 'warn', 'error']), 'info')
 })
--- a/packages/gateway/src/tasks/backendRooms.ts
+++ b/packages/gateway/src/tasks/backendRooms.ts
@@ -1,12 +1,16 @@
 import { steadyNow } from '../clock.js'
 import { backendProcessOf, type BackendState } from '../decisions/backendState.js'
-import { createRoomIssuer, type RoomIssuingPower, type RoomLoad, type RoomReply, type RoomRequest } from '../decisions/roomIssuer.js'
+import { noFleetLoads, type FleetLoads } from '../decisions/fleetLoads.js'
+import type { RoomIssuingPower, RoomReply, RoomRequest } from '../decisions/roomIssuer.js'
 import type { SharedClock } from '../decisions/sharedClock.js'
 import type { ResponseFields } from '../ports.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { Peer } from './fleetTask.js'
 import { createHomeCalls } from './homeCalls.js'
 import { parseRoomReply, PEER_PATH } from './peerMessages.js'
+import { createRoomLines, type RoomMetrics } from './roomLines.js'
+import { createRoomReports } from './roomReports.js'
+import { createRoomShortages } from './roomShortages.js'
 import type { Post } from './tokenLoans.js'
 
 /** The first home issues all slots. */
@@ -18,8 +22,6 @@
  * gets one less for some seconds. Of one that may turn away fewer, a slot is left free: a new connection may hold one.
  */
 const MIN_REJECTIONS_TO_TRY_WAITING = 2
-/** Backend servers that are named in a request for room, about 60 bytes each; those of lower rank may have room when these have none. */
-const MAX_WANTED = 32
 /** Ended requests are told together, after this time at most. */
 const REPORT_DELAY_MS = 5
 /** Requests that run for long are told again at this interval, so that the issuer does not take them for ended. */
@@ -44,19 +46,32 @@
   release (): void
 }
 
+/** By what a request is ordered among those that wait for room. */
+export interface RoomTurn {
+  /** From 0, the most urgent, to 9. */
+  readonly priority: number
+  /** Name of the client account; empty without one. */
+  readonly account: string
+  /** Until when it may wait, by `steadyNow`. */
+  readonly waitUntil: number
+  /** Calls the listener when the caller leaves; returns a function that removes it. */
+  readonly onCallerLeft: (listener: () => void) => () => void
+}
+
 /** Outcome of asking for room; `retryAt` by `steadyNow`. */
 export type RoomOutcome =
   | { readonly kind: 'granted', readonly backend: BackendState, readonly room: GrantedRoom }
   | { readonly kind: 'denied', readonly retryAt: number }
 
-/** Room at brittle backend servers, which all instances share. */
+/** Room at brittle backend servers and at services that are short of room, which all instances share. */
 export interface BackendRooms {
-  /** True while the backend servers of a service are brittle, so that each request needs room. */
+  /** True while the backend servers of a service are brittle, or it is short of room, so that each request needs room. */
   isNeeded (service: string): boolean
+  isBrittle (service: string): boolean
   /** When a caller may return whose request is certain to be denied room now, by `steadyNow`; undefined when it may get some. */
-  deniedUntil (service: string, now: number): number | undefined
-  /** Asks for room at one of the backend servers, the best one first. */
-  acquire (service: string, backends: readonly BackendState[]): Promise<RoomOutcome>
+  deniedUntil (service: string, now: number, turn?: RoomTurn): number | undefined
+  /** Asks for room at one of the backend servers, the best one first. With a turn, the request may wait at a service that is short of room. */
+  acquire (service: string, backends: readonly BackendState[], turn?: RoomTurn): Promise<RoomOutcome>
   /** A request at a backend server has ended. */
   noteEnded (backend: BackendState, how: 'answered' | 'failed' | 'full'): void
   /** Takes over what a response says of its service. */
@@ -64,7 +79,7 @@
   /** Takes over what other instances announce. */
   learn (service: string, known: KnownBrittleness): void
   /** Answers a peer, as a home of the service. */
-  issue (request: RoomRequest): RoomReply
+  issue (request: RoomRequest): RoomReply | Promise<RoomReply>
   stop (): void
 }
 
@@ -82,103 +97,51 @@
   /** Tells all instances of a change. */
   readonly announce: (service: string, known: KnownBrittleness) => void
   readonly count: (outcome: string) => void
+  /** Lets requests queue for room at services whose backend servers reject some. */
+  readonly queueForRoom?: boolean
+  /** Load figures of all instances; read with each use. */
+  readonly loads?: () => FleetLoads
+  readonly metrics?: RoomMetrics
   /** Delivers one message; replaced by tests. */
   readonly post?: Post
 }
 
-/** What this instance tells the issuer of a service. */
-interface ServiceReport {
-  sequence: number
-  readonly openRequests: Set<number>
-  /** Room that was granted for requests that are not in progress yet, by backend server's process. */
-  readonly granted: Map<string, number>
-  readonly failed: Set<string>
-  readonly full: Set<string>
-  /** Reports that arrived before this time, by `steadyNow`, were told. */
-  loadsToldUntil: number
-  askAgainAt: number
-  retryAt: number
-  isScheduled: boolean
-}
-
 /** Creates the rooms of one process. */
 export function createBackendRooms (options: BackendRoomsOptions): BackendRooms {
   const { instanceId, clock, log } = options
   const calls = createHomeCalls(log, options.post)
-  const issuer = createRoomIssuer()
   const brittleness = new Map<string, KnownBrittleness>()
   /** Rejections in a second of each service that all instances were told last. */
   const announced = new Map<string, number | undefined>()
-  const reports = new Map<string, ServiceReport>()
+  const shortages = createRoomShortages({ isEnabled: options.queueForRoom === true, loads: options.loads ?? (() => noFleetLoads), log })
+  const reports = createRoomReports({ instanceId, clock, sharedNow, backends: options.backends })
+  const lines = createRoomLines({ powerOf, sharedNow, isListed: (service) => options.backends(service).length > 0, metrics: options.metrics })
 
   function sharedNow (): number {
     return clock.fromLocal(steadyNow()) ?? 0
   }
 
-  function isNeeded (service: string): boolean {
+  function isBrittle (service: string): boolean {
     return brittleness.get(service)?.rejectionsPerSecond !== undefined
   }
 
-  function reportOf (service: string): ServiceReport {
-    const known = reports.get(service)
-    if (known !== undefined) return known
-    // A new process, or a new period of brittleness, goes on above what the issuer has heard before.
-    const report = { sequence: Math.floor(sharedNow()), openRequests: new Set<number>(), granted: new Map<string, number>(), failed: new Set<string>(), full: new Set<string>(), loadsToldUntil: 0, askAgainAt: 0, retryAt: 0, isScheduled: false }
-    reports.set(service, report)
-    return report
-  }
-
-  function inProgress (service: string): Record<string, number> {
-    const counts: Record<string, number> = {}
-    for (const { entry, pending } of options.backends(service)) if (pending.size > 0) counts[backendProcessOf(entry)] = pending.size
-    for (const [backendProcess, granted] of reportOf(service).granted) counts[backendProcess] = (counts[backendProcess] ?? 0) + granted
-    return counts
-  }
-
-  function takeLoads (service: string): Record<string, RoomLoad> {
-    const report = reportOf(service)
-    const loads: Record<string, RoomLoad> = {}
-    for (const { entry, reportedLoad } of options.backends(service)) {
-      if (reportedLoad === undefined || reportedLoad.receivedAt < report.loadsToldUntil) continue
-      loads[backendProcessOf(entry)] = { running: reportedLoad.running, waiting: reportedLoad.waiting, at: clock.fromLocal(reportedLoad.receivedAt) ?? 0 }
-    }
-    report.loadsToldUntil = steadyNow()
-    return loads
-  }
-
-  function takeMessage (service: string, wanted: readonly BackendState[]): RoomRequest {
-    const report = reportOf(service)
-    const message: RoomRequest = {
-      service,
-      instanceId,
-      sequence: ++report.sequence,
-      openRequests: [...report.openRequests],
-      inProgress: inProgress(service),
-      failed: [...report.failed],
-      full: [...report.full],
-      loads: takeLoads(service),
-      wanted: wanted.slice(0, MAX_WANTED).map(({ entry }) => ({ backendProcess: backendProcessOf(entry), slots: entry.slots }))
-    }
-    report.failed.clear()
-    report.full.clear()
-    return message
+  function isNeeded (service: string): boolean {
+    return isBrittle(service) || shortages.isShort(service)
   }
 
   function powerOf (service: string): RoomIssuingPower {
     const isFirst = options.homes(service)[0]?.instanceId === instanceId
     const mayBeTurnedAway = (brittleness.get(service)?.rejectionsPerSecond ?? 0) >= MIN_REJECTIONS_TO_TRY_WAITING
     const waiting = mayBeTurnedAway ? (isFirst ? 1 : 0) : -1
-    return { fraction: isFirst ? FIRST_HOME_FRACTION : OTHER_HOME_FRACTION, instances: options.instances(), waiting }
-  }
-
-  function issue (request: RoomRequest): RoomReply {
-    return issuer.handle(request, powerOf(request.service), sharedNow())
+    // Instances ask for room at a service that is not brittle when they see that it is short of room, also if this one does not.
+    const hasLine = options.queueForRoom === true && !isBrittle(service)
+    return { fraction: isFirst ? FIRST_HOME_FRACTION : OTHER_HOME_FRACTION, instances: options.instances(), waiting, hasLine }
   }
 
   /** Undefined when no home replied. */
   async function send (service: string, message: RoomRequest): Promise<RoomReply | undefined> {
     for (const home of calls.reachable(options.homes(service))) {
-      if (home.instanceId === instanceId) return issue(message)
+      if (home.instanceId === instanceId) return await lines.issue(message)
       const reply = parseRoomReply(await calls.post(home, PEER_PATH.rooms, message))
       if (reply !== undefined) return reply
     }
@@ -188,13 +151,13 @@
   /** The even share of the service's slots, for an instance that reaches no home. */
   function grantOwnShare (service: string, wanted: readonly BackendState[]): BackendState | undefined {
     const slots = options.backends(service).reduce((sum, { entry }) => sum + entry.slots, 0)
-    const used = Object.values(inProgress(service)).reduce((sum, count) => sum + count, 0)
+    const used = Object.values(reports.inProgress(service)).reduce((sum, count) => sum + count, 0)
     if (used >= Math.floor(slots / options.instances())) return undefined
     return wanted.find(({ entry, pending }) => pending.size < Math.ceil(entry.slots / options.instances()))
   }
 
   function grant (service: string, backend: BackendState): RoomOutcome {
-    const { granted } = reportOf(service)
+    const { granted } = reports.of(service)
     const backendProcess = backendProcessOf(backend.entry)
     granted.set(backendProcess, (granted.get(backendProcess) ?? 0) + 1)
     let isHeld = true
@@ -214,28 +177,40 @@
   }
 
   function deny (service: string, askAgainAt: number, retryAt: number): RoomOutcome {
-    const report = reportOf(service)
+    const report = reports.of(service)
     report.askAgainAt = askAgainAt
     report.retryAt = retryAt
     return { kind: 'denied', retryAt }
   }
 
-  async function acquire (service: string, backends: readonly BackendState[]): Promise<RoomOutcome> {
-    const report = reportOf(service)
-    const message = takeMessage(service, backends)
-    report.openRequests.add(message.sequence)
-    const reply = await send(service, message).finally(() => report.openRequests.delete(message.sequence))
+  async function acquire (service: string, backends: readonly BackendState[], turn?: RoomTurn): Promise<RoomOutcome> {
+    const report = reports.of(service)
+    const message = reports.takeMessage(service, backends)
+    const { sequence } = message
+    report.openRequests.add(sequence)
+    const stopWatchingCaller = turn?.onCallerLeft(() => {
+      // The next message shows the issuer that the request is no longer open.
+      report.openRequests.delete(sequence)
+      scheduleReport(service)
+    })
+    const mayQueue = turn !== undefined && !isBrittle(service)
+    const reply = await send(service, mayQueue ? withTurn(message, turn) : message).finally(() => {
+      report.openRequests.delete(sequence)
+      stopWatchingCaller?.()
+    })
     const now = steadyNow()
     options.count(reply?.kind ?? 'noReply')
     switch (reply?.kind) {
       case undefined: {
+        // A home that replies too late may have granted room, which the next message returns.
+        if (mayQueue) scheduleReport(service)
         const own = grantOwnShare(service, backends)
         return own === undefined ? deny(service, now, now + NO_HOME_RETRY_MS) : grant(service, own)
       }
       case 'noted': return deny(service, now, now + NO_HOME_RETRY_MS)
       case 'denied': {
         const toLocal = (at: number): number => now + at - sharedNow()
-        return deny(service, toLocal(reply.askAgainAt), toLocal(reply.retryAt))
+        return mayQueue ? denyTurn(service, turn, toLocal(reply.askAgainAt), toLocal(reply.retryAt)) : deny(service, toLocal(reply.askAgainAt), toLocal(reply.retryAt))
       }
       case 'granted': {
         const granted = backends.find(({ entry }) => backendProcessOf(entry) === reply.backendProcess)
@@ -244,12 +219,36 @@
     }
   }
 
+  function withTurn (message: RoomRequest, { priority, account, waitUntil }: RoomTurn): RoomRequest {
+    return { ...message, priority, account, waitUntil: clock.fromLocal(waitUntil) ?? 0 }
+  }
+
+  function denyTurn (service: string, turn: RoomTurn, askAgainAt: number, retryAt: number): RoomOutcome {
+    shortages.noteDenial(service)
+    reports.of(service).denials.set(turnKey(turn), { deniedAt: steadyNow(), askAgainAt, retryAt })
+    return { kind: 'denied', retryAt }
+  }
+
+  /** Callers return in the order in which they were denied, also those whose requests the issuer was not asked about. */
+  function turnDeniedUntil (service: string, turn: RoomTurn, now: number): number | undefined {
+    const report = reports.find(service)
+    const denial = report?.denials.get(turnKey(turn))
+    if (report === undefined || denial === undefined) return undefined
+    if (now >= denial.askAgainAt) {
+      report.denials.delete(turnKey(turn))
+      return undefined
+    }
+    report.deniedSinceMessage++
+    shortages.noteDenial(service)
+    return denial.retryAt + now - denial.deniedAt
+  }
+
   function tell (service: string): void {
-    send(service, takeMessage(service, [])).catch((error: unknown) => log.warning('roomsNotTold', { service, reason: String(error) }))
+    send(service, reports.takeMessage(service, [])).catch((error: unknown) => log.warning('roomsNotTold', { service, reason: String(error) }))
   }
 
   function scheduleReport (service: string): void {
-    const report = reportOf(service)
+    const report = reports.of(service)
     if (report.isScheduled) return
     report.isScheduled = true
     setTimeout(() => {
@@ -259,7 +258,8 @@
   }
 
   const timer = setInterval(() => {
-    for (const [service, { rejectionsPerSecond }] of brittleness) if (rejectionsPerSecond !== undefined && Object.keys(inProgress(service)).length > 0) tell(service)
+    const services = new Set([...[...brittleness.keys()].filter(isBrittle), ...shortages.shortServices])
+    for (const service of services) if (Object.keys(reports.inProgress(service)).length > 0) tell(service)
   }, REPORT_INTERVAL_MS)
 
   function takeOver (service: string, known: KnownBrittleness, cause: Record<string, unknown>): boolean {
@@ -267,7 +267,7 @@
     if (previous !== undefined && known.seenAt <= previous.seenAt) return false
     brittleness.set(service, known)
     if (known.rejectionsPerSecond === previous?.rejectionsPerSecond) return false
-    if (known.rejectionsPerSecond === undefined) reports.delete(service)
+    if (known.rejectionsPerSecond === undefined) reports.forget(service)
     log.event('brittlenessChanged', { service, previous: previous?.rejectionsPerSecond, rejectionsPerSecond: known.rejectionsPerSecond, ...cause })
     return true
   }
@@ -284,20 +284,30 @@
 
   return {
     isNeeded,
-    deniedUntil: (service, now) => {
-      const report = reports.get(service)
-      return report !== undefined && isNeeded(service) && now < report.askAgainAt ? report.retryAt + Math.random() * RETURN_SPREAD_MS : undefined
+    isBrittle,
+    deniedUntil: (service, now, turn) => {
+      if (!isBrittle(service)) return turn !== undefined && shortages.isShort(service) ? turnDeniedUntil(service, turn, now) : undefined
+      const report = reports.find(service)
+      return report !== undefined && now < report.askAgainAt ? report.retryAt + Math.random() * RETURN_SPREAD_MS : undefined
     },
     acquire,
-    noteEnded: ({ entry }, how) => {
+    noteEnded: (backend, how) => {
+      const { entry, tally } = backend
       const { service } = entry
+      if (how !== 'failed') tally.answered++
+      if (how === 'full') {
+        tally.rejected++
+        shortages.noteRejection(backend)
+      }
       if (!isNeeded(service)) return
-      const report = reportOf(service)
+      const report = reports.of(service)
       if (how === 'failed') report.failed.add(backendProcessOf(entry))
       if (how === 'full') report.full.add(backendProcessOf(entry))
       scheduleReport(service)
     },
-    observe: (backend, { brittleness: named, isSigned, isMisdirected }, requestId) => {
+    observe: (backend, fields, requestId) => {
+      const { brittleness: named, isSigned, isMisdirected } = fields
+      shortages.observe(backend, fields)
       const { id, service } = backend.entry
       switch (named.kind) {
         case 'unreadable':
@@ -316,7 +326,11 @@
       announced.set(service, known.rejectionsPerSecond)
       takeOver(service, known, { cause: 'announced' })
     },
-    issue,
+    issue: lines.issue,
     stop: () => clearInterval(timer)
   }
 }
+
+function turnKey ({ priority, account }: RoomTurn): string {
+  return `${priority}/${account}`
+}
--- a/packages/gateway/src/tasks/chooseDestination.ts
+++ b/packages/gateway/src/tasks/chooseDestination.ts
@@ -5,13 +5,14 @@
 import { isRetryable, type ChoiceOutcome } from '../decisions/requestPlan.js'
 import { findAvailableBackends } from './availableBackends.js'
 import { destinationIdOf, excludedPeers, reachableBackends, relayNeed, type Destination } from './destinations.js'
+import type { RoomTurn } from './backendRooms.js'
 import type { GatewayContext } from './gatewayContext.js'
 import type { RequestState } from './requestTask.js'
 
 /** Retry time suggested to callers when backend servers reject requests. */
 const REJECTION_RETRY_MS = { engine: 400, plain: 150 } as const
-/** Why a request for a service of brittle backend servers is refused. */
-export const NO_ROOM = 'all backend servers are full, and fall over when they turn requests away'
+/** Why a request for a service of brittle backend servers is refused, and one for a service that is short of room. */
+const NO_ROOM = { brittle: 'all backend servers are full, and fall over when they turn requests away', short: 'all backend servers are full' } as const
 
 /**
  * Chooses where a request is sent next: to a backend server that is not excluded, or to a peer where none can be reached from here.
@@ -38,7 +39,7 @@
     if (areAllLimited && denied.size === 0 && state.attempts === 0) permits.recordDemand(candidates, priority)
     const usable = candidates.filter((candidate) => !denied.has(candidate.entry.id) && !permits.isDenied(candidate, priority, now))
     const found = await chooseWithRoom(context, state, usable, now)
-    if (found.kind === 'noRoom') return { kind: 'none', reason: NO_ROOM, retryAt: found.retryAt }
+    if (found.kind === 'noRoom') return { kind: 'none', reason: noRoomReason(context, state.service), retryAt: found.retryAt }
     const { choice } = found
     if (choice === undefined) {
       return areAllLimited
@@ -70,12 +71,27 @@
   if (candidates.length === 0 || !context.rooms.isNeeded(state.service)) return { kind: 'found', choice: chooseBackend(candidates, request, now, Math.random()) }
   const ranked = rankBackends(candidates, request, now, Math.random())
   releaseRoom(state)
-  const outcome = await context.rooms.acquire(state.service, ranked.map((choice) => choice.state))
+  const outcome = await context.rooms.acquire(state.service, ranked.map((choice) => choice.state), turnOf(state))
   if (outcome.kind === 'denied') return { kind: 'noRoom', retryAt: outcome.retryAt }
   state.room = outcome.room
   return { kind: 'found', choice: ranked.find((choice) => choice.state === outcome.backend) }
 }
 
+/** Returns why a request is refused that gets no room. */
+export function noRoomReason ({ rooms }: GatewayContext, service: string): string {
+  return rooms.isBrittle(service) ? NO_ROOM.brittle : NO_ROOM.short
+}
+
+/** Share of the time left until the latency target that a request may wait for room. */
+const ROOM_WAIT_SHARE = 1 / 3
+
+/** By what a request is ordered among those that wait for room, and how long it may wait. */
+export function turnOf ({ priority, account, receivedAt, route, caller }: RequestState): RoomTurn {
+  const now = steadyNow()
+  const timeLeft = Math.max(0, receivedAt + route.latencyTargetMilliseconds - now)
+  return { priority, account: account?.name ?? '', waitUntil: now + timeLeft * ROOM_WAIT_SHARE, onCallerLeft: caller.onLeft }
+}
+
 /** Gives back the room that was granted for a send. */
 export function releaseRoom (state: RequestState): void {
   state.room?.release()
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -69,7 +69,11 @@
   failed: v.array(v.string()),
   full: v.array(v.string()),
   loads: v.record(v.string(), v.object({ running: v.number(), waiting: v.number(), at: v.number() })),
-  wanted: v.array(v.object({ backendProcess: v.string(), slots: v.pipe(v.number(), v.minValue(1)) }))
+  wanted: v.array(v.object({ backendProcess: v.string(), slots: v.pipe(v.number(), v.minValue(1)) })),
+  priority: v.fallback(v.optional(v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(9))), undefined),
+  account: v.fallback(v.optional(v.string()), undefined),
+  waitUntil: v.fallback(v.optional(v.number()), undefined),
+  denied: v.fallback(v.optional(v.pipe(v.number(), v.integer(), v.minValue(0))), undefined)
 })
 const roomReplySchema = v.variant('kind', [
   v.object({ kind: v.literal('granted'), backendProcess: v.string() }),
@@ -214,7 +218,7 @@
 
 /** Handlers of messages about room at brittle backend servers. */
 export interface RoomHandlers {
-  readonly issue: (request: RoomRequest) => RoomReply
+  readonly issue: (request: RoomRequest) => RoomReply | Promise<RoomReply>
 }
 
 /** Handlers of messages about the software versions at which streams began. */
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -17,7 +17,7 @@
 import { findAvailableBackends } from './availableBackends.js'
 import { runAttempt, type AttemptSetAside } from './attempt.js'
 import type { GrantedRoom } from './backendRooms.js'
-import { chooseDestination, hasUntriedDestination, NO_ROOM, releaseRoom, suggestedRetryAt } from './chooseDestination.js'
+import { chooseDestination, hasUntriedDestination, noRoomReason, releaseRoom, suggestedRetryAt, turnOf } from './chooseDestination.js'
 import { cutOffResponse } from './cutOffResponse.js'
 import { destinationIdOf, relayNeed } from './destinations.js'
 import { releaseReturn } from './releaseReturn.js'
@@ -233,8 +233,8 @@
   if (quarantine !== undefined) return { kind: 'notRun', reason: quarantine.reason, retryAt: quarantine.until }
   const available = findAvailableBackends(context, state, [])
   if (available.kind === 'none') return { kind: 'notRun', reason: available.reason, retryAt: available.retryAt }
-  const deniedUntil = context.rooms.deniedUntil(state.service, steadyNow())
-  return deniedUntil === undefined ? undefined : { kind: 'notRun', reason: NO_ROOM, retryAt: deniedUntil }
+  const deniedUntil = context.rooms.deniedUntil(state.service, steadyNow(), turnOf(state))
+  return deniedUntil === undefined ? undefined : { kind: 'notRun', reason: noRoomReason(context, state.service), retryAt: deniedUntil }
 }
 
 /** Refuses a relayed request that this instance can't send to a backend server either. */
--- a/packages/routing/src/dispatchOrder.ts
+++ b/packages/routing/src/dispatchOrder.ts
@@ -1,11 +1,9 @@
+import { FairOrder, type FairRequest } from './fairOrder.js'
 import { PRIORITIES, type Priority } from './priority.js'
 
 /** Properties of a waiting request that determine when it is dispatched. */
-export interface OrderedRequest {
+export interface OrderedRequest extends FairRequest {
   readonly id: string
-  readonly account: string
-  /** Weight of the client account, 1 or more. */
-  readonly weight: number
   readonly priority: Priority
   /** Relative amount of work, from `requestCost`; 1 for an empty prompt. */
   readonly cost: number
@@ -24,13 +22,6 @@
   return 1 + promptBytes / COST_UNIT_BYTES
 }
 
-/** State of start-time fair queuing among the client accounts of one priority. */
-interface VirtualClock {
-  virtualTime: number
-  /** Virtual finish time of the last dispatched request, by account. */
-  readonly finishTimes: Map<string, number>
-}
-
 /**
  * Order in which waiting requests get slots: by priority, then by weighted fair queuing among client accounts, then by
  * age. Between two accounts that are both backlogged in a priority, the dispatched cost divided by weight never differs
@@ -38,7 +29,7 @@
  */
 export class DispatchOrder<Request extends OrderedRequest> {
   #waiting: Request[] = []
-  readonly #clocks: Readonly<Record<Priority, VirtualClock>> = { interactive: createClock(), standard: createClock(), bulk: createClock() }
+  readonly #fairOrders: Readonly<Record<Priority, FairOrder<Request>>> = { interactive: new FairOrder(), standard: new FairOrder(), bulk: new FairOrder() }
   #dispatchesSinceOverdue = 0
 
   /** Waiting requests, oldest first. */
@@ -77,34 +68,8 @@
     return oldest !== undefined && now - oldest.enqueuedAt >= OVERDUE_AFTER_MS
   }
 
-  #dispatch (priority: Priority): Request {
-    const clock = this.#clocks[priority]
-    const oldestByAccount = new Map<string, Request>()
-    for (const request of this.#waiting) {
-      if (request.priority === priority && !oldestByAccount.has(request.account)) oldestByAccount.set(request.account, request)
-    }
-    const [first, ...others] = [...oldestByAccount.values()]
-    const next = others.reduce((earliest, request) => virtualStart(clock, request) < virtualStart(clock, earliest) ? request : earliest, first!)
-    clock.virtualTime = virtualStart(clock, next)
-    clock.finishTimes.set(next.account, clock.virtualTime + next.cost / next.weight)
-    pruneIdleAccounts(clock, oldestByAccount)
-    this.remove(next.id)
-    return next
-  }
-}
-
-function createClock (): VirtualClock {
-  return { virtualTime: 0, finishTimes: new Map() }
-}
-
-/** Virtual start time; an account that was idle starts at the current virtual time, so it can't accumulate credit. */
-function virtualStart (clock: VirtualClock, request: OrderedRequest): number {
-  return Math.max(clock.virtualTime, clock.finishTimes.get(request.account) ?? 0)
-}
-
-/** Finish times in the virtual past have no effect; removing them bounds memory by the number of active accounts. */
-function pruneIdleAccounts (clock: VirtualClock, waiting: ReadonlyMap<string, unknown>): void {
-  for (const [account, finish] of clock.finishTimes) {
-    if (finish <= clock.virtualTime && !waiting.has(account)) clock.finishTimes.delete(account)
+  #dispatch (priority: Priority): Request | undefined {
+    const next = this.#fairOrders[priority].dispatch(this.#waiting.filter((request) => request.priority === priority))
+    return next === undefined ? undefined : this.remove(next.id)
   }
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,7 @@
 export * from './cacheIndex.js'
 export * from './dispatchOrder.js'
 export * from './drainRate.js'
+export * from './fairOrder.js'
 export * from './gossip.js'
 export * from './incarnationTracker.js'
 export * from './health.js'
