--- a/packages/gateway/src/decisions/roomIssuer.ts
+++ b/packages/gateway/src/decisions/roomIssuer.ts
@@ -55,6 +55,8 @@
 const DENIALS_PER_GRANT = 4
 const MAX_ASK_INTERVAL_MS = 250
 const RETRY_MS = { least: 250, most: 3000 } as const
+/** An instance rejects requests for an earlier denial for this time at most, as the line is soon shorter. */
+const MAX_LINE_ASK_INTERVAL_MS = 20
 /** The reply to a queued request is awaited for 120 ms. */
 export const MAX_LINE_WAIT_MS = 100
 /**
@@ -62,8 +64,12 @@
  * 21 ms and the arrival of the next one about 10 ms pass, in which its slot would be idle.
  */
 const LINE_WAITING_SHARE = 0.5
-/** Rejections at a service with a line reduce what is issued for less time, as they do no other harm, and by half of the slots at most. */
+/**
+ * Every second rejection at a service with a line reduces what is issued by one, for less time and to half of the slots at least: the
+ * rejected requests may have been sent before the shortage was seen, and a rejection does no other harm.
+ */
 const LINE_FULL_MEMORY_MS = 1000
+const LINE_REJECTIONS_PER_SLOT = 2
 const LINE_LEAST_SHARE = 0.5
 const LEAST_URGENT = 9
 
@@ -153,7 +159,7 @@
     const ramped = Math.min(usable, 1 + slots * sinceFailure / RAMP_AFTER_FAILURE_MS)
     if (hasLine) {
       const issued = Math.max(1, Math.floor(ramped * fraction)) + (ramped < usable ? 0 : Math.ceil(slots * fraction * LINE_WAITING_SHARE))
-      return Math.max(Math.min(issued, Math.ceil(slots * LINE_LEAST_SHARE)), issued - recentTimes(rooms.fullAt.get(backendProcess), now, LINE_FULL_MEMORY_MS).length)
+      return Math.max(Math.min(issued, Math.ceil(slots * LINE_LEAST_SHARE)), issued - Math.floor(recentTimes(rooms.fullAt.get(backendProcess), now, LINE_FULL_MEMORY_MS).length / LINE_REJECTIONS_PER_SLOT))
     }
     return Math.max(1, Math.floor(ramped * fraction) + (ramped < usable ? Math.min(0, waiting) : waiting)) - recentTimes(rooms.fullAt.get(backendProcess), now).length
   }
@@ -178,7 +184,7 @@
   }
 
   function denyInLine (rooms: ServiceRooms, wait: number, now: number): RoomReply {
-    return { kind: 'denied', askAgainAt: now + Math.min(MAX_LINE_WAIT_MS, askInterval(rooms, now)), retryAt: rooms.line.retryAt(wait, now) }
+    return { kind: 'denied', askAgainAt: now + Math.min(MAX_LINE_ASK_INTERVAL_MS, askInterval(rooms, now)), retryAt: rooms.line.retryAt(wait, now), returnEvery: rooms.askers.size * rooms.line.returnInterval(now) }
   }
 
   function grant (rooms: ServiceRooms, asker: Asker, sequence: number, backendProcess: string, now: number): RoomReply {
--- a/packages/gateway/src/decisions/roomLine.ts
+++ b/packages/gateway/src/decisions/roomLine.ts
@@ -33,6 +33,8 @@
   noteDenied (requests: number, now: number): void
   /** When the caller of a request that is denied now may return. Later denials get later times. */
   retryAt (expectedWait: number, now: number): number
+  /** Interval at which slots become free, and denied callers return, milliseconds. */
+  returnInterval (now: number): number
 }
 
 /** One grant in this many goes to a less urgent request, if one waits. */
@@ -69,6 +71,10 @@
     return Math.max(MIN_SLOTS_PER_SECOND, decayed / coveredSeconds)
   }
 
+  function returnInterval (now: number): number {
+    return 1000 / (freedPerSecond(now) ?? UNKNOWN_SLOTS_PER_SECOND)
+  }
+
   function choosePriority (servable: readonly Entry[]): number | undefined {
     const priorities = [...new Set(servable.map(({ priority }) => priority))].sort((left, right) => left - right)
     const [mostUrgent, ...lessUrgent] = priorities
@@ -135,13 +141,13 @@
       freedAt = now
     },
     noteDenied: (requests, now) => {
-      if (requests > 0) lastReturnAt = Math.min(now + RETURN_MS.most, Math.max(now, lastReturnAt) + requests * 1000 / (freedPerSecond(now) ?? UNKNOWN_SLOTS_PER_SECOND))
+      if (requests > 0) lastReturnAt = Math.min(now + RETURN_MS.most, Math.max(now, lastReturnAt) + requests * returnInterval(now))
     },
     retryAt: (expectedWait, now) => {
-      const step = 1000 / (freedPerSecond(now) ?? UNKNOWN_SLOTS_PER_SECOND)
-      const earliest = Math.max(now + Math.max(RETURN_MS.least, Number.isFinite(expectedWait) ? expectedWait : 0), lastReturnAt + step)
+      const earliest = Math.max(now + Math.max(RETURN_MS.least, Number.isFinite(expectedWait) ? expectedWait : 0), lastReturnAt + returnInterval(now))
       lastReturnAt = Math.min(now + RETURN_MS.most, earliest)
       return lastReturnAt
-    }
+    },
+    returnInterval
   }
 }
--- a/packages/gateway/src/decisions/roomMessages.ts
+++ b/packages/gateway/src/decisions/roomMessages.ts
@@ -42,8 +42,11 @@
 /** Reply to a request for room. Times are on the shared clock. */
 export type RoomReply =
   | { readonly kind: 'granted', readonly backendProcess: string }
-  /** Until `askAgainAt` the instance is denied; `retryAt` is when a caller that is rejected for it may return. */
-  | { readonly kind: 'denied', readonly askAgainAt: number, readonly retryAt: number }
+  /**
+   * Until `askAgainAt` the instance is denied; `retryAt` is when a caller that is rejected for it may return. Callers that it rejects
+   * without asking return at intervals of `returnEvery` milliseconds after that; missing where requests don't queue.
+   */
+  | { readonly kind: 'denied', readonly askAgainAt: number, readonly retryAt: number, readonly returnEvery?: number | undefined }
   /** To a mere message. */
   | { readonly kind: 'noted' }
 
--- a/packages/gateway/src/tasks/backendRooms.ts
+++ b/packages/gateway/src/tasks/backendRooms.ts
@@ -9,7 +9,7 @@
 import { createHomeCalls } from './homeCalls.js'
 import { parseRoomReply, PEER_PATH } from './peerMessages.js'
 import { createRoomLines, type RoomMetrics } from './roomLines.js'
-import { createRoomReports } from './roomReports.js'
+import { createRoomReports, type RoomDenial } from './roomReports.js'
 import { createRoomShortages } from './roomShortages.js'
 import type { Post } from './tokenLoans.js'
 
@@ -210,7 +210,7 @@
       case 'noted': return deny(service, now, now + NO_HOME_RETRY_MS)
       case 'denied': {
         const toLocal = (at: number): number => now + at - sharedNow()
-        return mayQueue ? denyTurn(service, turn, toLocal(reply.askAgainAt), toLocal(reply.retryAt)) : deny(service, toLocal(reply.askAgainAt), toLocal(reply.retryAt))
+        return mayQueue ? denyTurn(service, turn, { askAgainAt: toLocal(reply.askAgainAt), retryAt: toLocal(reply.retryAt), returnEvery: reply.returnEvery ?? 0 }) : deny(service, toLocal(reply.askAgainAt), toLocal(reply.retryAt))
       }
       case 'granted': {
         const granted = backends.find(({ entry }) => backendProcessOf(entry) === reply.backendProcess)
@@ -223,13 +223,13 @@
     return { ...message, priority, account, waitUntil: clock.fromLocal(waitUntil) ?? 0 }
   }
 
-  function denyTurn (service: string, turn: RoomTurn, askAgainAt: number, retryAt: number): RoomOutcome {
+  function denyTurn (service: string, turn: RoomTurn, denial: RoomDenial): RoomOutcome {
     shortages.noteDenial(service)
-    reports.of(service).denials.set(turnKey(turn), { deniedAt: steadyNow(), askAgainAt, retryAt })
-    return { kind: 'denied', retryAt }
+    reports.of(service).denials.set(turnKey(turn), denial)
+    return { kind: 'denied', retryAt: denial.retryAt }
   }
 
-  /** Callers return in the order in which they were denied, also those whose requests the issuer was not asked about. */
+  /** Callers return at the rate at which slots become free, also those whose requests the issuer was not asked about. */
   function turnDeniedUntil (service: string, turn: RoomTurn, now: number): number | undefined {
     const report = reports.find(service)
     const denial = report?.denials.get(turnKey(turn))
@@ -240,7 +240,8 @@
     }
     report.deniedSinceMessage++
     shortages.noteDenial(service)
-    return denial.retryAt + now - denial.deniedAt
+    denial.retryAt += denial.returnEvery
+    return denial.retryAt
   }
 
   function tell (service: string): void {
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -77,7 +77,7 @@
 })
 const roomReplySchema = v.variant('kind', [
   v.object({ kind: v.literal('granted'), backendProcess: v.string() }),
-  v.object({ kind: v.literal('denied'), askAgainAt: v.number(), retryAt: v.number() }),
+  v.object({ kind: v.literal('denied'), askAgainAt: v.number(), retryAt: v.number(), returnEvery: v.fallback(v.optional(v.pipe(v.number(), v.minValue(0))), undefined) }),
   v.object({ kind: v.literal('noted') })
 ])
 const reportsSchema = v.object({ to: v.string(), reports: v.array(v.object({ key: v.string(), value: v.string() })) })
--- a/packages/gateway/src/tasks/roomReports.ts
+++ b/packages/gateway/src/tasks/roomReports.ts
@@ -8,10 +8,11 @@
 
 /** Denial of room to requests of one priority and client account. Times by `steadyNow`. */
 export interface RoomDenial {
-  readonly deniedAt: number
   readonly askAgainAt: number
-  /** When the caller of the request that was denied may return. */
-  readonly retryAt: number
+  /** When the caller of the request that was denied last may return. */
+  retryAt: number
+  /** Milliseconds by which the next one returns later. */
+  readonly returnEvery: number
 }
 
 /** What this instance tells the issuer of a service. */
