--- a/packages/gateway/src/__tests__/roomQueue.test.ts
+++ b/packages/gateway/src/__tests__/roomQueue.test.ts
@@ -195,10 +195,12 @@
     const used = sendMany(9, 3)
     await settle(5)
     let leave = (): void => {}
-    const left = service.send(4, 'usual', 0, { onCallerLeft: (listener) => {
-      leave = listener
-      return () => {}
-    } })
+    const left = service.send(4, 'usual', 0, {
+      onCallerLeft: (listener) => {
+        leave = listener
+        return () => {}
+      }
+    })
     await settle(5)
     leave()
     await settle(15)
@@ -222,10 +224,15 @@
   test('the reply of a home of the previous release is used', async () => {
     const network = createLoanNetwork(() => ({ kind: 'none' }), steadyNow)
     const asked: unknown[] = []
-    start({ network, roomOptions: { post: async (_address, path, message) => {
-      if (path === PEER_PATH.rooms && (message as RoomRequest).wanted.length > 0) asked.push(message)
-      return { kind: 'answered', reply: { kind: 'denied', askAgainAt: steadyNow() + 10, retryAt: steadyNow() + 300 } }
-    } } })
+    start({
+      network,
+      roomOptions: {
+        post: async (_address, path, message) => {
+          if (path === PEER_PATH.rooms && (message as RoomRequest).wanted.length > 0) asked.push(message)
+          return { kind: 'answered', reply: { kind: 'denied', askAgainAt: steadyNow() + 10, retryAt: steadyNow() + 300 } }
+        }
+      }
+    })
     const request = service.send(4)
     await settle(100)
     expect(request.outcome).toBe('denied')
