--- a/packages/gateway/src/tasks/backendRooms.ts
+++ b/packages/gateway/src/tasks/backendRooms.ts
@@ -8,11 +8,14 @@
 import type { Peer } from './fleetTask.js'
 import { createHomeCalls } from './homeCalls.js'
 import { parseRoomReply, PEER_PATH } from './peerMessages.js'
+import { createServiceBrittleness, type KnownBrittleness } from './serviceBrittleness.js'
 import { createRoomLines, type RoomMetrics } from './roomLines.js'
 import { createRoomReports, type RoomDenial } from './roomReports.js'
 import { createRoomShortages } from './roomShortages.js'
 import type { Post } from './tokenLoans.js'
 
+export type { KnownBrittleness }
+
 /** The first home issues all slots. */
 const FIRST_HOME_FRACTION = 1
 /** While some instances reach only the first home and others only another one. */
@@ -30,17 +33,6 @@
 const NO_HOME_RETRY_MS = 500
 /** Callers that are refused at the same moment do not return at the same moment. */
 const RETURN_SPREAD_MS = 200
-/** An instance waits a random part of this time before it announces what another one may announce meanwhile. */
-const MAX_ANNOUNCE_DELAY_MS = 200
-
-/** What is known of the brittleness of a service's backend servers. */
-export interface KnownBrittleness {
-  /** Rejections in a second above which one falls over; undefined while they are not brittle. */
-  readonly rejectionsPerSecond: number | undefined
-  /** When the response arrived that says so; milliseconds on the clock that all instances share. */
-  readonly seenAt: number
-}
-
 /** Room for one request, from its grant until the request is in progress at the backend server, or is not sent. */
 export interface GrantedRoom {
   release (): void
@@ -110,9 +102,7 @@
 export function createBackendRooms (options: BackendRoomsOptions): BackendRooms {
   const { instanceId, clock, log } = options
   const calls = createHomeCalls(log, options.post)
-  const brittleness = new Map<string, KnownBrittleness>()
-  /** Rejections in a second of each service that all instances were told last. */
-  const announced = new Map<string, number | undefined>()
+  const brittleness = createServiceBrittleness({ log, sharedNow, announce: options.announce, onEnded: (service) => reports.forget(service) })
   const shortages = createRoomShortages({ isEnabled: options.queueForRoom === true, loads: options.loads ?? (() => noFleetLoads), log })
   const reports = createRoomReports({ instanceId, clock, sharedNow, backends: options.backends })
   const lines = createRoomLines({ powerOf, sharedNow, isListed: (service) => options.backends(service).length > 0, metrics: options.metrics })
@@ -122,7 +112,7 @@
   }
 
   function isBrittle (service: string): boolean {
-    return brittleness.get(service)?.rejectionsPerSecond !== undefined
+    return brittleness.rejectionsPerSecond(service) !== undefined
   }
 
   function isNeeded (service: string): boolean {
@@ -131,7 +121,7 @@
 
   function powerOf (service: string): RoomIssuingPower {
     const isFirst = options.homes(service)[0]?.instanceId === instanceId
-    const mayBeTurnedAway = (brittleness.get(service)?.rejectionsPerSecond ?? 0) >= MIN_REJECTIONS_TO_TRY_WAITING
+    const mayBeTurnedAway = (brittleness.rejectionsPerSecond(service) ?? 0) >= MIN_REJECTIONS_TO_TRY_WAITING
     const waiting = mayBeTurnedAway ? (isFirst ? 1 : 0) : -1
     // Instances ask for room at a service that is not brittle when they see that it is short of room, also if this one does not.
     const hasLine = options.queueForRoom === true && !isBrittle(service)
@@ -265,30 +255,10 @@
   }
 
   const timer = setInterval(() => {
-    const services = new Set([...[...brittleness.keys()].filter(isBrittle), ...shortages.shortServices])
+    const services = new Set([...brittleness.brittleServices, ...shortages.shortServices])
     for (const service of services) if (Object.keys(reports.inProgress(service)).length > 0) tell(service)
   }, REPORT_INTERVAL_MS)
 
-  function takeOver (service: string, known: KnownBrittleness, cause: Record<string, unknown>): boolean {
-    const previous = brittleness.get(service)
-    if (previous !== undefined && known.seenAt <= previous.seenAt) return false
-    brittleness.set(service, known)
-    if (known.rejectionsPerSecond === previous?.rejectionsPerSecond) return false
-    if (known.rejectionsPerSecond === undefined) reports.forget(service)
-    log.event('brittlenessChanged', { service, previous: previous?.rejectionsPerSecond, rejectionsPerSecond: known.rejectionsPerSecond, ...cause })
-    return true
-  }
-
-  /** Several instances see a change at about the same time; the first one tells the others. */
-  function announce (service: string): void {
-    setTimeout(() => {
-      const known = brittleness.get(service)
-      if (known === undefined || known.rejectionsPerSecond === announced.get(service)) return
-      announced.set(service, known.rejectionsPerSecond)
-      options.announce(service, known)
-    }, Math.random() * MAX_ANNOUNCE_DELAY_MS)
-  }
-
   return {
     isNeeded,
     isBrittle,
@@ -313,26 +283,10 @@
       scheduleReport(service)
     },
     observe: (backend, fields, requestId) => {
-      const { brittleness: named, isSigned, isMisdirected } = fields
       shortages.observe(backend, fields)
-      const { id, service } = backend.entry
-      switch (named.kind) {
-        case 'unreadable':
-          log.decision('brittlenessUnreadable', { backend: id, value: named.value.slice(0, 100), request: requestId })
-          return
-        case 'none':
-        case 'named': {
-          // Only a signed response shows that the backend server is no longer brittle.
-          if (isMisdirected || (named.kind === 'none' && (!isSigned || brittleness.get(service) === undefined))) return
-          const known = { rejectionsPerSecond: named.kind === 'named' ? named.rejectionsPerSecond : undefined, seenAt: sharedNow() }
-          if (takeOver(service, known, { backend: id, request: requestId })) announce(service)
-        }
-      }
-    },
-    learn: (service, known) => {
-      announced.set(service, known.rejectionsPerSecond)
-      takeOver(service, known, { cause: 'announced' })
+      brittleness.observe(backend, fields, requestId)
     },
+    learn: brittleness.learn,
     issue: lines.issue,
     stop: () => clearInterval(timer)
   }
