--- a/packages/gateway/src/__tests__/roomQueue.test.ts
+++ b/packages/gateway/src/__tests__/roomQueue.test.ts
@@ -1,11 +1,12 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals'
 import { createLoanNetwork, type LinkFault, type LoanNetwork } from '../__fixtures__/loanNetwork.js'
+import { createRecordingLog } from '../__fixtures__/recordingLog.js'
 import { startPlainService, type PlainService, type PlainServiceOptions, type SimulatedRequest } from '../__fixtures__/plainService.js'
 import { createSeededRandom } from '../__fixtures__/seededRandom.js'
 import { steadyNow } from '../clock.js'
 import { createRoomIssuer, MAX_LINE_WAIT_MS, type RoomIssuer, type RoomIssuingPower, type RoomRequest } from '../decisions/roomIssuer.js'
 import type { ResponseFields } from '../ports.js'
-import { PEER_PATH } from '../tasks/peerMessages.js'
+import { createPeerMessageHandler, PEER_PATH } from '../tasks/peerMessages.js'
 
 const SERVICE = 'model'
 /** 4 slots and 2 requests that wait there. */
@@ -247,6 +248,14 @@
     expect(await outcome).toMatchObject({ kind: 'answered', reply: { kind: 'granted' } })
   })
 
+  test('a malformed field is logged with its value, once', async () => {
+    start()
+    const log = createRecordingLog()
+    const handle = createPeerMessageHandler({ incarnationId: 'here', tokens: { isClosing: false, lend: async () => ({ tokens: 0, isShort: false }), takeBack: () => {}, receiveUse: () => {} }, limits: { issue: () => { throw new Error('not expected') }, receive: () => {} }, rooms: { issue: () => ({ kind: 'noted' }) }, streams: { receive: () => {}, answer: () => ({ areVersionsMixed: false }) }, retries: { answer: () => ({ isGranted: false }) }, receiveReports: () => {}, receiveLease: () => undefined, log, now: steadyNow })
+    for (let repeat = 0; repeat < 2; repeat++) await handle(PEER_PATH.rooms, { to: 'here', ...ask(), priority: 'high' })
+    expect(log.lines).toEqual([{ name: 'peerFieldUnreadable', fields: { path: PEER_PATH.rooms, field: 'priority', value: '"high"' } }])
+  })
+
   // Guards against a service whose servers ask for a pause, leave, or were replaced, that is taken for one that is short of room.
   test.each([{ pause: { kind: 'named', milliseconds: 1000 } }, { isLeaving: true }, { isMisdirected: true }])('a rejection with %j starts no shortage', (reason) => {
     service = startPlainService({ instances: 1, workMilliseconds: [WORK_MS], latencyTargetMilliseconds: 270, network, queueForRoom: true, random: Math.random })
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -11,6 +11,7 @@
 import type { DecisionLog } from './decisionLog.js'
 import type { RetryReply } from './relayedRetries.js'
 import type { StreamAnswer } from './streamVersions.js'
+import { createUnreadableFields } from './unreadableFields.js'
 import type { Report } from './fleetReports.js'
 
 export const MAX_MESSAGE_BYTES = 65_536
@@ -75,6 +76,7 @@
   waitUntil: v.fallback(v.optional(v.number()), undefined),
   denied: v.fallback(v.optional(v.pipe(v.number(), v.integer(), v.minValue(0))), undefined)
 })
+const OPTIONAL_ROOM_FIELDS = ['priority', 'account', 'waitUntil', 'denied'] as const
 const roomReplySchema = v.variant('kind', [
   v.object({ kind: v.literal('granted'), backendProcess: v.string() }),
   v.object({ kind: v.literal('denied'), askAgainAt: v.number(), retryAt: v.number(), returnEvery: v.fallback(v.optional(v.pipe(v.number(), v.minValue(0))), undefined) }),
@@ -271,6 +273,7 @@
 export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, rooms, streams, retries, receiveReports, receiveLease, log, now, maxRememberedReplies = MAX_REMEMBERED_REPLIES }: PeerListenerOptions): PeerMessageHandler {
   const replies = new Map<string, { readonly reply: Promise<unknown>, readonly forgetAt: number, readonly holding: Holding }>()
   const rememberedReplies = createSharedLimit(maxRememberedReplies)
+  const noteUnreadable = createUnreadableFields(log)
 
   function forgetOldReplies (): void {
     for (const [id, { forgetAt, holding }] of replies) {
@@ -328,6 +331,7 @@
       case PEER_PATH.rooms: {
         const asked = v.safeParse(roomRequestSchema, message)
         if (!asked.success) return undefined
+        noteUnreadable(path, message, asked.output, OPTIONAL_ROOM_FIELDS)
         const { to, ...roomRequest } = asked.output
         if (to !== incarnationId || tokenHandlers.isClosing) return 'otherIncarnation'
         return Promise.resolve(rooms.issue(roomRequest))
