--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -39,6 +39,8 @@
   storeSpansParts: v.boolean(),
   /** True when instances share the load that they have at backend servers. Used at the start. */
   shareLoads: v.optional(v.boolean(), false),
+  /** True when requests to a service whose backend servers reject some for lack of capacity queue for room. */
+  queueForRoom: v.optional(v.boolean(), false),
   /** Minimum level of log lines. */
   logLevel: v.optional(v.picklist(['trace', 'debug', 'info', 'warn', 'error']), 'info')
 })
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -11,6 +11,7 @@
 import type { DecisionLog } from './decisionLog.js'
 import type { RetryReply } from './relayedRetries.js'
 import type { StreamAnswer } from './streamVersions.js'
+import { createUnreadableFields } from './unreadableFields.js'
 import type { Report } from './fleetReports.js'
 
 export const MAX_MESSAGE_BYTES = 65_536
@@ -70,11 +71,16 @@
   failed: v.array(v.string()),
   full: v.array(v.string()),
   loads: v.record(v.string(), v.object({ running: v.number(), waiting: v.number(), at: v.number() })),
-  wanted: v.array(v.object({ backendProcess: v.string(), slots: v.pipe(v.number(), v.minValue(1)) }))
+  wanted: v.array(v.object({ backendProcess: v.string(), slots: v.pipe(v.number(), v.minValue(1)) })),
+  priority: v.fallback(v.optional(v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(9))), undefined),
+  account: v.fallback(v.optional(v.string()), undefined),
+  waitUntil: v.fallback(v.optional(v.number()), undefined),
+  denied: v.fallback(v.optional(v.pipe(v.number(), v.integer(), v.minValue(0))), undefined)
 })
+const OPTIONAL_ROOM_FIELDS = ['priority', 'account', 'waitUntil', 'denied'] as const
 const roomReplySchema = v.variant('kind', [
   v.object({ kind: v.literal('granted'), backendProcess: v.string() }),
-  v.object({ kind: v.literal('denied'), askAgainAt: v.number(), retryAt: v.number() }),
+  v.object({ kind: v.literal('denied'), askAgainAt: v.number(), retryAt: v.number(), returnEvery: v.fallback(v.optional(v.pipe(v.number(), v.minValue(0))), undefined) }),
   v.object({ kind: v.literal('noted') })
 ])
 const reportsSchema = v.object({ to: v.string(), reports: v.array(v.object({ key: v.string(), value: v.string() })) })
@@ -215,7 +221,7 @@
 
 /** Handlers of messages about room at brittle backend servers. */
 export interface RoomHandlers {
-  readonly issue: (request: RoomRequest) => RoomReply
+  readonly issue: (request: RoomRequest) => RoomReply | Promise<RoomReply>
 }
 
 /** Handlers of messages about the software versions at which streams began. */
@@ -270,6 +276,7 @@
 export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, rooms, streams, retries, receiveLoads, receiveReports, receiveLease, log, now, maxRememberedReplies = MAX_REMEMBERED_REPLIES }: PeerListenerOptions): PeerMessageHandler {
   const replies = new Map<string, { readonly reply: Promise<unknown>, readonly forgetAt: number, readonly holding: Holding }>()
   const rememberedReplies = createSharedLimit(maxRememberedReplies)
+  const noteUnreadable = createUnreadableFields(log)
 
   function forgetOldReplies (): void {
     for (const [id, { forgetAt, holding }] of replies) {
@@ -327,6 +334,7 @@
       case PEER_PATH.rooms: {
         const asked = v.safeParse(roomRequestSchema, message)
         if (!asked.success) return undefined
+        noteUnreadable(path, message, asked.output, OPTIONAL_ROOM_FIELDS)
         const { to, ...roomRequest } = asked.output
         if (to !== incarnationId || tokenHandlers.isClosing) return 'otherIncarnation'
         return Promise.resolve(rooms.issue(roomRequest))
