Reject responses whose status is outside 200 to 599

Statuses 000 to 099 failed inside writeHead and counted as crashes of the request; 600 to 999 and a 101 that nobody asked for reached the caller.

--- a/packages/gateway/src/__tests__/peerListener.test.ts
+++ b/packages/gateway/src/__tests__/peerListener.test.ts
@@ -30,6 +30,14 @@
     await server.close()
   })
 
+  // Guards against a message whose outcome is never known: Node reports a switch of protocols by no error, also not when the time is over.
+  test.each(['000 Odd', '099 Odd', '600 Odd', '101 Odd', '101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade'])('the invalid status %s is no reply of a peer, and leaves open whether the message was handled', async (statusLine) => {
+    const server = await startRawServer((socket) => socket.write(`HTTP/1.1 ${statusLine}\r\nContent-Length: 2\r\n\r\n{}`))
+    const outcome = await Promise.race([postToPeer(server.address, PEER_PATH.loans, loan('1'), 500), new Promise((resolve) => setTimeout(() => resolve('none'), 2000))])
+    expect(outcome).toEqual({ kind: 'failed', mayHaveArrived: true, reason: expect.stringContaining('invalid status') })
+    await server.close()
+  })
+
   // Guards against unfinished replies that fill the memory together, and against one peer whose replies end those of the others.
   test('many unfinished ones end with each other, not with those of another peer', async () => {
     const flooding = await startRawServer((socket) => socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 65000\r\n\r\n${'x'.repeat(64_000)}`))
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -6,11 +6,13 @@
 import { PREFILL_TOKENS_PER_MILLISECOND, type Choice } from '../decisions/backendChoice.js'
 import { createEventOrder } from '../decisions/eventOrder.js'
 import { createEventSplitter } from '../decisions/eventSplitter.js'
+import { abandonedGap, MIN_STREAM_SILENCE_MS, stallTimeout } from '../decisions/stalledAttempts.js'
 import type { StreamPiece } from '../decisions/streamPieces.js'
 import { mayGoOnAt } from '../decisions/streamOrigins.js'
 import { isRetryable, type AttemptOutcome, type RetryReservation } from '../decisions/requestPlan.js'
 import type { ResponseFields } from '../ports.js'
 import { recordAcceptance } from './availableBackends.js'
+import type { BreakCause } from './backendConnections.js'
 import { createBufferedBody } from './bufferedBody.js'
 import { limitDepartedExchange } from './departedExchange.js'
 import { bufferResponse, closingHeaders, mediaTypeOf, withoutContentLength } from './forwardedResponse.js'
@@ -24,21 +26,9 @@
 
 /** Normal time to the first byte, in addition to the prefill. */
 const EXPECTED_FIRST_BYTE_MS = { engine: 120, plain: 120 } as const
-/** Multiple of the latency target after which a retryable request without a response is sent to another backend server. */
-const STALL_TIMEOUT_FACTOR = { plain: 0.9, stream: 1.6 } as const
-/** Multiple of the event gap target after which a stalled resumable stream is resumed at another backend server. */
-const EVENT_GAP_TIMEOUT_FACTOR = 2.5
 const STALL_CHECK_INTERVAL_MS = 50
-/** A lower bound for requests without a response. */
-const MIN_STALL_TIMEOUT_MS = 250
-/** A lower bound for streams that have begun, as a sound backend server may fall silent for about a second. */
-const MIN_STREAM_SILENCE_MS = 1500
 /** A retry that was refused is asked for again after this time. */
 const RESERVE_AGAIN_MS = 250
-/** Callers abandon a stream after a gap of the longest of these: a time, and multiples of the latency target and the event gap target. */
-const ABANDONED_STREAM = { milliseconds: 2000, latencyTargets: 4, eventGapTargets: 8 } as const
-/** The last event reaches the caller later than this process, so that its gap ends later too. */
-const ABANDONED_STREAM_MARGIN_MS = 500
 /** The attempt that was set aside ends this long after its retry was sent, so that two backend servers don't work on a request for longer. */
 const SET_ASIDE_MS = 250
 /** Time without any byte after which an aborted attempt marks the backend server as silent. */
@@ -241,19 +231,12 @@
     if (response.writableNeedDrain) lastProgressAt = now
     endAbandonedStream(now)
     if (!isRepeatable || state.attempts >= state.maximumAttempts || setAside !== undefined || isReserving) return
-    if (now - lastProgressAt < stallTimeout(now) || now < reserveRetryAt) return
+    const stalled = { isStream, headersSent: state.headersSent, backendSilence: silenceMilliseconds(backend, now), sinceLastByte: now - backend.lastByteAt }
+    if (now - lastProgressAt < stallTimeout(state.route, stalled) || now < reserveRetryAt) return
     reserveRetryAt = now + RESERVE_AGAIN_MS
     continueElsewhere(now).catch((error: unknown) => context.log.warning('retryFailed', { request: state.fields.attemptId, reason: String(error) }))
   }
 
-  /** Time without progress after which a retry at another backend server is worth more than a longer wait. */
-  function stallTimeout (now: number): number {
-    const isBackendSilent = silenceMilliseconds(backend, now) > 0 || now - backend.lastByteAt > MIN_STALL_TIMEOUT_MS
-    const factor = isBackendSilent ? 1 : 2
-    if (state.headersSent) return Math.max(MIN_STREAM_SILENCE_MS, state.route.eventGapTargetMilliseconds * EVENT_GAP_TIMEOUT_FACTOR * factor)
-    return Math.max(MIN_STALL_TIMEOUT_MS, state.route.latencyTargetMilliseconds * (isStream ? STALL_TIMEOUT_FACTOR.stream : STALL_TIMEOUT_FACTOR.plain)) * factor
-  }
-
   async function continueElsewhere (stalledAt: number): Promise<void> {
     const progressAt = lastProgressAt
     isReserving = true
@@ -283,8 +266,7 @@
   /** Ends a stream that brings bytes but no event once its caller has given it up. Silence ends no stream: it may go on. */
   function endAbandonedStream (now: number): void {
     if (!state.headersSent || now - lastBytesAt >= MIN_STREAM_SILENCE_MS) return
-    const gapMilliseconds = Math.max(ABANDONED_STREAM.milliseconds, ABANDONED_STREAM.latencyTargets * state.route.latencyTargetMilliseconds, ABANDONED_STREAM.eventGapTargets * state.route.eventGapTargetMilliseconds)
-    if (now - lastProgressAt >= gapMilliseconds + ABANDONED_STREAM_MARGIN_MS) abort({ kind: 'broken', reason: `no event for ${now - lastProgressAt} ms`, headersSent: true }, 'no event')
+    if (now - lastProgressAt >= abandonedGap(state.route)) abort({ kind: 'broken', reason: `no event for ${now - lastProgressAt} ms`, headersSent: true }, 'no event')
   }
 
   /** Bytes show that the backend server is alive; only a head, a part of a plain body or a whole event is progress of the request. */
@@ -408,7 +390,7 @@
     if (head === undefined) return settle({ kind: 'broken', reason: 'response without headers', headersSent: state.headersSent })
     const status = head.incoming.statusCode ?? 0
     if (head.isStreamed) {
-      if (splitter.bufferedBytes > 0 && !hasAllTokens(state)) return onBroken(true, 'stream ended within an event')
+      if (splitter.bufferedBytes > 0 && !hasAllTokens(state)) return onBroken(true, 'stream ended within an event', 'connection')
       completeStream(delimiter)
       return settle({ kind: 'delivered', status })
     }
@@ -449,7 +431,7 @@
     context.crashGuard.recordAnswer(state.guarded, answeredAt)
   }
 
-  function onBroken (sent: boolean, reason: string): void {
+  function onBroken (sent: boolean, reason: string, cause: BreakCause): void {
     if (settled) endAtBackend(abortOutcome === undefined ? 'failed' : 'answered')
     const milliseconds = { milliseconds: steadyNow() - sentAt, answeredMilliseconds: answeredAt === undefined ? undefined : answeredAt - sentAt }
     piece?.end({ kind: 'broken', reason })
@@ -463,6 +445,12 @@
       return settle({ kind: 'notSent', reason })
     }
     state.mayHaveRun = true
+    if (cause === 'invalidHead') {
+      recordBytes(true)
+      recordBackendObservation({ kind: 'errorResponse' })
+      context.metrics.count('invalid_heads_total', { service: state.service })
+      return settle({ kind: 'broken', reason, headersSent: state.headersSent })
+    }
     recordBackendObservation({ kind: 'broken' })
     // A new connection that ends without a byte may be one that was refused, although the request may have run.
     if (!pending.answered && !exchange.reusedConnection) context.reach.noteRefused(backend)
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -1,4 +1,4 @@
-import { bodyDelimiter, detectReset, handleArrivedEvents, isDelimitedByClose, type BodyDelimiter, type CloseVerdict } from '@quinceshunt/caller-connections'
+import { bodyDelimiter, detectReset, handleArrivedEvents, isDelimitedByClose, isMalformedStatus, receiveResponse, type BodyDelimiter, type CloseVerdict } from '@quinceshunt/caller-connections'
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { steadyNow } from '../clock.js'
@@ -13,9 +13,6 @@
 /** A connection on which nothing was read for this time has no bytes waiting in front of its end. */
 const QUIET_MS = 15
 
-/** More interim responses (1xx) before the final one are taken for bytes that are no response. */
-const MAX_INTERIM_RESPONSES = 16
-
 /** Pools idle connections to one backend server and closes those that receive unsolicited bytes. */
 class BackendAgent extends Agent {
   override keepSocketAlive (socket: Socket): boolean {
@@ -59,6 +56,9 @@
   readonly judgeClose?: () => Promise<CloseVerdict>
 }
 
+/** Why an exchange broke: a backend server that sends an invalid head, such as one with an invalid status, has not crashed. */
+export type BreakCause = 'connection' | 'invalidHead'
+
 /** Callbacks of an exchange. Exactly one of `onEnd` and `onBroken` is called, at the latest after an abort. */
 export interface ExchangeListener {
   /** The request is being sent on an open connection. */
@@ -68,7 +68,7 @@
   /** The response is complete, as told by `delimiter`. */
   readonly onEnd: (delimiter: BodyDelimiter) => void
   /** `sent` is false when certainly no byte reached the backend server. */
-  readonly onBroken: (sent: boolean, reason: string) => void
+  readonly onBroken: (sent: boolean, reason: string, cause: BreakCause) => void
 }
 
 /** A request in progress. */
@@ -113,7 +113,7 @@
     try {
       return open(exchange, listener)
     } catch (error) {
-      queueMicrotask(() => listener.onBroken(false, (error as Error).message))
+      queueMicrotask(() => listener.onBroken(false, (error as Error).message, 'connection'))
       return { abort: () => {}, pause: () => {}, resume: () => {}, reusedConnection: false }
     }
   }
@@ -143,8 +143,8 @@
       listener.onConnected?.()
       outgoing.end(exchange.body.length > 0 ? exchange.body : undefined)
     }
-    function fail (reason: string): void {
-      finish(() => listener.onBroken(connected, reason))
+    function fail (reason: string, cause: BreakCause = 'connection'): void {
+      finish(() => listener.onBroken(connected, reason, cause))
       outgoing.destroy()
     }
     /** In a process that was paused or behind, the timer fires before it is read that the connection was established. */
@@ -188,18 +188,14 @@
         handleArrivedEvents().then(sendOnConnection, (error: unknown) => fail(String(error)))
       })
     })
-    let interimResponses = 0
-    outgoing.on('information', () => {
-      if (++interimResponses > MAX_INTERIM_RESPONSES) fail('interim responses without end')
-    })
     outgoing.on('error', (error) => {
       // Bytes after a whole response belong to no request. Node closes the connection, and the end of the response follows.
       if (incoming?.complete === true && !isDelimitedByClose(incoming)) return
-      fail(error.message)
+      fail(error.message, isMalformedStatus(error) ? 'invalidHead' : 'connection')
     })
-    // Node closes a connection on which the protocol is switched, without any other event.
     outgoing.on('close', () => { if (incoming === undefined) fail('connection closed without a response') })
-    outgoing.on('response', (response) => {
+    receiveResponse(outgoing, { onResponse: receive, onInvalid: (reason) => fail(reason, 'invalidHead') })
+    function receive (response: IncomingMessage): void {
       if (finished) return
       incoming = response
       const resetDetection = detectReset(response)
@@ -215,9 +211,9 @@
       })
       response.on('close', () => { if (!response.complete || !response.readableEnded) fail('incomplete response') })
       processResponse(() => listener.onHead(response))
-    })
+    }
     return {
-      abort: fail,
+      abort: (reason) => fail(reason),
       pause: () => {
         if (incoming === undefined) return
         paused.add(incoming.socket)
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -1,5 +1,6 @@
+import { receiveResponse } from '@quinceshunt/caller-connections'
 import { createByteCollector, createSharedLimit, type Holding } from '@quinceshunt/memory-limits'
-import { Agent, request } from 'node:http'
+import { Agent, request, type IncomingMessage } from 'node:http'
 import * as v from 'valibot'
 import { reportedUseSchema, type ReportedUse } from '../decisions/knownUse.js'
 import type { KnownLimit, PermitReply, PermitRequest } from '../decisions/permitIssuer.js'
@@ -16,7 +17,7 @@
 export const MAX_MESSAGE_BYTES = 65_536
 /** Of the replies in progress of all peers, each of which may send as much as it leaves to the others. */
 const MAX_REPLIES_BYTES = 8_388_608
-/** Peers send none; Node bounds each one but not their number. */
+/** Peers send none. */
 const MAX_INTERIM_RESPONSES = 8
 /** Replies are remembered for longer than a sender repeats its message. */
 const REPLY_MEMORY_MS = 60_000
@@ -167,11 +168,12 @@
       else mayHaveArrived = true
     })
     outgoing.on('error', (error) => fail(error.message))
-    let interimResponses = 0
-    outgoing.on('information', () => {
-      if (++interimResponses > MAX_INTERIM_RESPONSES) outgoing.destroy(new Error('too many interim responses'))
-    })
-    outgoing.on('response', (incoming) => {
+    const reject = (reason: string): void => {
+      fail(reason)
+      outgoing.destroy()
+    }
+    receiveResponse(outgoing, { maxInterimResponses: MAX_INTERIM_RESPONSES, onInvalid: reject, onResponse: receive })
+    function receive (incoming: IncomingMessage): void {
       const collector = createByteCollector(holding, MAX_MESSAGE_BYTES)
       incoming.on('data', (chunk: Buffer) => {
         if (!collector.tryAppend(chunk)) outgoing.destroy(new Error('reply too large'))
@@ -183,7 +185,7 @@
         if (incoming.statusCode !== PEER_STATUS.ok) return finish({ kind: 'failed', mayHaveArrived, reason: `status ${incoming.statusCode ?? 0}`, hasReplied: true })
         finish({ kind: 'answered', reply: parseJson(collector.bytes().toString()) })
       })
-    })
+    }
     outgoing.end(body)
   })
 }
--- a/packages/router/src/__fixtures__/attempts.ts
+++ b/packages/router/src/__fixtures__/attempts.ts
@@ -143,9 +143,9 @@
 }
 
 /** Runs one attempt of a call of a service. */
-export async function attemptCall (address: string, idempotent: boolean, bufferedResponses?: SharedLimit): Promise<AttemptResult<ServiceResponse>> {
+export async function attemptCall (address: string, idempotent: boolean, bufferedResponses?: SharedLimit, checkForCrash?: () => Promise<boolean>): Promise<AttemptResult<ServiceResponse>> {
   const { exchange } = buildExchange()
-  const request = { services: buildServices(bufferedResponses), exchange, requestId: newRequestName(), fingerprint: 'fingerprint', idempotent, priceTokens: 5, method: 'POST', path: '/', body: Buffer.from('body'), signal: exchange.signal }
+  const request = { services: buildServices(bufferedResponses, checkForCrash), exchange, requestId: newRequestName(), fingerprint: 'fingerprint', idempotent, priceTokens: 5, method: 'POST', path: '/', body: Buffer.from('body'), signal: exchange.signal }
   return await attemptServiceRequest(request, buildCommand(address), 1)
 }
 
--- a/packages/router/src/backendClient.ts
+++ b/packages/router/src/backendClient.ts
@@ -1,4 +1,4 @@
-import { detectReset, isDelimitedByClose, type CloseVerdict } from '@quinceshunt/caller-connections'
+import { detectReset, isDelimitedByClose, isMalformedStatus, receiveResponse, type CloseVerdict } from '@quinceshunt/caller-connections'
 import { createByteCollector, type ByteCollector, type Holding } from '@quinceshunt/memory-limits'
 import { matchResponse, REQUEST_ID_HEADER } from '@quinceshunt/requests'
 import { Agent, request as httpRequest, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
@@ -73,6 +73,8 @@
   | { readonly kind: 'notSent', readonly reason: string }
   /** May have been sent in part or in full; no response was received. */
   | { readonly kind: 'broken', readonly reason: string }
+  /** Sent; what came is no response, as its status is invalid. Its backend server has not crashed. */
+  | { readonly kind: 'invalid', readonly reason: string }
   | { readonly kind: 'deadline' }
   | { readonly kind: 'aborted', readonly sent: boolean }
 
@@ -114,17 +116,20 @@
       if (socket.connecting) socket.once('connect', markConnected)
       else markConnected()
     })
-    client.on('response', (message) => {
+    receiveResponse(client, { onResponse: receive, onInvalid: (reason) => finish({ kind: 'invalid', reason }) })
+    function receive (message: IncomingMessage): void {
       const match = matchResponse(request.headers[REQUEST_ID_HEADER], message.headers)
       const { socket } = message
       // A copy of a response without an ID must not meet the next request.
       if (match.kind === 'missing' && !isDelimitedByClose(message)) message.once('end', () => socket.destroy())
       const isOwn = match.kind === 'matches' || (match.kind === 'missing' && !client.reusedSocket)
       finish({ kind: 'answering', status: message.statusCode ?? 0, headers: message.headers, message, isOwn })
-    })
-    // Node closes a connection on which the protocol is switched, without any other event.
+    }
     client.on('close', () => finish(connected ? { kind: 'broken', reason: 'the connection closed without a response' } : { kind: 'notSent', reason: 'the connection closed before it was made' }))
-    client.on('error', (error) => finish(connected ? { kind: 'broken', reason: error.message } : { kind: 'notSent', reason: error.message }))
+    client.on('error', (error) => {
+      if (isMalformedStatus(error)) finish({ kind: 'invalid', reason: error.message })
+      else finish(connected ? { kind: 'broken', reason: error.message } : { kind: 'notSent', reason: error.message })
+    })
     if (request.signal.aborted) return abort()
     client.end(request.body)
   })
--- a/packages/router/src/engineAttempt.ts
+++ b/packages/router/src/engineAttempt.ts
@@ -99,6 +99,7 @@
       attempt.services.backends.confirmCrash(slot.backendServer.id)
       return failedAttempt(attempt, { kind: 'neverSent' }, undefined)
     case 'broken': return await classifyDisconnect(attempt, slot, attemptId, { kind: 'resetBeforeFirstByte' })
+    case 'invalid': return failedAttempt(attempt, { kind: 'resetBeforeFirstByte' }, await cancelAttempt(attempt, slot, attemptId))
     case 'deadline': return failedAttempt(attempt, { kind: 'timeout', bytesReceived: 0 }, await cancelAttempt(attempt, slot, attemptId))
     case 'aborted': return { kind: 'callerGone', charge: response.sent ? await cancelAttempt(attempt, slot, attemptId) : undefined }
   }
--- a/packages/router/src/serviceAttempt.ts
+++ b/packages/router/src/serviceAttempt.ts
@@ -86,6 +86,7 @@
       attempt.services.backends.confirmCrash(backendServer)
       return failedAttempt({ kind: 'neverSent' }, undefined)
     case 'broken': return await classifyDisconnect(attempt, backendServer, { kind: 'resetBeforeFirstByte' })
+    case 'invalid': return failedAttempt({ kind: 'resetBeforeFirstByte' }, fixedCharge(attempt))
     case 'deadline': return failedAttempt({ kind: 'timeout', bytesReceived: 0 }, fixedCharge(attempt))
     case 'aborted': return { kind: 'callerGone', charge: response.sent ? fixedCharge(attempt) : undefined }
   }
