--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,4 @@
-import { createClosedResponses, createRequestIntake, handleArrivedEvents, processorTime } from '@quinceshunt/caller-connections'
+import { createClosedResponses, createRequestIntake, processorTime } from '@quinceshunt/caller-connections'
 import { createSharedLimit } from '@quinceshunt/memory-limits'
 import { steadyNow } from './clock.js'
 import { createMetrics } from '@quinceshunt/telemetry'
@@ -21,7 +21,7 @@
 import { startBackendReach } from './tasks/backendReach.js'
 import { createBackendRooms } from './tasks/backendRooms.js'
 import { startBackendTask } from './tasks/backendTask.js'
-import { createCallersListener, type CallersListener } from './tasks/callersListener.js'
+import { createCallersListener } from './tasks/callersListener.js'
 import { startColdBackends } from './tasks/coldBackends.js'
 import { createConfirmedConfiguration } from './tasks/confirmedConfiguration.js'
 import { startConfigurationTask } from './tasks/configurationTask.js'
@@ -32,6 +32,7 @@
 import { createEvacuations } from './tasks/evacuations.js'
 import { startFleetTask } from './tasks/fleetTask.js'
 import type { GatewayContext } from './tasks/gatewayContext.js'
+import { finishRefusals, FORCED_EXIT_MARGIN_MS, MAX_QUEUED_CONNECTIONS, pauseUntil, stopGracefully } from './tasks/gracefulStop.js'
 import { createLeaseWitness } from './tasks/leaseWitness.js'
 import { startLoadExchange } from './tasks/loadExchange.js'
 import { createLoadSource } from './tasks/loadSource.js'
@@ -51,20 +52,12 @@
 import { startTokenTask } from './tasks/tokenTask.js'
 import { logUnreadableLoads } from './tasks/unreadableLoads.js'
 
-/** New connections are accepted for this time after SIGTERM: the load balancer removes an instance after two failed checks. */
-const LISTEN_AFTER_STOP_MS = 2600
-/** The process exits this long before SIGKILL, whatever is still in progress. */
-const FORCED_EXIT_MARGIN_MS = 150
 /** Leaves 100 ms for the last lines of a process that was busy up to its forced exit. */
 const FORCED_FLUSH_MARGIN_MS = 50
 /** A reader of the log that is alive takes the last lines within this time. */
 const LAST_LINES_MS = 1000
-const STOP_CHECK_INTERVAL_MS = 50
-const MAX_QUEUED_CONNECTIONS = 511
 /** A list of backend servers that was read longer ago may lack versions that other instances know. */
 const MAX_LIST_AGE_MS = 3000
-/** An accepted connection has this long, from the end of listening, to send its first request. */
-const FIRST_REQUEST_WAIT_MS = 1000
 /** The settings file is also polled, as it may change without a signal. */
 const SETTINGS_CHECK_INTERVAL_MS = 1500
 /** Timeout of reports to a peer while the store is away; they are not repeated, as they also wait for the store. */
@@ -395,44 +388,6 @@
   }
 }
 
-async function stopGracefully (callers: CallersListener, { abandonedAt }: StopPlan): Promise<void> {
-  const listenUntil = steadyNow() + LISTEN_AFTER_STOP_MS
-  while (steadyNow() < abandonedAt) {
-    if (steadyNow() >= listenUntil) {
-      if (callers.server.listening) {
-        await acceptQueuedConnections(callers)
-        callers.stopListening()
-      }
-      await handleArrivedEvents()
-      callers.closeIdleConnections()
-      const hasOpenConnections = callers.openConnections > 0 && steadyNow() < listenUntil + FIRST_REQUEST_WAIT_MS
-      if (callers.activeRequests === 0 && !hasOpenConnections) return
-    }
-    await pauseUntil(steadyNow() + STOP_CHECK_INTERVAL_MS)
-  }
-}
-
-/** Waits until requests that came during the last steps are refused, and their callers have the responses. */
-async function finishRefusals (context: GatewayContext, callers: CallersListener, killedAt: number): Promise<void> {
-  await handleArrivedEvents()
-  while ((callers.activeRequests > 0 || context.openResponses.hasUnwritten) && steadyNow() < killedAt - FORCED_EXIT_MARGIN_MS) {
-    await pauseUntil(steadyNow() + STOP_CHECK_INTERVAL_MS)
-  }
-}
-
-/** Accepts the connections that wait in the system's queue, which closing the listener would reset: one in each pass of the event loop. */
-async function acceptQueuedConnections (callers: CallersListener): Promise<void> {
-  for (let pass = 0; pass < MAX_QUEUED_CONNECTIONS; pass++) {
-    const accepted = callers.acceptedConnections
-    await new Promise((resolve) => setImmediate(resolve))
-    if (callers.acceptedConnections === accepted) return
-  }
-}
-
-function pauseUntil (at: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, Math.max(0, at - steadyNow())))
-}
-
 function listen (server: Server, address: string): Promise<void> {
   const [host = '', port = ''] = address.split(':')
   return new Promise((resolve, reject) => {
