--- a/packages/gateway/src/__tests__/backendReach.test.ts
+++ b/packages/gateway/src/__tests__/backendReach.test.ts
@@ -15,6 +15,8 @@
 let reachable: Set<string>
 let wantsRequests: boolean
 let evacuated: Set<string>
+/** Backend server, its process when it was probed, and a header of the response. */
+let probeResponses: unknown[]
 let reach: BackendReach
 
 beforeEach(() => {
@@ -25,18 +27,20 @@
   probes = []
   wantsRequests = true
   evacuated = new Set()
+  probeResponses = []
   reachable = new Set(['a', 'b', 'c'])
   reach = startBackendReach({
     backendsByService: () => new Map([['ledger', backends]]),
     findService: () => ({ name: 'ledger', maximumConnections: 1, engine: undefined, healthPath: '/healthz' }),
     mayProbe: () => wantsRequests,
     isEvacuated: ({ entry }) => evacuated.has(entry.id),
+    onProbeResponse: (backend, backendProcess, { headers }) => { probeResponses.push([backend.entry.id, backendProcess, headers['x-told']]) },
     log,
     count: () => {},
     probe: async (address) => {
       probes.push(address)
       await new Promise((resolve) => setTimeout(resolve, PROBE_DELAY_MS))
-      return reachable.has(address) ? { kind: 'reached' } : { kind: 'lost', reason: 'no response in time' }
+      return reachable.has(address) ? { kind: 'reached', response: { status: 200, headers: { 'x-told': 'something' } } } : { kind: 'lost', reason: 'no response in time' }
     }
   })
 })
@@ -115,6 +119,17 @@
   })
 })
 
+// Guards against a cold period in a health response that is lost, or that counts for a process that started meanwhile.
+test('a response to a probe is passed on with the process that was listed when the probe was sent', async () => {
+  const [backend] = backends as [BackendState]
+  send(backend)
+  await jest.advanceTimersByTimeAsync(510)
+  expect(probes).toEqual(['a'])
+  backend.entry = { ...backend.entry, startedAt: 9 }
+  await jest.advanceTimersByTimeAsync(PROBE_DELAY_MS)
+  expect(probeResponses).toEqual([['a', 'a/0', 'something']])
+})
+
 describe('a new connection that fails', () => {
   // Guards against requests that run once and are sent on connections that are refused, while kept ones live on.
   test('leaves only idle connections for a while, also when others bring bytes, and for longer the next time', async () => {
