--- a/packages/gateway/src/__tests__/coldPermits.test.ts
+++ b/packages/gateway/src/__tests__/coldPermits.test.ts
@@ -11,8 +11,9 @@
 const COLD_BACKENDS = 20
 const WARM_BACKENDS = 43
 const REQUESTS_PER_SECOND = 340
-const DURATION_MS = 20_000
-const COLD_MS = 15_000
+const COLD_MS = 19_000
+/** The second after the cold period is limited too; after it, backend servers take all requests. */
+const DURATION_MS = COLD_MS + 1000
 const SECOND_MS = 1000
 /** Time for which a reply of a home is awaited; a permit is used within it. */
 const MAX_USE_DELAY_MS = 120
