--- a/packages/gateway/src/decisions/loadBoard.ts
+++ b/packages/gateway/src/decisions/loadBoard.ts
@@ -14,8 +14,8 @@
 const COMPLETE_AFTER_MS = 950
 /** Half-life of rates and ratios. */
 const RECENT_HALF_LIFE_MS = 2000
-/** Counts below are forgotten, in `RATIO_UNITS`. */
-const MIN_RATIO_COUNT = RATIO_UNITS / 20
+/** Smaller counts of an instance are forgotten, in `RATIO_UNITS`: 4 s after its last response. */
+const MIN_RATIO_COUNT = RATIO_UNITS / 4
 
 /** What an instance reports of one service. */
 export interface ReportedService {
--- a/packages/gateway/src/decisions/loadSums.ts
+++ b/packages/gateway/src/decisions/loadSums.ts
@@ -15,8 +15,8 @@
 /** From this number of rows on, replies share a text of all rows, followed by the rows that are different for the asking instance. */
 const MIN_SHARED_ROWS = 200
 const MAX_SHARED_AGE_MS = 100
-/** An older load report says nothing of the present. */
-export const MAX_REPORT_AGE_MS = 10_000
+/** An older load report says nothing of the present, and each one is kept for every instance that received one. */
+export const MAX_REPORT_AGE_MS = 5000
 /** Rates are summed in hundredths of a request per second. */
 const RATE_UNITS = 100
 
@@ -144,7 +144,7 @@
 
 /** Returns the rows of a service, without empty ones, whose sums are forgotten. */
 function encodeRows (total: ServiceTotal, origin: string, ownRows: ReadonlyMap<string, LoadFigures>, now: number): string {
-  let text = ''
+  const rows: string[] = []
   for (const [key, sum] of total.rows) {
     if (sum.text === undefined || now - sum.textAt >= MAX_TEXT_AGE_MS) {
       sum.text = encodeSum(key, sum, noFigures, sum.newest?.report, now)
@@ -153,9 +153,10 @@
     }
     const own = ownRows.get(key)
     const row = own === undefined ? sum.text : encodeSum(key, sum, own, reportOfOthers(sum, origin), now)
-    if (row !== '') text += text === '' ? row : ';' + row
+    if (row !== '') rows.push(row)
   }
-  return text
+  // Joined, as a text of concatenations would be copied piece by piece in each reply that shares it.
+  return rows.join(';')
 }
 
 /** Returns the rows of many processes. A row that comes again replaces the earlier one of its process. */
