Log a change of the load figures' home only when it takes a report; let held servers answer probes in the test

The test's backend servers held health probes as well, so that the instance was cut off and relayed its requests, and the counts were those of others.

--- a/packages/gateway/src/tasks/loadExchange.ts
+++ b/packages/gateway/src/tasks/loadExchange.ts
@@ -189,12 +189,12 @@
       if (reply !== undefined) noteUnreadable((JSON.stringify(reply) ?? '').slice(0, 100))
       return 'noReply'
     }
-    noteHome(home)
     noteUnreadable(parsed.unreadable)
     const { others } = parsed
     const isAlone = others.reporters <= 1 && options.peers().length > 0
     // A home that has just begun, or that nobody else reaches, knows less than the figures that this instance has.
     if (isAlone) return 'alone'
+    noteHome(home)
     if (others.isComplete) noteUnreadable(view.takeReply(others, listed, steadyNow()))
     count(others.isComplete ? 'replied' : 'incomplete')
     return 'taken'
