--- a/packages/gateway/src/tasks/loadExchange.ts
+++ b/packages/gateway/src/tasks/loadExchange.ts
@@ -3,7 +3,7 @@
 import type { FleetLoads } from '../decisions/fleetLoads.js'
 import { createLoadBoard } from '../decisions/loadBoard.js'
 import { loadHomes } from '../decisions/loadHomes.js'
-import { createLoadKeys, encodeRow, loadKeyOf, RATIO_UNITS, type TimedReport } from '../decisions/loadRows.js'
+import { createLoadKeys, encodeRow, loadKeyOf, RATIO_UNITS } from '../decisions/loadRows.js'
 import { createLoadView } from '../decisions/loadView.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { Peer } from './fleetTask.js'
@@ -146,10 +146,6 @@
     return tally
   }
 
-  function newReport (report: TimedReport | undefined, now: number): TimedReport | undefined {
-    return report !== undefined && now - report.receivedAt <= REPORT_AGE_MS ? report : undefined
-  }
-
   function readSource (now: number): { readonly services: readonly (readonly [string, string])[], readonly listed: ReadonlyMap<string, string>, readonly tallies: Map<string, BackendTally> } {
     const listed = new Map<string, string>()
     const tallies = new Map<string, BackendTally>()
@@ -160,7 +156,7 @@
       listed.set(backendProcess, service)
       const rows = rowsByService.get(service) ?? []
       rowsByService.set(service, rows)
-      const figures = { requests, unansweredTokens, ratioSum: Math.round(logRatioSum * RATIO_UNITS), ratioCount: ratioCount * RATIO_UNITS, report: newReport(report, now), sent, answered, rejected }
+      const figures = { requests, unansweredTokens, ratioSum: Math.round(logRatioSum * RATIO_UNITS), ratioCount: ratioCount * RATIO_UNITS, report: report !== undefined && now - report.receivedAt <= REPORT_AGE_MS ? report : undefined, sent, answered, rejected }
       const row = encodeRow(keys.of(backendProcess), figures, now)
       if (row !== '') rows.push(row)
     }
