Second sends of requests whose response takes longer than usual

With secondSendShare above 0, a request that may be repeated is sent to a second backend server when its response takes longer than the 95th percentile of its service and size class. Whichever answers first ends the other, by the mechanism that sets stalled attempts aside. Tokens are lost after 2.5 s and start at a random part, so that what a fleet may send at once follows its requests and not the number of its instances. Off by default.

--- a/packages/gateway/src/decisions/retryShares.ts
+++ b/packages/gateway/src/decisions/retryShares.ts
@@ -18,6 +18,8 @@
 export interface RetryShares {
   recordRequest (service: string, now: number): void
   tryAcquireRetry (service: string, now: number): boolean
+  /** Acquires a second send before anything has failed; what has accumulated stays for failures. */
+  tryAcquireSecondSend (service: string, now: number): boolean
   /** Also reserves a retry with which the request may return to its backend server. */
   tryAcquireWithReturn (service: string, now: number): ReservedRetry | undefined
 }
@@ -60,6 +62,7 @@
   return {
     recordRequest: (service, now) => budgetFor(service, now).recordRequest(now),
     tryAcquireRetry: (service, now) => budgetFor(service, now).tryAcquireRetry(now),
+    tryAcquireSecondSend: (service, now) => budgetFor(service, now).tryAcquireOnCredit(now),
     tryAcquireWithReturn: (service, now) => budgetFor(service, now).tryAcquireWithReserve(now)
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import { backendProcessOf } from './decisions/backendState.js'
 import { noFleetLoads } from './decisions/fleetLoads.js'
 import { createRetryShares } from './decisions/retryShares.js'
+import { createSecondSends } from './decisions/secondSends.js'
 import { createSharedClock } from './decisions/sharedClock.js'
 import { mayTake, planStop, type StopPlan } from './decisions/stopPlan.js'
 import type { FleetConfiguration } from './fleetConfiguration.js'
@@ -233,6 +234,7 @@
     tokens,
     fleet,
     retryShares: createRetryShares({ ratio: settings.retryRatio, slack: settings.retrySlack, windowMilliseconds: settings.retryWindowSeconds * 1000 }, () => fleet.instances, steadyNow()),
+    secondSends: createSecondSends(settings.secondSendShare, Math.random),
     crashGuard,
     permits,
     rooms,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -33,6 +33,8 @@
   retryWindowSeconds: positive,
   /** Retries to a service that the whole fleet may make in a window in addition to `retryRatio`. */
   retrySlack: v.pipe(v.number(), v.minValue(0, '0 or more')),
+  /** Share of a service's requests that all instances together may send a second time before anything has failed, 0 to 0.2; 0 turns it off. */
+  secondSendShare: v.optional(v.pipe(v.number(), v.minValue(0, '0 to 0.2'), v.maxValue(0.2, '0 to 0.2')), 0),
   /** Time for which a prompt part is expected to stay in a backend server's cache. */
   promptReuseWindowSeconds: positive,
   /** True when one transaction of the store may change rows of several partitions. */
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -11,6 +11,7 @@
 import { mayGoOnAt } from '../decisions/streamOrigins.js'
 import { isRetryable, type AttemptOutcome, type RetryReservation } from '../decisions/requestPlan.js'
 import type { ResponseFields } from '../ports.js'
+import { createSetAside, limitSetAside, type AttemptSetAside, type SetAsideCause } from './attemptSetAside.js'
 import { recordAcceptance } from './availableBackends.js'
 import type { BreakCause } from './backendConnections.js'
 import { createBufferedBody } from './bufferedBody.js'
@@ -22,6 +23,7 @@
 import { recordUse } from './recordUse.js'
 import { releaseReturn } from './releaseReturn.js'
 import type { RequestState } from './requestTask.js'
+import { watchFirstAttempt } from './secondSends.js'
 import { recordStreamStart, streamReportHeaders } from './streamStart.js'
 
 /** Normal time to the first byte, in addition to the prefill. */
@@ -29,8 +31,6 @@
 const STALL_CHECK_INTERVAL_MS = 50
 /** A retry that was refused is asked for again after this time. */
 const RESERVE_AGAIN_MS = 250
-/** The attempt that was set aside ends this long after its retry was sent, so that two backend servers don't work on a request for longer. */
-const SET_ASIDE_MS = 250
 /** Time without any byte after which an aborted attempt marks the backend server as silent. */
 const SILENT_BACKEND_MS = 600
 /** Kept connections to a backend server that sent a byte this short a time ago stay open when a new one is refused. */
@@ -43,17 +43,6 @@
 
 const STATUS = { ok: 200, lastOk: 299, serverError: 500 } as const
 
-/** An attempt at a silent backend server that goes on until its retry elsewhere is answered. */
-export interface AttemptSetAside {
-  /** True once the backend server has sent bytes again. */
-  hasGoneOn: boolean
-  /** Called when the backend server goes on, before any of its bytes are forwarded. */
-  onGoneOn: () => void
-  /** Resolves with the outcome of the attempt, which is checked for progress again from now on; undefined when it was given up. */
-  resume (): Promise<AttemptOutcome> | undefined
-  giveUp (): void
-}
-
 type ReserveRetry = () => Promise<RetryReservation>
 
 /**
@@ -121,6 +110,7 @@
   const deadlineTimer = setTimeout(() => abort({ kind: 'timedOut', headersSent: state.headersSent }, 'out of time'), Math.max(1, state.deadline - sentAt))
   if (earlier !== undefined) earlier.onGoneOn = () => abort({ kind: 'superseded' }, 'the attempt before it has gone on')
   const stallTimer = isRepeatable || isStream ? setInterval(checkStall, STALL_CHECK_INTERVAL_MS) : undefined
+  const watched = watchFirstAttempt(context, state, choice, sendSecond)
   const stopWatchingCaller = state.caller.onLeft(handleCallerDisconnect)
 
   /** Ends the request's part in the load of the backend server. */
@@ -139,6 +129,7 @@
     body.release()
     splitter.release()
     stopWatchingCaller()
+    watched?.end()
     // A request that its caller has left, and that runs at most once, goes on there.
     const goesOn = outcome.kind === 'callerGone' && abortOutcome === undefined
     if (goesOn) endDepartedLimit = limitDepartedExchange(state.deadline, endDeparted)
@@ -157,25 +148,16 @@
   }
 
   /** Leaves the request to its retry, until that fails or this backend server goes on. */
-  function setAttemptAside (silentMilliseconds: number, nextBackendId: string): void {
+  function setAttemptAside (cause: SetAsideCause, silentMilliseconds: number, nextBackendId: string): void {
     const reason = `silent for ${silentMilliseconds} ms`
     const resolveSetAside = resolveOutcome
     const outcome = new Promise<AttemptOutcome>((resolve) => { resolveOutcome = resolve })
-    let isGivenUp = false
-    const own: AttemptSetAside = {
-      hasGoneOn: false,
-      onGoneOn: () => {},
-      resume: () => {
-        state.setAside = undefined
-        setAside = undefined
-        return isGivenUp ? undefined : outcome
-      },
-      giveUp: () => {
-        if (setAside !== own || isGivenUp) return
-        isGivenUp = true
-        abort({ kind: 'broken', reason, headersSent: state.headersSent }, reason)
-      }
-    }
+    const own: AttemptSetAside = createSetAside(cause, outcome, {
+      isSetAside: () => setAside === own,
+      takeUp: () => { state.setAside = setAside = undefined },
+      abort: () => abort({ kind: 'broken', reason, headersSent: state.headersSent }, reason),
+      settleRace: (raceOutcome) => { if (cause === 'secondSend') watched?.settleRace(raceOutcome) }
+    })
     earlier?.giveUp()
     setAside = own
     state.setAside = own
@@ -234,10 +216,20 @@
     const stalled = { isStream, headersSent: state.headersSent, backendSilence: silenceMilliseconds(backend, now), sinceLastByte: now - backend.lastByteAt }
     if (now - lastProgressAt < stallTimeout(state.route, stalled) || now < reserveRetryAt) return
     reserveRetryAt = now + RESERVE_AGAIN_MS
-    continueElsewhere(now).catch((error: unknown) => context.log.warning('retryFailed', { request: state.fields.attemptId, reason: String(error) }))
+    continueElsewhere('stall', now, reserveRetry).catch(warnOfRetry)
   }
 
-  async function continueElsewhere (stalledAt: number): Promise<void> {
+  function warnOfRetry (error: unknown): void {
+    context.log.warning('retryFailed', { request: state.fields.attemptId, reason: String(error) })
+  }
+
+  /** Sends the request a second time, as its response takes longer than usual. */
+  function sendSecond (): void {
+    if (watched === undefined || head !== undefined || state.headersSent || setAside !== undefined || isReserving) return
+    continueElsewhere('secondSend', steadyNow(), watched.reserve).catch(warnOfRetry)
+  }
+
+  async function continueElsewhere (cause: SetAsideCause, stalledAt: number, reserve: ReserveRetry): Promise<void> {
     const progressAt = lastProgressAt
     isReserving = true
     // After a pause of this process, answers that had arrived are read only now.
@@ -246,17 +238,17 @@
       isReserving = false
       return
     }
-    recordSilence()
-    const reservation = await reserveRetry().finally(() => { isReserving = false })
+    if (cause === 'stall') recordSilence()
+    const reservation = await reserve().finally(() => { isReserving = false })
     const silentMilliseconds = stalledAt - progressAt
     switch (reservation.kind) {
       case 'refused':
-        if (!hasLoggedRefusal) context.log.decision('retryRefused', { request: state.fields.attemptId, backend: backend.entry.id, reason: reservation.reason, silentMilliseconds, headersSent: state.headersSent })
-        hasLoggedRefusal = true
+        if (!hasLoggedRefusal && cause === 'stall') context.log.decision('retryRefused', { request: state.fields.attemptId, backend: backend.entry.id, reason: reservation.reason, silentMilliseconds, headersSent: state.headersSent })
+        hasLoggedRefusal ||= cause === 'stall'
         return
       case 'reserved':
         if (settled) return
-        if (lastProgressAt === progressAt) setAttemptAside(silentMilliseconds, reservation.backendId)
+        if (lastProgressAt === progressAt) setAttemptAside(cause, silentMilliseconds, reservation.backendId)
         else releaseReturn(state)
         return
       default: assertNever(reservation)
@@ -278,6 +270,7 @@
     if (isProgress) lastProgressAt = now
     if (pending.answered) return
     pending.answered = true
+    watched?.answer()
     if (!exchange.reusedConnection) context.reach.noteAccepted(backend)
     const expectedMilliseconds = choice.prefillTokens / PREFILL_TOKENS_PER_MILLISECOND + (isStream ? EXPECTED_FIRST_BYTE_MS.engine : EXPECTED_FIRST_BYTE_MS.plain)
     recordBackendObservation({ kind: 'answered', delayMilliseconds: now - sentAt, expectedMilliseconds })
@@ -291,7 +284,7 @@
 
   function onConnected (): void {
     state.reachedBackends++
-    if (earlier !== undefined) earlierTimer = setTimeout(earlier.giveUp, SET_ASIDE_MS)
+    earlierTimer = limitSetAside(earlier)
   }
 
   function onHead (incoming: IncomingMessage): void {
@@ -328,7 +321,7 @@
     if (isSuccess) {
       answeredAt = steadyNow()
       endSetAside()
-      earlier?.giveUp()
+      earlier?.giveUp(true)
     }
     if (isStreamed && !state.headersSent) {
       recordStreamStart(context, state, backend, backendProcess)
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationIndex } from '../decisions/configurationIndex.js'
 import type { FleetLoads } from '../decisions/fleetLoads.js'
 import type { RetryShares } from '../decisions/retryShares.js'
+import type { SecondSends } from '../decisions/secondSends.js'
 import type { WireFormat } from '../ports.js'
 import type { GatewaySettings } from '../settings.js'
 import type { BackendConnections } from './backendConnections.js'
@@ -46,6 +47,7 @@
   readonly tokens: TokenTask
   readonly fleet: FleetTask
   readonly retryShares: RetryShares
+  readonly secondSends: SecondSends
   readonly crashGuard: CrashGuard
   readonly permits: SendingPermits
   readonly rooms: BackendRooms
--- a/packages/gateway/src/tasks/relayAttempt.ts
+++ b/packages/gateway/src/tasks/relayAttempt.ts
@@ -10,6 +10,7 @@
 import type { StreamPiece } from '../decisions/streamPieces.js'
 import { withoutStreamReport } from '../decisions/streamReport.js'
 import { isRetryable, type AttemptOutcome } from '../decisions/requestPlan.js'
+import { limitSetAside } from './attemptSetAside.js'
 import { createBufferedBody } from './bufferedBody.js'
 import { limitDepartedExchange } from './departedExchange.js'
 import type { Peer } from './fleetTask.js'
@@ -22,8 +23,6 @@
 /** The peer answers at the deadline itself; it is given this much longer. */
 const DEADLINE_MARGIN_MS = 100
 const SILENCE_CHECK_MS = 100
-/** The attempt that was set aside ends this long after the request was relayed. */
-const SET_ASIDE_MS = 250
 const STATUS = { ok: 200, lastOk: 299, unavailable: 503 } as const
 
 /**
@@ -127,7 +126,7 @@
 
   function onConnected (): void {
     attempts.handOut()
-    if (earlier !== undefined) earlierTimer = setTimeout(earlier.giveUp, SET_ASIDE_MS)
+    earlierTimer = limitSetAside(earlier)
   }
 
   function recordBytes (): void {
@@ -158,7 +157,7 @@
     head = { incoming, isStreamed }
     if (isStreamed) piece = state.pieces.begin(holder)
     relay.learn({ kind: 'served' })
-    if (isSuccess) earlier?.giveUp()
+    if (isSuccess) earlier?.giveUp(true)
     if (!isStreamed || state.headersSent) return
     response.writeHead(status, [...withoutContentLength(wire.buildResponseHeaders(withoutStreamReport(incoming.rawHeaders))), ...closingHeaders(context, response)])
     state.headersSent = true
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -15,7 +15,8 @@
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
 import { findAvailableBackends } from './availableBackends.js'
-import { runAttempt, type AttemptSetAside } from './attempt.js'
+import { runAttempt } from './attempt.js'
+import type { AttemptSetAside } from './attemptSetAside.js'
 import type { GrantedRoom } from './backendRooms.js'
 import { chooseDestination, hasUntriedDestination, NO_ROOM, releaseRoom, suggestedRetryAt } from './chooseDestination.js'
 import { cutOffResponse } from './cutOffResponse.js'
@@ -176,7 +177,7 @@
     triedVersions: [],
     triedAddresses: new Set()
   }
-  if (!isCountedElsewhere(admitted.relay)) context.retryShares.recordRequest(service, admitted.receivedAt)
+  recordRequest(context, service, admitted)
   const refusal = findRefusal(context, state)
   if (refusal !== undefined) {
     finishRequest(context, state, refusal, { reserved: 0, used: 0 })
@@ -297,6 +298,13 @@
   return { kind: 'refused', reason: choice.reason }
 }
 
+/** Counts a request for the budgets of its service, unless the instance that relayed it has. */
+function recordRequest (context: GatewayContext, service: string, { relay, receivedAt }: AdmittedRequest): void {
+  if (isCountedElsewhere(relay)) return
+  context.retryShares.recordRequest(service, receivedAt)
+  context.secondSends.tokens.recordRequest(service, receivedAt)
+}
+
 /** Whether another instance pays for the retries of a request from its retry budget. */
 function isCountedElsewhere (relay: RelayEnvelope | undefined): boolean {
   return relay !== undefined && (relay.furtherAttempts !== undefined || relay.isRepeat)
--- a/packages/requests/src/retryBudget.ts
+++ b/packages/requests/src/retryBudget.ts
@@ -12,6 +12,8 @@
   tryAcquireRetry (now: number): boolean
   /** Consumes one retry and reserves another, for the case that it fails; undefined unless both are available. */
   tryAcquireWithReserve (now: number): ReservedRetry | undefined
+  /** Consumes one retry for which half of the further ones pay, so that those accumulated stay; false until earlier ones are paid for. */
+  tryAcquireOnCredit (now: number): boolean
   /** Replaces the limits from `now` on. Accumulated, reserved and overdrawn retries stay; those beyond a lower capacity are lost. */
   changeLimits (limits: RetryBudgetLimits, now: number): void
 }
@@ -56,10 +58,14 @@
   let { capacity, idleRate, overdraft } = withDefaults(options)
   let tokens = options.emptyAt === undefined ? capacity : 0
   let reserved = 0
+  /** Retries that were consumed and are not paid for yet. */
+  let unpaid = 0
   let refilledAt = options.emptyAt
 
   function addTokens (amount: number): void {
-    tokens = Math.min(capacity, tokens + amount)
+    const paid = Math.min(unpaid, amount / 2)
+    unpaid -= paid
+    tokens = Math.min(capacity, tokens + amount - paid)
   }
 
   function refill (now: number): void {
@@ -95,6 +101,12 @@
     },
     tryAcquireRetry: (now) => tryAcquire(now, 0),
     tryAcquireWithReserve: (now) => tryAcquire(now, 1) ? createReservedRetry() : undefined,
+    tryAcquireOnCredit: (now) => {
+      refill(now)
+      if (unpaid > 0 && unpaid + 1 > capacity / 2) return false
+      unpaid += 1
+      return true
+    },
     changeLimits: (limits, now) => {
       refill(now)
       ;({ capacity, idleRate, overdraft } = withDefaults(limits))
