--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -8,7 +8,7 @@
 import type { BackendState } from '../decisions/backendState.js'
 import { chooseTarget, type ConfigurationIndex } from '../decisions/configurationIndex.js'
 import { planRequest, type AttemptOutcome, type PlanCommand, type PlanResult, type RetryReservation } from '../decisions/requestPlan.js'
-import { hasAttemptLeft, type RetryKind } from '../decisions/relayedRetries.js'
+import { hasAttemptLeft } from '../decisions/relayedRetries.js'
 import { createStreamPieces, type StreamPieces } from '../decisions/streamPieces.js'
 import { serviceOfStream, type StreamStart } from '../decisions/streamOrigins.js'
 import type { RelayEnvelope } from '../decisions/relayEnvelope.js'
@@ -21,6 +21,7 @@
 import { chooseDestination, hasUntriedDestination, NO_ROOM, releaseRoom, suggestedRetryAt } from './chooseDestination.js'
 import { cutOffResponse } from './cutOffResponse.js'
 import { destinationIdOf, relayNeed } from './destinations.js'
+import { acquireRetry, acquireRetryWithReturn, recordRequest } from './requestRetries.js'
 import { releaseReturn } from './releaseReturn.js'
 import type { RequestMemory } from './callersMemory.js'
 import type { GuardedRequest } from './crashGuard.js'
@@ -298,39 +299,10 @@
   return { kind: 'refused', reason: choice.reason }
 }
 
-/** Counts a request for the budgets of its service, unless the instance that relayed it has. */
-function recordRequest (context: GatewayContext, service: string, { relay, receivedAt }: AdmittedRequest): void {
-  if (isCountedElsewhere(relay)) return
-  context.retryShares.recordRequest(service, receivedAt)
-  context.secondSends.tokens.recordRequest(service, receivedAt)
-}
-
-/** Whether another instance pays for the retries of a request from its retry budget. */
-function isCountedElsewhere (relay: RelayEnvelope | undefined): boolean {
-  return relay !== undefined && (relay.furtherAttempts !== undefined || relay.isRepeat)
-}
-
 function attemptsOf (relay: RelayEnvelope | undefined): number {
   return relay === undefined ? Infinity : relay.attemptsLeft + (relay.furtherAttempts?.attempts ?? 0)
 }
 
-/** A request that has a return reserved already needs no second one. That of a relayed request is asked for when it is needed. */
-async function acquireRetryWithReturn (context: GatewayContext, state: RequestState): Promise<boolean> {
-  if (state.relay?.furtherAttempts !== undefined) return await context.relayedRetries.ask(state.relay, 'attempt')
-  if (state.reservedReturn !== undefined) return context.retryShares.tryAcquireRetry(state.service, steadyNow())
-  state.reservedReturn = context.retryShares.tryAcquireWithReturn(state.service, steadyNow())
-  return state.reservedReturn !== undefined
-}
-
-/** Consumes the retry that is reserved for a return, or else one of the budget: that of the instance that relayed the request, if any. */
-async function acquireRetry (context: GatewayContext, state: RequestState, kind: RetryKind): Promise<boolean> {
-  if (state.relay?.furtherAttempts !== undefined) return await context.relayedRetries.ask(state.relay, kind)
-  if (state.reservedReturn === undefined) return context.retryShares.tryAcquireRetry(state.service, steadyNow())
-  state.reservedReturn.consume()
-  state.reservedReturn = undefined
-  return true
-}
-
 /** Reserves one more send to a backend server that was given up for a silence. */
 async function reserveReturn (context: GatewayContext, state: RequestState, backendIds: readonly string[]): Promise<RetryReservation> {
   if (hasCallerLeft(state)) return { kind: 'refused', reason: 'the caller has left' }
