--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 import { noFleetLoads } from './decisions/fleetLoads.js'
 import { positionOf } from './decisions/ownShare.js'
 import { createRetryShares } from './decisions/retryShares.js'
+import { createSecondSends } from './decisions/secondSends.js'
 import { createServiceTimings } from './decisions/serviceTiming.js'
 import { createSharedClock } from './decisions/sharedClock.js'
 import { mayTake, planStop, type StopPlan } from './decisions/stopPlan.js'
@@ -280,6 +281,7 @@
     tokens,
     fleet,
     retryShares: createRetryShares({ ratio: settings.retryRatio, slack: settings.retrySlack, windowMilliseconds: settings.retryWindowSeconds * 1000 }, () => fleet.instances, steadyNow()),
+    secondSends: createSecondSends(settings.secondSendShare, Math.random),
     crashGuard,
     coldBackends,
     permits,
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -8,18 +8,20 @@
 import type { BackendState } from '../decisions/backendState.js'
 import { chooseTarget, type ConfigurationIndex } from '../decisions/configurationIndex.js'
 import { planRequest, type AttemptOutcome, type PlanCommand, type PlanResult, type RetryReservation } from '../decisions/requestPlan.js'
-import { hasAttemptLeft, type RetryKind } from '../decisions/relayedRetries.js'
+import { hasAttemptLeft } from '../decisions/relayedRetries.js'
 import { createStreamPieces, type StreamPieces } from '../decisions/streamPieces.js'
 import { serviceOfStream, type StreamStart } from '../decisions/streamOrigins.js'
 import type { RelayEnvelope } from '../decisions/relayEnvelope.js'
 import type { ClientAccount, Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
 import { countEvacuationRefusal, findAvailableBackends } from './availableBackends.js'
-import { runAttempt, type AttemptSetAside } from './attempt.js'
+import { runAttempt } from './attempt.js'
+import type { AttemptSetAside } from './attemptSetAside.js'
 import type { GrantedRoom } from './backendRooms.js'
 import { chooseDestination, hasUntriedDestination, noRoomReason, releaseRoom, suggestedRetryAt, turnOf } from './chooseDestination.js'
 import { cutOffResponse } from './cutOffResponse.js'
 import { destinationIdOf, relayNeed } from './destinations.js'
+import { acquireRetry, acquireRetryWithReturn, recordRequest } from './requestRetries.js'
 import { releaseReturn } from './releaseReturn.js'
 import type { RequestMemory } from './callersMemory.js'
 import type { GuardedRequest } from './crashGuard.js'
@@ -176,7 +178,7 @@
     triedVersions: [],
     triedAddresses: new Set()
   }
-  if (!isCountedElsewhere(admitted.relay)) context.retryShares.recordRequest(service, admitted.receivedAt)
+  recordRequest(context, service, admitted)
   const refusal = findRefusal(context, state)
   if (refusal !== undefined) {
     finishRequest(context, state, refusal, { reserved: 0, used: 0 })
@@ -311,32 +313,10 @@
   return { kind: 'refused', reason: choice.reason }
 }
 
-/** Whether another instance pays for the retries of a request from its retry budget. */
-function isCountedElsewhere (relay: RelayEnvelope | undefined): boolean {
-  return relay !== undefined && (relay.furtherAttempts !== undefined || relay.isRepeat)
-}
-
 function attemptsOf (relay: RelayEnvelope | undefined): number {
   return relay === undefined ? Infinity : relay.attemptsLeft + (relay.furtherAttempts?.attempts ?? 0)
 }
 
-/** A request that has a return reserved already needs no second one. That of a relayed request is asked for when it is needed. */
-async function acquireRetryWithReturn (context: GatewayContext, state: RequestState): Promise<boolean> {
-  if (state.relay?.furtherAttempts !== undefined) return await context.relayedRetries.ask(state.relay, 'attempt')
-  if (state.reservedReturn !== undefined) return context.retryShares.tryAcquireRetry(state.service, steadyNow())
-  state.reservedReturn = context.retryShares.tryAcquireWithReturn(state.service, steadyNow())
-  return state.reservedReturn !== undefined
-}
-
-/** Consumes the retry that is reserved for a return, or else one of the budget: that of the instance that relayed the request, if any. */
-async function acquireRetry (context: GatewayContext, state: RequestState, kind: RetryKind): Promise<boolean> {
-  if (state.relay?.furtherAttempts !== undefined) return await context.relayedRetries.ask(state.relay, kind)
-  if (state.reservedReturn === undefined) return context.retryShares.tryAcquireRetry(state.service, steadyNow())
-  state.reservedReturn.consume()
-  state.reservedReturn = undefined
-  return true
-}
-
 /** Reserves one more send to a backend server that was given up for a silence. */
 async function reserveReturn (context: GatewayContext, state: RequestState, backendIds: readonly string[]): Promise<RetryReservation> {
   if (hasCallerLeft(state)) return { kind: 'refused', reason: 'the caller has left' }
