--- a/packages/gateway/src/tasks/coldBackends.ts
+++ b/packages/gateway/src/tasks/coldBackends.ts
@@ -44,6 +44,8 @@
 export function startColdBackends (options: ColdBackendsOptions): ColdBackends {
   const { log } = options
   const invalidValues = new Set<string>()
+  /** True when a service of the configuration limits its cold backend servers. */
+  let hasLimitedService = false
   /** Processes that are reported as cold, with their permits since. */
   const reported = new Map<string, { readonly backend: BackendState, granted: number, denied: number }>()
 
@@ -80,6 +82,7 @@
     const backendProcess = backendProcessOf(backend.entry)
     if (reported.has(backendProcess)) return
     reported.set(backendProcess, { backend, granted: 0, denied: 0 })
+    scheduleReview()
     log.event('backendCold', { backend: backend.entry.id, service: backend.entry.service, until: limit.until, requestsPerSecond: limit.requestsPerSecond })
   }
 
@@ -94,8 +97,18 @@
     for (const backend of options.listedBackends() ?? []) report(backend)
   }
 
-  const timer = setInterval(review, REVIEW_INTERVAL_MS)
-  timer.unref()
+  let timer: NodeJS.Timeout | undefined
+  let hasStopped = false
+
+  /** Where no service limits its cold backend servers, no timer runs. */
+  function scheduleReview (): void {
+    if (hasStopped || (reported.size === 0 && !hasLimitedService)) return
+    timer ??= setTimeout(() => {
+      timer = undefined
+      review()
+      scheduleReview()
+    }, REVIEW_INTERVAL_MS).unref()
+  }
 
   return {
     limitOf,
@@ -113,6 +126,8 @@
       report(backend)
     },
     noteConfiguration: ({ services }) => {
+      hasLimitedService = services.some(({ cold }) => cold?.kind === 'named' && cold.requestsPerSecond > 0)
+      scheduleReview()
       for (const { name, cold } of services) if (cold?.kind === 'unreadable') reportInvalid(`service ${name}`, cold.value)
     },
     notePermit: (backend, isGranted) => {
@@ -121,6 +136,9 @@
       if (isGranted) counts.granted++
       else counts.denied++
     },
-    stop: () => clearInterval(timer)
+    stop: () => {
+      hasStopped = true
+      clearTimeout(timer)
+    }
   }
 }
--- a/packages/gateway/src/tasks/evacuations.ts
+++ b/packages/gateway/src/tasks/evacuations.ts
@@ -115,20 +115,31 @@
     reportUnknownDomains()
   }
 
-  const timer = setInterval(review, REVIEW_INTERVAL_MS)
-  timer.unref()
+  let timer: NodeJS.Timeout | undefined
+
+  /** Where nothing is evacuated, no timer runs. */
+  function scheduleReview (): void {
+    if (domains.names.length === 0) return
+    timer ??= setTimeout(() => {
+      timer = undefined
+      review()
+      scheduleReview()
+    }, REVIEW_INTERVAL_MS).unref()
+  }
 
   return {
     applySnapshot: (rows) => {
       hasBeenRead = true
       for (const change of domains.applySnapshot({ ...decodeRows(rows), restoredAt: era.restoredAt }, steadyNow())) report(change)
+      scheduleReview()
     },
     applyChanges: (rows) => {
       for (const change of domains.applyChanges(decodeRows(rows).rows, steadyNow())) report(change)
+      scheduleReview()
     },
     isEvacuated: (failureDomain) => domains.has(failureDomain),
     get evacuated () { return domains.names },
     get hasBeenRead () { return hasBeenRead },
-    stop: () => clearInterval(timer)
+    stop: () => clearTimeout(timer)
   }
 }
--- a/packages/gateway/src/tasks/loadExchange.ts
+++ b/packages/gateway/src/tasks/loadExchange.ts
@@ -127,6 +127,7 @@
     switch (parsed.kind) {
       case 'report':
         board.report(parsed.report, now)
+        scheduleExchange()
         return encodeOthers(board.othersOf(parsed.report.reporter, parsed.report.services.map(({ name }) => name), now))
       case 'sums':
         board.learn(parsed.sums, failureDomain, now)
@@ -275,7 +276,16 @@
     startReport()
     reportTimer = setInterval(startReport, REPORT_INTERVAL_MS)
   }, options.phase * REPORT_INTERVAL_MS)
-  const exchangeTimer = setInterval(startExchange, EXCHANGE_INTERVAL_MS)
+  let exchangeTimer: NodeJS.Timeout | undefined
+
+  /** Only homes exchange sums: a timer at each instance would wake all of them. */
+  function scheduleExchange (): void {
+    exchangeTimer ??= setTimeout(() => {
+      exchangeTimer = undefined
+      startExchange()
+      if (board.hasReporters(steadyNow())) scheduleExchange()
+    }, EXCHANGE_INTERVAL_MS)
+  }
 
   return {
     othersAt: view.othersAt,
@@ -292,7 +302,7 @@
     stop: () => {
       clearTimeout(firstTimer)
       clearInterval(reportTimer)
-      clearInterval(exchangeTimer)
+      clearTimeout(exchangeTimer)
     }
   }
 }
