--- a/packages/gateway/src/tasks/chooseDestination.ts
+++ b/packages/gateway/src/tasks/chooseDestination.ts
@@ -98,7 +98,9 @@
     random: Math.random,
     now
   }
-  return knowsTooLittle(candidates, input) ? chooseByEstimate(candidates, input) : chooseBackend(candidates, request, now, Math.random())
+  const isEstimated = knowsTooLittle(candidates, input)
+  context.metrics.count('choices_total', { service: state.service, by: isEstimated ? 'estimate' : 'ownResponses' })
+  return isEstimated ? chooseByEstimate(candidates, input) : chooseBackend(candidates, request, now, Math.random())
 }
 
 /** Returns why a request is refused that gets no room. */
