--- a/packages/gateway/src/__fixtures__/plainService.ts
+++ b/packages/gateway/src/__fixtures__/plainService.ts
@@ -2,7 +2,7 @@
 import type { BackendState, PendingAttempt } from '../decisions/backendState.js'
 import type { FleetLoads } from '../decisions/fleetLoads.js'
 import { createSharedClock } from '../decisions/sharedClock.js'
-import { createBackendRooms, type BackendRooms, type BackendRoomsOptions, type RoomTurn } from '../tasks/backendRooms.js'
+import { createBackendRooms, type BackendRooms, type BackendRoomsOptions, type RoomQueueEntry } from '../tasks/backendRooms.js'
 import type { Peer } from '../tasks/fleetTask.js'
 import { createTestBackend } from './backends.js'
 import type { LoanNetwork } from './loanNetwork.js'
@@ -65,7 +65,7 @@
   readonly requests: readonly SimulatedRequest[]
   /** Requests that all servers serve in a millisecond. */
   readonly capacity: number
-  send (instance: number, account?: string, priority?: number, turn?: Partial<RoomTurn>): SimulatedRequest
+  send (instance: number, account?: string, priority?: number, turn?: Partial<RoomQueueEntry>): SimulatedRequest
   stop (): void
 }
 
@@ -105,7 +105,7 @@
     server.waiting.shift()?.()
   }
 
-  async function findServer ({ rooms, backends }: SimulatedInstance, request: SimulatedRequest, turn: RoomTurn): Promise<BackendState | undefined> {
+  async function findServer ({ rooms, backends }: SimulatedInstance, request: SimulatedRequest, turn: RoomQueueEntry): Promise<BackendState | undefined> {
     const ordered = [...backends].map((backend) => ({ backend, rank: backend.avoidedUntil > steadyNow() ? Infinity : backend.pending.size + random() / 2 })).sort((left, right) => left.rank - right.rank).map(({ backend }) => backend)
     const usable = ordered.filter(({ avoidedUntil }) => avoidedUntil <= steadyNow())
     if (!rooms.isNeeded(SERVICE)) return usable[0]
@@ -124,7 +124,7 @@
     return outcome.backend
   }
 
-  async function run (index: number, request: SimulatedRequest, turn: RoomTurn): Promise<void> {
+  async function run (index: number, request: SimulatedRequest, turn: RoomQueueEntry): Promise<void> {
     const instance = instances[index] as SimulatedInstance
     const end = (outcome: SimulatedRequest['outcome']): void => { Object.assign(request, { outcome, endedAt: steadyNow() }) }
     const backend = await findServer(instance, request, turn)
--- a/packages/gateway/src/__tests__/estimatedChoice.test.ts
+++ b/packages/gateway/src/__tests__/estimatedChoice.test.ts
@@ -2,7 +2,7 @@
 import { createLongPrompt, createTestBackend } from '../__fixtures__/backends.js'
 import { createSeededRandom } from '../__fixtures__/seededRandom.js'
 import { backendProcessOf, type BackendState } from '../decisions/backendState.js'
-import { chooseByEstimate, knowsTooLittle, type EstimateInput } from '../decisions/estimatedChoice.js'
+import { chooseByEstimate, hasTooFewReports, type EstimateInput } from '../decisions/estimatedChoice.js'
 import type { OthersLoad } from '../decisions/fleetLoads.js'
 import { createServiceTiming } from '../decisions/serviceTiming.js'
 import type { PromptSize } from '../ports.js'
@@ -67,7 +67,7 @@
   return new Map([[backendProcessOf(state.entry), createLoad(changes)]])
 }
 
-describe('many instances that hear from each engine every ten seconds', () => {
+describe('many instances that receive a response from each engine every ten seconds', () => {
   // Guards against one popular prompt that all instances send to one engine until its slots are taken and its requests wait for seconds.
   test('a prompt leaves the engine that has its parts when other instances have taken its slots', () => {
     const states = createEngines()
@@ -161,8 +161,8 @@
     const states = Array.from({ length: 3 }, (_, index) => createTestBackend(`server-${index}`, { slots: 6 }))
     const input = createInput({})
     const small = { ...input, loads: { ...input.loads, service: () => ({ requests: 2, unansweredTokens: 0, sentPerSecond: 20, rejectedPerSecond: 0, instances: 9, asOf: NOW }) } }
-    expect(knowsTooLittle(states, input)).toBe(true)
-    expect(knowsTooLittle(states, small)).toBe(false)
-    expect(knowsTooLittle(states, { ...input, loads: { ...input.loads, service: () => undefined } })).toBe(false)
+    expect(hasTooFewReports(states, input)).toBe(true)
+    expect(hasTooFewReports(states, small)).toBe(false)
+    expect(hasTooFewReports(states, { ...input, loads: { ...input.loads, service: () => undefined } })).toBe(false)
   })
 })
--- a/packages/gateway/src/decisions/secondSends.ts
+++ b/packages/gateway/src/decisions/secondSends.ts
@@ -72,7 +72,7 @@
 function isSound (backend: BackendState, now: number): boolean {
   const { entry, reportedLoad, pending } = backend
   const used = Math.max(pending.size, reportedLoad === undefined ? 0 : reportedLoad.running + reportedLoad.waiting)
-  return backend.avoidedUntil <= now && backend.lostSince === undefined && entry.coldUntil <= now && used < entry.slots && silenceMilliseconds(backend, now) === 0
+  return backend.avoidedUntil <= now && backend.lostSince === undefined && Math.max(entry.coldUntil, backend.coldUntil) <= now && used < entry.slots && silenceMilliseconds(backend, now) === 0
 }
 
 /** How a request with a second send ended. */
--- a/packages/gateway/src/decisions/serviceTiming.ts
+++ b/packages/gateway/src/decisions/serviceTiming.ts
@@ -18,13 +18,15 @@
 const SIZE_CLASSES = [0, 1000, 3000, 8000, Infinity] as const
 /** Newest responses of a class that count. */
 const MAX_SAMPLES = 48
-/** A class with fewer responses says nothing. */
+/** A class with fewer responses is ignored. */
 const MIN_SAMPLES = 8
 /** Quantile of a class that waits for no other request. */
 const UNDELAYED_QUANTILE = 0.25
-/** Difference of two classes' tokens from which their times tell a rate. */
+/** Difference of two classes' tokens that is needed to estimate a rate. */
 const MIN_TOKENS_BETWEEN_CLASSES = 500
 const DURATION_SMOOTHING = 0.05
+/** A prompt that is read faster than this multiple of the learned rate was cached. */
+const MAX_RATE_FACTOR = 3
 
 /** Learned times of one service's backend servers. */
 export interface ServiceTiming {
@@ -88,6 +90,8 @@
     recordFirstByte: (prefillTokens, milliseconds) => {
       const samples = classes[SIZE_CLASSES.findIndex((most) => prefillTokens <= most)]
       if (samples === undefined || !Number.isFinite(milliseconds)) return
+      // Another instance has sent the prompt's parts there, so that most of it was cached.
+      if (milliseconds < prefillTokens / (currentLine().tokensPerMillisecond * MAX_RATE_FACTOR)) return
       samples.push({ tokens: prefillTokens, milliseconds })
       if (samples.length > MAX_SAMPLES) samples.shift()
       line = undefined
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,7 +18,7 @@
 import type { GatewayPlatform } from './ports.js'
 import { parseGatewaySettings, SETTINGS_EXIT_CODE, type GatewaySettings } from './settings.js'
 import { startAcceptDelay } from './tasks/acceptDelay.js'
-import { createBackendConnections } from './tasks/backendConnections.js'
+import { createBackendConnections, LONG_IDLE_TIMEOUT_MS } from './tasks/backendConnections.js'
 import { startBackendReach } from './tasks/backendReach.js'
 import { createBackendRooms } from './tasks/backendRooms.js'
 import { startBackendTask } from './tasks/backendTask.js'
@@ -83,7 +83,7 @@
   const log = createDecisionLog({ instanceId: settings.instanceId, level: settings.logLevel })
   const metrics = createMetrics()
   log.event('starting', { lifetime: incarnationId, failureDomain: settings.failureDomain, processId: process.pid })
-  const connections = createBackendConnections()
+  const connections = createBackendConnections(settings.shareLoads ? LONG_IDLE_TIMEOUT_MS : undefined)
   const sharedClock = createSharedClock()
   const { store: watchedStore, era } = watchStoreEra(options.platform.store, log)
   const store = observeStoreTime(watchedStore, sharedClock)
@@ -357,6 +357,7 @@
         configuration.stop()
         evacuations.stop()
         coldBackends.stop()
+        loads?.stop()
         backends.stop()
         await Promise.race([Promise.all([tokens.close(), fleet.deregister()]), pauseUntil(killedAt - FORCED_EXIT_MARGIN_MS)])
         await finishRefusals(context, callers, killedAt)
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -19,7 +19,7 @@
 import { bufferResponse, closingHeaders, mediaTypeOf, withoutContentLength } from './forwardedResponse.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { hasAllTokens } from './hasAllTokens.js'
-import { recordFirstByteTime } from './recordFirstByteTime.js'
+import { lateFirstByteAfter, recordFirstByteTime } from './recordFirstByteTime.js'
 import { judgeClose } from './judgeClose.js'
 import { recordUse } from './recordUse.js'
 import { releaseReturn } from './releaseReturn.js'
@@ -269,7 +269,7 @@
     pending.answered = true
     watched?.answer()
     if (!exchange.reusedConnection) context.reach.noteAccepted(backend)
-    recordBackendObservation({ kind: 'answered', delayMilliseconds: now - sentAt, expectedMilliseconds: recordFirstByteTime(context, state, choice, now - sentAt) })
+    recordBackendObservation({ kind: 'answered', delayMilliseconds: now - sentAt, expectedMilliseconds: lateFirstByteAfter(context, state, choice) })
   }
 
   /** Only a signed response shows that the backend server has stopped naming a limit. */
@@ -316,6 +316,7 @@
     if (isStreamed) piece = state.pieces.begin(backend.entry.id)
     if (isSuccess) {
       answeredAt = steadyNow()
+      recordFirstByteTime(context, state, choice, answeredAt - sentAt)
       endSetAside()
       earlier?.giveUp(true)
     }
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -9,18 +9,25 @@
 const IDLE_TIMEOUT_MARGIN_MS = 700
 /** Idle timeout when the backend server announces none. */
 const DEFAULT_IDLE_TIMEOUT_MS = 8000
-/** One of many instances sends to one of many engines every 10 to 20 s. */
-const MAX_IDLE_TIMEOUT_MS = 20_000
+/** Idle timeout of large fleets, whose instances send to a given engine every 10 to 20 s. */
+export const LONG_IDLE_TIMEOUT_MS = 20_000
 
 /** A connection on which nothing was read for this time has no bytes waiting in front of its end. */
 const QUIET_MS = 15
 
 /** Pools idle connections to one backend server and closes those that receive unsolicited bytes. */
 class BackendAgent extends Agent {
+  readonly maximumIdleTimeout: number
+
+  constructor (maximumIdleTimeout: number) {
+    super({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: 32 })
+    this.maximumIdleTimeout = maximumIdleTimeout
+  }
+
   override keepSocketAlive (socket: Socket): boolean {
     const response = (socket as Socket & { _httpMessage?: ClientRequest & { res?: IncomingMessage } })._httpMessage?.res
     const announcedSeconds = /timeout=(\d+)/.exec(String(response?.headers['keep-alive'] ?? ''))?.[1]
-    const idleTimeout = announcedSeconds === undefined ? DEFAULT_IDLE_TIMEOUT_MS : Math.min(MAX_IDLE_TIMEOUT_MS, Number(announcedSeconds) * 1000 - IDLE_TIMEOUT_MARGIN_MS)
+    const idleTimeout = announcedSeconds === undefined ? DEFAULT_IDLE_TIMEOUT_MS : Math.min(this.maximumIdleTimeout, Number(announcedSeconds) * 1000 - IDLE_TIMEOUT_MARGIN_MS)
     if (idleTimeout <= 0) return false
     socket.setKeepAlive(true, 1000)
     socket.setTimeout(idleTimeout)
@@ -95,8 +102,8 @@
   closeAll (): void
 }
 
-/** Creates an empty connection pool. */
-export function createBackendConnections (): BackendConnections {
+/** Creates an empty connection pool. A backend server that announces a shorter idle timeout is believed. */
+export function createBackendConnections (maximumIdleTimeout = DEFAULT_IDLE_TIMEOUT_MS): BackendConnections {
   const agents = new Map<string, Agent>()
   /** Connections of paused exchanges, which are not read. */
   const paused = new WeakSet<Socket>()
@@ -105,7 +112,7 @@
   function agentFor (address: string): Agent {
     const found = agents.get(address)
     if (found !== undefined) return found
-    const agent = new BackendAgent({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: 32 })
+    const agent = new BackendAgent(maximumIdleTimeout)
     agents.set(address, agent)
     return agent
   }
--- a/packages/gateway/src/tasks/backendRooms.ts
+++ b/packages/gateway/src/tasks/backendRooms.ts
@@ -39,7 +39,7 @@
 }
 
 /** By what a request is ordered among those that wait for room. */
-export interface RoomTurn {
+export interface RoomQueueEntry {
   /** From 0, the most urgent, to 9. */
   readonly priority: number
   /** Name of the client account; empty without one. */
@@ -61,9 +61,9 @@
   isNeeded (service: string): boolean
   isBrittle (service: string): boolean
   /** When a caller may return whose request is certain to be denied room now, by `steadyNow`; undefined when it may get some. */
-  deniedUntil (service: string, now: number, turn?: RoomTurn): number | undefined
+  deniedUntil (service: string, now: number, turn?: RoomQueueEntry): number | undefined
   /** Asks for room at one of the backend servers, the best one first. With a turn, the request may wait at a service that is short of room. */
-  acquire (service: string, backends: readonly BackendState[], turn?: RoomTurn): Promise<RoomOutcome>
+  acquire (service: string, backends: readonly BackendState[], turn?: RoomQueueEntry): Promise<RoomOutcome>
   /** A request at a backend server has ended. */
   noteEnded (backend: BackendState, how: 'answered' | 'failed' | 'full'): void
   /** Takes over what a response says of its service. */
@@ -143,7 +143,9 @@
   function grantOwnShare (service: string, wanted: readonly BackendState[]): BackendState | undefined {
     const slots = options.backends(service).reduce((sum, { entry }) => sum + entry.slots, 0)
     const used = Object.values(reports.inProgress(service)).reduce((sum, count) => sum + count, 0)
-    if (used >= Math.floor(slots / options.instances())) return undefined
+    // Without at least one, an instance of a large fleet would reject all requests although it reaches the backend servers.
+    const least = isBrittle(service) ? 0 : 1
+    if (used >= Math.max(least, Math.floor(slots / options.instances()))) return undefined
     return wanted.find(({ entry, pending }) => pending.size < Math.ceil(entry.slots / options.instances()))
   }
 
@@ -174,7 +176,7 @@
     return { kind: 'denied', retryAt }
   }
 
-  async function acquire (service: string, backends: readonly BackendState[], turn?: RoomTurn): Promise<RoomOutcome> {
+  async function acquire (service: string, backends: readonly BackendState[], turn?: RoomQueueEntry): Promise<RoomOutcome> {
     const report = reports.of(service)
     const message = reports.takeMessage(service, backends)
     const { sequence } = message
@@ -215,18 +217,18 @@
     calls.post(home, PEER_PATH.rooms, reports.takeMessage(service, [])).catch((error: unknown) => log.warning('roomsNotTold', { service, reason: String(error) }))
   }
 
-  function withTurn (message: RoomRequest, { priority, account, waitUntil }: RoomTurn): RoomRequest {
+  function withTurn (message: RoomRequest, { priority, account, waitUntil }: RoomQueueEntry): RoomRequest {
     return { ...message, priority, account, waitUntil: clock.fromLocal(waitUntil) ?? 0 }
   }
 
-  function denyTurn (service: string, turn: RoomTurn, denial: RoomDenial): RoomOutcome {
+  function denyTurn (service: string, turn: RoomQueueEntry, denial: RoomDenial): RoomOutcome {
     shortages.noteDenial(service)
     reports.of(service).denials.set(turnKey(turn), denial)
     return { kind: 'denied', retryAt: denial.retryAt }
   }
 
   /** Callers return at the rate at which slots become free, also those whose requests the issuer was not asked about. */
-  function turnDeniedUntil (service: string, turn: RoomTurn, now: number): number | undefined {
+  function turnDeniedUntil (service: string, turn: RoomQueueEntry, now: number): number | undefined {
     const report = reports.find(service)
     const denial = report?.denials.get(turnKey(turn))
     if (report === undefined || denial === undefined) return undefined
@@ -292,6 +294,6 @@
   }
 }
 
-function turnKey ({ priority, account }: RoomTurn): string {
+function turnKey ({ priority, account }: RoomQueueEntry): string {
   return `${priority}/${account}`
 }
--- a/packages/gateway/src/tasks/chooseDestination.ts
+++ b/packages/gateway/src/tasks/chooseDestination.ts
@@ -1,12 +1,12 @@
 import { steadyNow } from '../clock.js'
 import { chooseBackend, rankBackends, type Choice, type ChoiceRequest } from '../decisions/backendChoice.js'
 import type { BackendState } from '../decisions/backendState.js'
-import { chooseByEstimate, knowsTooLittle, type EstimateInput } from '../decisions/estimatedChoice.js'
+import { chooseByEstimate, hasTooFewReports, type EstimateInput } from '../decisions/estimatedChoice.js'
 import { hasAttemptLeft } from '../decisions/relayedRetries.js'
 import { isRetryable, type ChoiceOutcome } from '../decisions/requestPlan.js'
 import { countEvacuationRefusal, findAvailableBackends } from './availableBackends.js'
 import { destinationIdOf, excludedPeers, reachableBackends, relayNeed, type Destination } from './destinations.js'
-import type { RoomTurn } from './backendRooms.js'
+import type { RoomQueueEntry } from './backendRooms.js'
 import type { GatewayContext } from './gatewayContext.js'
 import type { RequestState } from './requestTask.js'
 
@@ -77,17 +77,17 @@
 /** Chooses the best candidate, or the best that has room where they are brittle. */
 async function chooseWithRoom (context: GatewayContext, state: RequestState, candidates: readonly BackendState[], now: number): Promise<ChoiceWithRoom> {
   const request = { prompt: state.fields.prompt, isRetryable: isRetryable(state.route.deliverySemantics), failureDomain: context.settings.failureDomain }
-  if (candidates.length === 0 || !context.rooms.isNeeded(state.service)) return { kind: 'found', choice: chooseFreely(context, state, candidates, request, now) }
+  if (candidates.length === 0 || !context.rooms.isNeeded(state.service)) return { kind: 'found', choice: chooseWithoutRoom(context, state, candidates, request, now) }
   const ranked = rankBackends(candidates, request, now, Math.random())
   releaseRoom(state)
-  const outcome = await context.rooms.acquire(state.service, ranked.map((choice) => choice.state), turnOf(state))
+  const outcome = await context.rooms.acquire(state.service, ranked.map((choice) => choice.state), queueEntryOf(state))
   if (outcome.kind === 'denied') return { kind: 'noRoom', retryAt: outcome.retryAt }
   state.room = outcome.room
   return { kind: 'found', choice: ranked.find((choice) => choice.state === outcome.backend) }
 }
 
 /** Chooses by the load figures that instances share where this one knows too little itself. */
-function chooseFreely (context: GatewayContext, state: RequestState, candidates: readonly BackendState[], request: ChoiceRequest, now: number): Choice | undefined {
+function chooseWithoutRoom (context: GatewayContext, state: RequestState, candidates: readonly BackendState[], request: ChoiceRequest, now: number): Choice | undefined {
   const input: EstimateInput = {
     request,
     service: state.service,
@@ -98,7 +98,7 @@
     random: Math.random,
     now
   }
-  const isEstimated = knowsTooLittle(candidates, input)
+  const isEstimated = hasTooFewReports(candidates, input)
   context.metrics.count('choices_total', { service: state.service, by: isEstimated ? 'estimate' : 'ownResponses' })
   return isEstimated ? chooseByEstimate(candidates, input) : chooseBackend(candidates, request, now, Math.random())
 }
@@ -110,12 +110,14 @@
 
 /** Share of the time left until the latency target that a request may wait for room. */
 const ROOM_WAIT_SHARE = 1 / 3
+/** Counted from here, so that the home's reply comes before it counts as one that does not reply. */
+const MAX_ROOM_WAIT_MS = 100
 
 /** By what a request is ordered among those that wait for room, and how long it may wait. */
-export function turnOf ({ priority, account, receivedAt, route, caller }: RequestState): RoomTurn {
+export function queueEntryOf ({ priority, account, receivedAt, deadline, route, caller }: RequestState): RoomQueueEntry {
   const now = steadyNow()
-  const timeLeft = Math.max(0, receivedAt + route.latencyTargetMilliseconds - now)
-  return { priority, account: account?.name ?? '', waitUntil: now + timeLeft * ROOM_WAIT_SHARE, onCallerLeft: caller.onLeft }
+  const timeLeft = Math.max(0, Math.min(receivedAt + route.latencyTargetMilliseconds, deadline) - now)
+  return { priority, account: account?.name ?? '', waitUntil: now + Math.min(MAX_ROOM_WAIT_MS, timeLeft * ROOM_WAIT_SHARE), onCallerLeft: caller.onLeft }
 }
 
 /** Gives back the room that was granted for a send. */
--- a/packages/gateway/src/tasks/fleetTask.ts
+++ b/packages/gateway/src/tasks/fleetTask.ts
@@ -442,7 +442,7 @@
       const answeredAt = options.answerToReport(part)
       if (answeredAt === undefined) return
       options.onAnswer(part, answeredAt)
-      addReport(`${REPORT_PREFIX.answer}${part}`, String(answeredAt))
+      replaceReport(`${REPORT_PREFIX.answer}${part}`, String(answeredAt))
     }, Math.random() * MAX_ANSWER_REPORT_DELAY_MS)
   }
 
--- a/packages/gateway/src/tasks/loadExchange.ts
+++ b/packages/gateway/src/tasks/loadExchange.ts
@@ -23,7 +23,7 @@
 const MAX_ATTEMPTS = 3
 /** A home that did not reply is not asked for this time. */
 const AVOIDANCE_MS = 3000
-/** One that replies with an error is of a release that doesn't know the messages. */
+/** One that handled the message and replied with an error is of a release that doesn't know it. */
 const UNKNOWN_PATH_AVOIDANCE_MS = 30_000
 /** Figures that are older are logged as old. */
 const MAX_AGE_MS = 2500
@@ -109,7 +109,7 @@
         avoidedUntil.set(home.incarnationId, steadyNow() + AVOIDANCE_MS)
         return undefined
       case 'failed':
-        avoidedUntil.set(home.incarnationId, steadyNow() + (outcome.hasReplied === true ? UNKNOWN_PATH_AVOIDANCE_MS : AVOIDANCE_MS))
+        avoidedUntil.set(home.incarnationId, steadyNow() + (outcome.hasReplied === true && outcome.mayHaveArrived ? UNKNOWN_PATH_AVOIDANCE_MS : AVOIDANCE_MS))
         log.decision('peerDidNotAnswer', { peer: home.address, path: PEER_PATH.loads, reason: outcome.reason })
         return undefined
     }
@@ -277,9 +277,11 @@
     reportTimer = setInterval(startReport, REPORT_INTERVAL_MS)
   }, options.phase * REPORT_INTERVAL_MS)
   let exchangeTimer: NodeJS.Timeout | undefined
+  let hasStopped = false
 
   /** Only homes exchange sums: a timer at each instance would wake all of them. */
   function scheduleExchange (): void {
+    if (hasStopped) return
     exchangeTimer ??= setTimeout(() => {
       exchangeTimer = undefined
       startExchange()
@@ -300,6 +302,7 @@
       for (const [service, { requests }] of view.requestsByService) options.gauge('load_other_requests', requests, { service })
     },
     stop: () => {
+      hasStopped = true
       clearTimeout(firstTimer)
       clearInterval(reportTimer)
       clearTimeout(exchangeTimer)
--- a/packages/gateway/src/tasks/loadMessages.ts
+++ b/packages/gateway/src/tasks/loadMessages.ts
@@ -21,7 +21,7 @@
 /** Name, rows. */
 const reportedServiceSchema = v.tuple([name, v.string()])
 /** Name, instances, requests sent and rejected, requests in progress, tokens, rows. */
-const summedServiceSchema = v.tuple([name, integer, integer, integer, integer, integer, v.string()])
+const summedServiceSchema = v.tuple([name, v.pipe(integer, v.minValue(1)), integer, integer, integer, integer, v.string()])
 /** Key of the instance, age of its report in milliseconds. */
 const reporterSchema = v.tuple([key, integer])
 const interval = v.pipe(v.number(), v.minValue(1), v.maxValue(MAX_INTERVAL_MS))
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -18,7 +18,7 @@
 import { runAttempt } from './attempt.js'
 import type { AttemptSetAside } from './attemptSetAside.js'
 import type { GrantedRoom } from './backendRooms.js'
-import { chooseDestination, hasUntriedDestination, noRoomReason, releaseRoom, suggestedRetryAt, turnOf } from './chooseDestination.js'
+import { chooseDestination, hasUntriedDestination, noRoomReason, releaseRoom, suggestedRetryAt, queueEntryOf } from './chooseDestination.js'
 import { cutOffResponse } from './cutOffResponse.js'
 import { destinationIdOf, relayNeed } from './destinations.js'
 import { acquireRetry, acquireRetryWithReturn, recordRequest } from './requestRetries.js'
@@ -238,7 +238,7 @@
     countEvacuationRefusal(context, state.service, available)
     return { kind: 'notRun', reason: available.reason, retryAt: available.retryAt }
   }
-  const deniedUntil = context.rooms.deniedUntil(state.service, steadyNow(), turnOf(state))
+  const deniedUntil = context.rooms.deniedUntil(state.service, steadyNow(), queueEntryOf(state))
   return deniedUntil === undefined ? undefined : { kind: 'notRun', reason: noRoomReason(context, state.service), retryAt: deniedUntil }
 }
 
@@ -264,7 +264,10 @@
   if (destination === undefined || destinationIdOf(destination) !== destinationId) return { kind: 'notSent', reason: 'backend server no longer listed' }
   // The caller may have left while a permit was asked for.
   if (hasCallerLeft(state)) return { kind: 'callerGone' }
-  if (state.setAside?.hasGoneOn === true) return { kind: 'superseded' }
+  if (state.setAside?.hasGoneOn === true) {
+    releaseRoom(state)
+    return { kind: 'superseded' }
+  }
   switch (destination.kind) {
     case 'backend': {
       const { failureDomain } = destination.choice.state.entry
--- a/packages/gateway/src/tasks/roomLines.ts
+++ b/packages/gateway/src/tasks/roomLines.ts
@@ -51,15 +51,15 @@
       const now = sharedNow()
       const reply = issuer.handleOrQueue(request, power, now)
       if (power.hasLine !== true) return reply.kind === 'queued' ? { kind: 'noted' } : reply
+      // Registered before answers are given: the request's own answer may be among them when its wait is short.
+      const answer = reply.kind === 'queued' ? new Promise<RoomReply>((resolve) => { waiters.set(keyOf(service, request), resolve) }) : undefined
       giveAnswers(service)
       if (reply.kind === 'denied') count(service, 'denied')
-      if (reply.kind !== 'queued') return reply
+      if (reply.kind !== 'queued' || answer === undefined) return reply.kind === 'queued' ? { kind: 'noted' } : reply
       count(service, 'queued')
-      return new Promise((resolve) => {
-        waiters.set(keyOf(service, request), resolve)
-        // Rounded up, as a timer that fires too early would find that the wait has not ended.
-        setTimeout(() => giveAnswers(service), Math.ceil(reply.answerAt - now) + 1)
-      })
+      // Rounded up, as a timer that fires too early would find that the wait has not ended.
+      setTimeout(() => giveAnswers(service), Math.ceil(reply.answerAt - now) + 1)
+      return answer
     }
   }
 }
--- a/packages/gateway/src/tasks/roomShortages.ts
+++ b/packages/gateway/src/tasks/roomShortages.ts
@@ -7,6 +7,8 @@
 
 /** The fleet's figures change once per second. */
 const FLEET_CHECK_INTERVAL_MS = 100
+/** The oldest are forgotten first. */
+const MAX_REMEMBERED_PROCESSES = 1000
 
 /** Services that are short of room, as this instance sees them. */
 export interface RoomShortages {
@@ -37,7 +39,14 @@
 export function createRoomShortages ({ isEnabled, loads, log }: RoomShortagesOptions): RoomShortages {
   const known = new Map<string, KnownShortage>()
   /** Processes whose last response said that they want no requests for a time, or leave. */
-  const unwilling = new Set<string>()
+  const notAccepting = new Set<string>()
+
+  function recordNotAccepting (backendProcess: string): void {
+    notAccepting.delete(backendProcess)
+    notAccepting.add(backendProcess)
+    const oldest = notAccepting.values().next().value
+    if (notAccepting.size > MAX_REMEMBERED_PROCESSES && oldest !== undefined) notAccepting.delete(oldest)
+  }
 
   function of (service: string): KnownShortage {
     const found = known.get(service)
@@ -77,11 +86,11 @@
     get shortServices () { return isEnabled ? [...known.keys()].filter(isShort) : [] },
     observe: ({ entry }, { pause, isLeaving, isMisdirected }) => {
       if (!isEnabled) return
-      if (pause.kind !== 'none' || isLeaving || isMisdirected) unwilling.add(backendProcessOf(entry))
-      else unwilling.delete(backendProcessOf(entry))
+      if (pause.kind !== 'none' || isLeaving || isMisdirected) recordNotAccepting(backendProcessOf(entry))
+      else notAccepting.delete(backendProcessOf(entry))
     },
     noteRejection: ({ entry }) => {
-      if (!isEnabled || unwilling.has(backendProcessOf(entry))) return
+      if (!isEnabled || notAccepting.has(backendProcessOf(entry))) return
       logChange(entry.service, of(entry.service).shortage.noteRejection(steadyNow()), { backend: entry.id })
     },
     noteDenial: (service) => {
--- a/packages/gateway/src/tasks/secondSends.ts
+++ b/packages/gateway/src/tasks/secondSends.ts
@@ -89,7 +89,7 @@
     areAllSlow,
     needsRoom: context.rooms.isNeeded(service),
     isCutOff: relayNeed(context, state, now) !== 'none'
-  }, first, available.kind === 'none' ? [] : available.backends, now)
+  }, first, available.kind === 'none' ? [] : available.backends.filter((candidate) => context.permits.limitOf(candidate, now) === undefined), now)
   if (targets.kind === 'refused') return targets
   if (!context.secondSends.tokens.tryUse(service, now)) return { kind: 'refused', reason: 'shareUsed' }
   if (!context.retryShares.tryAcquireSecondSend(service, now)) return { kind: 'refused', reason: 'retryBudgetUsed' }
