--- a/packages/gateway/src/__tests__/secondSends.test.ts
+++ b/packages/gateway/src/__tests__/secondSends.test.ts
@@ -77,10 +77,9 @@
           sends.push(...useAll(own, now))
         }
       }
-      // The random parts of a small fleet vary by a few tokens.
       const allowed = share * instances * requestsPerSecond * WINDOW_MS / 1000
-      expect(mostInWindow(sends, WINDOW_MS)).toBeLessThanOrEqual(Math.max(allowed, allowed * 0.625 + 3 * Math.sqrt(instances)))
-    }), { numRuns: 60 })
+      expect(mostInWindow(sends, WINDOW_MS)).toBeLessThanOrEqual(allowed)
+    }), { numRuns: 60, examples: [[6, 0.02, -1695945009]] })
   })
 
   test('0 sends nothing a second time', () => {
@@ -110,8 +109,7 @@
       if (shares.tryAcquireRetry(SERVICE, now)) retries++
     }
     expect(seconds).toBeLessThanOrEqual(1000 * 0.12 / 2 + 1)
-    // What is added to a share of one retry beyond its capacity is lost, at most 0.06 of each.
-    expect(retries).toBeGreaterThanOrEqual(Math.floor(1000 * 0.12 / 2 / 1.06))
+    expect(retries).toBeGreaterThanOrEqual(1000 * 0.12 / 2)
     expect(seconds + retries).toBeLessThanOrEqual(1000 * 0.12 + 2)
   })
 })
