--- a/packages/gateway/src/decisions/streamPieces.ts
+++ b/packages/gateway/src/decisions/streamPieces.ts
@@ -16,9 +16,9 @@
 
 /** The pieces of the stream that a caller gets, by the attempts that brought them. */
 export interface StreamPieces {
-  /** Begins the piece of an attempt at a backend server or a peer. */
+  /** Begins the piece of an attempt at a process of a backend server, named with its listed version, or at a peer. */
   begin (source: string): StreamPiece
-  /** All pieces for the log, such as `i-1 1-4 ECONNRESET; i-2 5-10 chunks`; undefined when there are none. */
+  /** All pieces for the log, such as `i-1/1700000000000 v1 1-4 ECONNRESET; i-2/1700000000000 v1 5-10 chunks`; undefined when there are none. */
   describe (): string | undefined
 }
 
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -313,7 +313,7 @@
       return
     }
     head = { incoming, isStreamed }
-    if (isStreamed) piece = state.pieces.begin(backend.entry.id)
+    if (isStreamed) piece = state.pieces.begin(`${backendProcess} ${backend.entry.version}`)
     if (isSuccess) {
       answeredAt = steadyNow()
       recordFirstByteTime(context, state, choice, answeredAt - sentAt)
--- a/packages/gateway/src/tasks/judgeClose.ts
+++ b/packages/gateway/src/tasks/judgeClose.ts
@@ -14,12 +14,15 @@
 /** Judges a response without a length or chunks whose connection was closed in order. */
 export async function judgeClose (context: GatewayContext, state: RequestState, backend: BackendState, { incoming, backendProcess }: ClosedResponse): Promise<CloseVerdict> {
   const { entry } = backend
-  if (hasAllTokens(state)) return { kind: 'whole', because: 'all tokens were delivered' }
+  if (hasAllTokens(state)) return logged(context, state, entry.id, { kind: 'whole', because: 'all tokens were delivered' })
   // Of a refusal or failure only the status counts, and one that was not run may be sent again.
   if (!isSuccess(incoming?.statusCode ?? 0)) return { kind: 'whole', because: 'the head tells the outcome' }
-  const verdict = await judgeSuccess(context, backend, backendProcess)
+  return logged(context, state, entry.id, await judgeSuccess(context, backend, backendProcess))
+}
+
+function logged (context: GatewayContext, state: RequestState, backendId: string, verdict: CloseVerdict): CloseVerdict {
   context.metrics.count('closed_responses_total', { verdict: verdict.kind })
-  context.log.decision('closeJudged', { request: state.fields.attemptId, backend: entry.id, verdict: verdict.kind, because: verdict.because, lastEventId: state.lastEventId })
+  context.log.decision('closeJudged', { request: state.fields.attemptId, backend: backendId, verdict: verdict.kind, because: verdict.because, lastEventId: state.lastEventId, events: state.deliveredEvents + state.relayedEvents })
   return verdict
 }
 
