--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -235,12 +235,19 @@
     store.putBackend(id, { ...wireBackendWithSlots(PLAIN_BACKENDS.includes(index) ? 'ledger' : 'model', backendLinks[index]?.address ?? '', brittleBackends[index] === undefined ? BACKEND_SLOTS : BRITTLE_SLOTS), version: software, born: FIRST_START_MS + earlierStarts })
   }
 
+  /** Another process runs in place of a backend server, and reports its own start. */
+  function startProcess (index: number, backendProcess: BackendProcess, identity: Pick<BackendProcess, 'id' | 'version'>): void {
+    Object.assign(backendProcess, identity, { earlierStarts: backendProcess.earlierStarts + 1 })
+    const backend = backends[index]
+    if (backend !== undefined) backend.startedAt = FIRST_START_MS + backendProcess.earlierStarts
+  }
+
   /** The new process listens at once, so that it is reached under the ID of the one before until the list is read. */
   function releaseBackend (index: number, software: string, sequence: number): void {
     const backendProcess = backendProcesses[index]
     if (backendProcess === undefined) return
     store.remove('servers', backendProcess.id)
-    Object.assign(backendProcess, { id: `backend${index}-${sequence}`, version: software })
+    startProcess(index, backendProcess, { id: `backend${index}-${sequence}`, version: software })
     for (const response of backendProcess.responses) response.destroy()
     listBackend(index, backendProcess)
   }
@@ -254,8 +261,7 @@
     link.crash()
     await sleep(downFor)
     if (!keepsId) store.remove('servers', backendProcess.id)
-    const earlierStarts = backendProcess.earlierStarts + 1
-    Object.assign(backendProcess, { id: keepsId ? backendProcess.id : `backend${backend}-${earlierStarts}`, version: software, earlierStarts })
+    startProcess(backend, backendProcess, { id: keepsId ? backendProcess.id : `backend${backend}-${backendProcess.earlierStarts + 1}`, version: software })
     await link.restart()
     listBackend(backend, backendProcess)
     crashed.delete(backend)
