Let streams go on only at the process that is listed, and bind them to the process that began them

Cause: the list names a process by its ID, and the version that it names was believed of whichever process answered at the address. An instance that had not read the new entry recorded the predecessor's version for streams of the successor, and went on there with streams of the predecessor's version. Class: a stale belief about who is at the other end of a new connection.

Change: a process can't change behind one connection, and two don't accept connections at one address. So each connection notes when it was established, and what proves that a process lived later proves whose connection it is: a renewed entry, an answer on a proven connection, or GET /report with the start time of the entry. A stream goes on only on a proven connection; where nothing proves it yet, the process is asked, on the connection that is used next where there is one. A stream's version is told to its homes once the connection that brought it is proven, or as uncertain where there were signs of a restart, and is weighed again before it goes on elsewhere. No time limit decides about soundness: a process that does not reply is not used, and is not taken for lost by the question. A service whose processes never name their start is served by the list as before.

--- a/packages/gateway/src/__tests__/backendTask.test.ts
+++ b/packages/gateway/src/__tests__/backendTask.test.ts
@@ -14,7 +14,7 @@
   throw new Error('only entries of backend servers are expected')
 }
 
-const unusedWire: GatewayPlatform['wire'] = { decodeRequestHeaders: throwUnused, buildRequestHeaders: throwUnused, buildRelayHeaders: throwUnused, decodeResponseHeaders: throwUnused, buildResponseHeaders: throwUnused, decodeConfiguration: throwUnused, decodeBackendServer: throwUnused, decodeEvacuation: throwUnused }
+const unusedWire: GatewayPlatform['wire'] = { decodeRequestHeaders: throwUnused, buildRequestHeaders: throwUnused, buildRelayHeaders: throwUnused, decodeResponseHeaders: throwUnused, buildResponseHeaders: throwUnused, decodeConfiguration: throwUnused, decodeBackendServer: throwUnused, decodeEvacuation: throwUnused, processReport: { path: '', decodeStartTime: throwUnused } }
 
 interface TestList {
   readonly memory: MemoryRowStore
@@ -30,7 +30,7 @@
   const { store, era } = watchStoreEra(memory.store, log)
   const decodeBackendServer = (_id: string, value: string): BackendServerEntry => JSON.parse(value)
   const platform: GatewayPlatform = { store, wire: { ...unusedWire, decodeBackendServer }, tables: { configuration: { table: 'op', key: 'config' }, evacuations: { table: 'op', keyPrefix: 'evacuate/' }, backendServers: { table: 'servers' } } }
-  const task = startBackendTask({ platform, log, era, drainMilliseconds: DRAIN_MS, onListed: () => {}, onRemoved: () => {}, onRestarted: () => {} })
+  const task = startBackendTask({ platform, log, era, drainMilliseconds: DRAIN_MS, onListed: () => {}, onRemoved: () => {}, onRenewed: () => {}, onRestarted: () => {} })
   return {
     memory,
     task,
--- a/packages/gateway/src/__tests__/streamVersions.test.ts
+++ b/packages/gateway/src/__tests__/streamVersions.test.ts
@@ -54,6 +54,7 @@
       log: createRecordingLog(),
       homes: (attemptId) => accountHomes(attemptId, instances.map((instance) => instance.peer)),
       isListCurrent: () => true,
+      isProven: () => false,
       announceMixed: (service, until) => {
         announced.set(service, until)
         for (const other of running()) instances[other]?.streams.learnMixed(service, until)
@@ -96,7 +97,7 @@
       start(index, starts + 1)
     },
     begin: (index, attemptId, backendId) => {
-      instances[index]?.streams.begin({ attemptId, service: 'model', backendId, version: listed.get(backendId) ?? '', callerTimeoutAt: steadyNow() + CALLER_TIMEOUT_MS })
+      instances[index]?.streams.begin({ attemptId, service: 'model', backendId, version: listed.get(backendId) ?? '', evidence: { kind: 'listed' }, callerTimeoutAt: steadyNow() + CALLER_TIMEOUT_MS })
     }
   }
 }
--- a/packages/gateway/src/decisions/backendState.ts
+++ b/packages/gateway/src/decisions/backendState.ts
@@ -169,9 +169,14 @@
   state.failures = { weight: failureWeight(state, now) + weight, at: now }
 }
 
-/** Names one run of a backend server's process. */
+/** Names one run of a backend server's process by the server's ID and its start time in Unix milliseconds. */
+export function processName (id: string, startedAt: number): string {
+  return `${id}/${startedAt}`
+}
+
+/** Names the run of a backend server's process that an entry is of. */
 export function backendProcessOf (entry: BackendServerEntry): string {
-  return `${entry.id}/${entry.startedAt}`
+  return processName(entry.id, entry.startedAt)
 }
 
 /** Records that the prompt parts are expected in the backend server's cache until `cachedUntil`. */
--- a/packages/gateway/src/decisions/streamOrigins.ts
+++ b/packages/gateway/src/decisions/streamOrigins.ts
@@ -1,5 +1,6 @@
 import { assertNever } from '@quinceshunt/effects'
 import type { BackendServerEntry, Route } from '../fleetConfiguration.js'
+import type { ConnectionOrigin } from './processProofs.js'
 import * as v from 'valibot'
 
 /** What an instance tells others of a stream that it began to pass on. Times are on the clock that all instances share. */
@@ -12,18 +13,32 @@
   version: v.string(),
   begunAt: v.number(),
   /** The caller does not take the stream up again later. */
-  expiresAt: v.number()
+  expiresAt: v.number(),
+  /** Whether the version is that of the process which began the stream; instances of an earlier version tell that of the listed entry. */
+  certainty: v.optional(v.picklist(['certain', 'uncertain']))
 })
 
 /** Where a stream began. */
 export type StreamOrigin = v.InferOutput<typeof streamOriginSchema>
 
+/** What the version of a stream rests on. */
+export type StartEvidence =
+  /** The process that began the stream was certainly the listed one. */
+  | { readonly kind: 'proven' }
+  /** The entry that was listed then, which may have been that of a process before. */
+  | { readonly kind: 'listed' }
+  /**
+   * The entry that was listed when the connection was opened, on which the stream began; the process behind the connection may be
+   * asked for. `wasSuspect`: there were signs that it had been replaced.
+   */
+  | { readonly kind: 'connection', readonly connection: ConnectionOrigin, readonly wasSuspect: boolean }
+
 /** Where a request's stream began, which decides at which backend servers it may go on. */
 export type StreamStart =
   /** The caller has got nothing of it. */
   | { readonly kind: 'notBegun' }
   /** `at` by `steadyNow`; `backendId` is empty when only the version is known. */
-  | { readonly kind: 'begun', readonly service: string, readonly version: string, readonly backendId: string, readonly at: number }
+  | { readonly kind: 'begun', readonly service: string, readonly version: string, readonly backendId: string, readonly at: number, readonly evidence: StartEvidence }
   /** It began at a version that can't be told. */
   | { readonly kind: 'unknown' }
 
--- a/packages/gateway/src/decisions/streamReport.ts
+++ b/packages/gateway/src/decisions/streamReport.ts
@@ -5,7 +5,7 @@
  * all instances share.
  */
 const streamReportSchema = v.variant('kind', [
-  v.object({ kind: v.literal('begun'), service: v.string(), version: v.string(), backendId: v.string(), begunAt: v.number() }),
+  v.object({ kind: v.literal('begun'), service: v.string(), version: v.string(), backendId: v.string(), begunAt: v.number(), isCertain: v.optional(v.boolean()) }),
   /** The stream began at a software version that the peer can't tell. */
   v.object({ kind: v.literal('unknown') })
 ])
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 import { parseGatewaySettings, SETTINGS_EXIT_CODE, type GatewaySettings } from './settings.js'
 import { startAcceptDelay } from './tasks/acceptDelay.js'
 import { createBackendConnections, LONG_IDLE_TIMEOUT_MS } from './tasks/backendConnections.js'
+import { createBackendProcesses } from './tasks/backendProcesses.js'
 import { startBackendReach } from './tasks/backendReach.js'
 import { createBackendRooms } from './tasks/backendRooms.js'
 import { startBackendTask } from './tasks/backendTask.js'
@@ -204,6 +205,7 @@
     homes: fleet.streamHomes,
     isListCurrent: () => steadyNow() - backends.follower.lastResponseAt < MAX_LIST_AGE_MS,
     announceMixed: fleet.announceMixedVersions,
+    isProven: (connection) => processes.isProven(connection),
     count: (outcome) => metrics.count('stream_origins_total', { outcome })
   })
   const relayedRetries = createRelayedRetries({ log, peers: () => fleet.peers, count: (outcome) => metrics.count('relayed_retries_total', { outcome }) })
@@ -244,8 +246,10 @@
       streamVersions.noteRemoved(entry)
       connections.closeIdle(entry.address)
     },
+    onRenewed: (backendProcess, since) => processes.noteAlive(backendProcess, since),
     onRestarted: (predecessor, backendProcess) => acceptance.restart(predecessor, backendProcess, steadyNow())
   })
+  const processes = createBackendProcesses({ connections, report: platform.wire.processReport, log, count: (outcome) => metrics.count('processes_asked_total', { outcome }) })
   const acceptance = createBackendAcceptance(backends.processes)
   const reach = startBackendReach({
     backendsByService: backends.byService,
@@ -277,6 +281,7 @@
     reach,
     acceptance,
     connections,
+    processes,
     closedResponses: createClosedResponses({ hasOpen: connections.hasOpen, eventLoopDelay: () => eventLoopDelay.milliseconds }),
     tokens,
     fleet,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -172,6 +172,14 @@
   readonly isContentEncoded: boolean
 }
 
+/** How the process of a backend server is asked which one it is. */
+export interface ProcessReportFormat {
+  /** Path of the request; needs no slot. */
+  readonly path: string
+  /** Returns when the process started, in Unix milliseconds; undefined for a report that does not tell. */
+  decodeStartTime (body: string): number | undefined
+}
+
 /** Codec for the platform's HTTP headers and stored values. */
 export interface WireFormat {
   decodeRequestHeaders (headers: IncomingHttpHeaders): CallerFields
@@ -187,6 +195,7 @@
   decodeBackendServer (id: string, value: string, now: number): BackendServerEntry
   /** Throws when the operators' row of an evacuation is malformed. */
   decodeEvacuation (failureDomain: string, value: string): void
+  readonly processReport: ProcessReportFormat
 }
 
 /** Tables that the platform maintains and the gateway only reads. */
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -25,6 +25,7 @@
 import { releaseReturn } from './releaseReturn.js'
 import type { RequestState } from './requestTask.js'
 import { watchFirstAttempt } from './secondSends.js'
+import { connectionCheck } from './streamContinuation.js'
 import { recordStreamStart, streamReportHeaders } from './streamStart.js'
 
 const STALL_CHECK_INTERVAL_MS = 50
@@ -54,7 +55,8 @@
   const { wire, connections } = context
   const { response, incoming: callerRequest } = state
   const backend = choice.state
-  const backendProcess = backendProcessOf(backend.entry)
+  const { entry } = backend
+  const backendProcess = backendProcessOf(entry)
   const sentAt = steadyNow()
   const isStream = state.route.deliverySemantics.kind === 'resumableStream' || state.route.deliverySemantics.kind === 'onceStream'
   const isRepeatable = isRetryable(state.route.deliverySemantics)
@@ -101,6 +103,8 @@
     headers,
     body: state.body,
     needsNewConnection: state.triedAddresses.has(backend.entry.address),
+    backendProcess,
+    confirmConnection: connectionCheck(context, state, backend),
     judgeClose: async () => await judgeClose(context, state, backend, { incoming: head?.incoming, backendProcess })
   }, { onConnected, onHead, onData, onEnd, onBroken })
   state.triedAddresses.add(backend.entry.address)
@@ -294,6 +298,7 @@
       abort({ kind: 'broken', reason: 'response to another request', headersSent: state.headersSent }, 'response to another request')
       return
     }
+    context.processes.noteAnswer(exchange.connection, sentAt)
     recordLimit(fields)
     context.rooms.observe(backend, fields, state.fields.attemptId)
     recordAcceptance(context, { backend, backendProcess, fields, requestId: state.fields.attemptId })
@@ -321,7 +326,7 @@
       earlier?.giveUp(true)
     }
     if (isStreamed && !state.headersSent) {
-      recordStreamStart(context, state, backend, backendProcess)
+      recordStreamStart(context, state, backend, { entry, connection: exchange.connection })
       const responseHeaders = wire.buildResponseHeaders(incoming.rawHeaders)
       response.writeHead(status, [...withoutContentLength(responseHeaders), ...streamReportHeaders(context, state), ...closingHeaders(context, response)])
       state.headersSent = true
@@ -431,6 +436,8 @@
       state.mayHaveRun ||= sent
       return settle(abortOutcome)
     }
+    if (cause === 'connection') context.processes.noteBroken(backendProcess, steadyNow())
+    if (cause === 'unconfirmed') return settle({ kind: 'notSent', reason })
     if (!sent) {
       recordBackendObservation({ kind: 'unreachable' })
       return settle({ kind: 'notSent', reason })
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -2,6 +2,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { steadyNow } from '../clock.js'
+import type { ConnectionOrigin } from '../decisions/processProofs.js'
 
 /** A round trip takes a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 400
@@ -63,10 +64,17 @@
   readonly needsNewConnection: boolean
   /** Judges a body that is delimited by the end of its connection, once that was closed in order; without it, such a body is whole. */
   readonly judgeClose?: () => Promise<CloseVerdict>
+  /** The process that is listed at the address. */
+  readonly backendProcess?: string
+  /** Tells, before the request is sent, whether it may be sent on a connection. */
+  readonly confirmConnection?: (connection: ConnectionOrigin) => Promise<boolean>
 }
 
-/** Why an exchange broke: a backend server that sends an invalid head, such as one with an invalid status, has not crashed. */
-export type BreakCause = 'connection' | 'invalidHead'
+/**
+ * Why an exchange broke: a backend server that sends an invalid head, such as one with an invalid status, has not crashed. A connection
+ * that is not confirmed may lead to another process than the listed one.
+ */
+export type BreakCause = 'connection' | 'invalidHead' | 'unconfirmed'
 
 /** Callbacks of an exchange. Exactly one of `onEnd` and `onBroken` is called, at the latest after an abort. */
 export interface ExchangeListener {
@@ -86,6 +94,8 @@
   pause (): void
   resume (): void
   readonly reusedConnection: boolean
+  /** Undefined until the connection is established. */
+  readonly connection: ConnectionOrigin | undefined
 }
 
 /** Pool of connections to backend servers, by address. */
@@ -94,6 +104,8 @@
   /** Closes the idle connections to an address. */
   closeIdle (address: string): void
   hasIdle (address: string): boolean
+  /** The idle connections to an address. */
+  idleConnections (address: string): readonly ConnectionOrigin[]
   /**
    * True while a connection is open, idle or in use, whose end would have been read by now: not while its exchange is paused, nor
    * while bytes come on it, behind which the end of a process that was killed may follow.
@@ -108,6 +120,7 @@
   /** Connections of paused exchanges, which are not read. */
   const paused = new WeakSet<Socket>()
   const lastReadAt = new WeakMap<Socket, number>()
+  const origins = new WeakMap<Socket, ConnectionOrigin>()
 
   function agentFor (address: string): Agent {
     const found = agents.get(address)
@@ -123,7 +136,7 @@
       return open(exchange, listener)
     } catch (error) {
       queueMicrotask(() => listener.onBroken(false, (error as Error).message, 'connection'))
-      return { abort: () => {}, pause: () => {}, resume: () => {}, reusedConnection: false }
+      return { abort: () => {}, pause: () => {}, resume: () => {}, reusedConnection: false, connection: undefined }
     }
   }
 
@@ -132,6 +145,7 @@
     let connected = false
     let finished = false
     let incoming: IncomingMessage | undefined
+    let connection: ConnectionOrigin | undefined
     const headers = exchange.body.length > 0 || exchange.method === 'POST' || exchange.method === 'PUT'
       ? { ...exchange.headers, 'content-length': String(exchange.body.length) }
       : exchange.headers
@@ -145,8 +159,19 @@
       clearTimeout(connectTimer)
       report()
     }
+    async function confirmAndSend (established: ConnectionOrigin): Promise<void> {
+      connection = established
+      if (finished) return
+      if (exchange.confirmConnection !== undefined && !await exchange.confirmConnection(established)) return fail('another process may have replaced the listed one', 'unconfirmed')
+      send()
+    }
+    function sendOnConnection (socket: Socket): void {
+      const established = origins.get(socket) ?? { backendProcess: exchange.backendProcess ?? '', establishedAt: steadyNow() }
+      origins.set(socket, established)
+      confirmAndSend(established).catch((error: unknown) => fail(String(error)))
+    }
     /** The headers and the body are sent only now, so that an exchange that is aborted before reaches no backend server. */
-    function sendOnConnection (): void {
+    function send (): void {
       if (finished) return
       connected = true
       listener.onConnected?.()
@@ -187,14 +212,14 @@
     outgoing.on('socket', (socket) => {
       socket.setNoDelay(true)
       if (!socket.connecting) {
-        sendOnConnection()
+        sendOnConnection(socket)
         return
       }
       connectTimer = setTimeout(() => { failUnlessConnected(socket).catch((error: unknown) => fail(String(error))) }, CONNECT_TIMEOUT_MS)
       socket.once('connect', () => {
         clearTimeout(connectTimer)
         // In a process that was paused or behind, the caller may have left while the connection was being established.
-        handleArrivedEvents().then(sendOnConnection, (error: unknown) => fail(String(error)))
+        handleArrivedEvents().then(() => sendOnConnection(socket), (error: unknown) => fail(String(error)))
       })
     })
     outgoing.on('error', (error) => {
@@ -233,18 +258,21 @@
         paused.delete(incoming.socket)
         incoming.resume()
       },
-      get reusedConnection () { return outgoing.reusedSocket }
+      get reusedConnection () { return outgoing.reusedSocket },
+      get connection () { return connection }
     }
   }
 
   function closeIdle (address: string): void {
-    const agent = agents.get(address)
-    if (agent === undefined) return
-    for (const sockets of Object.values(agent.freeSockets)) for (const socket of sockets ?? []) socket.destroy()
+    for (const socket of idleSockets(address)) socket.destroy()
+  }
+
+  function idleSockets (address: string): readonly Socket[] {
+    return Object.values(agents.get(address)?.freeSockets ?? {}).flatMap((sockets) => sockets ?? [])
   }
 
   function hasIdle (address: string): boolean {
-    return Object.values(agents.get(address)?.freeSockets ?? {}).some((sockets) => (sockets?.length ?? 0) > 0)
+    return idleSockets(address).length > 0
   }
 
   function isOpen (socket: Socket): boolean {
@@ -256,6 +284,7 @@
     start,
     closeIdle,
     hasIdle,
+    idleConnections: (address) => idleSockets(address).flatMap((socket) => origins.get(socket) ?? []),
     hasOpen: (address) => hasIdle(address) || Object.values(agents.get(address)?.sockets ?? {}).some((sockets) => sockets?.some(isOpen) === true),
     closeAll: () => { for (const agent of agents.values()) agent.destroy() }
   }
--- a/packages/gateway/src/tasks/backendTask.ts
+++ b/packages/gateway/src/tasks/backendTask.ts
@@ -47,6 +47,8 @@
   readonly onRemoved: (state: BackendState) => void
   /** Called when an entry is listed or has changed; `previous` is the one before. */
   readonly onListed: (entry: BackendServerEntry, previous: BackendServerEntry | undefined) => void
+  /** Called when a process has written its entry again, after the given time by `steadyNow`. */
+  readonly onRenewed: (backendProcess: string, since: number) => void
   /** Called when another process is listed under an ID. */
   readonly onRestarted: (predecessor: string, backendProcess: string) => void
 }
@@ -105,7 +107,7 @@
     if (!removalDueAt.has(id)) removalDueAt.set(id, now + REMOVAL_GRACE_MS)
   }
 
-  function applyRow (row: StoredRow, now: number): void {
+  function applyRow (row: StoredRow, now: number, changedSince = -Infinity): void {
     doubtful.delete(row.key)
     const entry = decode(row, now)
     if (entry === undefined) return remove(row.key, 'entry unreadable')
@@ -135,6 +137,7 @@
     if (entry.address !== state.entry.address) misdirected.delete(entry.id)
     const previous = state.entry
     state.entry = entry
+    if (entry.startedAt !== 0 && backendProcessOf(previous) === backendProcessOf(entry) && (entry.sequence ?? 0) > (previous.sequence ?? Infinity)) options.onRenewed(backendProcessOf(entry), changedSince)
     options.onListed(entry, previous)
   }
 
@@ -142,7 +145,7 @@
     const now = steadyNow()
     const listed = new Set(rows.map((row) => row.key))
     for (const id of doubtful.keys()) if (!listed.has(id)) doubtful.delete(id)
-    for (const row of rows) applyRow(row, now)
+    for (const row of rows) applyRow(row, now, responseContext.changedSince)
     for (const id of [...states.keys()]) if (!listed.has(id)) removeOrDefer(id, now, responseContext)
   }
 
@@ -150,7 +153,7 @@
     const now = steadyNow()
     for (const row of rows) {
       if (row.deleted) removeOrDefer(row.key, now, responseContext)
-      else applyRow(row, now)
+      else applyRow(row, now, responseContext.changedSince)
     }
   }
 
--- a/packages/gateway/src/tasks/chooseDestination.ts
+++ b/packages/gateway/src/tasks/chooseDestination.ts
@@ -9,6 +9,7 @@
 import type { RoomQueueEntry } from './backendRooms.js'
 import type { GatewayContext } from './gatewayContext.js'
 import type { RequestState } from './requestTask.js'
+import { confirmStreamStart } from './streamContinuation.js'
 
 /** Retry time suggested to callers when backend servers reject requests. */
 const REJECTION_RETRY_MS = { engine: 400, plain: 150 } as const
@@ -22,6 +23,7 @@
 export async function chooseDestination (context: GatewayContext, state: RequestState, excluded: readonly string[], among?: readonly string[]): Promise<ChoiceOutcome> {
   const quarantine = context.crashGuard.findQuarantine(state.guarded)
   if (quarantine !== undefined) return { kind: 'quarantined', reason: quarantine.reason, retryAt: quarantine.until }
+  await confirmStreamStart(context, state)
   const { permits } = context
   const { priority } = state
   const denied = new Set<string>()
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -10,6 +10,7 @@
 import type { WireFormat } from '../ports.js'
 import type { GatewaySettings } from '../settings.js'
 import type { BackendConnections } from './backendConnections.js'
+import type { BackendProcesses } from './backendProcesses.js'
 import type { BackendReach } from './backendReach.js'
 import type { BackendRooms } from './backendRooms.js'
 import type { BackendTask } from './backendTask.js'
@@ -47,6 +48,7 @@
   readonly reach: BackendReach
   readonly acceptance: BackendAcceptance
   readonly connections: BackendConnections
+  readonly processes: BackendProcesses
   readonly closedResponses: ClosedResponses
   readonly tokens: TokenTask
   readonly fleet: FleetTask
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -11,7 +11,7 @@
 import type { KnownBrittleness } from './backendRooms.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { RetryReply } from './relayedRetries.js'
-import type { StreamAnswer } from './streamVersions.js'
+import type { StreamAnswer } from './streamHomes.js'
 import { createUnreadableFields } from './unreadableFields.js'
 import type { Report } from './fleetReports.js'
 
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -31,6 +31,7 @@
 import { recordUse } from './recordUse.js'
 import { runRelayAttempt } from './relayAttempt.js'
 import { declineRelay } from './relayReception.js'
+import { mayContinueAt } from './streamContinuation.js'
 import { findStreamStart, findUnreportedStart } from './streamStart.js'
 
 /** For callers that send no timeout. */
@@ -105,6 +106,8 @@
   /** Room that was granted for the next send to a brittle backend server. */
   room: GrantedRoom | undefined
   firstByteAt: number | undefined
+  /** Processes that were asked which one they are before its stream could go on there. */
+  processQuestions: number
   triedBackendIds: string[]
   /** Software versions of these backend servers, in the same order. */
   triedVersions: string[]
@@ -174,6 +177,7 @@
     reservedReturn: undefined,
     room: undefined,
     firstByteAt: undefined,
+    processQuestions: 0,
     triedBackendIds: [],
     triedVersions: [],
     triedAddresses: new Set()
@@ -262,7 +266,11 @@
 async function attemptDestination (context: GatewayContext, state: RequestState, destinationId: string): Promise<AttemptOutcome> {
   const destination = context.destinations.get(state)
   if (destination === undefined || destinationIdOf(destination) !== destinationId) return { kind: 'notSent', reason: 'backend server no longer listed' }
-  // The caller may have left while a permit was asked for.
+  if (destination.kind === 'backend' && !await mayContinueAt(context, state, destination.choice.state)) {
+    releaseRoom(state)
+    return { kind: 'notSent', reason: 'the listed process does not answer there' }
+  }
+  // The caller may have left while a permit or a process was asked for.
   if (hasCallerLeft(state)) return { kind: 'callerGone' }
   if (state.setAside?.hasGoneOn === true) {
     releaseRoom(state)
--- /dev/null
+++ b/packages/gateway/src/tasks/streamContinuation.ts
@@ -0,0 +1,98 @@
+import { assertNever } from '@quinceshunt/effects'
+import { steadyNow } from '../clock.js'
+import { backendProcessOf, recordObservation, type BackendState } from '../decisions/backendState.js'
+import type { ConnectionOrigin } from '../decisions/processProofs.js'
+import { weighStart, type ProcessFinding } from '../decisions/streamCertainty.js'
+import { mayGoOnAt } from '../decisions/streamOrigins.js'
+import type { ProcessReply } from './backendProcesses.js'
+import type { GatewayContext } from './gatewayContext.js'
+import type { RequestState } from './requestTask.js'
+
+/** Processes that are asked for one request; further backend servers are used only where no question is needed. */
+const MAX_QUESTIONS = 3
+
+function hasBegun ({ streamStart }: RequestState): boolean {
+  return streamStart.kind !== 'notBegun'
+}
+
+/** Asks a process which one it is, for no longer than the request may last. */
+async function askInTime ({ processes }: GatewayContext, { deadline }: RequestState, backend: BackendState, since: number): Promise<ProcessReply> {
+  let timer: NodeJS.Timeout | undefined
+  const outOfTime = new Promise<ProcessReply>((resolve) => {
+    timer = setTimeout(() => resolve({ kind: 'silent', reason: 'out of time' }), Math.max(0, deadline - steadyNow()))
+  })
+  return await Promise.race([processes.ask(backend, since), outOfTime]).finally(() => clearTimeout(timer))
+}
+
+/** True when a process that names no start time may be taken for the listed one. */
+function mayTrustList ({ processes, streamVersions }: GatewayContext, { entry }: BackendState): boolean {
+  return !processes.canTell(entry.service) || (!streamVersions.isMixed(entry.service) && !processes.isSuspect(backendProcessOf(entry)))
+}
+
+/** Finds out by a question whether the listed process answers at its address. */
+async function findListedProcess (context: GatewayContext, state: RequestState, backend: BackendState, since: number): Promise<ProcessReply['kind'] | 'listed'> {
+  if (state.processQuestions >= MAX_QUESTIONS) return 'untold'
+  state.processQuestions++
+  const reply = await askInTime(context, state, backend, since)
+  return reply.kind === 'told' && reply.backendProcess === backendProcessOf(backend.entry) ? 'listed' : reply.kind
+}
+
+/** True once a stream may go on at a backend server, as far as it can be told before a connection is taken. */
+export async function mayContinueAt (context: GatewayContext, state: RequestState, backend: BackendState): Promise<boolean> {
+  if (!hasBegun(state)) return true
+  const { connections, processes } = context
+  const listed = backendProcessOf(backend.entry)
+  const idle = connections.idleConnections(backend.entry.address)
+  const isKnown = idle.length > 0 && idle.every(({ establishedAt }) => processes.leadsTo(listed, establishedAt))
+  // The question opens the connection on which the request is sent next.
+  const found = isKnown ? 'listed' : await findListedProcess(context, state, backend, steadyNow())
+  context.metrics.count('stream_continuations_total', { process: isKnown ? 'known' : found })
+  if (found === 'unreached') {
+    recordObservation(backend, { kind: 'unreachable' }, steadyNow())
+    context.reach.noteUnreachable(backend)
+  }
+  // The entry may have changed meanwhile.
+  return mayGoOnAt(state.streamStart, backend.entry) && isUsable(context, backend, found)
+}
+
+function isUsable (context: GatewayContext, backend: BackendState, found: ProcessReply['kind'] | 'listed'): boolean {
+  switch (found) {
+    case 'listed': return true
+    case 'untold': return mayTrustList(context, backend)
+    case 'silent': return !context.processes.canTell(backend.entry.service)
+    case 'told':
+    case 'unreached': return false
+    default: return assertNever(found)
+  }
+}
+
+/** Returns how an attempt confirms the connection on which it goes on with a stream; undefined for one that begins. */
+export function connectionCheck (context: GatewayContext, state: RequestState, backend: BackendState): ((connection: ConnectionOrigin) => Promise<boolean>) | undefined {
+  if (!hasBegun(state)) return undefined
+  const listed = backendProcessOf(backend.entry)
+  const isSameEntry = (): boolean => backendProcessOf(backend.entry) === listed
+  return async ({ establishedAt }) => {
+    if (context.processes.leadsTo(listed, establishedAt)) return true
+    const found = await findListedProcess(context, state, backend, establishedAt)
+    return isSameEntry() && isUsable(context, backend, found)
+  }
+}
+
+/** Finds out which process began the stream of a request that is to be sent again, where that is not certain. */
+export async function confirmStreamStart (context: GatewayContext, state: RequestState): Promise<void> {
+  const start = context.streamVersions.confirm(state.streamStart)
+  state.streamStart = start
+  if (start.kind !== 'begun' || start.evidence.kind !== 'connection') return
+  const finding = await findBeginner(context, state, start.backendId, start.evidence.connection)
+  const isListTrusted = !context.processes.canTell(start.service) || !(start.evidence.wasSuspect || context.streamVersions.isMixed(start.service))
+  state.streamStart = weighStart(start, finding, isListTrusted)
+  context.log.decision('streamStartWeighed', { request: state.fields.attemptId, backend: start.backendId, version: start.version, finding: finding.kind, start: state.streamStart.kind })
+}
+
+async function findBeginner (context: GatewayContext, state: RequestState, backendId: string, { backendProcess, establishedAt }: ConnectionOrigin): Promise<ProcessFinding> {
+  const backend = context.backends.find(backendId)
+  if (backend === undefined || backendProcessOf(backend.entry) !== backendProcess) return { kind: 'open' }
+  const reply = await askInTime(context, state, backend, establishedAt)
+  if (reply.kind !== 'told') return { kind: 'open' }
+  return { kind: reply.backendProcess === backendProcess ? 'listed' : 'other' }
+}
--- a/packages/gateway/src/tasks/streamStart.ts
+++ b/packages/gateway/src/tasks/streamStart.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage } from 'node:http'
 import { steadyNow } from '../clock.js'
 import { backendProcessOf, type BackendState } from '../decisions/backendState.js'
-import { mayGoOnAtVersion, mayRemember, type StreamStart } from '../decisions/streamOrigins.js'
-import type { Route } from '../fleetConfiguration.js'
+import type { ConnectionOrigin } from '../decisions/processProofs.js'
+import { mayGoOnAtVersion, mayRemember, type StartEvidence, type StreamStart } from '../decisions/streamOrigins.js'
+import type { BackendServerEntry, Route } from '../fleetConfiguration.js'
 import type { CallerFields } from '../ports.js'
 import { decodeStreamReport, encodeStreamReport, STREAM_REPORT_HEADER } from '../decisions/streamReport.js'
 import type { GatewayContext } from './gatewayContext.js'
@@ -27,17 +28,37 @@
   return kind === 'resumableStream' || kind === 'onceStream'
 }
 
+/** The answer with which a stream begins: the entry that was listed when the request was sent, and the connection that brought it. */
+export interface BeginningAnswer {
+  readonly entry: BackendServerEntry
+  readonly connection: ConnectionOrigin | undefined
+}
+
 /** Records at which software version the caller's stream begins, before its first bytes are passed on. */
-export function recordStreamStart (context: GatewayContext, state: RequestState, backend: BackendState, backendProcess: string): void {
+export function recordStreamStart (context: GatewayContext, state: RequestState, backend: BackendState, { entry, connection }: BeginningAnswer): void {
   if (state.streamStart.kind !== 'notBegun') return
-  const { entry } = backend
+  const evidence = evidenceOf(context, entry, connection)
   // Whether the listed process or the one before it answers can't be told.
-  const isListedProcess = backendProcessOf(entry) === backendProcess
-  state.streamStart = isListedProcess
-    ? { kind: 'begun', service: state.service, version: entry.version, backendId: entry.id, at: steadyNow() }
-    : { kind: 'unknown' }
-  if (!isListedProcess || !mayRemember(state.fields.attemptId)) return
-  context.streamVersions.begin({ attemptId: state.fields.attemptId, service: state.service, backendId: entry.id, version: entry.version, callerTimeoutAt: state.callerTimeoutAt })
+  const isUnclear = evidence.kind !== 'proven' && backendProcessOf(backend.entry) !== backendProcessOf(entry)
+  state.streamStart = isUnclear
+    ? { kind: 'unknown' }
+    : { kind: 'begun', service: state.service, version: entry.version, backendId: entry.id, at: steadyNow(), evidence }
+  if (isUnclear || !mayRemember(state.fields.attemptId)) return
+  context.streamVersions.begin({ attemptId: state.fields.attemptId, service: state.service, backendId: entry.id, version: entry.version, evidence, callerTimeoutAt: state.callerTimeoutAt })
+  const isVersionInDoubt = context.streamVersions.isMixed(state.service) || context.processes.isSuspect(backendProcessOf(entry))
+  if (evidence.kind === 'connection' && isVersionInDoubt) askBeginner(context, backend, evidence.connection)
+}
+
+function evidenceOf ({ processes, streamVersions }: GatewayContext, entry: BackendServerEntry, connection: ConnectionOrigin | undefined): StartEvidence {
+  // Without a start time, a process can't be told from its predecessor.
+  if (connection === undefined || entry.startedAt === 0) return { kind: 'listed' }
+  if (connection.backendProcess === backendProcessOf(entry) && processes.isProven(connection)) return { kind: 'proven' }
+  return { kind: 'connection', connection, wasSuspect: processes.isSuspect(backendProcessOf(entry)) || !streamVersions.isListCurrent() }
+}
+
+/** Asks for the process behind a connection on which a stream begins, so that the homes of the stream can be told its version. */
+function askBeginner ({ processes, streamVersions, log }: GatewayContext, backend: BackendState, { establishedAt }: ConnectionOrigin): void {
+  processes.ask(backend, establishedAt).then(streamVersions.noteProcessAsked).catch((error: unknown) => log.warning('processNotAsked', { backend: backend.entry.id, reason: String(error) }))
 }
 
 /** Headers that report to the instance that relayed the request where its stream began, as names and values in turn. */
--- a/packages/gateway/src/tasks/streamVersions.ts
+++ b/packages/gateway/src/tasks/streamVersions.ts
@@ -1,17 +1,17 @@
+import { assertNever } from '@quinceshunt/effects'
 import { steadyNow } from '../clock.js'
+import type { ConnectionOrigin } from '../decisions/processProofs.js'
 import type { SharedClock } from '../decisions/sharedClock.js'
-import { createStreamOrigins, mayRemember, streamOriginSchema, type StreamOrigin, type StreamStart } from '../decisions/streamOrigins.js'
+import { createStreamOrigins, mayRemember, type StartEvidence, type StreamOrigin, type StreamStart } from '../decisions/streamOrigins.js'
 import type { StreamReport } from '../decisions/streamReport.js'
 import { createVersionHistory, STREAM_LIFETIME_MS, type VersionedEntry } from '../decisions/versionHistory.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { Peer } from './fleetTask.js'
 import { PEER_PATH, postToPeer } from './peerMessages.js'
+import { askHomes, type StreamAnswer } from './streamHomes.js'
 import type { Post } from './tokenLoans.js'
-import * as v from 'valibot'
 
 const TELL_TIMEOUT_MS = 300
-/** A caller that takes a stream up waits for the replies. */
-const ASK_TIMEOUT_MS = 150
 /** Pause before homes that did not take a message are told again. */
 const TELL_AGAIN_MS = 250
 const ORIGINS_PER_MESSAGE = 50
@@ -30,10 +30,20 @@
   readonly service: string
   readonly backendId: string
   readonly version: string
+  readonly evidence: StartEvidence
   /** By `steadyNow`. */
   readonly callerTimeoutAt: number
 }
 
+/** A stream of this instance. */
+interface OwnStream {
+  readonly origin: StreamOrigin
+  readonly evidence: StartEvidence
+  /** Processes that were told of it. */
+  readonly toldTo: Set<string>
+  toldAs: StreamOrigin['certainty']
+}
+
 /**
  * Knows at which software version streams began, so that they go on only there. While the backend servers of a service differ
  * in their versions, each stream is told to its homes: instances that any other one finds by hash and that outlive this one.
@@ -47,8 +57,14 @@
   adopt (report: StreamReport, stream: Pick<BegunStream, 'attemptId' | 'callerTimeoutAt'>): StreamStart
   /** Finds where a stream began that a caller takes up; one that nobody knows went to `service` at its only version, if it has one. */
   find (attemptId: string, service: string): Promise<StreamStart>
-  /** Turns a start into `unknown` once its backend server may have been another process than the listed one. */
+  /** Turns a start into `unknown` once its backend server may have been another process than the listed one, and into a proven one once it certainly was not. */
   confirm (start: StreamStart): StreamStart
+  /** A process was asked which one it is: streams that waited for the answer are told. */
+  noteProcessAsked (): void
+  /** True when streams of a service may have begun at several versions. */
+  isMixed (service: string): boolean
+  /** False when the list of backend servers may lack what others know. */
+  isListCurrent (): boolean
   /** A backend server was listed; `previous` is its entry before. */
   noteListed (entry: VersionedEntry, previous: VersionedEntry | undefined): void
   noteRemoved (entry: VersionedEntry): void
@@ -76,31 +92,15 @@
   /** Tells all instances, also those that start later, until when streams of a service may have begun at several versions. */
   readonly announceMixed: (service: string, until: number) => void
   readonly count: (outcome: string) => void
+  /** True when a connection certainly leads to the process that was listed when it was opened. */
+  readonly isProven: (connection: ConnectionOrigin) => boolean
   /** Delivers one message; replaced by tests. */
   readonly post?: Post
 }
 
-const answerSchema = v.object({
-  origin: v.optional(streamOriginSchema),
-  /** True when streams of the service may have begun at several versions, as far as the home knows. */
-  areVersionsMixed: v.boolean()
-})
-
-/** Answer of a home. */
-export type StreamAnswer = v.InferOutput<typeof answerSchema>
-
-type HomeReply =
-  | { readonly kind: 'known', readonly origin: StreamOrigin }
-  /** The home has no record of the stream. */
-  | { readonly kind: 'unknown', readonly areVersionsMixed: boolean }
-  /** The home did not reply. */
-  | { readonly kind: 'none' }
-
-/** What two homes know together. */
-function combineReplies (left: HomeReply, right: HomeReply): HomeReply {
-  if (left.kind === 'known' || right.kind === 'none') return left
-  if (right.kind === 'known' || left.kind === 'none') return right
-  return { kind: 'unknown', areVersionsMixed: left.areVersionsMixed || right.areVersionsMixed }
+/** What the version rests on that another instance tells. */
+function evidenceOf ({ certainty }: StreamOrigin): StartEvidence {
+  return { kind: certainty === 'certain' ? 'proven' : 'listed' }
 }
 
 /** Creates the record of one process. */
@@ -109,14 +109,14 @@
   const post = options.post ?? postToPeer
   const history = createVersionHistory()
   const origins = createStreamOrigins()
-  /** Streams of this instance, with the processes that were told of each. */
-  const ownStreams = new Map<string, { readonly origin: StreamOrigin, readonly toldTo: Set<string> }>()
+  const ownStreams = new Map<string, OwnStream>()
   /** Own streams some of whose homes may not know them yet. */
   const untold = new Set<string>()
   /** End of the time, on the shared clock, for which other instances know that versions differ. */
   const announcedUntil = new Map<string, number>()
   const announcing = new Set<string>()
-  let isTellScheduled = false
+  /** The next telling; undefined when none is scheduled. */
+  let telling: { readonly at: number, readonly timer: NodeJS.Timeout } | undefined
 
   function sharedNow (): number {
     return clock.fromLocal(steadyNow()) ?? 0
@@ -145,21 +145,46 @@
   }
 
   function scheduleTelling (delayMilliseconds: number): void {
-    if (isTellScheduled) return
-    isTellScheduled = true
-    setTimeout(() => {
-      isTellScheduled = false
+    const at = steadyNow() + delayMilliseconds
+    if (telling !== undefined && telling.at <= at) return
+    clearTimeout(telling?.timer)
+    const timer = setTimeout(() => {
+      telling = undefined
       tellHomes().catch((error: unknown) => log.warning('streamsNotTold', { reason: String(error) }))
     }, delayMilliseconds)
+    telling = { at, timer }
+  }
+
+  /** What others are told of a stream; undefined while its version may still turn out to be certain. */
+  function originToTell (own: OwnStream): StreamOrigin | undefined {
+    const { origin, evidence } = own
+    switch (evidence.kind) {
+      case 'proven': return { ...origin, certainty: 'certain' }
+      case 'listed': return origin
+      case 'connection':
+        if (options.isProven(evidence.connection)) return { ...origin, certainty: 'certain' }
+        return evidence.wasSuspect ? { ...origin, certainty: 'uncertain' } : undefined
+      default: return assertNever(evidence)
+    }
   }
 
-  /** Groups the streams that are to be told by their homes. */
-  function takeUntold (): ReadonlyMap<string, { readonly home: Peer, readonly streams: readonly string[] }> {
+  function findOrigin (attemptId: string): StreamOrigin | undefined {
+    const own = ownStreams.get(attemptId)
+    return own === undefined ? origins.find(attemptId, sharedNow()) : originToTell(own)
+  }
+
+  /** Groups the streams that are to be told by their homes. Those whose version is not certain yet are added to `uncertain`. */
+  function takeUntold (uncertain: string[]): ReadonlyMap<string, { readonly home: Peer, readonly streams: readonly string[] }> {
     const byHome = new Map<string, { readonly home: Peer, readonly streams: string[] }>()
     for (const attemptId of [...untold].slice(0, ORIGINS_PER_PASS)) {
       untold.delete(attemptId)
       const own = ownStreams.get(attemptId)
       if (own === undefined) continue
+      const origin = originToTell(own)
+      if (origin === undefined || origin.certainty === 'uncertain') uncertain.push(attemptId)
+      if (origin === undefined) continue
+      if (origin.certainty !== own.toldAs) own.toldTo.clear()
+      own.toldAs = origin.certainty
       for (const home of homesOf(attemptId)) {
         if (own.toldTo.has(home.incarnationId)) continue
         const group = byHome.get(home.incarnationId) ?? { home, streams: [] }
@@ -173,7 +198,7 @@
   async function tellHome (home: Peer, streams: readonly string[]): Promise<void> {
     for (let from = 0; from < streams.length; from += ORIGINS_PER_MESSAGE) {
       const batch = streams.slice(from, from + ORIGINS_PER_MESSAGE)
-      const outcome = await post(home.address, PEER_PATH.streams, { to: home.incarnationId, origins: batch.flatMap((attemptId) => ownStreams.get(attemptId)?.origin ?? []) }, TELL_TIMEOUT_MS)
+      const outcome = await post(home.address, PEER_PATH.streams, { to: home.incarnationId, origins: batch.flatMap((attemptId) => findOrigin(attemptId) ?? []) }, TELL_TIMEOUT_MS)
       options.count(outcome.kind === 'answered' ? 'told' : 'notTold')
       if (outcome.kind === 'answered') for (const attemptId of batch) ownStreams.get(attemptId)?.toldTo.add(home.incarnationId)
       else for (const attemptId of batch) untold.add(attemptId)
@@ -183,9 +208,11 @@
 
   async function tellHomes (): Promise<void> {
     forgetExpired()
-    const byHome = takeUntold()
+    const uncertain: string[] = []
+    const byHome = takeUntold(uncertain)
     if (untold.size > 0) scheduleTelling(0)
     await Promise.all([...byHome.values()].map(async ({ home, streams }) => await tellHome(home, streams)))
+    for (const attemptId of uncertain) untold.add(attemptId)
     if (untold.size > 0) scheduleTelling(TELL_AGAIN_MS)
   }
 
@@ -223,87 +250,64 @@
     remember(stream, sharedNow())
   }
 
-  function remember ({ attemptId, service, backendId, version, callerTimeoutAt }: BegunStream, begunAt: number): void {
+  function remember ({ attemptId, service, backendId, version, evidence, callerTimeoutAt }: BegunStream, begunAt: number): void {
     const now = sharedNow()
     const expiresAt = now + Math.min(STREAM_LIFETIME_MS, callerTimeoutAt - steadyNow() + ORIGIN_MARGIN_MS)
     const origin = { attemptId, service, backendId, version, begunAt, expiresAt }
     origins.record(origin, now)
-    ownStreams.set(attemptId, { origin, toldTo: new Set() })
-    if (!areVersionsMixed(service)) return
-    announceIfMixed(service)
+    ownStreams.set(attemptId, { origin, evidence, toldTo: new Set(), toldAs: undefined })
+    const isMixed = areVersionsMixed(service)
+    if (isMixed) announceIfMixed(service)
+    else if (evidence.kind !== 'connection' || !evidence.wasSuspect) return
     untold.add(attemptId)
     scheduleTelling(0)
   }
 
-  function toStart (origin: StreamOrigin): StreamStart {
-    return confirm({ kind: 'begun', service: origin.service, version: origin.version, backendId: origin.backendId, at: toLocal(origin.begunAt) })
+  function toStart (origin: StreamOrigin, evidence: StartEvidence): StreamStart {
+    if (origin.certainty === 'uncertain') return { kind: 'unknown' }
+    return confirm({ kind: 'begun', service: origin.service, version: origin.version, backendId: origin.backendId, at: toLocal(origin.begunAt), evidence })
   }
 
-  function report (start: StreamStart): StreamReport {
+  function report (given: StreamStart): StreamReport {
+    const start = confirm(given)
     if (start.kind !== 'begun') return { kind: 'unknown' }
-    const { service, version, backendId, at } = start
-    return { kind: 'begun', service, version, backendId, begunAt: clock.fromLocal(at) ?? 0 }
+    const { service, version, backendId, at, evidence } = start
+    if (evidence.kind === 'connection' && (evidence.wasSuspect || areVersionsMixed(service))) return { kind: 'unknown' }
+    return { kind: 'begun', service, version, backendId, begunAt: clock.fromLocal(at) ?? 0, isCertain: evidence.kind === 'proven' }
   }
 
-  function adopt (reported: StreamReport, { attemptId, callerTimeoutAt }: Pick<BegunStream, 'attemptId' | 'callerTimeoutAt'>): StreamStart {
-    if (reported.kind === 'unknown') return { kind: 'unknown' }
-    const { service, version, backendId, begunAt } = reported
-    if (mayRemember(attemptId)) remember({ attemptId, service, backendId, version, callerTimeoutAt }, begunAt)
-    return confirm({ kind: 'begun', service, version, backendId, at: toLocal(begunAt) })
+  function adopt (given: StreamReport, { attemptId, callerTimeoutAt }: Pick<BegunStream, 'attemptId' | 'callerTimeoutAt'>): StreamStart {
+    if (given.kind === 'unknown') return given
+    const { service, version, backendId, begunAt } = given
+    const evidence: StartEvidence = { kind: given.isCertain === true ? 'proven' : 'listed' }
+    if (mayRemember(attemptId)) remember({ attemptId, service, backendId, version, evidence, callerTimeoutAt }, begunAt)
+    return confirm({ kind: 'begun', service, version, backendId, at: toLocal(begunAt), evidence })
   }
 
   function confirm (start: StreamStart): StreamStart {
-    return start.kind === 'begun' && history.isDoubtful(start.backendId, start.at) ? { kind: 'unknown' } : start
-  }
-
-  async function askHome (home: Peer, attemptId: string, service: string): Promise<HomeReply> {
-    const outcome = await post(home.address, PEER_PATH.streamQueries, { to: home.incarnationId, attemptId, service }, ASK_TIMEOUT_MS)
-    if (outcome.kind === 'failed') log.decision('peerDidNotAnswer', { peer: home.address, path: PEER_PATH.streamQueries, reason: outcome.reason })
-    if (outcome.kind !== 'answered') return { kind: 'none' }
-    const reply = v.safeParse(answerSchema, outcome.reply)
-    if (!reply.success) return { kind: 'none' }
-    const { origin, areVersionsMixed: isMixed } = reply.output
-    return origin === undefined ? { kind: 'unknown', areVersionsMixed: isMixed } : { kind: 'known', origin }
-  }
-
-  /** Resolves with the first reply that knows the stream, or once all homes have replied or can't. */
-  function askHomes (attemptId: string, service: string): Promise<HomeReply> {
-    const homes = attemptId === '' ? [] : homesOf(attemptId)
-    return new Promise((resolve) => {
-      let pending = homes.length
-      let combined: HomeReply = { kind: 'none' }
-      const settle = (reply: HomeReply): void => {
-        pending--
-        combined = combineReplies(combined, reply)
-        if (reply.kind === 'known' || pending === 0) resolve(combined)
-      }
-      if (pending === 0) resolve(combined)
-      for (const home of homes) {
-        askHome(home, attemptId, service).then(settle, (error: unknown) => {
-          log.warning('streamQueryFailed', { reason: String(error) })
-          settle({ kind: 'none' })
-        })
-      }
-    })
+    if (start.kind !== 'begun' || start.evidence.kind === 'proven') return start
+    if (start.evidence.kind === 'connection' && options.isProven(start.evidence.connection)) return { ...start, evidence: { kind: 'proven' } }
+    return history.isDoubtful(start.backendId, start.at) ? { kind: 'unknown' } : start
   }
 
   async function find (attemptId: string, service: string): Promise<StreamStart> {
-    const own = origins.find(attemptId, sharedNow())
-    if (own !== undefined) {
+    const own = ownStreams.get(attemptId)
+    const known = own?.origin ?? origins.find(attemptId, sharedNow())
+    if (known !== undefined && known.expiresAt > sharedNow()) {
       options.count('ownRecord')
-      return toStart(own)
+      return toStart(known, own?.evidence ?? evidenceOf(known))
     }
-    const reply = await askHomes(attemptId, service)
+    const reply = await askHomes({ post, log }, attemptId === '' ? [] : homesOf(attemptId), attemptId, service)
     if (reply.kind === 'known') {
       options.count('homeRecord')
       origins.record(reply.origin, sharedNow())
-      return toStart(reply.origin)
+      return toStart(reply.origin, evidenceOf(reply.origin))
     }
     // An instance that is cut off from the store may have missed a new version, which the homes know.
     const mayTellVersion = reply.kind === 'unknown' ? !reply.areVersionsMixed : options.isListCurrent()
     const version = mayTellVersion ? history.onlyVersion(service, steadyNow()) : undefined
     options.count(version === undefined ? 'unknown' : 'onlyVersion')
-    return version === undefined ? { kind: 'unknown' } : { kind: 'begun', service, version, backendId: '', at: steadyNow() }
+    return version === undefined ? { kind: 'unknown' } : { kind: 'begun', service, version, backendId: '', at: steadyNow(), evidence: { kind: 'listed' } }
   }
 
   return {
@@ -328,7 +332,10 @@
     },
     noteInstancesChanged: tellAllAgain,
     receive: (received) => { for (const origin of received) origins.record(origin, sharedNow()) },
-    originOf: (attemptId) => origins.find(attemptId, sharedNow()),
-    answer: (attemptId, service) => ({ origin: origins.find(attemptId, sharedNow()), areVersionsMixed: areVersionsMixed(service) })
+    noteProcessAsked: () => { if (untold.size > 0) scheduleTelling(0) },
+    isMixed: areVersionsMixed,
+    isListCurrent: options.isListCurrent,
+    originOf: findOrigin,
+    answer: (attemptId, service) => ({ origin: findOrigin(attemptId), areVersionsMixed: areVersionsMixed(service) })
   }
 }
--- a/packages/gateway/src/tasks/tableFollower.ts
+++ b/packages/gateway/src/tasks/tableFollower.ts
@@ -30,6 +30,8 @@
 export interface ResponseContext {
   /** Unix milliseconds of the previous successful response; 0 for the first one. */
   readonly previousResponseAt: number
+  /** By `steadyNow`: rows that differ from those of the response before were written after this time; -Infinity for the first one. */
+  readonly changedSince: number
 }
 
 /** Follows one table of the store. */
@@ -54,6 +56,8 @@
 export function followTable (options: TableFollowerOptions): TableFollower {
   let stopped = false
   let lastResponseAt = 0
+  /** When the last call was sent that got a response. */
+  let lastReadAt = -Infinity
   let unreachableSince: number | undefined
   let version: number | undefined
 
@@ -61,19 +65,21 @@
     // During an outage calls don't long-poll, as that would delay the detection of a dead connection.
     const wait = unreachableSince === undefined ? options.waitMilliseconds : 0
     const deadline = steadyNow() + wait + RESPONSE_TIMEOUT_MS
+    const sentAt = steadyNow()
     const outcome = version === undefined
       ? await options.store.read(options.table, '', deadline)
       : await options.store.readChanges(options.table, version, wait, deadline)
     if (stopped) return 0
-    return handleOutcome(outcome)
+    return handleOutcome(outcome, sentAt)
   }
 
-  function handleOutcome (outcome: ReadOutcome): number {
+  function handleOutcome (outcome: ReadOutcome, sentAt: number): number {
     const now = steadyNow()
     switch (outcome.kind) {
       case 'rows': {
-        const responseContext = { previousResponseAt: lastResponseAt }
+        const responseContext = { previousResponseAt: lastResponseAt, changedSince: lastReadAt }
         lastResponseAt = now
+        lastReadAt = sentAt
         if (unreachableSince !== undefined) options.log.event('storeRegained', { table: options.table, lostForMilliseconds: now - unreachableSince })
         unreachableSince = undefined
         if (version === undefined) options.onSnapshot(outcome.rows, responseContext)
