Take a stream for whole by its events only once it has one for each token that its request may have

What callers saw: streams that ended as complete before their last event (ORDER).

Cause: hasAllTokens multiplied the events by the configured tokens of an event (5) and took a stream for whole once the product reached the tokens that its request may have: torn within an event, followed by unrelated bytes, or closed in order by a process that was gone, in attempts and in relays. PROTOCOL.md says that an event may contain several tokens, so that it may hold fewer than that.

Change: an event holds one token at least, so that as many events as tokens prove that none follows. That alone decides now (hasEventForEachToken). Any other end is judged as that of a stream with few events: resumable streams go on after their last event, and end as complete when no event follows; others are cut off. The product was not needed where an end is proved by its chunks, its length or a living process. Price: a stream that runs once, has neither and whose end is followed by foreign bytes is cut off, and an orderly close is judged for some 20 ms more often.

--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -18,7 +18,7 @@
 import { limitDepartedExchange } from './departedExchange.js'
 import { bufferResponse, closingHeaders, mediaTypeOf, withoutContentLength } from './forwardedResponse.js'
 import type { GatewayContext } from './gatewayContext.js'
-import { hasAllTokens } from './hasAllTokens.js'
+import { hasEventForEachToken } from './hasEventForEachToken.js'
 import { lateFirstByteAfter, recordFirstByteTime } from './recordFirstByteTime.js'
 import { judgeClose } from './judgeClose.js'
 import { recordUse } from './recordUse.js'
@@ -367,7 +367,7 @@
 
   /** Ends an answer of which the rest belongs to no request; its connection is not used again. */
   function endBeforeUnrelated (status: number, reason: string): void {
-    if (!hasAllTokens(state)) return abort({ kind: 'broken', reason, headersSent: true }, reason)
+    if (!hasEventForEachToken(state)) return abort({ kind: 'broken', reason, headersSent: true }, reason)
     completeStream('tokens')
     abort({ kind: 'delivered', status }, reason)
   }
@@ -385,7 +385,7 @@
     if (head === undefined) return settle({ kind: 'broken', reason: 'response without headers', headersSent: state.headersSent })
     const status = head.incoming.statusCode ?? 0
     if (head.isStreamed) {
-      if (splitter.bufferedBytes > 0 && !hasAllTokens(state)) return onBroken(true, 'stream ended within an event', 'connection')
+      if (splitter.bufferedBytes > 0 && !hasEventForEachToken(state)) return onBroken(true, 'stream ended within an event', 'connection')
       completeStream(delimiter)
       return settle({ kind: 'delivered', status })
     }
--- a/packages/gateway/src/tasks/judgeClose.ts
+++ b/packages/gateway/src/tasks/judgeClose.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import { backendProcessOf, type BackendState } from '../decisions/backendState.js'
 import type { GatewayContext } from './gatewayContext.js'
-import { hasAllTokens } from './hasAllTokens.js'
+import { hasEventForEachToken } from './hasEventForEachToken.js'
 import type { RequestState } from './requestTask.js'
 
 /** A response that has ended, and the process to which its request was sent, as named by `backendProcessOf`. */
@@ -14,7 +14,7 @@
 /** Judges a response without a length or chunks whose connection was closed in order. */
 export async function judgeClose (context: GatewayContext, state: RequestState, backend: BackendState, { incoming, backendProcess }: ClosedResponse): Promise<CloseVerdict> {
   const { entry } = backend
-  if (hasAllTokens(state)) return logged(context, state, entry.id, { kind: 'whole', because: 'all tokens were delivered' })
+  if (hasEventForEachToken(state)) return logged(context, state, entry.id, { kind: 'whole', because: 'all tokens were delivered' })
   // Of a refusal or failure only the status counts, and one that was not run may be sent again.
   if (!isSuccess(incoming?.statusCode ?? 0)) return { kind: 'whole', because: 'the head tells the outcome' }
   return logged(context, state, entry.id, await judgeSuccess(context, backend, backendProcess))
--- a/packages/gateway/src/tasks/relayAttempt.ts
+++ b/packages/gateway/src/tasks/relayAttempt.ts
@@ -16,7 +16,7 @@
 import type { Peer } from './fleetTask.js'
 import { bufferResponse, closingHeaders, mediaTypeOf, withoutContentLength } from './forwardedResponse.js'
 import type { GatewayContext } from './gatewayContext.js'
-import { hasAllTokens } from './hasAllTokens.js'
+import { hasEventForEachToken } from './hasEventForEachToken.js'
 import type { RequestState } from './requestTask.js'
 import { adoptStreamReport } from './streamStart.js'
 
@@ -190,7 +190,7 @@
 
   /** Ends an answer of which the rest belongs to no request, as a peer of an earlier version passes it on; its connection is not used again. */
   function endBeforeUnrelated (status: number, reason: string): void {
-    if (!hasAllTokens(state)) return abort({ kind: 'broken', reason, headersSent: true }, reason)
+    if (!hasEventForEachToken(state)) return abort({ kind: 'broken', reason, headersSent: true }, reason)
     piece?.end({ kind: 'whole', delimiter: 'tokens' })
     response.end()
     abort({ kind: 'delivered', status }, reason)
@@ -202,7 +202,7 @@
     if (head === undefined) return settle({ kind: 'broken', reason: 'response without headers', headersSent: state.headersSent })
     const status = head.incoming.statusCode ?? 0
     if (head.isStreamed) {
-      if (splitter.bufferedBytes > 0 && !hasAllTokens(state)) return onBroken(true, 'stream ended within an event')
+      if (splitter.bufferedBytes > 0 && !hasEventForEachToken(state)) return onBroken(true, 'stream ended within an event')
       piece?.end({ kind: 'whole', delimiter })
       response.end()
     } else {
