--- a/packages/gateway/src/__tests__/tableFollower.test.ts
+++ b/packages/gateway/src/__tests__/tableFollower.test.ts
@@ -1,7 +1,8 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals'
 import { createRecordingLog } from '../__fixtures__/recordingLog.js'
+import { steadyNow } from '../clock.js'
 import type { ReadOutcome, RowStore, StoredRow } from '../ports.js'
-import { followTable, type TableFollower } from '../tasks/tableFollower.js'
+import { followTable, type ResponseContext, type TableFollower } from '../tasks/tableFollower.js'
 
 function createRow (version: number): StoredRow {
   return { table: 'configuration', part: '', key: 'newest', value: String(version), version, deleted: false }
@@ -30,6 +31,18 @@
   }
 }
 
+/** Creates a store whose responses take some time, and notes when its calls were sent. */
+function createSlowStore (outcomes: readonly ReadOutcome[], milliseconds: number): { readonly store: RowStore, readonly sentAt: readonly number[] } {
+  const { store } = createScriptedStore(outcomes)
+  const sentAt: number[] = []
+  const delay = async (call: () => Promise<ReadOutcome>): Promise<ReadOutcome> => {
+    sentAt.push(steadyNow())
+    await new Promise((resolve) => setTimeout(resolve, milliseconds))
+    return await call()
+  }
+  return { sentAt, store: { ...store, read: async (...call) => await delay(async () => await store.read(...call)), readChanges: async (...call) => await delay(async () => await store.readChanges(...call)) } }
+}
+
 let follower: TableFollower | undefined
 let seen: string[]
 
@@ -92,4 +105,15 @@
     expect(seen).toEqual(['3', '9'])
     expect(follower?.isStoreUnreachable).toBe(false)
   })
+
+  // Guards against a renewed entry that is taken for later than it may have been written, which proves connections to a successor.
+  test('what changed was written after the call before was sent, not after its response or a call that failed', async () => {
+    const { store, sentAt } = createSlowStore([createReadOutcome(3), createReadOutcome(5), { kind: 'unavailable', reason: 'no response in time' }, createReadOutcome(6)], 40)
+    const changedSince: number[] = []
+    const collect = (_: unknown, responseContext: ResponseContext): void => { changedSince.push(responseContext.changedSince) }
+    follower = followTable({ store, log: createRecordingLog(), table: 'configuration', waitMilliseconds: 1500, pauseMilliseconds: 0, prefersFullRead: false, onSnapshot: collect, onChanges: collect })
+    await jest.advanceTimersByTimeAsync(1000)
+    expect(changedSince).toEqual([-Infinity, sentAt[0], sentAt[1]])
+    expect(new Set(sentAt).size).toBe(sentAt.length)
+  })
 })
