--- a/packages/gateway/src/__tests__/streamVersions.test.ts
+++ b/packages/gateway/src/__tests__/streamVersions.test.ts
@@ -1,124 +1,16 @@
 import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals'
 import fc from 'fast-check'
-import { createLoanNetwork, type LinkFault } from '../__fixtures__/loanNetwork.js'
-import { createRecordingLog } from '../__fixtures__/recordingLog.js'
-import { steadyNow } from '../clock.js'
-import { accountHomes } from '../decisions/accountHomes.js'
-import { createSharedClock } from '../decisions/sharedClock.js'
+import { CALLER_TIMEOUT_MS, findVersion, homesOf, INSTANCES, startStreamFleet, type StreamFleet } from '../__fixtures__/streamFleet.js'
 import { STREAM_LIFETIME_MS } from '../decisions/versionHistory.js'
-import type { Peer } from '../tasks/fleetTask.js'
-import { createStreamVersions, type StreamVersions } from '../tasks/streamVersions.js'
-
-const CALLER_TIMEOUT_MS = 15_000
-const INSTANCES = 6
-
-interface Instance {
-  peer: Peer
-  streams: StreamVersions
-  isRunning: boolean
-}
-
-interface Fleet {
-  readonly instances: Instance[]
-  /** Rows that tell all instances until when versions differ. */
-  readonly announced: ReadonlyMap<string, number>
-  /** Instances that learn nothing from the store. */
-  readonly cutOffFromStore: Set<number>
-  /** Lists a backend server at all instances that run, or at some of them. */
-  list (id: string, version: string, at?: readonly number[]): void
-  remove (id: string, at?: readonly number[]): void
-  kill (index: number): void
-  restart (index: number): void
-  begin (index: number, attemptId: string, backendId: string): void
-}
 
 beforeEach(() => { jest.useFakeTimers() })
 afterEach(() => { jest.useRealTimers() })
 
-function startFleet (chooseFault: (sender: number) => LinkFault = () => ({ kind: 'none' })): Fleet {
-  let sender = 0
-  const network = createLoanNetwork(() => chooseFault(sender), steadyNow)
-  const announced = new Map<string, number>()
-  const listed = new Map<string, string>()
-  const cutOffFromStore = new Set<number>()
-  const instances: Instance[] = []
-  const running = (): readonly number[] => instances.flatMap(({ isRunning }, index) => isRunning && !cutOffFromStore.has(index) ? [index] : [])
-
-  function start (index: number, starts: number): void {
-    const peer = { instanceId: `instance${index}`, address: `instance${index}:80`, failureDomain: `domain${index % 3}`, incarnationId: `instance${index}.${starts}` }
-    const clock = createSharedClock()
-    clock.observe(steadyNow(), steadyNow())
-    const streams = createStreamVersions({
-      instanceId: peer.instanceId,
-      clock,
-      log: createRecordingLog(),
-      homes: (attemptId) => accountHomes(attemptId, instances.map((instance) => instance.peer)),
-      isListCurrent: () => true,
-      isProven: () => false,
-      announceMixed: (service, until) => {
-        announced.set(service, until)
-        for (const other of running()) instances[other]?.streams.learnMixed(service, until)
-      },
-      count: () => {},
-      post: async (...message) => {
-        sender = index
-        return await network.post(...message)
-      }
-    })
-    instances[index] = { peer, streams, isRunning: true }
-    network.listen(peer, { streams })
-    for (const [service, until] of announced) streams.learnMixed(service, until)
-    for (const [id, version] of listed) streams.noteListed({ id, service: 'model', version }, undefined)
-    for (const other of running()) if (other !== index) instances[other]?.streams.noteInstancesChanged()
-  }
-
-  for (let index = 0; index < INSTANCES; index++) start(index, 0)
-  return {
-    instances,
-    announced,
-    cutOffFromStore,
-    list: (id, version, at = running()) => {
-      const previous = listed.get(id)
-      listed.set(id, version)
-      for (const index of at) instances[index]?.streams.noteListed({ id, service: 'model', version }, previous === undefined ? undefined : { id, service: 'model', version: previous })
-    },
-    remove: (id, at = running()) => {
-      const version = listed.get(id)
-      listed.delete(id)
-      if (version !== undefined) for (const index of at) instances[index]?.streams.noteRemoved({ id, service: 'model', version })
-    },
-    kill: (index) => {
-      const instance = instances[index] as Instance
-      instance.isRunning = false
-      network.kill(instance.peer.address)
-    },
-    restart: (index) => {
-      const starts = Number(instances[index]?.peer.incarnationId.split('.')[1])
-      start(index, starts + 1)
-    },
-    begin: (index, attemptId, backendId) => {
-      instances[index]?.streams.begin({ attemptId, service: 'model', backendId, version: listed.get(backendId) ?? '', evidence: { kind: 'listed' }, callerTimeoutAt: steadyNow() + CALLER_TIMEOUT_MS })
-    }
-  }
-}
-
-function homesOf (fleet: Fleet, attemptId: string): readonly number[] {
-  return accountHomes(attemptId, fleet.instances.map(({ peer }) => peer)).map(({ instanceId }) => Number(instanceId.slice('instance'.length)))
-}
-
-/** What an instance finds out; undefined when it does not know the version. */
-async function findVersion (fleet: Fleet, index: number, attemptId: string): Promise<string | undefined> {
-  const finding = fleet.instances[index]?.streams.find(attemptId, 'model')
-  await jest.advanceTimersByTimeAsync(200)
-  const start = await finding
-  return start?.kind === 'begun' ? start.version : undefined
-}
-
 describe('while backend servers of two versions are listed', () => {
-  let fleet: Fleet
+  let fleet: StreamFleet
 
   beforeEach(async () => {
-    fleet = startFleet()
+    fleet = startStreamFleet()
     fleet.list('old', 'v1')
     fleet.list('new', 'v2')
     await jest.advanceTimersByTimeAsync(1000)
@@ -180,7 +72,7 @@
 describe('while all backend servers have one version', () => {
   test('no message is sent, and streams go on there although all processes were killed', async () => {
     let messages = 0
-    const fleet = startFleet(() => {
+    const fleet = startStreamFleet(() => {
       messages++
       return { kind: 'none' }
     })
@@ -196,7 +88,7 @@
 
   // Guards against streams from before a release whose instance is killed after it.
   test('streams that run are told to their homes once a second version is listed', async () => {
-    const fleet = startFleet()
+    const fleet = startStreamFleet()
     fleet.list('old', 'v1')
     fleet.begin(0, 'stream', 'old')
     await jest.advanceTimersByTimeAsync(1000)
@@ -208,7 +100,7 @@
 
   // Guards against an instance that does not know of a release and takes its only version for that of all streams.
   test('an instance that is cut off from the store is told by the homes that versions differ', async () => {
-    const fleet = startFleet()
+    const fleet = startStreamFleet()
     fleet.list('old', 'v1')
     fleet.cutOffFromStore.add(5)
     fleet.list('new', 'v2')
@@ -218,7 +110,7 @@
 
   // Guards against processes that start when only the new version is left, and take it for that of all streams.
   test('processes that start right after a release know that streams may have begun at the version before', async () => {
-    const fleet = startFleet()
+    const fleet = startStreamFleet()
     fleet.list('old', 'v1')
     fleet.begin(0, 'stream', 'old')
     fleet.list('new', 'v2')
@@ -260,7 +152,7 @@
   /** Plays the steps and returns the streams for which an instance found another version than theirs. */
   async function play (steps: readonly Step[], lostMessages: readonly boolean[]): Promise<readonly string[]> {
     let messages = 0
-    const fleet = startFleet(() => lostMessages[messages++ % lostMessages.length] === true ? { kind: 'requestLost' } : { kind: 'none' })
+    const fleet = startStreamFleet(() => lostMessages[messages++ % lostMessages.length] === true ? { kind: 'requestLost' } : { kind: 'none' })
     const versions = new Map<number, string>([[0, 'v1'], [1, 'v1']])
     for (const [id, version] of versions) fleet.list(`backend${id}`, version)
     const streams: string[] = []
