Forget the streams of an instance with those that begin after them, also while homes are told of none

Cause: createStreamVersions kept a record of each stream and forgot expired ones only when it told homes of streams, which it does only while versions differ or where there were signs of a restart.

Change: each new stream forgets up to two of the oldest that have expired, as streams expire in about the order in which they began. A stream that is recorded again counts as new. The size is readable as StreamVersions.size.

--- a/packages/gateway/src/__tests__/streamVersions.test.ts
+++ b/packages/gateway/src/__tests__/streamVersions.test.ts
@@ -3,6 +3,10 @@
 import { CALLER_TIMEOUT_MS, findVersion, homesOf, INSTANCES, startStreamFleet, type StreamFleet } from '../__fixtures__/streamFleet.js'
 import { STREAM_LIFETIME_MS } from '../decisions/versionHistory.js'
 
+/** Time after the caller's timeout for which a stream is remembered. */
+const EXPIRY_MARGIN_MS = 5000
+const STREAM_INTERVAL_MS = 100
+
 beforeEach(() => { jest.useFakeTimers() })
 afterEach(() => { jest.useRealTimers() })
 
@@ -86,6 +90,32 @@
     expect(await findVersion(fleet, 1, 'stream')).toBe('v1')
   })
 
+  // Guards against a memory that grows with each stream for days, as homes are told of none.
+  test('an instance remembers no more streams than callers may still take up', async () => {
+    const fleet = startStreamFleet()
+    fleet.list('a', 'v1')
+    const lifetime = CALLER_TIMEOUT_MS + EXPIRY_MARGIN_MS
+    let largest = 0
+    for (let index = 0; index < 3000; index++) {
+      fleet.begin(0, `stream${index}`, 'a')
+      largest = Math.max(largest, fleet.instances[0]?.streams.size ?? 0)
+      jest.advanceTimersByTime(STREAM_INTERVAL_MS)
+    }
+    expect(largest).toBeLessThanOrEqual(lifetime / STREAM_INTERVAL_MS + 1)
+    const recent = Array.from({ length: CALLER_TIMEOUT_MS / STREAM_INTERVAL_MS }, (_, index) => `stream${2999 - index}`)
+    expect(recent.filter((attemptId) => fleet.instances[0]?.streams.originOf(attemptId) === undefined)).toEqual([])
+  })
+
+  // Guards against many streams at once that stay for good because fewer follow them.
+  test('an instance forgets a burst of streams with the streams that come after it', async () => {
+    const fleet = startStreamFleet()
+    fleet.list('a', 'v1')
+    for (let index = 0; index < 1000; index++) fleet.begin(0, `burst${index}`, 'a')
+    await jest.advanceTimersByTimeAsync(STREAM_LIFETIME_MS)
+    for (let index = 0; index < 600; index++) fleet.begin(0, `stream${index}`, 'a')
+    expect(fleet.instances[0]?.streams.size).toBe(600)
+  })
+
   // Guards against streams from before a release whose instance is killed after it.
   test('streams that run are told to their homes once a second version is listed', async () => {
     const fleet = startStreamFleet()
--- a/packages/gateway/src/tasks/streamVersions.ts
+++ b/packages/gateway/src/tasks/streamVersions.ts
@@ -17,6 +17,8 @@
 const ORIGINS_PER_MESSAGE = 50
 /** Streams whose homes are found in one pass of the event loop; finding them ranks all instances. */
 const ORIGINS_PER_PASS = 50
+/** Streams at most that are forgotten when one begins; more than one, so that those of a burst go too. */
+const FORGOTTEN_PER_STREAM = 2
 /** Time after the caller's timeout for which its stream is remembered, as clocks and the ends of attempts differ. */
 const ORIGIN_MARGIN_MS = 5000
 /** The other instances are told that versions differ again once this part of the time has passed for which they were told. */
@@ -78,6 +80,8 @@
   originOf (attemptId: string): StreamOrigin | undefined
   /** Answers another instance that asks for a stream of a service. */
   answer (attemptId: string, service: string): StreamAnswer
+  /** Streams of this instance that are remembered. */
+  readonly size: number
 }
 
 /** Dependencies of the task. */
@@ -144,6 +148,17 @@
     }
   }
 
+  /** Streams expire in about the order in which they began. */
+  function forgetOldest (now: number): void {
+    let forgotten = 0
+    for (const [attemptId, { origin }] of ownStreams) {
+      if (origin.expiresAt > now || forgotten >= FORGOTTEN_PER_STREAM) return
+      ownStreams.delete(attemptId)
+      untold.delete(attemptId)
+      forgotten++
+    }
+  }
+
   function scheduleTelling (delayMilliseconds: number): void {
     const at = steadyNow() + delayMilliseconds
     if (telling !== undefined && telling.at <= at) return
@@ -255,6 +270,8 @@
     const expiresAt = now + Math.min(STREAM_LIFETIME_MS, callerTimeoutAt - steadyNow() + ORIGIN_MARGIN_MS)
     const origin = { attemptId, service, backendId, version, begunAt, expiresAt }
     origins.record(origin, now)
+    forgetOldest(now)
+    ownStreams.delete(attemptId)
     ownStreams.set(attemptId, { origin, evidence, toldTo: new Set(), toldAs: undefined })
     const isMixed = areVersionsMixed(service)
     if (isMixed) announceIfMixed(service)
@@ -336,6 +353,7 @@
     isMixed: areVersionsMixed,
     isListCurrent: options.isListCurrent,
     originOf: findOrigin,
-    answer: (attemptId, service) => ({ origin: findOrigin(attemptId), areVersionsMixed: areVersionsMixed(service) })
+    answer: (attemptId, service) => ({ origin: findOrigin(attemptId), areVersionsMixed: areVersionsMixed(service) }),
+    get size () { return ownStreams.size }
   }
 }
