--- a/packages/gateway/src/tasks/streamVersions.ts
+++ b/packages/gateway/src/tasks/streamVersions.ts
@@ -1,5 +1,5 @@
-import { assertNever } from '@quinceshunt/effects'
 import { steadyNow } from '../clock.js'
+import { createOwnStreams } from '../decisions/ownStreams.js'
 import type { ConnectionOrigin } from '../decisions/processProofs.js'
 import type { SharedClock } from '../decisions/sharedClock.js'
 import { createStreamOrigins, mayRemember, type StartEvidence, type StreamOrigin, type StreamStart } from '../decisions/streamOrigins.js'
@@ -7,18 +7,11 @@
 import { createVersionHistory, STREAM_LIFETIME_MS, type VersionedEntry } from '../decisions/versionHistory.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { Peer } from './fleetTask.js'
-import { PEER_PATH, postToPeer } from './peerMessages.js'
+import { postToPeer } from './peerMessages.js'
 import { askHomes, type StreamAnswer } from './streamHomes.js'
+import { createStreamTelling } from './streamTelling.js'
 import type { Post } from './tokenLoans.js'
 
-const TELL_TIMEOUT_MS = 300
-/** Pause before homes that did not take a message are told again. */
-const TELL_AGAIN_MS = 250
-const ORIGINS_PER_MESSAGE = 50
-/** Streams whose homes are found in one pass of the event loop; finding them ranks all instances. */
-const ORIGINS_PER_PASS = 50
-/** Streams at most that are forgotten when one begins; more than one, so that those of a burst go too. */
-const FORGOTTEN_PER_STREAM = 2
 /** Time after the caller's timeout for which its stream is remembered, as clocks and the ends of attempts differ. */
 const ORIGIN_MARGIN_MS = 5000
 /** The other instances are told that versions differ again once this part of the time has passed for which they were told. */
@@ -37,15 +30,6 @@
   readonly callerTimeoutAt: number
 }
 
-/** A stream of this instance. */
-interface OwnStream {
-  readonly origin: StreamOrigin
-  readonly evidence: StartEvidence
-  /** Processes that were told of it. */
-  readonly toldTo: Set<string>
-  toldAs: StreamOrigin['certainty']
-}
-
 /**
  * Knows at which software version streams began, so that they go on only there. While the backend servers of a service differ
  * in their versions, each stream is told to its homes: instances that any other one finds by hash and that outlive this one.
@@ -113,15 +97,10 @@
   const post = options.post ?? postToPeer
   const history = createVersionHistory()
   const origins = createStreamOrigins()
-  const ownStreams = new Map<string, OwnStream>()
-  /** Own streams some of whose homes may not know them yet. */
-  const untold = new Set<string>()
+  const ownStreams = createOwnStreams(options.isProven)
   /** End of the time, on the shared clock, for which other instances know that versions differ. */
   const announcedUntil = new Map<string, number>()
   const announcing = new Set<string>()
-  /** The next telling; undefined when none is scheduled. */
-  let telling: { readonly at: number, readonly timer: NodeJS.Timeout } | undefined
-
   function sharedNow (): number {
     return clock.fromLocal(steadyNow()) ?? 0
   }
@@ -139,102 +118,16 @@
     return history.mixedUntil(service, now) > now
   }
 
-  function forgetExpired (): void {
-    const now = sharedNow()
-    for (const [attemptId, { origin }] of ownStreams) {
-      if (origin.expiresAt > now) continue
-      ownStreams.delete(attemptId)
-      untold.delete(attemptId)
-    }
-  }
-
-  /** Streams expire in about the order in which they began. */
-  function forgetOldest (now: number): void {
-    let forgotten = 0
-    for (const [attemptId, { origin }] of ownStreams) {
-      if (origin.expiresAt > now || forgotten >= FORGOTTEN_PER_STREAM) return
-      ownStreams.delete(attemptId)
-      untold.delete(attemptId)
-      forgotten++
-    }
-  }
-
-  function scheduleTelling (delayMilliseconds: number): void {
-    const at = steadyNow() + delayMilliseconds
-    if (telling !== undefined && telling.at <= at) return
-    clearTimeout(telling?.timer)
-    const timer = setTimeout(() => {
-      telling = undefined
-      tellHomes().catch((error: unknown) => log.warning('streamsNotTold', { reason: String(error) }))
-    }, delayMilliseconds)
-    telling = { at, timer }
-  }
-
-  /** What others are told of a stream; undefined while its version may still turn out to be certain. */
-  function originToTell (own: OwnStream): StreamOrigin | undefined {
-    const { origin, evidence } = own
-    switch (evidence.kind) {
-      case 'proven': return { ...origin, certainty: 'certain' }
-      case 'listed': return origin
-      case 'connection':
-        if (options.isProven(evidence.connection)) return { ...origin, certainty: 'certain' }
-        return evidence.wasSuspect ? { ...origin, certainty: 'uncertain' } : undefined
-      default: return assertNever(evidence)
-    }
-  }
-
   function findOrigin (attemptId: string): StreamOrigin | undefined {
-    const own = ownStreams.get(attemptId)
-    return own === undefined ? origins.find(attemptId, sharedNow()) : originToTell(own)
-  }
-
-  /** Groups the streams that are to be told by their homes. Those whose version is not certain yet are added to `uncertain`. */
-  function takeUntold (uncertain: string[]): ReadonlyMap<string, { readonly home: Peer, readonly streams: readonly string[] }> {
-    const byHome = new Map<string, { readonly home: Peer, readonly streams: string[] }>()
-    for (const attemptId of [...untold].slice(0, ORIGINS_PER_PASS)) {
-      untold.delete(attemptId)
-      const own = ownStreams.get(attemptId)
-      if (own === undefined) continue
-      const origin = originToTell(own)
-      if (origin === undefined || origin.certainty === 'uncertain') uncertain.push(attemptId)
-      if (origin === undefined) continue
-      if (origin.certainty !== own.toldAs) own.toldTo.clear()
-      own.toldAs = origin.certainty
-      for (const home of homesOf(attemptId)) {
-        if (own.toldTo.has(home.incarnationId)) continue
-        const group = byHome.get(home.incarnationId) ?? { home, streams: [] }
-        group.streams.push(attemptId)
-        byHome.set(home.incarnationId, group)
-      }
-    }
-    return byHome
-  }
-
-  async function tellHome (home: Peer, streams: readonly string[]): Promise<void> {
-    for (let from = 0; from < streams.length; from += ORIGINS_PER_MESSAGE) {
-      const batch = streams.slice(from, from + ORIGINS_PER_MESSAGE)
-      const outcome = await post(home.address, PEER_PATH.streams, { to: home.incarnationId, origins: batch.flatMap((attemptId) => findOrigin(attemptId) ?? []) }, TELL_TIMEOUT_MS)
-      options.count(outcome.kind === 'answered' ? 'told' : 'notTold')
-      if (outcome.kind === 'answered') for (const attemptId of batch) ownStreams.get(attemptId)?.toldTo.add(home.incarnationId)
-      else for (const attemptId of batch) untold.add(attemptId)
-      if (outcome.kind === 'failed') log.decision('peerDidNotAnswer', { peer: home.address, path: PEER_PATH.streams, reason: outcome.reason })
-    }
+    const own = ownStreams.find(attemptId)
+    return own === undefined ? origins.find(attemptId, sharedNow()) : ownStreams.originToTell(own)
   }
 
-  async function tellHomes (): Promise<void> {
-    forgetExpired()
-    const uncertain: string[] = []
-    const byHome = takeUntold(uncertain)
-    if (untold.size > 0) scheduleTelling(0)
-    await Promise.all([...byHome.values()].map(async ({ home, streams }) => await tellHome(home, streams)))
-    for (const attemptId of uncertain) untold.add(attemptId)
-    if (untold.size > 0) scheduleTelling(TELL_AGAIN_MS)
-  }
+  const telling = createStreamTelling({ ownStreams, findOrigin, homesOf, sharedNow, log, count: options.count, post })
 
   /** Tells all streams of the services whose versions differ, except to the processes that know them. */
   function tellAllAgain (): void {
-    for (const [attemptId, { origin }] of ownStreams) if (areVersionsMixed(origin.service)) untold.add(attemptId)
-    if (untold.size > 0) scheduleTelling(0)
+    telling.add([...ownStreams.all()].flatMap(({ origin }) => areVersionsMixed(origin.service) ? [origin.attemptId] : []))
   }
 
   function announce (service: string): void {
@@ -270,14 +163,11 @@
     const expiresAt = now + Math.min(STREAM_LIFETIME_MS, callerTimeoutAt - steadyNow() + ORIGIN_MARGIN_MS)
     const origin = { attemptId, service, backendId, version, begunAt, expiresAt }
     origins.record(origin, now)
-    forgetOldest(now)
-    ownStreams.delete(attemptId)
-    ownStreams.set(attemptId, { origin, evidence, toldTo: new Set(), toldAs: undefined })
+    ownStreams.begin(origin, evidence, now)
     const isMixed = areVersionsMixed(service)
     if (isMixed) announceIfMixed(service)
     else if (evidence.kind !== 'connection' || !evidence.wasSuspect) return
-    untold.add(attemptId)
-    scheduleTelling(0)
+    telling.add([attemptId])
   }
 
   function toStart (origin: StreamOrigin, evidence: StartEvidence): StreamStart {
@@ -308,7 +198,7 @@
   }
 
   async function find (attemptId: string, service: string): Promise<StreamStart> {
-    const own = ownStreams.get(attemptId)
+    const own = ownStreams.find(attemptId)
     const known = own?.origin ?? origins.find(attemptId, sharedNow())
     if (known !== undefined && known.expiresAt > sharedNow()) {
       options.count('ownRecord')
@@ -349,7 +239,7 @@
     },
     noteInstancesChanged: tellAllAgain,
     receive: (received) => { for (const origin of received) origins.record(origin, sharedNow()) },
-    noteProcessAsked: () => { if (untold.size > 0) scheduleTelling(0) },
+    noteProcessAsked: telling.noteProcessAsked,
     isMixed: areVersionsMixed,
     isListCurrent: options.isListCurrent,
     originOf: findOrigin,
