--- a/packages/gateway/src/__tests__/processProofs.test.ts
+++ b/packages/gateway/src/__tests__/processProofs.test.ts
@@ -102,7 +102,7 @@
       }
       proven += played.connections().filter(({ origin, isAlive }) => isAlive && played.processes.isProven(origin)).length
       misnamed += played.connections().filter(({ origin, isAlive, acceptedBy }) => isAlive && acceptedBy !== origin.backendProcess).length
-    }), { numRuns: 300, seed: 54 })
+    }), { numRuns: 900, seed: 54 })
     // The histories hold both what is to be proven and what is not.
     expect(proven).toBeGreaterThan(50)
     expect(misnamed).toBeGreaterThan(50)
