Begin streams at listed processes where one is known to be replaced

Change: a process that another one is known to have replaced gets streams only when no other backend server is reached, until its successor is listed.

--- a/packages/gateway/src/__tests__/processProofs.test.ts
+++ b/packages/gateway/src/__tests__/processProofs.test.ts
@@ -47,6 +47,15 @@
     expect(proofs.isSuspect('a/2')).toBe(false)
   })
 
+  // Guards against streams that begin at a process whose software version nobody knows while listed ones serve.
+  test('shows that it was replaced, and makes it suspect', () => {
+    const proofs = createProcessProofs()
+    proofs.noteAlive('a/1', 100)
+    expect(proofs.isReplaced('a/1')).toBe(false)
+    proofs.noteReplaced('a/1', 150)
+    expect([proofs.isReplaced('a/1'), proofs.isSuspect('a/1'), proofs.isReplaced('a/2')]).toEqual([true, true, false])
+  })
+
   // Guards against a memory that grows with each restart, and against a bound that proves connections to a process that was forgotten.
   test('is forgotten for the process that was noted first once there are too many', () => {
     const proofs = createProcessProofs()
--- a/packages/gateway/src/decisions/processProofs.ts
+++ b/packages/gateway/src/decisions/processProofs.ts
@@ -28,10 +28,14 @@
   noteRenewed (backendProcess: string, since: number): void
   /** A connection to a process has failed or ended unexpectedly. */
   noteBroken (backendProcess: string, at: number): void
+  /** Another process answers in place of a listed one. */
+  noteReplaced (backendProcess: string, at: number): void
   /** True when a connection that was established then leads to the process, if it leads to any. */
   leadsTo (backendProcess: string, establishedAt: number): boolean
   /** True when a process may have ended: a connection to it has broken since it was last known to live. */
   isSuspect (backendProcess: string): boolean
+  /** True when another process is known to answer in its place. */
+  isReplaced (backendProcess: string): boolean
 }
 
 interface ProcessRecord {
@@ -39,6 +43,7 @@
   /** Of the newest renewal of the entry. */
   renewedSince: number
   brokenAt: number
+  isReplaced: boolean
 }
 
 /** The processes that were noted first are forgotten first; a connection to one of them is not proven. */
@@ -53,7 +58,7 @@
     if (known !== undefined) return known
     const oldest = records.keys().next().value
     if (records.size >= MAX_PROCESSES && oldest !== undefined) records.delete(oldest)
-    const record = { aliveSince: -Infinity, renewedSince: -Infinity, brokenAt: -Infinity }
+    const record = { aliveSince: -Infinity, renewedSince: -Infinity, brokenAt: -Infinity, isReplaced: false }
     records.set(backendProcess, record)
     return record
   }
@@ -72,10 +77,16 @@
       const record = recordOf(backendProcess)
       record.brokenAt = Math.max(record.brokenAt, at)
     },
+    noteReplaced: (backendProcess, at) => {
+      const record = recordOf(backendProcess)
+      record.isReplaced = true
+      record.brokenAt = Math.max(record.brokenAt, at)
+    },
     leadsTo: (backendProcess, establishedAt) => establishedAt <= (records.get(backendProcess)?.aliveSince ?? -Infinity),
     isSuspect: (backendProcess) => {
       const record = records.get(backendProcess)
       return record !== undefined && record.brokenAt > record.aliveSince
-    }
+    },
+    isReplaced: (backendProcess) => records.get(backendProcess)?.isReplaced === true
   }
 }
--- a/packages/gateway/src/tasks/backendProcesses.ts
+++ b/packages/gateway/src/tasks/backendProcesses.ts
@@ -95,7 +95,7 @@
     const reply = await readReport(backend)
     if (reply.kind === 'told') {
       proofs.noteAlive(reply.backendProcess, askedAt)
-      if (reply.backendProcess !== listed) proofs.noteBroken(listed, steadyNow())
+      if (reply.backendProcess !== listed) proofs.noteReplaced(listed, steadyNow())
       tellingServices.add(service)
     }
     count(reply.kind)
--- a/packages/gateway/src/tasks/chooseDestination.ts
+++ b/packages/gateway/src/tasks/chooseDestination.ts
@@ -1,6 +1,6 @@
 import { steadyNow } from '../clock.js'
 import { chooseBackend, rankBackends, type Choice, type ChoiceRequest } from '../decisions/backendChoice.js'
-import type { BackendState } from '../decisions/backendState.js'
+import { backendProcessOf, type BackendState } from '../decisions/backendState.js'
 import { chooseByEstimate, hasTooFewReports, type EstimateInput } from '../decisions/estimatedChoice.js'
 import { hasAttemptLeft } from '../decisions/relayedRetries.js'
 import { isRetryable, type ChoiceOutcome } from '../decisions/requestPlan.js'
@@ -38,7 +38,7 @@
     }
     const reachable = reachableBackends(context, available.backends, now)
     const candidates = among === undefined
-      ? (reachable.length > 0 ? reachable : available.backends)
+      ? preferListed(context, reachable.length > 0 ? reachable : available.backends)
       : available.backends.filter(({ entry }) => among.includes(entry.id))
     if (candidates.length === 0) return { kind: 'none', reason: 'no backend server to return to', retryAt: suggestedRetryAt(context, state) }
     const areAllLimited = candidates.every((candidate) => permits.limitOf(candidate, now) !== undefined)
@@ -65,6 +65,12 @@
   }
 }
 
+/** A stream that begins at a process which is not listed yet can go on nowhere if it breaks, as its software version is not known. */
+function preferListed ({ processes }: GatewayContext, backends: readonly BackendState[]): readonly BackendState[] {
+  const listed = backends.filter(({ entry }) => !processes.isReplaced(backendProcessOf(entry)))
+  return listed.length > 0 ? listed : backends
+}
+
 function limitedReason (context: GatewayContext, candidates: readonly BackendState[]): string {
   const isAnyCold = candidates.some((candidate) => context.coldBackends.limitOf(candidate, steadyNow()) !== undefined)
   return `all backend servers are ${isAnyCold ? 'cold or ' : ''}at the request limits that they name`
