Weigh where a stream began also when it is cut off without another attempt

Cause: a stream whose attempts were used up was cut off without asking which process had begun it, so that its homes were not told, and another instance resumed it at the listed version. Change: it is weighed before it is cut off.

--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -31,7 +31,7 @@
 import { recordUse } from './recordUse.js'
 import { runRelayAttempt } from './relayAttempt.js'
 import { declineRelay } from './relayReception.js'
-import { mayContinueAt } from './streamContinuation.js'
+import { confirmStreamStart, mayContinueAt } from './streamContinuation.js'
 import { findStreamStart, findUnreportedStart } from './streamStart.js'
 
 /** For callers that send no timeout. */
@@ -223,6 +223,8 @@
       }
     }
   )
+  // The caller may take it up at another instance, which knows only the list.
+  if (result.kind === 'cutOff') await confirmStreamStart(context, state)
   stopWatchingCaller()
   state.setAside?.giveUp()
   releaseReturn(state)
