--- a/packages/gateway/src/tasks/backendProcesses.ts
+++ b/packages/gateway/src/tasks/backendProcesses.ts
@@ -26,7 +26,7 @@
   isProven (connection: ConnectionOrigin): boolean
   /** A process has answered a request that was sent then. */
   noteAnswer (connection: ConnectionOrigin | undefined, sentAt: number): void
-  /** True once a process of a service has told which one it is; those of other services are told apart by the list alone. */
+  /** True once a process of a service has told which one it is; until then processes of the service are told apart by the list alone. */
   canTell (service: string): boolean
   /** Asks the process behind an entry which one it is; a question counts that was sent after `since`. */
   ask (backend: BackendState, since: number): Promise<ProcessReply>
@@ -45,7 +45,7 @@
   readonly reply: Promise<ProcessReply>
 }
 
-/** Creates the record of one process. */
+/** Creates the record of an instance that has heard of no process. */
 export function createBackendProcesses ({ connections, report, log, count }: BackendProcessesOptions): BackendProcesses {
   const proofs = createProcessProofs()
   const questions = new Map<string, Question>()
--- a/packages/gateway/src/tasks/streamContinuation.ts
+++ b/packages/gateway/src/tasks/streamContinuation.ts
@@ -8,6 +8,9 @@
 import type { GatewayContext } from './gatewayContext.js'
 import type { RequestState } from './requestTask.js'
 
+/** What is known of the process at a backend server's address: the listed one, or what it replied otherwise. */
+type AnsweringProcess = 'listed' | ProcessReply['kind']
+
 /** Questions for one request; further backend servers are used only where no question is needed. */
 const MAX_QUESTIONS = 3
 
@@ -30,7 +33,7 @@
 }
 
 /** Finds out by a question whether the listed process answers at its address. */
-async function findListedProcess (context: GatewayContext, state: RequestState, backend: BackendState, since: number): Promise<ProcessReply['kind'] | 'listed'> {
+async function findListedProcess (context: GatewayContext, state: RequestState, backend: BackendState, since: number): Promise<AnsweringProcess> {
   if (state.processQuestions >= MAX_QUESTIONS) return 'untold'
   state.processQuestions++
   const reply = await askInTime(context, state, backend, since)
@@ -55,7 +58,7 @@
   return mayGoOnAt(state.streamStart, backend.entry) && isUsable(context, backend, found)
 }
 
-function isUsable (context: GatewayContext, backend: BackendState, found: ProcessReply['kind'] | 'listed'): boolean {
+function isUsable (context: GatewayContext, backend: BackendState, found: AnsweringProcess): boolean {
   switch (found) {
     case 'listed': return true
     case 'untold': return mayTrustList(context, backend)
