Close the connection of a question that no request follows, and ask at a cut-off only where a stream may be taken up

Change: a question for the process that began a stream uses an idle connection or one of its own, which is closed after the reply; streams that run once are not weighed when they are cut off.

--- a/packages/gateway/src/__fixtures__/processHistory.ts
+++ b/packages/gateway/src/__fixtures__/processHistory.ts
@@ -83,7 +83,7 @@
     })
     return { abort: (reason) => finish(() => listener.onBroken(true, reason, 'connection')), pause: () => {}, resume: () => {}, reusedConnection: false, connection: undefined }
   }
-  const processes = createBackendProcesses({ connections: { start }, report: { path: '/report', decodeStartTime: Number }, log: createRecordingLog(), count: () => {} })
+  const processes = createBackendProcesses({ connections: { start, hasIdle: () => true }, report: { path: '/report', decodeStartTime: Number }, log: createRecordingLog(), count: () => {} })
 
   function serve (calls: readonly PendingCall[], index: number): void {
     const call = choose(calls.filter(({ acceptedBy, isServed }) => !isServed && isAlive(acceptedBy)), index)
@@ -132,7 +132,7 @@
     },
     answer: (index) => serve(requests, index),
     receiveAnswer: (index) => receive(requests, index),
-    ask: () => { processes.ask(createTestBackend(BACKEND_ID, { startedAt: Number(listed.backendProcess.split('/')[1]) }), steadyNow()).catch(() => {}) },
+    ask: () => { processes.ask(createTestBackend(BACKEND_ID, { startedAt: Number(listed.backendProcess.split('/')[1]) }), steadyNow(), 'continuation').catch(() => {}) },
     serveQuestion: (index) => serve(questions, index),
     receiveQuestion: (index) => receive(questions, index)
   }
--- a/packages/gateway/src/__tests__/backendProcesses.test.ts
+++ b/packages/gateway/src/__tests__/backendProcesses.test.ts
@@ -51,17 +51,25 @@
     const { processes, backend, counted } = await startBackend((_, response) => response.end(`born ${STARTED_AT}`))
     const openBefore = { backendProcess: backendProcessOf(backend.entry), establishedAt: steadyNow() }
     expect(processes.isProven(openBefore)).toBe(false)
-    expect(await processes.ask(backend, steadyNow())).toEqual({ kind: 'told', backendProcess: backendProcessOf(backend.entry) })
+    expect(await processes.ask(backend, steadyNow(), 'continuation')).toEqual({ kind: 'told', backendProcess: backendProcessOf(backend.entry) })
     expect(processes.isProven(openBefore)).toBe(true)
     expect(processes.isProven({ ...openBefore, establishedAt: steadyNow() + 1000 })).toBe(false)
     expect(counted).toEqual(['told'])
   })
 
+  // Guards against connections to a backend server in trouble that stay open because of a question, and against a second connection for the request that follows one.
+  test.each([['continuation', true], ['origin', false]] as const)('leaves a connection for what follows a question for a %s: %s', async (purpose, isKept) => {
+    const { processes, backend } = await startBackend((_, response) => response.end(`born ${STARTED_AT}`))
+    await processes.ask(backend, steadyNow(), purpose)
+    await pause(20)
+    expect(connections?.hasIdle(backend.entry.address)).toBe(isKept)
+  })
+
   // Guards against a successor whose reply is taken for that of the listed process.
   test('proves nothing of the listed process when it names another one', async () => {
     const { processes, backend } = await startBackend((_, response) => response.end('born 8'))
     const openBefore = { backendProcess: backendProcessOf(backend.entry), establishedAt: steadyNow() }
-    expect(await processes.ask(backend, steadyNow())).toEqual({ kind: 'told', backendProcess: 'i-1/8' })
+    expect(await processes.ask(backend, steadyNow(), 'continuation')).toEqual({ kind: 'told', backendProcess: 'i-1/8' })
     expect(processes.isProven(openBefore)).toBe(false)
     expect(processes.isProven({ ...openBefore, backendProcess: 'i-1/8' })).toBe(true)
   })
@@ -73,7 +81,7 @@
     ['it is too large', (_, response) => response.end(`born 7${' '.repeat(LARGE_REPORT_BYTES)}`)]
   ])('names no process when %s', async (_, respond) => {
     const { processes, backend, counted } = await startBackend(respond)
-    expect(await processes.ask(backend, steadyNow())).toMatchObject({ kind: 'untold' })
+    expect(await processes.ask(backend, steadyNow(), 'continuation')).toMatchObject({ kind: 'untold' })
     expect(processes.canTell('model')).toBe(false)
     expect(processes.isProven({ backendProcess: backendProcessOf(backend.entry), establishedAt: 0 })).toBe(false)
     expect(counted).toEqual(['untold'])
@@ -83,7 +91,7 @@
   test('is silent when none comes in time', async () => {
     const { processes, backend } = await startBackend(() => {})
     const askedAt = steadyNow()
-    expect(await processes.ask(backend, steadyNow())).toMatchObject({ kind: 'silent' })
+    expect(await processes.ask(backend, steadyNow(), 'continuation')).toMatchObject({ kind: 'silent' })
     expect(steadyNow() - askedAt).toBeLessThan(2000)
   })
 
@@ -91,14 +99,14 @@
   test('is unreached when no connection is established', async () => {
     const { processes, backend } = await startBackend(() => {})
     await new Promise((resolve) => server?.close(resolve))
-    expect(await processes.ask(backend, steadyNow())).toMatchObject({ kind: 'unreached' })
+    expect(await processes.ask(backend, steadyNow(), 'continuation')).toMatchObject({ kind: 'unreached' })
   })
 
   // Guards against a list that is trusted although its processes could be asked, and one that is not although none ever tells.
   test('shows that the processes of its service can tell, and no others', async () => {
     const { processes, backend } = await startBackend((_, response) => response.end('born 8'))
     expect(processes.canTell('model')).toBe(false)
-    await processes.ask(backend, steadyNow())
+    await processes.ask(backend, steadyNow(), 'continuation')
     expect(processes.canTell('model')).toBe(true)
     expect(processes.canTell('other')).toBe(false)
   })
@@ -112,16 +120,16 @@
       asked++
       setTimeout(() => response.end(`born ${STARTED_AT}`), 100)
     })
-    const first = processes.ask(backend, steadyNow())
+    const first = processes.ask(backend, steadyNow(), 'continuation')
     const askedBy = steadyNow()
     await pause(20)
-    const before = processes.ask(backend, askedBy - 1000)
+    const before = processes.ask(backend, askedBy - 1000, 'continuation')
     const establishedAt = steadyNow()
-    const later = processes.ask(backend, establishedAt)
+    const later = processes.ask(backend, establishedAt, 'continuation')
     await Promise.all([first, before, later])
     expect(asked).toBe(2)
     expect(processes.isProven({ backendProcess: backendProcessOf(backend.entry), establishedAt })).toBe(true)
-    await processes.ask(backend, establishedAt)
+    await processes.ask(backend, establishedAt, 'continuation')
     expect(asked).toBe(3)
   })
 })
@@ -136,7 +144,7 @@
     processes.noteAnswer(early, later.establishedAt)
     processes.noteAnswer(undefined, later.establishedAt)
     expect(processes.isProven(later)).toBe(false)
-    await processes.ask(backend, steadyNow())
+    await processes.ask(backend, steadyNow(), 'continuation')
     processes.noteAnswer(early, later.establishedAt)
     expect(processes.isProven(later)).toBe(true)
   })
--- a/packages/gateway/src/tasks/backendProcesses.ts
+++ b/packages/gateway/src/tasks/backendProcesses.ts
@@ -20,6 +20,9 @@
   /** No connection was established. */
   | { readonly kind: 'unreached', readonly reason: string }
 
+/** Why a process is asked: a request follows on the connection that a question opens, or none does and it is closed. */
+export type QuestionPurpose = 'continuation' | 'origin'
+
 /** Knows which processes of backend servers answer this instance, and asks them. */
 export interface BackendProcesses extends ProcessProofs {
   /** True when the process that was listed when a request was sent is certainly the one at the other end of its connection. */
@@ -29,12 +32,12 @@
   /** True once a process of a service has told which one it is; until then processes of the service are told apart by the list alone. */
   canTell (service: string): boolean
   /** Asks the process behind an entry which one it is; a question counts that was sent after `since`. */
-  ask (backend: BackendState, since: number): Promise<ProcessReply>
+  ask (backend: BackendState, since: number, purpose: QuestionPurpose): Promise<ProcessReply>
 }
 
 /** Dependencies of the task. */
 export interface BackendProcessesOptions {
-  readonly connections: Pick<BackendConnections, 'start'>
+  readonly connections: Pick<BackendConnections, 'start' | 'hasIdle'>
   readonly report: ProcessReportFormat
   readonly log: DecisionLog
   readonly count: (outcome: ProcessReply['kind']) => void
@@ -55,13 +58,13 @@
     return proofs.leadsTo(backendProcess, establishedAt)
   }
 
-  function readReport ({ entry }: BackendState): Promise<ProcessReply> {
+  function readReport ({ entry }: BackendState, purpose: QuestionPurpose): Promise<ProcessReply> {
     return new Promise((resolve) => {
       const chunks: Buffer[] = []
       let hasReplied = false
       let timer: NodeJS.Timeout | undefined
       let bytes = 0
-      const exchange = connections.start({ address: entry.address, method: 'GET', path: report.path, headers: { host: entry.address }, body: Buffer.alloc(0), needsNewConnection: false, backendProcess: backendProcessOf(entry) }, {
+      const exchange = connections.start({ address: entry.address, method: 'GET', path: report.path, headers: { host: entry.address }, body: Buffer.alloc(0), needsNewConnection: purpose === 'origin' && !connections.hasIdle(entry.address), backendProcess: backendProcessOf(entry) }, {
         onConnected: () => { timer = setTimeout(giveUp, REPLY_TIMEOUT_MS) },
         onHead: ({ statusCode }) => {
           hasReplied = true
@@ -89,10 +92,10 @@
     })
   }
 
-  async function askNow (backend: BackendState, askedAt: number): Promise<ProcessReply> {
+  async function askNow (backend: BackendState, askedAt: number, purpose: QuestionPurpose): Promise<ProcessReply> {
     const { service } = backend.entry
     const listed = backendProcessOf(backend.entry)
-    const reply = await readReport(backend)
+    const reply = await readReport(backend, purpose)
     if (reply.kind === 'told') {
       proofs.noteAlive(reply.backendProcess, askedAt)
       if (reply.backendProcess !== listed) proofs.noteReplaced(listed, steadyNow())
@@ -103,12 +106,12 @@
     return reply
   }
 
-  function ask (backend: BackendState, since: number): Promise<ProcessReply> {
+  function ask (backend: BackendState, since: number, purpose: QuestionPurpose): Promise<ProcessReply> {
     const { id } = backend.entry
     const current = questions.get(id)
     if (current !== undefined && current.askedAt >= since) return current.reply
     const askedAt = steadyNow()
-    const question = { askedAt, reply: askNow(backend, askedAt).finally(() => { if (questions.get(id) === question) questions.delete(id) }) }
+    const question = { askedAt, reply: askNow(backend, askedAt, purpose).finally(() => { if (questions.get(id) === question) questions.delete(id) }) }
     questions.set(id, question)
     return question.reply
   }
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -224,7 +224,7 @@
     }
   )
   // The caller may take it up at another instance, which knows only the list.
-  if (result.kind === 'cutOff') await confirmStreamStart(context, state)
+  if (result.kind === 'cutOff' && route.deliverySemantics.kind === 'resumableStream') await confirmStreamStart(context, state)
   stopWatchingCaller()
   state.setAside?.giveUp()
   releaseReturn(state)
--- a/packages/gateway/src/tasks/streamContinuation.ts
+++ b/packages/gateway/src/tasks/streamContinuation.ts
@@ -4,7 +4,7 @@
 import type { ConnectionOrigin } from '../decisions/processProofs.js'
 import { weighStart, type ProcessFinding } from '../decisions/streamCertainty.js'
 import { mayGoOnAt } from '../decisions/streamOrigins.js'
-import type { ProcessReply } from './backendProcesses.js'
+import type { ProcessReply, QuestionPurpose } from './backendProcesses.js'
 import type { GatewayContext } from './gatewayContext.js'
 import type { RequestState } from './requestTask.js'
 
@@ -19,12 +19,12 @@
 }
 
 /** Asks a process which one it is, for no longer than the request may last. */
-async function askInTime ({ processes }: GatewayContext, { deadline }: RequestState, backend: BackendState, since: number): Promise<ProcessReply> {
+async function askInTime ({ processes }: GatewayContext, { deadline }: RequestState, backend: BackendState, since: number, purpose: QuestionPurpose): Promise<ProcessReply> {
   let timer: NodeJS.Timeout | undefined
   const outOfTime = new Promise<ProcessReply>((resolve) => {
     timer = setTimeout(() => resolve({ kind: 'silent', reason: 'out of time' }), Math.max(0, deadline - steadyNow()))
   })
-  return await Promise.race([processes.ask(backend, since), outOfTime]).finally(() => clearTimeout(timer))
+  return await Promise.race([processes.ask(backend, since, purpose), outOfTime]).finally(() => clearTimeout(timer))
 }
 
 /** True when a process that names no start time may be taken for the listed one. */
@@ -36,7 +36,7 @@
 async function findListedProcess (context: GatewayContext, state: RequestState, backend: BackendState, since: number): Promise<AnsweringProcess> {
   if (state.processQuestions >= MAX_QUESTIONS) return 'untold'
   state.processQuestions++
-  const reply = await askInTime(context, state, backend, since)
+  const reply = await askInTime(context, state, backend, since, 'continuation')
   return reply.kind === 'told' && reply.backendProcess === backendProcessOf(backend.entry) ? 'listed' : reply.kind
 }
 
@@ -103,7 +103,7 @@
   if (backend === undefined || backendProcessOf(backend.entry) !== backendProcess) return { kind: 'open' }
   if (state.processQuestions >= MAX_QUESTIONS) return { kind: 'open' }
   state.processQuestions++
-  const reply = await askInTime(context, state, backend, establishedAt)
+  const reply = await askInTime(context, state, backend, establishedAt, 'origin')
   if (reply.kind !== 'told') return { kind: 'open' }
   return { kind: reply.backendProcess === backendProcess ? 'listed' : 'other' }
 }
--- a/packages/gateway/src/tasks/streamStart.ts
+++ b/packages/gateway/src/tasks/streamStart.ts
@@ -60,7 +60,7 @@
 
 /** Asks for the process behind a connection on which a stream begins, so that the homes of the stream can be told its version. */
 function askBeginner ({ processes, streamVersions, log }: GatewayContext, backend: BackendState, { establishedAt }: ConnectionOrigin): void {
-  processes.ask(backend, establishedAt).then(streamVersions.noteProcessAsked).catch((error: unknown) => log.warning('processNotAsked', { backend: backend.entry.id, reason: String(error) }))
+  processes.ask(backend, establishedAt, 'origin').then(streamVersions.noteProcessAsked).catch((error: unknown) => log.warning('processNotAsked', { backend: backend.entry.id, reason: String(error) }))
 }
 
 /** Headers that report to the instance that relayed the request where its stream began, as names and values in turn. */
