Rest the version of a stream on the process that it is the version of, not on the one that was listed when the connection was opened

What callers would see: a stream that began on a connection which was opened between the restart of its backend server and the entry of the new process can't be taken up elsewhere while versions differ, however certain its process is.

Cause: the evidence of a start named the process of the connection's opening, the predecessor, beside the version of the process that was listed when the request was sent. No later proof of the new process could count, and a proof of the predecessor would have counted for the new one's version; the latter only if a predecessor still answered after its successor was listed, which the list rules out.

Change: the evidence names the process whose version is recorded, with the time at which the connection was established. What proves that this process lived at that time or later proves the connection, as for connections on which streams go on.

--- a/packages/gateway/src/tasks/streamStart.ts
+++ b/packages/gateway/src/tasks/streamStart.ts
@@ -52,8 +52,11 @@
 function evidenceOf ({ processes, streamVersions }: GatewayContext, entry: BackendServerEntry, connection: ConnectionOrigin | undefined): StartEvidence {
   // Without a start time, a process can't be told from its predecessor.
   if (connection === undefined || entry.startedAt === 0) return { kind: 'listed' }
-  if (connection.backendProcess === backendProcessOf(entry) && processes.isProven(connection)) return { kind: 'proven' }
-  return { kind: 'connection', connection, wasSuspect: processes.isSuspect(backendProcessOf(entry)) || !streamVersions.isListCurrent() }
+  // The connection may have been opened before the process was listed whose version is recorded.
+  const backendProcess = backendProcessOf(entry)
+  const answering = { backendProcess, establishedAt: connection.establishedAt }
+  if (processes.isProven(answering)) return { kind: 'proven' }
+  return { kind: 'connection', connection: answering, wasSuspect: processes.isSuspect(backendProcess) || !streamVersions.isListCurrent() }
 }
 
 /** Asks for the process behind a connection on which a stream begins, so that the homes of the stream can be told its version. */
