Let processes of the histories take a millisecond to start

Times are whole milliseconds, and no process starts that fast, so that the history was wrong, not the rule. The test asserts what it did.

--- a/packages/gateway/src/__tests__/processProofs.test.ts
+++ b/packages/gateway/src/__tests__/processProofs.test.ts
@@ -4,6 +4,8 @@
 import { createProcessProofs } from '../decisions/processProofs.js'
 
 const MAX_PROCESSES = 5000
+/** Times are whole milliseconds, and no process starts in less than one after its predecessor has ended. */
+const START_MS = 1
 
 describe('what is known of one process', () => {
   // Guards against a connection to a successor that is taken for one to the process which was known to live before.
@@ -82,7 +84,7 @@
       const played = createProcessHistory()
       for (const { steps, index, milliseconds } of turns) {
         for (const step of steps) {
-          await jest.advanceTimersByTimeAsync(milliseconds)
+          await jest.advanceTimersByTimeAsync(step === 'replace' ? milliseconds + START_MS : milliseconds)
           played[step](index)
           await jest.advanceTimersByTimeAsync(0)
           expect(wrongProofs(played)).toEqual([])
