Name a kept connection by the process that is listed when a request is sent on it

What callers saw: of the streams that broke after a backend server had started again in place, those that had begun on certain kept connections were refused when they were taken up ("the software version at which the stream began is not known"), for as long as the connection was kept.

Cause: a connection kept the name of the process that was listed when it was opened. One that is opened to a new process before its entry is read bears its predecessor's name for good. No later sign of life of the predecessor comes, so that it was never proven, and findBeginner found another process listed than the connection's ("open"). Class: a stale belief about who is at the other end of a connection that is older than the entry.

Change: the pool keeps only when a connection was established, and each request brings the process that is listed when it is sent.

Why it is sound: that process, P, had started when its entry was read, so that whichever process Q answers the request lived after P's start; of two processes at one address Q is then none before P. P is known to have lived after the connection was established, when Q listened already, so that Q is none after P. Where the entry is the same as at the opening, nothing changes.

--- a/packages/gateway/src/decisions/processProofs.ts
+++ b/packages/gateway/src/decisions/processProofs.ts
@@ -6,9 +6,12 @@
  * So a connection that was open at some time leads to the process that is known to have lived then or later, or nowhere.
  */
 
-/** A connection to a backend server. */
+/** A connection to a backend server, as one request uses it. */
 export interface ConnectionOrigin {
-  /** The process that was listed when the connection was opened, as named by `backendProcessOf`. */
+  /**
+   * The process that was listed when the request was sent, as named by `backendProcessOf`: it had started by then, so that the one which
+   * answers is none before it.
+   */
   readonly backendProcess: string
   /** By `steadyNow`. */
   readonly establishedAt: number
--- a/packages/gateway/src/decisions/streamCertainty.ts
+++ b/packages/gateway/src/decisions/streamCertainty.ts
@@ -3,7 +3,7 @@
 
 /** What was found out about the process that began a stream. */
 export type ProcessFinding =
-  /** It is the one that was listed when its connection was opened. */
+  /** It is the one that was listed when the stream's request was sent. */
   | { readonly kind: 'listed' }
   | { readonly kind: 'other' }
   /** Nothing tells: it has ended, does not reply, or its reply names no process. */
--- a/packages/gateway/src/decisions/streamOrigins.ts
+++ b/packages/gateway/src/decisions/streamOrigins.ts
@@ -28,7 +28,7 @@
   /** The entry that was listed then, which may have been that of a process before. */
   | { readonly kind: 'listed' }
   /**
-   * The entry that was listed when the connection was opened, on which the stream began; the process behind the connection may be
+   * The entry that was listed when the request was sent, and the connection on which the stream began; the process behind it may be
    * asked for. `wasSuspect`: there were signs that it had been replaced.
    */
   | { readonly kind: 'connection', readonly connection: ConnectionOrigin, readonly wasSuspect: boolean }
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -104,8 +104,8 @@
   /** Closes the idle connections to an address. */
   closeIdle (address: string): void
   hasIdle (address: string): boolean
-  /** The idle connections to an address. */
-  idleConnections (address: string): readonly ConnectionOrigin[]
+  /** When the idle connections to an address were established, by `steadyNow`. */
+  idleConnections (address: string): readonly number[]
   /**
    * True while a connection is open, idle or in use, whose end would have been read by now: not while its exchange is paused, nor
    * while bytes come on it, behind which the end of a process that was killed may follow.
@@ -120,7 +120,8 @@
   /** Connections of paused exchanges, which are not read. */
   const paused = new WeakSet<Socket>()
   const lastReadAt = new WeakMap<Socket, number>()
-  const origins = new WeakMap<Socket, ConnectionOrigin>()
+  /** By `steadyNow`. */
+  const establishedAt = new WeakMap<Socket, number>()
 
   function agentFor (address: string): Agent {
     const found = agents.get(address)
@@ -166,9 +167,10 @@
       send()
     }
     function sendOnConnection (socket: Socket): void {
-      const established = origins.get(socket) ?? { backendProcess: exchange.backendProcess ?? '', establishedAt: steadyNow() }
-      origins.set(socket, established)
-      confirmAndSend(established).catch((error: unknown) => fail(String(error)))
+      const at = establishedAt.get(socket) ?? steadyNow()
+      establishedAt.set(socket, at)
+      // The process that is listed now, as the one that was listed before may have been replaced when the connection was opened.
+      confirmAndSend({ backendProcess: exchange.backendProcess ?? '', establishedAt: at }).catch((error: unknown) => fail(String(error)))
     }
     /** The headers and the body are sent only now, so that an exchange that is aborted before reaches no backend server. */
     function send (): void {
@@ -284,7 +286,7 @@
     start,
     closeIdle,
     hasIdle,
-    idleConnections: (address) => idleSockets(address).flatMap((socket) => origins.get(socket) ?? []),
+    idleConnections: (address) => idleSockets(address).flatMap((socket) => establishedAt.get(socket) ?? []),
     hasOpen: (address) => hasIdle(address) || Object.values(agents.get(address)?.sockets ?? {}).some((sockets) => sockets?.some(isOpen) === true),
     closeAll: () => { for (const agent of agents.values()) agent.destroy() }
   }
--- a/packages/gateway/src/tasks/backendProcesses.ts
+++ b/packages/gateway/src/tasks/backendProcesses.ts
@@ -22,7 +22,7 @@
 
 /** Knows which processes of backend servers answer this instance, and asks them. */
 export interface BackendProcesses extends ProcessProofs {
-  /** True when the process that was listed when a connection was opened is certainly the one at its other end. */
+  /** True when the process that was listed when a request was sent is certainly the one at the other end of its connection. */
   isProven (connection: ConnectionOrigin): boolean
   /** A process has answered a request that was sent then. */
   noteAnswer (connection: ConnectionOrigin | undefined, sentAt: number): void
--- a/packages/gateway/src/tasks/streamContinuation.ts
+++ b/packages/gateway/src/tasks/streamContinuation.ts
@@ -43,7 +43,7 @@
   const { connections, processes } = context
   const listed = backendProcessOf(backend.entry)
   const idle = connections.idleConnections(backend.entry.address)
-  const isKnown = idle.length > 0 && idle.every(({ establishedAt }) => processes.leadsTo(listed, establishedAt))
+  const isKnown = idle.length > 0 && idle.every((establishedAt) => processes.leadsTo(listed, establishedAt))
   // The question opens the connection on which the request is sent next.
   const found = isKnown ? 'listed' : await findListedProcess(context, state, backend, steadyNow())
   context.metrics.count('stream_continuations_total', { process: isKnown ? 'known' : found })
--- a/packages/gateway/src/tasks/streamStart.ts
+++ b/packages/gateway/src/tasks/streamStart.ts
@@ -52,7 +52,7 @@
 function evidenceOf ({ processes, streamVersions }: GatewayContext, entry: BackendServerEntry, connection: ConnectionOrigin | undefined): StartEvidence {
   // Without a start time, a process can't be told from its predecessor.
   if (connection === undefined || entry.startedAt === 0) return { kind: 'listed' }
-  if (connection.backendProcess === backendProcessOf(entry) && processes.isProven(connection)) return { kind: 'proven' }
+  if (processes.isProven(connection)) return { kind: 'proven' }
   return { kind: 'connection', connection, wasSuspect: processes.isSuspect(backendProcessOf(entry)) || !streamVersions.isListCurrent() }
 }
 
--- a/packages/gateway/src/tasks/streamVersions.ts
+++ b/packages/gateway/src/tasks/streamVersions.ts
@@ -92,7 +92,7 @@
   /** Tells all instances, also those that start later, until when streams of a service may have begun at several versions. */
   readonly announceMixed: (service: string, until: number) => void
   readonly count: (outcome: string) => void
-  /** True when a connection certainly leads to the process that was listed when it was opened. */
+  /** True when a connection certainly leads to the process that was listed when its request was sent. */
   readonly isProven: (connection: ConnectionOrigin) => boolean
   /** Delivers one message; replaced by tests. */
   readonly post?: Post
