Tell the homes of a stream that its version is uncertain before its caller is cut off

Cause, by the log of stream-58: it began at a new process before its entry was read, at a gateway that had no stream in progress there when the old one was killed, so without a sign of the restart. When it broke, the gateway asked, got another process ("other") and cut its caller off, but told nobody. The gateway of the next try asked the homes, which knew nothing of the stream and of one version only, and took the old one (find, onlyVersion).

Change: after the finding "other" the stream counts as suspect, and its homes are told "uncertain" before the caller is cut off.

Left: a gateway that ends or is cut off before it finds out tells nobody; a peer that relayed the stream keeps the listed version.

--- a/packages/gateway/src/tasks/streamContinuation.ts
+++ b/packages/gateway/src/tasks/streamContinuation.ts
@@ -87,6 +87,8 @@
   const isListTrusted = !context.processes.canTell(start.service) || !(start.evidence.wasSuspect || context.streamVersions.isMixed(start.service))
   state.streamStart = weighStart(start, finding, isListTrusted)
   context.log.decision('streamStartWeighed', { request: state.fields.attemptId, backend: start.backendId, version: start.version, finding: finding.kind, start: state.streamStart.kind })
+  // Before the caller can take it up elsewhere: an instance that knows one version takes it for that of all streams.
+  if (finding.kind === 'other') await context.streamVersions.noteMisattributed(state.fields.attemptId)
 }
 
 async function findBeginner (context: GatewayContext, state: RequestState, backendId: string, { backendProcess, establishedAt }: ConnectionOrigin): Promise<ProcessFinding> {
--- a/packages/gateway/src/tasks/streamVersions.ts
+++ b/packages/gateway/src/tasks/streamVersions.ts
@@ -59,6 +59,8 @@
   find (attemptId: string, service: string): Promise<StreamStart>
   /** Turns a start into `unknown` once its backend server may have been another process than the listed one, and into a proven one once it certainly was not. */
   confirm (start: StreamStart): StreamStart
+  /** A stream of this instance began at another process than the listed one; resolves once its homes were told. */
+  noteMisattributed (attemptId: string): Promise<void>
   /** A process was asked which one it is: streams that waited for the answer are told. */
   noteProcessAsked (): void
   /** True when streams of a service may have begun at several versions. */
@@ -216,6 +218,14 @@
     if (untold.size > 0) scheduleTelling(TELL_AGAIN_MS)
   }
 
+  async function noteMisattributed (attemptId: string): Promise<void> {
+    const own = ownStreams.get(attemptId)
+    if (own?.evidence.kind !== 'connection') return
+    ownStreams.set(attemptId, { ...own, evidence: { ...own.evidence, wasSuspect: true } })
+    untold.add(attemptId)
+    await tellHomes()
+  }
+
   /** Tells all streams of the services whose versions differ, except to the processes that know them. */
   function tellAllAgain (): void {
     for (const [attemptId, { origin }] of ownStreams) if (areVersionsMixed(origin.service)) untold.add(attemptId)
@@ -332,6 +342,7 @@
     },
     noteInstancesChanged: tellAllAgain,
     receive: (received) => { for (const origin of received) origins.record(origin, sharedNow()) },
+    noteMisattributed,
     noteProcessAsked: () => { if (untold.size > 0) scheduleTelling(0) },
     isMixed: areVersionsMixed,
     isListCurrent: options.isListCurrent,
