Ask the process that wrote an answer whether it lives before its end is taken for whole

Cause: a new connection that is accepted, or one on which nothing was read yet, counted as a sign that the process lives. A forwarder, a second worker or a successor accepts it as well.

An engine is asked for its report now, which names the process: only its own reply proves that it lives. Where a report names no process, or the service has no engine, a new connection counts as before. A connection on which nothing was read is no sign of life. A process that replies after a pause of the instance keeps its answer whole, which counted as broken before.

--- a/packages/caller-connections/src/__tests__/closedResponses.test.ts
+++ b/packages/caller-connections/src/__tests__/closedResponses.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { createClosedResponses, type CloseVerdict } from '../closedResponses.js'
+import { createClosedResponses, type CloseVerdict, type FoundProcess } from '../closedResponses.js'
 
 let server: Server | undefined
 const sockets = new Set<Socket>()
@@ -102,4 +102,20 @@
     standStill(600)
     expect(await verdict).toMatchObject({ kind: 'broken' })
   })
+
+  // Guards against a listener that is taken for the process that wrote the answer.
+  test.each<[FoundProcess, CloseVerdict]>([
+    [{ kind: 'same' }, { kind: 'whole', because: 'its process replies' }],
+    [{ kind: 'any' }, { kind: 'whole', because: 'a new connection is accepted' }],
+    [{ kind: 'gone', because: 'another process replies' }, { kind: 'broken', because: 'another process replies' }]
+  ])('is judged by the process that is found where one can be asked: %j', async (found, verdict) => {
+    let accepted = 0
+    const address = await listen(() => { accepted++ })
+    expect([await judge(false).judge(address, async () => found), accepted]).toEqual([verdict, 0])
+  })
+
+  // Guards against whole answers that are cut off after a pause although their process still replies.
+  test('is whole after a pause when its process replies', async () => {
+    expect(await judge(false, 1000).judge(await listen(), async () => ({ kind: 'same' }))).toEqual({ kind: 'whole', because: 'its process replies' })
+  })
 })
--- a/packages/caller-connections/src/closedResponses.ts
+++ b/packages/caller-connections/src/closedResponses.ts
@@ -18,13 +18,24 @@
 
 /** Whether the process that wrote a response has lived on after its end. */
 export type CloseVerdict =
-  | { readonly kind: 'whole', readonly because: 'all tokens were delivered' | 'the head tells the outcome' | 'another connection is open' | 'a new connection is accepted' }
+  | { readonly kind: 'whole', readonly because: 'all tokens were delivered' | 'the head tells the outcome' | 'another connection is open' | 'its process replies' | 'a new connection is accepted' }
   | { readonly kind: 'broken', readonly because: string }
 
+/** What is found at the address of a backend server after one of its connections has ended. */
+export type FoundProcess =
+  /** The process that wrote the response lives. */
+  | { readonly kind: 'same' }
+  /** A process takes connections there: that one, its successor, or a forwarder. */
+  | { readonly kind: 'any' }
+  | { readonly kind: 'gone', readonly because: string }
+
 /** Judges the ends of responses. */
 export interface ClosedResponses {
-  /** To be called as soon as the connection to the backend server at an address (IP:PORT) was closed in order. */
-  judge (address: string): Promise<CloseVerdict>
+  /**
+   * To be called as soon as the connection to the backend server at an address (IP:PORT) was closed in order. `findProcess` is called
+   * where no open connection shows that its process lives; by default, a new connection is opened.
+   */
+  judge (address: string, findProcess?: () => Promise<FoundProcess>): Promise<CloseVerdict>
 }
 
 /** Dependencies of the judgement. */
@@ -35,14 +46,14 @@
   readonly eventLoopDelay: () => number
 }
 
-/** Resolves with undefined when a new connection is accepted and stays open, or else with the reason why not. */
-function findConnectFailure (address: string): Promise<string | undefined> {
+/** Finds out whether a new connection is accepted and stays open. */
+function findListener (address: string): Promise<FoundProcess> {
   const [host = '', port = ''] = address.split(':')
   return new Promise((resolve) => {
     const socket = connect({ host, port: Number(port) })
     const finish = (reason: string | undefined): void => {
       clearTimeout(timer)
-      resolve(reason)
+      resolve(reason === undefined ? { kind: 'any' } : { kind: 'gone', because: reason })
       socket.destroy()
     }
     /** In a process that is behind, timers fire before it is read that the connection was established or has ended. */
@@ -65,17 +76,23 @@
 /** Creates the judge of one process. */
 export function createClosedResponses ({ hasOpen, eventLoopDelay }: ClosedResponsesOptions): ClosedResponses {
   return {
-    judge: async (address) => {
+    judge: async (address, findProcess = async () => await findListener(address)) => {
       // After a pause of this process, another one may listen at the address, to which no connection is open yet.
-      const wasPaused = eventLoopDelay() >= RESTART_MS
+      let wasPaused = eventLoopDelay() >= RESTART_MS
       const startedAt = performance.now()
       await new Promise((resolve) => setTimeout(resolve, SETTLE_MS))
       // In a process that is behind, timers fire before the ends of other connections are read.
       await handleArrivedEvents()
       if (hasOpen(address)) return { kind: 'whole', because: 'another connection is open' }
-      if (wasPaused || performance.now() - startedAt >= RESTART_MS) return { kind: 'broken', because: 'the process was paused and no other connection is open' }
-      const failure = await findConnectFailure(address)
-      return failure === undefined ? { kind: 'whole', because: 'a new connection is accepted' } : { kind: 'broken', because: failure }
+      wasPaused ||= performance.now() - startedAt >= RESTART_MS
+      const found = await findProcess()
+      switch (found.kind) {
+        case 'gone': return { kind: 'broken', because: found.because }
+        case 'same': return { kind: 'whole', because: 'its process replies' }
+        case 'any': return wasPaused
+          ? { kind: 'broken', because: 'the process was paused and no other connection is open' }
+          : { kind: 'whole', because: 'a new connection is accepted' }
+      }
     }
   }
 }
--- a/packages/gateway/src/__tests__/backendConnections.test.ts
+++ b/packages/gateway/src/__tests__/backendConnections.test.ts
@@ -246,6 +246,17 @@
     expect(hasOpen()).toBe(true)
   })
 
+  // Guards against a forwarder that has accepted the connection for a backend server which was killed.
+  test('does not count before anything has come on it', async () => {
+    const started = server = await startRawServer(() => {})
+    const pool = connections = createBackendConnections()
+    await new Promise<void>((resolve) => {
+      pool.start({ address: started.address, method: 'GET', path: '/', headers: { host: 'example' }, body: Buffer.alloc(0), needsNewConnection: false }, { onConnected: resolve, onHead: () => {}, onData: () => {}, onEnd: () => {}, onBroken: () => {} })
+    })
+    await new Promise((resolve) => setTimeout(resolve, 60))
+    expect(pool.hasOpen(started.address)).toBe(false)
+  })
+
   // Guards against the bytes that a killed process has left, behind which the end of its connection is still to be read.
   test('does not count while bytes come on it', async () => {
     const { hasOpen } = await startExchange((socket) => {
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -13,7 +13,7 @@
 /** Idle timeout of large fleets, whose instances send to a given engine every 10 to 20 s. */
 export const LONG_IDLE_TIMEOUT_MS = 20_000
 
-/** A connection on which nothing was read for this time has no bytes waiting in front of its end. */
+/** A connection on which nothing was read any more for this time has no bytes waiting in front of its end. */
 const QUIET_MS = 15
 
 /** Pools idle connections to one backend server and closes those that receive unsolicited bytes. */
@@ -108,7 +108,8 @@
   idleConnections (address: string): readonly number[]
   /**
    * True while a connection is open, idle or in use, whose end would have been read by now: not while its exchange is paused, nor
-   * while bytes come on it, behind which the end of a process that was killed may follow.
+   * while bytes come on it, behind which the end of a process that was killed may follow. One that has brought nothing yet may lead to
+   * a forwarder only, which accepts connections for a process that has ended.
    */
   hasOpen (address: string): boolean
   closeAll (): void
@@ -241,6 +242,7 @@
     function receive (response: IncomingMessage): void {
       if (finished) return
       incoming = response
+      lastReadAt.set(response.socket, steadyNow())
       const resetDetection = detectReset(response)
       response.on('data', (chunk: Buffer) => {
         lastReadAt.set(response.socket, steadyNow())
@@ -285,7 +287,7 @@
   }
 
   function isOpen (socket: Socket): boolean {
-    const isQuiet = steadyNow() - (lastReadAt.get(socket) ?? -Infinity) > QUIET_MS
+    const isQuiet = steadyNow() - (lastReadAt.get(socket) ?? Infinity) > QUIET_MS
     return isQuiet && !socket.connecting && !socket.destroyed && !socket.readableEnded && !paused.has(socket)
   }
 
--- a/packages/gateway/src/tasks/backendProcesses.ts
+++ b/packages/gateway/src/tasks/backendProcesses.ts
@@ -17,6 +17,8 @@
   /** Its reply names no process. */
   | { readonly kind: 'untold', readonly reason: string }
   | { readonly kind: 'silent', readonly reason: string }
+  /** The connection ended before a reply came. */
+  | { readonly kind: 'closed', readonly reason: string }
   /** No connection was established. */
   | { readonly kind: 'unreached', readonly reason: string }
 
@@ -62,6 +64,7 @@
     return new Promise((resolve) => {
       const chunks: Buffer[] = []
       let hasReplied = false
+      let isGivenUp = false
       let timer: NodeJS.Timeout | undefined
       let bytes = 0
       const exchange = connections.start({ address: entry.address, method: 'GET', path: report.path, headers: { host: entry.address }, body: Buffer.alloc(0), needsNewConnection: purpose === 'origin' && !connections.hasIdle(entry.address), backendProcess: backendProcessOf(entry) }, {
@@ -79,11 +82,14 @@
           const startedAt = report.decodeStartTime(Buffer.concat(chunks).toString())
           finish(startedAt === undefined ? { kind: 'untold', reason: 'the report names no start time' } : { kind: 'told', backendProcess: processName(entry.id, startedAt) })
         },
-        onBroken: (sent, reason) => finish({ kind: hasReplied ? 'untold' : sent ? 'silent' : 'unreached', reason })
+        onBroken: (sent, reason) => finish({ kind: hasReplied ? 'untold' : !sent ? 'unreached' : isGivenUp ? 'silent' : 'closed', reason })
       })
       /** After a pause of this process, a reply that had arrived is read only now. */
       function giveUp (): void {
-        handleArrivedEvents().then(() => exchange.abort('no reply in time'), (error: unknown) => exchange.abort(String(error)))
+        handleArrivedEvents().then(() => {
+          isGivenUp = true
+          exchange.abort('no reply in time')
+        }, (error: unknown) => exchange.abort(String(error)))
       }
       function finish (reply: ProcessReply): void {
         clearTimeout(timer)
--- a/packages/gateway/src/tasks/judgeClose.ts
+++ b/packages/gateway/src/tasks/judgeClose.ts
@@ -1,5 +1,7 @@
-import type { CloseVerdict } from '@quinceshunt/caller-connections'
+import type { CloseVerdict, FoundProcess } from '@quinceshunt/caller-connections'
+import { assertNever } from '@quinceshunt/effects'
 import type { IncomingMessage } from 'node:http'
+import { steadyNow } from '../clock.js'
 import { backendProcessOf, type BackendState } from '../decisions/backendState.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { hasEventForEachToken } from './hasEventForEachToken.js'
@@ -12,26 +14,48 @@
 }
 
 /** Judges a response without a length or chunks whose connection was closed in order. */
-export async function judgeClose (context: GatewayContext, state: RequestState, backend: BackendState, { incoming, backendProcess }: ClosedResponse): Promise<CloseVerdict> {
-  const { entry } = backend
-  if (hasEventForEachToken(state)) return logged(context, state, entry.id, { kind: 'whole', because: 'all tokens were delivered' })
+export async function judgeClose (context: GatewayContext, state: RequestState, backend: BackendState, closed: ClosedResponse): Promise<CloseVerdict> {
+  const log = (verdict: CloseVerdict): CloseVerdict => logged(context, state, closed, verdict)
+  if (hasEventForEachToken(state)) return log({ kind: 'whole', because: 'all tokens were delivered' })
   // Of a refusal or failure only the status counts, and one that was not run may be sent again.
-  if (!isSuccess(incoming?.statusCode ?? 0)) return { kind: 'whole', because: 'the head tells the outcome' }
-  return logged(context, state, entry.id, await judgeSuccess(context, backend, backendProcess))
+  if (!isSuccess(closed.incoming?.statusCode ?? 0)) return { kind: 'whole', because: 'the head tells the outcome' }
+  return log(await judgeSuccess(context, backend, closed.backendProcess))
 }
 
-function logged (context: GatewayContext, state: RequestState, backendId: string, verdict: CloseVerdict): CloseVerdict {
+function logged (context: GatewayContext, state: RequestState, { backendProcess }: ClosedResponse, verdict: CloseVerdict): CloseVerdict {
   context.metrics.count('closed_responses_total', { verdict: verdict.kind })
-  context.log.decision('closeJudged', { request: state.fields.attemptId, backend: backendId, verdict: verdict.kind, because: verdict.because, lastEventId: state.lastEventId, events: state.deliveredEvents + state.relayedEvents })
+  context.log.decision('closeJudged', { request: state.fields.attemptId, backend: backendProcess, verdict: verdict.kind, because: verdict.because, lastEventId: state.lastEventId, events: state.deliveredEvents + state.relayedEvents })
   return verdict
 }
 
 /** Connections that are open now may be those of the successor of the process that wrote the response. */
-async function judgeSuccess ({ closedResponses }: GatewayContext, backend: BackendState, backendProcess: string): Promise<CloseVerdict> {
-  const verdict = await closedResponses.judge(backend.entry.address)
+async function judgeSuccess (context: GatewayContext, backend: BackendState, backendProcess: string): Promise<CloseVerdict> {
+  const { closedResponses } = context
+  const { address, service } = backend.entry
+  const closedAt = steadyNow()
+  // Only engines report which process they are.
+  const isEngine = context.configuration()?.service(service)?.engine !== undefined
+  const verdict = await closedResponses.judge(address, isEngine ? async () => await findWriter(context, backend, backendProcess, closedAt) : undefined)
   return backendProcessOf(backend.entry) === backendProcess ? verdict : { kind: 'broken', because: 'another process is listed' }
 }
 
+/** Finds out whether the process that wrote a response lives after its end. A new connection alone may lead to its successor, or to a forwarder. */
+async function findWriter ({ processes }: GatewayContext, backend: BackendState, backendProcess: string, closedAt: number): Promise<FoundProcess> {
+  // An entry without a start time names no process.
+  const isNamed = backend.entry.startedAt !== 0
+  const reply = await processes.ask(backend, closedAt, 'origin')
+  switch (reply.kind) {
+    case 'told':
+      if (!isNamed) return { kind: 'any' }
+      return reply.backendProcess === backendProcess ? { kind: 'same' } : { kind: 'gone', because: 'another process replies' }
+    case 'untold': return { kind: 'any' }
+    case 'silent': return processes.canTell(backend.entry.service) ? { kind: 'gone', because: reply.reason } : { kind: 'any' }
+    case 'closed':
+    case 'unreached': return { kind: 'gone', because: reply.reason }
+    default: return assertNever(reply)
+  }
+}
+
 function isSuccess (status: number): boolean {
   return status >= 200 && status <= 299
 }
--- a/packages/gateway/src/tasks/streamContinuation.ts
+++ b/packages/gateway/src/tasks/streamContinuation.ts
@@ -62,7 +62,8 @@
   switch (found) {
     case 'listed': return true
     case 'untold': return mayTrustList(context, backend)
-    case 'silent': return !context.processes.canTell(backend.entry.service)
+    case 'silent':
+    case 'closed': return !context.processes.canTell(backend.entry.service)
     case 'told':
     case 'unreached': return false
     default: return assertNever(found)
