Probe a backend server whose new connection ended without a byte

Callers of an instance that is cut off from its backend servers by resets got refusals for as long as only one request came, again and again: the instance did not find that it was cut off, and relayed nothing.

Cause: a connection that is reset after the request was written counts as a possible crash of the backend server, not as a loss. The request is held back after some of these, and nothing else showed the cut: probes began with a loss or a silence only. Whether a reset is read before or after the request is written is chance, so that the test failed now and then.

A probe that is reset too is a loss, and the others are probed then. A backend server that has crashed is probed once for it.

--- a/packages/gateway/src/__tests__/backendReach.test.ts
+++ b/packages/gateway/src/__tests__/backendReach.test.ts
@@ -83,6 +83,23 @@
     expect(areAllLost(backends)).toBe(true)
   })
 
+  // Guards against an instance whose requests are reset once they were written: they may have crashed the backend server and are held back.
+  test('knows it from one new connection that ended without a byte and the probes that follow', async () => {
+    reachable = new Set()
+    await jest.advanceTimersByTimeAsync(500)
+    reach.noteRefused(backends[0] as BackendState)
+    await jest.advanceTimersByTimeAsync(1000)
+    expect(areAllLost(backends)).toBe(true)
+    expect(events()).toEqual(['serviceCutOff'])
+  })
+
+  test('probes a backend server once for a new connection that ended without a byte while probes reach it', async () => {
+    await jest.advanceTimersByTimeAsync(500)
+    reach.noteRefused(backends[0] as BackendState)
+    await jest.advanceTimersByTimeAsync(3000)
+    expect(probes).toEqual(['a'])
+  })
+
   test('reaches them again at the first answer to a probe', async () => {
     reachable = new Set()
     send(backends[0])
--- a/packages/gateway/src/decisions/backendReach.ts
+++ b/packages/gateway/src/decisions/backendReach.ts
@@ -53,6 +53,7 @@
 
 /** Records that a new connection failed before its first byte. */
 export function recordRefusal (state: BackendState, now: number): void {
+  state.refusedAt = now
   if (now < state.refusesNewUntil) return
   state.refusalMilliseconds = Math.min(REFUSAL_MS.most, Math.max(REFUSAL_MS.first, state.refusalMilliseconds * 2))
   state.refusesNewUntil = now + state.refusalMilliseconds
@@ -80,8 +81,16 @@
 }
 
 /**
- * Selects the backend servers of one service to probe: silent ones while nothing is heard of any, those of which nothing was heard
- * lately once another one is lost, and lost ones while all are. A single lost one is found again by the requests that it gets later.
+ * Returns true for a backend server that has sent nothing since a new connection to it failed. Its request may not be sent again, as
+ * it may have crashed the backend server, so that nothing but a probe shows whether new connections reach it.
+ */
+function isRefusing (state: BackendState): boolean {
+  return state.refusedAt > Math.max(state.lastByteAt, state.lastProbeAt)
+}
+
+/**
+ * Selects the backend servers of one service to probe: silent ones while nothing is heard of any, those that refuse new connections,
+ * those of which nothing was heard lately once another one is lost, and lost ones while all are. A single lost one is found again by the requests that it gets later.
  */
 export function selectProbes (states: readonly BackendState[], kind: keyof typeof SILENCE_BEFORE_PROBE_MS, now: number): readonly BackendState[] {
   const hasLost = states.some(isLost)
@@ -92,6 +101,6 @@
   return states.filter((state) => {
     if (now - state.lastProbeAt < PROBE_INTERVAL_MS) return false
     if (isLost(state)) return allLost
-    return (mayBeCutOff && now - state.lastByteAt > RECENT_BYTE_MS && state.lastProbeAt <= state.lastByteAt) || isSilent(state, kind, newestByteAt, now)
+    return (mayBeCutOff && now - state.lastByteAt > RECENT_BYTE_MS && state.lastProbeAt <= state.lastByteAt) || isRefusing(state) || isSilent(state, kind, newestByteAt, now)
   })
 }
