--- a/jest.config.js
+++ b/jest.config.js
@@ -1,6 +1,8 @@
 import { availableParallelism } from 'node:os'
 
 export default {
+  // The bench keeps copies of the sources there.
+  modulePathIgnorePatterns: ['<rootDir>/target/'],
   testEnvironment: 'node',
   testMatch: ['<rootDir>/packages/*/lib/**/__tests__/*.test.js', '<rootDir>/platform/lib/**/__tests__/*.test.js', '<rootDir>/soak/lib/**/__tests__/*.test.js'],
   transform: {},
