Take only connections to the process that wrote an answer as signs of its life

Callers of a stream without a length or chunks could get it as complete too early when its backend server was killed and its successor, not listed yet, had connections open by the time at which the end was read, as with a caller that reads slowly or an instance that is behind.

Cause: any open connection to the address counted as a sign of life (closedResponses, 'another connection is open').

--- a/packages/caller-connections/src/__tests__/closedResponses.test.ts
+++ b/packages/caller-connections/src/__tests__/closedResponses.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { createClosedResponses, type CloseVerdict, type FoundProcess } from '../closedResponses.js'
+import { createClosedResponses, type CloseVerdict, type FoundProcess, type WriterEvidence } from '../closedResponses.js'
 
 let server: Server | undefined
 const sockets = new Set<Socket>()
@@ -111,11 +111,17 @@
   ])('is judged by the process that is found where one can be asked: %j', async (found, verdict) => {
     let accepted = 0
     const address = await listen(() => { accepted++ })
-    expect([await judge(false).judge(address, async () => found), accepted]).toEqual([verdict, 0])
+    expect([await judge(false).judge(address, { hasOpen: () => false, find: async () => found }), accepted]).toEqual([verdict, 0])
   })
 
   // Guards against whole answers that are cut off after a pause although their process still replies.
   test('is whole after a pause when its process replies', async () => {
-    expect(await judge(false, 1000).judge(await listen(), async () => ({ kind: 'same' }))).toEqual({ kind: 'whole', because: 'its process replies' })
+    expect(await judge(false, 1000).judge(await listen(), { hasOpen: () => false, find: async () => ({ kind: 'same' }) })).toEqual({ kind: 'whole', because: 'its process replies' })
+  })
+
+  // Guards against connections to the successor of the process that wrote the answer.
+  test('is broken while connections are open that do not lead to its process', async () => {
+    const writer: WriterEvidence = { hasOpen: () => false, find: async () => ({ kind: 'gone', because: 'another process replies' }) }
+    expect(await judge(true).judge(await listen(), writer)).toMatchObject({ kind: 'broken' })
   })
 })
--- a/packages/caller-connections/src/closedResponses.ts
+++ b/packages/caller-connections/src/closedResponses.ts
@@ -29,13 +29,18 @@
   | { readonly kind: 'any' }
   | { readonly kind: 'gone', readonly because: string }
 
+/** What can be told of the process that wrote a response; without it, any process at the address is taken for it. */
+export interface WriterEvidence {
+  /** True while a connection is open that leads to the process. */
+  readonly hasOpen: () => boolean
+  /** Finds the process where no open connection shows that it lives. */
+  readonly find: () => Promise<FoundProcess>
+}
+
 /** Judges the ends of responses. */
 export interface ClosedResponses {
-  /**
-   * To be called as soon as the connection to the backend server at an address (IP:PORT) was closed in order. `findProcess` is called
-   * where no open connection shows that its process lives; by default, a new connection is opened.
-   */
-  judge (address: string, findProcess?: () => Promise<FoundProcess>): Promise<CloseVerdict>
+  /** To be called as soon as the connection to the backend server at an address (IP:PORT) was closed in order. */
+  judge (address: string, writer?: WriterEvidence): Promise<CloseVerdict>
 }
 
 /** Dependencies of the judgement. */
@@ -76,16 +81,16 @@
 /** Creates the judge of one process. */
 export function createClosedResponses ({ hasOpen, eventLoopDelay }: ClosedResponsesOptions): ClosedResponses {
   return {
-    judge: async (address, findProcess = async () => await findListener(address)) => {
+    judge: async (address, writer = { hasOpen: () => hasOpen(address), find: async () => await findListener(address) }) => {
       // After a pause of this process, another one may listen at the address, to which no connection is open yet.
       let wasPaused = eventLoopDelay() >= RESTART_MS
       const startedAt = performance.now()
       await new Promise((resolve) => setTimeout(resolve, SETTLE_MS))
       // In a process that is behind, timers fire before the ends of other connections are read.
       await handleArrivedEvents()
-      if (hasOpen(address)) return { kind: 'whole', because: 'another connection is open' }
+      if (writer.hasOpen()) return { kind: 'whole', because: 'another connection is open' }
       wasPaused ||= performance.now() - startedAt >= RESTART_MS
-      const found = await findProcess()
+      const found = await writer.find()
       switch (found.kind) {
         case 'gone': return { kind: 'broken', because: found.because }
         case 'same': return { kind: 'whole', because: 'its process replies' }
--- a/packages/caller-connections/src/index.ts
+++ b/packages/caller-connections/src/index.ts
@@ -1,7 +1,7 @@
 export { startAcceptQueue, type AcceptQueue } from './acceptQueue.js'
 export { createCallerWatch, watchCaller, type CallerPresence } from './callerPresence.js'
 export { handleArrivedEvents } from './arrivedEvents.js'
-export { createClosedResponses, type ClosedResponses, type CloseVerdict, type FoundProcess } from './closedResponses.js'
+export { createClosedResponses, type ClosedResponses, type CloseVerdict, type FoundProcess, type WriterEvidence } from './closedResponses.js'
 export { createConnectionErrors, type ConnectionErrors } from './connectionErrors.js'
 export { bodyDelimiter, detectReset, isDelimitedByClose, type BodyDelimiter } from './detectReset.js'
 export { sampleEventLoopDelay, type EventLoopDelay } from './eventLoopDelay.js'
--- a/packages/gateway/src/tasks/attempt.ts
+++ b/packages/gateway/src/tasks/attempt.ts
@@ -105,7 +105,7 @@
     needsNewConnection: state.triedAddresses.has(backend.entry.address),
     backendProcess,
     confirmConnection: connectionCheck(context, state, backend),
-    judgeClose: async () => await judgeClose(context, state, backend, { incoming: head?.incoming, backendProcess })
+    judgeClose: async () => await judgeClose(context, state, backend, { incoming: head?.incoming, backendProcess, connection: exchange.connection })
   }, { onConnected, onHead, onData, onEnd, onBroken })
   state.triedAddresses.add(backend.entry.address)
   const deadlineTimer = setTimeout(() => abort({ kind: 'timedOut', headersSent: state.headersSent }, 'out of time'), Math.max(1, state.deadline - sentAt))
--- a/packages/gateway/src/tasks/backendConnections.ts
+++ b/packages/gateway/src/tasks/backendConnections.ts
@@ -1,55 +1,18 @@
 import { bodyDelimiter, detectReset, handleArrivedEvents, isDelimitedByClose, isMalformedStatus, receiveResponse, type BodyDelimiter, type CloseVerdict } from '@quinceshunt/caller-connections'
-import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http'
+import { Agent, request, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { steadyNow } from '../clock.js'
 import type { ConnectionOrigin } from '../decisions/processProofs.js'
+import { BackendAgent, DEFAULT_IDLE_TIMEOUT_MS } from './backendAgent.js'
 
 /** A round trip takes a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 400
-/** An idle connection is closed this long before the timeout that the backend server announced. */
-const IDLE_TIMEOUT_MARGIN_MS = 700
-/** Idle timeout when the backend server announces none. */
-const DEFAULT_IDLE_TIMEOUT_MS = 8000
 /** Idle timeout of large fleets, whose instances send to a given engine every 10 to 20 s. */
 export const LONG_IDLE_TIMEOUT_MS = 20_000
 
 /** A connection on which nothing was read any more for this time has no bytes waiting in front of its end. */
 const QUIET_MS = 15
 
-/** Pools idle connections to one backend server and closes those that receive unsolicited bytes. */
-class BackendAgent extends Agent {
-  readonly maximumIdleTimeout: number
-
-  constructor (maximumIdleTimeout: number) {
-    super({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: 32 })
-    this.maximumIdleTimeout = maximumIdleTimeout
-  }
-
-  override keepSocketAlive (socket: Socket): boolean {
-    const response = (socket as Socket & { _httpMessage?: ClientRequest & { res?: IncomingMessage } })._httpMessage?.res
-    const announcedSeconds = /timeout=(\d+)/.exec(String(response?.headers['keep-alive'] ?? ''))?.[1]
-    const idleTimeout = announcedSeconds === undefined ? DEFAULT_IDLE_TIMEOUT_MS : Math.min(this.maximumIdleTimeout, Number(announcedSeconds) * 1000 - IDLE_TIMEOUT_MARGIN_MS)
-    if (idleTimeout <= 0) return false
-    socket.setKeepAlive(true, 1000)
-    socket.setTimeout(idleTimeout)
-    socket.once('timeout', destroyIdle)
-    socket.on('data', destroyIdle)
-    socket.ref()
-    return true
-  }
-
-  override reuseSocket (socket: Socket, outgoing: ClientRequest): void {
-    socket.removeListener('timeout', destroyIdle)
-    socket.removeListener('data', destroyIdle)
-    socket.setTimeout(0)
-    super.reuseSocket(socket, outgoing)
-  }
-}
-
-function destroyIdle (this: Socket): void {
-  this.destroy()
-}
-
 /** One request to a backend server. */
 export interface ExchangeRequest {
   readonly address: string
@@ -112,6 +75,8 @@
    * a forwarder only, which accepts connections for a process that has ended.
    */
   hasOpen (address: string): boolean
+  /** When the connections that `hasOpen` counts were established, by `steadyNow`. */
+  openConnections (address: string): readonly number[]
   closeAll (): void
 }
 
@@ -291,12 +256,18 @@
     return isQuiet && !socket.connecting && !socket.destroyed && !socket.readableEnded && !paused.has(socket)
   }
 
+  function openSockets (address: string): readonly Socket[] {
+    const inUse = Object.values(agents.get(address)?.sockets ?? {}).flatMap((sockets) => sockets ?? [])
+    return [...idleSockets(address), ...inUse.filter(isOpen)]
+  }
+
   return {
     start,
     closeIdle,
     hasIdle,
     idleConnections: (address) => idleSockets(address).flatMap((socket) => establishedAt.get(socket) ?? []),
-    hasOpen: (address) => hasIdle(address) || Object.values(agents.get(address)?.sockets ?? {}).some((sockets) => sockets?.some(isOpen) === true),
+    hasOpen: (address) => openSockets(address).length > 0,
+    openConnections: (address) => openSockets(address).flatMap((socket) => establishedAt.get(socket) ?? []),
     closeAll: () => { for (const agent of agents.values()) agent.destroy() }
   }
 }
--- a/packages/gateway/src/tasks/judgeClose.ts
+++ b/packages/gateway/src/tasks/judgeClose.ts
@@ -1,8 +1,9 @@
-import type { CloseVerdict, FoundProcess } from '@quinceshunt/caller-connections'
+import type { CloseVerdict, FoundProcess, WriterEvidence } from '@quinceshunt/caller-connections'
 import { assertNever } from '@quinceshunt/effects'
 import type { IncomingMessage } from 'node:http'
 import { steadyNow } from '../clock.js'
 import { backendProcessOf, type BackendState } from '../decisions/backendState.js'
+import type { ConnectionOrigin } from '../decisions/processProofs.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { hasEventForEachToken } from './hasEventForEachToken.js'
 import type { RequestState } from './requestTask.js'
@@ -11,6 +12,7 @@
 export interface ClosedResponse {
   readonly incoming: IncomingMessage | undefined
   readonly backendProcess: string
+  readonly connection: ConnectionOrigin | undefined
 }
 
 /** Judges a response without a length or chunks whose connection was closed in order. */
@@ -19,7 +21,7 @@
   if (hasEventForEachToken(state)) return log({ kind: 'whole', because: 'all tokens were delivered' })
   // Of a refusal or failure only the status counts, and one that was not run may be sent again.
   if (!isSuccess(closed.incoming?.statusCode ?? 0)) return { kind: 'whole', because: 'the head tells the outcome' }
-  return log(await judgeSuccess(context, backend, closed.backendProcess))
+  return log(await judgeSuccess(context, backend, closed))
 }
 
 function logged (context: GatewayContext, state: RequestState, { backendProcess }: ClosedResponse, verdict: CloseVerdict): CloseVerdict {
@@ -29,14 +31,26 @@
 }
 
 /** Connections that are open now may be those of the successor of the process that wrote the response. */
-async function judgeSuccess (context: GatewayContext, backend: BackendState, backendProcess: string): Promise<CloseVerdict> {
-  const { closedResponses } = context
+async function judgeSuccess (context: GatewayContext, backend: BackendState, closed: ClosedResponse): Promise<CloseVerdict> {
   const { address, service } = backend.entry
-  const closedAt = steadyNow()
   // Only engines report which process they are.
   const isEngine = context.configuration()?.service(service)?.engine !== undefined
-  const verdict = await closedResponses.judge(address, isEngine ? async () => await findWriter(context, backend, backendProcess, closedAt) : undefined)
-  return backendProcessOf(backend.entry) === backendProcess ? verdict : { kind: 'broken', because: 'another process is listed' }
+  const verdict = await context.closedResponses.judge(address, isEngine ? writerEvidence(context, backend, closed) : undefined)
+  return backendProcessOf(backend.entry) === closed.backendProcess ? verdict : { kind: 'broken', because: 'another process is listed' }
+}
+
+/**
+ * What can be told of the process that wrote a response. Two processes don't accept connections at one address, so that a connection
+ * which was established before that of the response, and is still open, leads to its process.
+ */
+function writerEvidence (context: GatewayContext, backend: BackendState, { backendProcess, connection }: ClosedResponse): WriterEvidence {
+  const { connections, processes } = context
+  const closedAt = steadyNow()
+  const leadsToWriter = (establishedAt: number): boolean => establishedAt <= (connection?.establishedAt ?? -Infinity) || processes.leadsTo(backendProcess, establishedAt)
+  return {
+    hasOpen: () => connections.openConnections(backend.entry.address).some(leadsToWriter),
+    find: async () => await findWriter(context, backend, backendProcess, closedAt)
+  }
 }
 
 /** Finds out whether the process that wrote a response lives after its end. A new connection alone may lead to its successor, or to a forwarder. */
