Count a test that KNOWN-RED.txt lists and that does not exist as a failure

A misspelt entry was not noticed until its test failed: the script only looked up the names of failed tests. It now prints and counts each listed name that no test or scenario of the run has.

A test file that fails to load has no names, so its listed tests are printed too; such a run fails in any case.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -1,5 +1,5 @@
-// Runs jest and the scenarios, doesn't count failures of tests that KNOWN-RED.txt lists, and prints a summary line
-// "N passed, N failed" from the JSON results of the runners.
+// Runs jest and the scenarios, doesn't count failures of tests that KNOWN-RED.txt lists, counts each listed test that does
+// not exist as a failure, and prints a summary line "N passed, N failed" from the JSON results of the runners.
 import { spawnSync } from 'node:child_process'
 import { existsSync, readFileSync, rmSync } from 'node:fs'
 
@@ -47,10 +47,13 @@
 const passed = outcomes.filter((outcome) => outcome.status === 'passed')
 const failed = outcomes.filter((outcome) => outcome.status !== 'passed' && !knownFailures.has(outcome.name))
 const ignoredFailures = outcomes.filter((outcome) => outcome.status !== 'passed' && knownFailures.has(outcome.name))
+const names = new Set(outcomes.map((outcome) => outcome.name))
+const missingTests = [...knownFailures].filter((name) => !names.has(name))
 const failedOutsideTests = failed.length === 0 && ignoredFailures.length === 0 && (jestStatus !== 0 || scenarioStatus !== 0)
 for (const outcome of failed) console.log(`failed: ${outcome.name}`)
 for (const outcome of ignoredFailures) console.log(`known failure listed in KNOWN-RED.txt, not counted: ${outcome.name}`)
+for (const name of missingTests) console.log(`KNOWN-RED.txt lists a test that does not exist: ${name}`)
 if (failedOutsideTests) console.log(`a test runner failed although no test did; exit codes: jest ${jestStatus}, scenarios ${scenarioStatus}`)
-const failures = failed.length + (failedOutsideTests ? 1 : 0)
+const failures = failed.length + missingTests.length + (failedOutsideTests ? 1 : 0)
 console.log(`${passed.length} passed, ${failures} failed`)
 process.exit(failures === 0 && passed.length > 0 ? 0 : 1)
