Probe a backend server that refuses new connections only once its kept ones are silent

Instances counted a busy backend server as lost, for the time up to its next byte, that sends on kept connections and resets those beyond its maximum: callers' requests did not go there meanwhile, and each such reset cost a probe on a further connection.

Cause: since one new connection that ended without a byte selects a probe whenever no byte came after it. Between two bytes of a stream that is nearly always so, and the probe is reset as well, which counts as a loss.

--- a/packages/gateway/src/__tests__/backendReach.test.ts
+++ b/packages/gateway/src/__tests__/backendReach.test.ts
@@ -100,6 +100,20 @@
     expect(probes).toEqual(['a'])
   })
 
+  // Guards against a busy backend server, which resets connections beyond its maximum, that is probed on further ones and counted as lost for it.
+  test('does not probe one that refuses new connections while kept ones bring bytes', async () => {
+    const [backend] = backends as [BackendState]
+    reachable = new Set(['b', 'c'])
+    for (let milliseconds = 0; milliseconds < 3000; milliseconds += 150) {
+      receive(backend)
+      await jest.advanceTimersByTimeAsync(40)
+      reach.noteRefused(backend)
+      await jest.advanceTimersByTimeAsync(110)
+    }
+    expect(log.lines.filter(({ name }) => name === 'backendProbeFailed' || name === 'backendReached')).toEqual([])
+    expect(probes).toEqual([])
+  })
+
   test('reaches them again at the first answer to a probe', async () => {
     reachable = new Set()
     send(backends[0])
--- a/packages/gateway/src/decisions/backendReach.ts
+++ b/packages/gateway/src/decisions/backendReach.ts
@@ -82,10 +82,11 @@
 
 /**
  * Returns true for a backend server that has sent nothing since a new connection to it failed. Its request may not be sent again, as
- * it may have crashed the backend server, so that nothing but a probe shows whether new connections reach it.
+ * it may have crashed the backend server, so that nothing but a probe shows whether new connections reach it. One that still sends on
+ * kept connections has as many connections as it accepts, and would refuse a probe as well.
  */
-function isRefusing (state: BackendState): boolean {
-  return state.refusedAt > Math.max(state.lastByteAt, state.lastProbeAt)
+function isRefusing (state: BackendState, kind: keyof typeof SILENCE_BEFORE_PROBE_MS, now: number): boolean {
+  return state.refusedAt > Math.max(state.lastByteAt, state.lastProbeAt) && now - state.lastByteAt > SILENCE_BEFORE_PROBE_MS[kind]
 }
 
 /**
@@ -101,6 +102,6 @@
   return states.filter((state) => {
     if (now - state.lastProbeAt < PROBE_INTERVAL_MS) return false
     if (isLost(state)) return allLost
-    return (mayBeCutOff && now - state.lastByteAt > RECENT_BYTE_MS && state.lastProbeAt <= state.lastByteAt) || isRefusing(state) || isSilent(state, kind, newestByteAt, now)
+    return (mayBeCutOff && now - state.lastByteAt > RECENT_BYTE_MS && state.lastProbeAt <= state.lastByteAt) || isRefusing(state, kind, now) || isSilent(state, kind, newestByteAt, now)
   })
 }
