Take no reply without a start time for life of a process once its service has told one

Callers of streams without length or chunks could get them as complete before their last event when their backend server was killed and a forwarder answered the question with an error, or a successor whose report names no start (ORDER, "pieces").

A process that does not reply at all counted as gone already in this case.

Not covered: a reply without a start before any process of the service has told one to this instance. A process that is alive and whose report fails has streams cut off that are whole; PROTOCOL.md names no such report.

--- a/packages/gateway/src/__tests__/judgeClose.test.ts
+++ b/packages/gateway/src/__tests__/judgeClose.test.ts
@@ -74,7 +74,7 @@
   // Guards against forwarders that accept connections for a process that has ended.
   test.each<[ProcessReply, CloseVerdict['kind']]>([
     [{ kind: 'told', backendProcess: WRITER }, 'whole'],
-    [{ kind: 'untold', reason: 'the report names no start time' }, 'whole'],
+    [{ kind: 'untold', reason: 'the report names no start time' }, 'broken'],
     [{ kind: 'silent', reason: 'no reply in time' }, 'broken'],
     [{ kind: 'closed', reason: 'socket hang up' }, 'broken'],
     [{ kind: 'unreached', reason: 'connection refused' }, 'broken']
@@ -84,6 +84,7 @@
 
   // Guards against sound streams that are cut off where processes can't be told apart.
   test('is whole when a process takes connections whose service reports no start times', async () => {
+    expect(await judge({ reply: { kind: 'untold', reason: 'the report names no start time' }, canTell: false })).toEqual({ verdict: 'whole', questions: 1 })
     expect(await judge({ reply: { kind: 'silent', reason: 'no reply in time' }, canTell: false })).toEqual({ verdict: 'whole', questions: 1 })
     expect(await judge({ startedAt: 0, reply: { kind: 'told', backendProcess: WRITER } })).toEqual({ verdict: 'whole', questions: 1 })
   })
--- a/packages/gateway/src/tasks/judgeClose.ts
+++ b/packages/gateway/src/tasks/judgeClose.ts
@@ -62,7 +62,8 @@
     case 'told':
       if (!isNamed) return { kind: 'any' }
       return reply.backendProcess === backendProcess ? { kind: 'same' } : { kind: 'gone', because: 'another process replies' }
-    case 'untold': return { kind: 'any' }
+    // Once a process of the service has told its start, a reply without one may be that of a forwarder or of other software.
+    case 'untold':
     case 'silent': return processes.canTell(backend.entry.service) ? { kind: 'gone', because: reply.reason } : { kind: 'any' }
     case 'closed':
     case 'unreached': return { kind: 'gone', because: reply.reason }
