Ask a process again on a new connection when a kept one was closed

Callers of streams without a length or chunks would get a whole one cut off when the question to its process went out on a kept connection that was closed by its idle timeout at that moment. Read by the review, shown by a unit test: the reply counted as closed, and the process as gone.

The report is read once more on a new connection then. One that is closed as well still counts as closed (two new cases of backendProcesses.test.ts).

--- a/packages/gateway/src/__tests__/backendProcesses.test.ts
+++ b/packages/gateway/src/__tests__/backendProcesses.test.ts
@@ -95,6 +95,24 @@
     expect(steadyNow() - askedAt).toBeLessThan(2000)
   })
 
+  // Guards against a process that is taken for gone because a kept connection was closed by its idle timeout just then.
+  test('is read on a new connection when a kept one is closed', async () => {
+    let asked = 0
+    const { processes, backend } = await startBackend((incoming, response) => {
+      if (++asked === 2) incoming.socket.destroy()
+      else response.end(`born ${STARTED_AT}`)
+    })
+    await processes.ask(backend, steadyNow(), 'continuation')
+    await pause(20)
+    expect(await processes.ask(backend, steadyNow(), 'origin')).toMatchObject({ kind: 'told' })
+    expect(asked).toBe(3)
+  })
+
+  test('is closed when a new connection ends before it comes', async () => {
+    const { processes, backend } = await startBackend((incoming) => incoming.socket.destroy())
+    expect(await processes.ask(backend, steadyNow(), 'origin')).toMatchObject({ kind: 'closed' })
+  })
+
   // Guards against a process that can't be reached and is tried as if it only did not name itself.
   test('is unreached when no connection is established', async () => {
     const { processes, backend } = await startBackend(() => {})
--- a/packages/gateway/src/tasks/backendProcesses.ts
+++ b/packages/gateway/src/tasks/backendProcesses.ts
@@ -60,14 +60,20 @@
     return proofs.leadsTo(backendProcess, establishedAt)
   }
 
-  function readReport ({ entry }: BackendState, purpose: QuestionPurpose): Promise<ProcessReply> {
+  /** Reads the report of a process, on a new connection if a kept one is closed by its idle timeout meanwhile. */
+  async function readReport (backend: BackendState, purpose: QuestionPurpose): Promise<ProcessReply> {
+    const { reply, wasKept } = await readReportOnce(backend, purpose === 'origin' && !connections.hasIdle(backend.entry.address))
+    return reply.kind === 'closed' && wasKept ? (await readReportOnce(backend, true)).reply : reply
+  }
+
+  function readReportOnce ({ entry }: BackendState, needsNewConnection: boolean): Promise<{ readonly reply: ProcessReply, readonly wasKept: boolean }> {
     return new Promise((resolve) => {
       const chunks: Buffer[] = []
       let hasReplied = false
       let isGivenUp = false
       let timer: NodeJS.Timeout | undefined
       let bytes = 0
-      const exchange = connections.start({ address: entry.address, method: 'GET', path: report.path, headers: { host: entry.address }, body: Buffer.alloc(0), needsNewConnection: purpose === 'origin' && !connections.hasIdle(entry.address), backendProcess: backendProcessOf(entry) }, {
+      const exchange = connections.start({ address: entry.address, method: 'GET', path: report.path, headers: { host: entry.address }, body: Buffer.alloc(0), needsNewConnection, backendProcess: backendProcessOf(entry) }, {
         onConnected: () => { timer = setTimeout(giveUp, REPLY_TIMEOUT_MS) },
         onHead: ({ statusCode }) => {
           hasReplied = true
@@ -93,7 +99,7 @@
       }
       function finish (reply: ProcessReply): void {
         clearTimeout(timer)
-        resolve(reply)
+        resolve({ reply, wasKept: exchange.reusedConnection })
       }
     })
   }
