Take no forwarder for a process that wrote a plain answer

Cause: as for streams, a new connection that a forwarder accepts counted as life of the process. Plain services report no process, so that their health is asked for: a connection that ends without a response shows that nothing but a forwarder is there. One that stays open counts as before, as a backend server that is full answers late. A successor that is back is still taken for the process.

--- a/packages/gateway/src/tasks/judgeClose.ts
+++ b/packages/gateway/src/tasks/judgeClose.ts
@@ -6,8 +6,12 @@
 import type { ConnectionOrigin } from '../decisions/processProofs.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { hasEventForEachToken } from './hasEventForEachToken.js'
+import { probeBackend } from './probeBackend.js'
 import type { RequestState } from './requestTask.js'
 
+/** A backend server that is full answers a question for its health as late as a request. */
+const HEALTH_TIMEOUT_MS = 400
+
 /** A response that has ended, and the process to which its request was sent, as named by `backendProcessOf`. */
 export interface ClosedResponse {
   readonly incoming: IncomingMessage | undefined
@@ -33,9 +37,10 @@
 /** Connections that are open now may be those of the successor of the process that wrote the response. */
 async function judgeSuccess (context: GatewayContext, backend: BackendState, closed: ClosedResponse): Promise<CloseVerdict> {
   const { address, service } = backend.entry
+  const settings = context.configuration()?.service(service)
   // Only engines report which process they are.
-  const isEngine = context.configuration()?.service(service)?.engine !== undefined
-  const verdict = await context.closedResponses.judge(address, isEngine ? writerEvidence(context, backend, closed) : undefined)
+  const evidence = settings?.engine === undefined ? plainEvidence(context, address, settings?.healthPath ?? '') : writerEvidence(context, backend, closed)
+  const verdict = await context.closedResponses.judge(address, evidence)
   return backendProcessOf(backend.entry) === closed.backendProcess ? verdict : { kind: 'broken', because: 'another process is listed' }
 }
 
@@ -53,6 +58,17 @@
   }
 }
 
+/** What can be told of a process that reports nothing: whether anything but a forwarder answers at its address. */
+function plainEvidence ({ connections }: GatewayContext, address: string, healthPath: string): WriterEvidence {
+  return {
+    hasOpen: () => connections.hasOpen(address),
+    find: async () => {
+      const outcome = await probeBackend(address, healthPath, HEALTH_TIMEOUT_MS)
+      return outcome.kind === 'reached' || outcome.isSilent === true ? { kind: 'any' } : { kind: 'gone', because: outcome.reason }
+    }
+  }
+}
+
 /** Finds out whether the process that wrote a response lives after its end. A new connection alone may lead to its successor, or to a forwarder. */
 async function findWriter ({ processes }: GatewayContext, backend: BackendState, backendProcess: string, closedAt: number): Promise<FoundProcess> {
   // An entry without a start time names no process.
--- a/packages/gateway/src/tasks/probeBackend.ts
+++ b/packages/gateway/src/tasks/probeBackend.ts
@@ -4,7 +4,8 @@
 export type ProbeOutcome =
   /** It has sent a response, whatever its status. */
   | { readonly kind: 'reached', readonly response?: { readonly status: number, readonly headers: IncomingHttpHeaders } }
-  | { readonly kind: 'lost', readonly reason: string }
+  /** `isSilent`: its connection has neither failed nor ended. */
+  | { readonly kind: 'lost', readonly reason: string, readonly isSilent?: true }
 
 /**
  * Asks a backend server for its health on a connection of its own, as kept ones may hang or live on. Any response shows that it is
@@ -19,7 +20,7 @@
       resolve(outcome)
       outgoing.destroy()
     }
-    const timer = setTimeout(() => finish({ kind: 'lost', reason: 'no response in time' }), timeoutMilliseconds)
+    const timer = setTimeout(() => finish({ kind: 'lost', reason: 'no response in time', isSilent: true }), timeoutMilliseconds)
     outgoing.on('error', (error) => finish({ kind: 'lost', reason: error.message }))
     outgoing.on('response', ({ statusCode = 0, headers }) => finish({ kind: 'reached', response: { status: statusCode, headers } }))
     outgoing.end()
