Don't trust the list after three questions beside processes that were replaced

Cause: a request asks three processes at most. For a further backend server the list was trusted as long as one version was listed and no connection to that server had broken, although replies had just named processes that had replaced the listed ones elsewhere in the service.

While a listed process of the service is known to be replaced, its successor's version is not known, so that versions may differ: the list is then trusted neither for a process that is not asked or names no start time, nor for a start that stays open. It is trusted as before once the successors are listed.

--- a/packages/gateway/src/__tests__/streamContinuation.test.ts
+++ b/packages/gateway/src/__tests__/streamContinuation.test.ts
@@ -25,6 +25,8 @@
   readonly canTell?: boolean
   readonly isMixed?: boolean
   readonly isSuspect?: boolean
+  /** Another process than the listed one answers at a second backend server of the service. */
+  readonly isNeighborReplaced?: boolean
   /** What the record of streams makes of a start before anything is asked. */
   readonly confirm?: (start: StreamStart) => StreamStart
 }
@@ -40,10 +42,12 @@
   readonly refuted: readonly string[]
 }
 
-function createFake ({ reply = async () => LISTED, idle = [], canTell = true, isMixed = true, isSuspect = false, confirm = (start) => start }: FakeOptions = {}): Fake {
+function createFake ({ reply = async () => LISTED, idle = [], canTell = true, isMixed = true, isSuspect = false, isNeighborReplaced = false, confirm = (start) => start }: FakeOptions = {}): Fake {
   const backend = createTestBackend('i-1', { startedAt: 1 })
   const proofs = createProcessProofs()
+  const neighbor = createTestBackend('i-2', { startedAt: 1 })
   if (isSuspect) proofs.noteBroken('i-1/1', 50)
+  if (isNeighborReplaced) proofs.noteReplaced('i-2/1', 50)
   const asked: number[] = []
   const unreachable: string[] = []
   const refuted: string[] = []
@@ -58,7 +62,7 @@
       }
     },
     streamVersions: { isMixed: () => isMixed, confirm, refute: async (attemptId: string) => { refuted.push(attemptId) } },
-    backends: { find: (id: string) => id === 'i-1' ? backend : undefined },
+    backends: { find: (id: string) => id === 'i-1' ? backend : undefined, candidates: () => [backend, neighbor] },
     reach: { noteUnreachable: ({ entry }: BackendState) => unreachable.push(entry.id) },
     metrics: { count: () => {} },
     log: createRecordingLog()
@@ -107,7 +111,8 @@
     [UNTOLD, { isMixed: true }, false],
     [UNTOLD, { isMixed: false, isSuspect: true }, false],
     [UNTOLD, { isMixed: false }, true],
-    [UNTOLD, { canTell: false, isSuspect: true }, true],
+    [UNTOLD, { isMixed: false, isNeighborReplaced: true }, false],
+    [UNTOLD, { canTell: false, isSuspect: true, isNeighborReplaced: true }, true],
     [SILENT, { isMixed: false }, false],
     [SILENT, { canTell: false }, true],
     [UNREACHED, { canTell: false, isMixed: false }, false]
@@ -139,6 +144,17 @@
     expect(asked.length).toBe(3)
   })
 
+  // Guards against events of a new version behind a proven start: after two replaced backend servers, a third one was trusted unasked.
+  test('does not trust the list after three questions while the process of another backend server is known to be replaced', async () => {
+    const { context, backend, asked } = createFake({ isMixed: false, isNeighborReplaced: true })
+    const request = createRequest()
+    const allowed: boolean[] = []
+    for (let index = 0; index < 4; index++) allowed.push(await mayContinueAt(context, request, backend))
+    const confirmed = await connectionCheck(context, request, backend)?.({ backendProcess: 'i-1/1', establishedAt: ESTABLISHED_AT })
+    expect([...allowed, confirmed]).toEqual([true, true, true, false, false])
+    expect(asked.length).toBe(3)
+  })
+
   // Guards against a question that outlasts its request.
   test('does not wait for a reply beyond its deadline', async () => {
     jest.useFakeTimers()
@@ -215,6 +231,7 @@
     [SILENT, { isMixed: true }, { kind: 'unknown' }],
     [UNREACHED, { isMixed: true }, { kind: 'unknown' }],
     [UNREACHED, { isMixed: false }, trusted],
+    [UNREACHED, { isMixed: false, isNeighborReplaced: true }, { kind: 'unknown' }],
     [UNTOLD, { canTell: false }, trusted]
   ])('after the reply %j with %j', async (reply, options, expected) => {
     const fake = createFake({ ...options, reply: async () => reply })
--- a/packages/gateway/src/tasks/streamContinuation.ts
+++ b/packages/gateway/src/tasks/streamContinuation.ts
@@ -27,9 +27,15 @@
   return await Promise.race([processes.ask(backend, since, purpose), outOfTime]).finally(() => clearTimeout(timer))
 }
 
-/** True when a process that names no start time may be taken for the listed one. */
-function mayTrustList ({ processes, streamVersions }: GatewayContext, { entry }: BackendState): boolean {
-  return !processes.canTell(entry.service) || (!streamVersions.isMixed(entry.service) && !processes.isSuspect(backendProcessOf(entry)))
+/** True when processes of a service may have several versions: several are listed, or a process answers whose version is not listed yet. */
+function mayVersionsDiffer ({ backends, processes, streamVersions }: GatewayContext, service: string): boolean {
+  return streamVersions.isMixed(service) || backends.candidates(service, steadyNow()).some(({ entry }) => processes.isReplaced(backendProcessOf(entry)))
+}
+
+/** True when a process that names no start time, or is asked no more, may be taken for the listed one. */
+function mayTrustList (context: GatewayContext, { entry }: BackendState): boolean {
+  const { processes } = context
+  return !processes.canTell(entry.service) || (!processes.isSuspect(backendProcessOf(entry)) && !mayVersionsDiffer(context, entry.service))
 }
 
 /** Finds out by a question whether the listed process answers at its address. */
@@ -88,7 +94,7 @@
   state.streamStart = start
   if (start.kind !== 'begun' || start.evidence.kind !== 'connection') return
   const finding = await findBeginner(context, state, start.backendId, start.evidence.connection)
-  const isListTrusted = !context.processes.canTell(start.service) || !(start.evidence.wasSuspect || context.streamVersions.isMixed(start.service))
+  const isListTrusted = !context.processes.canTell(start.service) || !(start.evidence.wasSuspect || mayVersionsDiffer(context, start.service))
   state.streamStart = weighStart(start, finding, isListTrusted)
   if (finding.kind === 'other') await context.streamVersions.refute(streamIdOf(state))
   context.log.decision('streamStartWeighed', { request: state.fields.attemptId, backend: start.backendId, version: start.version, finding: finding.kind, start: state.streamStart.kind })
