Take the only listed version for that of a stream only with a list read since it was taken up

Cause: a gateway whose list did not have the new version yet took a stream up while its homes did not reply, and trusted its list since a response had come in the last 3 s. That the list is recent in this sense says nothing of the moment at which the stream began.

The gateway now reads the list once more before it goes on at the only version of its list, unless a home says that versions differ. The stream's first gateway had read the entry of the version before the stream began, so that a read that is sent after the caller has taken the stream up holds it, however late homes and lists are. While the store is away, only a home's word counts, as before; without any home's reply the stream is refused.

--- a/packages/gateway/src/__fixtures__/streamFleet.ts
+++ b/packages/gateway/src/__fixtures__/streamFleet.ts
@@ -63,6 +63,7 @@
         return accountHomes(attemptId, instances.map((instance) => instance.peer))
       },
       isListCurrent: () => true,
+      readList: async () => !cutOffFromStore.has(index),
       isProven,
       announceMixed: (service, until) => {
         announced.set(service, until)
--- a/packages/gateway/src/__tests__/tableFollower.test.ts
+++ b/packages/gateway/src/__tests__/tableFollower.test.ts
@@ -46,10 +46,10 @@
 let follower: TableFollower | undefined
 let seen: string[]
 
-function startFollower (store: RowStore, prefersFullRead = true): void {
+function startFollower (store: RowStore, prefersFullRead = true, pauseMilliseconds = 0): void {
   seen = []
   const collect = (rows: readonly StoredRow[]): void => { seen.push(...rows.map((row) => row.value)) }
-  follower = followTable({ store, log: createRecordingLog(), table: 'configuration', waitMilliseconds: 1500, pauseMilliseconds: 0, prefersFullRead, onSnapshot: collect, onChanges: collect })
+  follower = followTable({ store, log: createRecordingLog(), table: 'configuration', waitMilliseconds: 1500, pauseMilliseconds, prefersFullRead, onSnapshot: collect, onChanges: collect })
 }
 
 beforeEach(() => { jest.useFakeTimers() })
@@ -117,3 +117,44 @@
     expect(new Set(sentAt).size).toBe(sentAt.length)
   })
 })
+
+describe('a read that is asked for', () => {
+  const RESPONSE_MS = 100
+
+  // Guards against rows that were written before the question and come only with the next call.
+  test('is over with the response to a call that was sent after the question', async () => {
+    const { store, sentAt } = createSlowStore([createReadOutcome(3), createReadOutcome(5), createReadOutcome(6)], RESPONSE_MS)
+    startFollower(store, true, 10_000)
+    await jest.advanceTimersByTimeAsync(RESPONSE_MS / 2)
+    const read = follower?.readSince(steadyNow())
+    const askedAt = steadyNow()
+    await jest.advanceTimersByTimeAsync(1000)
+    expect(await read).toBe(true)
+    expect(seen).toEqual(['3', '5'])
+    expect(sentAt).toHaveLength(2)
+    expect(sentAt[1]).toBeGreaterThanOrEqual(askedAt)
+  })
+
+  // Guards against a call for each question, and against questions that wait for the end of the pause.
+  test('ends the pause, and questions at one moment share a call', async () => {
+    const { store, calls } = createScriptedStore([createReadOutcome(3), createReadOutcome(5), createReadOutcome(6)])
+    startFollower(store, true, 10_000)
+    await jest.advanceTimersByTimeAsync(1000)
+    expect(calls).toEqual(['read'])
+    const reads = Promise.all(Array.from({ length: 20 }, async () => await follower?.readSince(steadyNow())))
+    await jest.advanceTimersByTimeAsync(10)
+    expect(await reads).toEqual(Array.from({ length: 20 }, () => true))
+    expect(calls).toEqual(['read', 'follow 3'])
+  })
+
+  // Guards against callers that wait for a store that is away, and against old rows that are taken for recent ones.
+  test('fails with the first call that fails, and at once from then on', async () => {
+    const { store } = createScriptedStore([createReadOutcome(3), { kind: 'unavailable', reason: 'no response in time' }])
+    startFollower(store, true, 10_000)
+    await jest.advanceTimersByTimeAsync(1000)
+    const read = follower?.readSince(steadyNow())
+    await jest.advanceTimersByTimeAsync(10)
+    expect(await read).toBe(false)
+    expect(await follower?.readSince(steadyNow())).toBe(false)
+  })
+})
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -204,6 +204,7 @@
     log,
     homes: fleet.streamHomes,
     isListCurrent: () => steadyNow() - backends.follower.lastResponseAt < MAX_LIST_AGE_MS,
+    readList: (since) => backends.follower.readSince(since),
     announceMixed: fleet.announceMixedVersions,
     isProven: (connection) => processes.isProven(connection),
     count: (outcome) => metrics.count('stream_origins_total', { outcome })
--- a/packages/gateway/src/tasks/streamVersions.ts
+++ b/packages/gateway/src/tasks/streamVersions.ts
@@ -79,6 +79,8 @@
   readonly homes: (attemptId: string) => readonly Peer[]
   /** False when the list of backend servers may lack versions that other instances know. */
   readonly isListCurrent: () => boolean
+  /** Resolves once all entries are listed that were written before `since`, by `steadyNow`; with false when they can't be read. */
+  readonly readList: (since: number) => Promise<boolean>
   /** Tells all instances, also those that start later, until when streams of a service may have begun at several versions. */
   readonly announceMixed: (service: string, until: number) => void
   readonly count: (outcome: string) => void
@@ -201,6 +203,7 @@
   }
 
   async function find (attemptId: string, service: string): Promise<StreamStart> {
+    const takenUpAt = steadyNow()
     const own = ownStreams.find(attemptId)
     const known = own?.origin ?? origins.find(attemptId, sharedNow())
     if (known !== undefined && known.expiresAt > sharedNow()) {
@@ -213,8 +216,11 @@
       origins.record(reply.origin, sharedNow())
       return toStart(reply.origin, evidenceOf(reply.origin))
     }
-    // An instance that is cut off from the store may have missed a new version, which the homes know.
-    const mayTellVersion = reply.kind === 'unknown' ? !reply.areVersionsMixed : options.isListCurrent()
+    const areMixedElsewhere = reply.kind === 'unknown' && reply.areVersionsMixed
+    // The entry of the version that began the stream was written before the caller took it up, but this list and those of the homes may be older.
+    const isRead = !areMixedElsewhere && await options.readList(takenUpAt)
+    // While the store is away, only the homes can tell whether this instance has missed a version.
+    const mayTellVersion = reply.kind === 'unknown' ? !areMixedElsewhere : isRead
     const version = mayTellVersion ? history.onlyVersion(service, steadyNow()) : undefined
     options.count(version === undefined ? 'unknown' : 'onlyVersion')
     return version === undefined ? { kind: 'unknown' } : { kind: 'begun', service, version, backendId: '', at: steadyNow(), evidence: { kind: 'listed' } }
--- a/packages/gateway/src/tasks/tableFollower.ts
+++ b/packages/gateway/src/tasks/tableFollower.ts
@@ -40,6 +40,11 @@
   readonly lastResponseAt: number
   /** True while calls to the store fail. */
   readonly isStoreUnreachable: boolean
+  /**
+   * Resolves with true once the response to a call that was sent at `since` or later, by `steadyNow`, was taken over, so that all rows are known that were
+   * written before; with false when a call fails. Calls without the pause if need be.
+   */
+  readSince (since: number): Promise<boolean>
   stop (): void
 }
 
@@ -60,6 +65,14 @@
   let lastReadAt = -Infinity
   let unreachableSince: number | undefined
   let version: number | undefined
+  let readers: { readonly since: number, readonly resolve: (isRead: boolean) => void }[] = []
+  let endPause = (): void => {}
+
+  function answerReaders (sentAt: number, isRead: boolean): void {
+    const answered = readers.filter(({ since }) => since <= sentAt)
+    readers = readers.filter(({ since }) => since > sentAt)
+    for (const { resolve } of answered) resolve(isRead)
+  }
 
   async function poll (): Promise<number> {
     // During an outage calls don't long-poll, as that would delay the detection of a dead connection.
@@ -70,7 +83,11 @@
       ? await options.store.read(options.table, '', deadline)
       : await options.store.readChanges(options.table, version, wait, deadline)
     if (stopped) return 0
-    return handleOutcome(outcome, sentAt)
+    const pause = handleOutcome(outcome, sentAt)
+    // Once the history is gone, the next call reads all rows.
+    if (outcome.kind === 'rows') answerReaders(sentAt, true)
+    else if (outcome.kind === 'unavailable') answerReaders(Infinity, false)
+    return readers.length > 0 ? Math.min(pause, MIN_POLL_INTERVAL_MS) : pause
   }
 
   function handleOutcome (outcome: ReadOutcome, sentAt: number): number {
@@ -99,14 +116,26 @@
     }
   }
 
+  async function sleep (milliseconds: number): Promise<void> {
+    const startedAt = steadyNow()
+    await new Promise<void>((resolve) => {
+      let timer = setTimeout(resolve, milliseconds)
+      endPause = () => {
+        clearTimeout(timer)
+        timer = setTimeout(resolve, startedAt + MIN_POLL_INTERVAL_MS - steadyNow())
+      }
+    })
+  }
+
   async function run (): Promise<void> {
     for (;;) {
-      if (stopped) return
+      if (stopped) return answerReaders(Infinity, false)
       const pause = await poll().catch((error: unknown) => {
         options.log.warning('tableFollowerFailed', { table: options.table, reason: String(error) })
+        answerReaders(Infinity, false)
         return RETRY_PAUSE_MS
       })
-      if (pause > 0) await new Promise((resolve) => setTimeout(resolve, pause))
+      if (pause > 0) await sleep(pause)
     }
   }
 
@@ -114,6 +143,13 @@
   return {
     get lastResponseAt () { return lastResponseAt },
     get isStoreUnreachable () { return unreachableSince !== undefined },
+    readSince: async (since) => {
+      if (stopped || unreachableSince !== undefined) return false
+      if (lastReadAt >= since) return true
+      const read = new Promise<boolean>((resolve) => readers.push({ since, resolve }))
+      endPause()
+      return await read
+    },
     stop: () => { stopped = true }
   }
 }
