--- a/packages/gateway/src/__tests__/backendReach.test.ts
+++ b/packages/gateway/src/__tests__/backendReach.test.ts
@@ -93,6 +93,16 @@
     expect(events()).toEqual(['serviceCutOff'])
   })
 
+  // Guards against a probe that is put off for as long as further connections end.
+  test('knows it while new connections end without a byte all the time', async () => {
+    reachable = new Set()
+    for (let round = 0; round < 15; round++) {
+      for (const backend of backends) reach.noteRefused(backend)
+      await jest.advanceTimersByTimeAsync(100)
+    }
+    expect(events()).toEqual(['serviceCutOff'])
+  })
+
   test('probes a backend server once for a new connection that ended without a byte while probes reach it', async () => {
     await jest.advanceTimersByTimeAsync(500)
     reach.noteRefused(backends[0] as BackendState)
--- a/packages/gateway/src/decisions/backendReach.ts
+++ b/packages/gateway/src/decisions/backendReach.ts
@@ -51,9 +51,14 @@
   return true
 }
 
+/** Returns true when a new connection has failed since the backend server last sent a byte or was probed. */
+function isRefusedSinceSign ({ refusedSince, lastByteAt, lastProbeAt }: BackendState): boolean {
+  return refusedSince > Math.max(lastByteAt, lastProbeAt)
+}
+
 /** Records that a new connection failed before its first byte. */
 export function recordRefusal (state: BackendState, now: number): void {
-  state.refusedAt = now
+  if (!isRefusedSinceSign(state)) state.refusedSince = now
   if (now < state.refusesNewUntil) return
   state.refusalMilliseconds = Math.min(REFUSAL_MS.most, Math.max(REFUSAL_MS.first, state.refusalMilliseconds * 2))
   state.refusesNewUntil = now + state.refusalMilliseconds
@@ -81,12 +86,12 @@
 }
 
 /**
- * Returns true for a backend server that has sent nothing since a new connection to it failed. Its request may not be sent again, as
+ * Returns true for a backend server that has sent nothing for a time since a new connection to it failed. Its request may not be sent again, as
  * it may have crashed the backend server, so that nothing but a probe shows whether new connections reach it. One that still sends on
  * kept connections has as many connections as it accepts, and would refuse a probe as well.
  */
 function isRefusing (state: BackendState, kind: keyof typeof SILENCE_BEFORE_PROBE_MS, now: number): boolean {
-  return state.refusedAt > Math.max(state.lastByteAt, state.lastProbeAt) && now - state.lastByteAt > SILENCE_BEFORE_PROBE_MS[kind]
+  return isRefusedSinceSign(state) && now - state.refusedSince > SILENCE_BEFORE_PROBE_MS[kind]
 }
 
 /**
--- a/packages/gateway/src/decisions/backendState.ts
+++ b/packages/gateway/src/decisions/backendState.ts
@@ -64,8 +64,8 @@
   refusesNewUntil: number
   /** Doubles with each new connection that fails after another one. */
   refusalMilliseconds: number
-  /** When a new connection last failed before its first byte. */
-  refusedAt: number
+  /** When a new connection first failed since the last byte or probe. */
+  refusedSince: number
   failures: { weight: number, at: number }
   delay: { milliseconds: number, at: number }
   limit: KnownLimit
@@ -99,7 +99,7 @@
     lastProbeAt: 0,
     refusesNewUntil: 0,
     refusalMilliseconds: 0,
-    refusedAt: 0,
+    refusedSince: 0,
     failures: { weight: 0, at: now },
     delay: { milliseconds: 0, at: now },
     limit: noKnownLimit,
