Ask which process lives before the router takes the end of a plain answer for whole

Their service was killed within the answer behind a forwarder, or while another process listened as soon as it was gone (calls that may be repeated and calls that run once each), or while a forwarder kept an idle connection of it open (calls that run once). The claim of a call that runs once would record such a half for retries (read).

Cause: any connection to the address that was accepted or idle counted as life of the process.

The rule is the gateway's (WriterEvidence of caller-connections): an answer is whole only if the process that wrote it replies after its end. In the router all backend servers name their incarnation in the load report, so that successors are told from predecessors for plain services too. A slot notes the incarnation that had reported before it. If the same one replies to a report asked for after the end, it has lived throughout, and as two processes don't accept connections at one address it has written the answer. Without a reply in 400 ms, or with a forwarder's error in its place, the attempt is broken as it is at the gateway. A question is no attempt: it takes nothing from the retry budget, and no test counts it among requests. Open connections are not looked at, unlike in the gateway, because a forwarder may keep them; answers that end together share a question instead, on a connection that polls have kept. Where no report had come before, the judgement is as it was.

--- a/packages/router/src/__fixtures__/attempts.ts
+++ b/packages/router/src/__fixtures__/attempts.ts
@@ -12,6 +12,7 @@
 import type { AttemptResult } from '../requestPath.js'
 import type { RouterServices } from '../routerServices.js'
 import { attemptServiceRequest, type ServiceResponse } from '../serviceAttempt.js'
+import type { BackendService, Slot } from '../services.js'
 
 const DEADLINE_MS = 5000
 /** More than any response of these tests needs. */
@@ -114,8 +115,8 @@
   return { exchange, received: () => text }
 }
 
-function buildCommand (address: string, resumeOffset?: number): { readonly kind: 'attempt', readonly slot: { readonly backendServer: ReturnType<typeof buildServer>, readonly release: () => void }, readonly resumeOffset: number | undefined } {
-  return { kind: 'attempt', slot: { backendServer: buildServer(address), release: () => {} }, resumeOffset }
+function buildCommand (address: string, resumeOffset?: number): { readonly kind: 'attempt', readonly slot: Slot, readonly resumeOffset: number | undefined } {
+  return { kind: 'attempt', slot: { backendServer: buildServer(address), incarnation: '', release: () => {} }, resumeOffset }
 }
 
 function buildServer (address: string): ReturnType<typeof create<typeof SheetBackendServerSchema>> {
@@ -152,6 +153,13 @@
   return await attemptServiceRequest(request, buildCommand(address), 1)
 }
 
+/** Runs one attempt of a call in a slot of a backend task. */
+export async function attemptCallInSlot (backends: BackendService, slot: Slot, { idempotent, path = '/' }: { readonly idempotent: boolean, readonly path?: string }): Promise<AttemptResult<ServiceResponse>> {
+  const { exchange } = buildExchange()
+  const request = { services: { ...buildServices(), backends }, exchange, requestId: newRequestName(), fingerprint: 'fingerprint', idempotent, priceTokens: 5, method: 'POST', path, body: Buffer.from('body'), signal: exchange.signal }
+  return await attemptServiceRequest(request, { kind: 'attempt', slot, resumeOffset: undefined }, 1)
+}
+
 let requestNames = 0
 function newRequestName (): string {
   return `request-${++requestNames}`
--- a/packages/router/src/__fixtures__/forwarder.ts
+++ b/packages/router/src/__fixtures__/forwarder.ts
@@ -40,7 +40,7 @@
       isIdle = COMPLETE_RESPONSE.test(bytes.toString())
       incoming.write(bytes)
     })
-    outgoing.on('close', () => setTimeout(() => incoming.end(), isIdle ? idleEndDelayMilliseconds : 0))
+    outgoing.on('close', () => setTimeout(() => incoming.end(), isIdle ? idleEndDelayMilliseconds : 0).unref())
   }
 
   const server = createServer((incoming) => {
--- a/packages/router/src/__tests__/backendTask.test.ts
+++ b/packages/router/src/__tests__/backendTask.test.ts
@@ -138,6 +138,26 @@
     expect((await task.acquire(buildAcquire())).kind).toBe('slot')
   })
 
+  // Guards against an answer that is judged by a process which reported only after its request was sent.
+  test('a slot names the process that had reported before it', async () => {
+    const [server] = await startServers(1)
+    const task = stopAfterTest(createBackendTask(buildTaskContext('router-1'), buildRoutingSettings(), buildConfiguration(buildServers([server!.address]))))
+    const nextSlotAfter = async (before: Slot): Promise<Slot> => {
+      for (;;) {
+        await wait(20)
+        const slot = slotOf(await task.acquire(buildAcquire()))
+        if (slot.incarnation !== before.incarnation) return slot
+        slot.release('succeeded')
+      }
+    }
+    const early = slotOf(await task.acquire(buildAcquire()))
+    const reported = await nextSlotAfter(early)
+    early.release('succeeded')
+    server!.report.incarnation = 'p2'
+    const restarted = await nextSlotAfter(reported)
+    expect([early, reported, restarted].map(({ incarnation }) => incarnation)).toEqual(['', 'p1', 'p2'])
+  })
+
   test('requests go to the server with the cached prefix until there is a gap in the events', async () => {
     const fleet = await startServers(3)
     const task = stopAfterTest(createBackendTask(buildTaskContext('router-1'), buildRoutingSettings(), buildConfiguration(buildServers(fleet.map(({ address }) => address)))))
--- a/packages/router/src/__tests__/requestPath.test.ts
+++ b/packages/router/src/__tests__/requestPath.test.ts
@@ -59,7 +59,7 @@
       case 'admit': return { kind: admissions.shift() }
       case 'reserve': return script.reserved ? { kind: 'reserved' } : { kind: 'refused', code: 'budget_exhausted', message: '', retryAt: 0 }
       case 'acquire':
-        if (slots.shift() === true) return { kind: 'slot', slot: { backendServer: { id: `server-${slots.length}` } as SheetBackendServer, release: () => {} } }
+        if (slots.shift() === true) return { kind: 'slot', slot: { backendServer: { id: `server-${slots.length}` } as SheetBackendServer, incarnation: '', release: () => {} } }
         return command.trial ? undefined : { kind: 'shed', status: 503, code: 'overloaded', message: '', retryAt: 0 }
       case 'attempt':
         attempts.push(remainingAttempts[0]!)
--- a/packages/router/src/backendAcquisition.ts
+++ b/packages/router/src/backendAcquisition.ts
@@ -132,6 +132,7 @@
   let released = false
   return {
     backendServer,
+    incarnation: entry.membership.incarnation,
     release: (result) => {
       if (released) return
       released = true
--- a/packages/router/src/backendReader.ts
+++ b/packages/router/src/backendReader.ts
@@ -21,9 +21,19 @@
 /** One page of an engine's cache events. */
 export type BackendCacheEvents = z.infer<typeof cacheEventsSchema>
 
+/** Limits of the reading of one report. */
+export interface ReportExchange {
+  /** Called when a new connection is established. */
+  readonly onConnected?: () => void
+  /** Limits the whole exchange; a socket timeout would only limit inactivity. */
+  readonly signal: AbortSignal
+}
+
 /** HTTP client for the reports of backend servers. */
 export interface BackendReader {
   load (address: string, timeoutMilliseconds: number): Promise<BackendLoad>
+  /** Waits for no other report: uses an idle connection, or a new one if there is none or it was closed meanwhile. */
+  loadAtOnce (address: string, exchange: ReportExchange): Promise<BackendLoad>
   cacheEvents (address: string, after: number, timeoutMilliseconds: number): Promise<BackendCacheEvents>
   /** Closes idle connections. */
   close (): void
@@ -38,16 +48,33 @@
 export function createBackendReader (): BackendReader {
   const agent = new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS_PER_BACKEND_SERVER })
 
-  async function read<Schema extends z.ZodType> (schema: Schema, address: string, path: string, timeoutMilliseconds: number): Promise<z.infer<Schema>> {
-    const text = await readText(agent, address, path, timeoutMilliseconds)
+  async function read<Schema extends z.ZodType> (schema: Schema, usedAgent: Agent | false, address: string, path: string, exchange: ReportExchange): Promise<z.infer<Schema>> {
+    const text = await readText(usedAgent, address, path, exchange)
     const report = schema.safeParse(parseJson(text))
     if (!report.success) throw new BackendServerError(`unexpected response from ${path}: ${z.prettifyError(report.error)}`, { props: { step: `GET ${path}`, peer: address } })
     return report.data
   }
 
+  function hasIdleConnection (address: string): boolean {
+    const { hostname: host, port } = new URL(address)
+    return (agent.freeSockets[agent.getName({ host, port: Number(port) })]?.length ?? 0) > 0
+  }
+
+  async function loadAtOnce (address: string, exchange: ReportExchange): Promise<BackendLoad> {
+    if (hasIdleConnection(address)) {
+      try {
+        return await read(loadSchema, agent, address, '/load', exchange)
+      } catch (error) {
+        if (exchange.signal.aborted) throw error
+      }
+    }
+    return await read(loadSchema, false, address, '/load', exchange)
+  }
+
   return {
-    load: (address, timeoutMilliseconds) => read(loadSchema, address, '/load', timeoutMilliseconds),
-    cacheEvents: (address, after, timeoutMilliseconds) => read(cacheEventsSchema, address, `/cache-events?after=${after}`, timeoutMilliseconds),
+    load: (address, timeoutMilliseconds) => read(loadSchema, agent, address, '/load', { signal: AbortSignal.timeout(timeoutMilliseconds) }),
+    loadAtOnce,
+    cacheEvents: (address, after, timeoutMilliseconds) => read(cacheEventsSchema, agent, address, `/cache-events?after=${after}`, { signal: AbortSignal.timeout(timeoutMilliseconds) }),
     close: () => agent.destroy()
   }
 }
@@ -60,12 +87,11 @@
   }
 }
 
-function readText (agent: Agent, address: string, path: string, timeoutMilliseconds: number): Promise<string> {
+function readText (agent: Agent | false, address: string, path: string, { onConnected, signal }: ReportExchange): Promise<string> {
   const props = { step: `GET ${path}`, peer: address }
   return new Promise((resolve, reject) => {
     const fail = (message: string, cause?: unknown): void => reject(new BackendServerError(message, { cause, props }))
-    // The signal limits the whole exchange; a socket timeout would only limit inactivity.
-    const request = get(`${address}${path}`, { agent, signal: AbortSignal.timeout(timeoutMilliseconds) }, (response) => {
+    const request = get(`${address}${path}`, { agent, signal }, (response) => {
       const parts: Buffer[] = []
       let length = 0
       response.on('data', (part: Buffer) => {
@@ -79,6 +105,7 @@
       })
       response.on('error', (cause) => fail(`response interrupted: ${cause.message}`, cause))
     })
+    if (onConnected !== undefined) request.on('socket', (socket) => { if (socket.connecting) socket.once('connect', onConnected) })
     request.on('error', (cause) => fail(`request failed: ${cause.message}`, cause))
   })
 }
--- a/packages/router/src/backendTask.ts
+++ b/packages/router/src/backendTask.ts
@@ -8,6 +8,7 @@
 import { BackendMarks } from './backendMarks.js'
 import { pollEntry, pollInstanceList, type PollingOptions, type PollMessage } from './backendPolling.js'
 import { createBackendReader, type BackendReader } from './backendReader.js'
+import { createProcessQuestions } from './processQuestions.js'
 import type { BackendService, ConfigurationService, ConfigurationView, SlotOutcome } from './services.js'
 import type { BackendGossip, CreateBackendTask, Stoppable, TaskContext } from './taskContracts.js'
 
@@ -47,6 +48,7 @@
   const { clock, identity, logger, metrics } = context
   const stopping = new AbortController()
   const reader = createBackendReader()
+  const questions = createProcessQuestions(reader)
   const marks = new BackendMarks()
   const turns = new Map<string, number>()
   const waiting = new Set<Acquisition>()
@@ -223,6 +225,7 @@
     acquire: (request) => task.ask((reply) => ({ kind: 'acquire', request, reply })),
     candidates: listCandidates,
     confirmCrash,
+    askProcess: questions.ask,
     receiveMarks: (received) => task.post({ kind: 'marked', marks: received }),
     recentMarks: () => marks.marksForNextMessage(clock.now()),
     learnedMarkCount: () => marks.learnedCount,
--- /dev/null
+++ b/packages/router/src/processQuestions.ts
@@ -0,0 +1,58 @@
+import { handleArrivedEvents } from '@quinceshunt/caller-connections'
+import type { BackendReader } from './backendReader.js'
+
+/** Of a question, once it has a connection. */
+const REPLY_TIMEOUT_MS = 400
+
+/** Reply of a backend server that was asked which process it is. */
+export type ProcessReply =
+  | { readonly kind: 'told', readonly incarnation: string }
+  /** No load report came: from no process, from one that is late, or from a forwarder in its place. */
+  | { readonly kind: 'untold', readonly reason: string }
+
+/** Asks backend servers which process they are. */
+export interface ProcessQuestions {
+  /** Asks the process at an address (http://IP:PORT); a question counts that was sent at `since` (by `performance.now`) or later. */
+  ask (address: string, since: number): Promise<ProcessReply>
+}
+
+interface Question {
+  readonly askedAt: number
+  readonly reply: Promise<ProcessReply>
+}
+
+/** Creates a record without questions; it keeps the last one for each address. */
+export function createProcessQuestions (reader: Pick<BackendReader, 'loadAtOnce'>): ProcessQuestions {
+  const questions = new Map<string, Question>()
+  return {
+    ask: (address, since) => {
+      const last = questions.get(address)
+      if (last !== undefined && last.askedAt >= since) return last.reply
+      const question = { askedAt: performance.now(), reply: readIncarnation(reader, address) }
+      questions.set(address, question)
+      return question.reply
+    }
+  }
+}
+
+async function readIncarnation (reader: Pick<BackendReader, 'loadAtOnce'>, address: string): Promise<ProcessReply> {
+  const givingUp = new AbortController()
+  let timer = setTimeout(giveUp, REPLY_TIMEOUT_MS)
+  /** After a pause of this process, a connection or reply that had arrived is read only now. */
+  function giveUp (): void {
+    const fired = timer
+    handleArrivedEvents().then(() => { if (timer === fired) givingUp.abort() }, () => givingUp.abort())
+  }
+  function restartTimer (): void {
+    clearTimeout(timer)
+    timer = setTimeout(giveUp, REPLY_TIMEOUT_MS)
+  }
+  try {
+    const { incarnation } = await reader.loadAtOnce(address, { onConnected: restartTimer, signal: givingUp.signal })
+    return { kind: 'told', incarnation }
+  } catch (error) {
+    return { kind: 'untold', reason: givingUp.signal.aborted ? 'no reply in time' : String(error) }
+  } finally {
+    clearTimeout(timer)
+  }
+}
--- a/packages/router/src/serviceAttempt.ts
+++ b/packages/router/src/serviceAttempt.ts
@@ -1,4 +1,3 @@
-import type { SheetBackendServer } from '@quinceshunt/schemas'
 import { SpanKind, failSpan, startSpan, traceHeaders } from '@quinceshunt/telemetry'
 import type { AttemptOutcome } from '@quinceshunt/requests'
 import { readBody, sendBackendRequest, type BackendRequest, type BackendResponse, type ReceivedResponse } from './backendClient.js'
@@ -7,6 +6,7 @@
 import { newAttemptId } from './requestIds.js'
 import type { AttemptCommand, AttemptResult, Charge } from './requestPath.js'
 import type { RouterServices } from './routerServices.js'
+import type { Slot } from './services.js'
 
 const MAX_RESPONSE_BYTES = 16_777_216
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream'
@@ -58,7 +58,7 @@
       signal: attempt.signal,
       freshConnection: !attempt.idempotent
     })
-    const result = response.kind === 'answering' ? await readResponse(attempt, server, response) : await handleMissingResponse(attempt, server.id, response)
+    const result = response.kind === 'answering' ? await readResponse(attempt, command.slot, response) : await handleMissingResponse(attempt, server.id, response)
     if (result.kind === 'failed') {
       failSpan(span, result.outcome.kind)
       services.logger.warn({ requestId: attempt.requestId, step: 'service request', peer: server.id, outcome: result.outcome.kind }, 'attempt failed')
@@ -92,7 +92,7 @@
   }
 }
 
-async function readResponse (attempt: ServiceAttempt, server: SheetBackendServer, response: ReceivedResponse): Promise<AttemptResult<ServiceResponse>> {
+async function readResponse (attempt: ServiceAttempt, slot: Slot, response: ReceivedResponse): Promise<AttemptResult<ServiceResponse>> {
   if (!response.isOwn) {
     response.message.destroy()
     attempt.services.metrics.count('answers_dropped_total', { reason: 'wrong_request_id' })
@@ -105,16 +105,16 @@
   }
   const body = await readBody(response.message, {
     limitBytes: MAX_RESPONSE_BYTES,
-    holding: attempt.services.bufferedResponses.open(server.address),
+    holding: attempt.services.bufferedResponses.open(slot.backendServer.address),
     deadline: attempt.exchange.deadline,
-    judgeClose: async () => await judgeClose(attempt.services, server, attempt.requestId)
+    judgeClose: async () => await judgeClose(attempt.services, slot, attempt.requestId)
   })
   switch (body.kind) {
     case 'whole': {
       const answer = { status: response.status, contentType: response.headers['content-type'] ?? DEFAULT_CONTENT_TYPE, body: body.body }
       return { kind: 'answered', answer, charge: fixedCharge(attempt) }
     }
-    case 'broken': return await classifyDisconnect(attempt, server.id, { kind: 'brokenAfterBytes', bytesReceived: 1, resumable: false })
+    case 'broken': return await classifyDisconnect(attempt, slot.backendServer.id, { kind: 'brokenAfterBytes', bytesReceived: 1, resumable: false })
     case 'deadline': return failedAttempt({ kind: 'timeout', bytesReceived: 1 }, fixedCharge(attempt))
     case 'tooLarge': return { kind: 'rejected', error: { status: 502, code: 'answer_too_large', message: body.reason, run: 'yes' }, charge: fixedCharge(attempt) }
   }
--- a/packages/router/src/services.ts
+++ b/packages/router/src/services.ts
@@ -1,4 +1,5 @@
 import type { BillRecord, RecordedAnswer, SheetBackendServer, SheetBudget, SheetClientAccount, SheetModel, SheetRoute } from '@quinceshunt/schemas'
+import type { ProcessReply } from './processQuestions.js'
 
 /** Whether a request was run, as reported to the caller. */
 export type RunState = 'no' | 'yes' | 'unknown'
@@ -112,6 +113,8 @@
 /** A slot on a backend server. */
 export interface Slot {
   readonly backendServer: SheetBackendServer
+  /** Incarnation that the backend server had reported before; empty until its first load report. */
+  readonly incarnation: string
   /** Frees the slot; `failed` counts as a failure of the backend server. */
   release (result: 'succeeded' | 'failed'): void
 }
@@ -142,4 +145,6 @@
   candidates (target: string, accountId: string): readonly SheetBackendServer[]
   /** Checks a backend server immediately after a connection failure; resolves with true if it has crashed or is unreachable. */
   confirmCrash (backendServer: string): Promise<boolean>
+  /** Asks the process at an address (http://IP:PORT) which one it is; a question counts that was sent at `since` (by `performance.now`) or later. */
+  askProcess (address: string, since: number): Promise<ProcessReply>
 }
