Ask the process at an address on a connection of its own

Cause: the question used a kept connection, which proves who is at its other end, not who listens. A new connection leads to the process that listens.

--- a/packages/router/src/backendReader.ts
+++ b/packages/router/src/backendReader.ts
@@ -32,8 +32,8 @@
 /** HTTP client for the reports of backend servers. */
 export interface BackendReader {
   load (address: string, timeoutMilliseconds: number): Promise<BackendLoad>
-  /** Waits for no other report: uses an idle connection, or a new one if there is none or it was closed meanwhile. */
-  loadAtOnce (address: string, exchange: ReportExchange): Promise<BackendLoad>
+  /** Uses a connection of its own, as a kept one may lead to a process that doesn't listen any more. */
+  loadOnNewConnection (address: string, exchange: ReportExchange): Promise<BackendLoad>
   cacheEvents (address: string, after: number, timeoutMilliseconds: number): Promise<BackendCacheEvents>
   /** Closes idle connections. */
   close (): void
@@ -55,25 +55,9 @@
     return report.data
   }
 
-  function hasIdleConnection (address: string): boolean {
-    const { hostname: host, port } = new URL(address)
-    return (agent.freeSockets[agent.getName({ host, port: Number(port) })]?.length ?? 0) > 0
-  }
-
-  async function loadAtOnce (address: string, exchange: ReportExchange): Promise<BackendLoad> {
-    if (hasIdleConnection(address)) {
-      try {
-        return await read(loadSchema, agent, address, '/load', exchange)
-      } catch (error) {
-        if (exchange.signal.aborted) throw error
-      }
-    }
-    return await read(loadSchema, false, address, '/load', exchange)
-  }
-
   return {
     load: (address, timeoutMilliseconds) => read(loadSchema, agent, address, '/load', { signal: AbortSignal.timeout(timeoutMilliseconds) }),
-    loadAtOnce,
+    loadOnNewConnection: (address, exchange) => read(loadSchema, false, address, '/load', exchange),
     cacheEvents: (address, after, timeoutMilliseconds) => read(cacheEventsSchema, agent, address, `/cache-events?after=${after}`, { signal: AbortSignal.timeout(timeoutMilliseconds) }),
     close: () => agent.destroy()
   }
--- a/packages/router/src/processQuestions.ts
+++ b/packages/router/src/processQuestions.ts
@@ -22,7 +22,7 @@
 }
 
 /** Creates a record without questions; it keeps the last one for each address. */
-export function createProcessQuestions (reader: Pick<BackendReader, 'loadAtOnce'>): ProcessQuestions {
+export function createProcessQuestions (reader: Pick<BackendReader, 'loadOnNewConnection'>): ProcessQuestions {
   const questions = new Map<string, Question>()
   return {
     ask: (address, since) => {
@@ -35,7 +35,7 @@
   }
 }
 
-async function readIncarnation (reader: Pick<BackendReader, 'loadAtOnce'>, address: string): Promise<ProcessReply> {
+async function readIncarnation (reader: Pick<BackendReader, 'loadOnNewConnection'>, address: string): Promise<ProcessReply> {
   const givingUp = new AbortController()
   let timer = setTimeout(giveUp, REPLY_TIMEOUT_MS)
   /** After a pause of this process, a connection or reply that had arrived is read only now. */
@@ -48,7 +48,7 @@
     timer = setTimeout(giveUp, REPLY_TIMEOUT_MS)
   }
   try {
-    const { incarnation } = await reader.loadAtOnce(address, { onConnected: restartTimer, signal: givingUp.signal })
+    const { incarnation } = await reader.loadOnNewConnection(address, { onConnected: restartTimer, signal: givingUp.signal })
     return { kind: 'told', incarnation }
   } catch (error) {
     return { kind: 'untold', reason: givingUp.signal.aborted ? 'no reply in time' : String(error) }
