Give the question which process lives as long as a poll

Cause: the limit of a reply was 400 ms. It is the polls' limit now, after which a backend server counts as unresponsive; a connection still has 400 ms.

--- a/packages/router/src/backendPolling.ts
+++ b/packages/router/src/backendPolling.ts
@@ -25,7 +25,7 @@
 }
 
 /** A backend server that takes longer counts as unresponsive. */
-const POLL_TIMEOUT_MS = 1000
+export const POLL_TIMEOUT_MS = 1000
 /**
  * A backend server to which this instance sends no requests is polled at a quarter of the rate, which keeps control
  * traffic low at night; at the default interval its leaving is still detected within 2 s, inside the 3 s allowed.
--- a/packages/router/src/processQuestions.ts
+++ b/packages/router/src/processQuestions.ts
@@ -1,8 +1,9 @@
 import { handleArrivedEvents } from '@quinceshunt/caller-connections'
+import { POLL_TIMEOUT_MS } from './backendPolling.js'
 import type { BackendReader } from './backendReader.js'
 
-/** Of a question, once it has a connection. */
-const REPLY_TIMEOUT_MS = 400
+/** Until a connection is established. */
+const CONNECT_TIMEOUT_MS = 400
 
 /** Reply of a backend server that was asked which process it is. */
 export type ProcessReply =
@@ -37,18 +38,19 @@
 
 async function readIncarnation (reader: Pick<BackendReader, 'loadOnNewConnection'>, address: string): Promise<ProcessReply> {
   const givingUp = new AbortController()
-  let timer = setTimeout(giveUp, REPLY_TIMEOUT_MS)
+  let timer = setTimeout(giveUp, CONNECT_TIMEOUT_MS)
   /** After a pause of this process, a connection or reply that had arrived is read only now. */
   function giveUp (): void {
     const fired = timer
     handleArrivedEvents().then(() => { if (timer === fired) givingUp.abort() }, () => givingUp.abort())
   }
-  function restartTimer (): void {
+  /** A reply may take as long as that to a poll, after which a backend server counts as unresponsive. */
+  function waitForReply (): void {
     clearTimeout(timer)
-    timer = setTimeout(giveUp, REPLY_TIMEOUT_MS)
+    timer = setTimeout(giveUp, POLL_TIMEOUT_MS)
   }
   try {
-    const { incarnation } = await reader.loadOnNewConnection(address, { onConnected: restartTimer, signal: givingUp.signal })
+    const { incarnation } = await reader.loadOnNewConnection(address, { onConnected: waitForReply, signal: givingUp.signal })
     return { kind: 'told', incarnation }
   } catch (error) {
     return { kind: 'untold', reason: givingUp.signal.aborted ? 'no reply in time' : String(error) }
