Learn of a restart from the reply to a question

Cause: the incarnation in the reply was compared and forgotten. The report is read like that of a poll now, so that only answers that are in progress fail. Test: 'a slot names a process that has replied to a question since the last poll'.

--- a/packages/router/src/__tests__/backendTask.test.ts
+++ b/packages/router/src/__tests__/backendTask.test.ts
@@ -158,6 +158,21 @@
     expect([early, reported, restarted].map(({ incarnation }) => incarnation)).toEqual(['', 'p1', 'p2'])
   })
 
+  // Guards against sound answers of a restarted process that fail until the next poll, each as one of a process that was replaced.
+  test('a slot names a process that has replied to a question since the last poll', async () => {
+    const [server] = await startServers(1)
+    const task = stopAfterTest(createBackendTask(buildTaskContext('router-1'), buildRoutingSettings({ loadPollMilliseconds: 60_000 }), buildConfiguration(buildServers([server!.address]))))
+    const readIncarnation = async (): Promise<string> => {
+      const slot = slotOf(await task.acquire(buildAcquire()))
+      slot.release('succeeded')
+      return slot.incarnation
+    }
+    while (await readIncarnation() !== 'p1') await wait(20)
+    server!.report.incarnation = 'p2'
+    await task.askProcess(server!.address, performance.now())
+    expect(await readIncarnation()).toBe('p2')
+  })
+
   test('requests go to the server with the cached prefix until there is a gap in the events', async () => {
     const fleet = await startServers(3)
     const task = stopAfterTest(createBackendTask(buildTaskContext('router-1'), buildRoutingSettings(), buildConfiguration(buildServers(fleet.map(({ address }) => address)))))
--- a/packages/router/src/__tests__/processQuestions.test.ts
+++ b/packages/router/src/__tests__/processQuestions.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
 import { createServer, type AddressInfo, type Socket } from 'node:net'
-import { createBackendReader, type BackendReader } from '../backendReader.js'
+import { createBackendReader, type BackendLoad, type BackendReader } from '../backendReader.js'
 import { createProcessQuestions, type ProcessQuestions } from '../processQuestions.js'
 
 /** Of a question that gets no reply, with the delays of a busy machine. */
@@ -24,9 +24,10 @@
 
 let backend: Backend
 let reader: BackendReader
+let reports: { readonly address: string, readonly load: BackendLoad }[]
 
 function createQuestions (): ProcessQuestions {
-  return createProcessQuestions(reader)
+  return createProcessQuestions({ reader, onReport: (address, load) => reports.push({ address, load }) })
 }
 
 function writeReport (socket: Socket, incarnation = 'p1'): void {
@@ -65,6 +66,7 @@
     }
   }
   reader = createBackendReader()
+  reports = []
 }
 
 afterEach(async () => {
@@ -97,6 +99,13 @@
     expect(backend.connections).toBe(2)
   })
 
+  // Guards against a restart that is known only from the next poll on, so that sound answers of the successor fail until then.
+  test('has its reply read like that to a poll', async () => {
+    await start()
+    await createQuestions().ask(backend.address, 0)
+    expect(reports).toEqual([{ address: backend.address, load: expect.objectContaining({ incarnation: 'p1' }) }])
+  })
+
   // Guards against sound answers that fail because their backend server is slow, but not too slow for a poll.
   test('is told by a reply that is in time for a poll', async () => {
     await start()
--- a/packages/router/src/backendTask.ts
+++ b/packages/router/src/backendTask.ts
@@ -48,7 +48,6 @@
   const { clock, identity, logger, metrics } = context
   const stopping = new AbortController()
   const reader = createBackendReader()
-  const questions = createProcessQuestions(reader)
   const marks = new BackendMarks()
   const turns = new Map<string, number>()
   const waiting = new Set<Acquisition>()
@@ -73,6 +72,13 @@
     post: (message) => task.post(message),
     signal: stopping.signal
   }
+  const questions = createProcessQuestions({
+    reader,
+    // A restart is known from then on, without waiting for the next poll.
+    onReport: (address, load) => {
+      for (const entry of directory.entries()) if (entry.server.address === address) task.post({ kind: 'loadReported', entry, load })
+    }
+  })
   const placement: PlacementContext = {
     directory,
     policy,
--- a/packages/router/src/processQuestions.ts
+++ b/packages/router/src/processQuestions.ts
@@ -1,6 +1,6 @@
 import { handleArrivedEvents } from '@quinceshunt/caller-connections'
 import { POLL_TIMEOUT_MS } from './backendPolling.js'
-import type { BackendReader } from './backendReader.js'
+import type { BackendLoad, BackendReader } from './backendReader.js'
 
 /** Until a connection is established. */
 const CONNECT_TIMEOUT_MS = 400
@@ -11,6 +11,13 @@
   /** No load report came: from no process, from one that is late, or from a forwarder in its place. */
   | { readonly kind: 'untold', readonly reason: string }
 
+/** What questions need. */
+export interface ProcessQuestionsOptions {
+  readonly reader: Pick<BackendReader, 'loadOnNewConnection'>
+  /** Called with each report that came as a reply. */
+  readonly onReport: (address: string, load: BackendLoad) => void
+}
+
 /** Asks backend servers which process they are. */
 export interface ProcessQuestions {
   /** Asks the process at an address (http://IP:PORT); a question counts that was sent at `since` (by `performance.now`) or later. */
@@ -23,20 +30,20 @@
 }
 
 /** Creates a record without questions; it keeps the last one for each address. */
-export function createProcessQuestions (reader: Pick<BackendReader, 'loadOnNewConnection'>): ProcessQuestions {
+export function createProcessQuestions (options: ProcessQuestionsOptions): ProcessQuestions {
   const questions = new Map<string, Question>()
   return {
     ask: (address, since) => {
       const last = questions.get(address)
       if (last !== undefined && last.askedAt >= since) return last.reply
-      const question = { askedAt: performance.now(), reply: readIncarnation(reader, address) }
+      const question = { askedAt: performance.now(), reply: readIncarnation(options, address) }
       questions.set(address, question)
       return question.reply
     }
   }
 }
 
-async function readIncarnation (reader: Pick<BackendReader, 'loadOnNewConnection'>, address: string): Promise<ProcessReply> {
+async function readIncarnation ({ reader, onReport }: ProcessQuestionsOptions, address: string): Promise<ProcessReply> {
   const givingUp = new AbortController()
   let timer = setTimeout(giveUp, CONNECT_TIMEOUT_MS)
   /** After a pause of this process, a connection or reply that had arrived is read only now. */
@@ -50,8 +57,9 @@
     timer = setTimeout(giveUp, POLL_TIMEOUT_MS)
   }
   try {
-    const { incarnation } = await reader.loadOnNewConnection(address, { onConnected: waitForReply, signal: givingUp.signal })
-    return { kind: 'told', incarnation }
+    const load = await reader.loadOnNewConnection(address, { onConnected: waitForReply, signal: givingUp.signal })
+    onReport(address, load)
+    return { kind: 'told', incarnation: load.incarnation }
   } catch (error) {
     return { kind: 'untold', reason: givingUp.signal.aborted ? 'no reply in time' : String(error) }
   } finally {
