Don't hold up a scenario's links while the owners of connections are found

What was seen: "A sheet reaches the routers through gossip alone" failed with "undefined ms"; in trials all gossip calls between the routers timed out after 1 s, and routers kept their revision for 20 s, while the platform, which is not called through a forwarder, answered them. Cause: while any link is cut, the process of the scenario found the owner of each new connection to a router by reading /proc/net/tcp, with 37,000 sockets on the machine (33,000 in TIME_WAIT, left by other tests) 48 to 126 ms of processor time each. All peer links pass through that process. A call that timed out closed its connection, so that the next call needed another reading. Change: a worker finds the owners, one reading for all connections that came meanwhile. As before, no data passes over a link that a cut may concern until its owner is known.

--- a/packages/scenarios/src/fleet/startFleet.ts
+++ b/packages/scenarios/src/fleet/startFleet.ts
@@ -2,7 +2,7 @@
 import type { Sheet, SheetHead } from '@quinceshunt/schemas'
 import { InternalError } from '@quinceshunt/telemetry'
 import { createHash } from 'node:crypto'
-import { startForwarder } from '../launcher/forwarder.js'
+import { OPEN_LINKS, startForwarder } from '../launcher/forwarder.js'
 import { createPeerNetwork, type PeerNetwork } from '../launcher/peerNetwork.js'
 import type { FleetProcess } from '../launcher/startProcess.js'
 import { defaultAccounts, mergeSettings, organisationNames, type AccountOptions, type FleetOptions, type OrganisationNames } from './fleetOptions.js'
@@ -51,7 +51,7 @@
   const network = createPeerNetwork()
   const platformClientIds = (): string[] => members.filter((member) => routers.includes(member) || member.id.startsWith('administration')).map((member) => member.id)
   const platform = await startPlatform(mergeSettings(platformSettings(), options.platformSettings), platformClientIds)
-  const platformForwarder = options.countPlatformBytes === true ? await startForwarder(() => undefined, () => 'open') : undefined
+  const platformForwarder = options.countPlatformBytes === true ? await startForwarder(OPEN_LINKS) : undefined
   platformForwarder?.setTarget(platform.address)
   let revision = 0n
 
--- a/packages/scenarios/src/launcher/forwarder.ts
+++ b/packages/scenarios/src/launcher/forwarder.ts
@@ -1,4 +1,5 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import type { ConnectionPorts } from './connectionOwner.js'
 
 /** State of the link from one process to another. */
 export type LinkState = 'open' | 'refused' | 'stalled'
@@ -16,28 +17,42 @@
   stop (): Promise<void>
 }
 
+/** Who opened a connection: found only when needed, since finding the process takes long on a busy machine. */
+type LinkSource =
+  | { readonly kind: 'unknown' }
+  | { readonly kind: 'sought' }
+  /** The instance ID is undefined if the process does not belong to the fleet. */
+  | { readonly kind: 'found', readonly instanceId: string | undefined }
+
 /** Connection that is being forwarded. */
 interface Link {
   readonly inbound: Socket
-  /** Identifies the process that opened the connection; undefined if it does not belong to the fleet. */
-  readonly findSource: () => string | undefined
+  readonly ports: ConnectionPorts
+  source: LinkSource
   outbound?: Socket
 }
 
-/**
- * Starts a forwarder; `findSource` identifies the process that owns a client port. `getState` returns the state of a
- * link and calls `source` only if needed, since finding the process takes milliseconds on a busy machine.
- */
-export async function startForwarder (
-  findSource: (clientPort: number, serverPort: number) => string | undefined,
-  getState: (source: () => string | undefined) => LinkState
-): Promise<Forwarder> {
+/** Decides about the links to one listener. */
+export interface LinkPolicy {
+  /** Whether the state of links depends on who opened them. */
+  dependsOnSource (): boolean
+  /** Identifies the instance that opened a connection; undefined if it does not belong to the fleet. */
+  findSource (ports: ConnectionPorts): Promise<string | undefined>
+  /** State of the links from an instance; undefined for processes outside the fleet or if states don't depend on the source. */
+  getState (source: string | undefined): LinkState
+}
+
+/** Policy of a forwarder whose links are never interrupted. */
+export const OPEN_LINKS: LinkPolicy = { dependsOnSource: () => false, findSource: async () => undefined, getState: () => 'open' }
+
+/** Starts a forwarder; data waits on links whose source is needed and not yet found. */
+export async function startForwarder (policy: LinkPolicy): Promise<Forwarder> {
   const links = new Set<Link>()
   let closedLinkBytes = 0
   let target: URL | undefined
   const server = createServer({ pauseOnConnect: true }, (inbound) => {
     const { port } = server.address() as AddressInfo
-    const link: Link = { inbound, findSource: memoize(() => findSource(inbound.remotePort ?? 0, port)) }
+    const link: Link = { inbound, ports: { client: inbound.remotePort ?? 0, server: port }, source: { kind: 'unknown' } }
     links.add(link)
     inbound.on('error', () => undefined)
     inbound.on('close', () => closeLink(link))
@@ -51,13 +66,27 @@
   }
 
   function applyState (link: Link): void {
-    switch (getState(link.findSource)) {
+    if (!links.has(link)) return
+    if (link.source.kind !== 'found' && policy.dependsOnSource()) {
+      stallLink(link)
+      return seekSource(link)
+    }
+    switch (policy.getState(link.source.kind === 'found' ? link.source.instanceId : undefined)) {
       case 'refused': return closeLink(link)
       case 'stalled': return stallLink(link)
       case 'open': return openLink(link)
     }
   }
 
+  function seekSource (link: Link): void {
+    if (link.source.kind !== 'unknown') return
+    link.source = { kind: 'sought' }
+    policy.findSource(link.ports).then((instanceId) => {
+      link.source = { kind: 'found', instanceId }
+      applyState(link)
+    }, () => closeLink(link))
+  }
+
   /** Data already sent stays in the sockets and is delivered once the link reopens, as after a real partition. */
   function stallLink (link: Link): void {
     if (link.outbound === undefined) return
@@ -95,14 +124,6 @@
   }
 }
 
-function memoize<Value> (compute: () => Value): () => Value {
-  let cached: { readonly value: Value } | undefined
-  return () => {
-    cached ??= { value: compute() }
-    return cached.value
-  }
-}
-
 function countBytes (link: Link): number {
   return link.inbound.bytesRead + link.inbound.bytesWritten
 }
--- a/packages/scenarios/src/launcher/peerNetwork.ts
+++ b/packages/scenarios/src/launcher/peerNetwork.ts
@@ -1,5 +1,6 @@
-import { findConnectionOwner } from './connectionOwner.js'
+import type { ConnectionPorts } from './connectionOwner.js'
 import { startForwarder, type Forwarder, type LinkState } from './forwarder.js'
+import { createOwnerLookup } from './ownerLookup.js'
 
 /** Simulated network between instances: every router's peer listener is reached through a forwarder. */
 export interface PeerNetwork {
@@ -26,14 +27,18 @@
   const isolationStates = new Map<string, LinkState>()
   const pairKey = (one: string, other: string): string => [one, other].sort().join(' ')
 
-  function findSource (clientPort: number, serverPort: number): string | undefined {
-    const processId = findConnectionOwner(clientPort, serverPort, [...instanceIdByProcessId.keys()])
+  const owners = createOwnerLookup(() => [...instanceIdByProcessId.keys()])
+
+  async function findSource (ports: ConnectionPorts): Promise<string | undefined> {
+    const processId = await owners.find(ports)
     return processId === undefined ? undefined : instanceIdByProcessId.get(processId)
   }
 
-  function getState (findSource: () => string | undefined, destination: string): LinkState {
-    if (pairStates.size === 0 && isolationStates.size === 0) return 'open'
-    const source = isolationStates.has(destination) ? undefined : findSource()
+  function dependsOnSource (destination: string): boolean {
+    return !isolationStates.has(destination) && (pairStates.size > 0 || isolationStates.size > 0)
+  }
+
+  function getState (source: string | undefined, destination: string): LinkState {
     const isolationState = isolationStates.get(destination) ?? (source === undefined ? undefined : isolationStates.get(source))
     return isolationState ?? (source === undefined ? undefined : pairStates.get(pairKey(source, destination))) ?? 'open'
   }
@@ -44,7 +49,7 @@
 
   return {
     add: async (instanceId) => {
-      const forwarder = await startForwarder(findSource, (findLinkSource) => getState(findLinkSource, instanceId))
+      const forwarder = await startForwarder({ dependsOnSource: () => dependsOnSource(instanceId), findSource, getState: (source) => getState(source, instanceId) })
       forwarders.set(instanceId, forwarder)
       return forwarder
     },
@@ -66,6 +71,6 @@
       isolationStates.clear()
       refresh()
     },
-    stop: async () => { await Promise.all([...forwarders.values()].map((forwarder) => forwarder.stop())) }
+    stop: async () => { await Promise.all([...[...forwarders.values()].map((forwarder) => forwarder.stop()), owners.stop()]) }
   }
 }
