Show what the routers reported when a sheet was not active on all in time

What was seen: sheet.feature failed with "undefined ms" or "0 ms". Whether a router had not taken the revision, had not answered the status call, or the command had come back late wasn't told apart, and the logs of passing sheets tell nothing about it. Change: the fault and its time go into the message. What passes and fails is the same.

--- a/packages/scenarios/src/steps/sheetSteps.ts
+++ b/packages/scenarios/src/steps/sheetSteps.ts
@@ -19,11 +19,15 @@
 const ACTIVATION_TIMEOUT_MS = 4000
 const CONVERGENCE_TIMEOUT_MS = 10_000
 
+/** What the routers reported about a revision until the target had passed. */
+type RouterReports =
+  /** Time from acceptance until every router reported the revision. */
+  | { readonly kind: 'activeOnAll', readonly afterMilliseconds: number }
+  | { readonly kind: 'notOnAll', readonly fault: string }
 interface SheetActivation {
-  /** Reported by the administration process. */
+  /** Reported by the administration process; 0 if it did not see the revision in force. */
   readonly inForceAfterMilliseconds: number
-  /** Time from acceptance until every router reported the revision; undefined if it exceeded the target. */
-  readonly activeOnAllAfterMilliseconds: number | undefined
+  readonly routers: RouterReports
 }
 interface ConcurrentApply { readonly baseRevision: bigint, readonly results: readonly CommandResult[] }
 type SheetWorld = FleetWorld & { activations?: SheetActivation[], concurrentApplies?: ConcurrentApply[], newRouter?: FleetMember, issuedKey?: string, revisionBefore?: bigint }
@@ -70,19 +74,23 @@
     const { head, inForceAfterMilliseconds } = JSON.parse(result.stdout) as { head: { revision: string, acceptedAt: string }, inForceAfterMilliseconds: number }
     const acceptedAt = Number(head.acceptedAt)
     const remainingMilliseconds = Math.max(1, acceptedAt + ACTIVATION_TIMEOUT_MS - Date.now())
-    const activeOnAll = await eventually(remainingMilliseconds, async () => await findRevisionFault(fleet, BigInt(head.revision))).then(() => true, () => false)
-    activations.push({ inForceAfterMilliseconds, activeOnAllAfterMilliseconds: activeOnAll ? Date.now() - acceptedAt : undefined })
+    const routers = await eventually(remainingMilliseconds, async () => await findRevisionFault(fleet, BigInt(head.revision))).then(
+      (): RouterReports => ({ kind: 'activeOnAll', afterMilliseconds: Date.now() - acceptedAt }),
+      (error: unknown): RouterReports => ({ kind: 'notOnAll', fault: `${Date.now() - acceptedAt} ms after acceptance: ${String(error)}` }))
+    activations.push({ inForceAfterMilliseconds, routers })
   }
   this.activations = activations
 })
 
 Then('each was active on all {int} routers within {int} ms', async function (this: SheetWorld, routers: number, milliseconds: number) {
   const fleet = await this.fleet()
-  this.log(`active after, as reported: ${this.activations!.map((entry) => entry.inForceAfterMilliseconds).join(', ')} ms; on all ${routers} routers: ${this.activations!.map((entry) => entry.activeOnAllAfterMilliseconds).join(', ')} ms`)
+  this.log(`active after, as reported: ${this.activations!.map((entry) => entry.inForceAfterMilliseconds).join(', ')} ms; on all ${routers} routers: ${this.activations!.map((entry) => entry.routers.kind === 'activeOnAll' ? `${entry.routers.afterMilliseconds} ms` : entry.routers.fault).join(', ')}`)
   assert.equal(fleet.routers.length, routers)
-  for (const { inForceAfterMilliseconds, activeOnAllAfterMilliseconds } of this.activations!) {
-    assert.ok(inForceAfterMilliseconds > 0 && inForceAfterMilliseconds <= milliseconds, `${inForceAfterMilliseconds} ms`)
-    assert.ok(activeOnAllAfterMilliseconds !== undefined && activeOnAllAfterMilliseconds <= milliseconds, `${activeOnAllAfterMilliseconds} ms`)
+  for (const { inForceAfterMilliseconds, routers: reports } of this.activations!) {
+    const fault = reports.kind === 'notOnAll' ? `not active on all routers ${reports.fault}` : ''
+    assert.ok(inForceAfterMilliseconds > 0 && inForceAfterMilliseconds <= milliseconds, `in force after ${inForceAfterMilliseconds} ms as reported; ${fault}`)
+    assert.ok(reports.kind === 'activeOnAll', fault)
+    assert.ok(reports.afterMilliseconds <= milliseconds, `active on all routers after ${reports.afterMilliseconds} ms`)
   }
 })
 
