Don't divide bodies of a known length where connections are parsed in pieces

Peers saw: bodies with many lines cost the processor several times what others do at the ports that parse what they receive in pieces (those for peers, so also relayed requests, and operations).

Cause: each line end after 512 bytes ended a piece, also in bodies, and each piece costs a call of the parser and a copy of its own.

The bytes of the piece with the head count as the body's, so that what follows a body is never taken for it. Bodies in chunks are still divided at empty lines.

--- a/packages/caller-connections/src/__tests__/parseInPieces.test.ts
+++ b/packages/caller-connections/src/__tests__/parseInPieces.test.ts
@@ -73,9 +73,11 @@
 
 // Guards against requests that are lost or changed at the ends of pieces, or where a connection is paused.
 test.each([
-  ['in one packet', Infinity],
-  ['in packets of 700 bytes', 700]
-])('all requests of an unlimited connection are answered whole, %s', async (_name, packetBytes) => {
+  ['in one packet', Infinity, '\n'],
+  ['in packets of 700 bytes', 700, '\n'],
+  ['with empty lines, in one packet', Infinity, '\r\n\r\n'],
+  ['with empty lines, in packets of 700 bytes', 700, '\r\n\r\n']
+])('all requests of an unlimited connection are answered whole, %s', async (_name, packetBytes, lineEnd) => {
   const bodies: string[] = []
   await start((incoming, response) => {
     const chunks: Buffer[] = []
@@ -86,10 +88,46 @@
       response.end(`${'x'.repeat(20_000)} end of ${incoming.url ?? ''}`)
     })
   })
-  const sent = Array.from({ length: 40 }, (_, index) => `line ${index}\n`.repeat(index * 40))
+  const sent = Array.from({ length: 40 }, (_, index) => `line ${index}${lineEnd}`.repeat(index * 40))
   const text = sent.map((body, index) => `POST /${index} HTTP/1.1\r\nHost: desk.example\r\nContent-Length: ${body.length}\r\n\r\n${body}`).join('')
   for (let start = 0; start < text.length; start += packetBytes) caller.write(text.slice(start, start + packetBytes))
   await waitUntil(() => received.includes('end of /39'))
   expect(bodies).toEqual(sent)
   expect([...received.matchAll(/end of \/(\d+)/g)].map(([, number]) => Number(number))).toEqual(sent.map((_, index) => index))
 })
+
+// Guards against bodies that cost several times the processor time, so that callers behind them wait for longer.
+test.each([
+  ['lines', 'a line\r\n'],
+  ['empty lines', '\r\n\r\n']
+])('a body of many %s is not divided', async (_name, line) => {
+  const bodyBytes = 2_000_000
+  let partCount = 0
+  let chunkCount = 1
+  await start((incoming, response) => {
+    incoming.socket.on('data', () => { chunkCount++ })
+    incoming.on('data', () => { partCount++ })
+    incoming.on('end', () => response.end('answer'))
+  })
+  caller.write(`POST /1 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: ${bodyBytes}\r\n\r\n`)
+  caller.write(line.repeat(bodyBytes / line.length))
+  await waitUntil(() => received.includes('answer'))
+  // It begins in a first piece and ends in two short ones.
+  expect(partCount).toBeLessThanOrEqual(chunkCount + 3)
+})
+
+// Guards against memory that is filled by requests behind a body, which are taken for its bytes.
+test.each([
+  ['a length', (body: string) => `Content-Length: ${body.length}\r\n\r\n${body}`],
+  ['chunks', (body: string) => `Transfer-Encoding: chunked\r\n\r\n${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`]
+])('few requests behind a body with %s are parsed', async (_name, format) => {
+  const limit = createPipelineLimit(MAX_UNANSWERED)
+  await start((incoming, response) => {
+    incoming.resume()
+    if (limit.admit(incoming, response).kind === 'ignored') incoming.socket.destroy()
+  })
+  caller.write(`POST /1 HTTP/1.1\r\nHost: desk.example\r\n${format('x'.repeat(30_000))}${REQUEST.repeat(1000)}`)
+  await closed
+  expect(requestCount).toBeGreaterThan(MAX_UNANSWERED)
+  expect(requestCount).toBeLessThan(40)
+})
