Parse few requests behind the limit of the callers' port

Callers saw: a gateway process that ended at its heap limit of 160 MB, with the requests of all its callers, beside 300 connections that sent 2,000 small requests each without waiting.

Cause: Node parses all requests of a chunk that it has received (up to 64 KiB) at once, also behind the limit of 32, and keeps a request and a response of each until the connection is closed.

Change: the callers' port parses in pieces, as those for peers and operations do, and stops at the piece behind the limit.

Not run: arm64.

Requests of 18 bytes without Host, which Node refuses itself, are still parsed whole: peak 204 MB with 4,000 on each of 300 connections.

--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -1,4 +1,4 @@
-import { createCallerWatch, createConnectionErrors, createPipelineLimit, keepConnectionsWithUnreadRequests, type CallerPresence } from '@quinceshunt/caller-connections'
+import { createCallerWatch, createConnectionErrors, createPipelineLimit, keepConnectionsWithUnreadRequests, parseInPieces, type CallerPresence } from '@quinceshunt/caller-connections'
 import { assertNever } from '@quinceshunt/effects'
 import { steadyNow } from '../clock.js'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
@@ -95,6 +95,7 @@
   }
 
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 15_000, noDelay: true, connectionsCheckingInterval: 1000 }, (incoming, response) => handle(incoming, response, undefined))
+  parseInPieces(server)
   keepConnectionsWithUnreadRequests(server)
   server.on('connection', (socket) => {
     context.intake.noteConnection()
