--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,14 +35,16 @@
 import { startFleetTask } from './tasks/fleetTask.js'
 import type { GatewayContext } from './tasks/gatewayContext.js'
 import { finishRefusals, FORCED_EXIT_MARGIN_MS, MAX_QUEUED_CONNECTIONS, pauseUntil, stopGracefully } from './tasks/gracefulStop.js'
+import { startInstanceReport } from './tasks/instanceReport.js'
 import { createLeaseWitness } from './tasks/leaseWitness.js'
+import { startLinkUsage } from './tasks/linkUsage.js'
 import { startLoadExchange } from './tasks/loadExchange.js'
 import { createLoadSource } from './tasks/loadSource.js'
 import { createOpenResponses } from './tasks/openResponses.js'
 import { createMetricsServer, createReadinessServer, type OperationsSource } from './tasks/operationsServers.js'
 import { createPeerLife } from './tasks/peerLife.js'
 import { createPeerListener } from './tasks/peerListener.js'
-import { PEER_PATH, postToPeer } from './tasks/peerMessages.js'
+import { PEER_PATH, peerCalls, postToPeer } from './tasks/peerMessages.js'
 import { observeStoreTime } from './tasks/observeStoreTime.js'
 import { startProcessUsage } from './tasks/processUsage.js'
 import { createRelayedRetries } from './tasks/relayedRetries.js'
@@ -267,12 +269,14 @@
   const usage = startProcessUsage()
   const eventLoopDelay = startEventLoopDelay(metrics, log, usage)
   const acceptQueue = startAcceptDelay({ callersAddress: settings.callersAddress, usage, metrics, log })
+  const report = startInstanceReport({ failureDomain: settings.failureDomain, log, metrics, link: startLinkUsage(settings), peerCalls, eventLoopDelay, activeRequests: () => callers.activeRequests })
   const context: GatewayContext = {
     settings,
     incarnationId,
     wire: logUnreadableLoads(platform.wire, log),
     log,
     metrics,
+    report,
     eventLoopDelay,
     acceptQueue,
     intake: createRequestIntake({ now: steadyNow, processorTime }),
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -215,6 +215,7 @@
         return
       case 'received': {
         const enteredAt = steadyNow()
+        context.report.noteBody(enteredAt - receivedAt)
         const turn = await context.intake.waitForTurn({
           caller,
           // So that neither a busy client account nor a busy route delays the others.
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -20,6 +20,7 @@
 import type { DecisionLog } from './decisionLog.js'
 import type { Evacuations } from './evacuations.js'
 import type { FleetTask } from './fleetTask.js'
+import type { InstanceReport } from './instanceReport.js'
 import type { OpenResponses } from './openResponses.js'
 import type { Destination } from './destinations.js'
 import type { PeerLife } from './peerLife.js'
@@ -38,6 +39,7 @@
   readonly wire: WireFormat
   readonly log: DecisionLog
   readonly metrics: Metrics
+  readonly report: InstanceReport
   readonly eventLoopDelay: EventLoopDelay
   readonly acceptQueue: AcceptQueue
   /** For the requests of callers, and those that other instances relay. */
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -9,6 +9,7 @@
 import { streamOriginSchema, type StreamOrigin } from '../decisions/streamOrigins.js'
 import { toldTotalsSchema, type ToldLease } from '../decisions/toldLease.js'
 import type { KnownBrittleness } from './backendRooms.js'
+import { createPeerCalls } from './peerCalls.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { RetryReply } from './relayedRetries.js'
 import type { StreamAnswer } from './streamHomes.js'
@@ -29,6 +30,8 @@
 /** `otherIncarnation` says that no copy of the message will be handled, `overloaded` that this copy was not. */
 export const PEER_STATUS = { ok: 200, badRequest: 400, otherIncarnation: 409, overloaded: 503 } as const
 
+/** Messages of this process to its peers. */
+export const peerCalls = createPeerCalls()
 /** Reuses connections, as most requests need tokens from a home. */
 const peerAgent = new Agent({ keepAlive: true, maxFreeSockets: 4, timeout: 10_000 })
 const repliesLimit = createSharedLimit(MAX_REPLIES_BYTES)
@@ -148,9 +151,13 @@
 
 /** Posts a message once. */
 export async function postToPeer (address: string, path: string, message: unknown, timeoutMilliseconds: number): Promise<DeliveryOutcome> {
+  const end = peerCalls.begin(path)
   try {
-    return await post(address, path, message, timeoutMilliseconds)
+    const outcome = await post(address, path, message, timeoutMilliseconds)
+    end(outcome.kind === 'failed' ? 'failed' : 'answered')
+    return outcome
   } catch (error) {
+    end('failed')
     // Node opens no connection to an address that is none.
     return { kind: 'failed', mayHaveArrived: false, reason: (error as Error).message }
   }
--- a/packages/gateway/src/tasks/requestTask.ts
+++ b/packages/gateway/src/tasks/requestTask.ts
@@ -28,6 +28,7 @@
 import type { BufferedResponse } from './forwardedResponse.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { sendError, sendNotRun } from './errorResponses.js'
+import { recordResult, reserveTokens } from './recordResult.js'
 import { recordUse } from './recordUse.js'
 import { runRelayAttempt } from './relayAttempt.js'
 import { declineRelay } from './relayReception.js'
@@ -200,7 +201,7 @@
         case 'reserveTokens': {
           // The peer that serves it reserves them.
           if (reserved === 0 || state.account === undefined || state.isRelayed) return { kind: 'reserved' }
-          const outcome = await context.tokens.reserve(state.account.name, reserved, state.deadline)
+          const outcome = await reserveTokens(context, state, state.account.name, reserved)
           isReserved = outcome.kind === 'reserved'
           return outcome
         }
@@ -384,9 +385,7 @@
     default: assertNever(result)
   }
   const now = steadyNow()
-  context.metrics.count('requests_total', { outcome: result.kind })
-  context.metrics.record('request', now - state.receivedAt)
-  if (state.firstByteAt !== undefined) context.metrics.record('first_byte', state.firstByteAt - state.receivedAt)
+  recordResult(context, state, result)
   context.log.decision(result.kind === 'delivered' ? 'requestServed' : 'requestNotServed', {
     request: requestId,
     account: state.account?.name,
