--- a/packages/gateway/src/__tests__/tokenLoans.test.ts
+++ b/packages/gateway/src/__tests__/tokenLoans.test.ts
@@ -202,6 +202,70 @@
   }, 60_000)
 })
 
+describe('an account whose requests come at one instance that is not its home', () => {
+  const LARGE_PREPAID = 30_000_000
+
+  /** Serves ten requests a second at one instance; returns how many were refused or waited for longer than `maximumWait`. */
+  async function serveAt (instance: TokenTask | undefined, milliseconds: number, maximumWait: number): Promise<number> {
+    const outcomes: Promise<boolean>[] = []
+    const serveTimely = async (): Promise<boolean> => {
+      const startedAt = steadyNow()
+      return await serve(instance, 12_000, 8000) && steadyNow() - startedAt <= SERVICE_TIME_MS + maximumWait
+    }
+    for (let passed = 0; passed < milliseconds; passed += 100) {
+      outcomes.push(serveTimely())
+      await jest.advanceTimersByTimeAsync(100)
+    }
+    await jest.advanceTimersByTimeAsync(1500)
+    return (await Promise.all(outcomes)).filter((isServed) => !isServed).length
+  }
+
+  function startLargeFleet (): { readonly fleet: TestFleet, readonly busy: TokenTask | undefined, readonly cutPeers: () => void } {
+    let isCut = false
+    const fleet = startFleet(FLEET_SIZE, () => isCut ? { kind: 'requestLost' } : { kind: 'none' }, { prepaidTokens: LARGE_PREPAID, storeMilliseconds: 4 })
+    const homes = accountHomes(ACCOUNT, Array.from({ length: FLEET_SIZE }, (_, index) => ({ instanceId: `instance${index}`, failureDomain: `domain${index % 3}` })))
+    const busy = fleet.instances.findIndex((_, index) => !homes.some(({ instanceId }) => instanceId === `instance${index}`))
+    return { fleet, busy: fleet.instances[busy], cutPeers: () => { isCut = true } }
+  }
+
+  // Issue 57: the instance with half of a failure domain's callers held no tokens, and refused them while its peers and the store
+  // were cut off, although millions of the account's tokens were granted to nobody.
+  test('is served through 8 s in which that instance reaches neither the store nor a peer', async () => {
+    const { fleet, busy, cutPeers } = startLargeFleet()
+    await jest.advanceTimersByTimeAsync(1000)
+    expect(await serveAt(busy, 6000, 100)).toBe(0)
+    cutPeers()
+    fleet.isStoreDown = true
+    expect(await serveAt(busy, 8000, 100)).toBe(0)
+    for (const instance of fleet.instances) instance.abandon()
+  }, 60_000)
+
+  // Issue 57: each request waited for homes that did not answer before the instance drew tokens for that one request.
+  test('is served without waiting while no peer answers and the store does', async () => {
+    const { fleet, busy, cutPeers } = startLargeFleet()
+    await jest.advanceTimersByTimeAsync(1000)
+    expect(await serveAt(busy, 6000, 100)).toBe(0)
+    cutPeers()
+    expect(await serveAt(busy, 8000, 100)).toBe(0)
+    for (const instance of fleet.instances) instance.abandon()
+  }, 60_000)
+
+  // Guards against tokens that stay at an instance after its callers went elsewhere.
+  test('is used up to 97 in 100 after its callers went to other instances', async () => {
+    const { fleet, busy } = startLargeFleet()
+    const prepaidTokens = 600_000
+    for (const instance of fleet.instances) instance.setPrepaid(ACCOUNT, prepaidTokens)
+    await jest.advanceTimersByTimeAsync(1000)
+    expect(await serveAt(busy, 3000, 100)).toBe(0)
+    let used = 30 * 8000
+    for (let index = 0; used + 8000 <= prepaidTokens * 0.97; index++) {
+      expect(await serveOne(fleet.instances[index % FLEET_SIZE], 8000, 6000)).toBe(true)
+      used += 6000
+    }
+    for (const instance of fleet.instances) instance.abandon()
+  }, 60_000)
+})
+
 describe('loans over links that lose, delay and repeat messages', () => {
   // Guards against tokens that a lost reply takes out of use: only the death of a process may lose tokens.
   test('no tokens are lost while no process ends', async () => {
