Tell each home of streams one message at a time, and a silent one ever more rarely

Cause: each stream was told to each of its homes again after 250 ms when a message was not taken within 300 ms, so that what was sent grew with the streams that began, filled the link and made further messages time out, also after the partition had ended (retries without a bound; a metastable state).

Now each home has a queue with one message in progress, and pauses and timeouts double up to 2 s while it does not take any; all silent homes together get eight messages at a time.

A home that answers 'another process' was asked again after 250 ms whatever came; it is paused like a silent one.

--- a/packages/gateway/src/__fixtures__/streamFleet.ts
+++ b/packages/gateway/src/__fixtures__/streamFleet.ts
@@ -35,6 +35,8 @@
   remove (id: string, at?: readonly number[]): void
   kill (index: number): void
   restart (index: number): void
+  /** Another process answers at the address of an instance; the list of instances still has the one before. */
+  replaceUnlisted (index: number): void
   /** Begins a stream at the version that is listed. */
   begin (index: number, attemptId: string, backendId: string, evidence?: StartEvidence): void
 }
@@ -62,6 +64,7 @@
         homeSearches++
         return accountHomes(attemptId, instances.map((instance) => instance.peer))
       },
+      currentIncarnation: (instanceId) => instances.find((instance) => instance.peer.instanceId === instanceId)?.peer.incarnationId,
       isListCurrent: () => true,
       readList: async () => !cutOffFromStore.has(index),
       isProven,
@@ -107,6 +110,10 @@
       const starts = Number(instances[index]?.peer.incarnationId.split('.')[1])
       start(index, starts + 1)
     },
+    replaceUnlisted: (index) => {
+      const { peer, streams } = instances[index] as StreamInstance
+      network.listen({ ...peer, incarnationId: `${peer.instanceId}.unlisted` }, { streams })
+    },
     begin: (index, attemptId, backendId, evidence = { kind: 'listed' }) => {
       instances[index]?.streams.begin({ attemptId, service: 'model', backendId, version: listed.get(backendId) ?? '', evidence, callerTimeoutAt: steadyNow() + CALLER_TIMEOUT_MS })
     }
--- a/packages/gateway/src/__tests__/streamTelling.test.ts
+++ b/packages/gateway/src/__tests__/streamTelling.test.ts
@@ -58,4 +58,14 @@
       expect(await findVersion(fleet, asked, attemptId)).toBe('2')
     }
   }, 60_000)
+
+  // Guards against messages without a pause to a process that is gone and still in the list of instances.
+  test('are told with few messages while another process runs at the address of each peer', async () => {
+    const { fleet, sent } = startCutFleet()
+    await jest.advanceTimersByTimeAsync(1000)
+    for (let index = 1; index < INSTANCES; index++) fleet.replaceUnlisted(index)
+    const before = sent()
+    await beginStreams(fleet, 10, 'replaced')
+    expect(sent() - before).toBeLessThanOrEqual((INSTANCES - 1) * 2 * 10)
+  }, 60_000)
 })
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -205,6 +205,7 @@
     clock: sharedClock,
     log,
     homes: fleet.streamHomes,
+    currentIncarnation: fleet.incarnationOf,
     isListCurrent: () => steadyNow() - backends.follower.lastResponseAt < MAX_LIST_AGE_MS,
     readList: (since) => backends.follower.readSince(since),
     announceMixed: fleet.announceMixedVersions,
--- a/packages/gateway/src/tasks/streamTelling.ts
+++ b/packages/gateway/src/tasks/streamTelling.ts
@@ -3,13 +3,11 @@
 import type { StreamOrigin } from '../decisions/streamOrigins.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { Peer } from './fleetTask.js'
-import { PEER_PATH } from './peerMessages.js'
+import { createStreamDeliveries } from './streamDeliveries.js'
 import type { Post } from './tokenLoans.js'
 
-const TELL_TIMEOUT_MS = 300
-/** Pause before homes that did not take a message are told again. */
-const TELL_AGAIN_MS = 250
-const ORIGINS_PER_MESSAGE = 50
+/** Interval at which streams are reviewed whose version may still turn out to be certain. */
+const REVIEW_INTERVAL_MS = 250
 /** Streams whose homes are found in one pass of the event loop; finding them ranks all instances. */
 const ORIGINS_PER_PASS = 50
 
@@ -30,6 +28,8 @@
   readonly findOrigin: (attemptId: string) => StreamOrigin | undefined
   /** Homes of a stream without this instance. */
   readonly homesOf: (attemptId: string) => readonly Peer[]
+  /** The running process of an instance; undefined when it is not registered. */
+  readonly currentIncarnation: (instanceId: string) => string | undefined
   readonly sharedNow: () => number
   readonly log: DecisionLog
   readonly count: (outcome: string) => void
@@ -37,11 +37,12 @@
 }
 
 /** Creates the task without streams. */
-export function createStreamTelling ({ ownStreams, findOrigin, homesOf, sharedNow, log, count, post }: StreamTellingOptions): StreamTelling {
+export function createStreamTelling ({ ownStreams, findOrigin, homesOf, currentIncarnation, sharedNow, log, count, post }: StreamTellingOptions): StreamTelling {
   /** Streams some of whose homes may not know them yet. */
   const untold = new Set<string>()
   /** Streams whose version may still turn out to be certain, which their homes know as they are or not at all. */
   const waiting = new Set<string>()
+  const deliveries = createStreamDeliveries({ ownStreams, findOrigin, currentIncarnation, onUndelivered: add, log, count, post })
   /** The next telling; undefined when none is scheduled. */
   let telling: { readonly at: number, readonly timer: NodeJS.Timeout } | undefined
 
@@ -52,7 +53,7 @@
     clearTimeout(telling?.timer)
     const timer = setTimeout(() => {
       telling = undefined
-      tellHomes().catch((error: unknown) => log.warning('streamsNotTold', { reason: String(error) }))
+      tellHomes()
     }, delayMilliseconds)
     telling = { at, timer }
   }
@@ -71,9 +72,8 @@
     }
   }
 
-  /** Groups the streams that are to be told by their homes. */
-  function takeUntold (): ReadonlyMap<string, { readonly home: Peer, readonly streams: readonly string[] }> {
-    const byHome = new Map<string, { readonly home: Peer, readonly streams: string[] }>()
+  /** Hands the streams that are to be told to the deliveries. */
+  function deliverUntold (): void {
     for (const attemptId of [...untold].slice(0, ORIGINS_PER_PASS)) {
       untold.delete(attemptId)
       const own = ownStreams.find(attemptId)
@@ -83,48 +83,31 @@
       if (origin === undefined) continue
       if (origin.certainty !== own.toldAs) own.toldTo.clear()
       own.toldAs = origin.certainty
-      for (const home of homesOf(attemptId)) {
-        if (own.toldTo.has(home.incarnationId)) continue
-        const group = byHome.get(home.incarnationId) ?? { home, streams: [] }
-        group.streams.push(attemptId)
-        byHome.set(home.incarnationId, group)
-      }
+      for (const home of homesOf(attemptId)) if (!own.toldTo.has(home.incarnationId)) deliveries.add(home, attemptId)
     }
-    return byHome
+    deliveries.start()
   }
 
-  async function tellHome (home: Peer, streams: readonly string[]): Promise<void> {
-    for (let from = 0; from < streams.length; from += ORIGINS_PER_MESSAGE) {
-      const batch = streams.slice(from, from + ORIGINS_PER_MESSAGE)
-      const outcome = await post(home.address, PEER_PATH.streams, { to: home.incarnationId, origins: batch.flatMap((attemptId) => findOrigin(attemptId) ?? []) }, TELL_TIMEOUT_MS)
-      count(outcome.kind === 'answered' ? 'told' : 'notTold')
-      if (outcome.kind === 'answered') for (const attemptId of batch) ownStreams.find(attemptId)?.toldTo.add(home.incarnationId)
-      else for (const attemptId of batch) untold.add(attemptId)
-      if (outcome.kind === 'failed') log.decision('peerDidNotAnswer', { peer: home.address, path: PEER_PATH.streams, reason: outcome.reason })
-    }
-  }
-
-  async function tellHomes (): Promise<void> {
+  function tellHomes (): void {
     forgetExpired()
     endWaiting()
-    const byHome = takeUntold()
-    if (untold.size > 0) schedule(0)
-    await Promise.all([...byHome.values()].map(async ({ home, streams }) => await tellHome(home, streams)))
-    schedule(TELL_AGAIN_MS)
+    deliverUntold()
+    schedule(untold.size > 0 ? 0 : REVIEW_INTERVAL_MS)
+  }
+
+  function add (attemptIds: Iterable<string>): void {
+    for (const attemptId of attemptIds) untold.add(attemptId)
+    schedule(0)
   }
 
   return {
-    add: (attemptIds) => {
-      for (const attemptId of attemptIds) untold.add(attemptId)
-      schedule(0)
-    },
+    add,
     tell: async (attemptId) => {
       const own = ownStreams.find(attemptId)
       if (own === undefined) return
       own.toldTo.clear()
       own.toldAs = ownStreams.originToTell(own)?.certainty
-      await Promise.all(homesOf(attemptId).map(async (home) => await tellHome(home, [attemptId])))
-      schedule(TELL_AGAIN_MS)
+      await Promise.all(homesOf(attemptId).map(async (home) => await deliveries.deliver(home, attemptId)))
     },
     noteProcessAsked: () => schedule(0)
   }
--- a/packages/gateway/src/tasks/streamVersions.ts
+++ b/packages/gateway/src/tasks/streamVersions.ts
@@ -77,6 +77,8 @@
   readonly log: DecisionLog
   /** Homes of a stream; may include this instance. */
   readonly homes: (attemptId: string) => readonly Peer[]
+  /** The running process of an instance; undefined when it is not registered. */
+  readonly currentIncarnation: (instanceId: string) => string | undefined
   /** False when the list of backend servers may lack versions that other instances know. */
   readonly isListCurrent: () => boolean
   /** Resolves once all entries are listed that were written before `since`, by `steadyNow`; with false when they can't be read. */
@@ -127,7 +129,7 @@
     return own === undefined ? origins.find(attemptId, sharedNow()) : ownStreams.originToTell(own)
   }
 
-  const telling = createStreamTelling({ ownStreams, findOrigin, homesOf, sharedNow, log, count: options.count, post })
+  const telling = createStreamTelling({ ownStreams, findOrigin, homesOf, currentIncarnation: options.currentIncarnation, sharedNow, log, count: options.count, post })
 
   /** Tells all streams of the services whose versions differ, except to the processes that know them. */
   function tellAllAgain (): void {
