Draw tokens where a client account's requests come, also at an instance that is not its home

Cause: the homes that hold an account's grant are chosen by a hash of its name, which ignores where its requests come; any other instance borrowed for each request, and drew itself only after two loans had failed, for the waiting requests alone (placement that ignores demand; a lender in the path of each request).

An instance with a quarter of an account's known use, at a rate that its allowance as a visitor does not cover for 12 s, now draws and returns like a home, by its own recent rate and without an idle part. It stops below half of that. Draws, leases and what a kill loses are those of homes.

--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -1,4 +1,5 @@
 import { steadyNow } from '../clock.js'
+import { isSteadyUse } from '../decisions/steadyUse.js'
 import { prioritizeChanges, type BalanceChange } from '../decisions/balanceChanges.js'
 import { grantChange, targetFreeTokens, usageAllowance, type GrantInput } from '../decisions/grantSizing.js'
 import type { ReservationOutcome } from '../decisions/requestPlan.js'
@@ -63,12 +64,11 @@
     if (state.isReturnRequested && state.ledger.free < 1) state.isReturnRequested = false
     if (state.isReturnRequested || isClosing) return -Math.max(0, Math.floor(state.ledger.free))
     if (missingTokens(state) === 0 && now < state.prefetchPausedUntil) return 0
-    if (options.homeRank(state.name) === undefined) return visitorChange(state)
-    return grantChange(grantInput(state, now))
+    return holdsGrant(state) ? grantChange(grantInput(state, now)) : visitorChange(state)
   }
 
   function grantInput (state: AccountState, now: number): GrantInput {
-    return { free: state.ledger.free, missingTokens: drawsDirectly(state) ? coveredMissingTokens(state, lease.drawable(state)) : 0, rate: state.ledger.rate(now), ungranted: lease.ungranted(state), drawable: lease.drawable(state), rank: options.homeRank(state.name) ?? 0 }
+    return { free: state.ledger.free, missingTokens: drawsDirectly(state) ? coveredMissingTokens(state, lease.drawable(state)) : 0, rate: state.ledger.rate(now), ungranted: lease.ungranted(state), drawable: lease.drawable(state), rank: options.homeRank(state.name) }
   }
 
   /** Balance changes that may be made now, in order of priority. */
@@ -83,7 +83,7 @@
     })), now)
   }
 
-  /** An instance that is not a home draws only after the homes lent nothing, and returns to the store what it holds of its own lease. */
+  /** An instance that is not a home and has no steady use draws only after the homes lent nothing, and returns to the store what it holds of its own lease. */
   function visitorChange (state: AccountState): number {
     const missing = drawsDirectly(state) ? coveredMissingTokens(state, lease.drawable(state)) : 0
     if (missing > 0) return missing
@@ -120,7 +120,22 @@
   }
 
   function drawsDirectly (state: AccountState): boolean {
-    return options.homeRank(state.name) !== undefined || state.failedLoanRequests >= MAX_FAILED_LOAN_REQUESTS
+    return holdsGrant(state) || state.failedLoanRequests >= MAX_FAILED_LOAN_REQUESTS
+  }
+
+  /** True at the account's homes, and at an instance that uses it steadily. */
+  function holdsGrant (state: AccountState): boolean {
+    return options.homeRank(state.name) !== undefined || state.isSteadyUser
+  }
+
+  function reviewSteadyUse (): void {
+    const now = steadyNow()
+    for (const state of accounts.values()) {
+      const isSteady = isSteadyUse({ wasSteady: state.isSteadyUser, rate: state.ledger.rate(now), ownUse: state.knownUse.report().own, knownUse: state.knownUse.total, maxVisitorTokens: MAX_VISITOR_FREE_TOKENS })
+      if (isSteady === state.isSteadyUser) continue
+      state.isSteadyUser = isSteady
+      if (options.homeRank(state.name) === undefined) log.decision('steadyUse', { account: state.name, isSteady, rate: Math.round(state.ledger.rate(now) * 1000), ownUse: state.knownUse.report().own, knownUse: state.knownUse.total, held: state.ledger.held })
+    }
   }
 
   async function runTransactions (): Promise<void> {
@@ -198,6 +213,7 @@
 
   const timer = setInterval(() => {
     serveAllWaiting()
+    reviewSteadyUse()
     giveBackLoans()
     logLedgers()
     if (accounts.size > 0 && isTransactionDue()) startTransactions()
@@ -237,7 +253,7 @@
     if (state.isBorrowing || tokens <= 0) return
     state.isBorrowing = true
     const requests = new Set(state.waiting)
-    options.borrow(state.name, tokens, options.homeRank(state.name) === undefined ? 'whole' : 'partial', state.knownUse.report()).then((loan) => {
+    options.borrow(state.name, tokens, holdsGrant(state) ? 'partial' : 'whole', state.knownUse.report()).then((loan) => {
       state.failedLoanRequests = loan.tokens === 0 && !loan.isShort ? state.failedLoanRequests + 1 : 0
       if (loan.tokens > 0) {
         state.consecutiveShortages = 0
