Borrow ahead of the requests of an instance with steady use while the store turns it away

Corrects the fixture of the two tests before: its store with a processing time went on answering while it was to be down.

--- a/packages/gateway/src/__tests__/tokenLoans.test.ts
+++ b/packages/gateway/src/__tests__/tokenLoans.test.ts
@@ -6,6 +6,7 @@
 import { storeWithoutRestores } from '../__fixtures__/storeWithoutRestores.js'
 import { steadyNow } from '../clock.js'
 import { accountHomes } from '../decisions/accountHomes.js'
+import type { RowStore } from '../ports.js'
 import type { ReservationOutcome } from '../decisions/requestPlan.js'
 import type { Peer } from '../tasks/fleetTask.js'
 import type { TokenTask } from '../tasks/tokenAccounts.js'
@@ -20,6 +21,8 @@
   readonly instances: TokenTask[]
   readonly network: LoanNetwork
   isStoreDown: boolean
+  /** Indexes of the instances that the store does not answer. */
+  readonly cutOffFromStore: Set<number>
   /** Replaces an instance's process by a new one, as after a kill. */
   restart (index: number): void
 }
@@ -27,12 +30,22 @@
 /** Starts instances that share one account and lend its tokens over a network with the given faults. */
 function startFleet (size: number, chooseFault: () => LinkFault = () => ({ kind: 'none' }), { prepaidTokens = PREPAID, storeMilliseconds = 0 } = {}): TestFleet {
   const network = createLoanNetwork(chooseFault, steadyNow)
-  const fleet: TestFleet = { instances: [], network, isStoreDown: false, restart }
+  const fleet: TestFleet = { instances: [], network, isStoreDown: false, cutOffFromStore: new Set(), restart }
   const memory: MemoryRowStore = createMemoryRowStore(() => fleet.isStoreDown ? { kind: 'drop' } : { kind: 'none' }, storeMilliseconds)
   const peers: Peer[] = Array.from({ length: size }, (_, index) => ({ instanceId: `instance${index}`, address: `instance${index}:80`, failureDomain: `domain${index % 3}`, incarnationId: `instance${index}.0` }))
   let restarts = 0
 
-  function start (peer: Peer): TokenTask {
+  /** The store as an instance reaches it. */
+  function storeOf (index: number): RowStore {
+    const isCut = (): boolean => fleet.isStoreDown || fleet.cutOffFromStore.has(index)
+    return {
+      ...memory.store,
+      transact: async (transaction, deadline) => isCut() ? { kind: 'unknown', reason: 'cut off by the test' } : await memory.store.transact(transaction, deadline),
+      read: async (...query) => isCut() ? { kind: 'unavailable', reason: 'cut off by the test' } : await memory.store.read(...query)
+    }
+  }
+
+  function start (peer: Peer, index: number): TokenTask {
     const homes = (account: string): readonly Peer[] => accountHomes(account, peers)
     const loans = createTokenLoans({
       incarnationId: peer.incarnationId,
@@ -44,7 +57,7 @@
       post: network.post
     })
     const task = startTokenTask({
-      store: memory.store,
+      store: storeOf(index),
       log: createRecordingLog(),
       instanceId: peer.instanceId,
       incarnationId: peer.incarnationId,
@@ -56,7 +69,7 @@
       borrow: loans.borrow,
       giveBack: loans.giveBack,
       tokensInTransit: () => loans.tokensInTransit,
-      isStoreUnreachable: () => fleet.isStoreDown,
+      isStoreUnreachable: () => fleet.isStoreDown || fleet.cutOffFromStore.has(index),
       ...storeWithoutRestores()
     })
     network.listen(peer, { tokens: task })
@@ -68,7 +81,7 @@
     fleet.instances[index]?.abandon()
     const peer = { ...peers[index] as Peer, incarnationId: `instance${index}.${++restarts}` }
     peers[index] = peer
-    fleet.instances[index] = start(peer)
+    fleet.instances[index] = start(peer, index)
   }
 
   fleet.instances.push(...peers.map(start))
@@ -205,8 +218,8 @@
 describe('an account whose requests come at one instance that is not its home', () => {
   const LARGE_PREPAID = 30_000_000
 
-  /** Serves ten requests a second at one instance; returns how many were refused or waited for longer than `maximumWait`. */
-  async function serveAt (instance: TokenTask | undefined, milliseconds: number, maximumWait: number): Promise<number> {
+  /** Serves ten requests a second at one instance; returns how many of those after `countFrom` were refused or waited for longer than `maximumWait`. */
+  async function serveAt (instance: TokenTask | undefined, milliseconds: number, maximumWait: number, countFrom = 0): Promise<number> {
     const outcomes: Promise<boolean>[] = []
     const serveTimely = async (): Promise<boolean> => {
       const startedAt = steadyNow()
@@ -217,15 +230,15 @@
       await jest.advanceTimersByTimeAsync(100)
     }
     await jest.advanceTimersByTimeAsync(1500)
-    return (await Promise.all(outcomes)).filter((isServed) => !isServed).length
+    return (await Promise.all(outcomes)).slice(countFrom / 100).filter((isServed) => !isServed).length
   }
 
-  function startLargeFleet (): { readonly fleet: TestFleet, readonly busy: TokenTask | undefined, readonly cutPeers: () => void } {
+  function startLargeFleet (replyMilliseconds = 0): { readonly fleet: TestFleet, readonly busyIndex: number, readonly busy: TokenTask | undefined, readonly cutPeers: () => void } {
     let isCut = false
-    const fleet = startFleet(FLEET_SIZE, () => isCut ? { kind: 'requestLost' } : { kind: 'none' }, { prepaidTokens: LARGE_PREPAID, storeMilliseconds: 4 })
+    const fleet = startFleet(FLEET_SIZE, () => isCut ? { kind: 'requestLost' } : { kind: 'slow', milliseconds: replyMilliseconds }, { prepaidTokens: LARGE_PREPAID, storeMilliseconds: 4 })
     const homes = accountHomes(ACCOUNT, Array.from({ length: FLEET_SIZE }, (_, index) => ({ instanceId: `instance${index}`, failureDomain: `domain${index % 3}` })))
     const busy = fleet.instances.findIndex((_, index) => !homes.some(({ instanceId }) => instanceId === `instance${index}`))
-    return { fleet, busy: fleet.instances[busy], cutPeers: () => { isCut = true } }
+    return { fleet, busyIndex: busy, busy: fleet.instances[busy], cutPeers: () => { isCut = true } }
   }
 
   // Issue 57: the instance with half of a failure domain's callers held no tokens, and refused them while its peers and the store
@@ -233,10 +246,11 @@
   test('is served through 8 s in which that instance reaches neither the store nor a peer', async () => {
     const { fleet, busy, cutPeers } = startLargeFleet()
     await jest.advanceTimersByTimeAsync(1000)
-    expect(await serveAt(busy, 6000, 100)).toBe(0)
-    cutPeers()
-    fleet.isStoreDown = true
-    expect(await serveAt(busy, 8000, 100)).toBe(0)
+    setTimeout(() => {
+      cutPeers()
+      fleet.isStoreDown = true
+    }, 6000)
+    expect(await serveAt(busy, 14_000, 100)).toBe(0)
     for (const instance of fleet.instances) instance.abandon()
   }, 60_000)
 
@@ -244,9 +258,18 @@
   test('is served without waiting while no peer answers and the store does', async () => {
     const { fleet, busy, cutPeers } = startLargeFleet()
     await jest.advanceTimersByTimeAsync(1000)
-    expect(await serveAt(busy, 6000, 100)).toBe(0)
-    cutPeers()
-    expect(await serveAt(busy, 8000, 100)).toBe(0)
+    setTimeout(cutPeers, 6000)
+    expect(await serveAt(busy, 14_000, 100)).toBe(0)
+    for (const instance of fleet.instances) instance.abandon()
+  }, 60_000)
+
+  // Issue 57: while the store turned that instance away, each request waited for a loan of its own, and homes behind a busy link lend late.
+  test('is served while the store turns that instance away for 9 s right after the start and homes take 400 ms to reply', async () => {
+    const { fleet, busyIndex, busy } = startLargeFleet(400)
+    await jest.advanceTimersByTimeAsync(1000)
+    setTimeout(() => fleet.cutOffFromStore.add(busyIndex), 2500)
+    // Until its use is known to be steady, its requests wait for homes. Without the store a request waits for 300 ms at most.
+    expect(await serveAt(busy, 11_500, 300, 2500)).toBe(0)
     for (const instance of fleet.instances) instance.abandon()
   }, 60_000)
 
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -4,7 +4,7 @@
 import { grantChange, targetFreeTokens, usageAllowance, type GrantInput } from '../decisions/grantSizing.js'
 import type { ReservationOutcome } from '../decisions/requestPlan.js'
 import {
-  BALANCES_PER_TRANSACTION_AT_STOP, CLOSE_CHECK_INTERVAL_MS, CONFLICT_CHECK_INTERVAL_MS, FAILURE_PAUSE_MS, GIVE_BACK_AT_STOP_MS, GIVE_BACK_DELAY_MS, LEASE_RENEWAL_AGE_MS, LEDGER_LOG_INTERVAL_MS, MAX_CONSECUTIVE_TRANSACTIONS, MAX_FAILED_LOAN_REQUESTS, MAX_LOAN_WAIT_MS, MAX_TOKEN_WAIT_MS, MAX_TOKEN_WAIT_WITHOUT_STORE_MS, MAX_TRANSACTIONS_AT_STOP, MAX_VISITOR_FREE_TOKENS, REPEATED_LOAN_PAUSE_MS, REVIEW_INTERVAL_MS, TRANSACTION_TIMEOUT_MS
+  BALANCES_PER_TRANSACTION_AT_STOP, CLOSE_CHECK_INTERVAL_MS, CONFLICT_CHECK_INTERVAL_MS, FAILURE_PAUSE_MS, GIVE_BACK_AT_STOP_MS, GIVE_BACK_DELAY_MS, LEASE_RENEWAL_AGE_MS, LEDGER_LOG_INTERVAL_MS, LOAN_HORIZON_MS, LOAN_THRESHOLD, MAX_CONSECUTIVE_TRANSACTIONS, MAX_FAILED_LOAN_REQUESTS, MAX_LOAN_WAIT_MS, MAX_TOKEN_WAIT_MS, MAX_TOKEN_WAIT_WITHOUT_STORE_MS, MAX_TRANSACTIONS_AT_STOP, MAX_VISITOR_FREE_TOKENS, REPEATED_LOAN_PAUSE_MS, REVIEW_INTERVAL_MS, TRANSACTION_TIMEOUT_MS
 } from './tokenTiming.js'
 import { openBalanceTable } from './balanceTable.js'
 import { createLeaseManager, type RenewalResult } from './leaseManager.js'
@@ -214,6 +214,7 @@
   const timer = setInterval(() => {
     serveAllWaiting()
     reviewSteadyUse()
+    borrowAhead()
     giveBackLoans()
     logLedgers()
     if (accounts.size > 0 && isTransactionDue()) startTransactions()
@@ -247,9 +248,19 @@
     return lease.isFailing || isDrawingPaused() || options.isStoreUnreachable()
   }
 
-  /** Borrows what waiting requests lack from the account's other homes. */
+  /** Tokens that an instance with steady use borrows ahead of its requests while it can't draw: homes may take long to reply. */
+  function tokensAhead (state: AccountState): number {
+    return state.isSteadyUser && isStoreUnreachable() ? state.ledger.rate(steadyNow()) * LOAN_HORIZON_MS : 0
+  }
+
+  function borrowAhead (): void {
+    if (isClosing) return
+    for (const state of accounts.values()) if (state.ledger.usable(lease.timeSinceSeal()) < tokensAhead(state) * LOAN_THRESHOLD) borrowTokens(state)
+  }
+
+  /** Borrows what waiting requests, and those to come, lack from the account's other homes. */
   function borrowTokens (state: AccountState): void {
-    const tokens = Math.ceil(waitingTokens(state) - Math.max(0, state.ledger.usable(lease.timeSinceSeal())))
+    const tokens = Math.ceil(waitingTokens(state) + tokensAhead(state) - Math.max(0, state.ledger.usable(lease.timeSinceSeal())))
     if (state.isBorrowing || tokens <= 0) return
     state.isBorrowing = true
     const requests = new Set(state.waiting)
