Count use as steady only after one second of requests

Callers saw requests refused although their small account had tokens left: a single request counted as steady use, so that its instance drew for itself and held what the account's homes needed.

An instance draws for its own use only if its callers have used the account without a pause for one second. tokenLoans, tokenTask, refusedLoans and restoredTokens: 66 of 66 pass.

--- a/packages/gateway/src/tasks/tokenAccounts.ts
+++ b/packages/gateway/src/tasks/tokenAccounts.ts
@@ -110,6 +110,8 @@
   isSteadyUser: boolean
   /** Time of the last settlement or loan. */
   usedAt: number
+  /** Since when there was no pause between settlements. */
+  usedSince: number
   /** No tokens are drawn in advance until then. */
   prefetchPausedUntil: number
   /** Until then, requests of at least `rejectFromTokens` that the usable tokens don't cover are rejected without waiting. */
@@ -151,6 +153,7 @@
     failedLoanRequests: 0,
     isSteadyUser: false,
     usedAt: 0,
+    usedSince: 0,
     prefetchPausedUntil: 0,
     rejectUntil: 0,
     rejectFromTokens: 0,
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -131,7 +131,7 @@
   function reviewSteadyUse (): void {
     const now = steadyNow()
     for (const state of accounts.values()) {
-      const isSteady = isSteadyUse({ wasSteady: state.isSteadyUser, rate: state.ledger.rate(now), ownUse: state.knownUse.report().own, knownUse: state.knownUse.total, maxVisitorTokens: MAX_VISITOR_FREE_TOKENS })
+      const isSteady = isSteadyUse({ wasSteady: state.isSteadyUser, durationMilliseconds: isIdle(state) ? 0 : now - state.usedSince, rate: state.ledger.rate(now), ownUse: state.knownUse.report().own, knownUse: state.knownUse.total, maxVisitorTokens: MAX_VISITOR_FREE_TOKENS })
       if (isSteady === state.isSteadyUser) continue
       state.isSteadyUser = isSteady
       if (options.homeRank(state.name) === undefined) log.decision('steadyUse', { account: state.name, isSteady, rate: Math.round(state.ledger.rate(now) * 1000), ownUse: state.knownUse.report().own, knownUse: state.knownUse.total, held: state.ledger.held })
@@ -359,6 +359,7 @@
       const state = stateOf(name)
       if (state.prepaid === undefined) return
       state.ledger.settle(reserved, used, steadyNow())
+      if (steadyNow() - state.usedAt >= GIVE_BACK_DELAY_MS) state.usedSince = steadyNow()
       state.usedAt = steadyNow()
       if (state.waiting.length > 0) serveAllWaiting()
     },
