Give up readiness and let callers go where one instance is full and the others have room

Callers of one failure domain were served late: the load balancer selects an instance by a hash of the caller, so that a large client account gives one instance twenty times the requests of the others. Its link or its processor was full, packets waited, connections to sound backend servers timed out, and nearly all of its answers were late.

An instance that has at least three times the requests of the others' mean and whose link or processor is full is not ready. Once it is out of rotation, a part of its responses end their connections, so that their callers connect to instances that have room.

--- a/packages/gateway/src/__tests__/instanceReport.test.ts
+++ b/packages/gateway/src/__tests__/instanceReport.test.ts
@@ -60,7 +60,7 @@
   const link = startedLink({ callersAddress: '127.0.0.1:1', peerAddress: '127.0.0.1:2', storeAddress: '127.0.0.1:3' })
   const peerCalls = createPeerCalls()
   peerCalls.begin('/streams')('failed')
-  const report = startInstanceReport({ failureDomain: 'a', log, metrics: createMetrics(), link, peerCalls, eventLoopDelay: { milliseconds: 0 }, activeRequests: () => 0 })
+  const report = startInstanceReport({ failureDomain: 'a', log, metrics: createMetrics(), link, peerCalls, eventLoopDelay: { milliseconds: 0 }, activeRequests: () => 0, onUse: () => {} })
   stops.push(report.stop)
   return { report, lines: () => log.lines.filter(({ name }) => name === 'instanceReport').map(({ fields }) => fields) }
 }
--- a/packages/gateway/src/decisions/fleetLoads.ts
+++ b/packages/gateway/src/decisions/fleetLoads.ts
@@ -34,5 +34,11 @@
   service (name: string, now: number): ServiceLoad | undefined
 }
 
+/** Returns the requests that all instances together send in a second; undefined when that is not known of any service. */
+export function sentPerSecond (loads: FleetLoads, services: readonly { readonly name: string }[], now: number): number | undefined {
+  const known = services.flatMap(({ name }) => loads.service(name, now) ?? [])
+  return known.length === 0 ? undefined : known.reduce((sum, service) => sum + service.sentPerSecond, 0)
+}
+
 /** For instances that don't share load figures. */
 export const noFleetLoads: FleetLoads = { othersAt: () => undefined, service: () => undefined }
--- /dev/null
+++ b/packages/gateway/src/decisions/occupancy.ts
@@ -0,0 +1,66 @@
+/**
+ * Decides whether an instance has more callers than its link and its processor serve, so that new ones are better off elsewhere.
+ *
+ * Pattern: the load balancer selects an instance by a hash of the caller, so that one large client account gives a single
+ * instance twenty times the requests of the others, which have room.
+ */
+
+/** Queues of a link grow steeply beyond half of its rate, and a disturbed link has less than its rate. */
+const MAX_LINK_USE = 0.5
+const MAX_PROCESSOR_USE = 0.9
+/** With less than this many times the fleet's mean, the others have no more room, and callers would only be sent to and fro. */
+const MIN_TIMES_MEAN = 3
+/** The load balancer selects an instance until its second readiness check has failed; a caller that leaves earlier comes back. */
+const OUT_OF_ROTATION_MS = 2500
+/** Callers leave until this part of the limits is left. */
+const KEPT_LOAD = 0.85
+/** Below this part an instance has room again. Less than `KEPT_LOAD`, so that an instance out of rotation keeps the callers that it can serve. */
+const ROOM_LOAD = 0.6
+/** An instance that is back in rotation gets its callers back within seconds; shorter times bring it back and forth. */
+const MIN_ROOM_MS = 4000
+
+/** Times are those of `steadyNow`. */
+export type Occupancy =
+  | { readonly kind: 'room' }
+  | {
+    readonly kind: 'full'
+    /** The load balancer has taken the instance out of rotation by then. */
+    readonly outOfRotationAt: number
+    /** The instance has room from then on, unless its load grows before; undefined while the load is too high. */
+    readonly roomAt: number | undefined
+    /** Use in the last second, as part of the limits. */
+    readonly load: number
+  }
+
+/** What an instance used in the last second. */
+export interface InstanceUse {
+  /** Part of the link's rate, of the direction that has more. */
+  readonly link: number
+  /** Part of the processor time that the instance has. */
+  readonly processor: number
+  /** Requests compared with the mean of the fleet's instances; undefined when that is not known. */
+  readonly timesMean: number | undefined
+}
+
+/** Returns the occupancy after one more second. */
+export function nextOccupancy (before: Occupancy, { link, processor, timesMean }: InstanceUse, now: number): Occupancy {
+  const load = Math.max(link / MAX_LINK_USE, processor / MAX_PROCESSOR_USE)
+  switch (before.kind) {
+    case 'room':
+      if (load <= 1 || timesMean === undefined || timesMean < MIN_TIMES_MEAN) return before
+      return { kind: 'full', outOfRotationAt: now + OUT_OF_ROTATION_MS, roomAt: undefined, load }
+    case 'full': {
+      if (load > ROOM_LOAD) return { ...before, roomAt: undefined, load }
+      const roomAt = before.roomAt ?? now + MIN_ROOM_MS
+      return now >= roomAt ? { kind: 'room' } : { ...before, roomAt, load }
+    }
+  }
+}
+
+/** Returns the share of responses that end their connections, so that their callers connect to other instances. */
+export function shareToMove (occupancy: Occupancy, now: number): number {
+  switch (occupancy.kind) {
+    case 'room': return 0
+    case 'full': return now < occupancy.outOfRotationAt ? 0 : Math.max(0, 1 - KEPT_LOAD / occupancy.load)
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,6 +40,7 @@
 import { startLinkUsage } from './tasks/linkUsage.js'
 import { startLoadExchange } from './tasks/loadExchange.js'
 import { createLoadSource } from './tasks/loadSource.js'
+import { createOccupancyTask } from './tasks/occupancyTask.js'
 import { createOpenResponses } from './tasks/openResponses.js'
 import { createMetricsServer, createReadinessServer, type OperationsSource } from './tasks/operationsServers.js'
 import { createPeerLife } from './tasks/peerLife.js'
@@ -270,7 +271,8 @@
   const usage = startProcessUsage()
   const eventLoopDelay = startEventLoopDelay(metrics, log, usage)
   const acceptQueue = startAcceptDelay({ callersAddress: settings.callersAddress, usage, metrics, log })
-  const report = startInstanceReport({ failureDomain: settings.failureDomain, log, metrics, link: startLinkUsage(settings), peerCalls, eventLoopDelay, activeRequests: () => callers.activeRequests })
+  const occupancy = createOccupancyTask({ settings, loads: loads ?? noFleetLoads, services: () => configuration.current?.configuration.services ?? [], instances: () => loads?.reporters ?? 0, log, metrics })
+  const report = startInstanceReport({ failureDomain: settings.failureDomain, log, metrics, link: startLinkUsage(settings), peerCalls, eventLoopDelay, activeRequests: () => callers.activeRequests, onUse: (use) => occupancy.note(use) })
   const context: GatewayContext = {
     settings,
     incarnationId,
@@ -278,6 +280,7 @@
     log,
     metrics,
     report,
+    occupancy,
     eventLoopDelay,
     acceptQueue,
     intake: createRequestIntake({ now: steadyNow, processorTime }),
@@ -328,6 +331,7 @@
     if (!evacuations.hasBeenRead) return 'no list of evacuations'
     if (backends.follower.lastResponseAt === 0) return 'no list of backend servers'
     if (acceptQueue.milliseconds > MAX_ACCEPT_DELAY_MS) return `new connections wait for ${acceptQueue.milliseconds} ms`
+    if (occupancy.isFull) return 'more callers than the instance can serve'
     return ''
   }
 
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -43,6 +43,10 @@
   shareLoads: v.optional(v.boolean(), false),
   /** True when requests to a service whose backend servers reject some for lack of capacity queue for room. */
   queueForRoom: v.optional(v.boolean(), false),
+  /** Rate of the machine's network link. Without it the instance does not notice that its link is full. */
+  linkMegabitsPerSecond: v.optional(positive),
+  /** Part of one processor core that the process may use, above 1 for several. Without it the instance does not notice that its processor is full. */
+  processorShare: v.optional(positive),
   /** Minimum level of log lines. */
   logLevel: v.optional(v.picklist(['trace', 'debug', 'info', 'warn', 'error']), 'info')
 })
--- a/packages/gateway/src/tasks/errorResponses.ts
+++ b/packages/gateway/src/tasks/errorResponses.ts
@@ -37,8 +37,8 @@
   sendError(context, response, error)
 }
 
-/** The last response of a connection closes it. While the process stops, that is the newest one, so that callers connect to another instance. */
+/** The last response of a connection closes it. While the process stops or is full, that is the newest one, so that callers connect to another instance. */
 export function connectionHeaders (context: GatewayContext, response: ServerResponse): Record<string, string> {
-  const isLast = context.openResponses.isLast(response) || (context.isStopping() && context.openResponses.tryEndConnection(response))
+  const isLast = context.openResponses.isLast(response) || ((context.isStopping() || context.occupancy.shouldMoveCaller()) && context.openResponses.tryEndConnection(response))
   return isLast ? { connection: 'close' } : {}
 }
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -21,6 +21,7 @@
 import type { Evacuations } from './evacuations.js'
 import type { FleetTask } from './fleetTask.js'
 import type { InstanceReport } from './instanceReport.js'
+import type { OccupancyTask } from './occupancyTask.js'
 import type { OpenResponses } from './openResponses.js'
 import type { Destination } from './destinations.js'
 import type { PeerLife } from './peerLife.js'
@@ -40,6 +41,7 @@
   readonly log: DecisionLog
   readonly metrics: Metrics
   readonly report: InstanceReport
+  readonly occupancy: OccupancyTask
   readonly eventLoopDelay: EventLoopDelay
   readonly acceptQueue: AcceptQueue
   /** For the requests of callers, and those that other instances relay. */
--- a/packages/gateway/src/tasks/instanceReport.ts
+++ b/packages/gateway/src/tasks/instanceReport.ts
@@ -4,6 +4,7 @@
 import { steadyNow } from '../clock.js'
 import type { DecisionLog, LogFields } from './decisionLog.js'
 import type { LinkBytes, LinkUsage } from './linkUsage.js'
+import type { MeasuredUse } from './occupancyTask.js'
 import type { PeerCalls } from './peerCalls.js'
 
 const REPORT_INTERVAL_MS = 1000
@@ -30,6 +31,8 @@
   readonly peerCalls: PeerCalls
   readonly eventLoopDelay: EventLoopDelay
   readonly activeRequests: () => number
+  /** Receives what was used in the last second. */
+  readonly onUse: (use: MeasuredUse) => void
 }
 
 interface Window {
@@ -51,15 +54,20 @@
   counts.set(key, (counts.get(key) ?? 0) + 1)
 }
 
+function totalOf (usage: Readonly<Record<string, LinkBytes>>): { readonly receivedBytes: number, readonly sentBytes: number } {
+  const all = Object.values(usage)
+  return { receivedBytes: all.reduce((sum, { received }) => sum + received, 0), sentBytes: all.reduce((sum, { sent }) => sum + sent, 0) }
+}
+
 /** Starts to report. */
-export function startInstanceReport ({ failureDomain, log, metrics, link, peerCalls, eventLoopDelay, activeRequests }: InstanceReportOptions): InstanceReport {
+export function startInstanceReport ({ failureDomain, log, metrics, link, peerCalls, eventLoopDelay, activeRequests, onUse }: InstanceReportOptions): InstanceReport {
   let window = emptyWindow()
   let processorBefore = processorTime()
   let reportedAt = steadyNow()
 
-  function linkFields (): LogFields {
+  function linkFields (usage: Readonly<Record<string, LinkBytes>>): LogFields {
     const fields: Record<string, number> = {}
-    for (const [purpose, { received, sent }] of Object.entries(link.sample()) as [string, LinkBytes][]) {
+    for (const [purpose, { received, sent }] of Object.entries(usage)) {
       metrics.count('link_bytes_total', { purpose, direction: 'received' }, received)
       metrics.count('link_bytes_total', { purpose, direction: 'sent' }, sent)
       fields[`${purpose}In`] = received
@@ -81,7 +89,8 @@
 
   function report (): void {
     const now = steadyNow()
-    const [linkUse, calls, processor] = [linkFields(), peerCallFields(), processorTime()]
+    const usage = link.sample()
+    const [linkUse, calls, processor] = [linkFields(usage), peerCallFields(), processorTime()]
     const ended = window
     window = emptyWindow()
     const processorMilliseconds = Math.round(processor - processorBefore)
@@ -89,6 +98,7 @@
     processorBefore = processor
     reportedAt = now
     metrics.gauge('peer_calls_in_progress', peerCalls.inProgress)
+    onUse({ sampledMilliseconds, requests: ended.requests, processorMilliseconds, ...totalOf(usage) })
     if (ended.requests + activeRequests() === 0) return
     const [topAccount, topAccountRequests] = [...ended.accounts].sort(([, left], [, right]) => right - left)[0] ?? []
     log.decision('instanceReport', {
--- a/packages/gateway/src/tasks/loadExchange.ts
+++ b/packages/gateway/src/tasks/loadExchange.ts
@@ -36,6 +36,8 @@
 export interface LoadExchange extends FleetLoads {
   /** Handles a message of the path `/loads`. */
   receive (message: unknown): MessageResult
+  /** Instances of which the figures tell, this one included. */
+  readonly reporters: number
   /** Updates the gauges before they are read. */
   updateGauges (): void
   stop (): void
@@ -296,6 +298,7 @@
       const reply = handle(message)
       return reply === undefined || reply === 'otherIncarnation' ? reply : Promise.resolve(reply)
     },
+    get reporters () { return view.reporters },
     updateGauges: () => {
       options.gauge('load_figures_age_milliseconds', view.asOf === undefined ? -1 : Math.round(steadyNow() - view.asOf))
       options.gauge('load_reporting_instances', view.reporters)
