--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -45,8 +45,9 @@
   queueForRoom: v.optional(v.boolean(), false),
   /** Rate of the machine's network link. Without it the instance does not notice that its link is full. */
   linkMegabitsPerSecond: v.optional(positive),
-  /** Part of one processor core that the process may use, above 1 for several. Without it the instance does not notice that its processor is full. */
+  /** Part of each processor core that the process may use. Without it the instance does not notice that its processor is full. */
   processorShare: v.optional(positive),
+  processorCores: v.optional(positive, 1),
   /** Minimum level of log lines. */
   logLevel: v.optional(v.picklist(['trace', 'debug', 'info', 'warn', 'error']), 'info')
 })
--- a/packages/gateway/src/tasks/occupancyTask.ts
+++ b/packages/gateway/src/tasks/occupancyTask.ts
@@ -31,7 +31,7 @@
 
 /** Dependencies of the task. */
 export interface OccupancyTaskOptions {
-  readonly settings: Pick<GatewaySettings, 'linkMegabitsPerSecond' | 'processorShare'>
+  readonly settings: Pick<GatewaySettings, 'linkMegabitsPerSecond' | 'processorShare' | 'processorCores'>
   readonly loads: FleetLoads
   readonly services: () => readonly { readonly name: string }[]
   /** Instances of which `loads` tells, this one included: during a partition those on this side. */
@@ -53,12 +53,12 @@
   return {
     note: ({ sampledMilliseconds, requests, receivedBytes, sentBytes, processorMilliseconds }) => {
       const seconds = sampledMilliseconds / 1000
-      const { linkMegabitsPerSecond, processorShare } = settings
+      const { linkMegabitsPerSecond, processorShare, processorCores } = settings
       rates = [requests / seconds, ...rates].slice(0, COMPARED_SAMPLES)
       const fleetRate = sentPerSecond(loads, services(), steadyNow())
       const use = {
         link: part(Math.max(receivedBytes, sentBytes) / seconds / BYTES_PER_MEGABIT, linkMegabitsPerSecond),
-        processor: part(processorMilliseconds / sampledMilliseconds, processorShare),
+        processor: part(processorMilliseconds / sampledMilliseconds / processorCores, processorShare),
         timesMean: fleetRate === undefined || fleetRate === 0 ? undefined : Math.min(...rates) * instances() / fleetRate
       }
       const before = occupancy
