Decline relayed requests at an instance that has more callers than it can serve

The requests of instances that are cut off from their backend servers came on top of a full link or processor, where they were late like those of its own callers.

The other instance asks the next peer.

--- a/packages/gateway/src/tasks/relayReception.ts
+++ b/packages/gateway/src/tasks/relayReception.ts
@@ -20,6 +20,7 @@
   const version = context.configuration()?.configuration.version
   if (version === undefined || version < envelope.configurationVersion) return { kind: 'declined', reason: 'older configuration' }
   if (context.eventLoopDelay.milliseconds > MAX_EVENT_LOOP_DELAY_MS) return { kind: 'declined', reason: 'the instance is behind with its work' }
+  if (context.occupancy.isFull) return { kind: 'declined', reason: 'the instance has more callers than it can serve' }
   return { kind: 'taken', envelope }
 }
 
