Send callers away only where their failure domain has three other instances or more

In a small failure domain the one or two other instances are filled by the callers of a full one.

The new test fails without the check.

--- a/packages/gateway/src/__tests__/occupancy.test.ts
+++ b/packages/gateway/src/__tests__/occupancy.test.ts
@@ -3,8 +3,8 @@
 import { nextOccupancy, shareToMove, type InstanceUse, type Occupancy } from '../decisions/occupancy.js'
 
 const SECOND = 1000
-const BUSY: InstanceUse = { link: 0.8, processor: 0.2, timesMean: 12 }
-const QUIET: InstanceUse = { link: 0.1, processor: 0.1, timesMean: 1 }
+const BUSY: InstanceUse = { link: 0.8, processor: 0.2, timesMean: 12, othersInDomain: 3 }
+const QUIET: InstanceUse = { ...BUSY, link: 0.1, processor: 0.1, timesMean: 1 }
 
 /** Occupancy after each of the given seconds. */
 function occupanciesOf (uses: readonly InstanceUse[]): readonly Occupancy[] {
@@ -22,12 +22,17 @@
 describe('occupancy of an instance', () => {
   // Issue 57: one instance with a full link stayed in rotation, and nearly all that it served was late.
   it('is full while it has far more requests than the others and its link or its processor is full', () => {
-    for (const use of [BUSY, { link: 0.1, processor: 1, timesMean: 12 }]) expect(occupanciesOf([use])[0]?.kind).toBe('full')
+    for (const use of [BUSY, { ...BUSY, link: 0.1, processor: 1 }]) expect(occupanciesOf([use])[0]?.kind).toBe('full')
   })
 
   // Guards against a fleet whose instances all give up readiness under a load that is the same everywhere, or is not known.
   it('is never full with about the requests of the others, or when these are not known', () => {
-    for (const timesMean of [undefined, 0, 1, 2.9]) expect(occupanciesOf(repeated({ link: 2, processor: 2, timesMean }, 20)).every(({ kind }) => kind === 'room')).toBe(true)
+    for (const timesMean of [undefined, 0, 1, 2.9]) expect(occupanciesOf(repeated({ ...BUSY, link: 2, processor: 2, timesMean }, 20)).every(({ kind }) => kind === 'room')).toBe(true)
+  })
+
+  // Guards against callers that are sent to the one or two other instances of a failure domain, which they fill as well.
+  it('is never full in a failure domain with fewer than three others', () => {
+    expect(occupanciesOf(repeated({ ...BUSY, othersInDomain: 2 }, 20)).every(({ kind }) => kind === 'room')).toBe(true)
   })
 
   // Guards against callers that leave while the load balancer still selects the same instance for them.
@@ -39,7 +44,7 @@
 
   // Guards against an instance that sends all callers away, has room at once and gets them all back.
   it('keeps the callers that it can serve, and gets new ones only after seconds with room', () => {
-    const keeping = occupanciesOf([BUSY, ...repeated({ link: 0.4, processor: 0.2, timesMean: 6 }, 20)]).at(-1) ?? { kind: 'room' }
+    const keeping = occupanciesOf([BUSY, ...repeated({ ...BUSY, link: 0.4, timesMean: 6 }, 20)]).at(-1) ?? { kind: 'room' }
     expect(keeping.kind).toBe('full')
     expect(shareToMove(keeping, 21 * SECOND)).toBe(0)
     expect(occupanciesOf([BUSY, ...repeated(QUIET, 8)]).map(({ kind }) => kind)).toEqual([...Array.from({ length: 5 }, () => 'full'), ...Array.from({ length: 4 }, () => 'room')])
@@ -47,7 +52,7 @@
 
   // Guards against an instance that is in rotation for a second only, in which it takes callers that it must send away.
   it('changes at most once in four seconds when it becomes free', () => {
-    const use = fc.record({ link: fc.double({ min: 0, max: 2, noNaN: true }), processor: fc.double({ min: 0, max: 2, noNaN: true }), timesMean: fc.option(fc.double({ min: 0, max: 20, noNaN: true }), { nil: undefined }) })
+    const use = fc.record({ link: fc.double({ min: 0, max: 2, noNaN: true }), processor: fc.double({ min: 0, max: 2, noNaN: true }), timesMean: fc.option(fc.double({ min: 0, max: 20, noNaN: true }), { nil: undefined }), othersInDomain: fc.nat(20) })
     fc.assert(fc.property(fc.array(use, { maxLength: 40 }), (uses) => {
       const kinds = occupanciesOf(uses).map(({ kind }) => kind)
       for (const [second, kind] of kinds.entries()) {
--- a/packages/gateway/src/decisions/occupancy.ts
+++ b/packages/gateway/src/decisions/occupancy.ts
@@ -10,6 +10,8 @@
 const MAX_PROCESSOR_USE = 0.9
 /** With less than this many times the fleet's mean, the others have no more room, and callers would only be sent to and fro. */
 const MIN_TIMES_MEAN = 3
+/** The load balancer sends the callers to instances of the same failure domain; the requests of a full one would fill one or two others. */
+const MIN_OTHERS_IN_DOMAIN = 3
 /** The load balancer selects an instance until its second readiness check has failed; a caller that leaves earlier comes back. */
 const OUT_OF_ROTATION_MS = 2500
 /** Callers leave until this part of the limits is left. */
@@ -40,14 +42,16 @@
   readonly processor: number
   /** Requests compared with the mean of the fleet's instances; undefined when that is not known. */
   readonly timesMean: number | undefined
+  /** Other instances of the same failure domain. */
+  readonly othersInDomain: number
 }
 
 /** Returns the occupancy after one more second. */
-export function nextOccupancy (before: Occupancy, { link, processor, timesMean }: InstanceUse, now: number): Occupancy {
+export function nextOccupancy (before: Occupancy, { link, processor, timesMean, othersInDomain }: InstanceUse, now: number): Occupancy {
   const load = Math.max(link / MAX_LINK_USE, processor / MAX_PROCESSOR_USE)
   switch (before.kind) {
     case 'room':
-      if (load <= 1 || timesMean === undefined || timesMean < MIN_TIMES_MEAN) return before
+      if (load <= 1 || othersInDomain < MIN_OTHERS_IN_DOMAIN || timesMean === undefined || timesMean < MIN_TIMES_MEAN) return before
       return { kind: 'full', outOfRotationAt: now + OUT_OF_ROTATION_MS, roomAt: undefined, load }
     case 'full': {
       if (load > ROOM_LOAD) return { ...before, roomAt: undefined, load }
--- a/packages/gateway/src/tasks/occupancyTask.ts
+++ b/packages/gateway/src/tasks/occupancyTask.ts
@@ -4,6 +4,7 @@
 import { nextOccupancy, shareToMove, type Occupancy } from '../decisions/occupancy.js'
 import type { GatewaySettings } from '../settings.js'
 import type { DecisionLog } from './decisionLog.js'
+import type { Peer } from './fleetTask.js'
 
 const BYTES_PER_MEGABIT = 125_000
 /** What others send is known up to two seconds later; compared with the newest own figure, a burst that all instances have looks like one of this instance. */
@@ -31,17 +32,19 @@
 
 /** Dependencies of the task. */
 export interface OccupancyTaskOptions {
-  readonly settings: Pick<GatewaySettings, 'linkMegabitsPerSecond' | 'processorShare' | 'processorCores'>
+  readonly settings: Pick<GatewaySettings, 'failureDomain' | 'linkMegabitsPerSecond' | 'processorShare' | 'processorCores'>
   readonly loads: FleetLoads
   readonly services: () => readonly { readonly name: string }[]
   /** Instances of which `loads` tells, this one included: during a partition those on this side. */
   readonly instances: () => number
+  /** The other instances. */
+  readonly peers: () => readonly Peer[]
   readonly log: DecisionLog
   readonly metrics: Metrics
 }
 
 /** Starts with room. Without the capacities among the settings the instance is never full. */
-export function createOccupancyTask ({ settings, loads, services, instances, log, metrics }: OccupancyTaskOptions): OccupancyTask {
+export function createOccupancyTask ({ settings, loads, services, instances, peers, log, metrics }: OccupancyTaskOptions): OccupancyTask {
   let occupancy: Occupancy = { kind: 'room' }
   /** Requests per second in the last seconds. */
   let rates: readonly number[] = []
@@ -59,7 +62,8 @@
       const use = {
         link: part(Math.max(receivedBytes, sentBytes) / seconds / BYTES_PER_MEGABIT, linkMegabitsPerSecond),
         processor: part(processorMilliseconds / sampledMilliseconds / processorCores, processorShare),
-        timesMean: fleetRate === undefined || fleetRate === 0 ? undefined : Math.min(...rates) * instances() / fleetRate
+        timesMean: fleetRate === undefined || fleetRate === 0 ? undefined : Math.min(...rates) * instances() / fleetRate,
+        othersInDomain: peers().filter(({ failureDomain }) => failureDomain === settings.failureDomain).length
       }
       const before = occupancy
       occupancy = nextOccupancy(before, use, steadyNow())
