Take an instance for full after one second, and withdraw it when all have the same load

Callers of a newly full instance were served late for two seconds more: its load was compared with figures of the others over three seconds, so that a burst of all instances is not taken for one of its own.

The newest figure counts again. Before the load balancer has taken the instance out of rotation, it has room again once the others turn out to have as much.

--- a/packages/gateway/src/decisions/occupancy.ts
+++ b/packages/gateway/src/decisions/occupancy.ts
@@ -54,6 +54,8 @@
       if (load <= 1 || othersInDomain < MIN_OTHERS_IN_DOMAIN || timesMean === undefined || timesMean < MIN_TIMES_MEAN) return before
       return { kind: 'full', outOfRotationAt: now + OUT_OF_ROTATION_MS, roomAt: undefined, load }
     case 'full': {
+      // What the others send is known up to two seconds later, so that a burst that all instances have first looks like one of this instance.
+      if (now < before.outOfRotationAt && (timesMean ?? 0) < MIN_TIMES_MEAN) return { kind: 'room' }
       if (load > ROOM_LOAD) return { ...before, roomAt: undefined, load }
       const roomAt = before.roomAt ?? now + MIN_ROOM_MS
       return now >= roomAt ? { kind: 'room' } : { ...before, roomAt, load }
--- a/packages/gateway/src/tasks/occupancyTask.ts
+++ b/packages/gateway/src/tasks/occupancyTask.ts
@@ -7,8 +7,6 @@
 import type { Peer } from './fleetTask.js'
 
 const BYTES_PER_MEGABIT = 125_000
-/** What others send is known up to two seconds later; compared with the newest own figure, a burst that all instances have looks like one of this instance. */
-const COMPARED_SAMPLES = 3
 
 /** What the instance used in a time. */
 export interface MeasuredUse {
@@ -46,8 +44,6 @@
 /** Starts with room. Without the capacities among the settings the instance is never full. */
 export function createOccupancyTask ({ settings, loads, services, instances, peers, log, metrics }: OccupancyTaskOptions): OccupancyTask {
   let occupancy: Occupancy = { kind: 'room' }
-  /** Requests per second in the last seconds. */
-  let rates: readonly number[] = []
 
   function part (used: number, available: number | undefined): number {
     return available === undefined ? 0 : used / available
@@ -57,12 +53,11 @@
     note: ({ sampledMilliseconds, requests, receivedBytes, sentBytes, processorMilliseconds }) => {
       const seconds = sampledMilliseconds / 1000
       const { linkMegabitsPerSecond, processorShare, processorCores } = settings
-      rates = [requests / seconds, ...rates].slice(0, COMPARED_SAMPLES)
       const fleetRate = sentPerSecond(loads, services(), steadyNow())
       const use = {
         link: part(Math.max(receivedBytes, sentBytes) / seconds / BYTES_PER_MEGABIT, linkMegabitsPerSecond),
         processor: part(processorMilliseconds / sampledMilliseconds / processorCores, processorShare),
-        timesMean: fleetRate === undefined || fleetRate === 0 ? undefined : Math.min(...rates) * instances() / fleetRate,
+        timesMean: fleetRate === undefined || fleetRate === 0 ? undefined : requests / seconds * instances() / fleetRate,
         othersInDomain: peers().filter(({ failureDomain }) => failureDomain === settings.failureDomain).length
       }
       const before = occupancy
