--- a/packages/gateway/src/__tests__/instanceReport.test.ts
+++ b/packages/gateway/src/__tests__/instanceReport.test.ts
@@ -55,14 +55,15 @@
   })
 })
 
-function startedReport (): { readonly report: InstanceReport, readonly lines: () => readonly object[] } {
+function startedReport (): { readonly report: InstanceReport, readonly callers: { acceptedConnections: number }, readonly lines: () => readonly object[] } {
   const log = createRecordingLog()
   const link = startedLink({ callersAddress: '127.0.0.1:1', peerAddress: '127.0.0.1:2', storeAddress: '127.0.0.1:3' })
+  const callers = { activeRequests: 0, openConnections: 0, acceptedConnections: 0 }
   const peerCalls = createPeerCalls()
   peerCalls.begin('/streams')('failed')
-  const report = startInstanceReport({ failureDomain: 'a', log, metrics: createMetrics(), link, peerCalls, eventLoopDelay: { milliseconds: 0 }, activeRequests: () => 0, onUse: () => {} })
+  const report = startInstanceReport({ failureDomain: 'a', log, metrics: createMetrics(), link, peerCalls, eventLoopDelay: { milliseconds: 0 }, callers: () => callers, onUse: () => {} })
   stops.push(report.stop)
-  return { report, lines: () => log.lines.filter(({ name }) => name === 'instanceReport').map(({ fields }) => fields) }
+  return { report, callers, lines: () => log.lines.filter(({ name }) => name === 'instanceReport').map(({ fields }) => fields) }
 }
 
 describe('report of an instance', () => {
@@ -79,6 +80,18 @@
     expect(lines()[0]).toMatchObject({ failureDomain: 'a', requests: 3, served: 1, late: 1, refused: 1, meanMilliseconds: 400, topAccount: 'busy', topAccountRequests: 2, tokenWaits: 1, tokenRefusals: 1, peerCalls: '/streams:1/1' })
   })
 
+  // Issue 57: no line told whether callers keep their connections at a full instance, or open new ones.
+  it('tells how many connections callers have opened since the last line', () => {
+    jest.useFakeTimers()
+    const { report, callers, lines } = startedReport()
+    for (const acceptedConnections of [5, 7]) {
+      callers.acceptedConnections = acceptedConnections
+      report.noteRequest({ account: 'busy', outcome: 'served', milliseconds: 100 })
+      jest.advanceTimersByTime(1000)
+    }
+    expect(lines()).toMatchObject([{ newConnections: 5 }, { newConnections: 2 }])
+  })
+
   it('is silent without callers', () => {
     jest.useFakeTimers()
     const { lines } = startedReport()
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -272,7 +272,7 @@
   const eventLoopDelay = startEventLoopDelay(metrics, log, usage)
   const acceptQueue = startAcceptDelay({ callersAddress: settings.callersAddress, usage, metrics, log })
   const occupancy = createOccupancyTask({ settings, loads: loads ?? noFleetLoads, services: () => configuration.current?.configuration.services ?? [], instances: () => loads?.reporters ?? 0, peers: () => fleet.peers, log, metrics })
-  const report = startInstanceReport({ failureDomain: settings.failureDomain, log, metrics, link: startLinkUsage(settings), peerCalls, eventLoopDelay, activeRequests: () => callers.activeRequests, onUse: (use) => occupancy.note(use) })
+  const report = startInstanceReport({ failureDomain: settings.failureDomain, log, metrics, link: startLinkUsage(settings), peerCalls, eventLoopDelay, callers: () => callers, onUse: (use) => occupancy.note(use) })
   const context: GatewayContext = {
     settings,
     incarnationId,
--- a/packages/gateway/src/tasks/instanceReport.ts
+++ b/packages/gateway/src/tasks/instanceReport.ts
@@ -22,6 +22,14 @@
   stop (): void
 }
 
+/** What the listener for callers counts. */
+export interface CallerCounts {
+  readonly activeRequests: number
+  readonly openConnections: number
+  /** Since the process started. */
+  readonly acceptedConnections: number
+}
+
 /** Dependencies of the report. */
 export interface InstanceReportOptions {
   readonly failureDomain: string
@@ -30,7 +38,7 @@
   readonly link: LinkUsage
   readonly peerCalls: PeerCalls
   readonly eventLoopDelay: EventLoopDelay
-  readonly activeRequests: () => number
+  readonly callers: () => CallerCounts
   /** Receives what was used in the last second. */
   readonly onUse: (use: MeasuredUse) => void
 }
@@ -60,10 +68,11 @@
 }
 
 /** Starts to report. */
-export function startInstanceReport ({ failureDomain, log, metrics, link, peerCalls, eventLoopDelay, activeRequests, onUse }: InstanceReportOptions): InstanceReport {
+export function startInstanceReport ({ failureDomain, log, metrics, link, peerCalls, eventLoopDelay, callers, onUse }: InstanceReportOptions): InstanceReport {
   let window = emptyWindow()
   let processorBefore = processorTime()
   let reportedAt = steadyNow()
+  let acceptedBefore = 0
 
   function linkFields (usage: Readonly<Record<string, LinkBytes>>): LogFields {
     const fields: Record<string, number> = {}
@@ -97,16 +106,21 @@
     const sampledMilliseconds = Math.round(now - reportedAt)
     processorBefore = processor
     reportedAt = now
+    const { activeRequests, openConnections, acceptedConnections } = callers()
+    const newConnections = acceptedConnections - acceptedBefore
+    acceptedBefore = acceptedConnections
     metrics.gauge('peer_calls_in_progress', peerCalls.inProgress)
     onUse({ sampledMilliseconds, requests: ended.requests, processorMilliseconds, ...totalOf(usage) })
-    if (ended.requests + activeRequests() === 0) return
+    if (ended.requests + activeRequests === 0) return
     const [topAccount, topAccountRequests] = [...ended.accounts].sort(([, left], [, right]) => right - left)[0] ?? []
     log.decision('instanceReport', {
       failureDomain,
       sampledMilliseconds,
       requests: ended.requests,
       ...Object.fromEntries(ended.outcomes),
-      active: activeRequests(),
+      active: activeRequests,
+      openConnections,
+      newConnections,
       meanMilliseconds: ended.requests === 0 ? undefined : Math.round(ended.milliseconds / ended.requests),
       topAccount,
       topAccountRequests,
