--- a/packages/gateway/src/tasks/tokenAccounts.ts
+++ b/packages/gateway/src/tasks/tokenAccounts.ts
@@ -1,3 +1,4 @@
+import { createRecentDemand, type RecentDemand } from '../decisions/recentDemand.js'
 import type { ReservationOutcome } from '../decisions/requestPlan.js'
 import type { DrawCeilings } from '../decisions/drawCeilings.js'
 import { createKnownUse, type KnownUse, type ReportedUse } from '../decisions/knownUse.js'
@@ -104,6 +105,10 @@
   ceilingsVersion: number
   isReturnRequested: boolean
   isBorrowing: boolean
+  /** True while a loan ahead of requests is asked for, and for a pause after one that yielded nothing. */
+  isBorrowingAhead: boolean
+  /** What callers of this instance have asked for. */
+  readonly demand: RecentDemand
   /** Consecutive loan requests that yielded no tokens although no home knew the account to be short. */
   failedLoanRequests: number
   /** Time of the last settlement or loan. */
@@ -146,6 +151,8 @@
     ceilingsVersion: 0,
     isReturnRequested: false,
     isBorrowing: false,
+    isBorrowingAhead: false,
+    demand: createRecentDemand(),
     failedLoanRequests: 0,
     usedAt: 0,
     prefetchPausedUntil: 0,
--- a/packages/gateway/src/tasks/tokenTask.ts
+++ b/packages/gateway/src/tasks/tokenTask.ts
@@ -1,5 +1,6 @@
 import { steadyNow } from '../clock.js'
 import { prioritizeChanges, type BalanceChange } from '../decisions/balanceChanges.js'
+import { loanAhead } from '../decisions/loanAhead.js'
 import { grantChange, targetFreeTokens, usageAllowance, type GrantInput } from '../decisions/grantSizing.js'
 import type { ReservationOutcome } from '../decisions/requestPlan.js'
 import {
@@ -256,6 +257,23 @@
     })
   }
 
+  /** Borrows what the next requests will need, where the account has steady use and no grant. */
+  function borrowAhead (state: AccountState): void {
+    if (isClosing || state.isBorrowingAhead || options.homeRank(state.name) !== undefined) return
+    const { tokens: neededTokens, requests: neededRequests } = state.demand.sum(steadyNow())
+    const tokens = loanAhead({ neededTokens, neededRequests, usableTokens: state.ledger.usable(lease.timeSinceSeal()), unusedTokens: unusedTokensAtMost(state) })
+    if (tokens === 0) return
+    state.isBorrowingAhead = true
+    options.borrow(state.name, tokens, 'partial', state.knownUse.report()).then((loan) => {
+      log.decision('tokensBorrowedAhead', { account: state.name, asked: tokens, tokens: loan.tokens, neededRequests })
+      if (loan.tokens > 0) takeBack(state.name, loan.tokens)
+      return loan.tokens > 0 ? 0 : REPEATED_LOAN_PAUSE_MS
+    }).catch((error: unknown) => {
+      log.warning('loanFailed', { account: state.name, reason: String(error) })
+      return REPEATED_LOAN_PAUSE_MS
+    }).then(pause).finally(() => { state.isBorrowingAhead = false })
+  }
+
   /** Obtains tokens for waiting requests, from the store or from other homes. */
   function obtainTokens (state: AccountState): void {
     if (drawsDirectly(state) && !isStoreUnreachable()) startTransactions()
@@ -309,7 +327,10 @@
     const state = stateOf(name)
     trafficSince ??= steadyNow()
     if (state.prepaid === undefined) return Promise.resolve({ kind: 'reserved' })
-    return reserveLimited(state, tokens, deadline)
+    state.demand.add(tokens, steadyNow())
+    const outcome = reserveLimited(state, tokens, deadline)
+    borrowAhead(state)
+    return outcome
   }
 
   function reserveLimited (state: AccountState, tokens: number, deadline: number): Promise<ReservationOutcome> {
