Answer reads of cache events in the fixture of plain services

Cause: the fixture, not the router. Its service takes every path but its load report for a call, and writes half a response to it. The router's read of cache events, which comes at any time, counted as one of the eight calls, so that the test told the service to finish before the last call had come; that one was never finished, and failed at its deadline of 5 s.

--- a/packages/router/src/__fixtures__/serviceProcess.ts
+++ b/packages/router/src/__fixtures__/serviceProcess.ts
@@ -23,14 +23,19 @@
     const requestId = /x-request-id: (\S+)/i.exec(text)?.[1] ?? ''
     text = ''
     if (path === '/load') reportLoad(socket)
+    else if (path.startsWith('/cache-events')) writeReport(socket, { events: [], next: 0 })
     else if (path === WHOLE_PATH) writeWhole(socket, requestId)
     else writeHalf(socket, requestId)
   })
 })
 
 function reportLoad (socket: Socket): void {
-  const report = JSON.stringify({ id: 'service', incarnation: `service-${process.pid}`, state: 'live', asOf: Date.now(), running: 0, queued: 0, slots: 64 })
-  socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${report.length}\r\n\r\n${report}`)
+  writeReport(socket, { id: 'service', incarnation: `service-${process.pid}`, state: 'live', asOf: Date.now(), running: 0, queued: 0, slots: 64 })
+}
+
+function writeReport (socket: Socket, report: object): void {
+  const text = JSON.stringify(report)
+  socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${text.length}\r\n\r\n${text}`)
 }
 
 function writeWhole (socket: Socket, requestId: string): void {
