Keep a full instance out of rotation for longer where more others can take its callers

Cause: instanceReport now shows that these callers open a connection for each request (80 to 100 a second; 350 kept ones stay idle). So only readiness leads them, all at once, and an instance that is back in rotation has them all again. A full instance now waits for a second for each other one of its failure domain, four at least and 30 at most, so that about a third of ten or more are out.

The test failed before: ready after 7 s where 17 are wanted with 14 others.

--- a/packages/gateway/src/__tests__/occupancy.test.ts
+++ b/packages/gateway/src/__tests__/occupancy.test.ts
@@ -56,6 +56,31 @@
     expect(occupanciesOf([...leaving, ...repeated(QUIET, 6)]).map(({ kind }) => kind)).toEqual([...Array.from({ length: 7 }, () => 'full'), 'room', 'room'])
   })
 
+  // Issue 57: callers that open a connection for each request came back to the first full instance after four seconds, each time before
+  // they had reached one of more capacity.
+  it('stays out of rotation for longer where more others can take its callers', () => {
+    for (const [othersInDomain, seconds] of [[3, 4], [14, 14], [17, 17], [100, 30]] as const) {
+      const occupancies = occupanciesOf([...repeated({ ...BUSY, othersInDomain }, 3), ...repeated({ ...QUIET, othersInDomain }, 40)])
+      expect(occupancies.findIndex(({ kind }) => kind === 'room')).toBe(3 + seconds)
+    }
+  })
+
+  // Guards against a load balancer that selects all instances again, as most of a failure domain is out of rotation.
+  it('leaves more than half of a failure domain in rotation while callers fill one instance after the other', () => {
+    fc.assert(fc.property(fc.integer({ min: 10, max: 60 }), fc.integer({ min: 3, max: 6 }), (instances, secondsToFill) => {
+      const othersInDomain = instances - 1
+      const occupancies: Occupancy[] = Array.from({ length: instances }, () => ({ kind: 'room' }))
+      let current = 0
+      for (let second = 0; second < 120; second++) {
+        if (second % secondsToFill === 0) current = occupancies.findIndex(({ kind }) => kind === 'room')
+        for (const [index, occupancy] of occupancies.entries()) {
+          occupancies[index] = nextOccupancy(occupancy, { ...(index === current ? BUSY : QUIET), othersInDomain }, second * SECOND)
+        }
+        expect(occupancies.filter(({ kind }) => kind === 'room').length).toBeGreaterThan(instances / 2)
+      }
+    }))
+  })
+
   // Guards against an instance that is in rotation for a second only, in which it takes callers that it must send away.
   it('is full for four seconds at least once it is out of rotation', () => {
     const use = fc.record({ link: fc.double({ min: 0, max: 2, noNaN: true }), processor: fc.double({ min: 0, max: 2, noNaN: true }), timesMean: fc.option(fc.double({ min: 0, max: 20, noNaN: true }), { nil: undefined }), othersInDomain: fc.nat(20) })
--- a/packages/gateway/src/decisions/occupancy.ts
+++ b/packages/gateway/src/decisions/occupancy.ts
@@ -20,6 +20,13 @@
 const ROOM_LOAD = 0.6
 /** An instance that is back in rotation gets its callers back within seconds; shorter times bring it back and forth. */
 const MIN_ROOM_MS = 4000
+/**
+ * Time out of rotation for each other instance of the failure domain. Callers that open a connection for each request move on together,
+ * and fill another instance in about three seconds, until one of more capacity takes them. About a third of ten or more instances
+ * are out then. With fewer than half in rotation the load balancer would use all.
+ */
+const ROOM_MS_PER_OTHER = 1000
+const MAX_ROOM_MS = 30_000
 
 /** Times are those of `steadyNow`. */
 export type Occupancy =
@@ -57,7 +64,7 @@
       // What the others send is known up to two seconds later, so that a burst that all instances have first looks like one of this instance.
       if (now < before.outOfRotationAt && (timesMean ?? 0) < MIN_TIMES_MEAN) return { kind: 'room' }
       if (load > ROOM_LOAD) return { ...before, roomAt: undefined, load }
-      const roomAt = before.roomAt ?? now + MIN_ROOM_MS
+      const roomAt = before.roomAt ?? now + Math.min(MAX_ROOM_MS, Math.max(MIN_ROOM_MS, othersInDomain * ROOM_MS_PER_OTHER))
       return now >= roomAt ? { kind: 'room' } : { ...before, roomAt, load }
     }
   }
