Test loans ahead of requests under kills, faults and outages of the store

The property "an account is never overspent, nor reported as used up too early" had single requests only, which borrow nothing ahead.

--- a/packages/gateway/src/__tests__/tokenLoans.test.ts
+++ b/packages/gateway/src/__tests__/tokenLoans.test.ts
@@ -311,7 +311,7 @@
   test('an account is never overspent, nor reported as used up too early, also when processes are killed', async () => {
     const step = fastCheck.record({
       instance: fastCheck.nat({ max: 4 }),
-      action: fastCheck.constantFrom('use', 'use', 'use', 'use', 'kill', 'wait', 'storeDown', 'storeUp'),
+      action: fastCheck.constantFrom('use', 'use', 'use', 'use', 'burst', 'burst', 'kill', 'wait', 'storeDown', 'storeUp'),
       tokens: fastCheck.integer({ min: 100, max: 20_000 })
     })
     await fastCheck.assert(fastCheck.asyncProperty(fastCheck.array(fault, { minLength: 20, maxLength: 80 }), fastCheck.array(step, { minLength: 20, maxLength: 60 }), async (faults, steps) => {
@@ -328,6 +328,16 @@
             if (kind === 'exhausted') expect(used + tokens).toBeGreaterThan(PREPAID)
             break
           }
+          case 'burst': {
+            // Enough in a second for loans ahead of requests.
+            const size = Math.ceil(tokens / 4)
+            const outcomes = Array.from({ length: 8 }, () => tryToServe(fleet.instances[instance], size, Math.ceil(size * 0.8)))
+            await jest.advanceTimersByTimeAsync(1200)
+            const kinds = (await Promise.all(outcomes)).map((outcome) => outcome?.kind)
+            used += kinds.filter((kind) => kind === 'reserved').length * Math.ceil(size * 0.8)
+            if (kinds.includes('exhausted')) expect(used + size).toBeGreaterThan(PREPAID)
+            break
+          }
           case 'kill': fleet.restart(instance); break
           case 'wait': await jest.advanceTimersByTimeAsync(tokens / 4); break
           case 'storeDown': fleet.isStoreDown = true; break
