--- a/packages/gateway/src/__tests__/tokenLoans.test.ts
+++ b/packages/gateway/src/__tests__/tokenLoans.test.ts
@@ -347,7 +347,7 @@
       }
       for (const instance of fleet.instances) instance.abandon()
       await jest.advanceTimersByTimeAsync(5000)
-    }), { numRuns: 40 })
+    }), { numRuns: 50 })
   }, 120_000)
 
   // Guards against tokens that are given back to a process which is about to exit.
