Forward new connections of a full instance to peers that have room

Callers of one large client account share a hash, so that the load balancer gives all of their connections to one instance of their failure domain. It was full within a second, its answers were late, and it had one means: to leave the rotation.

Cause: relief that moves a load whole to a place chosen by a hash, instead of spreading it by capacity and load. Now an instance that uses three quarters of its processor time, or is behind with its events, asks the peers of its failure domain each second how many connections they take, and forwards new connections in proportion to their room, as bytes, without reading requests. A peer that declines or does not answer within 150 ms has got nothing, and the connection stays. A peer fills up to 0.6 of its processor time and 0.3 of its link's rate. A forwarded connection carries one request, so that stops of both instances end it like their own; resets are passed on as resets; a caller whose peer is lost before it answered gets 502 or 504 with run "unknown".

`instanceReport` tells the forwarded and received connections of each second.

--- a/packages/gateway/src/__tests__/instanceReport.test.ts
+++ b/packages/gateway/src/__tests__/instanceReport.test.ts
@@ -55,10 +55,10 @@
   })
 })
 
-function startedReport (): { readonly report: InstanceReport, readonly callers: { acceptedConnections: number }, readonly lines: () => readonly object[] } {
+function startedReport (): { readonly report: InstanceReport, readonly callers: { acceptedConnections: number, forwardedConnections: number }, readonly lines: () => readonly object[] } {
   const log = createRecordingLog()
   const link = startedLink({ callersAddress: '127.0.0.1:1', peerAddress: '127.0.0.1:2', storeAddress: '127.0.0.1:3' })
-  const callers = { activeRequests: 0, openConnections: 0, acceptedConnections: 0 }
+  const callers = { activeRequests: 0, openConnections: 0, acceptedConnections: 0, forwardedConnections: 0, receivedConnections: 0 }
   const peerCalls = createPeerCalls()
   peerCalls.begin('/streams')('failed')
   const report = startInstanceReport({ failureDomain: 'a', log, metrics: createMetrics(), link, peerCalls, eventLoopDelay: { milliseconds: 0 }, callers: () => callers, onUse: () => {} })
--- a/packages/gateway/src/decisions/configurationIndex.ts
+++ b/packages/gateway/src/decisions/configurationIndex.ts
@@ -11,6 +11,8 @@
   readonly configuration: FleetConfiguration
   /** `host` is the value of the Host header; `path` may include the query. */
   admit (host: string, path: string, key: string): Admission
+  /** Of all routes; 0 without routes. */
+  readonly longestTimeoutMilliseconds: number
   service (name: string): Service | undefined
   account (name: string): ClientAccount | undefined
 }
@@ -41,6 +43,7 @@
   return {
     configuration,
     admit,
+    longestTimeoutMilliseconds: configuration.routes.reduce((longest, { timeoutMilliseconds }) => Math.max(longest, timeoutMilliseconds), 0),
     service: (name) => services.get(name),
     account: (name) => accounts.get(name)
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
 import { steadyNow } from './clock.js'
 import { createMetrics } from '@quinceshunt/telemetry'
 import { randomUUID } from 'node:crypto'
-import { readFileSync, watchFile } from 'node:fs'
+import { watchFile } from 'node:fs'
 import type { Server } from 'node:http'
 import { createBackendAcceptance } from './decisions/backendAcceptance.js'
 import { backendProcessOf } from './decisions/backendState.js'
@@ -16,7 +16,7 @@
 import { mayTake, planStop, type StopPlan } from './decisions/stopPlan.js'
 import type { FleetConfiguration } from './fleetConfiguration.js'
 import type { GatewayPlatform } from './ports.js'
-import { parseGatewaySettings, SETTINGS_EXIT_CODE, type GatewaySettings } from './settings.js'
+import { SETTINGS_EXIT_CODE, type GatewaySettings } from './settings.js'
 import { startAcceptDelay } from './tasks/acceptDelay.js'
 import { createBackendConnections, LONG_IDLE_TIMEOUT_MS } from './tasks/backendConnections.js'
 import { createBackendProcesses } from './tasks/backendProcesses.js'
@@ -27,9 +27,11 @@
 import { startColdBackends } from './tasks/coldBackends.js'
 import { createConfirmedConfiguration } from './tasks/confirmedConfiguration.js'
 import { startConfigurationTask } from './tasks/configurationTask.js'
+import { startConnectionForwarding } from './tasks/connectionForwarding.js'
+import { createConnectionReception } from './tasks/connectionReception.js'
 import { createCallersMemory } from './tasks/callersMemory.js'
 import { createCrashGuard } from './tasks/crashGuard.js'
-import { createDecisionLog, type DecisionLog } from './tasks/decisionLog.js'
+import { createDecisionLog } from './tasks/decisionLog.js'
 import { startEventLoopDelay } from './tasks/eventLoopDelay.js'
 import { createEvacuations } from './tasks/evacuations.js'
 import { startFleetTask } from './tasks/fleetTask.js'
@@ -50,6 +52,7 @@
 import { startProcessUsage } from './tasks/processUsage.js'
 import { createRelayedRetries } from './tasks/relayedRetries.js'
 import { createRelayPeers } from './tasks/relayPeers.js'
+import { reloadSettings } from './tasks/reloadSettings.js'
 import { createSendingPermits } from './tasks/sendingPermits.js'
 import { createStreamVersions } from './tasks/streamVersions.js'
 import { createTokenLoans } from './tasks/tokenLoans.js'
@@ -227,7 +230,7 @@
       phase: Math.random()
     })
     : undefined
-  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, rooms, streams: streamVersions, retries: relayedRetries, receiveLoads: loads?.receive, receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow }, (incoming, response) => callers.handleRelayed(incoming, response))
+  const peerListener = createPeerListener({ incarnationId, tokens, limits: permits, rooms, streams: streamVersions, retries: relayedRetries, receiveLoads: loads?.receive, answerConnectionRoom: (message) => reception.answer(message), receiveReports: fleet.receive, receiveLease: witness.receive, log, now: steadyNow }, (incoming, response) => callers.handleRelayed(incoming, response))
   const evacuations = createEvacuations({
     log,
     era,
@@ -272,7 +275,9 @@
   const eventLoopDelay = startEventLoopDelay(metrics, log, usage)
   const acceptQueue = startAcceptDelay({ callersAddress: settings.callersAddress, usage, metrics, log })
   const occupancy = createOccupancyTask({ settings, loads: loads ?? noFleetLoads, services: () => configuration.current?.configuration.services ?? [], instances: () => loads?.reporters ?? 0, peers: () => fleet.peers, log, metrics })
-  const report = startInstanceReport({ failureDomain: settings.failureDomain, log, metrics, link: startLinkUsage(settings), peerCalls, eventLoopDelay, callers: () => callers, onUse: (use) => occupancy.note(use) })
+  const report = startInstanceReport({ failureDomain: settings.failureDomain, log, metrics, link: startLinkUsage(settings), peerCalls, eventLoopDelay, callers: () => callers, onUse: (use) => { for (const task of [occupancy, reception]) task.note(use) } })
+  const forwarding = startConnectionForwarding({ settings, peers: () => fleet.peers, eventLoopDelay, isStopping: () => stopPlan !== undefined, longestTimeoutMilliseconds: () => configuration.current?.longestTimeoutMilliseconds ?? 0, log, metrics })
+  const reception = createConnectionReception({ incarnationId, settings, hasRoom: () => !forwarding.isActive && notReadyReason() === '', eventLoopDelay, serve: (socket) => { callers.server.emit('connection', socket) }, metrics })
   const context: GatewayContext = {
     settings,
     incarnationId,
@@ -281,6 +286,8 @@
     metrics,
     report,
     occupancy,
+    forwarding,
+    reception,
     eventLoopDelay,
     acceptQueue,
     intake: createRequestIntake({ now: steadyNow, processorTime }),
@@ -315,6 +322,7 @@
   }
   const callers = createCallersListener(context)
   peerListener.on('connection', () => context.intake.noteConnection())
+  peerListener.on('connect', reception.receive)
 
   function applyConfiguration (before: FleetConfiguration | undefined, after: FleetConfiguration): void {
     coldBackends.noteConfiguration(after)
@@ -381,6 +389,7 @@
       .then(async () => {
         log.event('stopped', { active: callers.activeRequests })
         context.openResponses.cutOff()
+        forwarding.cutOff()
         const isWritten = await log.flush(Math.min(steadyNow() + LAST_LINES_MS, killedAt - FORCED_FLUSH_MARGIN_MS))
         if (isWritten) process.exit(0)
         process.kill(process.pid, 'SIGKILL')
@@ -390,20 +399,8 @@
 
   process.on('SIGTERM', stop)
   process.on('SIGINT', stop)
-  process.on('SIGHUP', () => checkSettings(options.settingsFile, settings, log))
-  watchFile(options.settingsFile, { interval: SETTINGS_CHECK_INTERVAL_MS, persistent: false }, () => checkSettings(options.settingsFile, settings, log))
-}
-
-/** Rereads the settings and logs the changed ones; those that are used only at the start, such as addresses, need a restart. */
-function checkSettings (file: string, settings: GatewaySettings, log: DecisionLog): void {
-  try {
-    const read = parseGatewaySettings(file, readFileSync(file, 'utf8'))
-    const changed = (Object.keys(read) as (keyof GatewaySettings)[]).filter((key) => read[key] !== settings[key])
-    Object.assign(settings, read)
-    log.event('settingsReloaded', { changed: changed.join(',') })
-  } catch (error) {
-    log.warning('settingsRejected', { kept: true, reason: (error as Error).message })
-  }
+  process.on('SIGHUP', () => reloadSettings(options.settingsFile, settings, log))
+  watchFile(options.settingsFile, { interval: SETTINGS_CHECK_INTERVAL_MS, persistent: false }, () => reloadSettings(options.settingsFile, settings, log))
 }
 
 function listen (server: Server, address: string): Promise<void> {
--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -1,8 +1,8 @@
-import { createCallerWatch, createConnectionErrors, createPipelineLimit, keepConnectionsWithUnreadRequests, parseInPieces, type CallerPresence } from '@quinceshunt/caller-connections'
+import { createCallerWatch, createConnectionErrors, createPipelineLimit, interceptConnections, keepConnectionsWithUnreadRequests, parseInPieces, type CallerPresence } from '@quinceshunt/caller-connections'
 import { assertNever } from '@quinceshunt/effects'
 import { steadyNow } from '../clock.js'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { Server as NetServer } from 'node:net'
+import { Server as NetServer, type Socket } from 'node:net'
 import { cutOffAtHalfClose, cutOffConnection } from './cutOffResponse.js'
 import type { GatewayContext } from './gatewayContext.js'
 import { sendError, sendErrorAndClose, sendNotRun } from './errorResponses.js'
@@ -41,6 +41,10 @@
   readonly acceptedConnections: number
   /** Connections closed unread since the start, as their callers had given them up. */
   readonly abandonedConnections: number
+  /** Accepted connections that were forwarded to peers. */
+  readonly forwardedConnections: number
+  /** Connections that peers have forwarded. */
+  readonly receivedConnections: number
   /** Unix milliseconds at which the last connection was accepted. */
   readonly lastConnectionAt: number
   /** Stops accepting connections; those that are open stay open. */
@@ -68,6 +72,8 @@
     // The caller sends a request again that crosses the end of its connection; passed on, it would run without an answer.
     const pipelined = pipelineLimit.admit(incoming, response)
     if (pipelined.kind === 'ignored' || !context.openResponses.add(response)) return
+    // The peer that forwarded the connection can't end it between two requests.
+    if (context.reception.isReceived(incoming.socket)) context.openResponses.endConnection(response)
     if (pipelined.kind === 'last') {
       context.openResponses.endConnection(response)
       context.metrics.count('pipelines_ended_total')
@@ -94,11 +100,21 @@
     })
   }
 
+  function noteOpened (socket: Socket): void {
+    lastConnectionAt = steadyNow()
+    openConnections++
+    socket.on('close', () => openConnections--)
+  }
+
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: 15_000, noDelay: true, connectionsCheckingInterval: 1000 }, (incoming, response) => handle(incoming, response, undefined))
   parseInPieces(server)
   keepConnectionsWithUnreadRequests(server)
-  server.on('connection', (socket) => {
+  interceptConnections(server, (socket, serve) => {
     context.intake.noteConnection()
+    if (context.reception.isReceived(socket)) {
+      noteOpened(socket)
+      return serve()
+    }
     const accepted = context.acceptQueue.classify(socket)
     switch (accepted.kind) {
       case 'probe':
@@ -110,10 +126,9 @@
         socket.destroy()
         return
       case 'caller':
-        lastConnectionAt = steadyNow()
-        openConnections++
         acceptedConnections++
-        socket.on('close', () => openConnections--)
+        noteOpened(socket)
+        context.forwarding.accept(socket, serve)
         return
       default: assertNever(accepted)
     }
@@ -125,6 +140,7 @@
   /** Node takes a connection as idle once its response was ended, also while its bytes wait for a caller that reads slowly. */
   function closeIdleConnections (): void {
     if (!context.openResponses.hasUnwritten) server.closeIdleConnections()
+    context.forwarding.closeIdle()
   }
 
   return {
@@ -143,10 +159,12 @@
       context.log.decision('relayDeclined', { request: context.wire.decodeRequestHeaders(incoming.headers).attemptId, reason: admission.reason })
       declineRelay(context, response, admission.reason)
     },
-    get activeRequests () { return activeRequests },
+    get activeRequests () { return activeRequests + context.forwarding.activeConnections },
     get openConnections () { return openConnections },
     get acceptedConnections () { return acceptedConnections },
     get abandonedConnections () { return abandonedConnections },
+    get forwardedConnections () { return context.forwarding.forwardedConnections },
+    get receivedConnections () { return context.reception.receivedConnections },
     get lastConnectionAt () { return lastConnectionAt }
   }
 }
--- a/packages/gateway/src/tasks/errorResponses.ts
+++ b/packages/gateway/src/tasks/errorResponses.ts
@@ -1,17 +1,10 @@
 import { steadyNow } from '../clock.js'
 import type { ServerResponse } from 'node:http'
 import { cutOffResponse } from './cutOffResponse.js'
+import { errorBody, type ErrorResponse } from './errorBody.js'
 import type { GatewayContext } from './gatewayContext.js'
 
-/** An error response that the gateway itself generates. */
-export interface ErrorResponse {
-  readonly status: number
-  /** Stable machine-readable code. */
-  readonly code: string
-  readonly message: string
-  /** Whether the request may have run. */
-  readonly run: 'no' | 'unknown'
-}
+export type { ErrorResponse } from './errorBody.js'
 
 /** Sends an error in the format of the OpenAI API, or closes the connection when the response headers are already sent. */
 export function sendError (context: GatewayContext, response: ServerResponse, error: ErrorResponse, headers: Record<string, string> = {}): void {
@@ -19,7 +12,7 @@
     cutOffResponse(response)
     return
   }
-  const body = JSON.stringify({ error: { message: error.message, type: 'quinceshunt_error', code: error.code, param: null, run: error.run } })
+  const body = errorBody(error)
   context.metrics.count('refusals_total', { code: error.code })
   response.writeHead(error.status, { 'content-type': 'application/json', 'content-length': String(Buffer.byteLength(body)), ...connectionHeaders(context, response), ...headers })
   response.end(body)
--- a/packages/gateway/src/tasks/gatewayContext.ts
+++ b/packages/gateway/src/tasks/gatewayContext.ts
@@ -15,6 +15,8 @@
 import type { BackendRooms } from './backendRooms.js'
 import type { BackendTask } from './backendTask.js'
 import type { CallersMemory } from './callersMemory.js'
+import type { ConnectionForwarding } from './connectionForwarding.js'
+import type { ConnectionReception } from './connectionReception.js'
 import type { ColdBackends } from './coldBackends.js'
 import type { CrashGuard } from './crashGuard.js'
 import type { DecisionLog } from './decisionLog.js'
@@ -42,6 +44,8 @@
   readonly metrics: Metrics
   readonly report: InstanceReport
   readonly occupancy: OccupancyTask
+  readonly forwarding: ConnectionForwarding
+  readonly reception: ConnectionReception
   readonly eventLoopDelay: EventLoopDelay
   readonly acceptQueue: AcceptQueue
   /** For the requests of callers, and those that other instances relay. */
--- a/packages/gateway/src/tasks/instanceReport.ts
+++ b/packages/gateway/src/tasks/instanceReport.ts
@@ -4,7 +4,7 @@
 import { steadyNow } from '../clock.js'
 import type { DecisionLog, LogFields } from './decisionLog.js'
 import type { LinkBytes, LinkUsage } from './linkUsage.js'
-import type { MeasuredUse } from './occupancyTask.js'
+import type { MeasuredUse } from './measuredUse.js'
 import type { PeerCalls } from './peerCalls.js'
 
 const REPORT_INTERVAL_MS = 1000
@@ -28,6 +28,10 @@
   readonly openConnections: number
   /** Since the process started. */
   readonly acceptedConnections: number
+  /** Of these, those that were forwarded to peers. */
+  readonly forwardedConnections: number
+  /** Connections that peers forwarded, since the process started. */
+  readonly receivedConnections: number
 }
 
 /** Dependencies of the report. */
@@ -72,7 +76,7 @@
   let window = emptyWindow()
   let processorBefore = processorTime()
   let reportedAt = steadyNow()
-  let acceptedBefore = 0
+  let countsBefore = { acceptedConnections: 0, forwardedConnections: 0, receivedConnections: 0 }
 
   function linkFields (usage: Readonly<Record<string, LinkBytes>>): LogFields {
     const fields: Record<string, number> = {}
@@ -106,12 +110,14 @@
     const sampledMilliseconds = Math.round(now - reportedAt)
     processorBefore = processor
     reportedAt = now
-    const { activeRequests, openConnections, acceptedConnections } = callers()
-    const newConnections = acceptedConnections - acceptedBefore
-    acceptedBefore = acceptedConnections
+    const { activeRequests, openConnections, ...counts } = callers()
+    const newConnections = counts.acceptedConnections - countsBefore.acceptedConnections
+    const forwarded = counts.forwardedConnections - countsBefore.forwardedConnections
+    const received = counts.receivedConnections - countsBefore.receivedConnections
+    countsBefore = counts
     metrics.gauge('peer_calls_in_progress', peerCalls.inProgress)
-    onUse({ sampledMilliseconds, requests: ended.requests, processorMilliseconds, ...totalOf(usage) })
-    if (ended.requests + activeRequests === 0) return
+    onUse({ sampledMilliseconds, requests: ended.requests, forwarded, processorMilliseconds, ...totalOf(usage) })
+    if (ended.requests + activeRequests + forwarded === 0) return
     const [topAccount, topAccountRequests] = [...ended.accounts].sort(([, left], [, right]) => right - left)[0] ?? []
     log.decision('instanceReport', {
       failureDomain,
@@ -121,6 +127,8 @@
       active: activeRequests,
       openConnections,
       newConnections,
+      forwarded,
+      received,
       meanMilliseconds: ended.requests === 0 ? undefined : Math.round(ended.milliseconds / ended.requests),
       topAccount,
       topAccountRequests,
--- a/packages/gateway/src/tasks/occupancyTask.ts
+++ b/packages/gateway/src/tasks/occupancyTask.ts
@@ -5,18 +5,7 @@
 import type { GatewaySettings } from '../settings.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { Peer } from './fleetTask.js'
-
-const BYTES_PER_MEGABIT = 125_000
-
-/** What the instance used in a time. */
-export interface MeasuredUse {
-  readonly sampledMilliseconds: number
-  /** Requests that ended. */
-  readonly requests: number
-  readonly receivedBytes: number
-  readonly sentBytes: number
-  readonly processorMilliseconds: number
-}
+import { BYTES_PER_MEGABIT, type MeasuredUse } from './measuredUse.js'
 
 /** Whether this instance has more callers than it can serve, and what it does about it. */
 export interface OccupancyTask {
@@ -50,14 +39,14 @@
   }
 
   return {
-    note: ({ sampledMilliseconds, requests, receivedBytes, sentBytes, processorMilliseconds }) => {
+    note: ({ sampledMilliseconds, requests, forwarded, receivedBytes, sentBytes, processorMilliseconds }) => {
       const seconds = sampledMilliseconds / 1000
       const { linkMegabitsPerSecond, processorShare, processorCores } = settings
       const fleetRate = sentPerSecond(loads, services(), steadyNow())
       const use = {
         link: part(Math.max(receivedBytes, sentBytes) / seconds / BYTES_PER_MEGABIT, linkMegabitsPerSecond),
         processor: part(processorMilliseconds / sampledMilliseconds / processorCores, processorShare),
-        timesMean: fleetRate === undefined || fleetRate === 0 ? undefined : requests / seconds * instances() / fleetRate,
+        timesMean: fleetRate === undefined || fleetRate === 0 ? undefined : (requests + forwarded) / seconds * instances() / fleetRate,
         othersInDomain: peers().filter(({ failureDomain }) => failureDomain === settings.failureDomain).length
       }
       const before = occupancy
--- a/packages/gateway/src/tasks/peerMessages.ts
+++ b/packages/gateway/src/tasks/peerMessages.ts
@@ -112,7 +112,7 @@
   | { readonly kind: 'failed', readonly mayHaveArrived: boolean, readonly reason: string, readonly hasReplied?: true }
 
 /** Paths of the messages between instances. */
-export const PEER_PATH = { loans: '/loans', returns: '/returns', permits: '/permits', limits: '/limits', reports: '/reports', leases: '/leases', rooms: '/rooms', streams: '/streams', streamQueries: '/streams/find', retries: '/retries', loads: '/loads' } as const
+export const PEER_PATH = { loans: '/loans', returns: '/returns', permits: '/permits', limits: '/limits', reports: '/reports', leases: '/leases', rooms: '/rooms', streams: '/streams', streamQueries: '/streams/find', retries: '/retries', loads: '/loads', connectionRoom: '/connections/room' } as const
 
 /** Takes over a limit from JSON, which leaves out an undefined value. */
 function toKnownLimit ({ requestsPerSecond, seenAt }: v.InferOutput<typeof knownLimitSchema>): KnownLimit {
@@ -261,6 +261,8 @@
   readonly retries: RetryHandlers
   /** Missing where load figures are not shared: the path is unknown then. */
   readonly receiveLoads?: ((message: unknown) => MessageResult) | undefined
+  /** Missing where no connections are taken: the path is unknown then. */
+  readonly answerConnectionRoom?: ((message: unknown) => MessageResult) | undefined
   readonly receiveReports: ReportHandler
   readonly receiveLease: LeaseNewsHandler
   readonly log: DecisionLog
@@ -282,7 +284,7 @@
  * Handles each message once: a repeated one gets the reply of the first, so that a sender may repeat it until it is
  * answered.
  */
-export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, rooms, streams, retries, receiveLoads, receiveReports, receiveLease, log, now, maxRememberedReplies = MAX_REMEMBERED_REPLIES }: PeerListenerOptions): PeerMessageHandler {
+export function createPeerMessageHandler ({ incarnationId, tokens: tokenHandlers, limits, rooms, streams, retries, receiveLoads, answerConnectionRoom, receiveReports, receiveLease, log, now, maxRememberedReplies = MAX_REMEMBERED_REPLIES }: PeerListenerOptions): PeerMessageHandler {
   const replies = new Map<string, { readonly reply: Promise<unknown>, readonly forgetAt: number, readonly holding: Holding }>()
   const rememberedReplies = createSharedLimit(maxRememberedReplies)
   const noteUnreadable = createUnreadableFields(log)
@@ -390,6 +392,7 @@
         return Promise.resolve(retries.answer(asked.output.relayId, asked.output.kind))
       }
       case PEER_PATH.loads: return receiveLoads?.(message)
+      case PEER_PATH.connectionRoom: return answerConnectionRoom?.(message)
       default: return undefined
     }
   }
