Wait for replies that have arrived before a peer is taken for silent

The wait for a tunnel now ends after what has arrived is read, and questions for room have a second. `connectionNotForwarded` tells which peers declined or did not answer.

--- a/packages/gateway/src/tasks/connectionForwarding.ts
+++ b/packages/gateway/src/tasks/connectionForwarding.ts
@@ -88,6 +88,7 @@
       const tunnel = await openTunnel(address, incarnationId)
       if (typeof tunnel !== 'string') return tunnel
       metrics.count('forwarded_connections_total', { outcome: tunnel })
+      log.decision('connectionNotForwarded', { peer: room.peer.instanceId, outcome: tunnel })
       rooms.forget(room.peer)
       if (tunnel === 'unanswered') return undefined
     }
@@ -114,7 +115,10 @@
   return {
     accept: (socket, serve) => {
       if (share === 0 || isStopping() || open.size >= MAX_OPEN || Math.random() >= share) return serve()
-      if (rooms.current().length === 0) return serve()
+      if (rooms.current().length === 0) {
+        metrics.count('forwarded_connections_total', { outcome: 'no room' })
+        return serve()
+      }
       const ignoreError = (): void => {}
       // A caller that leaves meanwhile closes a connection without listeners.
       socket.on('error', ignoreError)
--- a/packages/gateway/src/tasks/connectionTunnel.ts
+++ b/packages/gateway/src/tasks/connectionTunnel.ts
@@ -1,10 +1,10 @@
-import { linger } from '@quinceshunt/caller-connections'
+import { handleArrivedEvents, linger } from '@quinceshunt/caller-connections'
 import { connect, type Socket } from 'node:net'
 
 /** Names the incarnation that is to take the connection. */
 export const TUNNEL_HEADER = 'x-forwarded-connection'
-/** Callers expect a connection within a second, and the instance serves them itself when the peer does not answer. */
-const MAX_OPENING_MS = 150
+/** Callers expect an answer to begin within some hundred milliseconds, and the instance serves them itself when the peer does not reply. */
+const MAX_OPENING_MS = 200
 const MAX_REPLY_BYTES = 512
 const HEAD_END = '\r\n\r\n'
 const ACCEPTED_LINE = 'HTTP/1.1 200 '
@@ -23,11 +23,20 @@
   return new Promise((resolve) => {
     const tunnel = connect({ host, port: Number(port), allowHalfOpen: true, noDelay: true })
     let received = Buffer.alloc(0)
-    const timer = setTimeout(() => fail('unanswered'), MAX_OPENING_MS)
+    let isSettled = false
+    const timer = setTimeout(() => { failUnlessReplied().catch(() => fail('unanswered')) }, MAX_OPENING_MS)
     const onError = (): void => fail('unanswered')
     const onEnd = (): void => fail('declined')
 
+    /** In a process that is behind, the timer runs before a reply that has arrived is read. */
+    async function failUnlessReplied (): Promise<void> {
+      await handleArrivedEvents()
+      fail('unanswered')
+    }
+
     function fail (failure: TunnelFailure): void {
+      if (isSettled) return
+      isSettled = true
       clearTimeout(timer)
       tunnel.removeListener('end', onEnd)
       tunnel.destroy()
@@ -39,6 +48,7 @@
       const headEnd = received.indexOf(HEAD_END)
       if (headEnd === -1 && received.length < MAX_REPLY_BYTES) return
       if (headEnd === -1 || !received.subarray(0, ACCEPTED_LINE.length).equals(Buffer.from(ACCEPTED_LINE))) return fail('declined')
+      isSettled = true
       clearTimeout(timer)
       tunnel.pause()
       tunnel.removeListener('data', receive)
--- a/packages/gateway/src/tasks/peerRooms.ts
+++ b/packages/gateway/src/tasks/peerRooms.ts
@@ -8,7 +8,8 @@
 const REFRESH_MS = 1000
 /** A peer has its room measured twice by then. */
 const VALID_MS = 1500
-const TIMEOUT_MS = 300
+/** The asking instance is full, so that it may read a reply late. */
+const TIMEOUT_MS = 1000
 /** Doubled with each reply that does not come, so that a partition costs few messages. */
 const FIRST_PAUSE_MS = 1000
 const MAX_PAUSE_MS = 4000
