Ask peers without room ever more rarely, and keep forwarded connections until their first request

When all instances of a failure domain are full, each asked all others every second, which takes processor time where there is least. A planned stop closed forwarded connections that had not sent a request at the end of listening, although callers have a second more for it.

--- a/packages/gateway/src/tasks/callersListener.ts
+++ b/packages/gateway/src/tasks/callersListener.ts
@@ -140,7 +140,6 @@
   /** Node takes a connection as idle once its response was ended, also while its bytes wait for a caller that reads slowly. */
   function closeIdleConnections (): void {
     if (!context.openResponses.hasUnwritten) server.closeIdleConnections()
-    context.forwarding.closeIdle()
   }
 
   return {
--- a/packages/gateway/src/tasks/connectionForwarding.ts
+++ b/packages/gateway/src/tasks/connectionForwarding.ts
@@ -30,8 +30,6 @@
   readonly forwardedConnections: number
   /** Forwarded connections on which a request has begun to arrive. */
   readonly activeConnections: number
-  /** Closes those on which nothing has arrived. */
-  closeIdle (): void
   /** Cuts off all, before the process ends. */
   cutOff (): void
 }
@@ -129,7 +127,6 @@
     get isActive () { return steadyNow() < activeUntil },
     get forwardedConnections () { return forwardedConnections },
     get activeConnections () { return [...open].filter(({ bytesRead, writableFinished }) => bytesRead > 0 && !writableFinished).length },
-    closeIdle: () => { for (const socket of open) if (socket.bytesRead === 0) socket.destroy() },
     cutOff: () => { for (const socket of open) if (!socket.writableFinished) socket.resetAndDestroy() }
   }
 }
--- a/packages/gateway/src/tasks/peerRooms.ts
+++ b/packages/gateway/src/tasks/peerRooms.ts
@@ -10,7 +10,7 @@
 const VALID_MS = 1500
 /** The asking instance is full, so that it may read a reply late. */
 const TIMEOUT_MS = 1000
-/** Doubled with each reply that does not come, so that a partition costs few messages. */
+/** Doubled with each reply that does not come or tells of no room, so that a partition and a load that all instances have cost few messages. */
 const FIRST_PAUSE_MS = 1000
 const MAX_PAUSE_MS = 4000
 /** Peers asked, drawn where there are more. */
@@ -38,7 +38,8 @@
   connections: number
   validUntil: number
   askAgainAt: number
-  unanswered: number
+  /** Questions in a row that brought no room. */
+  withoutRoom: number
   isAsked: boolean
 }
 
@@ -51,7 +52,7 @@
   function recordOf ({ incarnationId }: Peer): RoomRecord {
     const known = records.get(incarnationId)
     if (known !== undefined) return known
-    const record: RoomRecord = { connections: 0, validUntil: 0, askAgainAt: 0, unanswered: 0, isAsked: false }
+    const record: RoomRecord = { connections: 0, validUntil: 0, askAgainAt: 0, withoutRoom: 0, isAsked: false }
     records.set(incarnationId, record)
     return record
   }
@@ -64,14 +65,10 @@
     const outcome = await postToPeer(peer.address, PEER_PATH.connectionRoom, message, TIMEOUT_MS)
     const now = steadyNow()
     record.isAsked = false
-    if (outcome.kind === 'answered') {
-      record.connections = parseRoom(outcome.reply)
-      record.validUntil = now + VALID_MS
-      record.unanswered = 0
-      return
-    }
-    record.connections = 0
-    record.askAgainAt = now + Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** record.unanswered++)
+    record.connections = outcome.kind === 'answered' ? parseRoom(outcome.reply) : 0
+    record.validUntil = now + VALID_MS
+    if (record.connections > 0) record.withoutRoom = 0
+    else record.askAgainAt = now + Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** record.withoutRoom++)
   }
 
   function forgetStopped (): void {
