--- a/soak/src/__tests__/soak.test.ts
+++ b/soak/src/__tests__/soak.test.ts
@@ -36,6 +36,8 @@
  * server floods them. Without limits, the gateway exits by itself during pipelined requests.
  */
 const SEEDS_WITH_FLOODS = [70_002] as const
+/** Connections that the first gateway forwards while gateways are killed, paused and stopped. */
+const SEEDS_WITH_FULL_GATEWAY = [90_000] as const
 const EVENTS_PER_STREAM = 3
 
 function createRecord (overrides: Partial<CallerRecord> = {}): CallerRecord {
@@ -291,6 +293,12 @@
     expect(report.statuses['200']).toBeGreaterThan(0)
   }, 40_000)
 
+  test.each(SEEDS_WITH_FULL_GATEWAY)('seed %d with a gateway that forwards connections violates no guarantee', async (seed) => {
+    const report = await runSoak(planFaultsAndRestores(seed), { hasFullGateway: true })
+    expect(report.broken).toEqual([])
+    expect(report.statuses['200']).toBeGreaterThan(0)
+  }, 40_000)
+
   test.each(SEEDS_WITH_PARTITIONS)('seed %d with gateways that are cut off from all backend servers violates no guarantee', async (seed) => {
     const report = await runSoak(planPartitions(seed))
     expect(report.broken).toEqual([])
--- a/soak/src/soakRun.ts
+++ b/soak/src/soakRun.ts
@@ -4,6 +4,7 @@
 import { checkGuarantees, completeBody, eventIdsOf, type BackendRun, type CallerRecord, type Disruption, type FaultWindow, type GuaranteeViolation, type NamedLimitPeriod, type Partition, type RequestKind } from './checkGuarantees.js'
 import { BACKEND_COUNT, GATEWAY_COUNT, SOAK_DURATION_MS, type PlannedFault } from './faultPlan.js'
 import { recordStalls } from './eventLoopStalls.js'
+import { capacitySettings, type SoakOptions } from './fullGateway.js'
 import { FLOOD_SLOTS, withFloodRoutes, type Flood } from './flood.js'
 import { makeOdd } from './oddResponses.js'
 import { startFaultyLink, type FaultyLink } from './faultyLink.js'
@@ -185,7 +186,7 @@
 }
 
 /** Injects the faults of a plan into real gateway processes under load and checks the guarantees. */
-export async function runSoak (plan: readonly PlannedFault[]): Promise<SoakReport> {
+export async function runSoak (plan: readonly PlannedFault[], options: SoakOptions = {}): Promise<SoakReport> {
   const store: StoreStandIn = await startStoreStandIn()
   const runs: BackendRun[] = []
   const callers: CallerRecord[] = []
@@ -268,7 +269,7 @@
   }
 
   async function startGateway (index: number, overrides: Record<string, unknown>): Promise<GatewayProcess> {
-    const started = await startGatewayProcess(storeLinks[index]?.address ?? '', { instanceId: `edge-${index}`, ...overrides }, GATEWAY_NODE_OPTIONS)
+    const started = await startGatewayProcess(storeLinks[index]?.address ?? '', { instanceId: `edge-${index}`, ...capacitySettings(index, options), ...overrides }, GATEWAY_NODE_OPTIONS)
     gatewayWatch.watch(index, started)
     return started
   }
