--- a/packages/gateway/src/tasks/connectionReception.ts
+++ b/packages/gateway/src/tasks/connectionReception.ts
@@ -78,7 +78,7 @@
       metrics.count('received_connections_total', { outcome: reason ?? 'taken' })
       if (reason !== undefined) {
         socket.on('error', () => {})
-        socket.end(TUNNEL_DECLINED)
+        socket.end(TUNNEL_DECLINED, () => socket.destroy())
         return
       }
       taken++
