Forward a connection only to a peer that knows the configuration of this instance

A caller of a route or key that was just added got 404 or 401 when its connection was forwarded to a peer with an older configuration, although the instance had served it before. The request for a tunnel names the version, and a peer with an older one declines.

--- a/packages/gateway/src/__tests__/connectionTunnel.test.ts
+++ b/packages/gateway/src/__tests__/connectionTunnel.test.ts
@@ -30,7 +30,7 @@
 /** Sends a request through an instance that forwards each connection to the peer. */
 async function sendThrough (address: string, { timeoutMilliseconds = 5000 } = {}): Promise<CallerResult> {
   const instance: Server = createServer({ allowHalfOpen: true }, (socket) => {
-    openTunnel(address, 'north.1').then((tunnel) => {
+    openTunnel({ address, incarnationId: 'north.1', configurationVersion: 1 }).then((tunnel) => {
       if (typeof tunnel === 'string') socket.end(tunnel)
       else joinTunnel(socket, tunnel, { timeoutMilliseconds, responseTo: (loss) => `lost: ${loss}` })
     }, () => {})
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -104,6 +104,7 @@
     reportAnswer: (part) => fleet.reportAnswer(part)
   })
   let stopPlan: StopPlan | undefined
+  const configurationVersion = (): number => configuration.current?.configuration.version ?? 0
 
   const fleet = startFleetTask({
     store,
@@ -111,7 +112,7 @@
     log,
     instanceId: settings.instanceId,
     incarnationId,
-    configurationVersion: () => configuration.current?.configuration.version ?? 0,
+    configurationVersion,
     peerAddress: settings.peerAddress,
     failureDomain: settings.failureDomain,
     onCrash: crashGuard.learnCrash,
@@ -276,8 +277,8 @@
   const acceptQueue = startAcceptDelay({ callersAddress: settings.callersAddress, usage, metrics, log })
   const occupancy = createOccupancyTask({ settings, loads: loads ?? noFleetLoads, services: () => configuration.current?.configuration.services ?? [], instances: () => loads?.reporters ?? 0, peers: () => fleet.peers, log, metrics })
   const report = startInstanceReport({ failureDomain: settings.failureDomain, log, metrics, link: startLinkUsage(settings), peerCalls, eventLoopDelay, callers: () => callers, onUse: (use) => { for (const task of [occupancy, reception]) task.note(use) } })
-  const forwarding = startConnectionForwarding({ settings, peers: () => fleet.peers, eventLoopDelay, isStopping: () => stopPlan !== undefined, longestTimeoutMilliseconds: () => configuration.current?.longestTimeoutMilliseconds ?? 0, log, metrics })
-  const reception = createConnectionReception({ incarnationId, settings, hasRoom: () => !forwarding.isActive && notReadyReason() === '', eventLoopDelay, serve: (socket) => { callers.server.emit('connection', socket) }, metrics })
+  const forwarding = startConnectionForwarding({ settings, peers: () => fleet.peers, eventLoopDelay, isStopping: () => stopPlan !== undefined, configurationVersion, longestTimeoutMilliseconds: () => configuration.current?.longestTimeoutMilliseconds ?? 0, log, metrics })
+  const reception = createConnectionReception({ incarnationId, settings, hasRoom: () => !forwarding.isActive && notReadyReason() === '', configurationVersion, eventLoopDelay, serve: (socket) => { callers.server.emit('connection', socket) }, metrics })
   const context: GatewayContext = {
     settings,
     incarnationId,
--- a/packages/gateway/src/tasks/connectionForwarding.ts
+++ b/packages/gateway/src/tasks/connectionForwarding.ts
@@ -40,6 +40,8 @@
   readonly peers: () => readonly Peer[]
   readonly eventLoopDelay: EventLoopDelay
   readonly isStopping: () => boolean
+  /** 0 without a configuration. */
+  readonly configurationVersion: () => number
   /** Of all routes. */
   readonly longestTimeoutMilliseconds: () => number
   readonly log: DecisionLog
@@ -47,7 +49,7 @@
 }
 
 /** Starts to observe the processor. Without `processorShare` among the settings nothing is forwarded. */
-export function startConnectionForwarding ({ settings, peers, eventLoopDelay, isStopping, longestTimeoutMilliseconds, log, metrics }: ConnectionForwardingOptions): ConnectionForwarding {
+export function startConnectionForwarding ({ settings, peers, eventLoopDelay, isStopping, configurationVersion, longestTimeoutMilliseconds, log, metrics }: ConnectionForwardingOptions): ConnectionForwarding {
   const rooms = createPeerRooms(() => peers().filter(({ failureDomain }) => failureDomain === settings.failureDomain))
   const open = new Set<Socket>()
   let share = 0
@@ -83,7 +85,7 @@
       if (room === undefined) return undefined
       room.take()
       const { address, incarnationId } = room.peer
-      const tunnel = await openTunnel(address, incarnationId)
+      const tunnel = await openTunnel({ address, incarnationId, configurationVersion: configurationVersion() })
       if (typeof tunnel !== 'string') return tunnel
       metrics.count('forwarded_connections_total', { outcome: tunnel })
       log.decision('connectionNotForwarded', { peer: room.peer.instanceId, outcome: tunnel })
--- a/packages/gateway/src/tasks/connectionReception.ts
+++ b/packages/gateway/src/tasks/connectionReception.ts
@@ -5,7 +5,7 @@
 import { connectionRoom } from '../decisions/connectionRoom.js'
 import type { GatewaySettings } from '../settings.js'
 import { answerRoomRequest } from './connectionRoom.js'
-import { TUNNEL_ACCEPTED, TUNNEL_DECLINED, TUNNEL_HEADER } from './connectionTunnel.js'
+import { TUNNEL_ACCEPTED, TUNNEL_CONFIGURATION_HEADER, TUNNEL_DECLINED, TUNNEL_HEADER } from './connectionTunnel.js'
 import { BYTES_PER_MEGABIT, type MeasuredUse } from './measuredUse.js'
 import type { MessageResult } from './peerMessages.js'
 
@@ -31,6 +31,8 @@
   readonly settings: Pick<GatewaySettings, 'linkMegabitsPerSecond' | 'processorShare' | 'processorCores'>
   /** False while the instance takes no new callers, or forwards its own. */
   readonly hasRoom: () => boolean
+  /** 0 without a configuration. */
+  readonly configurationVersion: () => number
   readonly eventLoopDelay: EventLoopDelay
   /** Serves a connection like one that a caller has opened here. */
   readonly serve: (socket: Socket) => void
@@ -38,7 +40,7 @@
 }
 
 /** Creates a reception without room until the first second has been measured, and always without the capacities among the settings. */
-export function createConnectionReception ({ incarnationId, settings, hasRoom, eventLoopDelay, serve, metrics }: ConnectionReceptionOptions): ConnectionReception {
+export function createConnectionReception ({ incarnationId, settings, hasRoom, configurationVersion, eventLoopDelay, serve, metrics }: ConnectionReceptionOptions): ConnectionReception {
   const received = new WeakSet<Socket>()
   /** Of this second and the one before, of which a peer may have been told. */
   let room = 0
@@ -48,6 +50,8 @@
 
   function declineReason (incoming: IncomingMessage): string | undefined {
     if (incoming.headers[TUNNEL_HEADER] !== incarnationId) return 'another process'
+    // Callers of the other instance may have seen the effects of its version.
+    if (!(Number(incoming.headers[TUNNEL_CONFIGURATION_HEADER]) <= configurationVersion())) return 'older configuration'
     if (!hasRoom()) return 'not ready'
     if (eventLoopDelay.milliseconds > MAX_EVENT_LOOP_DELAY_MS) return 'behind with its work'
     return taken < Math.max(room, roomBefore) ? undefined : 'no room'
--- a/packages/gateway/src/tasks/connectionTunnel.ts
+++ b/packages/gateway/src/tasks/connectionTunnel.ts
@@ -3,6 +3,8 @@
 
 /** Names the incarnation that is to take the connection. */
 export const TUNNEL_HEADER = 'x-forwarded-connection'
+/** Version of the configuration that the peer must know, as callers of this instance have seen its effects. */
+export const TUNNEL_CONFIGURATION_HEADER = 'x-configuration-version'
 /** Callers expect an answer to begin within some hundred milliseconds, and the instance serves them itself when the peer does not reply. */
 const MAX_OPENING_MS = 200
 const MAX_REPLY_BYTES = 512
@@ -17,8 +19,16 @@
 /** Why no tunnel was opened. The peer has got nothing of the caller's. */
 export type TunnelFailure = 'declined' | 'unanswered'
 
+/** The peer that is to take a connection. */
+export interface TunnelTarget {
+  readonly address: string
+  readonly incarnationId: string
+  /** It must know this version of the configuration. */
+  readonly configurationVersion: number
+}
+
 /** Asks a peer to take a connection; resolves with the connection to it, on which the caller's bytes go from now on. */
-export function openTunnel (address: string, incarnationId: string): Promise<Socket | TunnelFailure> {
+export function openTunnel ({ address, incarnationId, configurationVersion }: TunnelTarget): Promise<Socket | TunnelFailure> {
   const [host = '', port = ''] = address.split(':')
   return new Promise((resolve) => {
     const tunnel = connect({ host, port: Number(port), allowHalfOpen: true, noDelay: true })
@@ -62,7 +72,7 @@
     tunnel.on('error', onError)
     tunnel.on('end', onEnd)
     tunnel.on('data', receive)
-    tunnel.write(`CONNECT ${incarnationId} HTTP/1.1\r\nHost: ${address}\r\n${TUNNEL_HEADER}: ${incarnationId}${HEAD_END}`)
+    tunnel.write(`CONNECT ${incarnationId} HTTP/1.1\r\nHost: ${address}\r\n${TUNNEL_HEADER}: ${incarnationId}\r\n${TUNNEL_CONFIGURATION_HEADER}: ${configurationVersion}${HEAD_END}`)
   })
 }
 
