--- a/packages/gateway/src/tasks/connectionTunnel.ts
+++ b/packages/gateway/src/tasks/connectionTunnel.ts
@@ -5,8 +5,8 @@
 export const TUNNEL_HEADER = 'x-forwarded-connection'
 /** Version of the configuration that the peer must know, as callers of this instance have seen its effects. */
 export const TUNNEL_CONFIGURATION_HEADER = 'x-configuration-version'
-/** Callers expect an answer to begin within some hundred milliseconds, and the instance serves them itself when the peer does not reply. */
-const MAX_OPENING_MS = 200
+/** The asking instance is full, so that a reply waits there for some hundred milliseconds before it is read. */
+const MAX_OPENING_MS = 500
 const MAX_REPLY_BYTES = 512
 const HEAD_END = '\r\n\r\n'
 const ACCEPTED_LINE = 'HTTP/1.1 200 '
