Pass on no request whose caller's close has arrived with it

The close that arrives behind a request is read in a later pass of the event loop. The peer's own check for that does not help, as it gets the two apart. The first bytes of a forwarded connection now wait for two passes, as a request does before its turn. The new test of `connectionTunnel` fails without the change.

--- a/packages/gateway/src/__tests__/connectionTunnel.test.ts
+++ b/packages/gateway/src/__tests__/connectionTunnel.test.ts
@@ -28,7 +28,7 @@
 interface CallerResult { readonly text: string, readonly isReset: boolean }
 
 /** Sends a request through an instance that forwards each connection to the peer. */
-async function sendThrough (address: string, { timeoutMilliseconds = 5000 } = {}): Promise<CallerResult> {
+async function sendThrough (address: string, { timeoutMilliseconds = 5000, leavesAtOnce = false } = {}): Promise<CallerResult> {
   const instance: Server = createServer({ allowHalfOpen: true }, (socket) => {
     openTunnel({ address, incarnationId: 'north.1', configurationVersion: 1 }).then((tunnel) => {
       if (typeof tunnel === 'string') socket.end(tunnel)
@@ -43,7 +43,8 @@
   let isReset = false
   caller.on('data', (chunk) => { text += chunk.toString() })
   caller.on('error', () => { isReset = true })
-  caller.write(REQUEST)
+  if (leavesAtOnce) caller.end(REQUEST)
+  else caller.write(REQUEST)
   closings.push(() => caller.destroy())
   await new Promise((resolve) => caller.once('close', resolve))
   return { text, isReset }
@@ -63,6 +64,13 @@
     expect(peer.received()).toBe('')
   })
 
+  // Soak seed 90016: a gateway that had stood still passed on requests whose callers had closed their connections seconds before.
+  it('passes on nothing of a caller whose close has arrived with its request', async () => {
+    const peer = await startPeer(TUNNEL_ACCEPTED)
+    expect(await sendThrough(peer.address, { leavesAtOnce: true })).toEqual({ text: '', isReset: false })
+    expect(peer.received()).toBe('')
+  })
+
   // Guards against a part of a response without a length that looks whole because the connection ends in order.
   it('is reset when the peer resets it within a response', async () => {
     const peer = await startPeer(TUNNEL_ACCEPTED, (socket) => socket.write(`${HEAD_WITHOUT_LENGTH}part`, () => setTimeout(() => socket.resetAndDestroy(), 50)))
--- a/packages/gateway/src/tasks/connectionTunnel.ts
+++ b/packages/gateway/src/tasks/connectionTunnel.ts
@@ -94,6 +94,7 @@
 export function joinTunnel (caller: Socket, tunnel: Socket, { timeoutMilliseconds, responseTo }: JoinOptions): void {
   let hasAnswered = false
   let isOver = false
+  let isPassingOn = false
 
   function finish (end: () => void): void {
     if (isOver) return
@@ -126,6 +127,31 @@
     })
   }
 
+  /**
+   * A caller's close that arrived behind its request, while the process was behind, is read in a later pass of the event loop. The
+   * peer would have started the request by then.
+   */
+  function passOnIfPresent (firstBytes: Buffer): void {
+    const held = [firstBytes]
+    const hold = (chunk: Buffer): void => { held.push(chunk) }
+    caller.on('data', hold)
+    handleArrivedEvents().then(() => {
+      caller.removeListener('data', hold)
+      if (isOver) return
+      isPassingOn = true
+      for (const chunk of held) tunnel.write(chunk)
+      caller.pipe(tunnel)
+    }, () => lose('ended'))
+  }
+
+  function endUnlessPassingOn (): void {
+    if (isPassingOn) return
+    finish(() => {
+      tunnel.destroy()
+      caller.destroy()
+    })
+  }
+
   tunnel.once('data', () => { hasAnswered = true })
   tunnel.once('end', () => hasAnswered ? endWithPeer() : lose('ended'))
   tunnel.on('error', () => lose('ended'))
@@ -133,6 +159,7 @@
   tunnel.setTimeout(timeoutMilliseconds, () => lose('silent'))
   caller.on('error', () => finish(() => tunnel.resetAndDestroy()))
   caller.once('close', () => finish(() => tunnel.destroy()))
-  caller.pipe(tunnel)
+  caller.once('end', endUnlessPassingOn)
+  caller.once('data', passOnIfPresent)
   tunnel.pipe(caller, { end: false })
 }
