--- a/packages/gateway/src/__tests__/peerRooms.test.ts
+++ b/packages/gateway/src/__tests__/peerRooms.test.ts
@@ -27,10 +27,10 @@
   return { peer: { instanceId, address: `127.0.0.1:${port}`, failureDomain: 'north', incarnationId: `${instanceId}.1` }, asked: () => asked }
 }
 
-async function refreshFor (rooms: ReturnType<typeof createPeerRooms>, milliseconds: number, connections = 8): Promise<void> {
+async function refreshFor (rooms: ReturnType<typeof createPeerRooms>, milliseconds: number): Promise<void> {
   const endsAt = Date.now() + milliseconds
   while (Date.now() < endsAt) {
-    rooms.refresh(connections)
+    rooms.refresh()
     await new Promise((resolve) => setTimeout(resolve, 50))
   }
 }
@@ -55,19 +55,6 @@
     expect(rooms.current()).toEqual([])
   })
 
-  // Guards against messages of all instances to all others in each second of a burst, which cost more than the connections that are forwarded.
-  it('is asked of as many peers as the new connections need, and of those with most room', async () => {
-    const started = await Promise.all([4, 60, 9].map(async (connections, index) => await startPeer(`peer-${index}`, { status: 200, body: JSON.stringify({ connections }) })))
-    const rooms = createPeerRooms(() => started.map(({ peer }) => peer))
-    await refreshFor(rooms, 300, 0)
-    expect(started.map(({ asked }) => asked())).toEqual([0, 0, 0])
-    await refreshFor(rooms, 300, 24)
-    await refreshFor(rooms, 2200, 8)
-    const [few = 0, most = 0] = started.map(({ asked }) => asked())
-    expect(few).toBe(1)
-    expect(most).toBeGreaterThanOrEqual(2)
-  })
-
   // Guards against messages that take the processor time of instances that are all full.
   it('is asked for ever more rarely while there is none', async () => {
     const { peer, asked } = await startPeer('first', { status: 200, body: '{"connections":0}' })
--- a/packages/gateway/src/tasks/connectionForwarding.ts
+++ b/packages/gateway/src/tasks/connectionForwarding.ts
@@ -11,7 +11,6 @@
 import { createPeerRooms } from './peerRooms.js'
 
 const INTERVAL_MS = 250
-const INTERVALS_PER_SECOND = 1000 / INTERVAL_MS
 /** A peer that declines has been filled by another instance; the next one is asked at once, but not all in turn. */
 const MAX_TRIES = 2
 /** Forwarded connections that are open; each takes two file descriptors. */
@@ -56,9 +55,6 @@
   let share = 0
   let forwardedConnections = 0
   let activeUntil = 0
-  /** New connections of callers in each of the last intervals. */
-  let arrivals: readonly number[] = []
-  let arrived = 0
   let processorBefore = processorTime()
   let sampledAt = steadyNow()
 
@@ -67,13 +63,11 @@
     const load = settings.processorShare === undefined ? 0 : (processor - processorBefore) / (now - sampledAt) / settings.processorShare / settings.processorCores
     processorBefore = processor
     sampledAt = now
-    arrivals = [...arrivals, arrived].slice(-INTERVALS_PER_SECOND)
-    arrived = 0
     const before = share
     share = settings.processorShare === undefined ? 0 : nextForwardedShare(before, { processor: load, eventLoopDelayMilliseconds: eventLoopDelay.milliseconds })
     metrics.gauge('forwarded_share', share)
     if ((before === 0) !== (share === 0)) log.event('forwardingChanged', { isActive: share > 0, load: load.toFixed(2), eventLoopDelayMilliseconds: eventLoopDelay.milliseconds, peers: rooms.peers })
-    if (share > 0) rooms.refresh(arrivals.reduce((sum, count) => sum + count, 0))
+    if (share > 0) rooms.refresh()
   }
 
   function responseTo (loss: TunnelLoss): string {
@@ -120,7 +114,6 @@
   timer.unref()
   return {
     accept: (socket, serve) => {
-      arrived++
       if (share === 0 || isStopping() || open.size >= MAX_OPEN || Math.random() >= share) return serve()
       if (rooms.current().length === 0) {
         metrics.count('forwarded_connections_total', { outcome: 'no room' })
--- a/packages/gateway/src/tasks/peerRooms.ts
+++ b/packages/gateway/src/tasks/peerRooms.ts
@@ -13,11 +13,8 @@
 /** Doubled with each reply that does not come or tells of no room, so that a partition and a load that all instances have cost few messages. */
 const FIRST_PAUSE_MS = 1000
 const MAX_PAUSE_MS = 4000
+/** Peers asked, drawn where there are more. */
 const MAX_PEERS = 32
-/** One question for so many connections, so that the messages cost little beside what they are for. */
-const CONNECTIONS_PER_QUESTION = 8
-/** Assumed of a peer that was never asked. */
-const ASSUMED_ROOM = 20
 
 /** Room at a peer for a second. */
 export interface KnownRoom extends PeerRoom {
@@ -28,8 +25,8 @@
 
 /** What peers say of the connections that they take. */
 export interface PeerRooms {
-  /** Asks as many peers as `connections` need, those with most room first, at most once a second. */
-  refresh (connections: number): void
+  /** Asks the peers, at most once a second. */
+  refresh (): void
   current (): readonly KnownRoom[]
   /** The peer has declined or does not answer; it gets nothing until it is asked again. */
   forget (peer: Peer): void
@@ -38,8 +35,6 @@
 }
 
 interface RoomRecord {
-  /** In the last reply. */
-  told: number
   connections: number
   validUntil: number
   askAgainAt: number
@@ -57,7 +52,7 @@
   function recordOf ({ incarnationId }: Peer): RoomRecord {
     const known = records.get(incarnationId)
     if (known !== undefined) return known
-    const record: RoomRecord = { told: ASSUMED_ROOM, connections: 0, validUntil: 0, askAgainAt: 0, withoutRoom: 0, isAsked: false }
+    const record: RoomRecord = { connections: 0, validUntil: 0, askAgainAt: 0, withoutRoom: 0, isAsked: false }
     records.set(incarnationId, record)
     return record
   }
@@ -70,8 +65,7 @@
     const outcome = await postToPeer(peer.address, PEER_PATH.connectionRoom, message, TIMEOUT_MS)
     const now = steadyNow()
     record.isAsked = false
-    record.told = outcome.kind === 'answered' ? parseRoom(outcome.reply) : 0
-    record.connections = record.told
+    record.connections = outcome.kind === 'answered' ? parseRoom(outcome.reply) : 0
     record.validUntil = now + VALID_MS
     if (record.connections > 0) record.withoutRoom = 0
     else record.askAgainAt = now + Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** record.withoutRoom++)
@@ -83,14 +77,12 @@
   }
 
   return {
-    refresh: (connections) => {
+    refresh: () => {
       const now = steadyNow()
-      if (now < refreshAt || connections === 0) return
+      if (now < refreshAt) return
       refreshAt = now + REFRESH_MS
       forgetStopped()
-      const questions = Math.min(MAX_PEERS, Math.ceil(connections / CONNECTIONS_PER_QUESTION))
-      const byRoom = peers().map((peer) => ({ peer, told: recordOf(peer).told, order: Math.random() })).sort((left, right) => right.told - left.told || left.order - right.order)
-      for (const { peer } of byRoom.slice(0, questions)) ask(peer).catch(() => {})
+      for (const peer of drawnPeers(peers())) ask(peer).catch(() => {})
     },
     current: () => peers().flatMap((peer) => {
       const record = records.get(peer.incarnationId)
@@ -101,3 +93,9 @@
     get peers () { return peers().length }
   }
 }
+
+function drawnPeers (all: readonly Peer[]): readonly Peer[] {
+  if (all.length <= MAX_PEERS) return all
+  const first = Math.floor(Math.random() * all.length)
+  return [...all.slice(first), ...all.slice(0, first)].slice(0, MAX_PEERS)
+}
