Ask as many peers for room as the new connections need, each at most once a second

Now the bound is one question per peer and second, and each quarter of a second asks for what the connections of the last one need beyond the known room.

--- a/packages/gateway/src/tasks/connectionForwarding.ts
+++ b/packages/gateway/src/tasks/connectionForwarding.ts
@@ -53,6 +53,8 @@
   const rooms = createPeerRooms(() => peers().filter(({ failureDomain }) => failureDomain === settings.failureDomain))
   const open = new Set<Socket>()
   let share = 0
+  /** New connections to forward since the last sample, those for which no room was known too. */
+  let wantedConnections = 0
   let forwardedConnections = 0
   let activeUntil = 0
   let processorBefore = processorTime()
@@ -60,14 +62,16 @@
 
   function sample (): void {
     const [now, processor] = [steadyNow(), processorTime()]
-    const load = settings.processorShare === undefined ? 0 : (processor - processorBefore) / (now - sampledAt) / settings.processorShare / settings.processorCores
+    const [interval, wanted] = [now - sampledAt, wantedConnections]
+    wantedConnections = 0
+    const load = settings.processorShare === undefined ? 0 : (processor - processorBefore) / interval / settings.processorShare / settings.processorCores
     processorBefore = processor
     sampledAt = now
     const before = share
     share = settings.processorShare === undefined ? 0 : nextForwardedShare(before, { processor: load, eventLoopDelayMilliseconds: eventLoopDelay.milliseconds })
     metrics.gauge('forwarded_share', share)
     if ((before === 0) !== (share === 0)) log.event('forwardingChanged', { isActive: share > 0, load: load.toFixed(2), eventLoopDelayMilliseconds: eventLoopDelay.milliseconds, peers: rooms.peers })
-    if (share > 0) rooms.refresh()
+    if (wanted > 0) rooms.ask(wanted * 1000 / interval)
   }
 
   function responseTo (loss: TunnelLoss): string {
@@ -115,6 +119,7 @@
   return {
     accept: (socket, serve) => {
       if (share === 0 || isStopping() || open.size >= MAX_OPEN || Math.random() >= share) return serve()
+      wantedConnections++
       if (rooms.current().length === 0) {
         metrics.count('forwarded_connections_total', { outcome: 'no room' })
         return serve()
--- a/packages/gateway/src/tasks/peerRooms.ts
+++ b/packages/gateway/src/tasks/peerRooms.ts
@@ -5,7 +5,7 @@
 import { PEER_PATH, postToPeer } from './peerMessages.js'
 
 /** Peers measure their room once a second. */
-const REFRESH_MS = 1000
+const ASK_INTERVAL_MS = 1000
 /** A peer has its room measured twice by then. */
 const VALID_MS = 1500
 /** The asking instance is full, so that it may read a reply late. */
@@ -13,8 +13,8 @@
 /** Doubled with each reply that does not come or tells of no room, so that a partition and a load that all instances have cost few messages. */
 const FIRST_PAUSE_MS = 1000
 const MAX_PAUSE_MS = 4000
-/** Peers asked, drawn where there are more. */
-const MAX_PEERS = 32
+/** Expected of a peer that has not replied yet: a small instance at half of its load. */
+const ASSUMED_CONNECTIONS = 8
 
 /** Room at a peer for a second. */
 export interface KnownRoom extends PeerRoom {
@@ -25,8 +25,8 @@
 
 /** What peers say of the connections that they take. */
 export interface PeerRooms {
-  /** Asks the peers, at most once a second. */
-  refresh (): void
+  /** Asks as many peers as `neededConnections` in the next second need beyond the known room, each of them at most once a second. */
+  ask (neededConnections: number): void
   current (): readonly KnownRoom[]
   /** The peer has declined or does not answer; it gets nothing until it is asked again. */
   forget (peer: Peer): void
@@ -36,6 +36,8 @@
 
 interface RoomRecord {
   connections: number
+  /** What the last reply said. */
+  lastReply: number
   validUntil: number
   askAgainAt: number
   /** Questions in a row that brought no room. */
@@ -47,26 +49,26 @@
 export function createPeerRooms (peers: () => readonly Peer[]): PeerRooms {
   /** By incarnation. */
   const records = new Map<string, RoomRecord>()
-  let refreshAt = 0
 
   function recordOf ({ incarnationId }: Peer): RoomRecord {
     const known = records.get(incarnationId)
     if (known !== undefined) return known
-    const record: RoomRecord = { connections: 0, validUntil: 0, askAgainAt: 0, withoutRoom: 0, isAsked: false }
+    const record: RoomRecord = { connections: 0, lastReply: ASSUMED_CONNECTIONS, validUntil: 0, askAgainAt: 0, withoutRoom: 0, isAsked: false }
     records.set(incarnationId, record)
     return record
   }
 
-  async function ask (peer: Peer): Promise<void> {
-    const record = recordOf(peer)
-    if (record.isAsked || record.askAgainAt > steadyNow()) return
+  async function askPeer (peer: Peer, record: RoomRecord): Promise<void> {
+    const askedAt = steadyNow()
     record.isAsked = true
     const message: ConnectionRoomRequest = { to: peer.incarnationId }
     const outcome = await postToPeer(peer.address, PEER_PATH.connectionRoom, message, TIMEOUT_MS)
     const now = steadyNow()
     record.isAsked = false
     record.connections = outcome.kind === 'answered' ? parseRoom(outcome.reply) : 0
+    record.lastReply = record.connections
     record.validUntil = now + VALID_MS
+    record.askAgainAt = askedAt + ASK_INTERVAL_MS
     if (record.connections > 0) record.withoutRoom = 0
     else record.askAgainAt = now + Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** record.withoutRoom++)
   }
@@ -76,26 +78,35 @@
     for (const incarnationId of records.keys()) if (!running.has(incarnationId)) records.delete(incarnationId)
   }
 
+  function current (): readonly KnownRoom[] {
+    return peers().flatMap((peer) => {
+      const record = records.get(peer.incarnationId)
+      if (record === undefined || record.connections <= 0 || record.validUntil <= steadyNow()) return []
+      return [{ peer, connections: record.connections, take: () => { record.connections-- } }]
+    })
+  }
+
   return {
-    refresh: () => {
+    ask: (neededConnections) => {
       const now = steadyNow()
-      if (now < refreshAt) return
-      refreshAt = now + REFRESH_MS
       forgetStopped()
-      for (const peer of drawnPeers(peers())) ask(peer).catch(() => {})
+      const known = peers().map((peer) => ({ peer, record: recordOf(peer), order: Math.random() }))
+      const asked = known.filter(({ record }) => record.isAsked)
+      let missing = neededConnections - totalOf(current()) - totalOf(asked.map(({ record }) => ({ connections: record.lastReply })))
+      // Peers that are alike are asked in random order, so that several full instances don't ask the same ones.
+      const askable = known.filter(({ record }) => !record.isAsked && record.askAgainAt <= now).sort((a, b) => b.record.lastReply - a.record.lastReply || a.order - b.order)
+      for (const { peer, record } of askable) {
+        if (missing <= 0) return
+        missing -= Math.max(1, record.lastReply)
+        askPeer(peer, record).catch(() => {})
+      }
     },
-    current: () => peers().flatMap((peer) => {
-      const record = records.get(peer.incarnationId)
-      if (record === undefined || record.connections <= 0 || record.validUntil <= steadyNow()) return []
-      return [{ peer, connections: record.connections, take: () => { record.connections-- } }]
-    }),
+    current,
     forget: (peer) => { recordOf(peer).connections = 0 },
     get peers () { return peers().length }
   }
 }
 
-function drawnPeers (all: readonly Peer[]): readonly Peer[] {
-  if (all.length <= MAX_PEERS) return all
-  const first = Math.floor(Math.random() * all.length)
-  return [...all.slice(first), ...all.slice(0, first)].slice(0, MAX_PEERS)
+function totalOf (rooms: readonly PeerRoom[]): number {
+  return rooms.reduce((sum, { connections }) => sum + connections, 0)
 }
