Ask peers for room by chance and for twice what is needed

Peers are drawn by their room, so that several full instances spread over them, and twice the need leaves room for late replies and declined connections.

--- a/packages/gateway/src/tasks/peerRooms.ts
+++ b/packages/gateway/src/tasks/peerRooms.ts
@@ -1,5 +1,6 @@
 import { steadyNow } from '../clock.js'
 import type { PeerRoom } from '../decisions/forwardedShare.js'
+import { drawPeersToAsk } from '../decisions/peersToAsk.js'
 import { parseRoom, type ConnectionRoomRequest } from './connectionRoom.js'
 import type { Peer } from './fleetTask.js'
 import { PEER_PATH, postToPeer } from './peerMessages.js'
@@ -13,6 +14,8 @@
 /** Doubled with each reply that does not come or tells of no room, so that a partition and a load that all instances have cost few messages. */
 const FIRST_PAUSE_MS = 1000
 const MAX_PAUSE_MS = 4000
+/** Peers are asked for this many times what is needed: other full instances use the same room, and replies come late to a full instance. */
+const SPARE_FACTOR = 2
 /** Expected of a peer that has not replied yet: a small instance at half of its load. */
 const ASSUMED_CONNECTIONS = 8
 
@@ -90,16 +93,13 @@
     ask: (neededConnections) => {
       const now = steadyNow()
       forgetStopped()
-      const known = peers().map((peer) => ({ peer, record: recordOf(peer), order: Math.random() }))
-      const asked = known.filter(({ record }) => record.isAsked)
-      let missing = neededConnections - totalOf(current()) - totalOf(asked.map(({ record }) => ({ connections: record.lastReply })))
-      // Peers that are alike are asked in random order, so that several full instances don't ask the same ones.
-      const askable = known.filter(({ record }) => !record.isAsked && record.askAgainAt <= now).sort((a, b) => b.record.lastReply - a.record.lastReply || a.order - b.order)
-      for (const { peer, record } of askable) {
-        if (missing <= 0) return
-        missing -= Math.max(1, record.lastReply)
-        askPeer(peer, record).catch(() => {})
-      }
+      const known = peers().map((peer) => ({ peer, record: recordOf(peer) }))
+      const expected = known.filter(({ record }) => record.isAsked).map(({ record }) => ({ connections: record.lastReply }))
+      const missing = neededConnections * SPARE_FACTOR - totalOf([...current(), ...expected])
+      const askable = known
+        .filter(({ record }) => !record.isAsked && record.askAgainAt <= now)
+        .map(({ peer, record }) => ({ peer, record, expectedConnections: record.lastReply }))
+      for (const { peer, record } of drawPeersToAsk(askable, missing, Math.random)) askPeer(peer, record).catch(() => {})
     },
     current,
     forget: (peer) => { recordOf(peer).connections = 0 },
