--- a/packages/gateway/src/tasks/peerRooms.ts
+++ b/packages/gateway/src/tasks/peerRooms.ts
@@ -16,7 +16,7 @@
 const MAX_PAUSE_MS = 4000
 /** Peers are asked for this many times what is needed: other full instances use the same room, and replies come late to a full instance. */
 const SPARE_FACTOR = 2
-/** Expected of a peer that has not replied yet: a small instance at half of its load. */
+/** Room that is expected of a peer before its first reply. */
 const ASSUMED_CONNECTIONS = 8
 
 /** Room at a peer for a second. */
